Lay out the workspace, port types and protocol

Cause: every later part needs one fixed set of types to be written against. Ruled out: decisions as async functions, which a test cannot step; decisions are generators that yield typed effects (packages/core/src/kernel).

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,4 @@
+export * from './kernel/flow';
+export * from './types';
+export * from './utils/canonical_json';
+export * from './utils/hash';
--- /dev/null
+++ b/packages/core/src/types/names.ts
@@ -0,0 +1,38 @@
+/** Name of one instance of the site; unique over its replacements' lifetime. */
+export type InstanceName = string;
+
+/** Name of a target: a model engine or a plain service instance. */
+export type TargetName = string;
+
+/** Name of an availability zone. */
+export type ZoneName = string;
+
+/** Name of a region. */
+export type RegionName = string;
+
+/** Name of a workspace, the tenant that a caller belongs to. */
+export type WorkspaceName = string;
+
+/** Name of a model, for example `repair-notes`. */
+export type ModelName = string;
+
+/** Name of a plain service, for example `invoicing`. */
+export type ServiceName = string;
+
+/** `sha256:` and 64 lower-case hexadecimal digits. */
+export type Digest = string;
+
+/** SHA-256 digest of a version's manifest; identifies the version. */
+export type VersionDigest = Digest;
+
+/** Identifies one attempt to run one request. Unique for ever. */
+export type AttemptId = string;
+
+/** Number of an agent's life; raised in the table at each start. */
+export type Incarnation = number;
+
+/** Position of a configuration in the single line of accepted ones. */
+export type Generation = number;
+
+/** Identifies a plan that an operator may confirm. */
+export type PlanId = string;
--- /dev/null
+++ b/packages/core/src/types/outcome.ts
@@ -0,0 +1,54 @@
+import type {AttemptId, Incarnation, VersionDigest} from './names';
+import type {Milliseconds} from './units';
+
+declare const evidenceOfNotRunning: unique symbol;
+
+/**
+ * Why it is certain that an attempt did not run and never will. Built only by
+ * the functions in `requests/evidence.ts`, so that no code can claim it
+ * without having seen it.
+ */
+export type NotRunEvidence = {
+  readonly [evidenceOfNotRunning]: true;
+} & (
+  | {readonly kind: 'neverDispatched'}
+  | {
+      readonly kind: 'refusedBeforeStart';
+      readonly attempt: AttemptId;
+      readonly incarnation: Incarnation;
+    }
+  | {
+      readonly kind: 'tombstoned';
+      readonly attempt: AttemptId;
+      readonly incarnation: Incarnation;
+    }
+);
+
+/** Why a request was not run, for the caller. */
+export type NotRunReason =
+  | 'workspaceLimit'
+  | 'queueFull'
+  | 'deadlineTooShort'
+  | 'noTarget'
+  | 'workspaceClosed'
+  | 'platformUnavailable'
+  | 'targetLeaving'
+  | 'retryBudgetSpent'
+  | 'inProgress'
+  | 'keyReused'
+  | 'stopping';
+
+/** The three final answers to a request; there is no fourth. */
+export type RequestOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly versionDigest: VersionDigest | undefined;
+      readonly frameCount: number;
+    }
+  | {
+      readonly kind: 'notRun';
+      readonly evidence: NotRunEvidence;
+      readonly reason: NotRunReason;
+      readonly retryAfter: Milliseconds;
+    }
+  | {readonly kind: 'outcomeUnknown'; readonly detail: string};
--- /dev/null
+++ b/packages/daemon/src/types/settings.ts
@@ -0,0 +1,102 @@
+import type {
+  Bytes,
+  FencingSupport,
+  InstanceName,
+  Milliseconds,
+  RegionName,
+  ServiceName,
+  TargetName,
+  WorkspaceName,
+  ZoneName,
+} from '@hibiscusbeam/core';
+
+/** A TCP address by IP number. */
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** How to reach the platform. */
+export interface PlatformSettings {
+  /** Base address of the platform's HTTP interface. */
+  readonly url: string;
+  /** A call without answer for so long counts as lost. */
+  readonly timeout: Milliseconds;
+}
+
+/** A bearer key as stored: only its hash. */
+export interface HashedKey<Name extends string> {
+  readonly name: Name;
+  /** SHA-256 of the key, in hexadecimal. */
+  readonly sha256: string;
+}
+
+/** Where log lines go and how they look. */
+export interface LogSettings {
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly format: 'json' | 'pretty';
+}
+
+/** Where metrics go; absent sends none. */
+export interface MetricsSettings {
+  readonly address: SocketAddress;
+  readonly prefix: string;
+}
+
+/** What every process of the site has. */
+export interface CommonSettings {
+  readonly instance: InstanceName;
+  readonly zone: ZoneName;
+  readonly region: RegionName;
+  /** Where this process listens for other processes of the site (gRPC). */
+  readonly siteAddress: SocketAddress;
+  /** The key that processes of the site show one another. */
+  readonly siteKey: string;
+  readonly platform: PlatformSettings;
+  readonly log: LogSettings;
+  readonly metrics: MetricsSettings | undefined;
+}
+
+/** Bounds on what one caller may send or occupy. */
+export interface CallerLimits {
+  readonly requestBody: Bytes;
+  readonly jsonDepth: number;
+  /** Most requests waiting for a target at this entry. */
+  readonly waiting: number;
+  /** Longest deadline that a caller may ask for. */
+  readonly longestDeadline: Milliseconds;
+}
+
+/** Settings of an entry, resolved. */
+export interface EntrySettings extends CommonSettings {
+  readonly role: 'entry';
+  /** Where callers and operators connect (HTTP). */
+  readonly callerAddress: SocketAddress;
+  readonly operatorKeys: readonly HashedKey<string>[];
+  readonly workspaceKeys: readonly HashedKey<WorkspaceName>[];
+  readonly limits: CallerLimits;
+  /** How long callers may keep the answer to "which entry shall I use". */
+  readonly addressesKeptFor: Milliseconds;
+}
+
+/** The target in whose slot an agent runs. */
+export interface AgentTargetSettings {
+  readonly name: TargetName;
+  readonly kind: 'modelEngine' | 'plainService';
+  /** The plain service's name; absent for a model engine. */
+  readonly service: ServiceName | undefined;
+  /** Base address of the target's HTTP interface. */
+  readonly url: string;
+  readonly fencing: FencingSupport;
+}
+
+/** Settings of an agent, resolved. */
+export interface AgentSettings extends CommonSettings {
+  readonly role: 'agent';
+  readonly target: AgentTargetSettings;
+  /** Most chunk bytes held in the agent's memory at once. */
+  readonly transferBuffer: Bytes;
+}
+
+/** Settings of one process, resolved and checked. */
+export type ProcessSettings = EntrySettings | AgentSettings;
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,1 @@
+export * from './generated/hibiscusbeam/v1/site';
