--- /dev/null
+++ b/demo/site/processes.ts
@@ -0,0 +1,116 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createServer} from 'node:net';
+import {createInterface} from 'node:readline';
+
+/** The programs a site is made of, as bundled by scripts/programs.mjs. */
+export type Program = 'hibiscusbeam' | 'standins';
+
+const BUNDLES: Readonly<Record<Program, string>> = {
+  hibiscusbeam: 'dist/hibiscusbeam.cjs',
+  standins: 'dist/standins.cjs',
+};
+
+const BINARY = 'dist/hibiscusbeam';
+
+/** Last lines of a process's log kept for a failure's report. */
+const KEPT_LOG_LINES = 200;
+
+/** A process that this site started. */
+export interface SiteProcess {
+  readonly name: string;
+  readonly processId: number;
+  /** The first line on standard output: says that the process is ready. */
+  readonly ready: Promise<string>;
+  readonly exited: Promise<number | null>;
+  readonly signal: (signal: NodeJS.Signals) => void;
+  readonly log: () => readonly string[];
+}
+
+/** How to start a process. */
+export interface StartOptions {
+  readonly name: string;
+  readonly program: Program;
+  readonly programArguments: readonly string[];
+  /** Runs our program from the one binary in place of the bundle. */
+  readonly binary?: boolean;
+}
+
+/** Starts one process; its standard error is kept as its log. */
+export function startProcess(options: StartOptions): SiteProcess {
+  const {command, leading} = commandOf(options);
+  const child = spawn(command, [...leading, ...options.programArguments], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const lines: string[] = [];
+  collectLines(child.stderr, line => {
+    lines.push(line);
+    if (lines.length > KEPT_LOG_LINES) lines.shift();
+  });
+  const exited = exitOf(child);
+  const ready = new Promise<string>((resolve, reject) => {
+    collectLines(child.stdout, resolve);
+    void exited.then(code =>
+      reject(
+        new Error(
+          `${options.name} ended with ${code} before it was ready:\n${lines.slice(-20).join('\n')}`,
+        ),
+      ),
+    );
+  });
+  // The owner awaits `ready`; a process that ends later must not raise this.
+  ready.catch(() => undefined);
+  return {
+    name: options.name,
+    processId: child.pid ?? 0,
+    ready,
+    exited,
+    signal: signal => void child.kill(signal),
+    log: () => lines,
+  };
+}
+
+function commandOf(options: StartOptions) {
+  if (options.program === 'hibiscusbeam' && options.binary === true) {
+    return {command: BINARY, leading: []};
+  }
+  return {
+    command: process.execPath,
+    leading: ['--enable-source-maps', BUNDLES[options.program]],
+  };
+}
+
+function collectLines(
+  stream: NodeJS.ReadableStream | null,
+  take: (line: string) => void,
+): void {
+  if (stream === null) return;
+  createInterface({input: stream}).on('line', take);
+}
+
+function exitOf(child: ChildProcess): Promise<number | null> {
+  return new Promise(resolve => {
+    child.once('exit', code => resolve(code));
+    child.once('error', () => resolve(null));
+  });
+}
+
+/** Finds `count` free TCP ports on the loopback address. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const servers = await Promise.all(
+    Array.from({length: count}, () => listenAnywhere()),
+  );
+  const ports = servers.map(server => server.port);
+  await Promise.all(servers.map(server => server.close()));
+  return ports;
+}
+
+async function listenAnywhere() {
+  const server = createServer();
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = server.address();
+  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
+  return {
+    port,
+    close: () => new Promise<void>(resolve => server.close(() => resolve())),
+  };
+}
--- /dev/null
+++ b/demo/site/settings_files.ts
@@ -0,0 +1,105 @@
+import {createHash} from 'node:crypto';
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {stringify} from 'yaml';
+
+/** Keys of the demonstration site; a real site makes its own. */
+export const DEMO_KEYS = {
+  site: 'demo-site-key-0123456789abcdef',
+  operator: 'demo-operator-key',
+  workspaces: {
+    'shop-counter': 'demo-shop-counter-key',
+    'call-centre': 'demo-call-centre-key',
+    'mower-app': 'demo-mower-app-key',
+  },
+} as const;
+
+/** Name of a workspace of the demonstration site. */
+export type DemoWorkspace = keyof typeof DEMO_KEYS.workspaces;
+
+/** Where one process of the site is and listens. */
+export interface ProcessPlace {
+  readonly instance: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly siteAddress: string;
+}
+
+/** An entry's place, with its face for callers. */
+export interface EntryPlace extends ProcessPlace {
+  readonly callerAddress: string;
+}
+
+/** An agent's place, with its target. */
+export interface AgentPlace extends ProcessPlace {
+  readonly target: {
+    readonly name: string;
+    readonly kind: 'modelEngine' | 'plainService';
+    readonly service?: string;
+    readonly url: string;
+    readonly fencing: 'checked' | 'ignored';
+  };
+}
+
+/** Writes settings files into one folder. */
+export interface SettingsWriter {
+  readonly entry: (place: EntryPlace) => string;
+  readonly agent: (place: AgentPlace) => string;
+  readonly operatorKeyFile: string;
+}
+
+/** Prepares `folder` and the key files in it. */
+export function createSettingsWriter(
+  folder: string,
+  platformUrl: string,
+  extra: {readonly addressesKeptFor: string},
+): SettingsWriter {
+  mkdirSync(folder, {recursive: true});
+  const siteKeyFile = join(folder, 'site.key');
+  const operatorKeyFile = join(folder, 'operator.key');
+  writeFileSync(siteKeyFile, DEMO_KEYS.site, {mode: 0o600});
+  writeFileSync(operatorKeyFile, DEMO_KEYS.operator, {mode: 0o600});
+
+  const common = (place: ProcessPlace) => ({
+    instance: place.instance,
+    zone: place.zone,
+    region: place.region,
+    platform: {url: platformUrl, timeout: '2s'},
+    log: {level: 'info', format: 'json'},
+  });
+  const write = (name: string, settings: unknown): string => {
+    const file = join(folder, `${name}.yaml`);
+    writeFileSync(file, stringify(settings));
+    return file;
+  };
+
+  return {
+    operatorKeyFile,
+    entry: place =>
+      write(place.instance, {
+        role: 'entry',
+        ...common(place),
+        listen: {site: place.siteAddress, callers: place.callerAddress},
+        keys: {
+          siteKeyFile,
+          operators: [{name: 'operator', sha256: sha256(DEMO_KEYS.operator)}],
+          workspaces: Object.entries(DEMO_KEYS.workspaces).map(
+            ([name, key]) => ({name, sha256: sha256(key)}),
+          ),
+        },
+        addressesKeptFor: extra.addressesKeptFor,
+      }),
+    agent: place =>
+      write(place.instance, {
+        role: 'agent',
+        ...common(place),
+        listen: {site: place.siteAddress},
+        keys: {siteKeyFile},
+        target: place.target,
+      }),
+  };
+}
+
+function sha256(key: string): string {
+  return createHash('sha256').update(key, 'utf8').digest('hex');
+}
--- /dev/null
+++ b/demo/site/small_site.ts
@@ -0,0 +1,228 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {exchangeJson} from './http';
+import {freePorts, startProcess, type SiteProcess} from './processes';
+import {
+  createSettingsWriter,
+  type AgentPlace,
+  type EntryPlace,
+  type SettingsWriter,
+} from './settings_files';
+
+const HOST = '127.0.0.1';
+
+const PLACES = [
+  {zone: 'bilbao-hall', region: 'east'},
+  {zone: 'santander-hall', region: 'east'},
+  {zone: 'oviedo-hall', region: 'west'},
+] as const;
+
+/** How large a site to start, and from what. */
+export interface SmallSiteOptions {
+  readonly entries: number;
+  readonly engines: number;
+  readonly plainServices: number;
+  /** Runs our processes from the one binary. */
+  readonly binary: boolean;
+  readonly addressesKeptFor?: string;
+  /** Whether engines refuse an order with an old fencing number. */
+  readonly fencing?: 'checked' | 'ignored';
+}
+
+/** A target with the agent in its slot. */
+export interface RunningTarget {
+  readonly name: string;
+  readonly url: string;
+  readonly standin: SiteProcess;
+  readonly agent: SiteProcess;
+  readonly place: AgentPlace;
+}
+
+/** An entry of the running site. */
+export interface RunningEntry {
+  readonly name: string;
+  readonly url: string;
+  readonly process: SiteProcess;
+  readonly place: EntryPlace;
+}
+
+/** A small site of separate processes on loopback. */
+export interface SmallSite {
+  readonly platformUrl: string;
+  readonly platform: SiteProcess;
+  readonly entries: readonly RunningEntry[];
+  readonly engines: readonly RunningTarget[];
+  readonly plainServices: readonly RunningTarget[];
+  readonly settings: SettingsWriter;
+  /** Starts an agent anew in the slot of a target. */
+  readonly restartAgent: (target: RunningTarget) => Promise<SiteProcess>;
+  /** Starts one more entry and lists it at the platform. */
+  readonly addEntry: (name: string) => Promise<RunningEntry>;
+  readonly unlist: (instance: string) => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts platform, targets, agents and entries, and lists them. */
+export async function startSmallSite(
+  options: SmallSiteOptions,
+): Promise<SmallSite> {
+  const folder = mkdtempSync(join(tmpdir(), 'hibiscusbeam-site-'));
+  const running: SiteProcess[] = [];
+  const start = (
+    ...startOptions: Parameters<typeof startProcess>
+  ): SiteProcess => {
+    const started = startProcess(...startOptions);
+    running.push(started);
+    return started;
+  };
+
+  const standin = async (
+    kind: string,
+    name: string,
+  ): Promise<{process: SiteProcess; url: string}> => {
+    const process = start({
+      name,
+      program: 'standins',
+      programArguments: [kind, '--listen', `${HOST}:0`, '--name', name],
+    });
+    const ready = JSON.parse(await process.ready) as {listening: string};
+    return {process, url: `http://${ready.listening}`};
+  };
+
+  const platform = await standin('platform', 'platform');
+  const settings = createSettingsWriter(folder, platform.url, {
+    addressesKeptFor: options.addressesKeptFor ?? '5s',
+  });
+
+  const list = (place: EntryPlace | AgentPlace): Promise<unknown> => {
+    const isEntry = 'callerAddress' in place;
+    const {instance, zone, region} = place;
+    return exchangeJson('PUT', `${platform.url}/instances/${instance}`, {
+      instance,
+      role: isEntry ? 'entry' : 'agent',
+      address: place.siteAddress,
+      ...(isEntry ? {callerAddress: place.callerAddress} : {}),
+      zone,
+      region,
+      state: 'live',
+    });
+  };
+
+  const runAgent = (place: AgentPlace): SiteProcess =>
+    start({
+      name: place.instance,
+      program: 'hibiscusbeam',
+      programArguments: ['agent', '--settings', settings.agent(place)],
+      binary: options.binary,
+    });
+
+  const addTarget = async (
+    name: string,
+    index: number,
+    kind: 'modelEngine' | 'plainService',
+  ): Promise<RunningTarget> => {
+    const target = await standin(
+      kind === 'modelEngine' ? 'engine' : 'plain-service',
+      name,
+    );
+    const [port] = await freePorts(1);
+    const place: AgentPlace = {
+      instance: `agent-of-${name}`,
+      ...placeAt(index),
+      siteAddress: `${HOST}:${port}`,
+      target: {
+        name,
+        kind,
+        ...(kind === 'plainService' ? {service: 'invoicing'} : {}),
+        url: target.url,
+        fencing: options.fencing ?? 'checked',
+      },
+    };
+    const agent = runAgent(place);
+    await Promise.all([agent.ready, list(place)]);
+    return {name, url: target.url, standin: target.process, agent, place};
+  };
+
+  const addEntry = async (
+    name: string,
+    index: number,
+  ): Promise<RunningEntry> => {
+    const [sitePort, callerPort] = await freePorts(2);
+    const place: EntryPlace = {
+      instance: name,
+      ...placeAt(index),
+      siteAddress: `${HOST}:${sitePort}`,
+      callerAddress: `${HOST}:${callerPort}`,
+    };
+    await list(place);
+    const process = start({
+      name,
+      program: 'hibiscusbeam',
+      programArguments: ['entry', '--settings', settings.entry(place)],
+      binary: options.binary,
+    });
+    await process.ready;
+    return {name, url: `http://${place.callerAddress}`, process, place};
+  };
+
+  const stop = async (): Promise<void> => {
+    for (const process of running) process.signal('SIGCONT');
+    for (const process of running) process.signal('SIGKILL');
+    await Promise.all(running.map(process => process.exited));
+    rmSync(folder, {recursive: true, force: true});
+  };
+
+  try {
+    const entries = await Promise.all(
+      upTo(options.entries).map(number =>
+        addEntry(`entry-${number}`, number - 1),
+      ),
+    );
+    const engines = await Promise.all(
+      upTo(options.engines).map(number =>
+        addTarget(`engine-${number}`, number - 1, 'modelEngine'),
+      ),
+    );
+    const plainServices = await Promise.all(
+      upTo(options.plainServices).map(number =>
+        addTarget(`invoicing-${number}`, number - 1, 'plainService'),
+      ),
+    );
+    let added = options.entries;
+    return {
+      platformUrl: platform.url,
+      platform: platform.process,
+      entries,
+      engines,
+      plainServices,
+      settings,
+      restartAgent: async target => {
+        const agent = runAgent(target.place);
+        await agent.ready;
+        return agent;
+      },
+      addEntry: name => addEntry(name, added++),
+      unlist: async instance => {
+        await exchangeJson('DELETE', `${platform.url}/instances/${instance}`);
+      },
+      stop,
+    };
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+}
+
+function placeAt(index: number): {
+  readonly zone: string;
+  readonly region: string;
+} {
+  const place = PLACES[index % PLACES.length];
+  if (place === undefined) throw new Error('no place is configured');
+  return place;
+}
+
+function upTo(count: number): readonly number[] {
+  return Array.from({length: count}, (_, index) => index + 1);
+}
--- a/packages/core/src/types/outcome.ts
+++ b/packages/core/src/types/outcome.ts
@@ -24,19 +24,28 @@
     }
 );
 
+/** Every {@link NotRunReason}. */
+export const NOT_RUN_REASONS = [
+  'workspaceLimit',
+  'queueFull',
+  'deadlineTooShort',
+  'noTarget',
+  'workspaceClosed',
+  'platformUnavailable',
+  'targetLeaving',
+  'retryBudgetSpent',
+  'inProgress',
+  'keyReused',
+  'stopping',
+] as const;
+
 /** Why a request was not run, for the caller. */
-export type NotRunReason =
-  | 'workspaceLimit'
-  | 'queueFull'
-  | 'deadlineTooShort'
-  | 'noTarget'
-  | 'workspaceClosed'
-  | 'platformUnavailable'
-  | 'targetLeaving'
-  | 'retryBudgetSpent'
-  | 'inProgress'
-  | 'keyReused'
-  | 'stopping';
+export type NotRunReason = (typeof NOT_RUN_REASONS)[number];
+
+/** Whether `text`, received from another process, names a reason. */
+export function isNotRunReason(text: string): text is NotRunReason {
+  return (NOT_RUN_REASONS as readonly string[]).includes(text);
+}
 
 /** The three final answers to a request; there is no fourth. */
 export type RequestOutcome =
--- /dev/null
+++ b/packages/daemon/src/entry/attempt_stream.ts
@@ -0,0 +1,116 @@
+import type {ClientReadableStream} from '@grpc/grpc-js';
+import {
+  isNotRunReason,
+  type AttemptEvent,
+  type MonotonicInstant,
+} from '@hibiscusbeam/core';
+import type {ServeFrame} from '@hibiscusbeam/wire';
+import type {Clock} from '../runtime/clock';
+
+/** Events that may wait for a slow caller before the agent is held back. */
+const HELD_EVENTS = 64;
+
+/** The events of one attempt, in the order in which they came. */
+export interface AttemptStream {
+  /** The next event, or `timedOut` at `until`. At hand, or a promise. */
+  readonly next: (
+    until: MonotonicInstant,
+  ) => AttemptEvent | Promise<AttemptEvent>;
+  /** Ends interest; the agent sees the call as cancelled. */
+  readonly cancel: () => void;
+}
+
+/** Turns an agent's stream of frames into events with back-pressure. */
+export function createAttemptStream(
+  stream: ClientReadableStream<ServeFrame>,
+  clock: Clock,
+): AttemptStream {
+  const held: AttemptEvent[] = [];
+  let waiting: ((event: AttemptEvent) => void) | undefined;
+  let ended = false;
+
+  const deliver = (event: AttemptEvent): void => {
+    if (waiting !== undefined) {
+      const resolve = waiting;
+      waiting = undefined;
+      resolve(event);
+      return;
+    }
+    held.push(event);
+    if (held.length >= HELD_EVENTS) stream.pause();
+  };
+
+  const finish = (detail: string): void => {
+    if (ended) return;
+    ended = true;
+    deliver({kind: 'cut', detail});
+  };
+
+  stream.on('data', (frame: ServeFrame) => deliver(eventOf(frame)));
+  stream.on('error', error => finish(error.message));
+  stream.on('end', () => finish('the stream ended'));
+
+  const wait = (until: MonotonicInstant): Promise<AttemptEvent> =>
+    new Promise(resolve => {
+      const timer = setTimeout(
+        () => {
+          waiting = undefined;
+          resolve({kind: 'timedOut'});
+        },
+        Math.max(0, until - clock()),
+      );
+      waiting = event => {
+        clearTimeout(timer);
+        resolve(event);
+      };
+    });
+
+  return {
+    next: until => {
+      const event = held.shift();
+      if (event === undefined) {
+        if (ended) return {kind: 'cut', detail: 'the stream ended'};
+        return wait(until);
+      }
+      if (held.length === 0 && stream.isPaused()) stream.resume();
+      return event;
+    },
+    cancel: () => {
+      ended = true;
+      stream.cancel();
+    },
+  };
+}
+
+function eventOf(message: ServeFrame): AttemptEvent {
+  const {attempt, frame} = message;
+  switch (frame?.$case) {
+    case 'started': {
+      const {versionDigest, incarnation} = frame.started;
+      return {
+        kind: 'started',
+        attempt,
+        versionDigest: versionDigest === '' ? undefined : versionDigest,
+        incarnation,
+      };
+    }
+    case 'data':
+      return {kind: 'data', attempt, ...frame.data};
+    case 'end':
+      return {kind: 'end', attempt, ...frame.end};
+    case 'refused': {
+      const {reason, retryAfterMilliseconds, incarnation} = frame.refused;
+      return {
+        kind: 'refused',
+        attempt,
+        incarnation,
+        reason: isNotRunReason(reason) ? reason : 'noTarget',
+        retryAfter: retryAfterMilliseconds,
+      };
+    }
+    case 'failed':
+      return {kind: 'failed', attempt, detail: frame.failed.detail};
+    case undefined:
+      return {kind: 'failed', attempt, detail: 'an unknown frame'};
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request_parsing.ts
@@ -0,0 +1,97 @@
+import {z} from 'zod';
+import {Err, Ok, type Result} from 'ts-results';
+import type {Milliseconds} from '@hibiscusbeam/core';
+import type {HttpRefusal} from './http_errors';
+
+/** Deadline of a request that names none. */
+const DEFAULT_DEADLINE: Milliseconds = 30_000;
+
+const LONGEST_KEY = 200;
+
+const DURATION = /^(\d{1,9})(ms|s|m)$/;
+
+const UNIT_MILLISECONDS: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1_000,
+  m: 60_000,
+};
+
+const duration = z
+  .string()
+  .regex(DURATION, 'write a duration with its unit, for example 5s')
+  .transform(text => {
+    const [, amount, unit] = DURATION.exec(text) ?? [];
+    return Number(amount) * (UNIT_MILLISECONDS[unit ?? ''] ?? 0);
+  })
+  .refine(value => value > 0, 'must be above zero');
+
+const GENERATE = z.strictObject({
+  prompt: z.string().min(1),
+  maximumTokens: z.number().int().min(1).max(65_536).default(256),
+  deadline: duration.default(DEFAULT_DEADLINE),
+});
+
+/** A caller's request for an answer of a model. */
+export interface GenerateBody {
+  readonly prompt: string;
+  readonly maximumTokens: number;
+  readonly deadline: Milliseconds;
+}
+
+/** Reads the body of a request for a model. */
+export function parseGenerate(
+  body: unknown,
+  longestDeadline: Milliseconds,
+): Result<GenerateBody, HttpRefusal> {
+  const parsed = GENERATE.safeParse(body);
+  if (!parsed.success) return Err(refusalOf(parsed.error));
+  const {deadline} = parsed.data;
+  return Ok({...parsed.data, deadline: Math.min(deadline, longestDeadline)});
+}
+
+/** Reads a deadline from a header such as `x-deadline: 5s`. */
+export function parseDeadline(
+  header: string | undefined,
+  longestDeadline: Milliseconds,
+): Result<Milliseconds, HttpRefusal> {
+  if (header === undefined) {
+    return Ok(Math.min(DEFAULT_DEADLINE, longestDeadline));
+  }
+  const parsed = duration.safeParse(header);
+  if (!parsed.success) {
+    return Err({
+      kind: 'badField',
+      field: 'x-deadline',
+      detail: 'write a duration with its unit, for example 5s',
+    });
+  }
+  return Ok(Math.min(parsed.data, longestDeadline));
+}
+
+/** Checks the form of an idempotency key. */
+export function parseIdempotencyKey(
+  header: string | undefined,
+): Result<string, HttpRefusal> {
+  const bad = (detail: string) =>
+    Err({kind: 'badField', field: 'idempotency-key', detail} as const);
+  if (header === undefined) {
+    return bad('this operation runs at most once: send an idempotency key');
+  }
+  if (header.length > LONGEST_KEY) {
+    return bad(`at most ${LONGEST_KEY} characters`);
+  }
+  if (!/^[\w.:-]+$/.test(header)) {
+    return bad('use letters, digits, dot, colon, hyphen and underscore');
+  }
+  return Ok(header);
+}
+
+function refusalOf(error: z.ZodError): HttpRefusal {
+  const issue = error.issues[0];
+  const field = issue?.path.join('.') ?? '';
+  return {
+    kind: 'badField',
+    field: field === '' ? 'body' : field,
+    detail: issue?.message ?? 'not understood',
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/runtime/clock.ts
@@ -0,0 +1,27 @@
+import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+
+/** Reads the process's monotonic clock; never goes back, stops for no one. */
+export type Clock = () => MonotonicInstant;
+
+/** The monotonic clock of this process. */
+export const monotonicClock: Clock = () => performance.now();
+
+/** Resolves after `duration`, or at once when `signal` aborts. */
+export function sleep(
+  duration: Milliseconds,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    const timer = setTimeout(resolve, duration);
+    signal?.addEventListener('abort', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
+/** Calls `action` every `period` until the returned function is called. */
+export function every(period: Milliseconds, action: () => void): () => void {
+  const timer = setInterval(action, period);
+  return () => clearInterval(timer);
+}
--- /dev/null
+++ b/packages/daemon/src/site/site_clients.ts
@@ -0,0 +1,67 @@
+import {credentials, type Metadata} from '@grpc/grpc-js';
+import {AgentClient, PeerClient} from '@hibiscusbeam/wire';
+import {siteKeyMetadata} from './site_key';
+
+/** Largest message between processes of the site, in bytes. */
+export const LARGEST_MESSAGE = 4 * 1024 * 1024;
+
+const CHANNEL_OPTIONS = {
+  'grpc.max_receive_message_length': LARGEST_MESSAGE,
+  // A cut link is noticed without waiting for the kernel's retransmissions.
+  'grpc.keepalive_time_ms': 10_000,
+  'grpc.keepalive_timeout_ms': 3_000,
+  // A restarted process is reached again within a second or two.
+  'grpc.initial_reconnect_backoff_ms': 200,
+  'grpc.max_reconnect_backoff_ms': 2_000,
+  'grpc.min_reconnect_backoff_ms': 200,
+};
+
+/** Clients of one process of the site. */
+export interface SiteClients {
+  readonly peer: PeerClient;
+  readonly agent: AgentClient;
+}
+
+/** Channels to other processes, one for each address. */
+export interface SiteClientPool {
+  readonly metadata: Metadata;
+  /** Clients for `address` (`IP:port`), opened on first use. */
+  readonly at: (address: string) => SiteClients;
+  /** Closes the channel to an address that is no longer needed. */
+  readonly drop: (address: string) => void;
+  readonly close: () => void;
+}
+
+/** Opens channels on demand and shows the site's key on each call. */
+export function createSiteClientPool(siteKey: string): SiteClientPool {
+  const clients = new Map<string, SiteClients>();
+  const metadata = siteKeyMetadata(siteKey);
+  const open = (address: string): SiteClients => {
+    const insecure = credentials.createInsecure();
+    return {
+      peer: new PeerClient(address, insecure, CHANNEL_OPTIONS),
+      agent: new AgentClient(address, insecure, CHANNEL_OPTIONS),
+    };
+  };
+  const drop = (address: string): void => {
+    const existing = clients.get(address);
+    if (existing === undefined) return;
+    clients.delete(address);
+    existing.peer.close();
+    existing.agent.close();
+  };
+  return {
+    metadata,
+    at: address => {
+      const existing = clients.get(address);
+      if (existing !== undefined) return existing;
+      const opened = open(address);
+      clients.set(address, opened);
+      return opened;
+    },
+    drop,
+    close: () => {
+      for (const address of [...clients.keys()]) drop(address);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/targets/engine_client.ts
@@ -0,0 +1,172 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import {
+  createTargetExchange,
+  parseJson,
+  targetErrorOf,
+  type TargetExchange,
+} from './http_exchange';
+import type {
+  EngineClient,
+  EngineFrame,
+  GenerateWork,
+  TargetError,
+} from './types';
+
+/**
+ * Connections to one engine: one for each of its running streams, with room
+ * for chunks, orders and reports beside them.
+ */
+const CONNECTIONS = 128;
+
+/** Longest line of an engine's answer, in characters. */
+const LONGEST_LINE = 1024 * 1024;
+
+const REPORT = z.object({
+  life: z.string(),
+  loaded: z.array(z.object({model: z.string(), versionDigest: z.string()})),
+  loading: z.array(z.string()),
+  running: z.number(),
+  queued: z.number(),
+  slots: z.number(),
+  ageMilliseconds: z.number(),
+});
+
+const CACHE_EVENTS = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number(),
+      kind: z.enum(['stored', 'evicted']),
+      prefix: z.number(),
+    }),
+  ),
+  latest: z.number(),
+});
+
+const FRAME = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('started'),
+    attempt: z.string(),
+    versionDigest: z.string(),
+  }),
+  z.object({
+    kind: z.literal('token'),
+    attempt: z.string(),
+    sequence: z.number(),
+    text: z.string(),
+  }),
+  z.object({
+    kind: z.literal('end'),
+    attempt: z.string(),
+    count: z.number(),
+    versionDigest: z.string(),
+  }),
+]);
+
+const JSON_HEADERS = {'content-type': 'application/json'};
+const BYTES_HEADERS = {'content-type': 'application/octet-stream'};
+
+/** HTTP client of the model engine at `url`. */
+export function createEngineClient(
+  url: string,
+  orderGiver: string,
+): EngineClient {
+  const exchange = createTargetExchange(url, CONNECTIONS);
+  const orderHeaders = {...JSON_HEADERS, 'x-order-giver': orderGiver};
+  return {
+    putChunk: async (digest, content) =>
+      done(
+        await exchange.bytes({
+          method: 'PUT',
+          path: `/chunks/${digest}`,
+          body: content,
+          headers: BYTES_HEADERS,
+        }),
+      ),
+    listChunks: async () => {
+      const listed = await exchange.json(
+        {method: 'GET', path: '/chunks'},
+        z.object({digests: z.array(z.string())}),
+      );
+      return listed.map(body => body.digests);
+    },
+    readChunk: digest =>
+      exchange.bytes({method: 'GET', path: `/chunks/${digest}`}),
+    deleteChunk: async digest =>
+      done(await exchange.bytes({method: 'DELETE', path: `/chunks/${digest}`})),
+    order: async (order, fencing) =>
+      done(
+        await exchange.bytes({
+          method: 'POST',
+          path: '/orders',
+          body: JSON.stringify({order, fencing}),
+          headers: orderHeaders,
+        }),
+      ),
+    report: () =>
+      exchange.json({method: 'GET', path: '/report', timeout: 2_000}, REPORT),
+    cacheEvents: after =>
+      exchange.json(
+        {method: 'GET', path: `/cache-events?after=${after}`, timeout: 2_000},
+        CACHE_EVENTS,
+      ),
+    generate: (work, signal) => generate(exchange, work, signal),
+    cancel: async attempt =>
+      done(
+        await exchange.bytes({method: 'DELETE', path: `/generate/${attempt}`}),
+      ),
+    close: exchange.close,
+  };
+}
+
+function done(
+  result: Result<Uint8Array, TargetError>,
+): Result<void, TargetError> {
+  return result.map(() => undefined);
+}
+
+async function* generate(
+  exchange: TargetExchange,
+  work: GenerateWork,
+  signal: AbortSignal,
+): AsyncIterable<Result<EngineFrame, TargetError>> {
+  const opened = await exchange.open({
+    method: 'POST',
+    path: '/generate',
+    body: JSON.stringify(work),
+    headers: JSON_HEADERS,
+    signal,
+  });
+  if (opened.err) {
+    yield opened;
+    return;
+  }
+  for await (const line of lines(opened.val.body)) {
+    const frame = line.andThen(text => parseJson(text, FRAME));
+    yield frame;
+    if (frame.err) return;
+  }
+}
+
+async function* lines(
+  body: AsyncIterable<Uint8Array>,
+): AsyncIterable<Result<string, TargetError>> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  try {
+    for await (const piece of body) {
+      rest += decoder.decode(piece, {stream: true});
+      const complete = rest.split('\n');
+      rest = complete.pop() ?? '';
+      for (const line of complete) {
+        if (line !== '') yield Ok(line);
+      }
+      if (rest.length > LONGEST_LINE) {
+        yield Err({kind: 'malformed', detail: 'line too long'});
+        return;
+      }
+    }
+  } catch (error) {
+    yield Err(targetErrorOf(error));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/targets/http_exchange.ts
@@ -0,0 +1,146 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {Err, Ok, type Result} from 'ts-results';
+import {Pool, type Dispatcher} from 'undici';
+import type {z} from 'zod';
+import type {TargetError} from './types';
+
+/** A call to a target without answer for so long counts as cut. */
+const CALL_TIMEOUT: Milliseconds = 10_000;
+
+const CONNECT_TIMEOUT: Milliseconds = 2_000;
+
+/** Errors that happen before any byte of a request is sent. */
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** One HTTP call to a target. */
+export interface TargetCall {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: string | Uint8Array;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
+  /** Undefined waits as long as the signal allows. */
+  readonly timeout?: Milliseconds;
+}
+
+/** HTTP to one target, with bounded connections. */
+export interface TargetExchange {
+  readonly open: (
+    call: TargetCall,
+  ) => Promise<Result<Dispatcher.ResponseData, TargetError>>;
+  readonly bytes: (
+    call: TargetCall,
+  ) => Promise<Result<Uint8Array, TargetError>>;
+  readonly json: <Value>(
+    call: TargetCall,
+    schema: z.ZodType<Value>,
+  ) => Promise<Result<Value, TargetError>>;
+  readonly close: () => Promise<void>;
+}
+
+/** Turns what undici throws into a target's error. */
+export function targetErrorOf(error: unknown): TargetError {
+  const detail = error instanceof Error ? error.message : String(error);
+  const code = (error as {code?: unknown} | null)?.code;
+  if (typeof code === 'string' && NOT_SENT.has(code)) {
+    return {kind: 'unreachable', detail};
+  }
+  return {kind: 'cut', detail};
+}
+
+/** Opens a bounded pool of connections to the target at `url`. */
+export function createTargetExchange(
+  url: string,
+  connections: number,
+): TargetExchange {
+  const pool = new Pool(url, {
+    connections,
+    connect: {timeout: CONNECT_TIMEOUT},
+    bodyTimeout: 0,
+    headersTimeout: 0,
+  });
+
+  const open: TargetExchange['open'] = async call => {
+    const timeout = call.timeout ?? CALL_TIMEOUT;
+    const signal =
+      call.signal === undefined
+        ? AbortSignal.timeout(timeout)
+        : call.timeout === undefined
+          ? call.signal
+          : AbortSignal.any([call.signal, AbortSignal.timeout(timeout)]);
+    try {
+      const response = await pool.request({
+        method: call.method,
+        path: call.path,
+        body: call.body,
+        headers: call.headers,
+        signal,
+      });
+      if (response.statusCode < 400) return Ok(response);
+      return Err(await refusalOf(response));
+    } catch (error) {
+      return Err(targetErrorOf(error));
+    }
+  };
+
+  const bytes: TargetExchange['bytes'] = async call => {
+    const opened = await open(call);
+    if (opened.err) return opened;
+    try {
+      return Ok(await opened.val.body.bytes());
+    } catch (error) {
+      return Err(targetErrorOf(error));
+    }
+  };
+
+  return {
+    open,
+    bytes,
+    json: async (call, schema) => {
+      const received = await bytes(call);
+      if (received.err) return received;
+      return parseJson(received.val, schema);
+    },
+    close: () => pool.destroy(),
+  };
+}
+
+/** Reads `content` as JSON of the given form. */
+export function parseJson<Value>(
+  content: Uint8Array | string,
+  schema: z.ZodType<Value>,
+): Result<Value, TargetError> {
+  const text =
+    typeof content === 'string' ? content : Buffer.from(content).toString();
+  try {
+    const parsed = schema.safeParse(JSON.parse(text));
+    if (parsed.success) return Ok(parsed.data);
+    return Err({kind: 'malformed', detail: parsed.error.message});
+  } catch {
+    return Err({kind: 'malformed', detail: 'not JSON'});
+  }
+}
+
+async function refusalOf(
+  response: Dispatcher.ResponseData,
+): Promise<TargetError> {
+  const text = await response.body.text().catch(() => '');
+  let error = '';
+  try {
+    const body = JSON.parse(text) as {error?: unknown};
+    if (typeof body.error === 'string') error = body.error;
+  } catch {
+    // The status alone tells enough.
+  }
+  return {
+    kind: 'refused',
+    status: response.statusCode,
+    error,
+    detail: text.slice(0, 500),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/targets/types.ts
@@ -0,0 +1,121 @@
+import type {
+  AttemptId,
+  Digest,
+  Manifest,
+  Milliseconds,
+  ModelName,
+  VersionDigest,
+} from '@hibiscusbeam/core';
+import type {Result} from 'ts-results';
+
+/**
+ * Failure of a call to a target. After `unreachable` and `refused` the target
+ * has started nothing; after the others it may have.
+ */
+export type TargetError =
+  | {readonly kind: 'unreachable'; readonly detail: string}
+  | {
+      readonly kind: 'refused';
+      readonly status: number;
+      readonly error: string;
+      readonly detail: string;
+    }
+  | {readonly kind: 'cut'; readonly detail: string}
+  | {readonly kind: 'malformed'; readonly detail: string};
+
+/** A target's answer, or why there is none. */
+export type TargetReply<Value> = Promise<Result<Value, TargetError>>;
+
+/** What a model engine says of itself; late by `ageMilliseconds`. */
+export interface EngineReport {
+  readonly life: string;
+  readonly loaded: readonly {
+    readonly model: ModelName;
+    readonly versionDigest: VersionDigest;
+  }[];
+  readonly loading: readonly VersionDigest[];
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  readonly ageMilliseconds: Milliseconds;
+}
+
+/** An order to a model engine. Names the whole wanted state; idempotent. */
+export type EngineOrder =
+  | {
+      readonly kind: 'load';
+      readonly versionDigest: VersionDigest;
+      readonly manifest: Manifest;
+    }
+  | {readonly kind: 'unload'; readonly versionDigest: VersionDigest};
+
+/** A change of the engine's prompt cache. */
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: 'stored' | 'evicted';
+  readonly prefix: number;
+}
+
+/** One generation to run on a model engine. */
+export interface GenerateWork {
+  readonly attempt: AttemptId;
+  readonly model: ModelName;
+  readonly versionDigest: VersionDigest | undefined;
+  readonly prompt: string;
+  readonly maximumTokens: number;
+  readonly priority: number;
+}
+
+/** One line of a model engine's answer. */
+export type EngineFrame =
+  | {
+      readonly kind: 'started';
+      readonly attempt: AttemptId;
+      readonly versionDigest: VersionDigest;
+    }
+  | {
+      readonly kind: 'token';
+      readonly attempt: AttemptId;
+      readonly sequence: number;
+      readonly text: string;
+    }
+  | {
+      readonly kind: 'end';
+      readonly attempt: AttemptId;
+      readonly count: number;
+      readonly versionDigest: VersionDigest;
+    };
+
+/** A model engine, as its agent uses it. */
+export interface EngineClient {
+  readonly putChunk: (digest: Digest, content: Uint8Array) => TargetReply<void>;
+  readonly listChunks: () => TargetReply<readonly Digest[]>;
+  readonly readChunk: (digest: Digest) => TargetReply<Uint8Array>;
+  readonly deleteChunk: (digest: Digest) => TargetReply<void>;
+  readonly order: (order: EngineOrder, fencing: number) => TargetReply<void>;
+  readonly report: () => TargetReply<EngineReport>;
+  readonly cacheEvents: (after: number) => TargetReply<{
+    readonly events: readonly CacheEvent[];
+    readonly latest: number;
+  }>;
+  /** Frames as they come; ends after the end frame or the first error. */
+  readonly generate: (
+    work: GenerateWork,
+    signal: AbortSignal,
+  ) => AsyncIterable<Result<EngineFrame, TargetError>>;
+  readonly cancel: (attempt: AttemptId) => TargetReply<void>;
+  readonly close: () => Promise<void>;
+}
+
+/** A plain service, as its agent uses it. */
+export interface PlainServiceClient {
+  /** Runs one call; `content` is the JSON text of the request's body. */
+  readonly call: (
+    attempt: AttemptId,
+    operation: string,
+    content: Uint8Array,
+    signal: AbortSignal,
+  ) => TargetReply<Uint8Array>;
+  readonly reachable: () => Promise<boolean>;
+  readonly close: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/daemon/src/utils/json_depth.ts
@@ -0,0 +1,26 @@
+const QUOTE = 0x22;
+const BACKSLASH = 0x5c;
+const OPENERS = new Set([0x5b, 0x7b]);
+const CLOSERS = new Set([0x5d, 0x7d]);
+
+/**
+ * Whether JSON text nests no deeper than `limit`. Deep nesting would overflow
+ * the stack of whoever walks the parsed value; it is refused before parsing.
+ */
+export function isWithinDepth(text: string, limit: number): boolean {
+  let depth = 0;
+  let inString = false;
+  for (let index = 0; index < text.length; index++) {
+    const code = text.charCodeAt(index);
+    if (inString) {
+      if (code === BACKSLASH) index++;
+      else if (code === QUOTE) inString = false;
+      continue;
+    }
+    if (code === QUOTE) inString = true;
+    else if (OPENERS.has(code)) depth++;
+    else if (CLOSERS.has(code)) depth--;
+    if (depth > limit) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/scripts/programs.mjs
@@ -0,0 +1,8 @@
+// Bundles the product's program and the stand-ins for the demo, the tests on
+// real processes and the benches.
+import {bundle} from './bundle.mjs';
+
+await Promise.all([
+  bundle('packages/hibiscusbeam/src/main.ts', 'dist/hibiscusbeam.cjs'),
+  bundle('packages/standins/src/main.ts', 'dist/standins.cjs'),
+]);
