Add stand-ins for the platform, the engine and the plain service

Cause: the thin path needs outside systems that run as processes of their own and take faults over HTTP.

Not yet: the older system, tests.

--- /dev/null
+++ b/packages/standins/src/engine/batch.ts
@@ -0,0 +1,121 @@
+import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import type {Clock} from '../shared/clock';
+import type {Freezer} from '../shared/freezer';
+import type {PrefixCache} from './prefix_cache';
+import type {Run} from './run';
+
+/** What each further run in the batch adds to the time of a step. */
+const BATCH_SLOWDOWN = 0.05;
+
+/** Share of the first token's time that is left when the prefix is cached. */
+const CACHED_FIRST_TOKEN_SHARE = 0.2;
+
+/** How fast the engine generates. */
+export interface BatchTimes {
+  /** Time of one step with one run. */
+  readonly tokenTime: Milliseconds;
+  /** Time to read a prompt whose prefix is not cached. */
+  readonly firstTokenTime: Milliseconds;
+}
+
+/** Runs up to `slots` at once; others wait by priority, then by age. */
+export interface Batch {
+  /** False if the queue is full. */
+  readonly submit: (run: Run) => boolean;
+  /** Forgets a run that was cancelled. */
+  readonly remove: (run: Run) => void;
+  readonly setTimes: (times: Partial<BatchTimes>) => void;
+  readonly load: () => {readonly running: number; readonly queued: number};
+}
+
+/** What a batch is made of. */
+export interface BatchOptions {
+  readonly clock: Clock;
+  readonly freezer: Freezer;
+  readonly cache: PrefixCache;
+  readonly slots: number;
+  readonly queueLimit: number;
+  readonly times: BatchTimes;
+  readonly onChange: () => void;
+  readonly onStart: (run: Run) => void;
+}
+
+/** An idle batch. */
+export function createBatch(options: BatchOptions): Batch {
+  const {clock, freezer, cache, slots, queueLimit} = options;
+  let times = options.times;
+  let queue: Run[] = [];
+  const running = new Map<Run, MonotonicInstant>();
+  let stepping = false;
+
+  function firstTokenAt(run: Run): MonotonicInstant {
+    const {versionDigest, prompt} = run.generation;
+    const hit = cache.use(versionDigest, prompt);
+    const share = hit ? CACHED_FIRST_TOKEN_SHARE : 1;
+    return clock.now() + share * times.firstTokenTime;
+  }
+
+  function admit(): void {
+    while (running.size < slots) {
+      const run = queue.shift();
+      if (run === undefined) return;
+      running.set(run, firstTokenAt(run));
+      options.onStart(run);
+      run.start();
+    }
+  }
+
+  function stepTime(): Milliseconds {
+    return times.tokenTime * (1 + BATCH_SLOWDOWN * (running.size - 1));
+  }
+
+  function stepAll(): void {
+    const now = clock.now();
+    for (const [run, readyAt] of running) {
+      if (readyAt <= now) run.step();
+      if (run.state() === 'finished') running.delete(run);
+    }
+    admit();
+    options.onChange();
+  }
+
+  async function stepWhileRunning(): Promise<void> {
+    let dueAt = clock.now();
+    while (running.size > 0) {
+      // A late timer is made up for by the next step, but not a long pause.
+      dueAt = Math.max(dueAt + stepTime(), clock.now() - stepTime());
+      await clock.wait(Math.max(0, dueAt - clock.now()));
+      await freezer.thawed();
+      stepAll();
+    }
+    stepping = false;
+  }
+
+  return {
+    submit: run => {
+      if (running.size >= slots && queue.length >= queueLimit) return false;
+      const {priority} = run.generation;
+      const after = queue.findIndex(
+        other => other.generation.priority > priority,
+      );
+      queue.splice(after < 0 ? queue.length : after, 0, run);
+      admit();
+      options.onChange();
+      if (!stepping) {
+        stepping = true;
+        void stepWhileRunning();
+      }
+      return true;
+    },
+    remove: run => {
+      running.delete(run);
+      queue = queue.filter(other => other !== run);
+      admit();
+      options.onChange();
+    },
+    setTimes: changes => {
+      times = {...times, ...changes};
+    },
+    load: () => ({running: running.size, queued: queue.length}),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/engine.ts
@@ -0,0 +1,129 @@
+import {randomUUID} from 'node:crypto';
+import type {FencingSupport, Milliseconds} from '@hibiscusbeam/core';
+import {createAnswerFaults} from '../shared/answer_faults';
+import {createSystemClock} from '../shared/clock';
+import {createFreezer} from '../shared/freezer';
+import {createLaggedView} from '../shared/lagged_view';
+import {createServer, listenOn, parseBody} from '../shared/server';
+import type {StandIn, StandInOptions} from '../shared/server';
+import {createBatch} from './batch';
+import {createChunkStore} from './chunk_store';
+import {addGenerateRoutes} from './generate_routes';
+import {createPrefixCache} from './prefix_cache';
+import {createRuns} from './runs';
+import {engineFaultsSchema} from './schemas';
+import {addVersionRoutes} from './version_routes';
+import {createEngineVersions} from './versions';
+
+/** Defaults of an engine that is small enough for one test machine. */
+const DEFAULTS = {
+  slots: 8,
+  queueLimit: 64,
+  cacheCapacity: 64,
+  loadTime: 100,
+  tokenTime: 2,
+  firstTokenTime: 10,
+} as const;
+
+/** Routes that answer while the engine is frozen: the tests' own. */
+const CONTROL_ROUTES: ReadonlySet<string> = new Set([
+  'POST /faults',
+  'GET /runs',
+  'GET /orders',
+]);
+
+/** What a model engine is started with; times in milliseconds. */
+export interface EngineOptions extends StandInOptions {
+  /** Runs in the batch at once. */
+  readonly slots?: number;
+  /** Requests that wait when all slots are taken. */
+  readonly queueLimit?: number;
+  /** Prefixes that the cache holds. */
+  readonly cacheCapacity?: number;
+  readonly loadTime?: Milliseconds;
+  readonly tokenTime?: Milliseconds;
+  readonly firstTokenTime?: Milliseconds;
+  readonly fencing?: FencingSupport;
+  /** Loads without checking the chunks' content. */
+  readonly trustChunks?: boolean;
+}
+
+/** Starts a model engine. */
+export async function startEngine(options: EngineOptions): Promise<StandIn> {
+  const settings = {...DEFAULTS, ...options};
+  const clock = options.clock ?? createSystemClock();
+  const life = randomUUID();
+  const freezer = createFreezer();
+  const answerFaults = createAnswerFaults(clock);
+  const runs = createRuns();
+  const chunks = createChunkStore(options.trustChunks ?? false);
+  const cache = createPrefixCache(clock, settings.cacheCapacity);
+
+  const versions = createEngineVersions({
+    clock,
+    chunks,
+    loadTime: settings.loadTime,
+    fencing: options.fencing ?? 'checked',
+    onChange: () => reports.record(currentReport()),
+    onUnload: cache.forget,
+  });
+  const batch = createBatch({
+    clock,
+    freezer,
+    cache,
+    slots: settings.slots,
+    queueLimit: settings.queueLimit,
+    times: settings,
+    onChange: () => reports.record(currentReport()),
+    onStart: runs.countStart,
+  });
+  const reports = createLaggedView(clock, currentReport());
+
+  function currentReport() {
+    return {
+      life,
+      loaded: versions.loaded(),
+      loading: versions.loading(),
+      ...batch.load(),
+      slots: settings.slots,
+    };
+  }
+
+  const server = createServer();
+  server.addHook('onRequest', async request => {
+    const route = `${request.method} ${request.routeOptions.url ?? ''}`;
+    if (!CONTROL_ROUTES.has(route)) await freezer.thawed();
+  });
+  addVersionRoutes(server, chunks, versions);
+  addGenerateRoutes(server, {versions, batch, runs, answerFaults});
+
+  server.get('/report', (_request, reply) => {
+    const {value, age} = reports.read();
+    return reply.send({...value, ageMilliseconds: age});
+  });
+
+  server.get<{Querystring: {after?: string}}>(
+    '/cache-events',
+    ({query}, reply) => reply.send(cache.eventsAfter(Number(query.after ?? 0))),
+  );
+
+  server.post('/faults', (request, reply) => {
+    const faults = parseBody(engineFaultsSchema, request);
+    const {reportLag, cacheEventLag, cacheEventGapEvery} = faults;
+    const {frozen, loadTime, tokenTime, firstTokenTime, fencing} = faults;
+    answerFaults.set(faults);
+    if (reportLag !== undefined) reports.setLag(reportLag);
+    if (cacheEventLag !== undefined) cache.setLag(cacheEventLag);
+    if (cacheEventGapEvery !== undefined) cache.setGapEvery(cacheEventGapEvery);
+    if (frozen !== undefined) freezer.set(frozen);
+    if (loadTime !== undefined) versions.setLoadTime(loadTime);
+    if (fencing !== undefined) versions.setFencing(fencing);
+    batch.setTimes({
+      ...(tokenTime !== undefined && {tokenTime}),
+      ...(firstTokenTime !== undefined && {firstTokenTime}),
+    });
+    return reply.send({});
+  });
+
+  return listenOn(server, options.listen);
+}
--- /dev/null
+++ b/packages/standins/src/engine/versions.ts
@@ -0,0 +1,154 @@
+import type {
+  FencingSupport,
+  Milliseconds,
+  ModelName,
+  VersionDigest,
+} from '@hibiscusbeam/core';
+import {canonicalJson} from '@hibiscusbeam/core';
+import type {Clock} from '../shared/clock';
+import {digestOf} from '../shared/digest';
+import type {ChunkStore} from './chunk_store';
+import type {Order} from './schemas';
+
+/** A version that the engine serves. */
+export interface LoadedVersion {
+  readonly model: ModelName;
+  readonly versionDigest: VersionDigest;
+}
+
+/** What the engine made of an order. */
+export type OrderOutcome =
+  | {readonly kind: 'accepted'}
+  | {readonly kind: 'staleFencing'; readonly highest: number}
+  | {readonly kind: 'manifestMismatch'}
+  | {readonly kind: 'incomplete'; readonly missing: readonly string[]};
+
+/** An order that was accepted, for tests to look at. */
+export interface AcceptedOrder {
+  readonly kind: Order['kind'];
+  readonly versionDigest: VersionDigest;
+  readonly fencing: number;
+  readonly giver: string;
+}
+
+/** The versions an engine holds, and the orders that change them. */
+export interface EngineVersions {
+  /** Orders take effect one after the other. */
+  readonly order: (
+    order: Order,
+    fencing: number,
+    giver: string,
+  ) => Promise<OrderOutcome>;
+  /** The version to use for `model`: the one named, else the last loaded. */
+  readonly find: (
+    model: ModelName,
+    versionDigest: VersionDigest | undefined,
+  ) => LoadedVersion | undefined;
+  readonly loaded: () => readonly LoadedVersion[];
+  readonly loading: () => readonly VersionDigest[];
+  readonly orders: () => readonly AcceptedOrder[];
+  readonly setLoadTime: (loadTime: Milliseconds) => void;
+  readonly setFencing: (fencing: FencingSupport) => void;
+}
+
+/** What an engine's versions are made of. */
+export interface EngineVersionsOptions {
+  readonly clock: Clock;
+  readonly chunks: ChunkStore;
+  readonly loadTime: Milliseconds;
+  readonly fencing: FencingSupport;
+  readonly onChange: () => void;
+  readonly onUnload: (versionDigest: VersionDigest) => void;
+}
+
+/** No version loaded. */
+export function createEngineVersions(
+  options: EngineVersionsOptions,
+): EngineVersions {
+  const {clock, chunks} = options;
+  const loaded = new Map<VersionDigest, LoadedVersion>();
+  const loading = new Map<VersionDigest, symbol>();
+  const orders: AcceptedOrder[] = [];
+  let loadTime = options.loadTime;
+  let fencingSupport = options.fencing;
+  let highestFencing = 0;
+  let previous: Promise<unknown> = Promise.resolve();
+
+  /** An unload while the load is in progress abandons the load. */
+  async function load(version: LoadedVersion): Promise<void> {
+    const mark = Symbol(version.versionDigest);
+    loading.set(version.versionDigest, mark);
+    options.onChange();
+    await clock.wait(loadTime);
+    if (loading.get(version.versionDigest) !== mark) return;
+    loading.delete(version.versionDigest);
+    loaded.set(version.versionDigest, version);
+    options.onChange();
+  }
+
+  function unload(versionDigest: VersionDigest): void {
+    loading.delete(versionDigest);
+    if (loaded.delete(versionDigest)) options.onUnload(versionDigest);
+    options.onChange();
+  }
+
+  async function apply(order: Order): Promise<OrderOutcome> {
+    const {versionDigest} = order;
+    if (order.kind === 'unload') {
+      unload(versionDigest);
+      return {kind: 'accepted'};
+    }
+    if (loaded.has(versionDigest) || loading.has(versionDigest)) {
+      return {kind: 'accepted'};
+    }
+    const {manifest} = order;
+    if (digestOf(canonicalJson(manifest)) !== versionDigest) {
+      return {kind: 'manifestMismatch'};
+    }
+    const missing = await chunks.missing(manifest);
+    if (missing.length > 0) return {kind: 'incomplete', missing};
+    void load({model: manifest.model, versionDigest});
+    return {kind: 'accepted'};
+  }
+
+  async function applyFenced(
+    order: Order,
+    fencing: number,
+    giver: string,
+  ): Promise<OrderOutcome> {
+    if (fencingSupport === 'checked' && fencing < highestFencing) {
+      return {kind: 'staleFencing', highest: highestFencing};
+    }
+    highestFencing = Math.max(highestFencing, fencing);
+    const outcome = await apply(order);
+    if (outcome.kind === 'accepted') {
+      const {kind, versionDigest} = order;
+      orders.push({kind, versionDigest, fencing, giver});
+    }
+    return outcome;
+  }
+
+  return {
+    order: (order, fencing, giver) => {
+      const outcome = previous.then(() => applyFenced(order, fencing, giver));
+      previous = outcome;
+      return outcome;
+    },
+    find: (model, versionDigest) => {
+      const versions = [...loaded.values()].filter(
+        version => version.model === model,
+      );
+      if (versionDigest === undefined) return versions.at(-1);
+      return versions.find(version => version.versionDigest === versionDigest);
+    },
+    loaded: () => [...loaded.values()],
+    loading: () => [...loading.keys()],
+    orders: () => [...orders],
+    setLoadTime: value => {
+      loadTime = value;
+    },
+    setFencing: value => {
+      fencingSupport = value;
+    },
+  };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export {answerText} from './engine/answer_text';
+export type {AnswerSource} from './engine/answer_text';
+export {startEngine} from './engine/engine';
+export type {EngineOptions} from './engine/engine';
+export {prefixOf} from './engine/prefix_cache';
+export type {AnswerLine} from './engine/run';
+export {startPlainService} from './plain_service/plain_service';
+export type {PlainServiceOptions} from './plain_service/plain_service';
+export {startPlatform} from './platform/platform';
+export type {Clock} from './shared/clock';
+export type {StandIn, StandInOptions} from './shared/server';
--- /dev/null
+++ b/packages/standins/src/platform/table_routes.ts
@@ -0,0 +1,128 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import {z} from 'zod';
+import type {Clock} from '../shared/clock';
+import {createRateLimit} from '../shared/rate_limit';
+import type {RateLimit} from '../shared/rate_limit';
+import {cutConnection, parseBody, sendError} from '../shared/server';
+import {commitBodySchema, readBodySchema, scanBodySchema} from './schemas';
+import type {TableFaults} from './schemas';
+import {createTable} from './table';
+
+/** Most rows that one transaction may name. */
+const TRANSACTION_ROW_LIMIT = 100;
+
+/** Several hundred writes and about 2,000 reads a second, as of today. */
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2_000;
+
+/** A round trip to a service in the same region. */
+const LATENCY: Milliseconds = 2;
+
+/** What the table answered and refused so far. */
+export interface TableCounters {
+  readonly reads: number;
+  readonly writes: number;
+  readonly refused: number;
+}
+
+/** The table service's controls. */
+export interface TableControls {
+  readonly setFaults: (faults: TableFaults) => void;
+  readonly counters: () => TableCounters;
+}
+
+/** Adds the table service's routes to `server`. */
+export function addTableRoutes(
+  server: FastifyInstance,
+  clock: Clock,
+): TableControls {
+  const table = createTable();
+  const writeLimit = createRateLimit(clock, WRITES_PER_SECOND);
+  const readLimit = createRateLimit(clock, READS_PER_SECOND);
+  const counters = {reads: 0, writes: 0, refused: 0};
+  let latency = LATENCY;
+  let outage = false;
+  let loseReplies = 0;
+
+  function refusal(limit: RateLimit, reply: FastifyReply) {
+    if (outage) {
+      counters.refused += 1;
+      return sendError(reply, 503, 'unavailable', 'outage');
+    }
+    const retryAfter = limit.take();
+    if (retryAfter === 0) return undefined;
+    counters.refused += 1;
+    void reply.header('retry-after-ms', String(retryAfter));
+    return sendError(reply, 429, 'rateLimited');
+  }
+
+  async function travel(): Promise<void> {
+    if (latency > 0) await clock.wait(latency / 2);
+  }
+
+  /** Runs `call` in the middle of the latency, unless it is refused. */
+  async function serve<Answer>(
+    limit: RateLimit,
+    reply: FastifyReply,
+    call: () => Answer,
+  ): Promise<Answer | FastifyReply> {
+    await travel();
+    const refused = refusal(limit, reply);
+    const answer = refused ?? call();
+    await travel();
+    return answer;
+  }
+
+  server.post('/table/read', (request, reply) => {
+    const {key} = parseBody(readBodySchema, request);
+    return serve(readLimit, reply, () => {
+      counters.reads += 1;
+      return {row: table.read(key) ?? null};
+    });
+  });
+
+  server.post('/table/scan', (request, reply) => {
+    const {prefix, limit} = parseBody(scanBodySchema, request);
+    return serve(readLimit, reply, () => {
+      counters.reads += 1;
+      return {rows: table.scan(prefix, limit)};
+    });
+  });
+
+  function commit(
+    body: z.infer<typeof commitBodySchema>,
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ) {
+    counters.writes += 1;
+    const outcome = table.commit(body.transaction);
+    if (loseReplies === 0) return {outcome};
+    loseReplies -= 1;
+    return cutConnection(request, reply);
+  }
+
+  server.post('/table/commit', (request, reply) => {
+    const body = parseBody(commitBodySchema, request);
+    const {conditions, writes} = body.transaction;
+    if (conditions.length + writes.length > 2 * TRANSACTION_ROW_LIMIT) {
+      return sendError(reply, 400, 'transactionTooLarge');
+    }
+    return serve(writeLimit, reply, () => commit(body, request, reply));
+  });
+
+  return {
+    setFaults: faults => {
+      latency = faults.latency ?? latency;
+      outage = faults.outage ?? outage;
+      loseReplies = faults.loseReplies ?? loseReplies;
+      if (faults.writesPerSecond !== undefined) {
+        writeLimit.setRate(faults.writesPerSecond);
+      }
+      if (faults.readsPerSecond !== undefined) {
+        readLimit.setRate(faults.readsPerSecond);
+      }
+    },
+    counters: () => ({...counters}),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/shared/rate_limit.ts
@@ -0,0 +1,40 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import type {Clock} from './clock';
+
+const SECOND = 1_000;
+
+/** Refuses what exceeds a rate. */
+export interface RateLimit {
+  /** Takes one call; gives 0, or when to come back if it is refused. */
+  readonly take: () => Milliseconds;
+  readonly setRate: (callsPerSecond: number) => void;
+}
+
+/** A token bucket that holds one second's calls, as table services do. */
+export function createRateLimit(clock: Clock, initialRate: number): RateLimit {
+  let rate = initialRate;
+  let tokens = rate;
+  let filledAt = clock.now();
+
+  function refill(): void {
+    const now = clock.now();
+    tokens = Math.min(rate, tokens + ((now - filledAt) * rate) / SECOND);
+    filledAt = now;
+  }
+
+  return {
+    take: () => {
+      refill();
+      if (tokens >= 1) {
+        tokens -= 1;
+        return 0;
+      }
+      return Math.ceil(((1 - tokens) * SECOND) / rate);
+    },
+    setRate: newRate => {
+      refill();
+      rate = newRate;
+      tokens = Math.min(tokens, rate);
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/shared/server.ts
@@ -0,0 +1,89 @@
+import {fastify} from 'fastify';
+import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {AddressInfo} from 'node:net';
+import type {ZodType} from 'zod';
+import type {Clock} from './clock';
+
+/** A running stand-in. */
+export interface StandIn {
+  /** Where it listens, `IP:port`. */
+  readonly address: string;
+  readonly close: () => Promise<void>;
+}
+
+/** What every stand-in is started with. */
+export interface StandInOptions {
+  /** `IP:port`; port 0 takes any free one. */
+  readonly listen: string;
+  /** Defaults to the process's monotonic clock. */
+  readonly clock?: Clock;
+}
+
+/** Largest body taken: above any chunk size in use. */
+const BODY_LIMIT = 64 * 1024 * 1024;
+
+const BAD_REQUEST = 400;
+
+/** An HTTP server that takes JSON and raw bytes and logs nothing. */
+export function createServer(): FastifyInstance {
+  const server = fastify({
+    bodyLimit: BODY_LIMIT,
+    forceCloseConnections: true,
+    exposeHeadRoutes: false,
+  });
+  server.addContentTypeParser(
+    'application/octet-stream',
+    {parseAs: 'buffer'},
+    (_request, body, done) => done(null, body),
+  );
+  return server;
+}
+
+/** Listens on `listen` and gives the address in force. */
+export async function listenOn(
+  server: FastifyInstance,
+  listen: string,
+): Promise<StandIn> {
+  const separator = listen.lastIndexOf(':');
+  const host = listen.slice(0, separator);
+  await server.listen({host, port: Number(listen.slice(separator + 1))});
+  const {port} = server.server.address() as AddressInfo;
+  return {
+    address: `${host}:${port}`,
+    close: async () => {
+      await server.close();
+    },
+  };
+}
+
+/** The body as `schema` describes it; anything else is answered with 400. */
+export function parseBody<Body>(
+  schema: ZodType<Body>,
+  request: FastifyRequest,
+): Body {
+  const parsed = schema.safeParse(request.body);
+  if (parsed.success) return parsed.data;
+  throw Object.assign(new Error(parsed.error.message), {
+    statusCode: BAD_REQUEST,
+  });
+}
+
+/** Answers with an error in the common form. */
+export function sendError(
+  reply: FastifyReply,
+  status: number,
+  error: string,
+  detail = '',
+): FastifyReply {
+  return reply.code(status).send({error, detail});
+}
+
+/** Cuts the connection without an answer, as a lost link does. */
+export function cutConnection(
+  request: FastifyRequest,
+  reply: FastifyReply,
+): FastifyReply {
+  reply.hijack();
+  request.raw.socket.destroy();
+  return reply;
+}
