Add the platform over HTTP

Cause: the daemon reaches the platform only through the ports; this puts HTTP behind them, with the errors the ports promise.

An answer to a write that cannot be parsed is replyLost too, since it says nothing about the effect; malformed there would read as refused.

Not yet: tests.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
+export * from './node';
 export * from './types/ports';
--- /dev/null
+++ b/packages/platform/src/node/http_client.ts
@@ -0,0 +1,120 @@
+import {isIP} from 'node:net';
+import type {Milliseconds, PlatformError} from '@hibiscusbeam/core';
+import {Err, Ok} from 'ts-results';
+import type {Result} from 'ts-results';
+import {Agent, request} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {ZodType} from 'zod';
+import {parseJson} from './parse_json';
+import {refusalOf, transportErrorOf} from './errors';
+
+/** Calls to the platform in flight at once; more wait for a connection. */
+const CONNECTIONS = 16;
+
+/** One call to the platform. */
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'PUT';
+  readonly path: string;
+  /** Sent as JSON. */
+  readonly body?: unknown;
+  /** Sent as it is. */
+  readonly bytes?: Uint8Array;
+  /** Whether the call may have taken effect if no answer comes. */
+  readonly effect: 'read' | 'write';
+}
+
+/** Calls with a timeout, over connections of its own. */
+export interface HttpClient {
+  /** The answer as JSON that fits `schema`. */
+  readonly json: <Body>(
+    call: HttpCall,
+    schema: ZodType<Body>,
+  ) => Promise<Result<Body, PlatformError>>;
+  readonly text: (call: HttpCall) => Promise<Result<string, PlatformError>>;
+  readonly bytes: (
+    call: HttpCall,
+  ) => Promise<Result<Uint8Array, PlatformError>>;
+}
+
+/** What a client calls and how long it waits. */
+export interface HttpClientOptions {
+  readonly url: string;
+  /** Whole time that a call may take, its body included. */
+  readonly timeout: Milliseconds;
+}
+
+/** The base address; throws unless its host is an IP number. */
+export function baseAddress(url: string): string {
+  const {origin, hostname} = new URL(url);
+  if (isIP(hostname.replace(/^\[|\]$/g, '')) !== 0) return origin;
+  throw new Error(`platform address ${url}: the host must be an IP number`);
+}
+
+/** Connections of their own, at most `connections` of them. */
+export function createConnections(connections: number): Agent {
+  return new Agent({connections, pipelining: 1});
+}
+
+function requestOptions(call: HttpCall) {
+  if (call.bytes !== undefined) {
+    return {
+      body: call.bytes,
+      headers: {'content-type': 'application/octet-stream'},
+    };
+  }
+  if (call.body === undefined) return {};
+  return {
+    body: JSON.stringify(call.body),
+    headers: {'content-type': 'application/json'},
+  };
+}
+
+/** Creates a client; it keeps connections open for later calls. */
+export function createHttpClient(options: HttpClientOptions): HttpClient {
+  const base = baseAddress(options.url);
+  const dispatcher = createConnections(CONNECTIONS);
+
+  async function send(call: HttpCall): Promise<Dispatcher.ResponseData> {
+    return request(`${base}${call.path}`, {
+      dispatcher,
+      method: call.method,
+      signal: AbortSignal.timeout(options.timeout),
+      ...requestOptions(call),
+    });
+  }
+
+  async function exchange<Body>(
+    call: HttpCall,
+    readBody: (response: Dispatcher.ResponseData) => Promise<Body>,
+  ): Promise<Result<Body, PlatformError>> {
+    try {
+      const response = await send(call);
+      const refusal = refusalOf(response, call.effect);
+      if (refusal === undefined) return Ok(await readBody(response));
+      await response.body.dump();
+      return Err(refusal);
+    } catch (error) {
+      return Err(transportErrorOf(error, call.effect));
+    }
+  }
+
+  function text(call: HttpCall): Promise<Result<string, PlatformError>> {
+    return exchange(call, response => response.body.text());
+  }
+
+  return {
+    text,
+    bytes: call => exchange(call, response => response.body.bytes()),
+    json: async (call, schema) => {
+      const content = await text(call);
+      if (content.err) return content;
+      const parsed = parseJson(content.val, schema, call.path);
+      // An answer to a write that cannot be read says nothing about its effect;
+      // to call it refused would let a write that took effect be made twice.
+      if (parsed.err && call.effect === 'write') {
+        return Err({kind: 'replyLost', detail: parsed.val.detail});
+      }
+      return parsed;
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform/src/node/index.ts
@@ -0,0 +1,1 @@
+export * from './http_platform';
