--- /dev/null
+++ b/packages/core/src/requests/commands/answer_cache.ts
@@ -0,0 +1,77 @@
+import type {
+  AttemptId,
+  Bytes,
+  Milliseconds,
+  MonotonicInstant,
+} from '../../types';
+import type {WholeAnswer} from '../types';
+
+/** Finished answers, kept for a bounded time and in bounded memory. */
+export interface AnswerCache {
+  readonly keep: (
+    attempt: AttemptId,
+    answer: WholeAnswer,
+    now: MonotonicInstant,
+  ) => void;
+  readonly get: (
+    attempt: AttemptId,
+    now: MonotonicInstant,
+  ) => WholeAnswer | undefined;
+  readonly remove: (attempt: AttemptId) => void;
+  readonly bytes: () => Bytes;
+}
+
+interface KeptAnswer {
+  readonly answer: WholeAnswer;
+  readonly size: Bytes;
+  readonly until: MonotonicInstant;
+}
+
+// What one frame and one answer cost besides their content, roughly.
+const FRAME_OVERHEAD: Bytes = 96;
+const ANSWER_OVERHEAD: Bytes = 512;
+
+function sizeOf(answer: WholeAnswer): Bytes {
+  return answer.frames.reduce(
+    (sum, frame) => sum + frame.length + FRAME_OVERHEAD,
+    ANSWER_OVERHEAD,
+  );
+}
+
+/** Keeps answers, oldest dropped first. */
+export function createAnswerCache(options: {
+  readonly answerBytes: Bytes;
+  readonly answersKeptFor: Milliseconds;
+}): AnswerCache {
+  const kept = new Map<AttemptId, KeptAnswer>();
+  let bytes = 0;
+
+  function remove(attempt: AttemptId): void {
+    const found = kept.get(attempt);
+    if (found === undefined) return;
+    kept.delete(attempt);
+    bytes -= found.size;
+  }
+
+  function dropOld(now: MonotonicInstant): void {
+    for (const [attempt, {until}] of kept) {
+      if (until > now && bytes <= options.answerBytes) return;
+      remove(attempt);
+    }
+  }
+
+  return {
+    keep(attempt, answer, now) {
+      const size = sizeOf(answer);
+      kept.set(attempt, {answer, size, until: now + options.answersKeptFor});
+      bytes += size;
+      dropOld(now);
+    },
+    get(attempt, now) {
+      dropOld(now);
+      return kept.get(attempt)?.answer;
+    },
+    remove,
+    bytes: () => bytes,
+  };
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/attempt_resolution.ts
@@ -0,0 +1,101 @@
+import {unreachable} from '../../kernel/flow';
+import type {NotRunEvidence} from '../../types';
+import {tombstoned} from '../evidence';
+import {agentKey, readIncarnation} from '../queries/claim_row';
+import type {
+  AttemptAddress,
+  RequestFlow,
+  TombstoneAnswer,
+  WholeAnswer,
+} from '../types';
+import type {AtMostOnceOptions} from './at_most_once_options';
+import {runToEnd} from './attempt_run';
+import {askTombstone, readRow} from './steps';
+
+/** What is known of an attempt that may have run. */
+export type Resolution =
+  /** It never ran and never will. */
+  | {readonly kind: 'neverRan'; readonly evidence: NotRunEvidence}
+  | {readonly kind: 'running'}
+  | {readonly kind: 'answered'; readonly answer: WholeAnswer}
+  /** It has run to its end, and the agent holds no answer. */
+  | {readonly kind: 'answerGone'}
+  /** Nobody can ever tell: the agent's life or its memory of it is over. */
+  | {readonly kind: 'unknowable'; readonly detail: string}
+  | {readonly kind: 'unreachable'};
+
+/**
+ * Asks the attempt's agent to make sure that it never starts, and learns what
+ * became of it if it has.
+ */
+export function* resolveAttempt(
+  options: AtMostOnceOptions,
+  address: AttemptAddress,
+): RequestFlow<Resolution> {
+  const until = options.now() + options.limits.tombstoneTimeout;
+  const answer = yield* askTombstone({kind: 'tombstone', address, until});
+  if (answer === undefined || answer.attempt !== address.attempt) {
+    return yield* askTable(address);
+  }
+  // An answer of another life of the agent says nothing about this attempt.
+  if (answer.incarnation !== address.incarnation) {
+    return yield* otherLife(address, answer);
+  }
+  return yield* judge(options, address, answer);
+}
+
+function* judge(
+  options: AtMostOnceOptions,
+  address: AttemptAddress,
+  answer: TombstoneAnswer,
+): RequestFlow<Resolution> {
+  switch (answer.state) {
+    case 'tombstoned': {
+      const evidence = tombstoned(address, answer);
+      if (evidence === undefined) return {kind: 'unreachable'};
+      return {kind: 'neverRan', evidence};
+    }
+    case 'started':
+      return {kind: 'running'};
+    case 'finished':
+      return yield* collect(options, address);
+    case 'forgotten':
+      return {kind: 'unknowable', detail: 'the agent has forgotten it'};
+    case 'otherIncarnation':
+      return yield* otherLife(address, answer);
+    default:
+      return unreachable(answer.state);
+  }
+}
+
+function* collect(
+  options: AtMostOnceOptions,
+  address: AttemptAddress,
+): RequestFlow<Resolution> {
+  const until = options.now() + options.limits.tombstoneTimeout;
+  const end = yield* runToEnd({kind: 'collect', address, until}, options);
+  if (end.kind !== 'answered') return {kind: 'answerGone'};
+  return {kind: 'answered', answer: end.answer};
+}
+
+function* otherLife(
+  address: AttemptAddress,
+  answer: TombstoneAnswer,
+): RequestFlow<Resolution> {
+  if (answer.incarnation > address.incarnation) return lifeOver(address);
+  return yield* askTable(address);
+}
+
+function* askTable(address: AttemptAddress): RequestFlow<Resolution> {
+  const row = yield* readRow(agentKey(address.instance));
+  if (row.err || row.val === undefined) return {kind: 'unreachable'};
+  const incarnation = readIncarnation(row.val.value);
+  if (incarnation === undefined) return {kind: 'unreachable'};
+  if (incarnation <= address.incarnation) return {kind: 'unreachable'};
+  return lifeOver(address);
+}
+
+function lifeOver(address: AttemptAddress): Resolution {
+  const detail = `${address.instance} was restarted while it held the attempt`;
+  return {kind: 'unknowable', detail};
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/attempt_run.ts
@@ -0,0 +1,83 @@
+import {unreachable} from '../../kernel/flow';
+import type {MonotonicInstant} from '../../types';
+import type {
+  AttemptAddress,
+  AttemptEvent,
+  CollectEffect,
+  CreateDigester,
+  RefusedEvent,
+  RequestFlow,
+  WholeAnswer,
+} from '../types';
+import type {DispatchEffect} from '../evidence';
+import {createAnswerAssembler, type AnswerAssembler} from './answer_assembler';
+import {nextEvent} from './steps';
+
+/** How an attempt's stream ended. */
+export type RunEnd =
+  | {readonly kind: 'answered'; readonly answer: WholeAnswer}
+  | {readonly kind: 'refused'; readonly event: RefusedEvent}
+  /** It may have run; no whole answer came. */
+  | {readonly kind: 'unclear'; readonly detail: string};
+
+/** Reads an attempt's whole answer from its stream. */
+export function* runToEnd(
+  effect: DispatchEffect | CollectEffect,
+  options: {
+    readonly createDigester: CreateDigester;
+    readonly limits: {readonly answerBytes: number};
+    readonly now: () => MonotonicInstant;
+  },
+): RequestFlow<RunEnd> {
+  const {address, until} = effect;
+  const {attempt, incarnation} = address;
+  const assembler = createAnswerAssembler(attempt, {
+    incarnation,
+    createDigester: options.createDigester,
+    answerBytes: options.limits.answerBytes,
+  });
+  let event = yield* nextEvent(effect);
+  for (;;) {
+    const end = judgeEvent(assembler, address, event);
+    if (end !== undefined) return end;
+    // Frames of other attempts without end must not keep the flow for ever.
+    if (options.now() >= until) return {kind: 'unclear', detail: 'deadline'};
+    event = yield* nextEvent({kind: 'awaitEvent', attempt, until});
+  }
+}
+
+function judgeEvent(
+  assembler: AnswerAssembler,
+  address: AttemptAddress,
+  event: AttemptEvent,
+): RunEnd | undefined {
+  switch (event.kind) {
+    case 'started':
+    case 'data':
+    case 'end': {
+      const result = assembler.accept(event);
+      if (result.kind === 'complete') {
+        return {kind: 'answered', answer: result.answer};
+      }
+      if (result.kind === 'broken') {
+        return {kind: 'unclear', detail: result.detail};
+      }
+      return undefined;
+    }
+    case 'refused':
+      if (event.attempt !== address.attempt) return undefined;
+      return {kind: 'refused', event};
+    case 'failed':
+      if (event.attempt !== address.attempt) return undefined;
+      return {kind: 'unclear', detail: event.detail};
+    case 'cut':
+      return {kind: 'unclear', detail: event.detail};
+    case 'timedOut':
+      return {kind: 'unclear', detail: 'deadline'};
+    case 'callerGone':
+      // A run that may not be repeated is worth its record even so.
+      return undefined;
+    default:
+      return unreachable(event);
+  }
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/call_ends.ts
@@ -0,0 +1,24 @@
+import type {NotRunEvidence, NotRunReason} from '../../types';
+import type {RequestResult, WholeAnswer} from '../types';
+
+/** The final answer of a call whose answer is at hand. */
+export function answered(answer: WholeAnswer): RequestResult {
+  const {versionDigest, frames} = answer;
+  const frameCount = frames.length;
+  return {outcome: {kind: 'answered', versionDigest, frameCount}, answer};
+}
+
+/** The final answer of a call that may have run. */
+export function outcomeUnknown(detail: string): RequestResult {
+  return {outcome: {kind: 'outcomeUnknown', detail}, answer: undefined};
+}
+
+/** The final answer of a call that is proved not to have run. */
+export function notRun(
+  evidence: NotRunEvidence,
+  reason: NotRunReason,
+  retryAfter: number,
+): RequestResult {
+  const outcome = {kind: 'notRun', evidence, reason, retryAfter} as const;
+  return {outcome, answer: undefined};
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/claim_records.ts
@@ -0,0 +1,70 @@
+import type {AttemptId} from '../../types';
+import {readClaim, type ClaimRow} from '../queries/claim_row';
+import type {AttemptAddress, RequestFlow, WholeAnswer} from '../types';
+import {storeAnswer} from './answer_storage';
+import type {AtMostOnceOptions} from './at_most_once_options';
+import {attemptOf, writeClaimRow} from './claim_writes';
+
+/** A claim row whose attempt is proved never to run. */
+export interface FreeClaim {
+  readonly version: number;
+  readonly attempt: AttemptId;
+}
+
+/** Marks the key free, so that a retry needs no word from the agent. */
+export function* releaseClaim(
+  options: AtMostOnceOptions,
+  claim: FreeClaim,
+): RequestFlow<void> {
+  const {fingerprint} = options;
+  const {version, attempt} = claim;
+  const row: ClaimRow = {kind: 'released', fingerprint, attempt};
+  yield* writeClaimRow(options, version, row);
+}
+
+/** Records the answer as well as can be; the caller gets it either way. */
+export function* recordAnswer(
+  options: AtMostOnceOptions,
+  version: number,
+  answer: WholeAnswer,
+): RequestFlow<void> {
+  const body = yield* storeAnswer(options, answer);
+  if (body === undefined) return;
+  const {fingerprint} = options;
+  const {attempt, versionDigest, digest} = answer;
+  yield* writeOver(options, version, {
+    kind: 'answered',
+    fingerprint,
+    attempt,
+    versionDigest,
+    digest,
+    body,
+  });
+}
+
+/** Records that nobody will ever know whether the attempt ran. */
+export function* recordUnknown(
+  options: AtMostOnceOptions,
+  version: number,
+  {attempt}: AttemptAddress,
+  detail: string,
+): RequestFlow<void> {
+  const {fingerprint} = options;
+  const row: ClaimRow = {kind: 'outcomeUnknown', fingerprint, attempt, detail};
+  yield* writeOver(options, version, row);
+}
+
+/** Writes an end over the claim of the same attempt, and over no other. */
+function* writeOver(
+  options: AtMostOnceOptions,
+  version: number,
+  row: ClaimRow,
+): RequestFlow<void> {
+  const write = yield* writeClaimRow(options, version, row);
+  if (write.kind !== 'other') return;
+  const found = readClaim(write.row.value);
+  if (found.err || found.val.kind !== 'claimed') return;
+  // A claim of another attempt, or an end, must stay as it is.
+  if (attemptOf(found.val) !== attemptOf(row)) return;
+  yield* writeClaimRow(options, write.row.version, row);
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/group_commit.ts
@@ -0,0 +1,179 @@
+import {Err, Ok, type Result} from 'ts-results';
+import type {
+  CommitOutcome,
+  Milliseconds,
+  MonotonicInstant,
+  PlatformError,
+  TableKey,
+  TableTransaction,
+} from '../../types';
+
+/** Identifies one transaction within a group commit, given by its user. */
+export type MemberId = number;
+
+/** Several independent transactions as one, to be committed by the driver. */
+export interface CommitBatch {
+  readonly batch: number;
+  readonly transaction: TableTransaction;
+}
+
+/** One transaction's own result. */
+export interface MemberResult {
+  readonly member: MemberId;
+  readonly result: Result<CommitOutcome, PlatformError>;
+}
+
+/** Options of {@link createGroupCommit}. */
+export interface GroupCommitOptions {
+  /** Most rows of one batch; the table allows at most 100. */
+  readonly maximumRows: number;
+  /** How long a transaction waits for company. */
+  readonly window: Milliseconds;
+  /** Most batches on their way at once; more wait, and grow. */
+  readonly maximumInFlight: number;
+}
+
+/** Puts small transactions together; every result goes to its own member. */
+export interface GroupCommit {
+  readonly submit: (
+    member: MemberId,
+    transaction: TableTransaction,
+    now: MonotonicInstant,
+  ) => void;
+  /** Batches to commit now; each must be settled. */
+  readonly takeDue: (now: MonotonicInstant) => readonly CommitBatch[];
+  /** Takes a batch's reply; members without result go out again at once. */
+  readonly settle: (
+    batch: number,
+    result: Result<CommitOutcome, PlatformError>,
+  ) => readonly MemberResult[];
+  /** When to call `takeDue` next; `undefined`: not before an event. */
+  readonly nextDue: () => MonotonicInstant | undefined;
+}
+
+interface Member {
+  readonly member: MemberId;
+  readonly transaction: TableTransaction;
+  readonly keys: ReadonlySet<TableKey>;
+  readonly due: MonotonicInstant;
+}
+
+type FailedRows = Extract<CommitOutcome, {kind: 'conditionFailed'}>['failed'];
+
+function keysOf({conditions, writes}: TableTransaction): ReadonlySet<TableKey> {
+  return new Set([...conditions, ...writes].map(part => part.key));
+}
+
+function failuresOf(member: Member, failed: FailedRows): FailedRows {
+  return failed.filter(({key}) => member.keys.has(key));
+}
+
+function merge(members: readonly Member[]): TableTransaction {
+  return {
+    conditions: members.flatMap(member => member.transaction.conditions),
+    writes: members.flatMap(member => member.transaction.writes),
+  };
+}
+
+/** Creates a batcher for transactions that don't depend on one another. */
+export function createGroupCommit(options: GroupCommitOptions): GroupCommit {
+  const {maximumRows, window, maximumInFlight} = options;
+  let waiting: readonly Member[] = [];
+  /** Rests of batches, to go out again by themselves. */
+  const repeats: (readonly Member[])[] = [];
+  const inFlight = new Map<number, readonly Member[]>();
+  let batchCount = 0;
+
+  /** The longest-waiting members that fit into one batch. */
+  function selectMembers(): readonly Member[] {
+    const selected: Member[] = [];
+    const keys = new Set<TableKey>();
+    for (const member of waiting) {
+      // Two claims of one key in one transaction would both find the row
+      // absent and both be told that they won: they go out one by one.
+      const overlaps = [...member.keys].some(key => keys.has(key));
+      if (overlaps) continue;
+      const full = keys.size + member.keys.size > maximumRows;
+      if (full && selected.length > 0) break;
+      selected.push(member);
+      for (const key of member.keys) keys.add(key);
+    }
+    return selected;
+  }
+
+  function send(members: readonly Member[]): CommitBatch {
+    batchCount += 1;
+    inFlight.set(batchCount, members);
+    return {batch: batchCount, transaction: merge(members)};
+  }
+
+  function takeWaiting(now: MonotonicInstant): readonly Member[] | undefined {
+    const [first] = waiting;
+    if (first === undefined) return undefined;
+    const rows = waiting.reduce((sum, member) => sum + member.keys.size, 0);
+    if (first.due > now && rows < maximumRows) return undefined;
+    const members = selectMembers();
+    waiting = waiting.filter(member => !members.includes(member));
+    return members;
+  }
+
+  /** Tells the members that failed, and sends the others again. */
+  function split(
+    members: readonly Member[],
+    failed: FailedRows,
+  ): readonly MemberResult[] {
+    const atFault = members.filter(
+      member => failuresOf(member, failed).length > 0,
+    );
+    // A reply that names no member's row can't be acted on; sending the
+    // batch again could go on for ever.
+    if (atFault.length === 0) {
+      const detail = 'a failed condition without its row';
+      return members.map(({member}) => ({
+        member,
+        result: Err({kind: 'malformed', detail}),
+      }));
+    }
+    const rest = members.filter(member => !atFault.includes(member));
+    if (rest.length > 0) repeats.push(rest);
+    return atFault.map(member => ({
+      member: member.member,
+      result: Ok({
+        kind: 'conditionFailed',
+        failed: failuresOf(member, failed),
+      }),
+    }));
+  }
+
+  return {
+    submit(member, transaction, now) {
+      const keys = keysOf(transaction);
+      waiting = [...waiting, {member, transaction, keys, due: now + window}];
+    },
+    takeDue(now) {
+      const batches: CommitBatch[] = [];
+      while (inFlight.size < maximumInFlight) {
+        const members = repeats.shift() ?? takeWaiting(now);
+        if (members === undefined) break;
+        batches.push(send(members));
+      }
+      return batches;
+    },
+    settle(batch, result) {
+      const members = inFlight.get(batch);
+      // A reply that comes twice must not give a member two results.
+      if (members === undefined) return [];
+      inFlight.delete(batch);
+      if (result.ok && result.val.kind === 'conditionFailed') {
+        return split(members, result.val.failed);
+      }
+      // Committed, refused or lost: the same for each, as one transaction.
+      return members.map(({member}) => ({member, result}));
+    },
+    nextDue() {
+      if (inFlight.size >= maximumInFlight) return undefined;
+      if (repeats.length > 0) return -Infinity;
+      return waiting[0]?.due;
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/requests/commands/repeatable_flow.ts
@@ -0,0 +1,193 @@
+import {unreachable} from '../../kernel/flow';
+import type {
+  MonotonicInstant,
+  NotRunEvidence,
+  NotRunReason,
+  TargetName,
+} from '../../types';
+import type {OwnAttempt} from '../evidence';
+import type {
+  AttemptAddress,
+  AttemptEvent,
+  RequestFlow,
+  RequestResult,
+  TargetChoice,
+  WholeAnswer,
+} from '../types';
+import {
+  createAnswerAssembler,
+  type AnswerAssembler,
+  type FrameResult,
+} from './answer_assembler';
+import {answered, outcomeUnknown} from './call_ends';
+import {createCallerStream, type CallerStream} from './caller_stream';
+import {createOwnAttempts} from './own_attempts';
+import type {RepeatableOptions} from './repeatable_options';
+import {chooseTarget, nextEvent} from './steps';
+
+/** How one try ended. */
+type TryEnd =
+  | {readonly kind: 'answered'; readonly answer: WholeAnswer}
+  | {
+      readonly kind: 'refused';
+      readonly evidence: NotRunEvidence;
+      readonly reason: NotRunReason;
+      readonly retryAfter: number;
+    }
+  | {readonly kind: 'failed'; readonly detail: string}
+  | {readonly kind: 'callerGone'};
+
+type TargetChosen = Extract<TargetChoice, {kind: 'target'}>;
+
+function failed(detail: string): TryEnd {
+  return {kind: 'failed', detail};
+}
+
+/**
+ * Serves a call that may be repeated. Frames go to the caller as they come
+ * (`emit`); an answer begun is finished with equal frames of the same version
+ * or ends without its end frame. Ends by the deadline.
+ */
+export function* createRepeatableFlow(
+  options: RepeatableOptions,
+): RequestFlow<RequestResult> {
+  const {limits, now, deadline} = options;
+  const attempts = createOwnAttempts(options.createAttempt);
+  const stream = createCallerStream();
+  const excluded: TargetName[] = [];
+  let reason: NotRunReason = 'deadlineTooShort';
+  let retryAfter = limits.retryAfter;
+
+  for (let attempted = 0; attempted < limits.tries; attempted += 1) {
+    if (now() >= deadline) break;
+    // Retries of everybody at once would keep a struggling site down.
+    if (attempted > 0 && !options.spendRetry()) {
+      return attempts.endNotRun('retryBudgetSpent', retryAfter);
+    }
+    const choice = yield* chooseTarget({
+      kind: 'chooseTarget',
+      exclude: excluded,
+      versionDigest: stream.begunVersion(),
+      until: deadline,
+    });
+    if (choice.kind === 'none') {
+      return attempts.endNotRun(choice.reason, choice.retryAfter);
+    }
+    excluded.push(choice.target);
+    const tryEnd = yield* tryTarget(options, attempts.next(), choice, stream);
+    switch (tryEnd.kind) {
+      case 'answered':
+        return {...answered(tryEnd.answer), answer: undefined};
+      case 'callerGone':
+        return outcomeUnknown('the caller has gone');
+      case 'refused':
+        attempts.proved(tryEnd.evidence);
+        ({reason, retryAfter} = tryEnd);
+        break;
+      case 'failed':
+        // It may have run: without this note a later refusal elsewhere would
+        // pass for "not run".
+        attempts.unclear(tryEnd.detail);
+        break;
+      default:
+        return unreachable(tryEnd);
+    }
+  }
+  return attempts.endNotRun(reason, retryAfter);
+}
+
+function* tryTarget(
+  options: RepeatableOptions,
+  own: OwnAttempt,
+  {target, instance, incarnation}: TargetChosen,
+  stream: CallerStream,
+): RequestFlow<TryEnd> {
+  const {deadline, createDigester, now} = options;
+  const {answerBytes} = options.limits;
+  const {attempt} = own;
+  const assembler = createAnswerAssembler(attempt, {
+    incarnation,
+    createDigester,
+    answerBytes,
+  });
+  const destination = {target, instance, incarnation};
+  const until = silenceEnd(options);
+  const effect = own.dispatch(destination, {until, deadline});
+  let event = yield* nextEvent(effect);
+  for (;;) {
+    const tryEnd = yield* judge(own, assembler, stream, event);
+    if (tryEnd !== undefined) {
+      yield* cancelUnlessOver(tryEnd, effect.address);
+      return tryEnd;
+    }
+    // Frames of other attempts must not keep the call past its deadline.
+    if (now() >= deadline) {
+      yield {kind: 'cancel', address: effect.address};
+      return failed('no end by the deadline');
+    }
+    event = yield* nextEvent({
+      kind: 'awaitEvent',
+      attempt,
+      until: silenceEnd(options),
+    });
+  }
+}
+
+/** Stops the work for an answer that nobody waits for any more. */
+function* cancelUnlessOver(
+  tryEnd: TryEnd,
+  address: AttemptAddress,
+): RequestFlow<void> {
+  if (tryEnd.kind === 'answered' || tryEnd.kind === 'refused') return;
+  yield {kind: 'cancel', address};
+}
+
+function silenceEnd(options: RepeatableOptions): MonotonicInstant {
+  return Math.min(options.deadline, options.now() + options.limits.silence);
+}
+
+function* judge(
+  own: OwnAttempt,
+  assembler: AnswerAssembler,
+  stream: CallerStream,
+  event: AttemptEvent,
+): RequestFlow<TryEnd | undefined> {
+  switch (event.kind) {
+    case 'started':
+    case 'data':
+    case 'end':
+      return yield* pass(stream, assembler.accept(event));
+    case 'refused': {
+      if (event.attempt !== own.attempt) return undefined;
+      const evidence = own.refused(event);
+      if (evidence === undefined) return failed('refused by another life');
+      const {reason, retryAfter} = event;
+      return {kind: 'refused', evidence, reason, retryAfter};
+    }
+    case 'failed':
+      if (event.attempt !== own.attempt) return undefined;
+      return failed(event.detail);
+    case 'cut':
+      return failed(event.detail);
+    case 'timedOut':
+      return failed('silent for too long');
+    case 'callerGone':
+      return {kind: 'callerGone'};
+    default:
+      return unreachable(event);
+  }
+}
+
+/** Passes what the assembler accepted to the caller. */
+function* pass(
+  stream: CallerStream,
+  result: FrameResult,
+): RequestFlow<TryEnd | undefined> {
+  if (result.kind === 'dropped') return undefined;
+  if (result.kind === 'broken') return failed(result.detail);
+  const passed = yield* stream.pass(result);
+  if (passed === 'callerGone') return {kind: 'callerGone'};
+  if (passed === 'differs') return failed('another answer than was begun');
+  if (result.kind !== 'complete') return undefined;
+  return {kind: 'answered', answer: result.answer};
+}
