Load and check settings

Cause: an operator who mends one fault at a time restarts a process once a fault. Every fault of a file now comes in one go, with line, column and path. Ruled out: zod's own discriminated union, which stops at a wrong role; checks between fields inside the schema, which zod skips while other fields are wrong. Conclusion: usable by entry and agent.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
+export * from './settings';
 export * from './types/settings';
--- /dev/null
+++ b/packages/daemon/src/settings/cross_checks.ts
@@ -0,0 +1,134 @@
+import {dirname, resolve} from 'node:path';
+import {socketAddressSchema} from './scalars';
+import type {FieldPath, ReadText, UnplacedFault} from './types';
+
+const SHORTEST_SITE_KEY = 16;
+
+/** The site's key, or the fault in its place. */
+export interface SiteKeyReading {
+  readonly siteKey: string;
+  readonly faults: readonly UnplacedFault[];
+}
+
+/**
+ * Faults between fields. Works on the values as written, so that these are
+ * found whatever else is wrong with the file.
+ */
+export function findCrossFaults(value: unknown): readonly UnplacedFault[] {
+  return [
+    ...findClashingAddress(value),
+    ...findRepeatedKeys(value),
+    ...findServiceFaults(value),
+  ];
+}
+
+/** Reads the site's key; a relative path starts at the settings file. */
+export function readSiteKey(
+  value: unknown,
+  settingsFile: string,
+  readText: ReadText,
+): SiteKeyReading {
+  const path = ['keys', 'siteKeyFile'];
+  const named = valueAt(value, path);
+  if (typeof named !== 'string' || named === '') {
+    return {siteKey: '', faults: []};
+  }
+  const file = resolve(dirname(settingsFile), named);
+  const content = readText(file);
+  if (content.err) {
+    return unusable(path, `key file ${file} cannot be read: ${content.val}`);
+  }
+  const siteKey = content.val.trim();
+  if (siteKey.length < SHORTEST_SITE_KEY) {
+    return unusable(
+      path,
+      `key file ${file} must hold at least ${SHORTEST_SITE_KEY} characters`,
+    );
+  }
+  // A key goes into a header of every call, which carries only these.
+  if (!/^[\x21-\x7e]+$/.test(siteKey)) {
+    return unusable(path, `key file ${file} must hold one line of plain text`);
+  }
+  return {siteKey, faults: []};
+}
+
+function unusable(path: FieldPath, detail: string): SiteKeyReading {
+  return {siteKey: '', faults: [{kind: 'unusableKeyFile', path, detail}]};
+}
+
+function findClashingAddress(value: unknown): readonly UnplacedFault[] {
+  const site = socketAddressSchema.safeParse(
+    valueAt(value, ['listen', 'site']),
+  );
+  const callersPath = ['listen', 'callers'];
+  const callers = socketAddressSchema.safeParse(valueAt(value, callersPath));
+  if (!site.success || !callers.success) return [];
+  const same =
+    site.data.port === callers.data.port &&
+    site.data.host === callers.data.host;
+  if (!same) return [];
+  const detail = 'clashes with listen.site: both listen on the same address';
+  return [{kind: 'clash', path: callersPath, detail}];
+}
+
+/**
+ * A key that belonged to two names would let one caller act as the other, and
+ * which one it is would depend on the order of the list.
+ */
+function findRepeatedKeys(value: unknown): readonly UnplacedFault[] {
+  const owners = new Map<string, string>();
+  return ['operators', 'workspaces'].flatMap(list => {
+    const names = new Set<string>();
+    return listAt(value, ['keys', list]).flatMap((item, position) => {
+      const path = ['keys', list, position];
+      const faults: UnplacedFault[] = [];
+      const name = valueAt(item, ['name']);
+      if (typeof name === 'string') {
+        if (names.has(name)) faults.push(clash([...path, 'name'], name));
+        names.add(name);
+      }
+      const hash = valueAt(item, ['sha256']);
+      if (typeof hash === 'string') {
+        const owner = owners.get(hash);
+        if (owner !== undefined) faults.push(clash([...path, 'sha256'], owner));
+        owners.set(hash, path.join('.'));
+      }
+      return faults;
+    });
+  });
+}
+
+function clash(path: FieldPath, other: string): UnplacedFault {
+  return {kind: 'clash', path, detail: `is already taken by ${other}`};
+}
+
+function findServiceFaults(value: unknown): readonly UnplacedFault[] {
+  const kind = valueAt(value, ['target', 'kind']);
+  const service = valueAt(value, ['target', 'service']);
+  const path = ['target', 'service'];
+  if (kind === 'plainService' && service === undefined) {
+    const detail = 'is required for a plainService';
+    return [{kind: 'missingField', path, detail}];
+  }
+  if (kind === 'modelEngine' && service !== undefined) {
+    const detail = 'is not a setting of a modelEngine';
+    return [{kind: 'clash', path, detail}];
+  }
+  return [];
+}
+
+function listAt(value: unknown, path: FieldPath): readonly unknown[] {
+  const list = valueAt(value, path);
+  return Array.isArray(list) ? list : [];
+}
+
+/** The value at `path`, or `undefined` if there is none. */
+export function valueAt(value: unknown, path: FieldPath): unknown {
+  let part = value;
+  for (const step of path) {
+    if (typeof part !== 'object' || part === null) return undefined;
+    if (!Object.hasOwn(part, step)) return undefined;
+    part = (part as {readonly [name: string | number]: unknown})[step];
+  }
+  return part;
+}
--- /dev/null
+++ b/packages/daemon/src/settings/schema.ts
@@ -0,0 +1,299 @@
+import * as z from 'zod';
+import {
+  choiceSchema,
+  countSchema,
+  durationSchema,
+  nameSchema,
+  sha256Schema,
+  sizeSchema,
+  socketAddressSchema,
+  urlSchema,
+} from './scalars';
+
+/** What the reference page says about a field. */
+export interface FieldNotes {
+  readonly type: string;
+  /** The value as written in YAML, or `required`, or `none`. */
+  readonly default: string;
+  readonly meaning: string;
+  readonly example: string;
+}
+
+/** Notes of each leaf of the schemas, for the reference page. */
+export const fieldNotes = z.registry<FieldNotes>();
+
+function field<Schema extends z.ZodType>(
+  schema: Schema,
+  notes: Omit<FieldNotes, 'default'>,
+): Schema {
+  fieldNotes.add(schema, {...notes, default: 'required'});
+  return schema;
+}
+
+function fieldWithDefault<Schema extends z.ZodType>(
+  schema: Schema,
+  value: string | number,
+  notes: Omit<FieldNotes, 'default'>,
+) {
+  const defaulted = schema.prefault(value as z.input<Schema>);
+  fieldNotes.add(defaulted, {...notes, default: String(value)});
+  return defaulted;
+}
+
+function optionalField<Schema extends z.ZodType>(
+  schema: Schema,
+  notes: Omit<FieldNotes, 'default'>,
+) {
+  const optional = schema.optional();
+  fieldNotes.add(optional, {...notes, default: 'none'});
+  return optional;
+}
+
+function group<Shape extends z.ZodRawShape>(shape: Shape) {
+  return z.strictObject(shape, {error: 'must be a mapping of fields'});
+}
+
+const siteListenerField = field(socketAddressSchema.clone(), {
+  type: 'IP:port',
+  meaning:
+    'Where this process listens for other processes of the site (gRPC); announced to them.',
+  example: '10.0.1.7:7400',
+});
+
+const siteKeyFileField = field(
+  z.string({error: 'must be the path of a file'}).min(1, {
+    error: 'must be the path of a file',
+  }),
+  {
+    type: 'path',
+    meaning:
+      "File with the key that the site's processes show one another, at least 16 characters; a relative path starts at the settings file.",
+    example: 'site.key',
+  },
+);
+
+const platformGroup = group({
+  url: field(urlSchema.clone(), {
+    type: 'URL',
+    meaning: "Base address of the platform's HTTP interface.",
+    example: 'http://10.0.0.5:8080',
+  }),
+  timeout: fieldWithDefault(durationSchema({least: '10ms', most: '1m'}), '2s', {
+    type: 'duration',
+    meaning:
+      'A call to the platform without answer for so long counts as lost.',
+    example: '2s',
+  }),
+});
+
+const logGroup = group({
+  level: fieldWithDefault(
+    choiceSchema(['debug', 'info', 'warn', 'error']),
+    'info',
+    {
+      type: 'debug, info, warn or error',
+      meaning: 'Least severity that is logged.',
+      example: 'info',
+    },
+  ),
+  format: fieldWithDefault(choiceSchema(['json', 'pretty']), 'json', {
+    type: 'json or pretty',
+    meaning: 'One JSON object a line, or lines for people.',
+    example: 'json',
+  }),
+});
+
+const metricsGroup = group({
+  address: field(socketAddressSchema.clone(), {
+    type: 'IP:port',
+    meaning:
+      'Where metrics go (StatsD over UDP); required if `metrics` is present. Without `metrics` none are sent.',
+    example: '10.0.0.9:8125',
+  }),
+  prefix: fieldWithDefault(
+    z.string({error: 'must be text'}).regex(/^[A-Za-z][A-Za-z0-9_.]{0,62}$/, {
+      error: 'must be 1 to 63 letters, digits, dots or underscores',
+    }),
+    'hibiscusbeam.',
+    {
+      type: 'text',
+      meaning: 'Put before each metric name.',
+      example: 'hibiscusbeam.',
+    },
+  ),
+});
+
+const commonShape = {
+  instance: field(nameSchema.clone(), {
+    type: 'name',
+    meaning:
+      'Name of this instance; a replacement gets a new name, never an old one.',
+    example: 'bilbao-7',
+  }),
+  zone: field(nameSchema.clone(), {
+    type: 'name',
+    meaning: 'Availability zone of this instance.',
+    example: 'bilbao-hall',
+  }),
+  region: field(nameSchema.clone(), {
+    type: 'name',
+    meaning: 'Region of this instance.',
+    example: 'norte',
+  }),
+  platform: platformGroup,
+  log: logGroup.prefault({}),
+  metrics: metricsGroup.optional(),
+};
+
+const hashedKeysSchema = (meaning: string, example: string) =>
+  z
+    .array(
+      group({
+        name: field(nameSchema.clone(), {type: 'name', meaning, example}),
+        sha256: field(sha256Schema.clone(), {
+          type: 'SHA-256, hexadecimal',
+          meaning:
+            'Hash of the bearer key, as `hibiscusbeam keys hash` prints it; each key belongs to one name.',
+          example:
+            '9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08',
+        }),
+      }),
+      {error: 'must be a list of names with their sha256'},
+    )
+    .prefault([]);
+
+const limitsGroup = group({
+  requestBody: fieldWithDefault(
+    sizeSchema({least: '1KiB', most: '64MiB'}),
+    '1MiB',
+    {
+      type: 'size',
+      meaning: 'Largest body of a request; a larger one gets 413.',
+      example: '1MiB',
+    },
+  ),
+  jsonDepth: fieldWithDefault(countSchema(1, 256), 32, {
+    type: 'whole number',
+    meaning: 'Deepest nesting of a JSON body; a deeper one gets 400.',
+    example: '32',
+  }),
+  waiting: fieldWithDefault(countSchema(1, 100_000), 512, {
+    type: 'whole number',
+    meaning:
+      'Most requests that wait for a target at this entry; one more gets 429.',
+    example: '512',
+  }),
+  longestDeadline: fieldWithDefault(
+    durationSchema({least: '1s', most: '1h'}),
+    '5m',
+    {
+      type: 'duration',
+      meaning: 'Longest deadline that a caller may ask for.',
+      example: '5m',
+    },
+  ),
+});
+
+const entryShape = {
+  role: choiceSchema(['entry']),
+  ...commonShape,
+  listen: group({
+    site: siteListenerField,
+    callers: field(socketAddressSchema.clone(), {
+      type: 'IP:port',
+      meaning: 'Where callers and operators connect (HTTP).',
+      example: '10.0.1.7:8400',
+    }),
+  }),
+  keys: group({
+    siteKeyFile: siteKeyFileField,
+    operators: hashedKeysSchema('Name of an operator.', 'ainhoa'),
+    workspaces: hashedKeysSchema('Name of a workspace.', 'oviedo-counter'),
+  }),
+  limits: limitsGroup.prefault({}),
+  addressesKeptFor: fieldWithDefault(
+    durationSchema({least: '1s', most: '1h'}),
+    '30s',
+    {
+      type: 'duration',
+      meaning:
+        'How long callers may keep the list of entries; a stopping entry goes on serving for so long.',
+      example: '30s',
+    },
+  ),
+};
+
+const targetGroup = group({
+  name: field(nameSchema.clone(), {
+    type: 'name',
+    meaning: "Name of the target in this agent's slot.",
+    example: 'engine-3',
+  }),
+  kind: field(choiceSchema(['modelEngine', 'plainService']), {
+    type: 'modelEngine or plainService',
+    meaning: 'What kind of target it is.',
+    example: 'modelEngine',
+  }),
+  service: optionalField(nameSchema, {
+    type: 'name',
+    meaning:
+      "The plain service's name; required for a plainService, not allowed for a modelEngine.",
+    example: 'invoicing',
+  }),
+  url: field(urlSchema.clone(), {
+    type: 'URL',
+    meaning: "Base address of the target's HTTP interface.",
+    example: 'http://10.0.1.7:9000',
+  }),
+  fencing: fieldWithDefault(choiceSchema(['checked', 'ignored']), 'ignored', {
+    type: 'checked or ignored',
+    meaning: 'Whether the target refuses an order with an old fencing number.',
+    example: 'checked',
+  }),
+});
+
+const agentShape = {
+  role: choiceSchema(['agent']),
+  ...commonShape,
+  listen: group({site: siteListenerField}),
+  keys: group({siteKeyFile: siteKeyFileField}),
+  target: targetGroup,
+  transferBuffer: fieldWithDefault(
+    sizeSchema({least: '1MiB', most: '64GiB'}),
+    '256MiB',
+    {
+      type: 'size',
+      meaning: "Most chunk bytes held in the agent's memory at once.",
+      example: '256MiB',
+    },
+  ),
+};
+
+/** Settings file of an entry. */
+export const entrySchema = group(entryShape);
+
+/** Settings file of an agent. */
+export const agentSchema = group(agentShape);
+
+/**
+ * Takes the place of the other two while `role` is wrong, so that the faults
+ * in all other fields are still found.
+ */
+export const eitherRoleSchema = group({
+  ...entryShape,
+  ...agentShape,
+  role: field(choiceSchema(['entry', 'agent']), {
+    type: 'entry or agent',
+    meaning: 'What this process is.',
+    example: 'entry',
+  }),
+  listen: entryShape.listen.partial({callers: true}),
+  keys: entryShape.keys,
+  target: targetGroup.optional(),
+});
+
+/** An entry's settings as checked, before they are resolved. */
+export type CheckedEntry = z.output<typeof entrySchema>;
+
+/** An agent's settings as checked, before they are resolved. */
+export type CheckedAgent = z.output<typeof agentSchema>;
--- /dev/null
+++ b/packages/daemon/src/settings/schema_faults.ts
@@ -0,0 +1,31 @@
+import type * as z from 'zod';
+import {valueAt} from './cross_checks';
+import {isKnownField} from './reference';
+import type {FieldPath, UnplacedFault} from './types';
+
+/** Turns the issues of a schema into faults. */
+export function toFaults(
+  value: unknown,
+  issues: readonly z.core.$ZodIssue[],
+): readonly UnplacedFault[] {
+  return issues.flatMap(issue => {
+    const path = issue.path.map(step =>
+      typeof step === 'symbol' ? step.toString() : step,
+    );
+    if (issue.code === 'unrecognized_keys') {
+      return issue.keys.map(name => unknownField(value, [...path, name]));
+    }
+    if (valueAt(value, path) === undefined) {
+      return [{kind: 'missingField', path, detail: 'is required'} as const];
+    }
+    return [{kind: 'wrongValue', path, detail: issue.message} as const];
+  });
+}
+
+function unknownField(value: unknown, path: FieldPath): UnplacedFault {
+  const role = String(valueAt(value, ['role']));
+  const detail = isKnownField(path)
+    ? `is not a setting of an ${role}`
+    : 'is not a known setting';
+  return {kind: 'unknownField', path, detail};
+}
