Add leases and incarnations

Cause: two agents may each believe they are in charge of one target. Ruled out: comparing wall clocks of holder and others; each counts on its own monotonic clock, the holder from before it sent its write.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,3 +2,4 @@
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
+export * from './lease';
--- /dev/null
+++ b/packages/core/src/lease/commands/raise_incarnation.ts
@@ -0,0 +1,97 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import type {Flow} from '../../kernel/flow';
+import type {
+  CommitEffect,
+  CommitReply,
+  Incarnation,
+  InstanceName,
+  ReadReply,
+  ReadRowEffect,
+  TableCondition,
+  TableKey,
+  TableRow,
+} from '../../types';
+import {conditionOf} from '../lease_row';
+import {commit, describePlatformError, readRow} from '../table_calls';
+import type {LeaseError} from '../types';
+
+/** Tries before giving way to others that start in the same slot. */
+const MAXIMUM_TRIES = 8;
+
+const incarnationRowSchema = z.object({
+  incarnation: z.number().int().positive(),
+  token: z.string(),
+});
+
+/** What an agent's row holds. */
+export type IncarnationRowValue = Readonly<
+  z.infer<typeof incarnationRowSchema>
+>;
+
+/** This start's number, with the condition that no later start has begun. */
+export interface RaisedIncarnation {
+  readonly incarnation: Incarnation;
+  readonly stillCurrent: TableCondition;
+}
+
+/** A flow that raises an incarnation. */
+export type IncarnationFlow = Flow<
+  ReadRowEffect | CommitEffect,
+  ReadReply | CommitReply,
+  Result<RaisedIncarnation, LeaseError>
+>;
+
+/** The row that numbers an agent's starts. */
+export function incarnationKey(instance: InstanceName): TableKey {
+  return `agents/${instance}`;
+}
+
+/**
+ * Raises the row's number once for this start, which `token` (random, unique
+ * to the start) identifies. Run again after an error; it is idempotent.
+ */
+export function* raiseIncarnation(
+  key: TableKey,
+  token: string,
+): IncarnationFlow {
+  let committed = false;
+  for (let tries = 0; tries < MAXIMUM_TRIES; tries += 1) {
+    const read = yield* readRow(key);
+    if (read.err) return unavailable(describePlatformError(read.val));
+    const current = parseIncarnationRow(read.val);
+    if (current.err) return current;
+    const row = read.val;
+    // Guards against raising twice after a lost reply, which would show as a
+    // start that fences off itself: the token says which write is ours.
+    if (row !== undefined && current.val?.token === token) {
+      const {incarnation} = current.val;
+      return Ok({incarnation, stillCurrent: conditionOf(key, row.version)});
+    }
+    if (committed) return Err({kind: 'replaced'});
+    const value = {incarnation: (current.val?.incarnation ?? 0) + 1, token};
+    const result = yield* commit({
+      conditions: [conditionOf(key, row?.version)],
+      writes: [{kind: 'put', key, value}],
+    });
+    if (result.err && result.val.kind !== 'replyLost') {
+      return unavailable(describePlatformError(result.val));
+    }
+    committed = result.ok && result.val.kind === 'committed';
+  }
+  return Err({kind: 'contended'});
+}
+
+/** Checks the shape of an agent's row; an absent row is a valid one. */
+export function parseIncarnationRow(
+  row: TableRow | undefined,
+): Result<IncarnationRowValue | undefined, LeaseError> {
+  if (row === undefined) return Ok(undefined);
+  const parsed = incarnationRowSchema.safeParse(row.value);
+  if (parsed.success) return Ok(parsed.data);
+  return Err({kind: 'malformedRow', detail: `${row.key} holds no incarnation`});
+}
+
+function unavailable(detail: string): Err<LeaseError> {
+  return Err({kind: 'platformUnavailable', detail});
+}
--- /dev/null
+++ b/packages/core/src/lease/index.ts
@@ -0,0 +1,3 @@
+export * from './commands/raise_incarnation';
+export {createLease} from './create_lease';
+export * from './types';
--- /dev/null
+++ b/packages/core/src/lease/lease_row.ts
@@ -0,0 +1,42 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {z} from 'zod';
+import type {TableCondition, TableKey, TableRow} from '../types';
+import type {LeaseError} from './types';
+
+const leaseRowSchema = z.object({
+  fencing: z.number().int().positive(),
+  holder: z.string(),
+  token: z.string(),
+  /** Number of the write among all of its token. */
+  write: z.number().int().nonnegative(),
+  duration: z.number().positive(),
+  state: z.enum(['held', 'released']),
+});
+
+/** What a lease's row holds. */
+export type LeaseRowValue = Readonly<z.infer<typeof leaseRowSchema>>;
+
+/** A lease's row as read. */
+export interface LeaseRow {
+  readonly version: number;
+  readonly value: LeaseRowValue;
+}
+
+/** Checks a row's shape; an absent row is a valid one. */
+export function parseLeaseRow(
+  row: TableRow | undefined,
+): Result<LeaseRow | undefined, LeaseError> {
+  if (row === undefined) return Ok(undefined);
+  const parsed = leaseRowSchema.safeParse(row.value);
+  if (parsed.success) return Ok({version: row.version, value: parsed.data});
+  return Err({kind: 'malformedRow', detail: `${row.key} holds no lease`});
+}
+
+/** The condition that a row stands as it was read. */
+export function conditionOf(
+  key: TableKey,
+  version: number | undefined,
+): TableCondition {
+  if (version === undefined) return {kind: 'absent', key};
+  return {kind: 'versionIs', key, version};
+}
