Add the reconciler that gives a target its orders

Cause: one agent gives each target its orders, from what the configuration wants and what the engine reports. Ruled out: remembering orders as state; a late or lost order is mended by the next comparison. A report older than our last order is not believed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,3 +3,4 @@
 export * from './utils/canonical_json';
 export * from './utils/hash';
 export * from './lease';
+export * from './orders';
--- a/packages/core/src/lease/commands/acquire.ts
+++ b/packages/core/src/lease/commands/acquire.ts
@@ -7,7 +7,7 @@
   type LeaseMemory,
 } from '../lease_memory';
 import type {LeaseRow} from '../lease_row';
-import {readClock} from '../table_calls';
+import {readClock} from '../read_clock';
 import type {HeldLease, LeaseError, LeaseFlow, LeaseSettings} from '../types';
 import {readLeaseRow, writeRow} from '../write_row';
 
--- a/packages/core/src/lease/table_calls.ts
+++ b/packages/core/src/lease/table_calls.ts
@@ -4,7 +4,6 @@
   CommitEffect,
   CommitOutcome,
   CommitReply,
-  MonotonicInstant,
   PlatformError,
   ReadReply,
   ReadRowEffect,
@@ -12,7 +11,7 @@
   TableRow,
   TableTransaction,
 } from '../types';
-import type {ClockReply, ReadClockEffect} from './types';
+import type {ClockReply} from './types';
 
 /** Any reply to a flow over the table. */
 type TableReply = ReadReply | CommitReply | ClockReply;
@@ -39,17 +38,6 @@
   return reply.result;
 }
 
-/** Reads the driver's monotonic clock. */
-export function* readClock(): Flow<
-  ReadClockEffect,
-  TableReply,
-  MonotonicInstant
-> {
-  const reply = yield {kind: 'readClock'};
-  if (reply.kind !== 'clock') throw wrongReply('clock', reply.kind);
-  return reply.now;
-}
-
 /** Says in words what the platform answered. */
 export function describePlatformError(error: PlatformError): string {
   if (error.kind === 'rateLimited') {
--- a/packages/core/src/lease/write_row.ts
+++ b/packages/core/src/lease/write_row.ts
@@ -8,7 +8,8 @@
   type LeaseRow,
   type LeaseRowValue,
 } from './lease_row';
-import {commit, describePlatformError, readClock, readRow} from './table_calls';
+import {readClock} from './read_clock';
+import {commit, describePlatformError, readRow} from './table_calls';
 import type {LeaseEffect, LeaseError, LeaseReply, LeaseSettings} from './types';
 
 /** What became of a write of the lease's row. */
--- /dev/null
+++ b/packages/core/src/orders/commands/plan_loads.ts
@@ -0,0 +1,52 @@
+import type {Manifest, VersionDigest} from '../../types';
+import type {Pass} from '../pass';
+import {fitsBeside} from '../queries/room';
+import {awaitsEffect} from '../reconciler_memory';
+
+/** Adds the loads that the engine has room for. */
+export function planLoads(pass: Pass): void {
+  for (const versionDigest of pass.wanted.versions.values()) {
+    // Guards against partial weights: an order names only a version whose
+    // every chunk is verified on the engine. The engine checks again.
+    const manifest = pass.input.verified.get(versionDigest);
+    if (manifest === undefined) continue;
+    if (isThereOrComing(pass, versionDigest)) continue;
+    if (!fitsBeside(pass, versionDigest)) {
+      pass.withoutRoom.push(versionDigest);
+      continue;
+    }
+    pass.orders.push({kind: 'load', versionDigest, manifest});
+  }
+  restateLoaded(pass);
+}
+
+function isThereOrComing(pass: Pass, versionDigest: VersionDigest): boolean {
+  const {report, takenAt} = pass.observed;
+  if (report.loading.includes(versionDigest)) return true;
+  if (pass.loaded.some(version => version.versionDigest === versionDigest)) {
+    return true;
+  }
+  return awaitsEffect(pass.memory, 'load', versionDigest, takenAt);
+}
+
+/**
+ * Tells a target that checks fencing our number by an order that changes
+ * nothing, once in each life of the engine.
+ */
+function restateLoaded(pass: Pass): void {
+  const {memory, observed, wanted, input} = pass;
+  if (wanted.fencing !== 'checked') return;
+  if (memory.fencedLife === observed.report.life) return;
+  if (pass.orders.length > 0) return;
+  const loaded = pass.loaded.find(
+    version =>
+      input.verified.has(version.versionDigest) &&
+      wanted.versions.get(version.model) === version.versionDigest,
+  );
+  if (loaded === undefined) return;
+  const {versionDigest} = loaded;
+  const {takenAt} = observed;
+  if (awaitsEffect(memory, 'load', versionDigest, takenAt)) return;
+  const manifest = input.verified.get(versionDigest) as Manifest;
+  pass.orders.push({kind: 'load', versionDigest, manifest});
+}
--- /dev/null
+++ b/packages/core/src/orders/queries/room.ts
@@ -0,0 +1,51 @@
+import type {Bytes, Manifest, VersionDigest} from '../../types';
+import type {Pass} from '../pass';
+import {awaitsEffect} from '../reconciler_memory';
+
+/** Size of a version's weights. */
+export function sizeOf(manifest: Manifest): Bytes {
+  return manifest.chunks.reduce((sum, chunk) => sum + chunk.size, 0);
+}
+
+/**
+ * Whether a verified version fits beside all that the engine has or is given.
+ * A version that is not known here counts as filling the engine's memory.
+ */
+export function fitsBeside(pass: Pass, wanted: VersionDigest): boolean {
+  const {verified} = pass.input;
+  const manifest = verified.get(wanted);
+  if (manifest === undefined) return false;
+  const present = presentVersions(pass).filter(digest => digest !== wanted);
+  const {engineMemory} = pass.settings;
+  if (engineMemory === undefined) {
+    return !present.some(digest => mayBeOf(pass, digest, manifest.model));
+  }
+  let used = sizeOf(manifest);
+  for (const versionDigest of present) {
+    const beside = verified.get(versionDigest);
+    if (beside === undefined) return false;
+    used += sizeOf(beside);
+  }
+  return used <= engineMemory;
+}
+
+function presentVersions(pass: Pass): readonly VersionDigest[] {
+  const {report, takenAt} = pass.observed;
+  const ordered = [...pass.input.verified.keys()].filter(digest =>
+    awaitsEffect(pass.memory, 'load', digest, takenAt),
+  );
+  const planned = pass.orders
+    .filter(order => order.kind === 'load')
+    .map(order => order.versionDigest);
+  const loaded = report.loaded.map(version => version.versionDigest);
+  return [...new Set([...loaded, ...report.loading, ...ordered, ...planned])];
+}
+
+function mayBeOf(pass: Pass, digest: VersionDigest, model: string): boolean {
+  const known =
+    pass.input.verified.get(digest)?.model ??
+    pass.observed.report.loaded.find(
+      version => version.versionDigest === digest,
+    )?.model;
+  return known === undefined || known === model;
+}
