--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,3 +3,5 @@
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
+export * from './lease';
+export * from './orders';
