--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './kernel/flow';
+export * from './routing';
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
--- /dev/null
+++ b/packages/core/src/routing/admission.ts
@@ -0,0 +1,136 @@
+import type {Milliseconds, MonotonicInstant} from '../types';
+import {
+  ADMISSION_MARGIN_STEP,
+  ADMISSION_QUANTILE,
+  LARGEST_MARGIN_SHARE,
+  LONGEST_RETRY_AFTER,
+  SHORTEST_RETRY_AFTER,
+} from './constants';
+import type {TargetChoice} from './types';
+
+/** What admission weighs for one request. */
+export interface AdmissionRequest {
+  readonly now: MonotonicInstant;
+  /** When the first token must be there; absent for a plain service. */
+  readonly firstTokenBy: MonotonicInstant | undefined;
+  readonly deadline: MonotonicInstant;
+  /** Tokens that the answer probably has; 0 for a plain service. */
+  readonly expectedTokens: number;
+  /** Best target as things stand. */
+  readonly choice: TargetChoice;
+  /** Requests of the entry's queue that have their turn before this one. */
+  readonly turnsAhead: number;
+}
+
+/** What to do with a request, at once and finally. */
+export type AdmissionDecision =
+  | {readonly kind: 'dispatch'}
+  /** Queue it; its turn should come after `expectedWait`. */
+  | {readonly kind: 'queue'; readonly expectedWait: Milliseconds}
+  | {
+      readonly kind: 'refuse';
+      readonly reason: 'deadlineTooShort' | 'queueFull';
+      readonly retryAfter: Milliseconds;
+    };
+
+/** Decides which requests can be answered in time. */
+export interface Admission {
+  readonly decide: (request: AdmissionRequest) => AdmissionDecision;
+  /** Whether a request at the head of the queue should go to `choice` now. */
+  readonly mayDispatch: (choice: TargetChoice) => boolean;
+  /** Learns how far the expectation was off. */
+  readonly recordFirstToken: (
+    expected: Milliseconds,
+    actual: Milliseconds,
+  ) => void;
+  /** Learns how fast requests leave this entry. */
+  readonly recordDispatch: (now: MonotonicInstant) => void;
+  /** Time kept free because first tokens come later than expected. */
+  readonly margin: () => Milliseconds;
+}
+
+/** Settings of an admission. */
+export interface AdmissionOptions {
+  /** Time within which a first token is due; bounds the margin. */
+  readonly firstTokenGoal: Milliseconds;
+  /** Longest wait for a slot at a target; the rest waits at the entry. */
+  readonly longestTargetWait: Milliseconds;
+}
+
+/** Weight of the newest gap between dispatches. */
+const GAP_WEIGHT = 0.1;
+
+/** Until measured, the time between two dispatches of a queue. */
+const INITIAL_GAP: Milliseconds = 50;
+
+/** Creates an admission without experience. */
+export function createAdmission(options: AdmissionOptions): Admission {
+  const largestMargin = LARGEST_MARGIN_SHARE * options.firstTokenGoal;
+  let margin = 0;
+  let gap = INITIAL_GAP;
+  let lastDispatch: MonotonicInstant | undefined;
+
+  const decide = (request: AdmissionRequest): AdmissionDecision => {
+    const queued = request.turnsAhead * gap;
+    const late = lateness(request, queued, margin);
+    if (late > 0) {
+      return {
+        kind: 'refuse',
+        reason: 'deadlineTooShort',
+        retryAfter: boundRetryAfter(late),
+      };
+    }
+    const alone = request.turnsAhead === 0;
+    if (alone && mayDispatch(request.choice)) return {kind: 'dispatch'};
+    return {kind: 'queue', expectedWait: queued};
+  };
+
+  const mayDispatch = (choice: TargetChoice): boolean =>
+    choice.expectedWait <= options.longestTargetWait;
+
+  const recordFirstToken = (
+    expected: Milliseconds,
+    actual: Milliseconds,
+  ): void => {
+    const change =
+      actual > expected + margin ? ADMISSION_QUANTILE : ADMISSION_QUANTILE - 1;
+    margin += ADMISSION_MARGIN_STEP * change;
+    margin = Math.min(largestMargin, Math.max(0, margin));
+  };
+
+  const recordDispatch = (now: MonotonicInstant): void => {
+    if (lastDispatch !== undefined) {
+      gap += GAP_WEIGHT * (now - lastDispatch - gap);
+    }
+    lastDispatch = now;
+  };
+
+  return {
+    decide,
+    mayDispatch,
+    recordFirstToken,
+    recordDispatch,
+    margin: () => margin,
+  };
+}
+
+/** By how much a request would miss its time; 0 or less if it makes it. */
+function lateness(
+  request: AdmissionRequest,
+  queued: Milliseconds,
+  margin: Milliseconds,
+): Milliseconds {
+  const {choice} = request;
+  const firstToken = request.now + queued + choice.expectedFirstToken + margin;
+  const end = firstToken + request.expectedTokens * choice.expectedTokenTime;
+  const endLate = end - request.deadline;
+  if (request.firstTokenBy === undefined) return endLate;
+  return Math.max(firstToken - request.firstTokenBy, endLate);
+}
+
+/** A finite time to come back, whatever the estimate. */
+export function boundRetryAfter(time: Milliseconds): Milliseconds {
+  if (!Number.isFinite(time)) return LONGEST_RETRY_AFTER;
+  const bounded = Math.max(SHORTEST_RETRY_AFTER, time);
+  return Math.ceil(Math.min(LONGEST_RETRY_AFTER, bounded));
+}
--- /dev/null
+++ b/packages/core/src/routing/commands/judge_targets.ts
@@ -0,0 +1,151 @@
+import type {Milliseconds, MonotonicInstant} from '../../types';
+import {
+  FAILURES_TO_EJECT,
+  FIRST_TOKEN_STALL_FACTOR,
+  FIRST_TOKEN_STALL_TIME,
+  LARGEST_EJECTED_SHARE,
+  LONGEST_EJECTION,
+  PROBES_TO_RECOVER,
+  SAMPLES_TO_COMPARE,
+  SHORTEST_EJECTION,
+  SLOW_FACTOR,
+  STALL_TIME,
+  STALL_TOKEN_TIMES,
+} from '../constants';
+import type {RouterState, TargetState} from '../state';
+import type {EjectionCause} from '../types';
+
+/** Ejects outliers and lets ejected targets be probed. Call every 100 ms. */
+export function judgeTargets(state: RouterState, now: MonotonicInstant): void {
+  updateMedians(state);
+  for (const target of state.targets.values()) judge(state, target, now);
+}
+
+function updateMedians(state: RouterState): void {
+  const compared = [...state.targets.values()].filter(
+    target =>
+      target.health.kind === 'healthy' &&
+      target.tokenTime.samples() >= SAMPLES_TO_COMPARE,
+  );
+  state.medians.compared = compared.length;
+  if (compared.length === 0) return;
+  state.medians.tokenTime = median(compared.map(t => t.tokenTime.value()));
+  state.medians.firstTokenTime = median(
+    compared.map(target => target.firstTokenTime.value()),
+  );
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
+function judge(
+  state: RouterState,
+  target: TargetState,
+  now: MonotonicInstant,
+): void {
+  switch (target.health.kind) {
+    case 'healthy': {
+      const cause = findFault(state, target, now);
+      if (cause !== undefined && mayEject(state)) eject(target, cause, now);
+      return;
+    }
+    case 'ejected':
+      if (now >= target.health.until) startProbing(target);
+      return;
+    case 'probing':
+      judgeProbe(state, target, now);
+      return;
+  }
+}
+
+function findFault(
+  state: RouterState,
+  target: TargetState,
+  now: MonotonicInstant,
+): EjectionCause | undefined {
+  if (target.failuresInRow >= FAILURES_TO_EJECT) return 'failures';
+  if (isStalled(state, target, now)) return 'stalled';
+  if (isSlow(state, target)) return 'slow';
+  return undefined;
+}
+
+/**
+ * Guard against a frozen target: its connections stay open and it reports
+ * nothing wrong, but no stream moves. Any progress clears the suspicion.
+ */
+function isStalled(
+  state: RouterState,
+  target: TargetState,
+  now: MonotonicInstant,
+): boolean {
+  if (target.ownInFlight === 0) return false;
+  const silent = now - target.lastProgressAt;
+  if (state.tokensSeen && target.streaming.size > 0) {
+    const patience = STALL_TOKEN_TIMES * state.medians.tokenTime;
+    return silent > Math.max(STALL_TIME, patience);
+  }
+  return silent > firstTokenPatience(state);
+}
+
+/** How long a first token may take before its target is suspected. */
+function firstTokenPatience(state: RouterState): Milliseconds {
+  const relative = FIRST_TOKEN_STALL_FACTOR * state.medians.firstTokenTime;
+  return Math.max(FIRST_TOKEN_STALL_TIME, relative);
+}
+
+/** Guard against a slow target: slow relative to peers, not to a fixed time. */
+function isSlow(state: RouterState, target: TargetState): boolean {
+  const {medians} = state;
+  if (medians.compared < 2) return false;
+  if (target.tokenTime.samples() < SAMPLES_TO_COMPARE) return false;
+  return target.tokenTime.value() > SLOW_FACTOR * medians.tokenTime;
+}
+
+/** Guard against ejecting the site: a fault of all is not an outlier. */
+function mayEject(state: RouterState): boolean {
+  let ejected = 1;
+  for (const target of state.targets.values()) {
+    if (target.health.kind !== 'healthy') ejected += 1;
+  }
+  return ejected <= LARGEST_EJECTED_SHARE * state.targets.size;
+}
+
+function eject(
+  target: TargetState,
+  cause: EjectionCause,
+  now: MonotonicInstant,
+): void {
+  const time = SHORTEST_EJECTION * 2 ** Math.min(10, target.ejections);
+  target.ejections += 1;
+  target.health = {
+    kind: 'ejected',
+    cause,
+    until: now + Math.min(LONGEST_EJECTION, time),
+  };
+}
+
+function startProbing(target: TargetState): void {
+  if (target.health.kind !== 'ejected') return;
+  target.failuresInRow = 0;
+  target.tokenTime.reset();
+  target.firstTokenTime.reset();
+  target.health = {kind: 'probing', cause: target.health.cause, passed: 0};
+}
+
+function judgeProbe(
+  state: RouterState,
+  target: TargetState,
+  now: MonotonicInstant,
+): void {
+  if (target.health.kind !== 'probing') return;
+  if (target.failuresInRow > 0) return eject(target, 'failures', now);
+  if (isStalled(state, target, now)) return eject(target, 'stalled', now);
+  if (isSlow(state, target)) return eject(target, 'slow', now);
+  if (target.health.passed < PROBES_TO_RECOVER) return;
+  const measured = target.tokenTime.samples() >= SAMPLES_TO_COMPARE;
+  if (state.tokensSeen && !measured) return;
+  target.ejections = 0;
+  target.health = {kind: 'healthy'};
+}
--- /dev/null
+++ b/packages/core/src/routing/constants.ts
@@ -0,0 +1,95 @@
+import type {Milliseconds} from '../types';
+
+/** Characters of a prompt that decide which targets are its first choice. */
+export const PREFIX_CHARACTERS = 256;
+
+/** A target takes at most this multiple of the mean load of its peers. */
+export const LOAD_BOUND_FACTOR = 1.25;
+
+/** Below this share of its slots a target is never over the bound. */
+export const LOAD_BOUND_FLOOR = 0.25;
+
+/** Age at which half of a report's difference from the mean is forgotten. */
+export const REPORT_HALF_AGE: Milliseconds = 4_000;
+
+/** Growth of others' load is never assumed beyond this, either way. */
+export const LARGEST_GROWTH = 4;
+
+/** Added to both sides of a growth ratio, so that small counts say little. */
+export const GROWTH_PRIOR = 4;
+
+/** Cost of a target in another zone, as time. */
+export const OTHER_ZONE_COST: Milliseconds = 4;
+
+/** Extra wait that the first choice may have before the second is taken. */
+export const AFFINITY_BONUS: Milliseconds = 100;
+
+/** Weight of a new sample in a target's moving averages. */
+export const SAMPLE_WEIGHT = 0.1;
+
+/** Until the first answer ends, how long a request is taken to hold a slot. */
+export const INITIAL_SERVICE_TIME: Milliseconds = 10_000;
+
+/** Until measured, the time from dispatch to the first token without a wait. */
+export const INITIAL_FIRST_TOKEN_TIME: Milliseconds = 300;
+
+/** Until measured, the time between tokens. */
+export const INITIAL_TOKEN_TIME: Milliseconds = 40;
+
+/** Failures in a row after which a target is ejected. */
+export const FAILURES_TO_EJECT = 3;
+
+/** Samples before a target's latency is compared with its peers'. */
+export const SAMPLES_TO_COMPARE = 8;
+
+/** A target is slow from this multiple of its peers' median. */
+export const SLOW_FACTOR = 3;
+
+/** A stream that is silent for so long, and for so many token times, stalls. */
+export const STALL_TIME: Milliseconds = 600;
+export const STALL_TOKEN_TIMES = 12;
+
+/** A first token that is later than this and than its multiple stalls. */
+export const FIRST_TOKEN_STALL_TIME: Milliseconds = 900;
+export const FIRST_TOKEN_STALL_FACTOR = 3;
+
+/** At most this share of the targets is ejected at a time. */
+export const LARGEST_EJECTED_SHARE = 0.5;
+
+/** First ejection; each one that follows without recovery is twice as long. */
+export const SHORTEST_EJECTION: Milliseconds = 5_000;
+export const LONGEST_EJECTION: Milliseconds = 60_000;
+
+/** Good probes in a row that bring a target back. */
+export const PROBES_TO_RECOVER = 2;
+
+/** Targets listed in a dump. */
+export const DUMPED_TARGETS = 100;
+
+/** When to ask again if no target serves the work; about one heartbeat. */
+export const NO_TARGET_RETRY_AFTER: Milliseconds = 1_000;
+
+/** Retries that each first try earns. */
+export const RETRY_SHARE = 0.1;
+
+/** Most retries saved up; covers what one entry has at one lost target. */
+export const RETRY_RESERVE = 10;
+
+/** Most requests waiting at an entry, over all workspaces. */
+export const LONGEST_QUEUE = 256;
+
+/** Of so many dispatches one goes to any priority, so that none starves. */
+export const DISPATCHES_PER_ANY_PRIORITY = 10;
+
+/** Share of first tokens that should come by the time that admission says. */
+export const ADMISSION_QUANTILE = 0.95;
+
+/** Step of the measured margin for each first token. */
+export const ADMISSION_MARGIN_STEP: Milliseconds = 20;
+
+/** The margin never takes more than this share of the time allowed. */
+export const LARGEST_MARGIN_SHARE = 0.6;
+
+/** Bounds of the time after which a refused caller is asked to come back. */
+export const SHORTEST_RETRY_AFTER: Milliseconds = 250;
+export const LONGEST_RETRY_AFTER: Milliseconds = 30_000;
--- /dev/null
+++ b/packages/core/src/routing/in_flight_history.ts
@@ -0,0 +1,45 @@
+import type {MonotonicInstant} from '../types';
+
+const STEP_MILLISECONDS = 100;
+
+/** Reaches back 12.8 s, beyond the 5 s and more that a report may be late. */
+const STEP_COUNT = 128;
+
+/** Counts of requests in flight over the recent past. */
+export interface InFlightHistory {
+  /** Notes that `count` requests are in flight from `now` on. */
+  readonly note: (count: number, now: MonotonicInstant) => void;
+  /** The count at `instant`, to 100 ms; the oldest known if before that. */
+  readonly countAt: (instant: MonotonicInstant) => number;
+}
+
+/** Creates a history without requests. Memory is fixed. */
+export function createInFlightHistory(): InFlightHistory {
+  const counts = new Int32Array(STEP_COUNT);
+  let lastStep = -1;
+
+  const note = (count: number, now: MonotonicInstant): void => {
+    const step = Math.floor(now / STEP_MILLISECONDS);
+    if (lastStep >= 0 && step > lastStep) fillGap(step);
+    lastStep = Math.max(lastStep, step);
+    counts[lastStep % STEP_COUNT] = count;
+  };
+
+  const fillGap = (step: number): void => {
+    const previous = counts[lastStep % STEP_COUNT] ?? 0;
+    const first = Math.max(lastStep + 1, step - STEP_COUNT + 1);
+    for (let filled = first; filled <= step; filled += 1) {
+      counts[filled % STEP_COUNT] = previous;
+    }
+  };
+
+  const countAt = (instant: MonotonicInstant): number => {
+    if (lastStep < 0) return 0;
+    const step = Math.floor(instant / STEP_MILLISECONDS);
+    const oldest = Math.max(0, lastStep - STEP_COUNT + 1);
+    const known = Math.min(lastStep, Math.max(oldest, step));
+    return counts[known % STEP_COUNT] ?? 0;
+  };
+
+  return {note, countAt};
+}
--- /dev/null
+++ b/packages/core/src/routing/index.ts
@@ -0,0 +1,6 @@
+export * from './admission';
+export * from './fair_queue';
+export {promptPrefix} from './prefix';
+export * from './retry_budget';
+export {createRouter, type Router} from './router';
+export type * from './types';
--- /dev/null
+++ b/packages/core/src/routing/router.ts
@@ -0,0 +1,42 @@
+import type {Result} from 'ts-results';
+import type {MonotonicInstant} from '../types';
+import {judgeTargets} from './commands/judge_targets';
+import {recordEvent} from './commands/record_event';
+import {chooseTarget} from './queries/choose_target';
+import {describeRouter, findStalledAttempts} from './queries/describe_router';
+import {createRouterState} from './state';
+import type {
+  NoTargetError,
+  RouterDump,
+  RoutingEvent,
+  StalledAttempt,
+  TargetChoice,
+  TargetRequest,
+} from './types';
+
+/** Chooses targets for the requests of one entry. */
+export interface Router {
+  /** Learns from one event of the entry. */
+  readonly record: (event: RoutingEvent) => void;
+  /** Ejects outliers and lets them be probed; call about every 100 ms. */
+  readonly judge: (now: MonotonicInstant) => void;
+  /** Changes nothing; say `dispatched` once the request is on its way. */
+  readonly chooseTarget: (
+    request: TargetRequest,
+  ) => Result<TargetChoice, NoTargetError>;
+  /** Attempts to give up and, if repeatable, to send elsewhere. */
+  readonly stalledAttempts: () => readonly StalledAttempt[];
+  readonly dump: (now: MonotonicInstant) => RouterDump;
+}
+
+/** Creates a router that knows no target until the first report. */
+export function createRouter(): Router {
+  const state = createRouterState();
+  return {
+    record: event => recordEvent(state, event),
+    judge: now => judgeTargets(state, now),
+    chooseTarget: request => chooseTarget(state, request),
+    stalledAttempts: () => findStalledAttempts(state),
+    dump: now => describeRouter(state, now),
+  };
+}
--- /dev/null
+++ b/packages/core/src/routing/types.ts
@@ -0,0 +1,132 @@
+import type {
+  AttemptId,
+  Milliseconds,
+  ModelName,
+  MonotonicInstant,
+  ServiceName,
+  TargetName,
+  VersionDigest,
+  ZoneName,
+} from '../types';
+
+/** What a request needs from a target. */
+export type RoutedWork =
+  | {
+      readonly kind: 'model';
+      readonly model: ModelName;
+      /** Absent when any version that the target serves will do. */
+      readonly versionDigest: VersionDigest | undefined;
+    }
+  | {readonly kind: 'service'; readonly service: ServiceName};
+
+/** A version that an engine itself reports as whole and loaded. */
+export interface ServedVersion {
+  readonly model: ModelName;
+  readonly versionDigest: VersionDigest;
+}
+
+/** A target's own view of itself, late by `age`. */
+export interface LoadReport {
+  readonly target: TargetName;
+  readonly zone: ZoneName;
+  /** Absent for a model engine. */
+  readonly service: ServiceName | undefined;
+  readonly leaving: boolean;
+  readonly loaded: readonly ServedVersion[];
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  /** Time since the target measured these figures. */
+  readonly age: Milliseconds;
+  /** Prefix hashes that the target's cache probably holds; hints only. */
+  readonly cachedPrefixes: readonly number[];
+}
+
+/** What the router learns from. `now` is when the entry saw it. */
+export type RoutingEvent = {readonly now: MonotonicInstant} & (
+  | {
+      readonly kind: 'dispatched';
+      readonly attempt: AttemptId;
+      readonly target: TargetName;
+    }
+  | {readonly kind: 'firstToken'; readonly attempt: AttemptId}
+  | {
+      readonly kind: 'token';
+      readonly attempt: AttemptId;
+      /** Tokens since this attempt's previous event. */
+      readonly tokens: number;
+    }
+  | {readonly kind: 'finished'; readonly attempt: AttemptId}
+  /** Refused by the target before start, or withdrawn by the caller. */
+  | {readonly kind: 'refused'; readonly attempt: AttemptId}
+  | {readonly kind: 'failed'; readonly attempt: AttemptId}
+  | {readonly kind: 'reportReceived'; readonly report: LoadReport}
+  | {readonly kind: 'targetGone'; readonly target: TargetName}
+);
+
+/** A question for a target. */
+export interface TargetRequest {
+  readonly work: RoutedWork;
+  /** From `promptPrefix`; any constant for a plain service. */
+  readonly prefix: number;
+  /** Lower numbers go first. */
+  readonly priority: number;
+  /** The entry's own zone. */
+  readonly zone: ZoneName;
+  readonly now: MonotonicInstant;
+  /** Targets already tried. */
+  readonly exclude: readonly TargetName[];
+}
+
+/** The chosen target with what may be expected of it. */
+export interface TargetChoice {
+  readonly target: TargetName;
+  /** Expected wait for a slot at the target. */
+  readonly expectedWait: Milliseconds;
+  /** Expected time from dispatch to the first token, the wait included. */
+  readonly expectedFirstToken: Milliseconds;
+  /** Measured time between tokens at this target. */
+  readonly expectedTokenTime: Milliseconds;
+  /** True if this request tries whether an ejected target has recovered. */
+  readonly probe: boolean;
+}
+
+/** No joined target reports that it serves the work. */
+export interface NoTargetError {
+  readonly kind: 'noTarget';
+  /** When to ask again. */
+  readonly retryAfter: Milliseconds;
+}
+
+/** Why a target is ejected. */
+export type EjectionCause = 'failures' | 'stalled' | 'slow';
+
+/** An attempt that should be given up and tried elsewhere. */
+export interface StalledAttempt {
+  readonly attempt: AttemptId;
+  readonly target: TargetName;
+  readonly cause: EjectionCause;
+}
+
+/** One target as the router sees it, for a dump. */
+export interface TargetDump {
+  readonly target: TargetName;
+  readonly zone: ZoneName;
+  readonly leaving: boolean;
+  readonly health: 'healthy' | 'ejected' | 'probing';
+  readonly cause: EjectionCause | undefined;
+  readonly ownInFlight: number;
+  readonly estimatedLoad: number;
+  readonly slots: number;
+  readonly reportAge: Milliseconds;
+  readonly firstTokenTime: Milliseconds;
+  readonly tokenTime: Milliseconds;
+}
+
+/** State of a router, bounded in size. */
+export interface RouterDump {
+  readonly inFlight: number;
+  readonly targetCount: number;
+  /** At most `DUMPED_TARGETS` of them. */
+  readonly targets: readonly TargetDump[];
+}
