--- a/packages/daemon/src/entry/attempt_stream.ts
+++ b/packages/daemon/src/entry/attempt_stream.ts
@@ -16,6 +16,8 @@
   readonly next: (
     until: MonotonicInstant,
   ) => AttemptEvent | Promise<AttemptEvent>;
+  /** Delivers an event that did not come from the agent. */
+  readonly interrupt: (event: AttemptEvent) => void;
   /** Ends interest; the agent sees the call as cancelled. */
   readonly cancel: () => void;
 }
@@ -75,6 +77,9 @@
       if (held.length === 0 && stream.isPaused()) stream.resume();
       return event;
     },
+    interrupt: event => {
+      if (!ended) deliver(event);
+    },
     cancel: () => {
       ended = true;
       stream.cancel();
--- /dev/null
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -0,0 +1,254 @@
+import {
+  createAdmission,
+  createFairQueue,
+  createRetryBudget,
+  createRouter,
+  promptPrefix,
+  type AttemptId,
+  type ChooseTargetEffect,
+  type Milliseconds,
+  type MonotonicInstant,
+  type RoutedTarget,
+  type RoutedWork,
+  type RouterDump,
+  type RoutingEvent,
+  type TargetChoice,
+  type WorkspaceConfiguration,
+  type WorkspaceName,
+  type ZoneName,
+} from '@hibiscusbeam/core';
+import {every, type Clock} from '../runtime/clock';
+import type {TargetDirectory} from './target_directory';
+
+/** First token goal of the users: 1.9 s for 95 in 100. */
+const FIRST_TOKEN_GOAL: Milliseconds = 1_900;
+
+/** Longest wait at a target; the rest waits here, where it can still move. */
+const LONGEST_TARGET_WAIT: Milliseconds = 100;
+
+/** How often waiting requests and unhealthy targets are looked at. */
+const TURN_PERIOD: Milliseconds = 20;
+
+/** Weight of the newest answer in the mean number of tokens. */
+const TOKENS_WEIGHT = 0.05;
+
+/** Tokens of an answer until one was seen. */
+const INITIAL_TOKENS = 64;
+
+const QUEUE_FULL_RETRY_AFTER: Milliseconds = 1_000;
+
+/** What a request needs, and for whom. */
+export interface RoutedRequest {
+  readonly workspace: WorkspaceName;
+  readonly precedence: Pick<WorkspaceConfiguration, 'priority' | 'weight'>;
+  readonly work: RoutedWork;
+  readonly prompt: string;
+  /** Most tokens of the answer; 0 for a plain service. */
+  readonly maximumTokens: number;
+  readonly firstTokenBy: MonotonicInstant | undefined;
+  readonly deadline: MonotonicInstant;
+}
+
+/** A choice, held until its attempt is dispatched or given up. */
+export interface Reservation {
+  readonly choice: TargetChoice;
+  /** To be called once, when the attempt is dispatched or never will be. */
+  readonly release: () => void;
+  readonly expectedFirstToken: Milliseconds;
+}
+
+/** Chooses targets for the requests of this entry and queues what waits. */
+export interface Dispatcher {
+  readonly choose: (
+    request: RoutedRequest,
+    effect: Pick<ChooseTargetEffect, 'exclude' | 'versionDigest' | 'until'>,
+  ) => Promise<Reservation>;
+  readonly record: (event: RoutingEvent) => void;
+  readonly recordFirstToken: (
+    expected: Milliseconds,
+    actual: Milliseconds,
+  ) => void;
+  readonly recordAnswer: (work: RoutedWork, tokens: number) => void;
+  readonly recordFirstTry: () => void;
+  readonly spendRetry: () => boolean;
+  readonly waiting: () => number;
+  readonly dump: () => RouterDump;
+  readonly close: () => void;
+}
+
+interface Waiter {
+  readonly request: RoutedRequest;
+  readonly effect: Pick<
+    ChooseTargetEffect,
+    'exclude' | 'versionDigest' | 'until'
+  >;
+  readonly resolve: (reservation: Reservation) => void;
+}
+
+/** Options of {@link createDispatcher}. */
+export interface DispatcherOptions {
+  readonly clock: Clock;
+  readonly zone: ZoneName;
+  readonly directory: TargetDirectory;
+  readonly queueCapacity: number;
+  /** Told of attempts that have stalled and should be given up. */
+  readonly onStalled: (attempt: AttemptId) => void;
+}
+
+/** Joins router, admission, fair queue and retry budget. */
+export function createDispatcher(options: DispatcherOptions): Dispatcher {
+  const {clock, directory} = options;
+  const router = createRouter();
+  const admission = createAdmission({
+    firstTokenGoal: FIRST_TOKEN_GOAL,
+    longestTargetWait: LONGEST_TARGET_WAIT,
+  });
+  const queue = createFairQueue<Waiter>({capacity: options.queueCapacity});
+  const retryBudget = createRetryBudget();
+  const meanTokens = new Map<string, number>();
+  let reservations = 0;
+
+  const route = ({request, effect}: Pick<Waiter, 'request' | 'effect'>) =>
+    router.chooseTarget({
+      work: withVersion(request.work, effect.versionDigest),
+      prefix: promptPrefix(request.prompt),
+      priority: request.precedence.priority,
+      zone: options.zone,
+      now: clock(),
+      exclude: effect.exclude,
+    });
+
+  const reserve = (routed: RoutedTarget): Reservation => {
+    const agent = directory.ofTarget(routed.target);
+    if (agent === undefined) return refuse('noTarget', QUEUE_FULL_RETRY_AFTER);
+    // Several requests may be given a target in one turn of the loop, before
+    // any of them is dispatched; without a reservation each would see the
+    // target as idle and all would go there.
+    reservations += 1;
+    const attempt = `reservation/${reservations}`;
+    const {target} = routed;
+    router.record({kind: 'dispatched', attempt, target, now: clock()});
+    const {instance, incarnation} = agent;
+    return {
+      choice: {kind: 'target', target, instance, incarnation},
+      release: () => router.record({kind: 'refused', attempt, now: clock()}),
+      expectedFirstToken: routed.expectedFirstToken,
+    };
+  };
+
+  const choose: Dispatcher['choose'] = async (request, effect) => {
+    const routed = route({request, effect});
+    if (routed.err) return refuse('noTarget', routed.val.retryAfter);
+    const place = {workspace: request.workspace, ...request.precedence};
+    const decision = admission.decide({
+      now: clock(),
+      firstTokenBy: request.firstTokenBy,
+      deadline: request.deadline,
+      expectedTokens: expectedTokens(request),
+      choice: routed.val,
+      turnsAhead: queue.turnsAhead(place),
+    });
+    switch (decision.kind) {
+      case 'dispatch':
+        admission.recordDispatch(clock());
+        return reserve(routed.val);
+      case 'refuse':
+        return refuse(decision.reason, decision.retryAfter);
+      case 'queue':
+        return new Promise(resolve => {
+          enqueue({request, effect, resolve}, place);
+        });
+    }
+  };
+
+  const enqueue = (
+    waiter: Waiter,
+    place: Parameters<typeof queue.enqueue>[1],
+  ): void => {
+    const enqueued = queue.enqueue(waiter, place);
+    if (enqueued.kind === 'full') {
+      waiter.resolve(refuse('queueFull', QUEUE_FULL_RETRY_AFTER));
+    }
+    if (enqueued.kind === 'displaced') {
+      enqueued.item.resolve(refuse('queueFull', QUEUE_FULL_RETRY_AFTER));
+    }
+  };
+
+  const giveTurns = (): void => {
+    for (;;) {
+      const waiter = queue.peek();
+      if (waiter === undefined) return;
+      const routed = route(waiter);
+      if (routed.err) {
+        queue.dequeue();
+        waiter.resolve(refuse('noTarget', routed.val.retryAfter));
+        continue;
+      }
+      if (!admission.mayDispatch(routed.val)) return;
+      queue.dequeue();
+      admission.recordDispatch(clock());
+      waiter.resolve(reserve(routed.val));
+    }
+  };
+
+  const dropOverdue = (): void => {
+    const now = clock();
+    const overdue = queue.drop(waiter => waiter.effect.until <= now);
+    for (const waiter of overdue) {
+      waiter.resolve(refuse('deadlineTooShort', QUEUE_FULL_RETRY_AFTER));
+    }
+  };
+
+  const expectedTokens = ({work, maximumTokens}: RoutedRequest): number => {
+    if (work.kind === 'service') return 0;
+    const mean = meanTokens.get(work.model) ?? INITIAL_TOKENS;
+    return Math.min(maximumTokens, mean);
+  };
+
+  const stop = every(TURN_PERIOD, () => {
+    router.judge(clock());
+    for (const {attempt} of router.stalledAttempts()) {
+      options.onStalled(attempt);
+    }
+    dropOverdue();
+    giveTurns();
+  });
+
+  return {
+    choose,
+    record: event => {
+      router.record(event);
+      if (event.kind === 'finished') giveTurns();
+    },
+    recordFirstToken: admission.recordFirstToken,
+    recordAnswer: (work, tokens) => {
+      if (work.kind === 'service') return;
+      const mean = meanTokens.get(work.model) ?? INITIAL_TOKENS;
+      meanTokens.set(work.model, mean + TOKENS_WEIGHT * (tokens - mean));
+    },
+    recordFirstTry: retryBudget.recordFirstTry,
+    spendRetry: retryBudget.takeRetry,
+    waiting: queue.size,
+    dump: () => router.dump(clock()),
+    close: stop,
+  };
+}
+
+function withVersion(
+  work: RoutedWork,
+  versionDigest: string | undefined,
+): RoutedWork {
+  if (work.kind === 'service' || versionDigest === undefined) return work;
+  return {...work, versionDigest};
+}
+
+function refuse(
+  reason: Extract<TargetChoice, {kind: 'none'}>['reason'],
+  retryAfter: Milliseconds,
+): Reservation {
+  return {
+    choice: {kind: 'none', reason, retryAfter},
+    release: () => undefined,
+    expectedFirstToken: 0,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -0,0 +1,341 @@
+import {
+  unreachable,
+  type AttemptAddress,
+  type AttemptEvent,
+  type AttemptId,
+  type EmitEffect,
+  type Milliseconds,
+  type MonotonicInstant,
+  type RequestEffect,
+  type RequestFlow,
+  type RequestReply,
+  type RequestResult,
+  type TombstoneAnswer,
+} from '@hibiscusbeam/core';
+import type {Platform} from '@hibiscusbeam/platform';
+import {TombstoneReply_State, type TombstoneReply} from '@hibiscusbeam/wire';
+import {sleep, type Clock} from '../runtime/clock';
+import {drive} from '../runtime/drive';
+import type {SiteClientPool} from '../site/site_clients';
+import {createAttemptStream, type AttemptStream} from './attempt_stream';
+import type {Dispatcher, Reservation, RoutedRequest} from './dispatcher';
+import type {GroupCommitDriver} from './group_commit_driver';
+import {serveRequestOf, type ServeWork} from './serve_requests';
+import type {TargetDirectory} from './target_directory';
+
+/** One request under way. */
+export interface RequestContext {
+  readonly routed: RoutedRequest;
+  readonly serveWork: ServeWork;
+  readonly emit: (frame: EmitEffect['frame']) => Promise<void> | undefined;
+  /**
+   * Aborts when the caller has gone. Absent for a call that may not be
+   * repeated: it is followed to its end so that its outcome is recorded.
+   */
+  readonly callerGone: AbortSignal | undefined;
+}
+
+/** Runs request flows against platform, agents and callers. */
+export interface RequestRunner {
+  readonly run: (
+    flow: RequestFlow<RequestResult>,
+    context: RequestContext,
+  ) => Promise<RequestResult>;
+  /** Gives a stalled attempt up if it may be repeated. */
+  readonly giveUpStalled: (attempt: AttemptId) => void;
+  readonly running: () => number;
+}
+
+/** Options of {@link createRequestRunner}. */
+export interface RequestRunnerOptions {
+  readonly clock: Clock;
+  readonly platform: Platform;
+  readonly groupCommit: GroupCommitDriver;
+  readonly clients: SiteClientPool;
+  readonly directory: TargetDirectory;
+  readonly dispatcher: () => Dispatcher;
+}
+
+/** Creates the runner of one entry. */
+export function createRequestRunner(
+  options: RequestRunnerOptions,
+): RequestRunner {
+  const repeatableStreams = new Map<AttemptId, AttemptStream>();
+  let running = 0;
+  return {
+    run: async (flow, context) => {
+      const request = createRequestDriver(options, context, repeatableStreams);
+      running += 1;
+      try {
+        return await drive(flow, request.perform);
+      } finally {
+        running -= 1;
+        request.close();
+      }
+    },
+    giveUpStalled: attempt =>
+      repeatableStreams.get(attempt)?.interrupt({kind: 'timedOut'}),
+    running: () => running,
+  };
+}
+
+interface OwnStream {
+  readonly stream: AttemptStream;
+  readonly dispatchedAt: MonotonicInstant;
+  /** Whether routing still waits to hear how the attempt ended. */
+  open: boolean;
+  tokens: number;
+}
+
+function createRequestDriver(
+  options: RequestRunnerOptions,
+  context: RequestContext,
+  repeatableStreams: Map<AttemptId, AttemptStream>,
+) {
+  const {clock, platform, clients, directory} = options;
+  const dispatcher = options.dispatcher();
+  const streams = new Map<AttemptId, OwnStream>();
+  const {callerGone} = context;
+  let reservation: Reservation | undefined;
+
+  const interruptAll = (): void => {
+    for (const {stream} of streams.values()) {
+      stream.interrupt({kind: 'callerGone'});
+    }
+  };
+  callerGone?.addEventListener('abort', interruptAll, {once: true});
+
+  const releaseReservation = (): void => {
+    reservation?.release();
+    reservation = undefined;
+  };
+
+  const openStream = (
+    address: AttemptAddress,
+    kind: 'serve' | 'collect',
+    deadline: MonotonicInstant,
+  ): OwnStream | undefined => {
+    const agent = directory.ofInstance(address.instance);
+    if (agent === undefined) return undefined;
+    const client = clients.at(agent.address).agent;
+    const now = clock();
+    const call =
+      kind === 'serve'
+        ? client.serve(
+            serveRequestOf(context.serveWork, address, deadline - now),
+            clients.metadata,
+          )
+        : client.collect(
+            {attempt: address.attempt, incarnation: address.incarnation},
+            clients.metadata,
+          );
+    const stream = createAttemptStream(call, clock);
+    const isServe = kind === 'serve';
+    const own = {stream, dispatchedAt: now, open: isServe, tokens: 0};
+    streams.set(address.attempt, own);
+    return own;
+  };
+
+  const dispatch = (
+    address: AttemptAddress,
+    until: MonotonicInstant,
+    deadline: MonotonicInstant,
+  ) => {
+    const {attempt, target} = address;
+    const expected = reservation?.expectedFirstToken ?? 0;
+    releaseReservation();
+    const own = openStream(address, 'serve', deadline);
+    if (own === undefined) {
+      return event({kind: 'cut', detail: 'the agent is not known'});
+    }
+    dispatcher.record({kind: 'dispatched', attempt, target, now: clock()});
+    if (context.serveWork.repeatable) {
+      repeatableStreams.set(attempt, own.stream);
+    }
+    return awaitEvent(attempt, own, until, expected);
+  };
+
+  const awaitEvent = (
+    attempt: AttemptId,
+    own: OwnStream,
+    until: MonotonicInstant,
+    expected: Milliseconds,
+  ): RequestReply | Promise<RequestReply> => {
+    const note = (next: AttemptEvent): RequestReply => {
+      learn(attempt, own, next, expected);
+      return event(next);
+    };
+    if (callerGone?.aborted === true) return note({kind: 'callerGone'});
+    const next = own.stream.next(until);
+    return next instanceof Promise ? next.then(note) : note(next);
+  };
+
+  const learn = (
+    attempt: AttemptId,
+    own: OwnStream,
+    next: AttemptEvent,
+    expected: Milliseconds,
+  ): void => {
+    if (!own.open) return;
+    const now = clock();
+    switch (next.kind) {
+      case 'started':
+        return;
+      case 'data':
+        own.tokens += 1;
+        if (own.tokens > 1) {
+          dispatcher.record({kind: 'token', attempt, tokens: 1, now});
+          return;
+        }
+        dispatcher.record({kind: 'firstToken', attempt, now});
+        dispatcher.recordFirstToken(expected, now - own.dispatchedAt);
+        return;
+      case 'end':
+        dispatcher.recordAnswer(context.routed.work, own.tokens);
+        return closeAttempt(attempt, own, 'finished');
+      case 'refused':
+      case 'callerGone':
+        return closeAttempt(attempt, own, 'refused');
+      case 'failed':
+      case 'cut':
+      case 'timedOut':
+        return closeAttempt(attempt, own, 'failed');
+      default:
+        return unreachable(next);
+    }
+  };
+
+  const closeAttempt = (
+    attempt: AttemptId,
+    own: OwnStream,
+    kind: 'finished' | 'refused' | 'failed',
+  ): void => {
+    own.open = false;
+    repeatableStreams.delete(attempt);
+    dispatcher.record({kind, attempt, now: clock()});
+  };
+
+  const tombstone = (
+    address: AttemptAddress,
+    until: MonotonicInstant,
+  ): Promise<TombstoneAnswer | undefined> => {
+    const agent = directory.ofInstance(address.instance);
+    if (agent === undefined) return Promise.resolve(undefined);
+    const {attempt, incarnation} = address;
+    const remaining = Math.max(1, until - clock());
+    return new Promise(resolve => {
+      clients
+        .at(agent.address)
+        .agent.tombstone(
+          {attempt, incarnation},
+          clients.metadata,
+          {deadline: Date.now() + remaining},
+          (error, reply) =>
+            resolve(error === null ? tombstoneAnswerOf(reply) : undefined),
+        );
+    });
+  };
+
+  const perform = (
+    effect: RequestEffect,
+  ): RequestReply | Promise<RequestReply> => {
+    switch (effect.kind) {
+      case 'readRow':
+        return platform.table
+          .read(effect.key)
+          .then(result => ({kind: 'row', result}));
+      case 'commit':
+        return options.groupCommit
+          .commit(effect.transaction)
+          .then(result => ({kind: 'commit', result}));
+      case 'chooseTarget':
+        releaseReservation();
+        return dispatcher.choose(context.routed, effect).then(reserved => {
+          reservation = reserved;
+          return {kind: 'choice', choice: reserved.choice};
+        });
+      case 'dispatch':
+        return dispatch(effect.address, effect.until, effect.deadline);
+      case 'collect': {
+        const own = openStream(effect.address, 'collect', effect.until);
+        if (own === undefined) {
+          return event({kind: 'cut', detail: 'the agent is not known'});
+        }
+        return awaitEvent(effect.address.attempt, own, effect.until, 0);
+      }
+      case 'awaitEvent': {
+        const own = streams.get(effect.attempt);
+        if (own === undefined) {
+          return event({kind: 'cut', detail: 'no such stream'});
+        }
+        return awaitEvent(effect.attempt, own, effect.until, 0);
+      }
+      case 'cancel': {
+        const own = streams.get(effect.address.attempt);
+        own?.stream.cancel();
+        if (own?.open === true) {
+          closeAttempt(effect.address.attempt, own, 'failed');
+        }
+        return {kind: 'done'};
+      }
+      case 'tombstone':
+        return tombstone(effect.address, effect.until).then(answer => ({
+          kind: 'tombstone',
+          answer,
+        }));
+      case 'wait':
+        return sleep(effect.duration).then(() => ({kind: 'done'}));
+      case 'emit': {
+        if (callerGone?.aborted === true) return {kind: 'callerGone'};
+        const written = context.emit(effect.frame);
+        if (written === undefined) return {kind: 'done'};
+        return written.then(() => ({kind: 'done'}));
+      }
+      case 'putObject':
+        return platform.objects
+          .put(effect.key, effect.content)
+          .then(result => ({kind: 'stored', result}));
+      case 'getObject':
+        return platform.objects
+          .get(effect.key)
+          .then(result => ({kind: 'object', result}));
+      default:
+        return unreachable(effect);
+    }
+  };
+
+  const close = (): void => {
+    releaseReservation();
+    callerGone?.removeEventListener('abort', interruptAll);
+    for (const [attempt, own] of streams) {
+      if (!own.open) continue;
+      own.stream.cancel();
+      closeAttempt(attempt, own, 'failed');
+    }
+  };
+
+  return {perform, close};
+}
+
+function event(next: AttemptEvent): RequestReply {
+  return {kind: 'event', event: next};
+}
+
+function tombstoneAnswerOf(reply: TombstoneReply): TombstoneAnswer | undefined {
+  const {attempt, incarnation} = reply;
+  switch (reply.state) {
+    case TombstoneReply_State.STATE_TOMBSTONED:
+      return {attempt, incarnation, state: 'tombstoned'};
+    case TombstoneReply_State.STATE_STARTED:
+      return {attempt, incarnation, state: 'started'};
+    case TombstoneReply_State.STATE_FINISHED:
+      return {attempt, incarnation, state: 'finished'};
+    case TombstoneReply_State.STATE_FORGOTTEN:
+      return {attempt, incarnation, state: 'forgotten'};
+    case TombstoneReply_State.STATE_OTHER_INCARNATION:
+      return {attempt, incarnation, state: 'otherIncarnation'};
+    case TombstoneReply_State.STATE_UNSPECIFIED:
+    case TombstoneReply_State.UNRECOGNIZED:
+      return undefined;
+  }
+}
