Add the swarm node and the driver that an agent embeds

Cause: weights must reach every instance that should hold them with about one copy from the origin, and no coordinator decides who fetches what. Ruled out: chunk leases in the table (one write per chunk and instance) and ranking only the live agents (views differ, so owners would differ); ranks run over all that should hold the version, and dead ones are skipped.

--- /dev/null
+++ b/packages/core/src/distribution/bounds.ts
@@ -0,0 +1,59 @@
+/** Most chunks in one manifest; a have-map then takes at most 8 KiB. */
+export const MOST_CHUNKS = 65_536;
+
+/** Largest chunk: it is held whole in memory until it is verified. */
+export const LARGEST_CHUNK_BYTES = 256 * 1024 * 1024;
+
+/** Largest version; above it a manifest's sizes are surely wrong. */
+export const LARGEST_VERSION_BYTES = 4 * 1024 ** 4;
+
+/** Downloads at once; enough to keep a link busy while senders queue. */
+export const DOWNLOAD_SLOTS = 6;
+
+/** Uploads at once; few, so that the first copies of a chunk finish early. */
+export const UPLOAD_SLOTS = 2;
+
+/** Uploads that may wait for a slot; more would only age in the queue. */
+export const WAITING_UPLOADS = 8;
+
+/** Downloads from the origin at once: one being sent, one on its way. */
+export const ORIGIN_SLOTS = 2;
+
+/**
+ * Picks per node in its own zone and across. An edge exists if either end
+ * picks it, so a node has between one and two times as many neighbours.
+ */
+export const OWN_ZONE_PICKS = 8;
+export const CROSS_ZONE_PICKS = 2;
+
+/** Most neighbours, so that other views of the members cannot add more. */
+export const MOST_NEIGHBOURS = 40;
+
+/** Members of a zone that may copy a chunk in from another zone at once. */
+export const CROSS_ZONE_RANKS = 2;
+
+/** Versions not yet wanted here whose have-maps are kept per neighbour. */
+export const UNKNOWN_VERSIONS_KEPT = 4;
+
+/** Bad chunks after which a sender is cut off: one may be the link's fault. */
+export const BAD_CHUNKS_UNTIL_CUT_OFF = 2;
+
+/** Patience before any chunk time is known, and its limits. */
+export const FIRST_PATIENCE = 3_000;
+export const SHORTEST_PATIENCE = 500;
+export const LONGEST_PATIENCE = 60_000;
+
+/** Time without progress that counts as a stall, and its limits. */
+export const FIRST_STALL = 3_000;
+export const SHORTEST_STALL = 500;
+export const LONGEST_STALL = 30_000;
+
+/** Wait for the neighbours' first have-maps before the origin is asked. */
+export const SETTLE_TIME = 300;
+
+/** Waits after a failed request; doubled each time up to the longest. */
+export const FIRST_BACKOFF = 100;
+export const LONGEST_BACKOFF = 5_000;
+
+/** Longest time that a gained chunk waits to be announced with others. */
+export const LONGEST_ANNOUNCE_DELAY = 250;
--- /dev/null
+++ b/packages/core/src/distribution/commands/availability.ts
@@ -0,0 +1,136 @@
+import {createBitSet} from '../bit_set';
+import type {Neighbour, SwarmState, WantedVersion} from '../state';
+
+/** Notes that a chunk is held here or by a neighbour for the first time. */
+export function noteSeen(
+  state: SwarmState,
+  version: WantedVersion,
+  position: number,
+): void {
+  if (version.firstSeen[position]! >= 0) return;
+  version.firstSeen[position] = state.now;
+  const owner = version.ranks.owner[position]!;
+  if (owner < 0) return;
+  const self = state.options.instance;
+  const expected = expectedAt(state, version, position);
+  if (version.holders[owner] !== self) {
+    state.patience.add(Math.max(0, state.now - expected));
+  }
+  version.lastSign[owner] = state.now;
+}
+
+/** When the owner of a chunk should have asked the origin for it. */
+export function expectedAt(
+  state: SwarmState,
+  version: WantedVersion,
+  position: number,
+): number {
+  const owner = version.ranks.owner[position]!;
+  const lastSign = owner < 0 ? 0 : version.lastSign[owner]!;
+  return Math.max(turnAt(state, version, position), lastSign);
+}
+
+/** The instant of a chunk's turn at the origin. */
+export function turnAt(
+  state: SwarmState,
+  version: WantedVersion,
+  position: number,
+): number {
+  const rate = state.options.originBytesPerSecond;
+  if (rate === undefined) return version.wantedAt;
+  const size = version.manifest.chunks[position]!.size;
+  const turn = version.ranks.turn[position]!;
+  return version.wantedAt + (turn * size * 1000) / rate;
+}
+
+/** Takes in positions that a neighbour holds. */
+export function addHave(
+  state: SwarmState,
+  version: WantedVersion,
+  neighbour: Neighbour,
+  gained: Iterable<number>,
+): void {
+  const have = haveOf(version, neighbour);
+  for (const position of gained) {
+    if (!have.add(position)) continue;
+    if (neighbour.suspendedUntil !== undefined) continue;
+    version.availability[position]! += 1;
+    noteSeen(state, version, position);
+  }
+}
+
+/** Takes back one position of a neighbour. */
+export function removeHave(
+  state: SwarmState,
+  version: WantedVersion,
+  neighbour: Neighbour,
+  position: number,
+): void {
+  const have = version.haves.get(neighbour.instance);
+  if (have === undefined || !have.remove(position)) return;
+  if (neighbour.suspendedUntil === undefined) {
+    lowerAvailability(state, version, position);
+  }
+}
+
+/** Stops counting a neighbour's chunks as reachable until `until`. */
+export function suspend(
+  state: SwarmState,
+  neighbour: Neighbour,
+  until: number,
+): void {
+  const counted = neighbour.suspendedUntil === undefined;
+  neighbour.suspendedUntil = until;
+  if (!counted) return;
+  for (const version of state.versions.values()) {
+    const have = version.haves.get(neighbour.instance);
+    for (const position of have?.positions() ?? []) {
+      lowerAvailability(state, version, position);
+    }
+  }
+}
+
+/** Counts a neighbour's chunks as reachable again. */
+export function resume(state: SwarmState, neighbour: Neighbour): void {
+  if (neighbour.suspendedUntil === undefined) return;
+  neighbour.suspendedUntil = undefined;
+  for (const version of state.versions.values()) {
+    const have = version.haves.get(neighbour.instance);
+    for (const position of have?.positions() ?? []) {
+      version.availability[position]! += 1;
+      noteSeen(state, version, position);
+    }
+  }
+}
+
+/** Forgets a neighbour's have-map of one version. */
+export function forgetHave(
+  state: SwarmState,
+  version: WantedVersion,
+  neighbour: Neighbour,
+): void {
+  const have = version.haves.get(neighbour.instance);
+  version.haves.delete(neighbour.instance);
+  if (neighbour.suspendedUntil !== undefined) return;
+  for (const position of have?.positions() ?? []) {
+    lowerAvailability(state, version, position);
+  }
+}
+
+function haveOf(version: WantedVersion, neighbour: Neighbour) {
+  const known = version.haves.get(neighbour.instance);
+  if (known !== undefined) return known;
+  const created = createBitSet(version.manifest.chunks.length);
+  version.haves.set(neighbour.instance, created);
+  return created;
+}
+
+function lowerAvailability(
+  state: SwarmState,
+  version: WantedVersion,
+  position: number,
+): void {
+  const left = version.availability[position]! - 1;
+  version.availability[position] = left;
+  if (left === 0) version.unreachableSince[position] = state.now;
+}
--- /dev/null
+++ b/packages/core/src/distribution/commands/live_load.ts
@@ -0,0 +1,21 @@
+import type {SwarmState} from '../state';
+
+/** Share of the slots that transfers keep while live requests wait. */
+const SHARE_WHILE_QUEUED = 0.5;
+
+/**
+ * Makes room for live requests: as the target's queue grows from empty to
+ * one request per slot, transfers go down to their last slot.
+ */
+export function takeLiveLoad(
+  state: SwarmState,
+  queued: number,
+  slots: number,
+): void {
+  if (queued === 0) {
+    state.slotShare = 1;
+    return;
+  }
+  const fullness = Math.min(1, queued / Math.max(1, slots));
+  state.slotShare = SHARE_WHILE_QUEUED * (1 - fullness);
+}
--- /dev/null
+++ b/packages/core/src/distribution/commands/neighbours.ts
@@ -0,0 +1,195 @@
+import type {InstanceName, VersionDigest} from '../../types';
+import * as bounds from '../bounds';
+import {chooseNeighbours} from '../neighbour_choice';
+import type {Neighbour, SwarmState, WantedVersion} from '../state';
+import {rankAmong, rankFetchers} from '../ranks';
+import type {SwarmMember} from '../types';
+import {addHave, forgetHave} from './availability';
+import {announceAll} from './announce';
+import {cancelTransfer} from './transfers';
+
+/** Takes in the live agents; chooses the neighbours of every version anew. */
+export function changeMembers(
+  state: SwarmState,
+  members: readonly SwarmMember[],
+): void {
+  state.zones = new Map(
+    members.map(member => [member.instance, member.zone] as const),
+  );
+  for (const instance of [...state.neighbours.keys()]) {
+    if (state.zones.has(instance)) continue;
+    loseNeighbour(state, instance);
+    state.neighbours.delete(instance);
+  }
+  for (const version of state.versions.values()) {
+    refreshNeighbours(state, version);
+  }
+}
+
+/** Ranks the fetchers anew, and chooses the neighbours. */
+export function refreshNeighbours(
+  state: SwarmState,
+  version: WantedVersion,
+): void {
+  const live = liveHolders(state, version);
+  rank(state, version, live);
+  const chosen = new Set(
+    chooseNeighbours(
+      {instance: state.options.instance, zone: state.options.zone},
+      live,
+      {
+        ownZone: state.options.ownZonePicks ?? bounds.OWN_ZONE_PICKS,
+        crossZone: state.options.crossZonePicks ?? bounds.CROSS_ZONE_PICKS,
+      },
+    ).filter(instance => !state.cutOff.has(instance)),
+  );
+  const before = version.neighbours;
+  const names = new Set(live.map(member => member.instance));
+  for (const instance of before) {
+    // Kept although no longer chosen: its have-map is known on both sides.
+    if (names.has(instance) && !state.cutOff.has(instance)) {
+      chosen.add(instance);
+    }
+  }
+  version.neighbours = chosen;
+  const added = [...chosen].filter(instance => !before.has(instance));
+  announceAll(state, version, added);
+  for (const instance of before) {
+    if (chosen.has(instance)) continue;
+    const neighbour = state.neighbours.get(instance);
+    if (neighbour !== undefined) forgetHave(state, version, neighbour);
+  }
+}
+
+/** Takes in chunks that a neighbour gained. */
+export function takeHave(
+  state: SwarmState,
+  instance: InstanceName,
+  versionDigest: VersionDigest,
+  gained: readonly number[],
+): void {
+  if (state.cutOff.has(instance)) return;
+  const neighbour = neighbourOf(state, instance);
+  const version = state.versions.get(versionDigest);
+  if (version === undefined) {
+    keepUnknown(neighbour, versionDigest, gained);
+    return;
+  }
+  if (!admit(state, version, instance)) return;
+  addHave(state, version, neighbour, gained);
+}
+
+/** A session began: the other side must learn what this node holds. */
+export function connectNeighbour(
+  state: SwarmState,
+  instance: InstanceName,
+): void {
+  for (const version of state.versions.values()) {
+    if (version.neighbours.has(instance)) {
+      announceAll(state, version, [instance]);
+    }
+  }
+}
+
+/**
+ * A session ended: what the neighbour held is unknown until it says so again.
+ * Its next session starts with the whole have-map.
+ */
+export function loseNeighbour(state: SwarmState, instance: InstanceName): void {
+  const neighbour = state.neighbours.get(instance);
+  if (neighbour === undefined) return;
+  if (neighbour.transfer !== undefined) {
+    cancelTransfer(state, neighbour.transfer);
+  }
+  for (const version of state.versions.values()) {
+    forgetHave(state, version, neighbour);
+  }
+  neighbour.unknownVersions.clear();
+  neighbour.suspendedUntil = undefined;
+}
+
+/** What is known of a neighbour, created on first use. */
+export function neighbourOf(
+  state: SwarmState,
+  instance: InstanceName,
+): Neighbour {
+  const known = state.neighbours.get(instance);
+  if (known !== undefined) return known;
+  const created: Neighbour = {
+    instance,
+    busyUntil: 0,
+    suspendedUntil: undefined,
+    failures: 0,
+    badChunks: 0,
+    transfer: undefined,
+    unknownVersions: new Map(),
+  };
+  state.neighbours.set(instance, created);
+  return created;
+}
+
+function rank(
+  state: SwarmState,
+  version: WantedVersion,
+  live: readonly SwarmMember[],
+): void {
+  const {instance: self, zone} = state.options;
+  const chunks = version.manifest.chunks.map(chunk => chunk.digest);
+  const names = new Set(live.map(member => member.instance));
+  const ownZone = live.filter(member => member.zone === zone);
+  version.ranks = rankFetchers(
+    chunks,
+    version.holders,
+    holder => names.has(holder),
+    self,
+  );
+  version.zoneRank = rankAmong(
+    chunks,
+    ownZone.map(member => member.instance),
+    self,
+  );
+}
+
+/** Live members that should hold a version, this node among them. */
+function liveHolders(
+  state: SwarmState,
+  version: WantedVersion,
+): readonly SwarmMember[] {
+  const self = state.options.instance;
+  return version.holders
+    .map(instance => ({
+      instance,
+      zone: instance === self ? state.options.zone : state.zones.get(instance),
+    }))
+    .filter((member): member is SwarmMember => member.zone !== undefined);
+}
+
+/** A member that chose us by its own view of the members is a neighbour. */
+function admit(
+  state: SwarmState,
+  version: WantedVersion,
+  instance: InstanceName,
+): boolean {
+  if (version.neighbours.has(instance)) return true;
+  if (version.neighbours.size >= bounds.MOST_NEIGHBOURS) return false;
+  version.neighbours.add(instance);
+  announceAll(state, version, [instance]);
+  return true;
+}
+
+function keepUnknown(
+  neighbour: Neighbour,
+  versionDigest: VersionDigest,
+  gained: readonly number[],
+): void {
+  const versions = neighbour.unknownVersions;
+  const kept = versions.get(versionDigest) ?? new Set();
+  for (const position of gained) {
+    if (position < bounds.MOST_CHUNKS) kept.add(position);
+  }
+  versions.delete(versionDigest);
+  versions.set(versionDigest, kept);
+  if (versions.size <= bounds.UNKNOWN_VERSIONS_KEPT) return;
+  const oldest = versions.keys().next().value;
+  if (oldest !== undefined) versions.delete(oldest);
+}
--- /dev/null
+++ b/packages/core/src/distribution/commands/schedule_limits.ts
@@ -0,0 +1,22 @@
+import type {Bytes, Digest} from '../../types';
+import type {SwarmState} from '../state';
+
+/** Whether a chunk is held, being stored, or on its way. */
+export function isUnderWay(state: SwarmState, digest: Digest): boolean {
+  return (
+    state.active.has(digest) ||
+    state.storing.has(digest) ||
+    state.held.has(digest)
+  );
+}
+
+/**
+ * Whether one more chunk fits the transfer buffer. A chunk larger than the
+ * whole buffer may go alone, or it could never be fetched.
+ */
+export function hasBuffer(state: SwarmState, size: Bytes): boolean {
+  let used = 0;
+  for (const transfer of state.transfers.values()) used += transfer.size;
+  for (const stored of state.storing.values()) used += stored;
+  return used === 0 || used + size <= state.options.transferBuffer;
+}
--- /dev/null
+++ b/packages/core/src/distribution/commands/schedule_origin.ts
@@ -0,0 +1,89 @@
+import * as bounds from '../bounds';
+import {slotsLeft, wakeAt, type SwarmState, type WantedVersion} from '../state';
+import {expectedAt, turnAt} from './availability';
+import {hasBuffer, isUnderWay} from './schedule_limits';
+import {startTransfer} from './transfers';
+
+/** Asks the origin for the chunks that are this node's turn to fetch. */
+export function scheduleOrigin(
+  state: SwarmState,
+  version: WantedVersion,
+): void {
+  if (version.missing.length === 0) return;
+  const allowedAt = originAllowedAt(state, version);
+  if (allowedAt > state.now) {
+    wakeAt(state, allowedAt);
+    return;
+  }
+  for (const position of dueNow(state, version)) {
+    if (originTransfers(state) >= slotsLeft(state, bounds.ORIGIN_SLOTS)) return;
+    const chunk = version.manifest.chunks[position]!;
+    if (!hasBuffer(state, chunk.size)) return;
+    startTransfer(state, chunk.digest, chunk.size, {kind: 'origin'});
+  }
+}
+
+function dueNow(state: SwarmState, version: WantedVersion): readonly number[] {
+  const due: {readonly position: number; readonly at: number}[] = [];
+  for (const position of version.missing) {
+    const chunk = version.manifest.chunks[position]!;
+    if (isUnderWay(state, chunk.digest)) continue;
+    const at = dueAt(state, version, position);
+    if (at <= state.now) due.push({position, at});
+    else if (at !== Infinity) wakeAt(state, at);
+  }
+  due.sort((left, right) => left.at - right.at);
+  return due.map(entry => entry.position);
+}
+
+/**
+ * When this node may ask the origin for a chunk. Rank 0 asks at the chunk's
+ * turn. A higher rank waits its rank's patience and asks only if no reachable
+ * neighbour holds the chunk; so a dead fetcher costs one patience, and a live
+ * one no second copy.
+ */
+function dueAt(
+  state: SwarmState,
+  version: WantedVersion,
+  position: number,
+): number {
+  const rank = version.ranks.ownRank[position]!;
+  if (version.prefer === 'time' && rank === 1) {
+    return turnAt(state, version, position) + passTime(state, version);
+  }
+  if (version.availability[position]! > 0) return Infinity;
+  if (rank === 0) return turnAt(state, version, position);
+  const base = Math.max(
+    expectedAt(state, version, position),
+    version.unreachableSince[position]!,
+    state.originClock,
+  );
+  return base + rank * state.patience.bound();
+}
+
+/** Time that the origin needs for one copy; 0 if its rate is not known. */
+function passTime(state: SwarmState, version: WantedVersion): number {
+  const rate = state.options.originBytesPerSecond;
+  if (rate === undefined) return 0;
+  let bytes = 0;
+  for (const chunk of version.manifest.chunks) bytes += chunk.size;
+  return (bytes * 1000) / rate;
+}
+
+/**
+ * A node that joins late, or comes back, must hear what its neighbours hold
+ * before it asks the origin, or it would fetch its turn's chunks once more.
+ */
+function originAllowedAt(state: SwarmState, version: WantedVersion): number {
+  const settled = version.haves.size >= version.neighbours.size;
+  const settledAt = settled ? 0 : version.wantedAt + bounds.SETTLE_TIME;
+  return Math.max(settledAt, state.originBackoffUntil);
+}
+
+function originTransfers(state: SwarmState): number {
+  let count = 0;
+  for (const transfer of state.transfers.values()) {
+    if (transfer.sender.kind === 'origin' && !transfer.stalled) count += 1;
+  }
+  return count;
+}
--- /dev/null
+++ b/packages/core/src/distribution/commands/versions.ts
@@ -0,0 +1,110 @@
+import type {
+  InstanceName,
+  Manifest,
+  RolloutPreference,
+  VersionDigest,
+} from '../../types';
+import {hash32} from '../../utils/hash';
+import {createBitSet} from '../bit_set';
+import {mixHashes, rankFetchers} from '../ranks';
+import type {SwarmState, WantedVersion} from '../state';
+import {announceAll} from './announce';
+import {fillHeld} from './chunks';
+import {refreshNeighbours, takeHave} from './neighbours';
+import {cancelTransfer} from './transfers';
+
+/** Starts to fetch a version, or changes how one in progress is fetched. */
+export function wantVersion(
+  state: SwarmState,
+  versionDigest: VersionDigest,
+  manifest: Manifest,
+  prefer: RolloutPreference,
+  holders: readonly InstanceName[],
+): void {
+  const known = state.versions.get(versionDigest);
+  if (known !== undefined) {
+    known.prefer = prefer;
+    known.holders = holders;
+    known.lastSign = new Float64Array(holders.length);
+    refreshNeighbours(state, known);
+    return;
+  }
+  const version = createVersion(
+    state,
+    versionDigest,
+    manifest,
+    prefer,
+    holders,
+  );
+  state.versions.set(versionDigest, version);
+  refreshNeighbours(state, version);
+  if (state.life !== undefined) fillHeld(state, version);
+  announceAll(state, version, [...version.neighbours]);
+  for (const neighbour of state.neighbours.values()) {
+    const kept = neighbour.unknownVersions.get(versionDigest);
+    neighbour.unknownVersions.delete(versionDigest);
+    if (kept === undefined) continue;
+    takeHave(state, neighbour.instance, versionDigest, [...kept]);
+  }
+}
+
+/**
+ * Stops fetching a version. Chunks already held stay held, so a version that
+ * shares them starts with them; downloads of shared chunks go on.
+ */
+export function dropVersion(
+  state: SwarmState,
+  versionDigest: VersionDigest,
+): void {
+  if (!state.versions.delete(versionDigest)) return;
+  for (const transfer of [...state.transfers.values()]) {
+    if (isWanted(state, transfer.digest)) continue;
+    cancelTransfer(state, transfer.id);
+  }
+}
+
+function isWanted(state: SwarmState, digest: string): boolean {
+  for (const version of state.versions.values()) {
+    if (version.positions.has(digest)) return true;
+  }
+  return false;
+}
+
+function createVersion(
+  state: SwarmState,
+  versionDigest: VersionDigest,
+  manifest: Manifest,
+  prefer: RolloutPreference,
+  holders: readonly InstanceName[],
+): WantedVersion {
+  const count = manifest.chunks.length;
+  return {
+    versionDigest,
+    manifest,
+    prefer,
+    holders,
+    wantedAt: state.now,
+    positions: new Map(
+      manifest.chunks.map((chunk, position) => [chunk.digest, position]),
+    ),
+    held: createBitSet(count),
+    missing: manifest.chunks.map((_chunk, position) => position),
+    ranks: rankFetchers([], [], () => true, state.options.instance),
+    zoneRank: new Int32Array(count),
+    neighbours: new Set(),
+    haves: new Map(),
+    availability: new Uint16Array(count),
+    unreachableSince: new Float64Array(count).fill(state.now),
+    firstSeen: new Float64Array(count).fill(-1),
+    lastSign: new Float64Array(holders.length),
+    tieBreak: Uint32Array.from(manifest.chunks, chunk =>
+      mixHashes(state.options.seed, hash32(chunk.digest)),
+    ),
+    gained: [],
+    announceAt: undefined,
+    ready: false,
+    originBytes: 0,
+    neighbourBytes: 0,
+    crossZoneBytes: 0,
+  };
+}
--- /dev/null
+++ b/packages/core/src/distribution/index.ts
@@ -0,0 +1,4 @@
+export * from './neighbour_choice';
+export * from './queries/check_manifest';
+export * from './swarm_node';
+export * from './types';
--- /dev/null
+++ b/packages/core/src/distribution/learned_time.ts
@@ -0,0 +1,42 @@
+import type {Milliseconds} from '../types';
+
+/** Weights of one sample, as in TCP's retransmission timer (RFC 6298). */
+const MEAN_GAIN = 1 / 8;
+const DEVIATION_GAIN = 1 / 4;
+const DEVIATIONS = 4;
+
+/** A duration learned from samples, with a bound that few samples exceed. */
+export interface LearnedTime {
+  readonly add: (sample: Milliseconds) => void;
+  /** Mean of the samples; undefined before the first. */
+  readonly mean: () => Milliseconds | undefined;
+  /** Mean and four deviations, within the limits. */
+  readonly bound: () => Milliseconds;
+}
+
+/** Creates a learned time that answers `first` until it has a sample. */
+export function createLearnedTime(limits: {
+  readonly first: Milliseconds;
+  readonly shortest: Milliseconds;
+  readonly longest: Milliseconds;
+}): LearnedTime {
+  let mean: number | undefined;
+  let deviation = 0;
+  return {
+    add(sample) {
+      if (mean === undefined) {
+        mean = sample;
+        deviation = sample / 2;
+        return;
+      }
+      deviation += DEVIATION_GAIN * (Math.abs(sample - mean) - deviation);
+      mean += MEAN_GAIN * (sample - mean);
+    },
+    mean: () => mean,
+    bound() {
+      if (mean === undefined) return limits.first;
+      const bound = mean + DEVIATIONS * deviation;
+      return Math.min(limits.longest, Math.max(limits.shortest, bound));
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -0,0 +1,51 @@
+import type {InstanceName} from '../../types';
+import type {SwarmState, WantedVersion} from '../state';
+import type {SwarmDump, VersionProgress} from '../types';
+
+/** How far each wanted version has come. */
+export function progressOf(state: SwarmState): readonly VersionProgress[] {
+  return [...state.versions.values()].map(versionProgress);
+}
+
+/** Neighbours over all wanted versions, sorted. */
+export function neighboursOf(state: SwarmState): readonly InstanceName[] {
+  const found = new Set<InstanceName>();
+  for (const version of state.versions.values()) {
+    for (const instance of version.neighbours) found.add(instance);
+  }
+  return [...found].sort();
+}
+
+/** The node's state for an operator. */
+export function dumpOf(state: SwarmState): SwarmDump {
+  return {
+    versions: progressOf(state),
+    downloads: [...state.transfers.values()].map(transfer => ({
+      digest: transfer.digest,
+      sender:
+        transfer.sender.kind === 'origin' ? 'origin' : transfer.sender.instance,
+      stalled: transfer.stalled,
+    })),
+    uploads: {
+      active: state.uploads.size,
+      waiting: state.waitingUploads.length,
+    },
+    cutOff: [...state.cutOff].sort(),
+    suspended: [...state.neighbours.values()]
+      .filter(neighbour => neighbour.suspendedUntil !== undefined)
+      .map(neighbour => neighbour.instance),
+    patience: state.patience.bound(),
+  };
+}
+
+function versionProgress(version: WantedVersion): VersionProgress {
+  return {
+    versionDigest: version.versionDigest,
+    chunksHeld: version.held.count(),
+    chunksTotal: version.manifest.chunks.length,
+    originBytes: version.originBytes,
+    neighbourBytes: version.neighbourBytes,
+    crossZoneBytes: version.crossZoneBytes,
+    ready: version.ready,
+  };
+}
--- /dev/null
+++ b/packages/core/src/distribution/state.ts
@@ -0,0 +1,189 @@
+import type {
+  Bytes,
+  Digest,
+  InstanceName,
+  Manifest,
+  RolloutPreference,
+  VersionDigest,
+  ZoneName,
+} from '../types';
+import type {BitSet} from './bit_set';
+import * as bounds from './bounds';
+import {createLearnedTime, type LearnedTime} from './learned_time';
+import type {OriginRanks} from './ranks';
+import type {
+  StoreLife,
+  SwarmEffect,
+  SwarmNodeOptions,
+  TransferId,
+  UploadId,
+} from './types';
+
+/** Where a chunk is fetched from. */
+export type Sender =
+  | {readonly kind: 'origin'}
+  | {readonly kind: 'neighbour'; readonly instance: InstanceName};
+
+/** A download that has not ended. */
+export interface Transfer {
+  readonly id: TransferId;
+  readonly digest: Digest;
+  readonly size: Bytes;
+  readonly sender: Sender;
+  readonly startedAt: number;
+  lastProgress: number;
+  /** True once the chunk may be asked of another sender too. */
+  stalled: boolean;
+}
+
+/** What is known of one neighbour, over all versions. */
+export interface Neighbour {
+  readonly instance: InstanceName;
+  /** No request before this time. */
+  busyUntil: number;
+  /** Its chunks do not count as reachable before this time. */
+  suspendedUntil: number | undefined;
+  failures: number;
+  badChunks: number;
+  /** The one download from it, if any. */
+  transfer: TransferId | undefined;
+  /** Have-maps of versions that are not wanted here yet. */
+  readonly unknownVersions: Map<VersionDigest, Set<number>>;
+}
+
+/** One wanted version. */
+export interface WantedVersion {
+  readonly versionDigest: VersionDigest;
+  readonly manifest: Manifest;
+  prefer: RolloutPreference;
+  /** All that should hold the version; the candidates for asking the origin. */
+  holders: readonly InstanceName[];
+  readonly wantedAt: number;
+  readonly positions: ReadonlyMap<Digest, number>;
+  readonly held: BitSet;
+  /** Positions not held, in no order. */
+  missing: number[];
+  ranks: OriginRanks;
+  /** This node's rank among its own zone's holders, per chunk. */
+  zoneRank: Int32Array;
+  neighbours: Set<InstanceName>;
+  readonly haves: Map<InstanceName, BitSet>;
+  /** Reachable neighbours that hold each chunk. */
+  readonly availability: Uint16Array;
+  /** Since when no reachable neighbour holds each chunk. */
+  readonly unreachableSince: Float64Array;
+  /** When each chunk was first held here or by a neighbour; -1 before. */
+  readonly firstSeen: Float64Array;
+  /** When a chunk of each holder was last first seen, by its place. */
+  lastSign: Float64Array;
+  readonly tieBreak: Uint32Array;
+  readonly gained: number[];
+  announceAt: number | undefined;
+  ready: boolean;
+  originBytes: Bytes;
+  neighbourBytes: Bytes;
+  crossZoneBytes: Bytes;
+}
+
+/** An upload that runs or waits. */
+export interface Upload {
+  readonly id: UploadId;
+  readonly neighbour: InstanceName;
+  readonly digest: Digest;
+  startedAt: number;
+  lastProgress: number;
+}
+
+/** The whole state of a swarm node. */
+export interface SwarmState {
+  readonly options: SwarmNodeOptions;
+  now: number;
+  wakeUp: number | undefined;
+  effects: SwarmEffect[];
+  nextTransfer: TransferId;
+  /** Life of the chunk store; undefined until it reports what it holds. */
+  life: StoreLife | undefined;
+  readonly held: Set<Digest>;
+  /** Chunks handed to the store that it has not confirmed. */
+  readonly storing: Map<Digest, Bytes>;
+  /** Nothing is fetched before this time, since the store fails. */
+  storeBackoffUntil: number;
+  storeFailures: number;
+  zones: ReadonlyMap<InstanceName, ZoneName>;
+  readonly versions: Map<VersionDigest, WantedVersion>;
+  readonly neighbours: Map<InstanceName, Neighbour>;
+  readonly cutOff: Set<InstanceName>;
+  readonly transfers: Map<TransferId, Transfer>;
+  /** Downloads per chunk that are not stalled. */
+  readonly active: Map<Digest, number>;
+  originBackoffUntil: number;
+  originFailures: number;
+  /** Ranks above 0 count their patience from here at the earliest. */
+  originClock: number;
+  readonly uploads: Map<UploadId, Upload>;
+  readonly waitingUploads: Upload[];
+  readonly patience: LearnedTime;
+  readonly originTime: LearnedTime;
+  readonly neighbourTime: LearnedTime;
+  readonly uploadTime: LearnedTime;
+  /** Share of the slots that live requests leave, from 0 to 1. */
+  slotShare: number;
+}
+
+const STALL_LIMITS = {
+  first: bounds.FIRST_STALL,
+  shortest: bounds.SHORTEST_STALL,
+  longest: bounds.LONGEST_STALL,
+};
+
+/** The state of a node that has just started. */
+export function createSwarmState(options: SwarmNodeOptions): SwarmState {
+  return {
+    options,
+    now: 0,
+    wakeUp: undefined,
+    effects: [],
+    nextTransfer: 1,
+    life: undefined,
+    held: new Set(),
+    storing: new Map(),
+    storeBackoffUntil: 0,
+    storeFailures: 0,
+    zones: new Map(),
+    versions: new Map(),
+    neighbours: new Map(),
+    cutOff: new Set(),
+    transfers: new Map(),
+    active: new Map(),
+    originBackoffUntil: 0,
+    originFailures: 0,
+    originClock: 0,
+    uploads: new Map(),
+    waitingUploads: [],
+    patience: createLearnedTime({
+      first: bounds.FIRST_PATIENCE,
+      shortest: bounds.SHORTEST_PATIENCE,
+      longest: bounds.LONGEST_PATIENCE,
+    }),
+    originTime: createLearnedTime(STALL_LIMITS),
+    neighbourTime: createLearnedTime(STALL_LIMITS),
+    uploadTime: createLearnedTime(STALL_LIMITS),
+    slotShare: 1,
+  };
+}
+
+/** Notes that something is due at `time`. */
+export function wakeAt(state: SwarmState, time: number): void {
+  if (state.wakeUp === undefined || time < state.wakeUp) state.wakeUp = time;
+}
+
+/** Slots of `full` that live requests leave; at least one. */
+export function slotsLeft(state: SwarmState, full: number): number {
+  return Math.max(1, Math.floor(full * state.slotShare));
+}
+
+/** Wait after the `failures`-th failure in a row. */
+export function backoff(failures: number): number {
+  const wait = bounds.FIRST_BACKOFF * 2 ** Math.min(failures, 16);
+  return Math.min(bounds.LONGEST_BACKOFF, wait);
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
+export * from './swarm';
 export * from './types/settings';
--- /dev/null
+++ b/packages/daemon/src/swarm/downloads.ts
@@ -0,0 +1,125 @@
+import {
+  unreachable,
+  type Bytes,
+  type Digest,
+  type RequestFailure,
+  type SwarmEvent,
+  type TransferId,
+} from '@hibiscusbeam/core';
+import type {PlatformError} from '@hibiscusbeam/core';
+import {Err, type Result} from 'ts-results';
+import {receiveChunk} from './chunk_receiver';
+import type {SwarmDriverOptions} from './types';
+
+type Pieces = AsyncIterable<Result<Uint8Array, RequestFailure>>;
+
+/** Downloads that run, and the bytes of those that came whole. */
+export interface Downloads {
+  readonly fromOrigin: (
+    transfer: TransferId,
+    digest: Digest,
+    size: Bytes,
+  ) => void;
+  readonly fromPeer: (
+    transfer: TransferId,
+    address: string | undefined,
+    digest: Digest,
+    size: Bytes,
+  ) => void;
+  readonly cancel: (transfer: TransferId) => void;
+  readonly cancelAll: () => void;
+  /** The bytes of a transfer whose arrival is being handled. */
+  readonly take: (transfer: TransferId) => readonly Uint8Array[] | undefined;
+}
+
+/** Creates the runner of downloads; it tells the swarm node what happens. */
+export function createDownloads(
+  options: Pick<SwarmDriverOptions, 'weights' | 'fetchChunk'>,
+  tell: (event: SwarmEvent) => void,
+): Downloads {
+  const controllers = new Map<TransferId, AbortController>();
+  const arrived = new Map<TransferId, readonly Uint8Array[]>();
+
+  async function run(
+    transfer: TransferId,
+    digest: Digest,
+    size: Bytes,
+    open: (signal: AbortSignal) => Pieces,
+  ): Promise<void> {
+    const controller = new AbortController();
+    controllers.set(transfer, controller);
+    const received = await receive(controller.signal);
+    if (!controllers.delete(transfer)) return;
+    if (received.err) {
+      tell({kind: 'requestFailed', transfer, failure: received.val});
+      return;
+    }
+    const {pieces, verified} = received.val;
+    arrived.set(transfer, pieces);
+    tell({kind: 'chunkArrived', transfer, digest, verified});
+    arrived.delete(transfer);
+
+    async function receive(signal: AbortSignal) {
+      const noteProgress = (bytes: Bytes) =>
+        tell({kind: 'progress', transfer, bytes});
+      try {
+        return await receiveChunk(open(signal), digest, size, noteProgress);
+      } catch {
+        return Err<RequestFailure>({kind: 'unavailable'});
+      }
+    }
+  }
+
+  function cancel(transfer: TransferId): void {
+    const controller = controllers.get(transfer);
+    controllers.delete(transfer);
+    controller?.abort();
+  }
+
+  return {
+    fromOrigin(transfer, digest, size) {
+      const open = (signal: AbortSignal) =>
+        fromPlatform(options.weights.chunk(digest, signal));
+      void run(transfer, digest, size, open);
+    },
+    fromPeer(transfer, address, digest, size) {
+      const open = (signal: AbortSignal) =>
+        address === undefined
+          ? refused()
+          : options.fetchChunk(address, digest, signal);
+      void run(transfer, digest, size, open);
+    },
+    cancel,
+    cancelAll() {
+      for (const transfer of [...controllers.keys()]) cancel(transfer);
+    },
+    take: transfer => arrived.get(transfer),
+  };
+}
+
+async function* fromPlatform(
+  pieces: AsyncIterable<Result<Uint8Array, PlatformError>>,
+): Pieces {
+  for await (const piece of pieces) {
+    yield piece.mapErr(toFailure);
+  }
+}
+
+function toFailure(error: PlatformError): RequestFailure {
+  switch (error.kind) {
+    case 'rateLimited':
+      return {kind: 'busy', retryAfter: error.retryAfter};
+    case 'notFound':
+      return {kind: 'notHeld'};
+    case 'unavailable':
+    case 'replyLost':
+    case 'malformed':
+      return {kind: 'unavailable'};
+    default:
+      return unreachable(error);
+  }
+}
+
+async function* refused(): Pieces {
+  yield Err({kind: 'unavailable'});
+}
--- /dev/null
+++ b/packages/daemon/src/swarm/grpc_chunks.ts
@@ -0,0 +1,104 @@
+import {
+  Metadata,
+  status,
+  type ServerWritableStream,
+  type ServiceError,
+} from '@grpc/grpc-js';
+import type {Digest, InstanceName, RequestFailure} from '@hibiscusbeam/core';
+import type {
+  AgentClient,
+  ChunkPiece,
+  FetchChunkRequest,
+} from '@hibiscusbeam/wire';
+import {once} from 'node:events';
+import {Err, Ok, type Result} from 'ts-results';
+import type {SwarmDriver} from './types';
+
+/** Metadata name under which a caller says which instance it is. */
+const INSTANCE_KEY = 'hibiscusbeam-instance';
+
+/** Metadata name of the wait that a busy sender asks for, in milliseconds. */
+const RETRY_AFTER_KEY = 'retry-after-milliseconds';
+
+/** Wait after a busy answer that names none. */
+const DEFAULT_RETRY_AFTER = 100;
+
+/** Reads a chunk over `FetchChunk`; unread pieces hold the sender back. */
+export async function* fetchChunkOver(
+  client: AgentClient,
+  self: InstanceName,
+  digest: Digest,
+  signal: AbortSignal,
+  metadata: Metadata = new Metadata(),
+): AsyncGenerator<Result<Uint8Array, RequestFailure>> {
+  const withInstance = metadata.clone();
+  withInstance.set(INSTANCE_KEY, self);
+  const call = client.fetchChunk({digest}, withInstance);
+  const cancel = () => call.cancel();
+  signal.addEventListener('abort', cancel, {once: true});
+  try {
+    for await (const piece of call as AsyncIterable<ChunkPiece>) {
+      yield Ok(piece.content);
+    }
+  } catch (error) {
+    yield Err(toFailure(error as ServiceError));
+  } finally {
+    signal.removeEventListener('abort', cancel);
+    call.cancel();
+  }
+}
+
+/** Answers `FetchChunk` from a driver; waits while the reader is behind. */
+export async function answerFetchChunk(
+  call: ServerWritableStream<FetchChunkRequest, ChunkPiece>,
+  driver: Pick<SwarmDriver, 'serveChunk'>,
+): Promise<void> {
+  const controller = new AbortController();
+  call.on('cancelled', () => controller.abort());
+  const instance = String(call.metadata.get(INSTANCE_KEY)[0] ?? call.getPeer());
+  const {digest} = call.request;
+  const served = await driver.serveChunk(instance, digest, controller.signal);
+  if (served.err) {
+    call.emit('error', toStatus(served.val));
+    return;
+  }
+  try {
+    for await (const content of served.val) {
+      if (call.write({content, size: 0})) continue;
+      await once(call, 'drain', {signal: controller.signal});
+    }
+    call.end();
+  } catch {
+    call.emit('error', toStatus({kind: 'unavailable'}));
+  }
+}
+
+function toStatus(failure: RequestFailure): Partial<ServiceError> {
+  switch (failure.kind) {
+    case 'busy': {
+      const metadata = new Metadata();
+      metadata.set(RETRY_AFTER_KEY, String(Math.ceil(failure.retryAfter)));
+      return {code: status.RESOURCE_EXHAUSTED, details: 'busy', metadata};
+    }
+    case 'notHeld':
+      return {code: status.NOT_FOUND, details: 'chunk not held'};
+    case 'unavailable':
+      return {code: status.UNAVAILABLE, details: 'chunk not read'};
+  }
+}
+
+function toFailure(error: ServiceError): RequestFailure {
+  switch (error.code) {
+    case status.RESOURCE_EXHAUSTED:
+      return {kind: 'busy', retryAfter: retryAfter(error.metadata)};
+    case status.NOT_FOUND:
+      return {kind: 'notHeld'};
+    default:
+      return {kind: 'unavailable'};
+  }
+}
+
+function retryAfter(metadata: Metadata | undefined): number {
+  const value = Number(metadata?.get(RETRY_AFTER_KEY)[0]);
+  return Number.isFinite(value) && value > 0 ? value : DEFAULT_RETRY_AFTER;
+}
--- /dev/null
+++ b/packages/daemon/src/swarm/index.ts
@@ -0,0 +1,3 @@
+export * from './grpc_chunks';
+export * from './swarm_driver';
+export * from './types';
--- /dev/null
+++ b/packages/daemon/src/swarm/swarm_driver.ts
@@ -0,0 +1,184 @@
+import {
+  createSwarmNode,
+  unreachable,
+  type Digest,
+  type InstanceName,
+  type StoreLife,
+  type SwarmEffect,
+  type SwarmEvent,
+  type TransferId,
+  type VersionDigest,
+} from '@hibiscusbeam/core';
+import {performance} from 'node:perf_hooks';
+import {createDownloads} from './downloads';
+import type {
+  SwarmDriver,
+  SwarmDriverOptions,
+  SwarmPeer,
+  WaitOutcome,
+} from './types';
+import {createUploadGate} from './upload_gate';
+
+/** Wait before the store is asked again for what it holds. */
+const STORE_RETRY_DELAY = 500;
+
+/** Creates the driver that an agent embeds to take part in the swarm. */
+export function createSwarmDriver(options: SwarmDriverOptions): SwarmDriver {
+  const now = options.now ?? (() => performance.now());
+  const node = createSwarmNode(options);
+  const downloads = createDownloads(options, tell);
+  const uploads = createUploadGate(options.store, tell);
+  const waiting = new Map<VersionDigest, ((outcome: WaitOutcome) => void)[]>();
+  let addresses: ReadonlyMap<InstanceName, string> = new Map();
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+
+  function tell(event: SwarmEvent): void {
+    if (stopped) return;
+    for (const effect of node.handle(event, now())) carryOut(effect);
+    wakeUpLater();
+  }
+
+  function wakeUpLater(): void {
+    clearTimeout(timer);
+    const at = node.nextWakeUp();
+    if (at === undefined) return;
+    const delay = Math.max(1, Math.ceil(at - now()));
+    timer = setTimeout(() => tell({kind: 'tick'}), delay);
+  }
+
+  function carryOut(effect: SwarmEffect): void {
+    switch (effect.kind) {
+      case 'askOrigin':
+        return downloads.fromOrigin(
+          effect.transfer,
+          effect.digest,
+          effect.size,
+        );
+      case 'askNeighbour':
+        return downloads.fromPeer(
+          effect.transfer,
+          addresses.get(effect.neighbour),
+          effect.digest,
+          effect.size,
+        );
+      case 'cancel':
+        return downloads.cancel(effect.transfer);
+      case 'storeChunk':
+        void storeChunk(effect.transfer, effect.digest, effect.life);
+        return;
+      case 'announce':
+        return announce(effect.neighbours, effect.versionDigest, effect.gained);
+      case 'ready':
+        return reportReady(effect.versionDigest);
+      case 'cutOff':
+        return options.onCutOff?.(effect.neighbour);
+      case 'startUpload':
+        return uploads.start(effect.upload);
+      case 'refuseUpload':
+        return uploads.refuse(effect.upload, effect.failure);
+      case 'stopUpload':
+        return uploads.stop(effect.upload);
+      default:
+        unreachable(effect);
+    }
+  }
+
+  async function storeChunk(
+    transfer: TransferId,
+    digest: Digest,
+    life: StoreLife,
+  ): Promise<void> {
+    const pieces = downloads.take(transfer) ?? [];
+    const stored = await options.store.put(digest, pieces);
+    if (stored.ok) tell({kind: 'chunkStored', digest, life});
+    else tell({kind: 'storeFailed', digest});
+  }
+
+  function announce(
+    neighbours: readonly InstanceName[],
+    versionDigest: VersionDigest,
+    gained: readonly number[],
+  ): void {
+    for (const neighbour of neighbours) {
+      options.sendHaveDelta(neighbour, {versionDigest, gained});
+    }
+  }
+
+  function reportReady(versionDigest: VersionDigest): void {
+    finishWaiting(versionDigest, 'ready');
+    options.onReady?.(versionDigest);
+  }
+
+  function finishWaiting(
+    versionDigest: VersionDigest,
+    outcome: WaitOutcome,
+  ): void {
+    const resolvers = waiting.get(versionDigest) ?? [];
+    waiting.delete(versionDigest);
+    for (const resolve of resolvers) resolve(outcome);
+  }
+
+  async function refreshHeld(): Promise<void> {
+    while (!stopped) {
+      const held = await options.store.list();
+      if (held.ok) {
+        tell({kind: 'heldReported', ...held.val});
+        return;
+      }
+      await new Promise(resolve => setTimeout(resolve, STORE_RETRY_DELAY));
+    }
+  }
+
+  function setPeers(peers: readonly SwarmPeer[]): void {
+    addresses = new Map(
+      peers.map(peer => [peer.instance, peer.address] as const),
+    );
+    const members = peers.map(({instance, zone}) => ({instance, zone}));
+    tell({kind: 'membersChanged', members});
+  }
+
+  function isReady(versionDigest: VersionDigest): boolean {
+    const isSame = (entry: {readonly versionDigest: VersionDigest}) =>
+      entry.versionDigest === versionDigest;
+    return node.progress().find(isSame)?.ready === true;
+  }
+
+  return {
+    start: refreshHeld,
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+      downloads.cancelAll();
+      uploads.stopAll();
+      for (const version of [...waiting.keys()]) {
+        finishWaiting(version, 'abandoned');
+      }
+    },
+    setPeers,
+    neighbours: node.neighbours,
+    want(versionDigest, manifest, {prefer, holders}) {
+      tell({kind: 'versionWanted', versionDigest, manifest, prefer, holders});
+    },
+    abandon(versionDigest) {
+      tell({kind: 'versionSuperseded', versionDigest});
+      finishWaiting(versionDigest, 'abandoned');
+    },
+    whenReady(versionDigest) {
+      if (isReady(versionDigest)) return Promise.resolve('ready');
+      return new Promise(resolve => {
+        const resolvers = waiting.get(versionDigest) ?? [];
+        waiting.set(versionDigest, [...resolvers, resolve]);
+      });
+    },
+    onPeerConnected: neighbour => tell({kind: 'neighbourConnected', neighbour}),
+    onPeerGone: neighbour => tell({kind: 'neighbourGone', neighbour}),
+    onHaveDelta: (neighbour, {versionDigest, gained}) =>
+      tell({kind: 'neighbourHave', neighbour, versionDigest, gained}),
+    onLiveLoad: load => tell({kind: 'liveRequestLoad', ...load}),
+    refreshHeld,
+    serveChunk: uploads.serve,
+    progress: node.progress,
+    dump: node.dump,
+  };
+}
