--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './distribution';
 export * from './kernel/flow';
 export * from './requests';
 export * from './routing';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
 export * from './settings';
+export * from './swarm';
 export * from './types/settings';
