Add membership and the subset of targets that an entry holds

Cause: entries and agents must know who lives within seconds, at a cost that stays bounded at 390 entries and 600 engines. Ruled out: everyone hearing everyone; a pause of our own counted as the silence of others; the late list bringing back one that said goodbye.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,3 +4,4 @@
 export * from './utils/hash';
 export * from './lease';
 export * from './orders';
+export * from './membership';
--- /dev/null
+++ b/packages/core/src/membership/bounds.ts
@@ -0,0 +1,62 @@
+import type {Bytes, BytesPerSecond, Milliseconds} from '../types';
+
+// Every period and bound of the membership stands here. Bytes are those of the
+// protocol's messages plus MESSAGE_OVERHEAD; test/membership/traffic.test.ts
+// encodes the messages and keeps the two stated sizes true.
+
+/** Each side of a session sends a heartbeat so often. */
+export const HEARTBEAT_PERIOD: Milliseconds = 1_000;
+
+/** The driver calls `tick` so often. */
+export const TICK_PERIOD: Milliseconds = 250;
+
+/**
+ * Silence after which an instance gets no new work: two heartbeats lost and a
+ * third late. It is out of routing at most one tick later.
+ */
+export const SUSPECT_AFTER: Milliseconds = 3_000;
+
+/** Silence after which an instance counts as dead; its work is given up. */
+export const DEAD_AFTER: Milliseconds = 6_000;
+
+/**
+ * A gap between two calls of ours that is longer was a pause of our own, as
+ * ticks come four times as often.
+ */
+export const OWN_PAUSE: Milliseconds = 1_000;
+
+/** How long an instance must be heard without a gap after its first fall. */
+export const FIRST_HOLD: Milliseconds = 2_000;
+
+/** The hold doubles with each fall up to this. */
+export const LONGEST_HOLD: Milliseconds = 32_000;
+
+/** Falls are forgotten after so long without one. */
+export const FORGET_FALLS_AFTER: Milliseconds = 120_000;
+
+/**
+ * How long one that left or died is remembered after the list dropped it; the
+ * list is late by seconds, so that minutes are ample.
+ */
+export const FORGET_GONE_AFTER: Milliseconds = 600_000;
+
+/** Changes kept for neighbours that ask what changed since. */
+export const KEPT_CHANGES = 1_024;
+
+/** Entries that hold one target: five may fail before it has none. */
+export const HOLDERS_PER_TARGET = 6;
+
+/** Targets that an entry holds of each model or service at least. */
+export const FEWEST_HELD_PER_GROUP = 4;
+
+/** Headers of HTTP/2, TCP and IP around one small message, with its ack. */
+export const MESSAGE_OVERHEAD: Bytes = 140;
+
+/** An agent's heartbeat: two versions loaded, 16 cached prefixes, one fetch. */
+export const AGENT_HEARTBEAT_SIZE: Bytes = 400;
+
+/** An entry's heartbeat. */
+export const ENTRY_HEARTBEAT_SIZE: Bytes = 24;
+
+/** What a node of the site may spend on heartbeats. */
+export const NODE_BUDGET: BytesPerSecond = 26_000;
--- /dev/null
+++ b/packages/core/src/membership/commands/tick.ts
@@ -0,0 +1,51 @@
+import {unreachable} from '../../kernel/flow';
+import type {MonotonicInstant} from '../../types';
+import {DEAD_AFTER, FORGET_GONE_AFTER, SUSPECT_AFTER} from '../bounds';
+import {setLiveness, type MemberRecord} from '../member_record';
+import {noteCall, type MembershipMemory} from '../membership_memory';
+
+/** Moves silent instances on and forgets those long gone. */
+export function tickMembers(
+  memory: MembershipMemory,
+  now: MonotonicInstant,
+): void {
+  noteCall(memory, now);
+  for (const [instance, record] of memory.records) {
+    tickRecord(memory, record, now);
+    if (!isForgettable(record, now)) continue;
+    memory.records.delete(instance);
+    memory.hearsay.forget(instance);
+  }
+}
+
+function tickRecord(
+  memory: MembershipMemory,
+  record: MemberRecord,
+  now: MonotonicInstant,
+): void {
+  const silence = now - (record.lastHeard ?? record.since);
+  switch (record.liveness) {
+    case 'live':
+      // Guards against work for a dead instance, which shows as requests that
+      // wait for their deadline: silence alone takes it out.
+      if (silence >= SUSPECT_AFTER) {
+        setLiveness(record, 'suspect', now, memory.log);
+      }
+      return;
+    case 'suspect':
+    case 'joining':
+      if (silence >= DEAD_AFTER) setLiveness(record, 'dead', now, memory.log);
+      return;
+    case 'dead':
+    case 'leaving':
+      return;
+    default:
+      unreachable(record.liveness);
+  }
+}
+
+function isForgettable(record: MemberRecord, now: MonotonicInstant): boolean {
+  if (record.listed !== undefined) return false;
+  if (record.liveness !== 'dead' && record.liveness !== 'leaving') return false;
+  return now - record.since >= FORGET_GONE_AFTER;
+}
--- /dev/null
+++ b/packages/core/src/membership/queries/held_targets.ts
@@ -0,0 +1,109 @@
+import type {InstanceName, TargetName} from '../../types';
+import {hash32} from '../../utils/hash';
+import {FEWEST_HELD_PER_GROUP, HOLDERS_PER_TARGET} from '../bounds';
+
+/** Share of its fair part that an entry may hold beyond it. */
+const LOAD_FACTOR = 1.25;
+
+/** What the choice is made from; equal inputs give equal choices everywhere. */
+export interface HeldTargetsInput {
+  readonly entry: InstanceName;
+  /** All entries that are not dead or leaving, this one among them. */
+  readonly entries: readonly InstanceName[];
+  /** Targets of one model or one service. */
+  readonly targets: readonly TargetName[];
+}
+
+interface Hashed {
+  readonly name: string;
+  readonly hash: number;
+}
+
+/** Most targets of a group that one entry holds. */
+export function heldBound(entries: number, targets: number): number {
+  const holders = Math.min(HOLDERS_PER_TARGET, entries);
+  const pairs = targets * holders;
+  const fair = Math.ceil((LOAD_FACTOR * pairs) / Math.max(1, entries)) + 1;
+  // With so much room each, a target always finds enough entries not full.
+  const enough = Math.ceil(pairs / Math.max(1, entries - holders));
+  const fewest = Math.min(targets, FEWEST_HELD_PER_GROUP);
+  return Math.min(targets, Math.max(fair, enough, fewest));
+}
+
+/**
+ * The targets of one group that an entry holds sessions with. Each target is
+ * held by HOLDERS_PER_TARGET entries or all there are, and each entry holds
+ * FEWEST_HELD_PER_GROUP targets or all there are.
+ */
+export function chooseHeldTargets(
+  input: HeldTargetsInput,
+): readonly TargetName[] {
+  const entries = sortedByHash(input.entries);
+  const self = entries.findIndex(entry => entry.name === input.entry);
+  if (self < 0) return [];
+  const targets = sortedByHash(input.targets);
+  const bound = heldBound(entries.length, targets.length);
+  const held = new Set<TargetName>();
+  const load = new Array<number>(entries.length).fill(0);
+  for (const target of targets) {
+    for (const holder of holdersOf(target, entries, load, bound)) {
+      load[holder] = (load[holder] ?? 0) + 1;
+      if (holder === self) held.add(target.name);
+    }
+  }
+  addNearest(entries[self] as Hashed, targets, held);
+  return [...held];
+}
+
+/** Positions of the best-ranked entries for a target that are not full. */
+function holdersOf(
+  target: Hashed,
+  entries: readonly Hashed[],
+  load: readonly number[],
+  bound: number,
+): readonly number[] {
+  const best: {position: number; score: number}[] = [];
+  for (let position = 0; position < entries.length; position += 1) {
+    if ((load[position] ?? 0) >= bound) continue;
+    const score = pairScore((entries[position] as Hashed).hash, target.hash);
+    if (best.length === HOLDERS_PER_TARGET) {
+      if (score <= (best.at(-1)?.score ?? 0)) continue;
+      best.pop();
+    }
+    best.push({position, score});
+    best.sort((left, right) => right.score - left.score);
+  }
+  return best.map(candidate => candidate.position);
+}
+
+function addNearest(
+  entry: Hashed,
+  targets: readonly Hashed[],
+  held: Set<TargetName>,
+): void {
+  if (held.size >= FEWEST_HELD_PER_GROUP) return;
+  const ranked = targets
+    .map(({name, hash}) => ({name, score: pairScore(entry.hash, hash)}))
+    .sort((left, right) => right.score - left.score);
+  for (const {name} of ranked) {
+    if (held.size >= FEWEST_HELD_PER_GROUP) return;
+    held.add(name);
+  }
+}
+
+function sortedByHash(names: readonly string[]): readonly Hashed[] {
+  return names
+    .map(name => ({name, hash: hash32(name)}))
+    .sort(
+      (left, right) =>
+        left.hash - right.hash || (left.name < right.name ? -1 : 1),
+    );
+}
+
+/** Mixes two hashes; the names are hashed once, not once a pair. */
+function pairScore(left: number, right: number): number {
+  let mixed = left ^ Math.imul(right, 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/core/src/membership/queries/traffic.ts
@@ -0,0 +1,57 @@
+import type {BytesPerSecond} from '../../types';
+import {
+  AGENT_HEARTBEAT_SIZE,
+  ENTRY_HEARTBEAT_SIZE,
+  FEWEST_HELD_PER_GROUP,
+  HEARTBEAT_PERIOD,
+  HOLDERS_PER_TARGET,
+  MESSAGE_OVERHEAD,
+} from '../bounds';
+import {heldBound} from './held_targets';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** The site's size, for the cost of its heartbeats. */
+export interface SiteSize {
+  readonly entries: number;
+  /** Targets of each model or service. */
+  readonly targetsPerGroup: readonly number[];
+}
+
+/** What heartbeats cost one node, both directions together. */
+export interface HeartbeatTraffic {
+  /** Sessions and bytes of the entry that holds most. */
+  readonly entrySessions: number;
+  readonly entryBytes: BytesPerSecond;
+  /** The same of an average agent. */
+  readonly agentSessions: number;
+  readonly agentBytes: BytesPerSecond;
+}
+
+/** Cost of heartbeats by arithmetic from the stated sizes. */
+export function heartbeatTraffic(site: SiteSize): HeartbeatTraffic {
+  let entrySessions = 0;
+  let held = 0;
+  let targets = 0;
+  for (const count of site.targetsPerGroup) {
+    entrySessions += heldBound(site.entries, count);
+    held += site.entries * Math.min(count, FEWEST_HELD_PER_GROUP);
+    held += count * Math.min(site.entries, HOLDERS_PER_TARGET);
+    targets += count;
+  }
+  const agentSessions = targets === 0 ? 0 : held / targets;
+  const perSession = sessionBytes();
+  return {
+    entrySessions,
+    entryBytes: entrySessions * perSession,
+    agentSessions,
+    agentBytes: agentSessions * perSession,
+  };
+}
+
+/** Bytes per second of one session between an entry and an agent. */
+function sessionBytes(): BytesPerSecond {
+  const pair =
+    AGENT_HEARTBEAT_SIZE + ENTRY_HEARTBEAT_SIZE + 2 * MESSAGE_OVERHEAD;
+  return (pair * MILLISECONDS_PER_SECOND) / HEARTBEAT_PERIOD;
+}
