Add activation permits

Cause: too many targets that swap versions at once take a model's capacity under its floor. Ruled out: a limit on permits alone, which does not know who serves; the row holds who serves and who swaps, and one conditional write decides.

--- /dev/null
+++ b/packages/core/src/activation/create_activation.ts
@@ -0,0 +1,71 @@
+import {Err} from 'ts-results';
+import {withoutTarget, withPermit, withServing} from './activation_row';
+import {changeRow} from './commands/change_row';
+import type {
+  Activation,
+  ActivationFlow,
+  ActivationSettings,
+  ServingEvidence,
+  SwapRequest,
+} from './types';
+
+/** One target's part in the swaps of one model. */
+export function createActivation(settings: ActivationSettings): Activation {
+  let lastFlow = 0;
+  let holdsPermit = false;
+
+  /** Begins a flow: earlier ones stop, and no permit counts as held. */
+  function begin(): () => boolean {
+    lastFlow += 1;
+    const flow = lastFlow;
+    holdsPermit = false;
+    return () => lastFlow !== flow;
+  }
+
+  function* takePermit(request: SwapRequest): ActivationFlow {
+    const isSuperseded = begin();
+    // Guards against an earlier report of ours that is still on its way: it
+    // would count the target as serving after it unloaded. A permit of its own
+    // name each time is always a write, and after it the report's condition on
+    // the row's version fails.
+    const permit = `${settings.token}#${lastFlow}`;
+    const result = yield* changeRow(settings, {
+      apply: row => withPermit(row, settings, request, permit),
+      isDone: entry => entry?.permit === permit,
+      isSuperseded,
+    });
+    if (isSuperseded()) return Err({kind: 'superseded'});
+    holdsPermit = result.ok;
+    return result;
+  }
+
+  function* reportServing(evidence: ServingEvidence): ActivationFlow {
+    // Guards against counting a target that an earlier agent may still unload,
+    // or that holds nothing: both would show as capacity under the floor.
+    if (!evidence.loaded || !evidence.fenced) return Err({kind: 'notServing'});
+    const isSuperseded = begin();
+    return yield* changeRow(settings, {
+      apply: row => withServing(row, settings, evidence.generation),
+      isDone: entry =>
+        entry?.state === 'serving' &&
+        entry.incarnation === settings.incarnation,
+      isSuperseded,
+    });
+  }
+
+  function* withdraw(generation: number): ActivationFlow {
+    const isSuperseded = begin();
+    return yield* changeRow(settings, {
+      apply: row => withoutTarget(row, settings.target, generation),
+      isDone: entry => entry === undefined,
+      isSuperseded,
+    });
+  }
+
+  return {
+    takePermit,
+    reportServing,
+    withdraw,
+    holdsPermit: () => holdsPermit,
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,4 @@
 export * from './lease';
 export * from './orders';
 export * from './membership';
+export * from './activation';
