--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,5 @@
 // one is the library's `TargetChoice`.
 export type {TargetChoice} from './requests';
 export type {TargetChoice as RoutedTarget} from './routing';
+export * from './membership';
+export * from './activation';
