--- /dev/null
+++ b/packages/core/src/configuration/queries/parse_intent.ts
@@ -0,0 +1,64 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {unreachable} from '../../kernel/flow';
+import type {Intent, IntentChange, IntentFault} from '../types';
+import {intentSchema} from './intent_schema';
+
+/**
+ * Checks an intent that was parsed from YAML or JSON. Defaults: `capacityFloor`
+ * 0, `prefer` time, a joining target's `owner` hibiscusbeam, `summary` made
+ * from the changes. On failure returns every fault with the path of its field.
+ */
+export function parseIntent(input: unknown): Result<Intent, IntentFault[]> {
+  const parsed = intentSchema.safeParse(input);
+  if (!parsed.success) {
+    return new Err(
+      parsed.error.issues.map(issue => ({
+        path: formatPath(issue.path),
+        detail: issue.message,
+      })),
+    );
+  }
+  const {changes, summary} = parsed.data;
+  return new Ok({
+    summary: summary === '' ? summarize(changes) : summary,
+    changes,
+  });
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path
+    .map(part => (typeof part === 'number' ? `[${part}]` : `.${String(part)}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+function summarize(changes: readonly IntentChange[]): string {
+  return changes.map(summarizeChange).join('; ');
+}
+
+function summarizeChange(change: IntentChange): string {
+  switch (change.kind) {
+    case 'serve':
+      return `serve ${change.model} ${change.version}`;
+    case 'join':
+      return `join ${countOf(change.targets, 'target')}`;
+    case 'leave':
+      return `leave ${countOf(change.targets, 'target')}`;
+    case 'workspace':
+      return `workspace ${change.workspace}`;
+    case 'service':
+      return `service ${change.service}`;
+    case 'own':
+      return `move ${countOf([...change.targets, ...change.workspaces], 'item')} to ${change.owner}`;
+    case 'switch-off':
+      return 'switch off the older system';
+    default:
+      return unreachable(change);
+  }
+}
+
+function countOf(names: readonly string[], noun: string): string {
+  const [only] = names;
+  if (names.length === 1 && only !== undefined) return only;
+  return `${names.length} ${noun}s`;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './configuration';
 export * from './kernel/flow';
 export * from './types';
 export * from './utils/canonical_json';
