--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './distribution';
+export * from './configuration';
 export * from './kernel/flow';
 export * from './requests';
 export * from './routing';
