--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -93,3 +93,37 @@
 /** Bounds of the time after which a refused caller is asked to come back. */
 export const SHORTEST_RETRY_AFTER: Milliseconds = 250;
 export const LONGEST_RETRY_AFTER: Milliseconds = 30_000;
+
+/** Targets that an entry holds at 390 entries and 600 engines. */
+export const SUBSET_SIZE = 30;
+
+/** An entry holds at most this multiple of the mean. */
+export const SUBSET_SLACK = 1.25;
+
+/** Fewest entries that hold a target, so that losing some strands none. */
+export const LEAST_ENTRIES_PER_TARGET = 4;
+
+/** Fewest targets of a model or service that an entry holds, if there are. */
+export const LEAST_TARGETS_PER_SERVICE = 4;
+
+/** Share of a target's entries that is picked in its own zone first. */
+export const NEAR_SHARE = 0.6;
+
+/** Most that a published use grows or shrinks from one heartbeat to the next. */
+export const USE_CHANGE_PER_HEARTBEAT = 1.15;
+
+/** Heartbeats after which more than the last use heard is assumed. */
+export const STALE_HEARTBEATS = 2;
+
+/** Bound on the sum of all entries' shares, as a multiple of the limit. */
+export const SHARE_SUM_BOUND =
+  USE_CHANGE_PER_HEARTBEAT ** (STALE_HEARTBEATS + 1);
+
+/** Least use of an entry, as a share of the limit: small beside 1/390. */
+export const LEAST_USE_SHARE = 0.001;
+
+/** Share of a workspace's limit that is split evenly, whatever the use. */
+export const EVEN_SHARE = 0.1;
+
+/** Seconds of its share that an entry may spend at once. */
+export const LIMIT_BURST_SECONDS = 1;
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -4,3 +4,6 @@
 export * from './retry_budget';
 export {createRouter, type Router} from './router';
 export type * from './types';
+export * from './subset';
+export * from './workspace_limits';
+export {SHARE_SUM_BOUND} from './constants';
--- /dev/null
+++ b/packages/core/src/routing/workspace_limits.ts
@@ -0,0 +1,196 @@
+import type {
+  InstanceName,
+  Milliseconds,
+  MonotonicInstant,
+  WorkspaceName,
+} from '../types';
+import {
+  EVEN_SHARE,
+  LEAST_USE_SHARE,
+  LIMIT_BURST_SECONDS,
+  STALE_HEARTBEATS,
+  USE_CHANGE_PER_HEARTBEAT,
+} from './constants';
+
+/** One entry's recent use by workspace, as a heartbeat carries it. */
+export interface PublishedUse {
+  readonly entry: InstanceName;
+  readonly use: ReadonlyMap<WorkspaceName, number>;
+}
+
+/** Answer to a request that asks to pass its workspace's limit. */
+export type LimitDecision =
+  | {readonly kind: 'passed'}
+  | {readonly kind: 'limited'; readonly retryAfter: Milliseconds};
+
+/** One entry's part of the workspaces' limits. */
+export interface WorkspaceLimits {
+  /** Takes one request from this entry's share of the workspace's limit. */
+  readonly take: (
+    workspace: WorkspaceName,
+    now: MonotonicInstant,
+  ) => LimitDecision;
+  /** Sets a workspace's limit in requests per second over all entries. */
+  readonly setLimit: (workspace: WorkspaceName, limit: number) => void;
+  /** Use to send in the next heartbeat; call once per heartbeat. */
+  readonly publish: (now: MonotonicInstant) => PublishedUse;
+  readonly receive: (published: PublishedUse, now: MonotonicInstant) => void;
+  /** Forgets an entry that is surely gone. */
+  readonly entryGone: (entry: InstanceName) => void;
+  /** This entry's share now, in requests per second. */
+  readonly share: (workspace: WorkspaceName, now: MonotonicInstant) => number;
+}
+
+/** Settings of an entry's limits. */
+export interface WorkspaceLimitsOptions {
+  readonly entry: InstanceName;
+  readonly heartbeat: Milliseconds;
+}
+
+interface OtherEntry {
+  use: ReadonlyMap<WorkspaceName, number>;
+  heardAt: MonotonicInstant;
+}
+
+interface LimitState {
+  limit: number;
+  tokens: number;
+  filledAt: MonotonicInstant | undefined;
+  requested: number;
+  published: number;
+}
+
+/**
+ * Creates one entry's limits. If each heartbeat takes less than one period to
+ * arrive, the shares of all entries add up to at most `limit * SHARE_SUM_BOUND`:
+ * each divides its own use by the sum of the uses that it has seen, and a use
+ * seen is smaller than the use now by at most the growth since. Of an entry
+ * that falls silent the most is assumed that it may have grown to, so that the
+ * bound holds through a partition too. Each entry may save up one burst
+ * besides.
+ */
+export function createWorkspaceLimits(
+  options: WorkspaceLimitsOptions,
+): WorkspaceLimits {
+  const workspaces = new Map<WorkspaceName, LimitState>();
+  const others = new Map<InstanceName, OtherEntry>();
+  let publishedAt: MonotonicInstant | undefined;
+
+  const setLimit = (workspace: WorkspaceName, limit: number): void => {
+    const known = workspaces.get(workspace);
+    if (known !== undefined) known.limit = limit;
+    else workspaces.set(workspace, createLimitState(limit));
+  };
+
+  const take = (
+    workspace: WorkspaceName,
+    now: MonotonicInstant,
+  ): LimitDecision => {
+    const state = workspaces.get(workspace);
+    if (state === undefined) return {kind: 'passed'};
+    state.requested += 1;
+    const rate = share(workspace, now);
+    fill(state, rate, now);
+    if (state.tokens >= 1) {
+      state.tokens -= 1;
+      return {kind: 'passed'};
+    }
+    return {kind: 'limited', retryAfter: timeToToken(state, rate)};
+  };
+
+  const share = (workspace: WorkspaceName, now: MonotonicInstant): number => {
+    const state = workspaces.get(workspace);
+    if (state === undefined) return Infinity;
+    let total = state.published;
+    for (const other of others.values()) {
+      const seen = other.use.get(workspace) ?? leastUse(state.limit);
+      total += seen * growthOf(other, now);
+    }
+    const byUse = (state.limit * state.published) / total;
+    const even = state.limit / (others.size + 1);
+    return EVEN_SHARE * even + (1 - EVEN_SHARE) * byUse;
+  };
+
+  /**
+   * Guard against an entry cut off from the others: it would go on with a
+   * large share that they have meanwhile given to themselves. What a silent
+   * entry may use grows with its silence, so this entry's share falls.
+   */
+  const growthOf = (other: OtherEntry, now: MonotonicInstant): number => {
+    const heartbeats = (now - other.heardAt) / options.heartbeat;
+    const missed = Math.max(0, heartbeats - STALE_HEARTBEATS);
+    return USE_CHANGE_PER_HEARTBEAT ** missed;
+  };
+
+  const publish = (now: MonotonicInstant): PublishedUse => {
+    const elapsed =
+      publishedAt === undefined ? options.heartbeat : now - publishedAt;
+    publishedAt = now;
+    const use = new Map<WorkspaceName, number>();
+    for (const [workspace, state] of workspaces) {
+      const measured = (state.requested * 1_000) / Math.max(1, elapsed);
+      state.published = stepTowards(state, measured);
+      state.requested = 0;
+      use.set(workspace, state.published);
+    }
+    return {entry: options.entry, use};
+  };
+
+  const receive = (published: PublishedUse, now: MonotonicInstant): void => {
+    if (published.entry === options.entry) return;
+    others.set(published.entry, {use: published.use, heardAt: now});
+  };
+
+  return {
+    take,
+    setLimit,
+    publish,
+    receive,
+    entryGone: entry => {
+      others.delete(entry);
+    },
+    share,
+  };
+}
+
+function createLimitState(limit: number): LimitState {
+  return {
+    limit,
+    tokens: 1,
+    filledAt: undefined,
+    requested: 0,
+    published: leastUse(limit),
+  };
+}
+
+/**
+ * Guard against shares that add up to more than the limit: a use that jumped
+ * would count here at once and elsewhere only after the next heartbeat.
+ */
+function stepTowards(state: LimitState, measured: number): number {
+  const most = state.published * USE_CHANGE_PER_HEARTBEAT;
+  const least = state.published / USE_CHANGE_PER_HEARTBEAT;
+  const stepped = Math.min(most, Math.max(least, measured));
+  return Math.max(leastUse(state.limit), stepped);
+}
+
+/** Use that is assumed of an entry without any, so that it can grow. */
+function leastUse(limit: number): number {
+  return limit * LEAST_USE_SHARE;
+}
+
+function fill(state: LimitState, rate: number, now: MonotonicInstant): void {
+  const most = Math.max(1, rate * LIMIT_BURST_SECONDS);
+  const elapsed = state.filledAt === undefined ? 0 : now - state.filledAt;
+  state.filledAt = now;
+  state.tokens = Math.min(most, state.tokens + (rate * elapsed) / 1_000);
+}
+
+function timeToToken(state: LimitState, rate: number): Milliseconds {
+  if (rate <= 0) return LONGEST_LIMIT_RETRY;
+  const time = ((1 - state.tokens) * 1_000) / rate;
+  return Math.ceil(Math.min(LONGEST_LIMIT_RETRY, time));
+}
+
+/** Longest time to come back that a limited caller is told. */
+const LONGEST_LIMIT_RETRY: Milliseconds = 30_000;
