--- /dev/null
+++ b/bench/routing/baseline_policies.ts
@@ -0,0 +1,69 @@
+import type {EntryPolicy, EntryPort} from './entry_policy';
+
+/** The baselines: no admission, no ejection, two tries on a broken connection. */
+export type BaselineName = 'round-robin' | 'random' | 'least-in-flight';
+
+/** Tries of a request whose target broke the connection. */
+const BASELINE_TRIES = 3;
+
+/** Creates one entry's baseline over targets that membership knows as live. */
+export function createBaselinePolicy(
+  name: BaselineName,
+  port: EntryPort,
+): EntryPolicy {
+  const live = [...port.targets];
+  const inFlight = new Map<string, number>();
+  let turn = Math.floor(port.random() * live.length);
+
+  const choose = (): string | undefined => {
+    switch (name) {
+      case 'round-robin':
+        turn += 1;
+        return live[turn % live.length];
+      case 'random':
+        return live[Math.floor(port.random() * live.length)];
+      case 'least-in-flight':
+        return leastInFlight();
+    }
+  };
+
+  const leastInFlight = (): string | undefined => {
+    const start = Math.floor(port.random() * live.length);
+    let least: string | undefined;
+    for (let step = 0; step < live.length; step += 1) {
+      const target = live[(start + step) % live.length]!;
+      if (least === undefined || count(target) < count(least)) least = target;
+    }
+    return least;
+  };
+
+  const count = (target: string): number => inFlight.get(target) ?? 0;
+
+  const add = (target: string, change: number): void => {
+    inFlight.set(target, count(target) + change);
+  };
+
+  return {
+    onRequest: request => {
+      const target = choose();
+      if (target === undefined) return;
+      add(target, 1);
+      port.send(request, target, 0);
+    },
+    onToken: () => {},
+    onEnd: ({target}) => add(target, -1),
+    onFailure: ({request, target, tries}) => {
+      add(target, -1);
+      if (tries >= BASELINE_TRIES) return;
+      const next = choose();
+      if (next === undefined) return;
+      add(next, 1);
+      port.send(request, next, 0);
+    },
+    onReport: () => {},
+    onTargetGone: target => {
+      const position = live.indexOf(target);
+      if (position >= 0) live.splice(position, 1);
+    },
+  };
+}
--- /dev/null
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -0,0 +1,227 @@
+import type {
+  Admission,
+  FairQueue,
+  QueuePlace,
+  Router,
+  TargetChoice,
+} from '@hibiscusbeam/core';
+import {
+  createAdmission,
+  createFairQueue,
+  createRetryBudget,
+  createRouter,
+  createWorkspaceLimits,
+} from '@hibiscusbeam/core';
+import type {WorkspaceLimits} from '@hibiscusbeam/core';
+import type {EntryAttempt, EntryPolicy, EntryPort} from './entry_policy';
+import type {LoadRequest} from './load';
+import {MEAN_OUTPUT_TOKENS} from './load';
+import {DEADLINE, FIRST_TOKEN_GOAL, HEARTBEAT} from './site';
+import {MODEL, limitOf, weightOf} from './site_configuration';
+
+const JUDGE_PERIOD = 100;
+const PUMP_PERIOD = 20;
+
+/** Our policy with what the site's heartbeats need of it. */
+export interface HibiscusbeamPolicy extends EntryPolicy {
+  readonly limits: WorkspaceLimits;
+}
+
+interface Expectation {
+  readonly dispatchedAt: number;
+  readonly expected: number;
+}
+
+/** Creates one entry's policy, wired as the entry wires it. */
+export function createHibiscusbeamPolicy(port: EntryPort): HibiscusbeamPolicy {
+  const router: Router = createRouter();
+  const admission: Admission = createAdmission({
+    firstTokenGoal: FIRST_TOKEN_GOAL,
+    longestTargetWait: 600,
+  });
+  const queue: FairQueue<LoadRequest> = createFairQueue();
+  const retries = createRetryBudget();
+  const limits = createWorkspaceLimits({
+    entry: port.entry,
+    heartbeat: HEARTBEAT,
+  });
+  const expectations = new Map<string, Expectation>();
+  const attempts = new Map<string, EntryAttempt>();
+  const now = port.clock.now;
+
+  const choose = (
+    request: LoadRequest,
+    exclude: readonly string[],
+  ): TargetChoice | undefined => {
+    const chosen = router.chooseTarget({
+      work: {kind: 'model', model: MODEL, versionDigest: undefined},
+      prefix: request.prefix,
+      priority: 0,
+      zone: port.zone,
+      now: now(),
+      exclude,
+    });
+    return chosen.ok ? chosen.val : undefined;
+  };
+
+  const dispatch = (
+    request: LoadRequest,
+    choice: TargetChoice,
+    alreadyProduced: number,
+  ): void => {
+    const attempt = port.send(request, choice.target, alreadyProduced);
+    const sentAt = now();
+    router.record({
+      kind: 'dispatched',
+      attempt,
+      target: choice.target,
+      now: sentAt,
+    });
+    expectations.set(attempt, {
+      dispatchedAt: sentAt,
+      expected: choice.expectedFirstToken,
+    });
+    const tries = retryCounts.get(request) ?? 1;
+    attempts.set(attempt, {attempt, request, target: choice.target, tries});
+  };
+  const retryCounts = new Map<LoadRequest, number>();
+
+  const onRequest = (request: LoadRequest): void => {
+    const limited = limits.take(request.workspace, now());
+    if (limited.kind === 'limited') {
+      return port.refuse(request, limited.retryAfter);
+    }
+    const choice = choose(request, []);
+    if (choice === undefined) return port.refuse(request, 1_000);
+    const decision = admission.decide({
+      now: now(),
+      firstTokenBy: request.arriveAt + FIRST_TOKEN_GOAL,
+      deadline: request.arriveAt + DEADLINE,
+      expectedTokens: MEAN_OUTPUT_TOKENS,
+      choice,
+      turnsAhead: queue.turnsAhead(placeOf(request)),
+    });
+    switch (decision.kind) {
+      case 'refuse':
+        return port.refuse(request, decision.retryAfter);
+      case 'dispatch':
+        retries.recordFirstTry();
+        admission.recordDispatch(now());
+        return dispatch(request, choice, 0);
+      case 'queue':
+        return enqueue(request);
+    }
+  };
+
+  const enqueue = (request: LoadRequest): void => {
+    const queued = queue.enqueue(request, placeOf(request));
+    if (queued.kind === 'full') port.refuse(request, 1_000);
+    if (queued.kind === 'displaced') port.refuse(queued.item, 1_000);
+    pump();
+  };
+
+  const pump = (): void => {
+    dropLate();
+    for (;;) {
+      const request = queue.peek();
+      if (request === undefined) return;
+      const choice = choose(request, []);
+      if (choice === undefined || !admission.mayDispatch(choice)) return;
+      queue.dequeue();
+      retries.recordFirstTry();
+      admission.recordDispatch(now());
+      dispatch(request, choice, 0);
+    }
+  };
+
+  const dropLate = (): void => {
+    const late = queue.drop(
+      request => now() > request.arriveAt + FIRST_TOKEN_GOAL - LEAST_TIME,
+    );
+    for (const request of late) port.refuse(request, 1_000);
+  };
+
+  const retryElsewhere = (attempt: EntryAttempt): void => {
+    const {request, target} = attempt;
+    const choice = choose(request, [target]);
+    if (choice === undefined || !retries.takeRetry()) return;
+    retryCounts.set(request, attempt.tries + 1);
+    dispatch(request, choice, port.produced(request));
+  };
+
+  const judge = (): void => {
+    router.judge(now());
+    for (const stalled of router.stalledAttempts()) {
+      const attempt = attempts.get(stalled.attempt);
+      if (attempt === undefined || retries.available() < 1) continue;
+      if (choose(attempt.request, [attempt.target]) === undefined) continue;
+      port.cancel(stalled.attempt);
+      forget(stalled.attempt, 'refused');
+      retryElsewhere(attempt);
+    }
+    port.clock.schedule(JUDGE_PERIOD, judge);
+  };
+
+  const forget = (
+    attempt: string,
+    kind: 'finished' | 'refused' | 'failed',
+  ): void => {
+    router.record({kind, attempt, now: now()});
+    expectations.delete(attempt);
+    attempts.delete(attempt);
+  };
+
+  const pumpRegularly = (): void => {
+    pump();
+    port.clock.schedule(PUMP_PERIOD, pumpRegularly);
+  };
+
+  port.clock.schedule(port.random() * JUDGE_PERIOD, judge);
+  port.clock.schedule(port.random() * PUMP_PERIOD, pumpRegularly);
+  return {
+    limits,
+    onRequest,
+    onToken: ({attempt}, count, first) => {
+      if (!first) {
+        router.record({kind: 'token', attempt, tokens: count, now: now()});
+        return;
+      }
+      router.record({kind: 'firstToken', attempt, now: now()});
+      const expectation = expectations.get(attempt);
+      if (expectation === undefined) return;
+      const actual = now() - expectation.dispatchedAt;
+      admission.recordFirstToken(expectation.expected, actual);
+    },
+    onEnd: ({attempt, request}, finished) => {
+      forget(attempt, finished ? 'finished' : 'refused');
+      retryCounts.delete(request);
+      pump();
+    },
+    onFailure: attempt => {
+      forget(attempt.attempt, 'failed');
+      retryElsewhere(attempt);
+    },
+    onReport: report =>
+      router.record({kind: 'reportReceived', report, now: now()}),
+    onTargetGone: target =>
+      router.record({kind: 'targetGone', target, now: now()}),
+  };
+}
+
+/** Time that even an idle target needs to the first token. */
+const LEAST_TIME = 100;
+
+function placeOf(request: LoadRequest): QueuePlace {
+  const weight = weightOf(request.workspace);
+  return {workspace: request.workspace, priority: 0, weight};
+}
+
+/** Limits as the configuration in force gives them to every entry. */
+export function configureLimits(
+  limits: WorkspaceLimits,
+  engines: number,
+): void {
+  for (const {workspace, limit} of limitOf(engines)) {
+    limits.setLimit(workspace, limit);
+  }
+}
--- /dev/null
+++ b/bench/routing/load.ts
@@ -0,0 +1,146 @@
+import {hash32} from '@hibiscusbeam/core';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {SiteSize} from './cases';
+
+/** One request as offered to every policy. */
+export interface LoadRequest {
+  readonly number: number;
+  readonly workspace: string;
+  readonly arriveAt: number;
+  /** Callers keep the entry that they were told for a while. */
+  readonly caller: number;
+  readonly prefix: number;
+  readonly prefixTokens: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+/** Peak of the brief: 1,900 requests/s over 600 engines. */
+export const PEAK_PER_ENGINE = 1_900 / 600;
+
+/** Peak of the brief: 840,000 tokens/s over 1,900 requests/s. */
+export const MEAN_OUTPUT_TOKENS = 840_000 / 1_900;
+const LONGEST_OUTPUT = 1_500;
+
+/** Spread of the answers' lengths (sigma of a log-normal distribution). */
+const OUTPUT_SPREAD = 0.6;
+
+/** "About ten, a few large": each workspace's share of the requests. */
+export const WORKSPACE_SHARES: readonly number[] = [
+  0.3, 0.2, 0.12, 0.1, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02,
+];
+
+/** Prompt templates of a workspace; the k-th is used 1/k as often. */
+const TEMPLATES_PER_WORKSPACE = 12;
+
+/** Tokens of a template, and of what a caller adds to it. */
+const TEMPLATE_TOKENS = {least: 300, most: 900};
+const OWN_TOKENS = {least: 50, most: 450};
+
+/** Callers of the site; each one asks again for an entry after a while. */
+const CALLERS = 200;
+
+/** A workspace's name, by rank in size. */
+export function workspaceName(rank: number): string {
+  return `workspace-${rank}`;
+}
+
+/** Rate of all requests and of one workspace more, by time. */
+export interface OfferedRate {
+  /** Multiple of the peak. */
+  readonly site: (at: number) => number;
+  /** Multiple of its own usual rate for one workspace. */
+  readonly flood: (at: number) => number;
+  readonly floodRank: number;
+}
+
+/** Random numbers in [0, 1) from a seed. */
+export function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+/** Requests with Poisson arrivals over `duration` milliseconds. */
+export function createLoad(
+  seed: number,
+  size: SiteSize,
+  rate: OfferedRate,
+  duration: number,
+): readonly LoadRequest[] {
+  const random = createRandom(seed);
+  const requests: LoadRequest[] = [];
+  const peak = (PEAK_PER_ENGINE * size.engines) / 1_000;
+  WORKSPACE_SHARES.forEach((share, rank) => {
+    const flooding = rank === rate.floodRank;
+    const rateAt = (at: number): number =>
+      peak * share * (flooding ? rate.flood(at) : rate.site(at));
+    for (const at of poissonArrivals(random, rateAt, duration)) {
+      requests.push(createRequest(random, rank, at, requests.length));
+    }
+  });
+  return requests.sort((left, right) => left.arriveAt - right.arriveAt);
+}
+
+/** Arrivals with a rate that changes, drawn by 10 ms. */
+function poissonArrivals(
+  random: () => number,
+  rateAt: (at: number) => number,
+  duration: number,
+): readonly number[] {
+  const arrivals: number[] = [];
+  const step = 10;
+  for (let at = 0; at < duration; at += step) {
+    const expected = rateAt(at) * step;
+    let product = random();
+    while (product > Math.exp(-expected)) {
+      arrivals.push(at + random() * step);
+      product *= random();
+    }
+  }
+  return arrivals;
+}
+
+function createRequest(
+  random: () => number,
+  rank: number,
+  arriveAt: number,
+  number: number,
+): LoadRequest {
+  const template = drawTemplate(random);
+  const prefix = hash32(`${workspaceName(rank)}/${template}`);
+  const spread = TEMPLATE_TOKENS.most - TEMPLATE_TOKENS.least;
+  const prefixTokens = TEMPLATE_TOKENS.least + (prefix % spread);
+  const own =
+    OWN_TOKENS.least +
+    Math.floor(random() * (OWN_TOKENS.most - OWN_TOKENS.least));
+  return {
+    number,
+    workspace: workspaceName(rank),
+    arriveAt,
+    caller: Math.floor(random() * CALLERS),
+    prefix,
+    prefixTokens,
+    promptTokens: prefixTokens + own,
+    outputTokens: drawOutputTokens(random),
+  };
+}
+
+function drawTemplate(random: () => number): number {
+  let total = 0;
+  for (let k = 1; k <= TEMPLATES_PER_WORKSPACE; k += 1) total += 1 / k;
+  let left = random() * total;
+  for (let k = 1; k < TEMPLATES_PER_WORKSPACE; k += 1) {
+    left -= 1 / k;
+    if (left < 0) return k;
+  }
+  return TEMPLATES_PER_WORKSPACE;
+}
+
+function drawOutputTokens(random: () => number): number {
+  const angle = 2 * Math.PI * random();
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  const normal = radius * Math.cos(angle);
+  const median = MEAN_OUTPUT_TOKENS / Math.exp(OUTPUT_SPREAD ** 2 / 2);
+  const drawn = Math.round(median * Math.exp(OUTPUT_SPREAD * normal));
+  return Math.min(LONGEST_OUTPUT, Math.max(1, drawn));
+}
