--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,17 +1,17 @@
-export * from './distribution';
+export * from './activation';
 export * from './configuration';
+export * from './distribution';
 export * from './kernel/flow';
+export * from './lease';
+export * from './membership';
+export * from './orders';
 export * from './requests';
 export * from './routing';
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
-export * from './lease';
-export * from './orders';
 
-// Both parts call their answer to "which target" a choice; the request flows'
-// one is the library's `TargetChoice`.
-export type {TargetChoice} from './requests';
-export type {TargetChoice as RoutedTarget} from './routing';
-export * from './membership';
-export * from './activation';
+// Several parts use these names for types of their own.
+export type {TargetChoice as IntentTargets} from './configuration';
+export type {TargetChoice as DispatchTarget, WaitEffect} from './requests';
+export type {TargetChoice} from './routing';
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -8,11 +8,11 @@
   type ChooseTargetEffect,
   type Milliseconds,
   type MonotonicInstant,
-  type RoutedTarget,
+  type TargetChoice,
   type RoutedWork,
   type RouterDump,
   type RoutingEvent,
-  type TargetChoice,
+  type DispatchTarget,
   type WorkspaceConfiguration,
   type WorkspaceName,
   type ZoneName,
@@ -51,7 +51,7 @@
 
 /** A choice, held until its attempt is dispatched or given up. */
 export interface Reservation {
-  readonly choice: TargetChoice;
+  readonly choice: DispatchTarget;
   /** To be called once, when the attempt is dispatched or never will be. */
   readonly release: () => void;
   readonly expectedFirstToken: Milliseconds;
@@ -118,7 +118,7 @@
       exclude: effect.exclude,
     });
 
-  const reserve = (routed: RoutedTarget): Reservation => {
+  const reserve = (routed: TargetChoice): Reservation => {
     const agent = directory.ofTarget(routed.target);
     if (agent === undefined) return refuse('noTarget', QUEUE_FULL_RETRY_AFTER);
     // Several requests may be given a target in one turn of the loop, before
@@ -243,7 +243,7 @@
 }
 
 function refuse(
-  reason: Extract<TargetChoice, {kind: 'none'}>['reason'],
+  reason: Extract<DispatchTarget, {kind: 'none'}>['reason'],
   retryAfter: Milliseconds,
 ): Reservation {
   return {
