--- a/packages/core/src/activation/commands/change_row.ts
+++ b/packages/core/src/activation/commands/change_row.ts
@@ -1,7 +1,16 @@
 import {Err, Ok, type Result} from 'ts-results';
+import type {Flow} from '../../kernel/flow';
 import {conditionOf} from '../../lease/lease_row';
 import {commit, describePlatformError, readRow} from '../../lease/table_calls';
-import type {JsonValue, TableRow} from '../../types';
+import type {
+  CommitEffect,
+  CommitReply,
+  JsonValue,
+  ReadReply,
+  ReadRowEffect,
+  TableKey,
+  TableRow,
+} from '../../types';
 import {
   activationKey,
   parseActivationRow,
@@ -27,56 +36,79 @@
   readonly isSuperseded: () => boolean;
 }
 
+type ChangeFlow<Value> = Flow<
+  ReadRowEffect | CommitEffect,
+  ReadReply | CommitReply,
+  Result<Value, ActivationError>
+>;
+
+/** What a commit came to. */
+type CommitResult =
+  | {readonly kind: 'committed'}
+  | {readonly kind: 'overtaken'; readonly row: TableRow | undefined}
+  | {readonly kind: 'unknown'};
+
 /** Changes a model's activation row; lost replies are read back. */
 export function* changeRow(
   settings: ActivationSettings,
   change: RowChange,
 ): ActivationFlow {
   const key = activationKey(settings.model);
-  let row: TableRow | undefined;
-  let known = false;
+  let seen: CommitResult = {kind: 'unknown'};
   for (let tries = 0; tries < MAXIMUM_TRIES; tries += 1) {
-    if (!known) {
-      const read = yield* readRow(key);
-      if (read.err) return unavailable(describePlatformError(read.val));
-      row = read.val;
-    }
+    // Guards against a swap begun on a permit that the table does not show:
+    // after a lost reply the row is read, and only the row counts.
+    const row: Result<TableRow | undefined, ActivationError> =
+      seen.kind === 'overtaken' ? Ok(seen.row) : yield* read(key);
+    if (row.err) return row;
     if (change.isSuperseded()) return Err({kind: 'superseded'});
-    const current = parseActivationRow(row);
+    const current = parseActivationRow(row.val);
     if (current.err) return current;
     if (change.isDone(current.val.targets[settings.target])) {
       return Ok(undefined);
     }
     const changed = change.apply(current.val);
     if (changed.err) return changed;
-    const result = yield* commit({
-      // Guards against a replaced agent's write: its count of itself as
-      // serving would show as capacity that is not there.
-      conditions: [conditionOf(key, row?.version), settings.stillCurrent],
-      writes: [{kind: 'put', key, value: toJson(changed.val)}],
-    });
+    const result = yield* tryCommit(settings, row.val, changed.val);
     if (change.isSuperseded()) return Err({kind: 'superseded'});
-    if (result.ok && result.val.kind === 'committed') return Ok(undefined);
-    if (!result.ok) {
-      // Guards against a swap begun on a permit that the table does not show,
-      // and against a permit kept without being used: read what happened.
-      if (result.val.kind !== 'replyLost') {
-        return unavailable(describePlatformError(result.val));
-      }
-      known = false;
-      continue;
-    }
-    const {failed} = result.val;
-    if (failed.some(({key: failedKey}) => failedKey !== key)) {
-      return Err({kind: 'replaced'});
-    }
-    row = failed[0]?.row;
-    known = true;
+    if (result.err) return result;
+    if (result.val.kind === 'committed') return Ok(undefined);
+    seen = result.val;
   }
   return Err({kind: 'contended'});
 }
 
-function unavailable(detail: string): Result<void, ActivationError> {
+function* tryCommit(
+  settings: ActivationSettings,
+  row: TableRow | undefined,
+  changed: ActivationRow,
+): ChangeFlow<CommitResult> {
+  const key = activationKey(settings.model);
+  const result = yield* commit({
+    // Guards against a replaced agent's write: its count of itself as
+    // serving would show as capacity that is not there.
+    conditions: [conditionOf(key, row?.version), settings.stillCurrent],
+    writes: [{kind: 'put', key, value: toJson(changed)}],
+  });
+  if (result.err) {
+    if (result.val.kind === 'replyLost') return Ok({kind: 'unknown'});
+    return unavailable(describePlatformError(result.val));
+  }
+  if (result.val.kind === 'committed') return Ok({kind: 'committed'});
+  const {failed} = result.val;
+  if (failed.some(failure => failure.key !== key)) {
+    return Err({kind: 'replaced'});
+  }
+  return Ok({kind: 'overtaken', row: failed[0]?.row});
+}
+
+function* read(key: TableKey): ChangeFlow<TableRow | undefined> {
+  const result = yield* readRow(key);
+  if (result.ok) return result;
+  return unavailable(describePlatformError(result.val));
+}
+
+function unavailable(detail: string): Result<never, ActivationError> {
   return Err({kind: 'platformUnavailable', detail});
 }
 
