--- a/packages/core/src/activation/commands/change_row.ts
+++ b/packages/core/src/activation/commands/change_row.ts
@@ -69,7 +69,11 @@
     }
     const changed = change.apply(current.val);
     if (changed.err) return changed;
-    const result = yield* tryCommit(settings, row.val, changed.val);
+    const result: Result<CommitResult, ActivationError> = yield* tryCommit(
+      settings,
+      row.val,
+      changed.val,
+    );
     if (change.isSuperseded()) return Err({kind: 'superseded'});
     if (result.err) return result;
     if (result.val.kind === 'committed') return Ok(undefined);
