--- a/bench/routing/site_configuration.ts
+++ b/bench/routing/site_configuration.ts
@@ -11,11 +11,11 @@
  * docs/design/0004_routing.md for the run that set it.
  */
 export const ENGINE: EngineSettings = {
-  slots: 64,
-  stepMilliseconds: 12,
-  sequenceMilliseconds: 0.25,
+  slots: 48,
+  stepMilliseconds: 14,
+  sequenceMilliseconds: 0.3,
   prefillMilliseconds: 0.1,
-  prefillChunk: 192,
+  prefillChunk: 160,
   cacheTokens: 20_000,
 };
 
