Add command line, logs, metrics, build and one binary

Cause: operators need one program, and each process a log and metrics that never show a secret nor end the process. Ruled out: telling "unreachable" when the reply to a confirmation is lost, since it may have taken effect; that is outcome unknown, exit code 4.

--- /dev/null
+++ b/packages/daemon/src/logs/create_log.ts
@@ -0,0 +1,71 @@
+import {Logger, type ISettingsParam} from 'tslog';
+import {MASK, SECRET_FIELDS, secretPatterns} from './mask';
+import {toPlain} from './plain_values';
+import type {Log, LogFields, LogOptions} from './types';
+
+const LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+
+interface Line {
+  /** The part's prefix and the sentence. */
+  readonly message: string;
+  readonly fields: unknown;
+}
+
+/** A log of one part of the process, by default to standard error. */
+export function createLog(options: LogOptions): Log {
+  const logger = new Logger<Line>(loggerSettings(options));
+  const least = LEVELS.indexOf(options.settings.level);
+  const at = (level: (typeof LEVELS)[number]) => {
+    if (LEVELS.indexOf(level) < least) return () => undefined;
+    return (sentence: string, fields: LogFields = {}) => {
+      // tslog masks plain values only; an error or a map would pass unmasked.
+      const message = `[${options.part}] ${sentence}`;
+      logger[level]({message, fields: toPlain(fields)});
+    };
+  };
+  return {
+    debug: at('debug'),
+    info: at('info'),
+    warn: at('warn'),
+    error: at('error'),
+  };
+}
+
+function loggerSettings(options: LogOptions): ISettingsParam<Line> {
+  const write = options.write ?? (line => void process.stderr.write(line));
+  const format = options.settings.format === 'json' ? formatJson : formatPretty;
+  return {
+    // tslog would print to standard output; the transport below writes.
+    type: 'hidden',
+    hideLogPositionForProduction: true,
+    maskPlaceholder: MASK,
+    maskValuesOfKeys: [...SECRET_FIELDS],
+    maskValuesOfKeysCaseInsensitive: true,
+    maskValuesRegEx: [...secretPatterns(options.secrets ?? [])],
+    attachedTransports: [
+      line => {
+        const time = line._meta?.date.toISOString() ?? '';
+        const level = line._meta?.logLevelName.toLowerCase() ?? '';
+        write(`${format(time, level, line)}\n`);
+      },
+    ],
+  };
+}
+
+function formatJson(time: string, level: string, line: Line): string {
+  return JSON.stringify({
+    time,
+    level,
+    message: line.message,
+    fields: line.fields,
+  });
+}
+
+function formatPretty(time: string, level: string, line: Line): string {
+  // A line break in a name from outside would look like a line of its own.
+  const message = JSON.stringify(line.message).slice(1, -1);
+  const fields = Object.entries(line.fields as object)
+    .map(([name, value]) => ` ${name}=${JSON.stringify(value)}`)
+    .join('');
+  return `${time} ${level.toUpperCase().padEnd(5)} ${message}${fields}`;
+}
--- /dev/null
+++ b/packages/daemon/src/logs/index.ts
@@ -0,0 +1,2 @@
+export {createLog} from './create_log';
+export type {Log, LogFields, LogOptions, LogPart} from './types';
--- /dev/null
+++ b/packages/daemon/src/metrics/create_metrics.ts
@@ -0,0 +1,96 @@
+import {isIPv6} from 'node:net';
+import {StatsD} from 'hot-shots';
+import type {MetricsSettings} from '../types/settings';
+import type {MetricNameOf, MetricTags} from './metric_names';
+
+/** Sends metrics; nothing it does waits, throws or ends the process. */
+export interface Metrics {
+  readonly count: <Name extends MetricNameOf<'counter'>>(
+    name: Name,
+    tags: MetricTags<Name>,
+    amount?: number,
+  ) => void;
+  readonly gauge: <Name extends MetricNameOf<'gauge'>>(
+    name: Name,
+    tags: MetricTags<Name>,
+    value: number,
+  ) => void;
+  readonly time: <Name extends MetricNameOf<'timing'>>(
+    name: Name,
+    tags: MetricTags<Name>,
+    milliseconds: number,
+  ) => void;
+  /** Sends what is buffered, then closes the socket. */
+  readonly close: () => Promise<void>;
+}
+
+/** What metrics are made of. */
+export interface MetricsOptions {
+  /** Sends none if absent. */
+  readonly settings: MetricsSettings | undefined;
+  /** Put on every metric. */
+  readonly tags: {
+    readonly role: string;
+    readonly instance: string;
+    readonly zone: string;
+  };
+  /** Told of failures to send. */
+  readonly onError: (error: Error) => void;
+}
+
+// Below the payload of an Ethernet frame, so that no datagram is split.
+const DATAGRAM_BYTES = 1_400;
+const FLUSH_INTERVAL_MILLISECONDS = 1_000;
+
+const NO_METRICS: Metrics = {
+  count: () => undefined,
+  gauge: () => undefined,
+  time: () => undefined,
+  close: () => Promise.resolve(),
+};
+
+/** Opens the way to the receiver of metrics. */
+export function createMetrics(options: MetricsOptions): Metrics {
+  if (options.settings === undefined) return NO_METRICS;
+  const client = openClient(options, options.settings);
+  let closed = false;
+  return {
+    count: (name, tags, amount = 1) => {
+      if (!closed) client.increment(name, amount, {...tags});
+    },
+    gauge: (name, tags, value) => {
+      if (!closed) client.gauge(name, value, {...tags});
+    },
+    time: (name, tags, milliseconds) => {
+      if (!closed) client.timing(name, milliseconds, {...tags});
+    },
+    close: () => {
+      if (closed) return Promise.resolve();
+      closed = true;
+      return new Promise(resolve => client.close(() => resolve()));
+    },
+  };
+}
+
+function openClient(
+  options: MetricsOptions,
+  {address, prefix}: MetricsSettings,
+): StatsD {
+  const family = isIPv6(address.host) ? 6 : 4;
+  return new StatsD({
+    host: address.host,
+    port: address.port,
+    prefix,
+    globalTags: {...options.tags},
+    maxBufferSize: DATAGRAM_BYTES,
+    bufferFlushInterval: FLUSH_INTERVAL_MILLISECONDS,
+    // Without a handler hot-shots throws from its socket, which would end the
+    // process as soon as the receiver's host refuses a datagram.
+    errorHandler: options.onError,
+    udpSocketOptions: {
+      type: family === 6 ? 'udp6' : 'udp4',
+      // The host is an IP number, so no name is ever looked up.
+      lookup: (host, _options, callback) => callback(null, host, family),
+    },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/metrics/metric_names.ts
@@ -0,0 +1,168 @@
+/** What a metric counts or measures. */
+export interface MetricNotes {
+  readonly kind: 'counter' | 'gauge' | 'timing';
+  readonly unit: string;
+  readonly tags: readonly string[];
+  readonly meaning: string;
+}
+
+/** Every metric that a process may send; docs/metrics.md lists the same. */
+export const METRICS = {
+  'requests.received': {
+    kind: 'counter',
+    unit: 'requests',
+    tags: ['workspace'],
+    meaning: 'Requests that an entry took from callers.',
+  },
+  'requests.answered': {
+    kind: 'counter',
+    unit: 'requests',
+    tags: ['workspace'],
+    meaning: 'Requests answered whole.',
+  },
+  'requests.not_run': {
+    kind: 'counter',
+    unit: 'requests',
+    tags: ['workspace', 'reason'],
+    meaning: 'Requests that certainly did not run, by reason.',
+  },
+  'requests.outcome_unknown': {
+    kind: 'counter',
+    unit: 'requests',
+    tags: ['workspace'],
+    meaning: 'Requests that may or may not have run.',
+  },
+  'requests.duration': {
+    kind: 'timing',
+    unit: 'milliseconds',
+    tags: ['outcome'],
+    meaning: 'Time from taking a request to its final answer.',
+  },
+  'requests.waiting': {
+    kind: 'gauge',
+    unit: 'requests',
+    tags: [],
+    meaning: 'Requests waiting for a target at an entry.',
+  },
+  'requests.retried': {
+    kind: 'counter',
+    unit: 'attempts',
+    tags: [],
+    meaning: 'Attempts after the first of a repeatable request.',
+  },
+  'callers.refused': {
+    kind: 'counter',
+    unit: 'calls',
+    tags: ['reason'],
+    meaning:
+      'HTTP calls refused before admission: no key, wrong key, too large, too deep, too many.',
+  },
+  'site.refused': {
+    kind: 'counter',
+    unit: 'calls',
+    tags: ['reason'],
+    meaning: 'Calls between processes refused, for example without the key.',
+  },
+  'claims.in_flight': {
+    kind: 'gauge',
+    unit: 'claims',
+    tags: [],
+    meaning: 'Claims of requests that may not be repeated, not yet finished.',
+  },
+  'claims.batch_size': {
+    kind: 'gauge',
+    unit: 'claims',
+    tags: [],
+    meaning: 'Claims committed in the last transaction.',
+  },
+  'platform.calls': {
+    kind: 'counter',
+    unit: 'calls',
+    tags: ['operation', 'outcome'],
+    meaning: 'Calls to the platform by operation and outcome.',
+  },
+  'platform.duration': {
+    kind: 'timing',
+    unit: 'milliseconds',
+    tags: ['operation'],
+    meaning: 'Time of a call to the platform.',
+  },
+  'configuration.generation': {
+    kind: 'gauge',
+    unit: 'generation',
+    tags: [],
+    meaning: 'Generation of the configuration in force at this process.',
+  },
+  'membership.live': {
+    kind: 'gauge',
+    unit: 'processes',
+    tags: ['role'],
+    meaning: 'Processes of the site that this process sees as live.',
+  },
+  'transfers.chunks_verified': {
+    kind: 'counter',
+    unit: 'chunks',
+    tags: ['source'],
+    meaning: 'Chunks fetched and verified, from the origin or a peer.',
+  },
+  'transfers.chunks_rejected': {
+    kind: 'counter',
+    unit: 'chunks',
+    tags: ['source'],
+    meaning: 'Chunks thrown away since their digest did not match.',
+  },
+  'transfers.bytes': {
+    kind: 'counter',
+    unit: 'bytes',
+    tags: ['source'],
+    meaning: 'Bytes of weights received, from the origin or a peer.',
+  },
+  'transfers.buffered': {
+    kind: 'gauge',
+    unit: 'bytes',
+    tags: [],
+    meaning: "Chunk bytes in the agent's memory.",
+  },
+  'activation.swaps': {
+    kind: 'counter',
+    unit: 'swaps',
+    tags: ['outcome'],
+    meaning: 'Changes of the version that a target serves.',
+  },
+  'target.orders': {
+    kind: 'counter',
+    unit: 'orders',
+    tags: ['outcome'],
+    meaning: 'Orders given to the target, by outcome.',
+  },
+  'target.running': {
+    kind: 'gauge',
+    unit: 'requests',
+    tags: [],
+    meaning: 'Requests that the target runs, as it last reported.',
+  },
+  'target.queued': {
+    kind: 'gauge',
+    unit: 'requests',
+    tags: [],
+    meaning: 'Requests that wait inside the target, as it last reported.',
+  },
+  'process.loop_delay': {
+    kind: 'timing',
+    unit: 'milliseconds',
+    tags: [],
+    meaning: 'How late the loop of the process runs.',
+  },
+} as const satisfies {readonly [name: string]: MetricNotes};
+
+type Metrics = typeof METRICS;
+
+/** Names of the metrics of one kind. */
+export type MetricNameOf<Kind extends MetricNotes['kind']> = {
+  [Name in keyof Metrics]: Metrics[Name]['kind'] extends Kind ? Name : never;
+}[keyof Metrics];
+
+/** Tags of one metric, all of which are given. */
+export type MetricTags<Name extends keyof Metrics> = {
+  readonly [Tag in Metrics[Name]['tags'][number]]: string;
+};
--- a/packages/daemon/src/settings/scalars.ts
+++ b/packages/daemon/src/settings/scalars.ts
@@ -1,6 +1,6 @@
 import {isIP} from 'node:net';
 import type {Bytes, Milliseconds} from '@hibiscusbeam/core';
-import type {Result} from 'ts-results';
+import {Err, Ok, type Result} from 'ts-results';
 import * as z from 'zod';
 import type {SocketAddress} from '../types/settings';
 import {parseDuration, parseSize} from './units';
@@ -40,6 +40,18 @@
     return fault(context, problem);
   });
 
+/** A base address as the settings take it, or what is wrong with it. */
+export function parseBaseUrl(text: string): Result<string, string> {
+  const parsed = urlSchema.safeParse(text);
+  return parsed.success ? Ok(parsed.data) : Err(firstMessage(parsed.error));
+}
+
+/** `IP:port` as the settings take it, or what is wrong with it. */
+export function parseAddress(text: string): Result<SocketAddress, string> {
+  const parsed = socketAddressSchema.safeParse(text);
+  return parsed.success ? Ok(parsed.data) : Err(firstMessage(parsed.error));
+}
+
 /** SHA-256 in hexadecimal, as `hibiscusbeam keys hash` prints it. */
 export const sha256Schema = z
   .string({error: 'must be a SHA-256 in quotes (see `hibiscusbeam keys hash`)'})
@@ -92,6 +104,10 @@
     });
 }
 
+function firstMessage(error: z.ZodError): string {
+  return error.issues[0]?.message ?? 'is not valid';
+}
+
 function fault(context: z.RefinementCtx, message: string): never {
   context.addIssue({code: 'custom', message});
   return z.NEVER;
--- /dev/null
+++ b/packages/hibiscusbeam/src/commands/status.ts
@@ -0,0 +1,71 @@
+import {Option, type Command} from 'commander';
+import {EXIT_CODES, type ExitCode} from '../exit_codes';
+import type {OperatorClient} from '../operator/operator_client';
+import {formatStatus, isSettled} from '../output/status_text';
+import type {FinishCommand, ProgramContext} from './context';
+import {exampleOf} from './intent';
+import {
+  addEntryOptions,
+  openClient,
+  toInterval,
+  type EntryOptions,
+} from './options';
+import {reportReply} from './report';
+
+interface StatusOptions extends EntryOptions {
+  readonly watch: boolean;
+  readonly interval: number;
+}
+
+const DEFAULT_INTERVAL_MILLISECONDS = 1_000;
+// Moves to the top left and clears what is below.
+const CLEAR_SCREEN = '\u001b[H\u001b[J';
+
+/** Adds `status`. */
+export function addStatusCommand(
+  program: Command,
+  context: ProgramContext,
+  finish: FinishCommand,
+): void {
+  const command = program
+    .command('status')
+    .description('show each version on its way to its instances')
+    .option('--watch', 'repeat until every instance is done', false)
+    .addOption(
+      new Option('--interval <duration>', 'time between repeats')
+        .default(DEFAULT_INTERVAL_MILLISECONDS, '1s')
+        .argParser(toInterval),
+    )
+    .addHelpText(
+      'after',
+      exampleOf(
+        'status --watch --entry http://10.0.1.7:8400 --key-file operator.key',
+      ),
+    );
+  addEntryOptions(command).action(async (options: StatusOptions) => {
+    const client = openClient(options);
+    finish(await showStatus(client, context, options));
+  });
+}
+
+async function showStatus(
+  client: OperatorClient,
+  {io, wait}: ProgramContext,
+  options: StatusOptions,
+): Promise<ExitCode> {
+  const bars = io.isTerminal && !options.json;
+  const lead = options.watch && bars ? CLEAR_SCREEN : '';
+  for (;;) {
+    let settled = false;
+    const reply = client.status();
+    const code = await reportReply(io, options.json, reply, status => {
+      return `${lead}${formatStatus(status, bars)}`;
+    });
+    const result = await reply;
+    if (result.ok) settled = isSettled(result.val.value);
+    if (!options.watch || settled) return code;
+    // An entry that is replaced while an operator watches is no reason to end.
+    if (code !== EXIT_CODES.ok && code !== EXIT_CODES.unreachable) return code;
+    await wait(options.interval);
+  }
+}
--- /dev/null
+++ b/packages/hibiscusbeam/src/main.ts
@@ -0,0 +1,55 @@
+import {createLog, startAgent, startEntry} from '@hibiscusbeam/daemon';
+import type {ProgramContext} from './commands/context';
+import {EXIT_CODES} from './exit_codes';
+import {runProgram} from './program';
+
+// Settings may not have been read yet, so this log has the default form.
+const log = createLog({
+  settings: {level: 'info', format: 'json'},
+  part: 'process',
+});
+
+function endOnFailure(error: unknown): void {
+  log.error('uncaught error', {error});
+  process.exit(EXIT_CODES.refused);
+}
+
+async function readInput(): Promise<string> {
+  const pieces: Buffer[] = [];
+  for await (const piece of process.stdin) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces).toString('utf8');
+}
+
+const context: ProgramContext = {
+  io: {
+    out: text => void process.stdout.write(text),
+    error: text => void process.stderr.write(text),
+    isTerminal: process.stdout.isTTY,
+    readInput,
+  },
+  signals: listener => {
+    process.on('SIGTERM', listener);
+    process.on('SIGINT', listener);
+    return () => {
+      process.off('SIGTERM', listener);
+      process.off('SIGINT', listener);
+    };
+  },
+  startEntry,
+  startAgent,
+  wait: milliseconds =>
+    new Promise(resolve => setTimeout(resolve, milliseconds)),
+};
+
+// A reader that goes away (a closed terminal, `| head`) makes the next write
+// fail; a process of the site must outlive whoever reads its log.
+process.stderr.on('error', () => undefined);
+process.stdout.on('error', () => undefined);
+process.on('uncaughtException', endOnFailure);
+process.on('unhandledRejection', endOnFailure);
+
+void runProgram(context, process.argv.slice(2)).then(code => {
+  process.exitCode = code;
+  // Standard output may be a pipe; exiting at once would cut what is buffered.
+  process.stdout.write('', () => process.exit(code));
+});
--- /dev/null
+++ b/packages/hibiscusbeam/src/operator/operator_client.ts
@@ -0,0 +1,192 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {request} from 'undici';
+import type * as z from 'zod';
+import {
+  abandonReplySchema,
+  confirmReplySchema,
+  planListReplySchema,
+  planReplySchema,
+  refusalSchema,
+  statusReplySchema,
+  type PlanListReply,
+  type PlanReply,
+  type Refusal,
+  type StatusReply,
+} from './replies';
+import type {OperatorError, OperatorResult} from './types';
+
+// Planning asks the origin for manifests, so it may take a while.
+const REPLY_TIMEOUT_MILLISECONDS = 30_000;
+
+/** Errors of a connection that was never made: nothing was sent. */
+const NOT_SENT: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** What operators ask of an entry. */
+export interface OperatorClient {
+  readonly plan: (intent: string) => OperatorResult<PlanReply>;
+  readonly confirm: (
+    planId: string,
+  ) => OperatorResult<z.output<typeof confirmReplySchema>>;
+  readonly show: (planId: string) => OperatorResult<PlanReply>;
+  readonly list: () => OperatorResult<PlanListReply>;
+  readonly abandon: (
+    planId: string,
+  ) => OperatorResult<z.output<typeof abandonReplySchema>>;
+  readonly status: () => OperatorResult<StatusReply>;
+}
+
+/** Which entry to ask, and with which key. */
+export interface OperatorClientOptions {
+  readonly entry: string;
+  readonly key: string;
+}
+
+interface Call<Schema extends z.ZodType> {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly yaml?: string;
+  readonly schema: Schema;
+  /** Whether the call may have changed the site if its reply is lost. */
+  readonly changes: boolean;
+}
+
+/** Opens no connection until the first call. */
+export function createOperatorClient(
+  options: OperatorClientOptions,
+): OperatorClient {
+  const read = <Schema extends z.ZodType>(path: string, schema: Schema) =>
+    exchange(options, {method: 'GET', path, schema, changes: false});
+  const pathOf = (planId: string) => `/v1/plans/${encodeURIComponent(planId)}`;
+  return {
+    plan: intent =>
+      exchange(options, {
+        method: 'POST',
+        path: '/v1/intents/plan',
+        yaml: intent,
+        schema: planReplySchema,
+        changes: false,
+      }),
+    confirm: planId =>
+      exchange(options, {
+        method: 'POST',
+        path: `${pathOf(planId)}/confirm`,
+        schema: confirmReplySchema,
+        changes: true,
+      }),
+    show: planId => read(pathOf(planId), planReplySchema),
+    list: () => read('/v1/plans', planListReplySchema),
+    abandon: planId =>
+      exchange(options, {
+        method: 'DELETE',
+        path: pathOf(planId),
+        schema: abandonReplySchema,
+        changes: true,
+      }),
+    status: () => read('/v1/status', statusReplySchema),
+  };
+}
+
+async function exchange<Schema extends z.ZodType>(
+  options: OperatorClientOptions,
+  call: Call<Schema>,
+): OperatorResult<z.output<Schema>> {
+  const answer = await send(options, call);
+  if (answer.err) return answer;
+  const {status, json} = answer.val;
+  if (status >= 400) return Err(refusalError(call, status, json));
+  const value = call.schema.safeParse(json);
+  if (value.success) return Ok({value: value.data, json});
+  const problem = value.error.issues[0];
+  return Err(
+    lost(
+      call,
+      `the entry's reply is not understood (${problem?.path.join('.')}: ${problem?.message}); use the program of the entry's version`,
+    ),
+  );
+}
+
+async function send<Schema extends z.ZodType>(
+  options: OperatorClientOptions,
+  call: Call<Schema>,
+): Promise<Result<{status: number; json: unknown}, OperatorError>> {
+  try {
+    const response = await request(`${options.entry}${call.path}`, {
+      method: call.method,
+      headers: {
+        authorization: `Bearer ${options.key}`,
+        ...(call.yaml === undefined
+          ? {}
+          : {'content-type': 'application/yaml'}),
+      },
+      body: call.yaml ?? null,
+      signal: AbortSignal.timeout(REPLY_TIMEOUT_MILLISECONDS),
+    });
+    const text = await response.body.text();
+    return Ok({status: response.statusCode, json: parseJson(text)});
+  } catch (error) {
+    return Err(transportError(call, options.entry, error));
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function transportError<Schema extends z.ZodType>(
+  call: Call<Schema>,
+  entry: string,
+  error: unknown,
+): OperatorError {
+  const {code, message} = error as NodeJS.ErrnoException;
+  const detail = `${entry}: ${code ?? ''} ${message}`.replace('  ', ' ');
+  if (NOT_SENT.has(code ?? '')) return {kind: 'unreachable', detail};
+  return lost(call, `${detail} (no reply)`);
+}
+
+/**
+ * A lost reply to a confirmation does not mean that nothing happened. Telling
+ * the operator "unreachable" would have them plan the same change again.
+ */
+function lost<Schema extends z.ZodType>(
+  call: Call<Schema>,
+  detail: string,
+): OperatorError {
+  return {kind: call.changes ? 'outcomeUnknown' : 'unreachable', detail};
+}
+
+function refusalError<Schema extends z.ZodType>(
+  call: Call<Schema>,
+  status: number,
+  json: unknown,
+): OperatorError {
+  const refusal = refusalSchema.safeParse(json);
+  if (refusal.success) return errorOfRefusal(call, status, refusal.data);
+  const detail = `the entry answered with status ${status}`;
+  if (status >= 500) return lost(call, detail);
+  return {kind: 'refused', refusal: {error: `status ${status}`, detail}};
+}
+
+function errorOfRefusal<Schema extends z.ZodType>(
+  call: Call<Schema>,
+  status: number,
+  refusal: Refusal,
+): OperatorError {
+  const detail = refusal.advice ?? refusal.detail ?? refusal.error;
+  if (refusal.error === 'outcomeUnknown') {
+    return {kind: 'outcomeUnknown', detail};
+  }
+  if (refusal.error === 'platformUnavailable') {
+    return {kind: 'unreachable', detail};
+  }
+  if (status >= 500) return lost(call, detail);
+  return {kind: 'refused', refusal};
+}
--- /dev/null
+++ b/packages/hibiscusbeam/src/operator/replies.ts
@@ -0,0 +1,113 @@
+import * as z from 'zod';
+
+const subjectSchema = z.object({kind: z.string(), name: z.string()});
+
+const planSchema = z.object({
+  planId: z.string(),
+  summary: z.string(),
+  operator: z.string(),
+  plannedAt: z.number(),
+  base: z.number(),
+  changes: z.array(
+    z.object({subject: subjectSchema, before: z.string(), after: z.string()}),
+  ),
+  originBytes: z.number(),
+  expectedSeconds: z.number(),
+  capacity: z.array(
+    z.object({
+      model: z.string(),
+      before: z.number(),
+      lowest: z.number(),
+      after: z.number(),
+    }),
+  ),
+  owners: z.array(
+    z.object({subject: subjectSchema, before: z.string(), after: z.string()}),
+  ),
+  warnings: z.array(
+    z.object({kind: z.string(), subject: subjectSchema, detail: z.string()}),
+  ),
+});
+
+const planStateSchema = z.object({
+  kind: z.enum(['planned', 'abandoned', 'confirmed']),
+  generation: z.number().optional(),
+});
+
+/** Reply to planning an intent and to showing a plan. */
+export const planReplySchema = z.object({
+  plan: planSchema,
+  state: planStateSchema,
+});
+
+/** Reply to listing plans. */
+export const planListReplySchema = z.object({
+  plans: z.array(
+    planSchema
+      .pick({planId: true, summary: true, operator: true, plannedAt: true})
+      .extend({base: z.number(), state: planStateSchema}),
+  ),
+});
+
+/** Reply to confirming a plan. */
+export const confirmReplySchema = z.object({
+  planId: z.string(),
+  generation: z.number(),
+  /** True if the plan was confirmed before; nothing changed this time. */
+  wasConfirmed: z.boolean(),
+});
+
+/** Reply to abandoning a plan. */
+export const abandonReplySchema = z.object({planId: z.string()});
+
+const versionStatusSchema = z.object({
+  model: z.string(),
+  label: z.string(),
+  versionDigest: z.string(),
+  instancesDone: z.number(),
+  instancesTotal: z.number(),
+  chunksHeld: z.number(),
+  chunksTotal: z.number(),
+  originBytes: z.number(),
+  /** Milliseconds until the last instance serves it; null if not known. */
+  expectedEnd: z.number().nullable(),
+});
+
+/** Reply to asking for the site's status. */
+export const statusReplySchema = z.object({
+  generation: z.number(),
+  versions: z.array(versionStatusSchema),
+});
+
+const otherChangeSchema = z.object({
+  generation: z.number(),
+  planId: z.string(),
+  summary: z.string(),
+  operator: z.string(),
+  shared: z.array(subjectSchema),
+});
+
+/** Body of a refusal; every field but `error` may be absent. */
+export const refusalSchema = z.object({
+  error: z.string(),
+  detail: z.string().optional(),
+  field: z.string().optional(),
+  advice: z.string().optional(),
+  faults: z.array(z.object({path: z.string(), detail: z.string()})).optional(),
+  others: z.array(otherChangeSchema).optional(),
+});
+
+/** What a plan would do, and what became of it. */
+export type PlanReply = z.output<typeof planReplySchema>;
+
+/** Plans, newest first. */
+export type PlanListReply = z.output<typeof planListReplySchema>;
+
+/** What the site is doing. */
+export type StatusReply = z.output<typeof statusReplySchema>;
+
+/** One version on its way to its instances. */
+export type VersionStatus = z.output<typeof versionStatusSchema>;
+
+/** Why the system refused. */
+export type Refusal = z.output<typeof refusalSchema>;
--- /dev/null
+++ b/packages/hibiscusbeam/src/process/supervise.ts
@@ -0,0 +1,60 @@
+import type {Log, RunningProcess} from '@hibiscusbeam/daemon';
+import {EXIT_CODES, type ExitCode} from '../exit_codes';
+
+/** Tells of SIGTERM and SIGINT; returns a function that stops telling. */
+export type SignalSource = (listener: (signal: string) => void) => () => void;
+
+/** What {@link superviseProcess} works with. */
+export interface SuperviseOptions {
+  readonly start: () => Promise<RunningProcess>;
+  readonly signals: SignalSource;
+  readonly log: Log;
+  /** Called once the process serves. */
+  readonly onReady: () => void;
+}
+
+/**
+ * Runs a process of the site until it stops. The first signal stops it
+ * gracefully, also if it comes while the process still starts; the second one
+ * ends at once.
+ */
+export async function superviseProcess(
+  options: SuperviseOptions,
+): Promise<ExitCode> {
+  const {log} = options;
+  let signalCount = 0;
+  let stopAsked = (): void => undefined;
+  let endAsked = (): void => undefined;
+  const firstSignal = new Promise<void>(resolve => (stopAsked = resolve));
+  const secondSignal = new Promise<void>(resolve => (endAsked = resolve));
+  const silence = options.signals(signal => {
+    signalCount += 1;
+    log.info(signalCount === 1 ? 'stopping gracefully' : 'ending at once', {
+      signal,
+    });
+    if (signalCount === 1) stopAsked();
+    else endAsked();
+  });
+  const ended = secondSignal.then((): ExitCode => EXIT_CODES.refused);
+  try {
+    return await Promise.race([runToStop(options, firstSignal), ended]);
+  } catch (error) {
+    log.error('the process failed', {error});
+    return EXIT_CODES.refused;
+  } finally {
+    silence();
+  }
+}
+
+async function runToStop(
+  {start, onReady, log}: SuperviseOptions,
+  firstSignal: Promise<void>,
+): Promise<ExitCode> {
+  const running = await start();
+  onReady();
+  const stop = firstSignal.then(() => running.stop());
+  await Promise.race([running.stopped, stop]);
+  await running.stopped;
+  log.info('stopped');
+  return EXIT_CODES.ok;
+}
--- /dev/null
+++ b/packages/hibiscusbeam/src/program.ts
@@ -0,0 +1,68 @@
+import {Command, CommanderError, InvalidArgumentError} from 'commander';
+import type {ProgramContext} from './commands/context';
+import {addDumpCommand} from './commands/dump';
+import {addIntentCommands} from './commands/intent';
+import {addKeysCommands} from './commands/keys_hash';
+import {addProcessCommands} from './commands/run_process';
+import {addSettingsCommands} from './commands/settings_check';
+import {addStatusCommand} from './commands/status';
+import {EXIT_CODE_MEANINGS, EXIT_CODES, type ExitCode} from './exit_codes';
+import {VERSION} from './version';
+
+/** The program with all of its commands; `finish` takes the exit code. */
+export function createProgram(
+  context: ProgramContext,
+  finish: (code: ExitCode) => void,
+): Command {
+  const program = new Command('hibiscusbeam')
+    .description('Distributes weights and routes requests through bursts.')
+    .version(VERSION)
+    .showHelpAfterError('(add --help for the usage)')
+    .addHelpText('after', `\n${describeExitCodes()}`);
+  addProcessCommands(program, context, finish);
+  addIntentCommands(program, context, finish);
+  addStatusCommand(program, context, finish);
+  addDumpCommand(program, context, finish);
+  addSettingsCommands(program, context, finish);
+  addKeysCommands(program, context, finish);
+  for (const command of commandsOf(program)) {
+    command.exitOverride();
+    command.configureOutput({
+      writeOut: context.io.out,
+      writeErr: context.io.error,
+    });
+  }
+  return program;
+}
+
+/** The program itself and every command below it. */
+export function commandsOf(command: Command): readonly Command[] {
+  return [command, ...command.commands.flatMap(commandsOf)];
+}
+
+/** Runs the program with the arguments after its name. */
+export async function runProgram(
+  context: ProgramContext,
+  programArguments: readonly string[],
+): Promise<ExitCode> {
+  let code: ExitCode = EXIT_CODES.ok;
+  const program = createProgram(context, finished => (code = finished));
+  try {
+    await program.parseAsync(programArguments, {from: 'user'});
+    return code;
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error;
+    // Commander has printed its own errors; those of our actions it has not.
+    if (error instanceof InvalidArgumentError) {
+      context.io.error(`error: ${error.message}\n`);
+    }
+    return error.exitCode === 0 ? EXIT_CODES.ok : EXIT_CODES.usage;
+  }
+}
+
+function describeExitCodes(): string {
+  const lines = Object.entries(EXIT_CODE_MEANINGS).map(
+    ([code, meaning]) => `  ${code}  ${meaning}`,
+  );
+  return ['Exit codes:', ...lines].join('\n');
+}
--- /dev/null
+++ b/packages/hibiscusbeam/src/version.ts
@@ -0,0 +1,2 @@
+/** Version of the program. */
+export const VERSION = '0.1.0';
--- /dev/null
+++ b/scripts/binary.mjs
@@ -0,0 +1,62 @@
+// Builds dist/hibiscusbeam, one executable file: Node with the bundled program
+// inside. Prints its size and its start time as measured.
+import {execFileSync, spawnSync} from 'node:child_process';
+import {
+  chmodSync,
+  copyFileSync,
+  mkdirSync,
+  readFileSync,
+  statSync,
+  writeFileSync,
+} from 'node:fs';
+import {performance} from 'node:perf_hooks';
+import {inject} from 'postject';
+import {bundle} from './bundle.mjs';
+
+const BUNDLE = 'dist/hibiscusbeam.cjs';
+const BLOB = 'dist/binary/program.blob';
+const CONFIGURATION = 'dist/binary/program.json';
+const BINARY = 'dist/hibiscusbeam';
+// Fixed by Node: marks the place that tells whether a program is inside.
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const STARTS_MEASURED = 11;
+
+await bundle('packages/hibiscusbeam/src/main.ts', BUNDLE);
+mkdirSync('dist/binary', {recursive: true});
+writeFileSync(
+  CONFIGURATION,
+  JSON.stringify({
+    main: BUNDLE,
+    output: BLOB,
+    disableExperimentalSEAWarning: true,
+    useCodeCache: true,
+  }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', CONFIGURATION], {
+  stdio: ['ignore', 'ignore', 'inherit'],
+});
+copyFileSync(process.execPath, BINARY);
+chmodSync(BINARY, 0o755);
+await inject(BINARY, 'NODE_SEA_BLOB', readFileSync(BLOB), {
+  sentinelFuse: FUSE,
+});
+report();
+
+function report() {
+  const times = Array.from({length: STARTS_MEASURED}, measureStart);
+  times.sort((left, right) => left - right);
+  const megabytes = statSync(BINARY).size / 1e6;
+  const median = times[Math.floor(times.length / 2)];
+  console.log(`${BINARY}: ${megabytes.toFixed(1)} MB`);
+  console.log(
+    `start time (--version, ${times.length} runs): median ${median.toFixed(0)} ms, ` +
+      `least ${times[0].toFixed(0)} ms, most ${times.at(-1).toFixed(0)} ms`,
+  );
+}
+
+function measureStart() {
+  const before = performance.now();
+  const run = spawnSync(BINARY, ['--version'], {encoding: 'utf8'});
+  if (run.status !== 0) throw new Error(`${BINARY} failed: ${run.stderr}`);
+  return performance.now() - before;
+}
