--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,4 +5,5 @@
 export * from './settings';
 export * from './site/request_dump';
 export * from './types/process';
+export * from './swarm';
 export * from './types/settings';
