Add the older system, and mend the stand-ins' answers

Cause: the switch from the older system needs a second giver of orders and requests that shares the origin's link.

Also: a transaction's bound counts the rows it names; errors have the common form; a generate answer's head goes out while the request is still queued; a frozen engine finishes no load; one slice is read ahead of a slow reader.

--- a/packages/standins/src/engine/batch.ts
+++ b/packages/standins/src/engine/batch.ts
@@ -18,13 +18,18 @@
   readonly firstTokenTime: Milliseconds;
 }
 
+/** Times to change; those not given stay. */
+export type BatchTimeChanges = {
+  readonly [Name in keyof BatchTimes]?: BatchTimes[Name] | undefined;
+};
+
 /** Runs up to `slots` at once; others wait by priority, then by age. */
 export interface Batch {
   /** False if the queue is full. */
   readonly submit: (run: Run) => boolean;
   /** Forgets a run that was cancelled. */
   readonly remove: (run: Run) => void;
-  readonly setTimes: (times: Partial<BatchTimes>) => void;
+  readonly setTimes: (changes: BatchTimeChanges) => void;
   readonly load: () => {readonly running: number; readonly queued: number};
 }
 
@@ -114,7 +119,10 @@
       options.onChange();
     },
     setTimes: changes => {
-      times = {...times, ...changes};
+      times = {
+        tokenTime: changes.tokenTime ?? times.tokenTime,
+        firstTokenTime: changes.firstTokenTime ?? times.firstTokenTime,
+      };
     },
     load: () => ({running: running.size, queued: queue.length}),
   };
--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -48,6 +48,13 @@
   readonly trustChunks?: boolean;
 }
 
+function ifGiven<Value>(
+  value: Value | undefined,
+  apply: (value: Value) => void,
+): void {
+  if (value !== undefined) apply(value);
+}
+
 /** Starts a model engine. */
 export async function startEngine(options: EngineOptions): Promise<StandIn> {
   const settings = {...DEFAULTS, ...options};
@@ -61,6 +68,7 @@
 
   const versions = createEngineVersions({
     clock,
+    freezer,
     chunks,
     loadTime: settings.loadTime,
     fencing: options.fencing ?? 'checked',
@@ -109,19 +117,14 @@
 
   server.post('/faults', (request, reply) => {
     const faults = parseBody(engineFaultsSchema, request);
-    const {reportLag, cacheEventLag, cacheEventGapEvery} = faults;
-    const {frozen, loadTime, tokenTime, firstTokenTime, fencing} = faults;
     answerFaults.set(faults);
-    if (reportLag !== undefined) reports.setLag(reportLag);
-    if (cacheEventLag !== undefined) cache.setLag(cacheEventLag);
-    if (cacheEventGapEvery !== undefined) cache.setGapEvery(cacheEventGapEvery);
-    if (frozen !== undefined) freezer.set(frozen);
-    if (loadTime !== undefined) versions.setLoadTime(loadTime);
-    if (fencing !== undefined) versions.setFencing(fencing);
-    batch.setTimes({
-      ...(tokenTime !== undefined && {tokenTime}),
-      ...(firstTokenTime !== undefined && {firstTokenTime}),
-    });
+    batch.setTimes(faults);
+    ifGiven(faults.reportLag, reports.setLag);
+    ifGiven(faults.cacheEventLag, cache.setLag);
+    ifGiven(faults.cacheEventGapEvery, cache.setGapEvery);
+    ifGiven(faults.loadTime, versions.setLoadTime);
+    ifGiven(faults.fencing, versions.setFencing);
+    ifGiven(faults.frozen, freezer.set);
     return reply.send({});
   });
 
--- a/packages/standins/src/engine/generate_routes.ts
+++ b/packages/standins/src/engine/generate_routes.ts
@@ -26,6 +26,8 @@
   const stream = new PassThrough();
   let tokens = 0;
   void reply.type('application/x-ndjson').send(stream);
+  // Says that the request was taken, also while it waits for a slot.
+  reply.raw.flushHeaders();
   return {
     line: line => {
       if (tokens >= cutAfter) {
@@ -33,7 +35,7 @@
         return;
       }
       if (line.kind === 'token') tokens += 1;
-      stream.write(`${JSON.stringify(line)}\n`);
+      if (!stream.destroyed) stream.write(`${JSON.stringify(line)}\n`);
     },
     close: () => stream.end(),
   };
--- a/packages/standins/src/engine/versions.ts
+++ b/packages/standins/src/engine/versions.ts
@@ -6,6 +6,7 @@
 } from '@hibiscusbeam/core';
 import {canonicalJson} from '@hibiscusbeam/core';
 import type {Clock} from '../shared/clock';
+import type {Freezer} from '../shared/freezer';
 import {digestOf} from '../shared/digest';
 import type {ChunkStore} from './chunk_store';
 import type {Order} from './schemas';
@@ -54,6 +55,7 @@
 /** What an engine's versions are made of. */
 export interface EngineVersionsOptions {
   readonly clock: Clock;
+  readonly freezer: Freezer;
   readonly chunks: ChunkStore;
   readonly loadTime: Milliseconds;
   readonly fencing: FencingSupport;
@@ -65,7 +67,7 @@
 export function createEngineVersions(
   options: EngineVersionsOptions,
 ): EngineVersions {
-  const {clock, chunks} = options;
+  const {clock, freezer, chunks} = options;
   const loaded = new Map<VersionDigest, LoadedVersion>();
   const loading = new Map<VersionDigest, symbol>();
   const orders: AcceptedOrder[] = [];
@@ -80,6 +82,7 @@
     loading.set(version.versionDigest, mark);
     options.onChange();
     await clock.wait(loadTime);
+    await freezer.thawed();
     if (loading.get(version.versionDigest) !== mark) return;
     loading.delete(version.versionDigest);
     loaded.set(version.versionDigest, version);
--- /dev/null
+++ b/packages/standins/src/older_system/http.ts
@@ -0,0 +1,68 @@
+import {Agent, request} from 'undici';
+import type {Dispatcher} from 'undici';
+
+/** Calls in flight to one address at once. */
+const CONNECTIONS = 8;
+
+/** The older system's calls to the platform and the engines. */
+export interface OlderSystemHttp {
+  readonly getJson: <Body>(url: string, signal: AbortSignal) => Promise<Body>;
+  readonly getBytes: (url: string, signal: AbortSignal) => Promise<Uint8Array>;
+  readonly putBytes: (
+    url: string,
+    bytes: Uint8Array,
+    signal: AbortSignal,
+  ) => Promise<void>;
+  /** Gives whether it was accepted, once the whole answer has come. */
+  readonly postJson: (
+    url: string,
+    body: unknown,
+    signal?: AbortSignal,
+  ) => Promise<boolean>;
+  readonly close: () => Promise<void>;
+}
+
+async function expectSuccess(
+  response: Dispatcher.ResponseData,
+): Promise<Dispatcher.ResponseData> {
+  if (response.statusCode < 400) return response;
+  await response.body.dump();
+  throw new Error(`status ${response.statusCode}`);
+}
+
+/** Connections of its own. */
+export function createOlderSystemHttp(): OlderSystemHttp {
+  const dispatcher = new Agent({connections: CONNECTIONS});
+  const giver = {'x-order-giver': 'older-system'};
+
+  async function get(url: string, signal: AbortSignal) {
+    return expectSuccess(await request(url, {dispatcher, signal}));
+  }
+
+  return {
+    getJson: async <Body>(url: string, signal: AbortSignal) => {
+      const response = await get(url, signal);
+      return (await response.body.json()) as Body;
+    },
+    getBytes: async (url, signal) => (await get(url, signal)).body.bytes(),
+    putBytes: async (url, body, signal) => {
+      const headers = {'content-type': 'application/octet-stream'};
+      const response = await expectSuccess(
+        await request(url, {dispatcher, method: 'PUT', headers, body, signal}),
+      );
+      await response.body.dump();
+    },
+    postJson: async (url, body, signal) => {
+      const response = await request(url, {
+        dispatcher,
+        signal,
+        method: 'POST',
+        headers: {'content-type': 'application/json', ...giver},
+        body: JSON.stringify(body),
+      });
+      await response.body.text();
+      return response.statusCode < 400;
+    },
+    close: () => dispatcher.destroy(),
+  };
+}
--- a/packages/standins/src/platform/schemas.ts
+++ b/packages/standins/src/platform/schemas.ts
@@ -30,6 +30,9 @@
   }),
 });
 
+/** A transaction as sent. */
+export type CommitBody = z.infer<typeof commitBodySchema>;
+
 export const publishBodySchema = z.strictObject({
   model: z.string().min(1),
   label: z.string().min(1),
--- a/packages/standins/src/platform/table_routes.ts
+++ b/packages/standins/src/platform/table_routes.ts
@@ -1,12 +1,11 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
-import {z} from 'zod';
 import type {Clock} from '../shared/clock';
 import {createRateLimit} from '../shared/rate_limit';
 import type {RateLimit} from '../shared/rate_limit';
 import {cutConnection, parseBody, sendError} from '../shared/server';
 import {commitBodySchema, readBodySchema, scanBodySchema} from './schemas';
-import type {TableFaults} from './schemas';
+import type {CommitBody, TableFaults} from './schemas';
 import {createTable} from './table';
 
 /** Most rows that one transaction may name. */
@@ -32,6 +31,11 @@
   readonly counters: () => TableCounters;
 }
 
+function rowsNamed({transaction}: CommitBody): number {
+  const {conditions, writes} = transaction;
+  return new Set([...conditions, ...writes].map(({key}) => key)).size;
+}
+
 /** Adds the table service's routes to `server`. */
 export function addTableRoutes(
   server: FastifyInstance,
@@ -91,7 +95,7 @@
   });
 
   function commit(
-    body: z.infer<typeof commitBodySchema>,
+    body: CommitBody,
     request: FastifyRequest,
     reply: FastifyReply,
   ) {
@@ -104,8 +108,7 @@
 
   server.post('/table/commit', (request, reply) => {
     const body = parseBody(commitBodySchema, request);
-    const {conditions, writes} = body.transaction;
-    if (conditions.length + writes.length > 2 * TRANSACTION_ROW_LIMIT) {
+    if (rowsNamed(body) > TRANSACTION_ROW_LIMIT) {
       return sendError(reply, 400, 'transactionTooLarge');
     }
     return serve(writeLimit, reply, () => commit(body, request, reply));
--- a/packages/standins/src/platform/weight_routes.ts
+++ b/packages/standins/src/platform/weight_routes.ts
@@ -11,6 +11,9 @@
 /** Bytes sent per turn on the shared link; small, so that transfers mix. */
 const SLICE: Bytes = 64 * 1024;
 
+/** One slice read ahead, so that few bytes count that nobody receives. */
+const ONE_AHEAD = {highWaterMark: 1};
+
 /** What the origin sent so far. */
 export interface WeightCounters {
   readonly bytes: Bytes;
@@ -67,7 +70,7 @@
     return reply
       .type('application/octet-stream')
       .header('content-length', content.length)
-      .send(Readable.from(paced(corrupted(content), stalls)));
+      .send(Readable.from(paced(corrupted(content), stalls), ONE_AHEAD));
   }
 
   server.register((routes, _options, done) => {
--- a/packages/standins/src/shared/server.ts
+++ b/packages/standins/src/shared/server.ts
@@ -1,5 +1,10 @@
 import {fastify} from 'fastify';
-import type {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
+import type {
+  FastifyError,
+  FastifyInstance,
+  FastifyReply,
+  FastifyRequest,
+} from 'fastify';
 import type {AddressInfo} from 'node:net';
 import type {ZodType} from 'zod';
 import type {Clock} from './clock';
@@ -31,6 +36,9 @@
     forceCloseConnections: true,
     exposeHeadRoutes: false,
   });
+  server.setErrorHandler<FastifyError>((error, _request, reply) =>
+    sendError(reply, error.statusCode ?? 500, error.code, error.message),
+  );
   server.addContentTypeParser(
     'application/octet-stream',
     {parseAs: 'buffer'},
@@ -65,6 +73,7 @@
   if (parsed.success) return parsed.data;
   throw Object.assign(new Error(parsed.error.message), {
     statusCode: BAD_REQUEST,
+    code: 'badRequest',
   });
 }
 
