Add the site node and the agent's parts

Cause: decisions of core need drivers: sessions, configuration, orders, permits, leases and the answers' way from target to entry. Ruled out: matching a target's answers by connection; a crossed answer would reach another caller, so parts are matched by the attempt that they name.

--- /dev/null
+++ b/packages/daemon/src/agent/engine_control.ts
@@ -0,0 +1,203 @@
+import {
+  createTargetReconciler,
+  wantedState,
+  type AcceptedConfiguration,
+  type InstanceName,
+  type ModelName,
+  type ReconcilePlan,
+  type ReportedVersion,
+  type TargetName,
+  type VersionDigest,
+} from '@hibiscusbeam/core';
+import type {TableService} from '@hibiscusbeam/platform';
+import type {Log} from '../logs';
+import {sleep, type Clock} from '../runtime/clock';
+import {drive} from '../runtime/drive';
+import type {SwarmDriver} from '../swarm';
+import type {EngineClient} from '../targets/types';
+import type {AgentTargetSettings} from '../types/settings';
+import type {AgentLife} from './incarnation';
+import {createOrderDriver, observeEngine} from './order_driver';
+import {createPermits} from './permits';
+import {holdTargetLease} from './target_lease';
+import type {WeightsKeeper} from './weights_keeper';
+
+/** Pause between two passes over wanted and reported state. */
+const PASS_PERIOD = 200;
+
+/** What the engine said last, for heartbeats. */
+export interface EngineView {
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  readonly takenAt: number;
+}
+
+/** Brings one model engine to what the configuration wants of it. */
+export interface EngineControl {
+  /** Versions that new requests may be given. */
+  readonly routable: () => readonly ReportedVersion[];
+  readonly mayStart: (versionDigest: VersionDigest) => boolean;
+  readonly view: () => EngineView | undefined;
+  readonly noteRun: (versionDigest: VersionDigest, change: 1 | -1) => void;
+  readonly stop: () => Promise<void>;
+  readonly dump: () => unknown;
+}
+
+/** Options of {@link startEngineControl}. */
+export interface EngineControlOptions {
+  readonly instance: InstanceName;
+  readonly target: AgentTargetSettings;
+  readonly life: AgentLife;
+  readonly engine: EngineClient;
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly weights: WeightsKeeper;
+  readonly swarm: SwarmDriver;
+  readonly accepted: () => AcceptedConfiguration;
+  /** Targets known to be dead or leaving. */
+  readonly gone: () => ReadonlySet<TargetName>;
+  readonly log: Log;
+  /** Called when what may be routed here has changed. */
+  readonly onRoutableChanged: () => void;
+}
+
+/** Starts passes that end with the returned control's `stop`. */
+export function startEngineControl(
+  options: EngineControlOptions,
+): EngineControl {
+  const {target, life, engine, table, clock, accepted, log} = options;
+  const {instance} = options;
+  const lease =
+    target.fencing === 'ignored'
+      ? holdTargetLease({
+          target: target.name,
+          instance,
+          life,
+          table,
+          clock,
+          log,
+        })
+      : undefined;
+  const reconciler = createTargetReconciler({
+    fencing: life.incarnation,
+    checkLease: lease?.check,
+    engineMemory: undefined,
+  });
+  const performOrder = createOrderDriver(engine, clock);
+  const running = new Map<VersionDigest, number>();
+  const stopping = new AbortController();
+  let plan: ReconcilePlan | undefined;
+  let view: EngineView | undefined;
+  let engineLife: string | undefined;
+
+  const permits = createPermits({
+    target: target.name,
+    instance,
+    life,
+    table,
+    clock,
+    log,
+    accepted,
+    evidence: model => ({
+      loaded: plan?.routable.some(version => version.model === model) ?? false,
+      fenced: reconciler.isFenced(clock()),
+    }),
+  });
+
+  const pass = async (): Promise<void> => {
+    const observed = await observeEngine(engine, clock);
+    const {generation, configuration} = accepted();
+    const before = routableKey(plan);
+    const next = reconciler.plan({
+      wanted: wantedState(configuration, target.name),
+      observed,
+      verified: options.weights.verified(),
+      requestsRunning: running,
+      permits: permits.held(),
+    });
+    plan = next;
+    if (observed !== undefined) noteEngine(observed);
+    if (routableKey(next) !== before) options.onRoutableChanged();
+    handlePermits(next, configuration.models);
+    if (next.orders.length === 0) return;
+    const stillInForce = () => accepted().generation === generation;
+    const flow = reconciler.giveOrders(next, stillInForce);
+    const round = await drive(flow, performOrder);
+    if (round.kind !== 'given') {
+      return log.warn(`stopped giving orders: ${round.kind}`);
+    }
+    for (const order of next.orders) {
+      log.info(`ordered ${order.kind} of ${order.versionDigest}`);
+    }
+    for (const detail of round.failed) {
+      log.warn('an order failed', {detail});
+    }
+    // The engine lacks what the swarm believed it held: ask it again.
+    if (round.refused.length > 0) void options.swarm.refreshHeld();
+  };
+
+  const noteEngine = (
+    observed: NonNullable<Awaited<ReturnType<typeof observeEngine>>>,
+  ): void => {
+    const {report, load, takenAt} = observed;
+    view = {...load, takenAt};
+    options.swarm.onLiveLoad(load);
+    // A restarted engine has lost its chunks; without asking again the swarm
+    // would go on offering chunks that are gone.
+    if (engineLife !== undefined && engineLife !== report.life) {
+      log.warn('the engine has restarted');
+      void options.swarm.refreshHeld();
+    }
+    engineLife = report.life;
+  };
+
+  const handlePermits = (
+    next: ReconcilePlan,
+    models: AcceptedConfiguration['configuration']['models'],
+  ): void => {
+    for (const model of next.needsPermit) permits.take(model, options.gone());
+    for (const {model, versionDigest} of next.routable) {
+      const isWanted = models[model]?.versionDigest === versionDigest;
+      if (isWanted && !permits.isServing(model)) permits.reportServing(model);
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      await pass();
+      await sleep(PASS_PERIOD, stopping.signal);
+    }
+  };
+  const passes = run();
+
+  return {
+    routable: () => plan?.routable ?? [],
+    mayStart: reconciler.mayStart,
+    view: () => view,
+    noteRun: (versionDigest, change) => {
+      const count = (running.get(versionDigest) ?? 0) + change;
+      if (count > 0) running.set(versionDigest, count);
+      else running.delete(versionDigest);
+    },
+    stop: async () => {
+      stopping.abort();
+      await passes;
+      await lease?.stop();
+    },
+    dump: () => ({
+      routable: plan?.routable,
+      draining: plan?.draining,
+      withoutRoom: plan?.withoutRoom,
+      needsPermit: plan?.needsPermit,
+      permits: [...permits.held()] satisfies ModelName[],
+      running: Object.fromEntries(running),
+      replaced: reconciler.isReplaced(),
+      view,
+    }),
+  };
+}
+
+function routableKey(plan: ReconcilePlan | undefined): string {
+  return (plan?.routable ?? []).map(version => version.versionDigest).join();
+}
--- /dev/null
+++ b/packages/daemon/src/agent/order_driver.ts
@@ -0,0 +1,93 @@
+import {
+  unreachable,
+  type ObservedReport,
+  type OrderEffect,
+  type OrderEffectReply,
+  type OrderOutcome,
+} from '@hibiscusbeam/core';
+import type {Clock} from '../runtime/clock';
+import type {EngineClient, TargetError} from '../targets/types';
+
+/** Reads the engine's report with the instant that it speaks of. */
+export async function observeEngine(
+  engine: EngineClient,
+  clock: Clock,
+): Promise<
+  | (ObservedReport & {
+      readonly load: {
+        readonly running: number;
+        readonly queued: number;
+        readonly slots: number;
+      };
+    })
+  | undefined
+> {
+  const askedAt = clock();
+  const report = await engine.report();
+  if (report.err) return undefined;
+  const {life, loaded, loading, running, queued, slots, ageMilliseconds} =
+    report.val;
+  return {
+    report: {life, loaded, loading},
+    takenAt: askedAt - ageMilliseconds,
+    load: {running, queued, slots},
+  };
+}
+
+/** Carries out what a round of orders asks for. */
+export function createOrderDriver(
+  engine: EngineClient,
+  clock: Clock,
+): (effect: OrderEffect) => Promise<OrderEffectReply> | OrderEffectReply {
+  return effect => {
+    switch (effect.kind) {
+      // At once: a turn of the loop between the lease's check and the order
+      // would be time in which the lease can run out.
+      case 'readClock':
+        return {kind: 'clock', now: clock()};
+      case 'sendOrder':
+        return engine.order(effect.order, effect.fencing).then(result => ({
+          kind: 'order',
+          outcome: result.ok ? {kind: 'accepted'} : outcomeOf(result.val),
+        }));
+      case 'readReport':
+        return observeEngine(engine, clock).then(observed => ({
+          kind: 'report',
+          observed,
+        }));
+      default:
+        return unreachable(effect);
+    }
+  };
+}
+
+function outcomeOf(error: TargetError): OrderOutcome {
+  if (error.kind !== 'refused') return {kind: 'failed', detail: error.detail};
+  switch (error.error) {
+    case 'staleFencing':
+      return {kind: 'staleFencing', highest: numberIn(error.detail, 'highest')};
+    case 'incomplete':
+      return {kind: 'incomplete', missing: digestsIn(error.detail)};
+    default:
+      return {kind: 'failed', detail: error.detail};
+  }
+}
+
+function numberIn(text: string, name: string): number {
+  const value = (parse(text) as Record<string, unknown> | undefined)?.[name];
+  return typeof value === 'number' ? value : 0;
+}
+
+function digestsIn(text: string): readonly string[] {
+  const missing = (parse(text) as {missing?: unknown} | undefined)?.missing;
+  if (!Array.isArray(missing)) return [];
+  return missing.filter(digest => typeof digest === 'string');
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/permits.ts
@@ -0,0 +1,117 @@
+import {
+  createActivation,
+  type AcceptedConfiguration,
+  type Activation,
+  type ModelName,
+  type TargetName,
+} from '@hibiscusbeam/core';
+import type {TableService} from '@hibiscusbeam/platform';
+import type {Log} from '../logs';
+import type {Clock} from '../runtime/clock';
+import {runTableFlow} from '../runtime/table_flow';
+import type {AgentLife} from './incarnation';
+
+/** This target's permits to stop serving a model during a swap. */
+export interface Permits {
+  readonly held: () => ReadonlySet<ModelName>;
+  /** Asks for a permit; without one nothing is swapped. */
+  readonly take: (model: ModelName, gone: ReadonlySet<TargetName>) => void;
+  /** Counts this target as serving the model, which ends its permit. */
+  readonly reportServing: (model: ModelName) => void;
+  readonly isServing: (model: ModelName) => boolean;
+}
+
+/** Creates the permits of one life of an agent. */
+export function createPermits(options: {
+  readonly target: TargetName;
+  readonly instance: string;
+  readonly life: AgentLife;
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly accepted: () => AcceptedConfiguration;
+  readonly evidence: (model: ModelName) => {
+    readonly loaded: boolean;
+    readonly fenced: boolean;
+  };
+}): Permits {
+  const {target, instance, life, table, clock, log} = options;
+  const activations = new Map<ModelName, Activation>();
+  const serving = new Set<ModelName>();
+  const busy = new Set<ModelName>();
+
+  const activationOf = (model: ModelName): Activation => {
+    const known = activations.get(model);
+    if (known !== undefined) return known;
+    const created = createActivation({
+      model,
+      target,
+      instance,
+      incarnation: life.incarnation,
+      token: life.token,
+      stillCurrent: life.stillCurrent,
+    });
+    activations.set(model, created);
+    return created;
+  };
+
+  /** One flow for each model at a time; more calls meanwhile do nothing. */
+  const once = async (
+    model: ModelName,
+    action: (activation: Activation) => Promise<void>,
+  ): Promise<void> => {
+    if (busy.has(model)) return;
+    busy.add(model);
+    try {
+      await action(activationOf(model));
+    } finally {
+      busy.delete(model);
+    }
+  };
+
+  const take: Permits['take'] = (model, gone) =>
+    void once(model, async activation => {
+      const {generation, configuration} = options.accepted();
+      const described = configuration.models[model];
+      const request = {
+        generation,
+        capacityFloor: described?.capacityFloor ?? 0,
+        configured: described?.targets ?? [],
+        gone,
+      };
+      const flow = activation.takePermit(request);
+      const result = await runTableFlow(flow, table, clock);
+      if (result.err) {
+        return log.debug(`no permit to swap ${model}`, {reason: result.val});
+      }
+      serving.delete(model);
+      log.info(`may stop serving ${model} for its swap`);
+    });
+
+  const reportServing: Permits['reportServing'] = model =>
+    void once(model, async activation => {
+      const {generation} = options.accepted();
+      const flow = activation.reportServing({
+        generation,
+        ...options.evidence(model),
+      });
+      const result = await runTableFlow(flow, table, clock);
+      if (result.err) {
+        return log.debug(`not yet counted for ${model}`, {reason: result.val});
+      }
+      serving.add(model);
+      log.info(`counts as serving ${model}`);
+    });
+
+  return {
+    held: () =>
+      new Set(
+        [...activations]
+          .filter(([, activation]) => activation.holdsPermit())
+          .map(([model]) => model),
+      ),
+    take,
+    reportServing,
+    isServing: model => serving.has(model),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/agent/serve_handler.ts
@@ -0,0 +1,297 @@
+import {status, type ServerWritableStream} from '@grpc/grpc-js';
+import {
+  unreachable,
+  type AttemptId,
+  type AttemptRegistry,
+  type Milliseconds,
+  type NotRunReason,
+  type TombstoneAnswer,
+  type WholeAnswer,
+} from '@hibiscusbeam/core';
+import {
+  TombstoneReply_State,
+  type AgentServer,
+  type ServeFrame,
+  type ServeRequest,
+} from '@hibiscusbeam/wire';
+import type {Clock} from '../runtime/clock';
+import {createDigester} from '../runtime/digests';
+import {
+  dataFrame,
+  endFrame,
+  failedFrame,
+  framesOf,
+  refusedFrame,
+  startedFrame,
+} from './serve_frames';
+import type {RunEvent, TargetRun} from './target_runs';
+
+/** When a caller should ask again for what this target does not serve. */
+const NOT_SERVED_RETRY_AFTER: Milliseconds = 500;
+
+/** How long a call that may not be repeated is followed past its deadline. */
+const FOLLOW_PAST_DEADLINE: Milliseconds = 60_000;
+
+/** Whether the target can take a request, and how. */
+export type Readiness =
+  | {readonly kind: 'ready'; readonly run: (timeout: Milliseconds) => TargetRun}
+  | {readonly kind: 'notReady'; readonly reason: NotRunReason};
+
+/** What the handler needs from its agent. */
+export interface ServeHandlerOptions {
+  readonly clock: Clock;
+  /** Undefined until the agent knows its incarnation. */
+  readonly registry: () => AttemptRegistry | undefined;
+  readonly incarnation: () => number | undefined;
+  readonly prepare: (request: ServeRequest) => Readiness;
+  readonly onStart: () => void;
+  readonly onEnd: () => void;
+}
+
+type Answer = ServerWritableStream<unknown, ServeFrame>;
+
+const NOT_READY = {
+  code: status.UNAVAILABLE,
+  details: 'the agent is starting; ask again',
+};
+
+/** Answers `Serve`, `Collect` and `Tombstone`. */
+export function createServeHandler(
+  options: ServeHandlerOptions,
+): Pick<AgentServer, 'serve' | 'collect' | 'tombstone'> {
+  const {clock} = options;
+
+  const serve = async (
+    call: ServerWritableStream<ServeRequest, ServeFrame>,
+  ): Promise<void> => {
+    const registry = options.registry();
+    const {request} = call;
+    const {attempt, incarnation} = request;
+    if (registry === undefined) return void call.emit('error', NOT_READY);
+    const readiness = options.prepare(request);
+    if (readiness.kind === 'notReady') {
+      return refuseUnserved(call, registry, request, readiness.reason);
+    }
+    const decision = registry.start(attempt, incarnation, clock());
+    switch (decision.kind) {
+      case 'start':
+        return runAttempt(call, registry, request, readiness);
+      case 'refused':
+        return endWith(call, refusedFrame(decision.event));
+      case 'replay':
+        return replay(call, decision.answer);
+      case 'failed':
+        return endWith(call, failedFrame(attempt, decision.detail));
+      default:
+        return unreachable(decision);
+    }
+  };
+
+  /**
+   * Refuses before the attempt is recorded as started. The tombstone makes the
+   * refusal true for ever: a second copy of the message can't start it later.
+   */
+  const refuseUnserved = (
+    call: Answer,
+    registry: AttemptRegistry,
+    request: ServeRequest,
+    reason: NotRunReason,
+  ): void => {
+    const {attempt, incarnation} = request;
+    const {state} = registry.tombstone(attempt, incarnation);
+    if (state !== 'tombstoned') {
+      return endWith(call, failedFrame(attempt, `the attempt is ${state}`));
+    }
+    const retryAfter = NOT_SERVED_RETRY_AFTER;
+    endWith(
+      call,
+      refusedFrame({kind: 'refused', attempt, incarnation, reason, retryAfter}),
+    );
+  };
+
+  const runAttempt = async (
+    call: Answer,
+    registry: AttemptRegistry,
+    request: ServeRequest,
+    readiness: Extract<Readiness, {kind: 'ready'}>,
+  ): Promise<void> => {
+    const {attempt, repeatable, deadlineMilliseconds} = request;
+    options.onStart();
+    const timeout = repeatable
+      ? deadlineMilliseconds
+      : deadlineMilliseconds + FOLLOW_PAST_DEADLINE;
+    const run = readiness.run(timeout);
+    // A call that may not be repeated is followed to its end even if its entry
+    // has gone, so that another entry can collect the answer.
+    if (repeatable) call.on('cancelled', run.cancel);
+    const whole = await passOn(call, request, run);
+    registry.finish(attempt, answerOf(attempt, whole), clock());
+    options.onEnd();
+    if (whole === undefined) return void call.end();
+    endWith(call, endFrame(attempt, whole.frameCount, whole.digest));
+  };
+
+  const replay = (call: Answer, answer: WholeAnswer): void => {
+    const incarnation = options.incarnation() ?? 0;
+    for (const frame of framesOf(answer, incarnation)) call.write(frame);
+    call.end();
+  };
+
+  return {
+    serve: call => void serve(call),
+    collect: call => {
+      const {attempt, incarnation} = call.request;
+      const registry = options.registry();
+      const answer = registry?.collect(attempt, incarnation, clock());
+      if (answer === undefined) {
+        return endWith(call, failedFrame(attempt, 'no answer is kept'));
+      }
+      return replay(call, answer);
+    },
+    tombstone: (call, callback) => {
+      const registry = options.registry();
+      if (registry === undefined) return callback(NOT_READY);
+      const {attempt, incarnation} = call.request;
+      const answer = registry.tombstone(attempt, incarnation);
+      callback(null, {
+        attempt,
+        incarnation: answer.incarnation,
+        state: stateOf(answer),
+      });
+    },
+  };
+}
+
+/** An answer that came whole. */
+interface WholeRun {
+  readonly versionDigest: string | undefined;
+  readonly frameCount: number;
+  readonly digest: string;
+  /** Kept only for a call that may not be repeated. */
+  readonly frames: readonly Uint8Array[] | undefined;
+}
+
+/** Sends a run's events as frames; undefined if the answer is not whole. */
+async function passOn(
+  call: Answer,
+  request: ServeRequest,
+  run: TargetRun,
+): Promise<WholeRun | undefined> {
+  const {attempt, incarnation, repeatable} = request;
+  const digester = createDigester();
+  const frames: Uint8Array[] = [];
+  let versionDigest: string | undefined;
+  let begun = false;
+  let frameCount = 0;
+  const begin = (): void => {
+    if (begun) return;
+    begun = true;
+    call.write(startedFrame(attempt, versionDigest, incarnation));
+  };
+  for await (const event of run.events) {
+    switch (event.kind) {
+      case 'started':
+        versionDigest = event.versionDigest;
+        begin();
+        break;
+      case 'data': {
+        begin();
+        // The target numbers its parts; a doubled or missing one would give
+        // the caller an answer with a hole in it.
+        if (event.sequence !== frameCount) {
+          run.cancel();
+          return breakOff(call, attempt, 'a part of the answer is missing');
+        }
+        frameCount += 1;
+        digester.update(event.content);
+        if (!repeatable) frames.push(event.content);
+        const hasRoom = call.write(
+          dataFrame(attempt, event.sequence, event.content),
+        );
+        if (!hasRoom) await drained(call);
+        break;
+      }
+      case 'end':
+        if (event.count !== frameCount) {
+          return breakOff(call, attempt, 'the answer is shorter than it says');
+        }
+        return {
+          versionDigest,
+          frameCount,
+          digest: digester.finish(),
+          frames: repeatable ? undefined : frames,
+        };
+      case 'notStarted':
+        return refuseUnstarted(call, request, event);
+      case 'broken':
+        return breakOff(call, attempt, event.detail);
+      default:
+        return unreachable(event);
+    }
+  }
+  return undefined;
+}
+
+function refuseUnstarted(
+  call: Answer,
+  request: ServeRequest,
+  event: Extract<RunEvent, {kind: 'notStarted'}>,
+): undefined {
+  const {attempt, incarnation} = request;
+  const reason = event.detail.includes('queue') ? 'queueFull' : 'noTarget';
+  const retryAfter = NOT_SERVED_RETRY_AFTER;
+  call.write(
+    refusedFrame({kind: 'refused', attempt, incarnation, reason, retryAfter}),
+  );
+  return undefined;
+}
+
+function breakOff(call: Answer, attempt: AttemptId, detail: string): undefined {
+  call.write(failedFrame(attempt, detail));
+  return undefined;
+}
+
+function endWith(call: Answer, frame: ServeFrame): void {
+  call.write(frame);
+  call.end();
+}
+
+/** Resolves when the reader has caught up or has gone. */
+function drained(call: Answer): Promise<void> {
+  if (call.cancelled) return Promise.resolve();
+  return new Promise(resolve => {
+    const done = (): void => {
+      call.off('drain', done);
+      call.off('cancelled', done);
+      resolve();
+    };
+    call.on('drain', done);
+    call.on('cancelled', done);
+  });
+}
+
+function answerOf(
+  attempt: AttemptId,
+  whole: WholeRun | undefined,
+): WholeAnswer | undefined {
+  if (whole?.frames === undefined) return undefined;
+  const {versionDigest, frames, digest} = whole;
+  return {attempt, versionDigest, frames, digest};
+}
+
+function stateOf(answer: TombstoneAnswer): TombstoneReply_State {
+  switch (answer.state) {
+    case 'tombstoned':
+      return TombstoneReply_State.STATE_TOMBSTONED;
+    case 'started':
+      return TombstoneReply_State.STATE_STARTED;
+    case 'finished':
+      return TombstoneReply_State.STATE_FINISHED;
+    case 'forgotten':
+      return TombstoneReply_State.STATE_FORGOTTEN;
+    case 'otherIncarnation':
+      return TombstoneReply_State.STATE_OTHER_INCARNATION;
+    default:
+      return unreachable(answer.state);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/weights_keeper.ts
@@ -0,0 +1,113 @@
+import {
+  checkManifest,
+  type Manifest,
+  type ModelConfiguration,
+  type SiteConfiguration,
+  type TargetName,
+  type VersionDigest,
+} from '@hibiscusbeam/core';
+import type {WeightStore} from '@hibiscusbeam/platform';
+import type {Log} from '../logs';
+import {digestText} from '../runtime/digests';
+import type {SwarmDriver} from '../swarm';
+
+/** Keeps the versions that the configuration wants on their way. */
+export interface WeightsKeeper {
+  /** Starts what is newly wanted and stops what is not wanted any more. */
+  readonly follow: (configuration: SiteConfiguration) => void;
+  /** Versions whose every chunk the target holds, verified. */
+  readonly verified: () => ReadonlyMap<VersionDigest, Manifest>;
+  readonly manifestOf: (versionDigest: VersionDigest) => Manifest | undefined;
+}
+
+/** Pause before a manifest is asked for again. */
+const MANIFEST_RETRY_PAUSE = 1_000;
+
+/** Creates the keeper of one model engine's versions. */
+export function createWeightsKeeper(options: {
+  readonly target: TargetName;
+  readonly weights: WeightStore;
+  readonly swarm: SwarmDriver;
+  readonly log: Log;
+}): WeightsKeeper {
+  const {target, weights, swarm, log} = options;
+  const wanted = new Map<VersionDigest, ModelConfiguration>();
+  const manifests = new Map<VersionDigest, Manifest>();
+  const asking = new Set<VersionDigest>();
+
+  const follow = (configuration: SiteConfiguration): void => {
+    const next = wantedVersions(configuration, target);
+    for (const versionDigest of [...wanted.keys()]) {
+      if (next.has(versionDigest)) continue;
+      wanted.delete(versionDigest);
+      manifests.delete(versionDigest);
+      swarm.abandon(versionDigest);
+      log.info(`gives up version ${versionDigest}`);
+    }
+    for (const [versionDigest, model] of next) {
+      wanted.set(versionDigest, model);
+      want(versionDigest);
+    }
+  };
+
+  const want = (versionDigest: VersionDigest): void => {
+    const model = wanted.get(versionDigest);
+    if (model === undefined) return;
+    const manifest = manifests.get(versionDigest);
+    if (manifest === undefined) return void fetchManifest(versionDigest);
+    const {prefer, targets} = model;
+    swarm.want(versionDigest, manifest, {prefer, holders: targets});
+  };
+
+  const fetchManifest = async (versionDigest: VersionDigest): Promise<void> => {
+    if (asking.has(versionDigest)) return;
+    asking.add(versionDigest);
+    const fetched = await weights.manifest(versionDigest);
+    asking.delete(versionDigest);
+    if (!wanted.has(versionDigest)) return;
+    const checked = fetched.ok
+      ? checkManifest(versionDigest, fetched.val, digestText)
+      : fetched;
+    if (checked.err) {
+      log.warn(`cannot get the manifest of ${versionDigest}`, {
+        reason: checked.val,
+      });
+      setTimeout(() => want(versionDigest), MANIFEST_RETRY_PAUSE);
+      return;
+    }
+    manifests.set(versionDigest, checked.val.manifest);
+    log.info(`fetches version ${versionDigest}`);
+    want(versionDigest);
+  };
+
+  const verified = (): ReadonlyMap<VersionDigest, Manifest> => {
+    const whole = new Map<VersionDigest, Manifest>();
+    for (const {versionDigest, ready} of swarm.progress()) {
+      const manifest = manifests.get(versionDigest);
+      if (ready && manifest !== undefined) whole.set(versionDigest, manifest);
+    }
+    return whole;
+  };
+
+  return {
+    follow,
+    verified,
+    manifestOf: versionDigest => manifests.get(versionDigest),
+  };
+}
+
+function wantedVersions(
+  configuration: SiteConfiguration,
+  target: TargetName,
+): ReadonlyMap<VersionDigest, ModelConfiguration> {
+  const described = configuration.targets[target];
+  const isOurs =
+    described?.owner === 'hibiscusbeam' && described.state === 'joined';
+  const versions = new Map<VersionDigest, ModelConfiguration>();
+  if (!isOurs) return versions;
+  for (const model of Object.values(configuration.models)) {
+    if (model.targets.includes(target))
+      versions.set(model.versionDigest, model);
+  }
+  return versions;
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/configuration_driver.ts
@@ -0,0 +1,235 @@
+import {
+  bodyKey,
+  createGenerationKeeper,
+  decodeHead,
+  HEAD_KEY,
+  learnGeneration,
+  unreachable,
+  type AcceptedConfiguration,
+  type Generation,
+  type GenerationKeeper,
+  type InstanceName,
+  type KeeperEffect,
+  type PeerAnswer,
+  type StartEffect,
+  type StartReply,
+} from '@hibiscusbeam/core';
+import type {Platform} from '@hibiscusbeam/platform';
+import type {PullConfigurationReply} from '@hibiscusbeam/wire';
+import type {Log} from '../logs';
+import {sleep, type Clock} from '../runtime/clock';
+import {digestText} from '../runtime/digests';
+import {drive} from '../runtime/drive';
+
+/** Period in which the keeper looks for newer generations. */
+export const KEEPER_PERIOD = 250;
+
+/** A higher number than any generation: asks for the number alone. */
+export const GENERATION_ONLY = Number.MAX_SAFE_INTEGER;
+
+/** How the configuration travels between processes. */
+export interface ConfigurationTransport {
+  /** Processes that may be asked, ready or not. */
+  readonly peers: () => Promise<readonly InstanceName[]>;
+  /** Peers that a session is open with. */
+  readonly connected: () => readonly InstanceName[];
+  readonly liveProcesses: () => number;
+  readonly pull: (
+    peer: InstanceName,
+    knownGeneration: Generation,
+  ) => Promise<PullConfigurationReply | undefined>;
+  /** Sends a heartbeat to these peers at once. */
+  readonly announce: (peers: readonly InstanceName[]) => void;
+}
+
+/** Options of {@link createConfigurationDriver}. */
+export interface ConfigurationDriverOptions {
+  readonly instance: InstanceName;
+  readonly clock: Clock;
+  readonly platform: Platform;
+  readonly transport: ConfigurationTransport;
+  readonly log: Log;
+  readonly onAdopted: (accepted: AcceptedConfiguration) => void;
+}
+
+/** One process's configuration, learned, kept and passed on. */
+export interface ConfigurationDriver {
+  /** Resolves once the generation in force is known. */
+  readonly start: () => Promise<void>;
+  readonly current: () => AcceptedConfiguration | undefined;
+  readonly hearPeer: (peer: InstanceName, generation: Generation) => void;
+  /** Takes a configuration that this process has just committed. */
+  readonly offerCommitted: (accepted: AcceptedConfiguration) => void;
+  readonly reply: (knownGeneration: Generation) => PullConfigurationReply;
+  readonly tick: () => void;
+  readonly dump: () => unknown;
+}
+
+/** Drives the generation keeper of core over table and peers. */
+export function createConfigurationDriver(
+  options: ConfigurationDriverOptions,
+): ConfigurationDriver {
+  const {clock, platform, transport, log} = options;
+  let keeper: GenerationKeeper | undefined;
+
+  const readRow = async (key: string) => {
+    const result = await platform.table.read(key);
+    return result.ok ? result.val : undefined;
+  };
+
+  const carryOut = (effects: readonly KeeperEffect[]): void => {
+    for (const effect of effects) void carryOutOne(effect);
+  };
+
+  const carryOutOne = async (effect: KeeperEffect): Promise<void> => {
+    if (keeper === undefined) return;
+    switch (effect.kind) {
+      case 'adopted': {
+        const {generation, planId} = effect.accepted;
+        log.info(`adopted generation ${generation} of plan ${planId}`);
+        options.onAdopted(effect.accepted);
+        return;
+      }
+      case 'announceGeneration':
+        return transport.announce(effect.peers);
+      case 'pullConfiguration':
+        return pull(keeper, effect.peer, effect.knownGeneration);
+      case 'readHead': {
+        const row = await readRow(HEAD_KEY);
+        if (row === undefined) return;
+        const head = decodeHead(row);
+        if (head === undefined) return log.warn('cannot read the head row');
+        return carryOut(keeper.hearHead(head.generation, clock()));
+      }
+      case 'readBody': {
+        const row = await readRow(bodyKey(effect.generation));
+        if (row !== undefined) offer(keeper, row.value, {kind: 'platform'});
+        return;
+      }
+      default:
+        return unreachable(effect);
+    }
+  };
+
+  const offer = (
+    holder: GenerationKeeper,
+    value: unknown,
+    source: Parameters<GenerationKeeper['offer']>[1],
+  ): void => {
+    const offered = holder.offer(value, source, clock());
+    if (offered.ok) return carryOut(offered.val);
+    if (offered.val.kind === 'notGenuine') {
+      log.warn(`refused a configuration that does not fit its digest`);
+    }
+  };
+
+  const pull = async (
+    holder: GenerationKeeper,
+    peer: InstanceName,
+    knownGeneration: Generation,
+  ): Promise<void> => {
+    const reply = await transport.pull(peer, knownGeneration);
+    const value = reply === undefined ? undefined : parseBody(reply.body);
+    if (value === undefined) {
+      return carryOut(holder.pullFailed(peer, clock()));
+    }
+    offer(holder, value, {kind: 'peer', peer});
+  };
+
+  const learn = async (effect: StartEffect): Promise<StartReply> => {
+    switch (effect.kind) {
+      case 'readRow':
+        return {kind: 'row', result: await platform.table.read(effect.key)};
+      case 'commit':
+        return {
+          kind: 'commit',
+          result: await platform.table.commit(effect.transaction),
+        };
+      case 'wait':
+        await sleep(effect.duration);
+        return {kind: 'waited'};
+      case 'listPeers':
+        return {kind: 'peers', peers: await transport.peers()};
+      case 'askPeers': {
+        const answers = await Promise.all(effect.peers.map(askPeer));
+        return {
+          kind: 'peerAnswers',
+          answers: answers.filter(answer => answer !== undefined),
+        };
+      }
+      case 'pullFromPeer': {
+        const reply = await transport.pull(effect.peer, -1);
+        const body = reply === undefined ? undefined : parseBody(reply.body);
+        return {kind: 'pulled', value: body};
+      }
+      default:
+        return unreachable(effect);
+    }
+  };
+
+  const askPeer = async (
+    peer: InstanceName,
+  ): Promise<PeerAnswer | undefined> => {
+    const reply = await transport.pull(peer, GENERATION_ONLY);
+    if (reply === undefined) return undefined;
+    if (!reply.ready) return {kind: 'starting', peer};
+    return {kind: 'ready', peer, generation: reply.generation};
+  };
+
+  return {
+    start: async () => {
+      const {instance} = options;
+      const start = await drive(learnGeneration({instance, digestText}), learn);
+      const startedAt = clock();
+      keeper = createGenerationKeeper({
+        instance,
+        digestText,
+        start,
+        startedAt,
+      });
+      log.info(`starts with generation ${start.generation}`);
+      options.onAdopted(start);
+    },
+    current: () => keeper?.current(),
+    hearPeer: (peer, generation) => {
+      if (keeper === undefined) return;
+      carryOut(keeper.hearPeer(peer, generation, clock()));
+    },
+    offerCommitted: accepted => {
+      if (keeper !== undefined) offer(keeper, accepted, {kind: 'platform'});
+    },
+    reply: knownGeneration => replyOf(keeper?.current(), knownGeneration),
+    tick: () => {
+      if (keeper === undefined) return;
+      const effects = keeper.tick({
+        now: clock(),
+        peers: transport.connected(),
+        liveProcesses: transport.liveProcesses(),
+      });
+      carryOut(effects);
+    },
+    dump: () => keeper?.dump() ?? {state: 'starting'},
+  };
+}
+
+function replyOf(
+  current: AcceptedConfiguration | undefined,
+  knownGeneration: Generation,
+): PullConfigurationReply {
+  if (current === undefined) {
+    return {generation: 0, body: new Uint8Array(), ready: false};
+  }
+  const {generation} = current;
+  const isNewer = generation > knownGeneration;
+  const body = isNewer ? Buffer.from(JSON.stringify(current)) : Buffer.of();
+  return {generation, body, ready: true};
+}
+
+function parseBody(body: Uint8Array): unknown {
+  if (body.length === 0) return undefined;
+  try {
+    return JSON.parse(Buffer.from(body).toString()) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/daemon/src/site/sessions.ts
+++ b/packages/daemon/src/site/sessions.ts
@@ -1,12 +1,13 @@
 import type {ClientDuplexStream, ServerDuplexStream} from '@grpc/grpc-js';
-import type {InstanceName, Milliseconds} from '@hibiscusbeam/core';
+import {
+  HEARTBEAT_PERIOD,
+  type InstanceName,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
 import type {Hello, SessionMessage} from '@hibiscusbeam/wire';
 import {every} from '../runtime/clock';
 import type {SiteClientPool} from './site_clients';
 
-/** Period of heartbeats on each session. */
-export const HEARTBEAT_PERIOD: Milliseconds = 1_000;
-
 /** Pause before a session that closed is opened again. */
 const REOPEN_PAUSE: Milliseconds = 500;
 
--- /dev/null
+++ b/packages/daemon/src/site/site_node.ts
@@ -0,0 +1,316 @@
+import {
+  createMembership,
+  TICK_PERIOD,
+  type AcceptedConfiguration,
+  type Generation,
+  type Incarnation,
+  type InstanceName,
+  type Membership,
+} from '@hibiscusbeam/core';
+import type {ListedInstance, Platform} from '@hibiscusbeam/platform';
+import type {
+  AgentServer,
+  HaveDelta,
+  PullConfigurationReply,
+  SlotTarget,
+  TargetReport,
+} from '@hibiscusbeam/wire';
+import {
+  createConfigurationDriver,
+  GENERATION_ONLY,
+  KEEPER_PERIOD,
+  type ConfigurationDriver,
+} from '../configuration/configuration_driver';
+import {createLog, type Log, type LogPart} from '../logs';
+import {every, type Clock} from '../runtime/clock';
+import type {CommonSettings} from '../types/settings';
+import {formatAddress} from '../utils/address';
+import {
+  startInstanceListPoller,
+  type InstanceListPoller,
+} from './instance_list_poller';
+import {createSessions, type Peer, type Sessions} from './sessions';
+import {createSiteClientPool, type SiteClientPool} from './site_clients';
+import {startSiteServer, type SiteServer} from './site_server';
+
+/** A peer that does not answer a pull within this time counts as silent. */
+const PULL_TIMEOUT = 1_000;
+
+/** What an entry or an agent adds to the common part. */
+export interface SiteNodeRole {
+  readonly role: 'entry' | 'agent';
+  /** Undefined until it is known; sessions are refused so long. */
+  readonly incarnation: () => Incarnation | undefined;
+  readonly target?: SlotTarget;
+  readonly callerAddress?: string;
+  readonly agentHandlers?: AgentServer;
+  /** Present on agents: what each heartbeat says of the target. */
+  readonly targetReport?: () => TargetReport;
+  readonly isLeaving: () => boolean;
+  readonly dump: () => Readonly<Record<string, unknown>>;
+  readonly onAdopted: (accepted: AcceptedConfiguration) => void;
+  readonly onTargetReport?: (peer: Peer, report: TargetReport) => void;
+  readonly onHaveDelta?: (peer: Peer, delta: HaveDelta) => void;
+  readonly onPeerOpened?: (peer: Peer) => void;
+  readonly onPeerClosed?: (peer: Peer) => void;
+  /** Called after each membership tick. */
+  readonly onTick: () => void;
+}
+
+/** Options of {@link createSiteNode}. */
+export interface SiteNodeOptions {
+  readonly settings: CommonSettings;
+  readonly clock: Clock;
+  readonly platform: Platform;
+  readonly role: SiteNodeRole;
+}
+
+/** The part that every process of the site has in common. */
+export interface SiteNode {
+  readonly membership: Membership;
+  readonly sessions: Sessions;
+  readonly configuration: ConfigurationDriver;
+  readonly clients: SiteClientPool;
+  readonly log: (part: LogPart) => Log;
+  /** The platform's list as last read. */
+  readonly listed: () => readonly ListedInstance[];
+  readonly refreshList: () => Promise<readonly ListedInstance[]>;
+  /** The generation that each listed process has; undefined if silent. */
+  readonly askGenerations: () => Promise<
+    readonly {
+      readonly instance: InstanceName;
+      readonly generation: Generation | undefined;
+    }[]
+  >;
+  /** Listens and learns the generation; resolves when ready. */
+  readonly start: () => Promise<void>;
+  /** Says goodbye and waits for the calls in progress. */
+  readonly stop: (reason: string) => Promise<void>;
+}
+
+/** Joins server, sessions, membership and configuration of one process. */
+export function createSiteNode(options: SiteNodeOptions): SiteNode {
+  const {settings, clock, platform, role} = options;
+  const secrets = [settings.siteKey];
+  const log = (part: LogPart): Log =>
+    createLog({settings: settings.log, part, secrets});
+  const siteLog = log('site');
+  const clients = createSiteClientPool(settings.siteKey);
+  const membership = createMembership(settings.instance);
+  let heartbeats = 0;
+  let server: SiteServer | undefined;
+  let poller: InstanceListPoller | undefined;
+  const timers: (() => void)[] = [];
+
+  // Only entries route by a target's report; to an agent it would cost most of
+  // the bytes of a heartbeat for nothing.
+  const heartbeat = (toRole: string) => {
+    heartbeats += 1;
+    return {
+      message: {
+        $case: 'heartbeat',
+        heartbeat: {
+          sequence: heartbeats,
+          generation: configuration.current()?.generation ?? 0,
+          leaving: role.isLeaving(),
+          target: toRole === 'entry' ? role.targetReport?.() : undefined,
+        },
+      },
+    } as const;
+  };
+
+  const sessions = createSessions({
+    clients,
+    hello: () => ({
+      instance: settings.instance,
+      role: role.role,
+      zone: settings.zone,
+      region: settings.region,
+      address: formatAddress(settings.siteAddress),
+      incarnation: role.incarnation() ?? 0,
+      target: role.target,
+      callerAddress: role.callerAddress ?? '',
+    }),
+    heartbeat: peer => heartbeat(peer.role),
+    events: {
+      opened: peer => {
+        const {instance, zone, region, address} = peer;
+        const peerRole = peer.role === 'entry' ? 'entry' : 'agent';
+        membership.hello(
+          {instance, role: peerRole, address, zone, region},
+          peer.incarnation,
+          clock(),
+        );
+        role.onPeerOpened?.(peer);
+      },
+      received: (peer, {message}) => {
+        switch (message?.$case) {
+          case 'heartbeat': {
+            const {sequence, leaving, generation, target} = message.heartbeat;
+            const {instance, incarnation} = peer;
+            membership.heartbeat(
+              {instance, incarnation, sequence, leaving},
+              clock(),
+            );
+            if (generation > 0) configuration.hearPeer(instance, generation);
+            if (target !== undefined) role.onTargetReport?.(peer, target);
+            return;
+          }
+          case 'goodbye':
+            membership.goodbye(peer.instance, peer.incarnation, clock());
+            return;
+          case 'haveDelta':
+            role.onHaveDelta?.(peer, message.haveDelta);
+            return;
+          case 'hello':
+          case undefined:
+            return;
+        }
+      },
+      closed: peer => {
+        membership.sessionLost(peer.instance, peer.incarnation, clock());
+        role.onPeerClosed?.(peer);
+      },
+    },
+  });
+
+  const addressOf = (instance: InstanceName): string | undefined =>
+    membership.members().find(member => member.instance === instance)
+      ?.address ??
+    poller?.latest().find(line => line.instance === instance)?.address;
+
+  const pull = (
+    peer: InstanceName,
+    knownGeneration: Generation,
+  ): Promise<PullConfigurationReply | undefined> => {
+    const address = addressOf(peer);
+    if (address === undefined) return Promise.resolve(undefined);
+    return new Promise(resolve => {
+      clients
+        .at(address)
+        .peer.pullConfiguration(
+          {knownGeneration: Math.max(0, knownGeneration)},
+          clients.metadata,
+          {deadline: Date.now() + PULL_TIMEOUT},
+          (error, reply) => resolve(error === null ? reply : undefined),
+        );
+    });
+  };
+
+  const others = (lines: readonly ListedInstance[]) =>
+    lines.filter(line => line.instance !== settings.instance);
+
+  const configuration = createConfigurationDriver({
+    instance: settings.instance,
+    clock,
+    platform,
+    log: log('configuration'),
+    onAdopted: role.onAdopted,
+    transport: {
+      peers: async () => {
+        const lines = await (poller?.refresh() ?? []);
+        return others(lines).map(line => line.instance);
+      },
+      connected: () => sessions.peers().map(peer => peer.instance),
+      liveProcesses: () => poller?.latest().length ?? 1,
+      pull,
+      announce: peers => {
+        for (const peer of peers) sessions.send(peer, heartbeat(''));
+      },
+    },
+  });
+
+  const askGenerations = async () => {
+    const lines = others(poller?.latest() ?? []);
+    const replies = await Promise.all(
+      lines.map(line => pull(line.instance, GENERATION_ONLY)),
+    );
+    const own = {
+      instance: settings.instance,
+      generation: configuration.current()?.generation,
+    };
+    return [
+      own,
+      ...lines.map((line, index) => ({
+        instance: line.instance,
+        generation: replies[index]?.generation,
+      })),
+    ];
+  };
+
+  const dump = (): string =>
+    JSON.stringify({
+      instance: settings.instance,
+      role: role.role,
+      zone: settings.zone,
+      region: settings.region,
+      incarnation: role.incarnation(),
+      leaving: role.isLeaving(),
+      configuration: configuration.dump(),
+      membership: membership.members().slice(0, MOST_DUMPED_MEMBERS),
+      sessions: sessions.peers().length,
+      ...role.dump(),
+    });
+
+  const start = async (): Promise<void> => {
+    server = await startSiteServer({
+      listen: settings.siteAddress,
+      siteKey: settings.siteKey,
+      onRefused: method => siteLog.warn(`refused ${method} without the key`),
+      handlers: {
+        session: stream => {
+          if (role.incarnation() === undefined) stream.end();
+          else sessions.accept(stream);
+        },
+        pullConfiguration: request =>
+          configuration.reply(
+            request.knownGeneration >= GENERATION_ONLY
+              ? GENERATION_ONLY
+              : request.knownGeneration,
+          ),
+        dump: () => ({json: dump()}),
+        agent: role.agentHandlers,
+      },
+    });
+    poller = startInstanceListPoller(platform.instances, lines =>
+      membership.list(lines, clock()),
+    );
+    await poller.refresh();
+    await configuration.start();
+    timers.push(
+      every(KEEPER_PERIOD, configuration.tick),
+      every(TICK_PERIOD, () => {
+        membership.tick(clock());
+        role.onTick();
+      }),
+    );
+  };
+
+  const stop = async (reason: string): Promise<void> => {
+    sessions.close(reason);
+    for (const stopTimer of timers) stopTimer();
+    poller?.stop();
+    // Sessions of peers that don't answer the goodbye would keep the server
+    // open for ever; calls of requests have ended before this point.
+    const drained = server?.drain() ?? Promise.resolve();
+    await Promise.race([drained, new Promise(r => setTimeout(r, 1_000))]);
+    server?.close();
+    clients.close();
+  };
+
+  return {
+    membership,
+    sessions,
+    configuration,
+    clients,
+    log,
+    listed: () => poller?.latest() ?? [],
+    refreshList: () => poller?.refresh() ?? Promise.resolve([]),
+    askGenerations,
+    start,
+    stop,
+  };
+}
+
+/** Members in one dump, so that its size has a bound. */
+const MOST_DUMPED_MEMBERS = 1_000;
--- a/packages/daemon/src/targets/engine_client.ts
+++ b/packages/daemon/src/targets/engine_client.ts
@@ -1,3 +1,4 @@
+import {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
 import {z} from 'zod';
 import {
@@ -74,13 +75,16 @@
   const exchange = createTargetExchange(url, CONNECTIONS);
   const orderHeaders = {...JSON_HEADERS, 'x-order-giver': orderGiver};
   return {
-    putChunk: async (digest, content) =>
+    putChunk: async (digest, pieces) =>
       done(
         await exchange.bytes({
           method: 'PUT',
           path: `/chunks/${digest}`,
-          body: content,
-          headers: BYTES_HEADERS,
+          body: Readable.from(pieces),
+          headers: {
+            ...BYTES_HEADERS,
+            'content-length': String(sizeOf(pieces)),
+          },
         }),
       ),
     listChunks: async () => {
@@ -119,6 +123,10 @@
   };
 }
 
+function sizeOf(pieces: readonly Uint8Array[]): number {
+  return pieces.reduce((size, piece) => size + piece.length, 0);
+}
+
 function done(
   result: Result<Uint8Array, TargetError>,
 ): Result<void, TargetError> {
--- a/packages/daemon/src/targets/http_exchange.ts
+++ b/packages/daemon/src/targets/http_exchange.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
+import type {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
 import {Pool, type Dispatcher} from 'undici';
 import type {z} from 'zod';
@@ -21,7 +22,7 @@
 export interface TargetCall {
   readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
   readonly path: string;
-  readonly body?: string | Uint8Array;
+  readonly body?: string | Uint8Array | Readable;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal?: AbortSignal;
   /** Undefined waits as long as the signal allows. */
--- a/packages/daemon/src/targets/plain_service_client.ts
+++ b/packages/daemon/src/targets/plain_service_client.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {createTargetExchange, parseJson} from './http_exchange';
-import {Err, Ok} from 'ts-results';
+import {Ok} from 'ts-results';
 import type {PlainServiceClient} from './types';
 
 /** Calls that run on one plain service at a time, at most. */
@@ -23,12 +23,9 @@
       if (received.err) return received;
       const answer = parseJson(received.val, ANSWER);
       if (answer.err) return answer;
-      // Answers may come crossed: another attempt's result on this connection
-      // would show to the caller as somebody else's answer.
-      if (answer.val.attempt !== attempt) {
-        return Err({kind: 'malformed', detail: 'answer to another attempt'});
-      }
-      return Ok(Buffer.from(JSON.stringify(answer.val.result)));
+      const {attempt: answered, result} = answer.val;
+      const text = JSON.stringify(result ?? null);
+      return Ok({attempt: answered, content: Buffer.from(text)});
     },
     reachable: async () => {
       const reply = await exchange.bytes({method: 'GET', path: '/runs'});
--- a/packages/daemon/src/targets/types.ts
+++ b/packages/daemon/src/targets/types.ts
@@ -88,7 +88,11 @@
 
 /** A model engine, as its agent uses it. */
 export interface EngineClient {
-  readonly putChunk: (digest: Digest, content: Uint8Array) => TargetReply<void>;
+  /** Sends the pieces one after the other, without copying them together. */
+  readonly putChunk: (
+    digest: Digest,
+    pieces: readonly Uint8Array[],
+  ) => TargetReply<void>;
   readonly listChunks: () => TargetReply<readonly Digest[]>;
   readonly readChunk: (digest: Digest) => TargetReply<Uint8Array>;
   readonly deleteChunk: (digest: Digest) => TargetReply<void>;
@@ -107,15 +111,25 @@
   readonly close: () => Promise<void>;
 }
 
+/** A plain service's answer; it names the attempt that it is for. */
+export interface PlainServiceAnswer {
+  readonly attempt: AttemptId;
+  /** JSON text of the result. */
+  readonly content: Uint8Array;
+}
+
 /** A plain service, as its agent uses it. */
 export interface PlainServiceClient {
-  /** Runs one call; `content` is the JSON text of the request's body. */
+  /**
+   * Runs one call; `content` is the JSON text of the request's body. The
+   * answer may be another attempt's: whoever asks must match it.
+   */
   readonly call: (
     attempt: AttemptId,
     operation: string,
     content: Uint8Array,
     signal: AbortSignal,
-  ) => TargetReply<Uint8Array>;
+  ) => TargetReply<PlainServiceAnswer>;
   readonly reachable: () => Promise<boolean>;
   readonly close: () => Promise<void>;
 }
