--- a/packages/standins/src/shared/rate_limit.ts
+++ b/packages/standins/src/shared/rate_limit.ts
@@ -13,12 +13,18 @@
 /** A token bucket that holds one second's calls, as table services do. */
 export function createRateLimit(clock: Clock, initialRate: number): RateLimit {
   let rate = initialRate;
-  let tokens = rate;
+  let tokens = capacity();
   let filledAt = clock.now();
 
+  /** A rate below one a second still lets one call pass when its time comes. */
+  function capacity(): number {
+    return Math.max(1, rate);
+  }
+
   function refill(): void {
     const now = clock.now();
-    tokens = Math.min(rate, tokens + ((now - filledAt) * rate) / SECOND);
+    const filled = ((now - filledAt) * rate) / SECOND;
+    tokens = Math.min(capacity(), tokens + filled);
     filledAt = now;
   }
 
@@ -34,7 +40,7 @@
     setRate: newRate => {
       refill();
       rate = newRate;
-      tokens = Math.min(tokens, rate);
+      tokens = Math.min(tokens, capacity());
     },
   };
 }
--- /dev/null
+++ b/test/standins/manual_clock.ts
@@ -0,0 +1,37 @@
+import type {Clock} from '@hibiscusbeam/standins';
+
+/** A clock that stands still until a test moves it. */
+export interface ManualClock extends Clock {
+  /** Lets `duration` milliseconds pass; waits end in their order. */
+  readonly advance: (duration: number) => Promise<void>;
+}
+
+/** Lets all that follows from settled promises run. */
+function settle(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+/** A clock at 0. */
+export function createManualClock(): ManualClock {
+  let now = 0;
+  let waits: {readonly at: number; readonly resolve: () => void}[] = [];
+
+  return {
+    now: () => now,
+    wait: duration =>
+      new Promise(resolve => waits.push({at: now + duration, resolve})),
+    advance: async duration => {
+      const end = now + duration;
+      for (;;) {
+        await settle();
+        const due = Math.min(...waits.map(wait => wait.at));
+        if (due > end) break;
+        now = due;
+        const ended = waits.filter(wait => wait.at <= now);
+        waits = waits.filter(wait => wait.at > now);
+        for (const wait of ended) wait.resolve();
+      }
+      now = end;
+    },
+  };
+}
