Prove settings, logs and metrics; mask secrets ourselves

Cause: the property "a log never shows a secret" failed: tslog's masking passes over whatever looks like an error, so the site's key within an error's message was logged. Ruled out: masking by tslog with fields made plain first (it failed the same way: a plain object with name, message and stack still looks like an error). Conclusion: secrets are taken out before the logger sees them.

--- a/packages/daemon/src/logs/create_log.ts
+++ b/packages/daemon/src/logs/create_log.ts
@@ -1,6 +1,6 @@
 import {Logger, type ISettingsParam} from 'tslog';
-import {MASK, SECRET_FIELDS, secretPatterns} from './mask';
-import {toPlain} from './plain_values';
+import {createMask} from './mask';
+import {plainText, toPlain} from './plain_values';
 import type {Log, LogFields, LogOptions} from './types';
 
 const LEVELS = ['debug', 'info', 'warn', 'error'] as const;
@@ -14,13 +14,13 @@
 /** A log of one part of the process, by default to standard error. */
 export function createLog(options: LogOptions): Log {
   const logger = new Logger<Line>(loggerSettings(options));
+  const mask = createMask(options.secrets ?? []);
   const least = LEVELS.indexOf(options.settings.level);
   const at = (level: (typeof LEVELS)[number]) => {
     if (LEVELS.indexOf(level) < least) return () => undefined;
     return (sentence: string, fields: LogFields = {}) => {
-      // tslog masks plain values only; an error or a map would pass unmasked.
-      const message = `[${options.part}] ${sentence}`;
-      logger[level]({message, fields: toPlain(fields)});
+      const message = `[${options.part}] ${plainText(sentence, mask)}`;
+      logger[level]({message, fields: toPlain(fields, mask)});
     };
   };
   return {
@@ -38,10 +38,6 @@
     // tslog would print to standard output; the transport below writes.
     type: 'hidden',
     hideLogPositionForProduction: true,
-    maskPlaceholder: MASK,
-    maskValuesOfKeys: [...SECRET_FIELDS],
-    maskValuesOfKeysCaseInsensitive: true,
-    maskValuesRegEx: [...secretPatterns(options.secrets ?? [])],
     attachedTransports: [
       line => {
         const time = line._meta?.date.toISOString() ?? '';
--- a/packages/daemon/src/logs/mask.ts
+++ b/packages/daemon/src/logs/mask.ts
@@ -1,5 +1,5 @@
 /** Names of fields whose values are never logged, in lower case. */
-export const SECRET_FIELDS: readonly string[] = [
+const SECRET_FIELDS: ReadonlySet<string> = new Set([
   'authorization',
   'bearer',
   'key',
@@ -8,21 +8,30 @@
   'sha256',
   'sitekey',
   'token',
-];
+]);
 
-/** What stands in the place of a secret. */
-export const MASK = '[secret]';
+const MASK = '[secret]';
 
 const BEARER_TOKEN = /(?<=bearer\s+)[^\s"']+/gi;
 
-/** Patterns of secrets within longer texts. */
-export function secretPatterns(secrets: readonly string[]): readonly RegExp[] {
-  const given = secrets
-    .filter(secret => secret !== '')
-    .map(secret => new RegExp(escapePattern(secret), 'g'));
-  return [...given, BEARER_TOKEN];
+/** Takes secrets out of texts, and whole values out of secret fields. */
+export interface Mask {
+  readonly text: (text: string) => string;
+  /** What is logged for a field of this name, or undefined for its value. */
+  readonly field: (name: string) => string | undefined;
 }
 
-function escapePattern(text: string): string {
-  return text.replace(/[\\^$.*+?()[\]{}|/-]/g, '\\$&');
+/** Masks the given texts wherever they stand, and all bearer tokens. */
+export function createMask(secrets: readonly string[]): Mask {
+  const given = secrets.filter(secret => secret !== '');
+  return {
+    text: text => {
+      const masked = given.reduce(
+        (part, secret) => part.replaceAll(secret, MASK),
+        text,
+      );
+      return masked.replace(BEARER_TOKEN, MASK);
+    },
+    field: name => (SECRET_FIELDS.has(name.toLowerCase()) ? MASK : undefined),
+  };
 }
--- a/packages/daemon/src/metrics/create_metrics.ts
+++ b/packages/daemon/src/metrics/create_metrics.ts
@@ -67,11 +67,23 @@
     close: () => {
       if (closed) return Promise.resolve();
       closed = true;
-      return new Promise(resolve => client.close(() => resolve()));
+      return closeClient(client, options.onError);
     },
   };
 }
 
+function closeClient(
+  client: StatsD,
+  onError: MetricsOptions['onError'],
+): Promise<void> {
+  return new Promise(resolve =>
+    client.close(error => {
+      if (error) onError(error);
+      resolve();
+    }),
+  );
+}
+
 function openClient(
   options: MetricsOptions,
   {address, prefix}: MetricsSettings,
--- a/packages/daemon/src/settings/reference.ts
+++ b/packages/daemon/src/settings/reference.ts
@@ -19,7 +19,7 @@
   const entryPaths = new Set(collect(entrySchema).map(([path]) => path));
   const agentPaths = new Set(collect(agentSchema).map(([path]) => path));
   return collect(eitherRoleSchema).map(([path, schema]) => {
-    const notes = fieldNotes.get(schema);
+    const notes = notesOf(schema);
     if (notes === undefined) throw new Error(`${path} has no description`);
     return {
       path,
@@ -42,6 +42,12 @@
   );
 }
 
+function notesOf(schema: z.core.$ZodType): FieldNotes | undefined {
+  const notes = fieldNotes.get(schema);
+  if (notes !== undefined || !(schema instanceof z.ZodOptional)) return notes;
+  return notesOf(schema.unwrap());
+}
+
 function collect(
   schema: z.core.$ZodType,
   path: readonly string[] = [],
--- /dev/null
+++ b/test/metrics/metrics.test.ts
@@ -0,0 +1,74 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import {
+  createMetrics,
+  METRICS,
+  type MetricsSettings,
+} from '@hibiscusbeam/daemon';
+import {describe, expect, test} from 'vitest';
+import {tableRows} from '../fixtures/markdown';
+
+function open(settings: MetricsSettings | undefined, errors: Error[] = []) {
+  return createMetrics({
+    settings,
+    tags: {role: 'entry', instance: 'bilbao-7', zone: 'bilbao-hall'},
+    onError: error => errors.push(error),
+  });
+}
+
+describe('metrics', () => {
+  test('are listed on their page as the program has them', () => {
+    const expected = Object.entries(METRICS).map(([name, notes]) => [
+      name,
+      notes.kind,
+      notes.unit,
+      notes.tags.join(', ') || 'none',
+      notes.meaning,
+    ]);
+    const page = readFileSync('docs/metrics.md', 'utf8');
+    expect(tableRows(page, 'Name')).toEqual(expected);
+  });
+
+  test('reach their receiver with prefix and tags', async () => {
+    const receiver = createSocket('udp4').bind(0, '127.0.0.1');
+    await once(receiver, 'listening');
+    const {port} = receiver.address();
+    const datagram = once(receiver, 'message');
+    const metrics = open({address: {host: '127.0.0.1', port}, prefix: 'hb.'});
+    metrics.count('requests.received', {workspace: 'oviedo-counter'}, 2);
+    metrics.gauge('requests.waiting', {}, 7);
+    await metrics.close();
+    const [content] = (await datagram) as [Buffer];
+    receiver.close();
+    const tags = 'role:entry,instance:bilbao-7,zone:bilbao-hall';
+    expect(content.toString().trim().split('\n')).toEqual([
+      `hb.requests.received:2|c|#${tags},workspace:oviedo-counter`,
+      `hb.requests.waiting:7|g|#${tags}`,
+    ]);
+  });
+
+  test('cost nothing and close at once when there is no receiver', async () => {
+    const metrics = open(undefined);
+    metrics.count('requests.retried', {});
+    await metrics.close();
+    await metrics.close();
+  });
+
+  // What a user sees: every process of the site ends within a second.
+  // The host of the metrics receiver goes away or forbids datagrams; sending
+  // fails; the library raises the failure on its socket, where nobody listens.
+  test('that cannot be sent are told of and end nothing', async () => {
+    const errors: Error[] = [];
+    // Sending to the broadcast address is refused without a special option.
+    const address = {host: '255.255.255.255', port: 8125};
+    const metrics = open({address, prefix: 'hb.'}, errors);
+    // Fills several datagrams, each of which is sent as soon as it is full.
+    for (let sent = 0; sent < 100; sent += 1) {
+      metrics.count('requests.retried', {});
+    }
+    await metrics.close();
+    metrics.count('requests.retried', {});
+    expect(errors.length).toBeGreaterThan(1);
+  });
+});
