Prove the swarm's decisions on a small mesh of pure nodes

Cause: partial or mixed weights, a rollout that stops for ever, and second copies from the origin are what users would see of a fault in the swarm. Ruled out: verdicts from wall-clock time; the mesh carries its own time, and fast-check chooses kills, freezes, restarts, outages, supersessions, and bad, crossed, doubled and late chunks. The mesh alone did not catch the removed wait for have-maps, so that guard has a proof on one node.

--- a/test/distribution/driver.test.ts
+++ b/test/distribution/driver.test.ts
@@ -1,6 +1,7 @@
 import type {Digest, InstanceName} from '@hibiscusbeam/core';
 import {
   createSwarmDriver,
+  receiveChunk,
   type ChunkStore,
   type SwarmDriver,
   type SwarmPeer,
@@ -101,4 +102,19 @@
     }
     expect(origin.chunks).toBe(32);
   });
+
+  // An agent runs out of memory. Order of events: a sender's stream for one
+  // chunk never ends. Cause: bytes are kept until the stream ends.
+  test('reads no more of a chunk than its size', async () => {
+    let sent = 0;
+    async function* endless() {
+      while (sent < 1_000) {
+        sent += 1;
+        yield Ok(Buffer.alloc(100));
+      }
+    }
+    const received = await receiveChunk(endless(), 'sha256:', 300, () => {});
+    expect(received.val).toMatchObject({verified: false});
+    expect(sent).toBe(4);
+  });
 });
--- /dev/null
+++ b/test/distribution/invariants.test.ts
@@ -0,0 +1,98 @@
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {propertySettings} from '../fixtures/property_settings';
+import {createMesh, type Fault} from './mesh';
+import {generateVersion} from './versions';
+
+const NODES = 5;
+const node = fc.nat({max: NODES - 1});
+
+/** Faults that leave at least one path to every chunk: the origin. */
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  fc.record({kind: fc.constant('kill' as const), node}),
+  fc.record({
+    kind: fc.constant('freeze' as const),
+    node,
+    time: fc.constantFrom(100, 5_000, Infinity),
+  }),
+  fc.record({kind: fc.constant('restartAgent' as const), node}),
+  fc.record({kind: fc.constant('restartEngine' as const), node}),
+  fc.record({kind: fc.constant('cutSession' as const), node, other: node}),
+  fc.record({
+    kind: fc.constant('originOutage' as const),
+    time: fc.constantFrom(200, 8_000),
+  }),
+  fc.record({kind: fc.constant('supersede' as const)}),
+  fc.record({
+    kind: fc.constantFrom(
+      'corruptNext' as const,
+      'crossNext' as const,
+      'doubleNext' as const,
+      'lateNext' as const,
+    ),
+  }),
+);
+
+const faults = fc.array(fc.record({at: fc.nat({max: 1_000}), fault}), {
+  maxLength: 8,
+});
+
+function chunkNames(prefix: string, count: number): readonly string[] {
+  return Array.from({length: count}, (_, place) => `${prefix}-${place}`);
+}
+
+const first = generateVersion('1', chunkNames('shared', 16));
+const second = generateVersion('2', [
+  ...chunkNames('shared', 8),
+  ...chunkNames('new', 8),
+]);
+
+describe('swarm under any faults', () => {
+  // A counter's assistant answers from half an old and half a new version, or
+  // from bytes that a bad link changed. Order of events: chunks arrive bad,
+  // crossed, doubled or late, versions change and engines restart while
+  // transfers run. Cause: counting a chunk that this store does not hold.
+  test('no node is ready with partial, mixed or wrong weights', () => {
+    fc.assert(
+      fc.property(fc.nat(), faults, (seed, list) => {
+        const mesh = createMesh({
+          nodes: NODES,
+          seed,
+          versions: [first, second],
+        });
+        mesh.run(list);
+        expect(mesh.wrongReady).toEqual([]);
+      }),
+      propertySettings(150),
+    );
+  });
+
+  // A rollout stays at 97% for ever on one instance. Order of events: agents
+  // die, freeze, restart and lose sessions while the origin comes and goes.
+  // Cause: a chunk that waits for a sender which will never send it.
+  test('every live node gets the version while the origin answers', () => {
+    fc.assert(
+      fc.property(fc.nat(), faults, (seed, list) => {
+        const mesh = createMesh({
+          nodes: NODES,
+          seed,
+          versions: [first, second],
+        });
+        expect(mesh.run(list)).toBe(true);
+      }),
+      propertySettings(150),
+    );
+  });
+
+  test('a late confirmation of a restarted engine counts for nothing', () => {
+    fc.assert(
+      fc.property(fc.nat(), fc.nat({max: 400}), (seed, at) => {
+        const mesh = createMesh({nodes: 3, seed, versions: [first]});
+        const restart = {kind: 'restartEngine', node: 0} as const;
+        expect(mesh.run([{at, fault: restart}])).toBe(true);
+        expect(mesh.wrongReady).toEqual([]);
+      }),
+      propertySettings(100),
+    );
+  });
+});
--- /dev/null
+++ b/test/distribution/mesh.ts
@@ -0,0 +1,438 @@
+import {
+  createSwarmNode,
+  hash32,
+  type Digest,
+  type InstanceName,
+  type RequestFailure,
+  type RolloutPreference,
+  type SwarmEffect,
+  type SwarmEvent,
+  type SwarmNode,
+  type SwarmNodeOptions,
+} from '@hibiscusbeam/core';
+import type {GeneratedVersion} from './versions';
+
+/** Something that goes wrong at one instant. */
+export type Fault =
+  | {readonly kind: 'kill'; readonly node: number}
+  | {readonly kind: 'freeze'; readonly node: number; readonly time: number}
+  | {readonly kind: 'restartAgent'; readonly node: number}
+  | {readonly kind: 'restartEngine'; readonly node: number}
+  | {readonly kind: 'cutSession'; readonly node: number; readonly other: number}
+  | {readonly kind: 'originOutage'; readonly time: number}
+  | {readonly kind: 'supersede'}
+  | {readonly kind: 'corruptNext' | 'crossNext' | 'doubleNext' | 'lateNext'};
+
+export interface MeshOptions {
+  readonly nodes: number;
+  readonly zones?: number;
+  readonly seed: number;
+  /** The first is wanted at the start, each next one at a `supersede`. */
+  readonly versions: readonly GeneratedVersion[];
+  readonly prefer?: RolloutPreference;
+  readonly node?: Partial<SwarmNodeOptions>;
+  /** Nodes that send only bad chunks. */
+  readonly badSenders?: readonly number[];
+}
+
+interface MeshNode {
+  readonly instance: InstanceName;
+  readonly zone: string;
+  node: SwarmNode;
+  /** Counts restarts of the agent: messages for an older life are lost. */
+  agentLife: number;
+  engineLife: number;
+  /** Bytes as stored, by the digest that they were stored under. */
+  store: Map<Digest, string>;
+  alive: boolean;
+  frozenUntil: number;
+  wakeUp: number;
+  readonly pieces: Map<number, string>;
+  readonly ready: Set<Digest>;
+}
+
+interface Ask {
+  readonly at: number;
+  readonly by: number;
+  readonly from: InstanceName;
+  readonly digest: Digest;
+}
+
+/** Longest simulated time before a mesh counts as stuck, in milliseconds. */
+const LONGEST_RUN = 900_000;
+
+/** Pure swarm nodes joined by links that lose, delay, double and cross. */
+export function createMesh(options: MeshOptions) {
+  const queue: {at: number; order: number; run: () => void}[] = [];
+  const asks: Ask[] = [];
+  const cutOffs: {by: number; neighbour: InstanceName}[] = [];
+  const wrongReady: string[] = [];
+  const served: {by: number; from: InstanceName}[] = [];
+  const uploads = new Map<
+    string,
+    {by: number; life: number; transfer: number; digest: Digest}
+  >();
+  const pending = {corrupt: 0, cross: 0, double: 0, late: 0};
+  let now = 0;
+  let order = 0;
+  let draws = 0;
+  let current = 0;
+  let originDownUntil = 0;
+  let nextUpload = 1;
+
+  const names = Array.from({length: options.nodes}, (_, i) => `agent-${i}`);
+  const nodes: MeshNode[] = names.map((instance, place) => {
+    const zone = `zone-${place % (options.zones ?? 2)}`;
+    return {
+      instance,
+      zone,
+      node: createNode(instance, zone, place),
+      agentLife: 0,
+      engineLife: 0,
+      store: new Map(),
+      alive: true,
+      frozenUntil: 0,
+      wakeUp: Infinity,
+      pieces: new Map(),
+      ready: new Set(),
+    };
+  });
+
+  function createNode(instance: string, zone: string, seed: number) {
+    return createSwarmNode({
+      instance,
+      zone,
+      seed,
+      transferBuffer: 1 << 20,
+      ...options.node,
+    });
+  }
+
+  function draw(range: number): number {
+    draws += 1;
+    return hash32(`${options.seed}:${draws}`) % range;
+  }
+
+  function later(delay: number, run: () => void): void {
+    order += 1;
+    queue.push({at: now + delay, order, run});
+  }
+
+  /** Delivers to one life of a node; a frozen node gets it when it wakes. */
+  function tell(place: number, life: number, event: SwarmEvent): void {
+    const target = nodes[place]!;
+    if (!target.alive || target.agentLife !== life) return;
+    if (target.frozenUntil > now) {
+      if (target.frozenUntil === Infinity) return;
+      later(target.frozenUntil - now, () => tell(place, life, event));
+      return;
+    }
+    for (const effect of target.node.handle(event, now)) {
+      carryOut(place, effect);
+    }
+    const at = target.node.nextWakeUp();
+    if (at === undefined || at === target.wakeUp) return;
+    target.wakeUp = at;
+    later(Math.max(1, at - now), () => {
+      target.wakeUp = Infinity;
+      tell(place, life, {kind: 'tick'});
+    });
+  }
+
+  function deliver(
+    place: number,
+    life: number,
+    transfer: number,
+    digest: Digest,
+    good: boolean,
+  ): void {
+    const isBad = !good || take('corrupt');
+    const other = [...options.versions[0]!.content.keys()][0]!;
+    const arriving = take('cross') ? other : digest;
+    const bytes = isBad ? 'bad' : arriving;
+    const times = take('double') ? 2 : 1;
+    const delay = take('late') ? 20_000 : 5 + draw(20);
+    for (let time = 0; time < times; time += 1) {
+      later(delay + time * 50, () => {
+        nodes[place]!.pieces.set(transfer, bytes);
+        tell(place, life, {
+          kind: 'chunkArrived',
+          transfer,
+          digest: arriving,
+          verified: bytes === arriving,
+        });
+      });
+    }
+  }
+
+  function take(kind: keyof typeof pending): boolean {
+    if (pending[kind] === 0) return false;
+    pending[kind] -= 1;
+    return true;
+  }
+
+  function fail(
+    place: number,
+    life: number,
+    transfer: number,
+    failure: RequestFailure,
+  ): void {
+    const event = {kind: 'requestFailed', transfer, failure} as const;
+    later(2 + draw(5), () => tell(place, life, event));
+  }
+
+  function carryOut(place: number, effect: SwarmEffect): void {
+    const own = nodes[place]!;
+    const life = own.agentLife;
+    switch (effect.kind) {
+      case 'askOrigin': {
+        const {transfer, digest} = effect;
+        asks.push({at: now, by: place, from: 'origin', digest});
+        if (originDownUntil > now) {
+          fail(place, life, transfer, {kind: 'unavailable'});
+        } else deliver(place, life, transfer, digest, true);
+        return;
+      }
+      case 'askNeighbour': {
+        const {transfer, digest, neighbour} = effect;
+        asks.push({at: now, by: place, from: neighbour, digest});
+        const sender = names.indexOf(neighbour);
+        later(1 + draw(5), () => {
+          const target = nodes[sender]!;
+          if (!target.alive) {
+            fail(place, life, transfer, {kind: 'unavailable'});
+            return;
+          }
+          const upload = nextUpload;
+          nextUpload += 1;
+          uploads.set(`${sender}:${upload}`, {
+            by: place,
+            life,
+            transfer,
+            digest,
+          });
+          tell(sender, target.agentLife, {
+            kind: 'uploadAsked',
+            upload,
+            neighbour: own.instance,
+            digest,
+          });
+        });
+        return;
+      }
+      case 'startUpload': {
+        const upload = uploads.get(`${place}:${effect.upload}`)!;
+        const good = options.badSenders?.includes(place) !== true;
+        served.push({by: upload.by, from: own.instance});
+        deliver(upload.by, upload.life, upload.transfer, upload.digest, good);
+        const reads = nodes[upload.by]!.frozenUntil <= now;
+        if (!reads) return;
+        const ended = {kind: 'uploadEnded', upload: effect.upload} as const;
+        later(25, () => tell(place, life, ended));
+        return;
+      }
+      case 'refuseUpload': {
+        const upload = uploads.get(`${place}:${effect.upload}`)!;
+        fail(upload.by, upload.life, upload.transfer, effect.failure);
+        return;
+      }
+      case 'storeChunk': {
+        const bytes = own.pieces.get(effect.transfer)!;
+        const {digest, life: storeLife} = effect;
+        later(1 + draw(20), () => {
+          own.store.set(digest, bytes);
+          const stored = {
+            kind: 'chunkStored',
+            digest,
+            life: storeLife,
+          } as const;
+          later(1 + draw(20), () => tell(place, life, stored));
+        });
+        return;
+      }
+      case 'announce': {
+        const {versionDigest, gained} = effect;
+        for (const neighbour of effect.neighbours) {
+          const target = names.indexOf(neighbour);
+          const targetLife = nodes[target]!.agentLife;
+          const have = {
+            kind: 'neighbourHave',
+            neighbour: own.instance,
+            versionDigest,
+            gained,
+          } as const;
+          later(3, () => tell(target, targetLife, have));
+        }
+        return;
+      }
+      case 'ready':
+        return checkReady(own, effect.versionDigest);
+      case 'cutOff':
+        cutOffs.push({by: place, neighbour: effect.neighbour});
+        return;
+      case 'cancel':
+      case 'stopUpload':
+        return;
+    }
+  }
+
+  function checkReady(own: MeshNode, versionDigest: Digest): void {
+    own.ready.add(versionDigest);
+    const version = options.versions.find(
+      candidate => candidate.versionDigest === versionDigest,
+    )!;
+    for (const {digest} of version.manifest.chunks) {
+      const stored = own.store.get(digest);
+      if (stored !== digest) wrongReady.push(`${own.instance}: ${stored}`);
+    }
+  }
+
+  function begin(place: number): void {
+    const own = nodes[place]!;
+    const life = own.agentLife;
+    tell(place, life, {kind: 'membersChanged', members: nodes});
+    reportHeld(place);
+    want(place, options.versions[current]!);
+  }
+
+  function reportHeld(place: number): void {
+    const own = nodes[place]!;
+    const report = {
+      kind: 'heldReported',
+      life: String(own.engineLife),
+      digests: [...own.store.keys()],
+    } as const;
+    tell(place, own.agentLife, report);
+  }
+
+  function want(place: number, version: GeneratedVersion): void {
+    tell(place, nodes[place]!.agentLife, {
+      kind: 'versionWanted',
+      versionDigest: version.versionDigest,
+      manifest: version.manifest,
+      prefer: options.prefer ?? 'origin-bytes',
+      holders: names,
+    });
+  }
+
+  function endSession(place: number, other: number): void {
+    const own = nodes[place]!;
+    const life = own.agentLife;
+    const neighbour = names[other]!;
+    later(2, () => tell(place, life, {kind: 'neighbourGone', neighbour}));
+    later(50, () => {
+      if (!nodes[other]!.alive) return;
+      tell(place, life, {kind: 'neighbourConnected', neighbour});
+    });
+  }
+
+  function loseSessions(place: number): void {
+    names.forEach((_name, other) => {
+      if (other !== place) endSession(other, place);
+    });
+  }
+
+  function inject(fault: Fault): void {
+    switch (fault.kind) {
+      case 'kill':
+        nodes[fault.node]!.alive = false;
+        return loseSessions(fault.node);
+      case 'freeze':
+        nodes[fault.node]!.frozenUntil = now + fault.time;
+        return;
+      case 'restartAgent': {
+        const own = nodes[fault.node]!;
+        if (!own.alive) return;
+        own.agentLife += 1;
+        own.frozenUntil = 0;
+        own.node = createNode(own.instance, own.zone, fault.node);
+        own.ready.clear();
+        loseSessions(fault.node);
+        later(10 + draw(100), () => begin(fault.node));
+        return;
+      }
+      case 'restartEngine': {
+        const own = nodes[fault.node]!;
+        own.engineLife += 1;
+        own.store = new Map();
+        own.ready.clear();
+        return reportHeld(fault.node);
+      }
+      case 'cutSession':
+        endSession(fault.node, fault.other);
+        return endSession(fault.other, fault.node);
+      case 'originOutage':
+        originDownUntil = now + fault.time;
+        return;
+      case 'supersede': {
+        const old = options.versions[current]!;
+        if (current + 1 >= options.versions.length) return;
+        current += 1;
+        const {versionDigest} = old;
+        nodes.forEach((_node, place) => {
+          later(draw(200), () => {
+            const life = nodes[place]!.agentLife;
+            tell(place, life, {kind: 'versionSuperseded', versionDigest});
+            want(place, options.versions[current]!);
+          });
+        });
+        return;
+      }
+      case 'corruptNext':
+        pending.corrupt += 1;
+        return;
+      case 'crossNext':
+        pending.cross += 1;
+        return;
+      case 'doubleNext':
+        pending.double += 1;
+        return;
+      case 'lateNext':
+        pending.late += 1;
+        return;
+    }
+  }
+
+  function isDone(): boolean {
+    const wanted = options.versions[current]!.versionDigest;
+    return nodes.every(
+      node =>
+        !node.alive || node.frozenUntil === Infinity || node.ready.has(wanted),
+    );
+  }
+
+  /** Runs until every live node is ready; returns false if one never is. */
+  function run(
+    faults: readonly {readonly at: number; readonly fault: Fault}[] = [],
+  ): boolean {
+    names.forEach((_name, place) => later(draw(10), () => begin(place)));
+    let left = faults.length;
+    for (const {at, fault} of faults) {
+      later(at, () => {
+        left -= 1;
+        inject(fault);
+      });
+    }
+    while (now < LONGEST_RUN) {
+      queue.sort((one, two) => two.at - one.at || two.order - one.order);
+      const next = queue.pop();
+      if (next === undefined) return left === 0 && isDone();
+      now = next.at;
+      next.run();
+      if (left === 0 && isDone()) return true;
+    }
+    return false;
+  }
+
+  return {
+    nodes,
+    names,
+    asks,
+    cutOffs,
+    served,
+    wrongReady,
+    run,
+    now: () => now,
+    originAsks: () => asks.filter(ask => ask.from === 'origin'),
+  };
+}
--- /dev/null
+++ b/test/distribution/node.test.ts
@@ -0,0 +1,181 @@
+import {createSwarmNode, type SwarmEvent} from '@hibiscusbeam/core';
+import {describe, expect, test} from 'vitest';
+import {generateVersion} from './versions';
+
+const version = generateVersion(
+  '1',
+  Array.from({length: 32}, (_, place) => `chunk-${place}`),
+);
+
+/** The stall time of a node that has learned nothing yet. */
+const FIRST_STALL = 3_000;
+
+describe('swarm node', () => {
+  // A rollout stays at 99%. Order of events: a sender freezes in the middle of
+  // a chunk with its connection open. Cause: nothing ends that download.
+  test('a chunk on a frozen link is asked of another after a stall time', () => {
+    const digest = version.manifest.chunks[0]!.digest;
+    const node = startNode(['a', 'b']);
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...have([0])}, 10);
+    const effects = tell(
+      node,
+      {kind: 'neighbourHave', neighbour: 'b', ...have([0])},
+      20,
+    );
+    expect(effects).toEqual([]);
+    const retried = tell(node, {kind: 'tick'}, 10 + FIRST_STALL);
+    expect(retried).toContainEqual(
+      expect.objectContaining({kind: 'askNeighbour', neighbour: 'b', digest}),
+    );
+  });
+
+  // An answer on a shared connection belongs to another request. Cause: its
+  // bytes are whole, so only the digest asked for tells that it is crossed.
+  test('a crossed chunk is not stored for the one asked for', () => {
+    const node = startNode(['a']);
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...have([0])}, 10);
+    const digest = version.manifest.chunks[1]!.digest;
+    const effects = tell(
+      node,
+      {kind: 'chunkArrived', transfer: 1, digest, verified: true},
+      20,
+    );
+    expect(effects).toEqual([]);
+  });
+
+  test('a download of a shared chunk goes on when the version changes', () => {
+    const node = startNode(['a']);
+    const next = generateVersion('2', ['chunk-0', 'new']);
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...have([0])}, 10);
+    const {versionDigest, manifest} = next;
+    const prefer = 'origin-bytes';
+    const holders = ['a'];
+    tell(
+      node,
+      {kind: 'versionWanted', versionDigest, manifest, prefer, holders},
+      20,
+    );
+    const old = version.versionDigest;
+    tell(node, {kind: 'versionSuperseded', versionDigest: old}, 30);
+    expect(node.dump().downloads.length).toBe(1);
+  });
+
+  // A new instance costs the origin a part of a copy. Order of events: it
+  // joins when all others hold the version, and hears so a moment later.
+  test('hears its neighbours before it asks the origin', () => {
+    const node = startNode(['a', 'b'], {holders: ['self', 'a', 'b']});
+    expect(node.dump().downloads).toEqual([]);
+    const all = have(version.manifest.chunks.map((_chunk, place) => place));
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...all}, 100);
+    tell(node, {kind: 'neighbourHave', neighbour: 'b', ...all}, 110);
+    tell(node, {kind: 'tick'}, 1_000);
+    const senders = node.dump().downloads.map(download => download.sender);
+    expect(senders).toEqual(['a', 'b']);
+  });
+
+  test('holds no more chunks in memory than its buffer takes', () => {
+    const node = startNode([], {transferBuffer: 128, holders: ['self']});
+    const asked = tell(node, {kind: 'tick'}, 1_000);
+    const started = node.dump().downloads.length;
+    expect(asked.length).toBeLessThanOrEqual(2);
+    expect(started).toBe(2);
+    for (let transfer = 1; transfer <= 2; transfer += 1) {
+      const digest = node.dump().downloads[0]!.digest;
+      tell(
+        node,
+        {kind: 'chunkArrived', transfer, digest, verified: true},
+        1_100,
+      );
+    }
+    expect(node.dump().downloads).toEqual([]);
+  });
+
+  // One instance that stops reading slows all its neighbours. Order of events:
+  // it asks for a chunk, freezes, and its upload keeps a slot. Cause: an open
+  // stream alone counts as an upload in progress.
+  test('stops an upload that the other side does not read', () => {
+    const digests = version.manifest.chunks.map(chunk => chunk.digest);
+    const node = startNode(['a', 'b', 'c'], {held: digests, uploadSlots: 1});
+    const digest = digests[0]!;
+    const ask = (upload: number, neighbour: string) =>
+      tell(node, {kind: 'uploadAsked', upload, neighbour, digest}, 10);
+    expect(ask(1, 'a')).toEqual([{kind: 'startUpload', upload: 1}]);
+    expect(ask(2, 'b')).toEqual([]);
+    expect(tell(node, {kind: 'tick'}, 10 + FIRST_STALL)).toEqual([
+      {kind: 'stopUpload', upload: 1},
+      {kind: 'startUpload', upload: 2},
+    ]);
+  });
+
+  test('tells a neighbour again that has lost its chunks', () => {
+    const digests = version.manifest.chunks.map(chunk => chunk.digest);
+    const node = startNode(['a'], {held: digests});
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...have([3])}, 5);
+    const ask = {
+      kind: 'uploadAsked',
+      upload: 1,
+      neighbour: 'a',
+      digest: digests[3]!,
+    } as const;
+    expect(tell(node, ask, 10)).toContainEqual(
+      expect.objectContaining({kind: 'announce', neighbours: ['a']}),
+    );
+  });
+
+  test('leaves its slots to live requests while they queue', () => {
+    const node = startNode(['a', 'b', 'c', 'd']);
+    const load = {running: 4, queued: 4, slots: 4};
+    tell(node, {kind: 'liveRequestLoad', ...load}, 1);
+    ['a', 'b', 'c', 'd'].forEach((neighbour, place) => {
+      const gained = have([place]);
+      tell(node, {kind: 'neighbourHave', neighbour, ...gained}, 10);
+    });
+    expect(node.dump().downloads.length).toBe(1);
+    tell(node, {kind: 'liveRequestLoad', ...load, queued: 0}, 20);
+    expect(node.dump().downloads.length).toBe(4);
+  });
+});
+
+function have(gained: readonly number[]) {
+  return {versionDigest: version.versionDigest, gained};
+}
+
+function tell(
+  node: ReturnType<typeof createSwarmNode>,
+  event: SwarmEvent,
+  at: number,
+) {
+  return node.handle(event, at).filter(effect => effect.kind !== 'cancel');
+}
+
+/** A node that wants the version; others own every turn at the origin. */
+function startNode(
+  others: readonly string[],
+  settings: {
+    readonly held?: readonly string[];
+    readonly transferBuffer?: number;
+    readonly uploadSlots?: number;
+    readonly holders?: readonly string[];
+  } = {},
+) {
+  const node = createSwarmNode({
+    instance: 'self',
+    zone: 'z',
+    seed: 1,
+    transferBuffer: settings.transferBuffer ?? 1 << 20,
+    uploadSlots: settings.uploadSlots,
+  });
+  const members = others.map(instance => ({instance, zone: 'z'}));
+  tell(node, {kind: 'membersChanged', members}, 0);
+  const digests = settings.held ?? [];
+  tell(node, {kind: 'heldReported', life: '1', digests}, 0);
+  const {versionDigest, manifest} = version;
+  const holders = settings.holders ?? others;
+  const prefer = 'origin-bytes';
+  tell(
+    node,
+    {kind: 'versionWanted', versionDigest, manifest, prefer, holders},
+    0,
+  );
+  return node;
+}
