Prove the commit of plans; read the head before the plan

Cause: a confirm that read the plan, then the head, could be told that another change came first when that change was the plan itself, confirmed meanwhile by somebody else. Ruled out: a late commit; the order of the two reads is enough. Conclusion: a final refusal is final.

--- a/packages/core/src/configuration/commands/confirm_plan.ts
+++ b/packages/core/src/configuration/commands/confirm_plan.ts
@@ -34,6 +34,13 @@
  */
 export const BODIES_KEPT = 64;
 
+/** What committing a generation needs. */
+export interface CommitOptions {
+  readonly digestText: DigestText;
+  /** Bodies that the table keeps, the head's included; {@link BODIES_KEPT}. */
+  readonly bodiesKept?: number;
+}
+
 /** A plan that is part of the line of accepted configurations. */
 export interface ConfirmedPlan {
   readonly accepted: AcceptedConfiguration;
@@ -47,28 +54,28 @@
  */
 export function* confirmPlan(
   planId: PlanId,
-  digestText: DigestText,
+  options: CommitOptions,
 ): TableFlow<Result<ConfirmedPlan, PlanCommitFault>> {
-  const planRow = yield* readPlan(planId);
-  if (!planRow.ok) return planRow;
-  const settled = settledOutcome(planRow.val.value);
+  const rows = yield* readHeadThenPlan(planId);
+  if (!rows.ok) return rows;
+  const {head, planRow} = rows.val;
+  const settled = settledOutcome(planRow.value);
   if (settled !== undefined) return settled;
-  const {plan} = planRow.val.value;
+  const {plan} = planRow.value;
   const accepted = acceptedBy(plan, plan.base + 1);
-  if (decodeAccepted(accepted, digestText) === undefined) {
+  if (decodeAccepted(accepted, options.digestText) === undefined) {
     return new Err({kind: 'malformedRow', key: planKey(planId)});
   }
-  const head = yield* readHead();
-  if (!head.ok) return head;
   // Failure: a plan made on an older generation would silently undo what was
   // accepted since. Its base must be the head, and the head's row version is a
   // condition of the commit, so that no other change fits in between.
-  if ((head.val?.value.generation ?? 0) !== plan.base) {
-    return new Err(yield* describeOvertaking(plan, head.val?.value));
+  if ((head?.value.generation ?? 0) !== plan.base) {
+    return new Err(yield* describeOvertaking(plan, head?.value));
   }
-  const moving = yield* findMoving(plan, head.val?.value);
+  const moving = yield* findMoving(plan, head?.value);
   if (moving !== undefined) return new Err(moving);
-  const transaction = buildTransaction(planRow.val, head.val, accepted);
+  const bodiesKept = options.bodiesKept ?? BODIES_KEPT;
+  const transaction = buildTransaction(planRow, head, accepted, bodiesKept);
   const commit = yield* commitUntilKnown(transaction);
   switch (commit.kind) {
     case 'committed':
@@ -94,15 +101,34 @@
     planId: plan.planId,
     advice: `outcome unknown, ask again with the same plan id: hibiscusbeam intent confirm ${plan.planId}`,
   };
-  const planRow = yield* readPlan(plan.planId);
-  if (!planRow.ok) return new Err(unknown);
-  const settled = settledOutcome(planRow.val.value);
+  const rows = yield* readHeadThenPlan(plan.planId);
+  if (!rows.ok) return new Err(unknown);
+  const {head, planRow} = rows.val;
+  const settled = settledOutcome(planRow.value);
   if (settled !== undefined) return settled;
-  const head = yield* readHead();
-  if (!head.ok) return new Err(unknown);
   // Still planned with the head moved: the commit can never take effect.
-  if ((head.val?.value.generation ?? 0) === plan.base) return new Err(unknown);
-  return new Err(yield* describeOvertaking(plan, head.val?.value));
+  if ((head?.value.generation ?? 0) === plan.base) return new Err(unknown);
+  return new Err(yield* describeOvertaking(plan, head?.value));
+}
+
+interface HeadAndPlan {
+  readonly head: Versioned<HeadRow> | undefined;
+  readonly planRow: Versioned<PlanRow>;
+}
+
+/**
+ * Failure: an operator is told that another change came first, when that
+ * change is this very plan, confirmed by somebody else between the two reads.
+ * With the head read first, a plan that moved it reads as confirmed.
+ */
+function* readHeadThenPlan(
+  planId: PlanId,
+): TableFlow<Result<HeadAndPlan, PlanCommitFault>> {
+  const head = yield* readHead();
+  const planRow = yield* readPlan(planId);
+  if (!head.ok) return head;
+  if (!planRow.ok) return planRow;
+  return new Ok({head: head.val, planRow: planRow.val});
 }
 
 function settledOutcome(
@@ -150,6 +176,7 @@
   planRow: Versioned<PlanRow>,
   head: Versioned<HeadRow> | undefined,
   accepted: AcceptedConfiguration,
+  bodiesKept: number,
 ): TableTransaction {
   const {plan} = planRow.value;
   const {generation, digest, planId} = accepted;
@@ -171,7 +198,7 @@
     ],
     writes: [
       {kind: 'put', key: planKey(planId), value: toJson(confirmed)},
-      ...acceptedWrites(accepted, nextHead),
+      ...acceptedWrites(accepted, nextHead, bodiesKept),
       ...moveWrites(plan, generation),
     ],
   };
@@ -190,6 +217,7 @@
 export function acceptedWrites(
   accepted: AcceptedConfiguration,
   head: HeadRow,
+  bodiesKept = BODIES_KEPT,
 ): readonly TableWrite[] {
   const body: TableWrite = {
     kind: 'put',
@@ -201,7 +229,7 @@
     key: HEAD_KEY,
     value: toJson(head),
   };
-  const oldest = accepted.generation - BODIES_KEPT;
+  const oldest = accepted.generation - bodiesKept;
   if (oldest <= 0) return [body, headWrite];
   return [body, headWrite, {kind: 'delete', key: bodyKey(oldest)}];
 }
--- a/packages/core/src/configuration/queries/rows.ts
+++ b/packages/core/src/configuration/queries/rows.ts
@@ -87,6 +87,7 @@
   state: z.discriminatedUnion('kind', [
     z.object({kind: z.literal('closed')}),
     z.object({kind: z.literal('opened'), generation: generationSchema}),
+    z.object({kind: z.literal('cancelled'), generation: generationSchema}),
   ]),
 });
 
--- a/packages/core/src/configuration/types/stored.ts
+++ b/packages/core/src/configuration/types/stored.ts
@@ -30,7 +30,10 @@
   readonly closedAt: Generation;
   readonly state:
     | {readonly kind: 'closed'}
-    | {readonly kind: 'opened'; readonly generation: Generation};
+    /** Opened on the new side. */
+    | {readonly kind: 'opened'; readonly generation: Generation}
+    /** Opened again on the side that it was on. */
+    | {readonly kind: 'cancelled'; readonly generation: Generation};
 }
 
 /** A change that was accepted after a plan's base. */
--- /dev/null
+++ b/packages/core/src/ownership/commands/finish_move.ts
@@ -0,0 +1,202 @@
+import {Err, Ok, type Result} from 'ts-results';
+import {
+  acceptedWrites,
+  bodyKey,
+  decodeAccepted,
+  decodeHead,
+  decodeMoveRow,
+  digestConfiguration,
+  HEAD_KEY,
+  moveKey,
+  openingPlanId,
+  toJson,
+  type CommitOptions,
+  type HeadRow,
+  type MoveRow,
+} from '../../configuration';
+import type {
+  AcceptedConfiguration,
+  Milliseconds,
+  PlanId,
+  TableKey,
+  TableRow,
+  TableTransaction,
+} from '../../types';
+import {findAwaited} from '../queries/find_awaited';
+import {openItems, type MoveDirection} from '../queries/open_items';
+import type {
+  MoveEffect,
+  MoveFault,
+  MoveFlow,
+  MoveOutcome,
+  MoveReply,
+} from '../types';
+
+/** Pause before the processes or the platform are asked again. */
+const ASK_AGAIN: Milliseconds = 500;
+
+/** A move to be carried to its end. */
+export interface FinishMoveOptions extends CommitOptions {
+  /** The id of the plan that began the move. */
+  readonly moveId: PlanId;
+  /**
+   * `back` opens again on the side that the items were on. It waits for
+   * nobody: no generation has ever let the new side act on them.
+   */
+  readonly direction: MoveDirection;
+}
+
+interface MoveRows {
+  readonly move: MoveRow;
+  readonly moveVersion: number;
+  readonly head: HeadRow;
+  readonly headVersion: number;
+  readonly accepted: AcceptedConfiguration;
+}
+
+/**
+ * Carries a confirmed move on from its rows: waits until both sides have
+ * closed, then opens the new side in the next generation. All state is in the
+ * table, so any process may begin it again at any time, also several at once.
+ * Goes on through platform outages.
+ */
+export function* finishMove(
+  options: FinishMoveOptions,
+): MoveFlow<Result<MoveOutcome, MoveFault>> {
+  for (;;) {
+    const move = yield* readMove(options);
+    if (move.kind === 'settled') return move.result;
+    if (move.kind === 'known') yield* step(options, move);
+    else yield* waitFor(ASK_AGAIN);
+  }
+}
+
+type KnownMove =
+  | {
+      readonly kind: 'settled';
+      readonly result: Result<MoveOutcome, MoveFault>;
+    }
+  | {
+      readonly kind: 'known';
+      readonly move: MoveRow;
+      readonly version: number;
+    }
+  | {readonly kind: 'unreadable'};
+
+function* readMove(options: FinishMoveOptions): MoveFlow<KnownMove> {
+  const {moveId} = options;
+  const key = moveKey(moveId);
+  const row = yield* readRow(key);
+  if (row === 'unreadable') return {kind: 'unreadable'};
+  if (row === undefined) return failed({kind: 'unknownMove', moveId});
+  const move = decodeMoveRow(row);
+  if (move === undefined) return failed({kind: 'malformedRow', key});
+  if (move.state.kind === 'closed') {
+    return {kind: 'known', move, version: row.version};
+  }
+  const {kind, generation} = move.state;
+  return {kind: 'settled', result: new Ok({kind, generation})};
+}
+
+function failed(fault: MoveFault): KnownMove {
+  return {kind: 'settled', result: new Err(fault)};
+}
+
+function* step(
+  options: FinishMoveOptions,
+  known: Extract<KnownMove, {kind: 'known'}>,
+): MoveFlow<void> {
+  const {move} = known;
+  // Failure: the new side opens while a process still acts for the old one.
+  // The closing generation must have reached every process first.
+  if (options.direction === 'forward' && !(yield* isClosed(move))) return;
+  const rows = yield* readConfiguration(options, move, known.version);
+  if (rows === undefined) {
+    yield* waitFor(ASK_AGAIN);
+    return;
+  }
+  const reply = yield {
+    kind: 'commit',
+    transaction: buildTransaction(options, rows),
+  };
+  if (reply.kind !== 'commit') throw new Error('driver: expected a commit');
+  // Whatever the outcome, the move's row says what happened: it is read next.
+  if (!reply.result.ok) yield* waitFor(ASK_AGAIN);
+}
+
+/** Whether both sides are closed; tells whom it waits for and pauses if not. */
+function* isClosed(move: MoveRow): MoveFlow<boolean> {
+  const reply = yield {kind: 'readProcesses'};
+  if (reply.kind !== 'processes') throw new Error('driver: expected processes');
+  const {items} = move.move;
+  const processes = findAwaited(move.closedAt, items, reply.reports);
+  if (processes.length === 0) return true;
+  const waited = yield {kind: 'awaitProcesses', processes, duration: ASK_AGAIN};
+  if (waited.kind !== 'waited') throw new Error('driver: expected a pause');
+  return false;
+}
+
+function* readConfiguration(
+  options: FinishMoveOptions,
+  move: MoveRow,
+  moveVersion: number,
+): MoveFlow<MoveRows | undefined> {
+  const headRow = yield* readRow(HEAD_KEY);
+  if (headRow === 'unreadable' || headRow === undefined) return undefined;
+  const head = decodeHead(headRow);
+  if (head === undefined) return undefined;
+  const body = yield* readRow(bodyKey(head.generation));
+  if (body === 'unreadable' || body === undefined) return undefined;
+  const accepted = decodeAccepted(body.value, options.digestText);
+  if (accepted === undefined) return undefined;
+  const headVersion = headRow.version;
+  return {move, moveVersion, head, headVersion, accepted};
+}
+
+function buildTransaction(
+  options: FinishMoveOptions,
+  rows: MoveRows,
+): TableTransaction {
+  const {moveId, direction, digestText, bodiesKept} = options;
+  const {move, head} = rows;
+  const {items} = move.move;
+  const generation = head.generation + 1;
+  const before = rows.accepted.configuration;
+  const configuration = openItems(before, items, direction);
+  const planId = openingPlanId(moveId);
+  const digest = digestConfiguration(digestText, planId, configuration);
+  const moves = head.moves.filter(other => other !== moveId);
+  const kind = direction === 'forward' ? 'opened' : 'cancelled';
+  const settled: MoveRow = {...move, state: {kind, generation}};
+  const key = moveKey(moveId);
+  return {
+    conditions: [
+      {kind: 'versionIs', key: HEAD_KEY, version: rows.headVersion},
+      {kind: 'absent', key: bodyKey(generation)},
+      // Failure: two processes finish one move, or one cancels it while the
+      // other opens it, and the second undoes what was accepted in between.
+      {kind: 'versionIs', key, version: rows.moveVersion},
+    ],
+    writes: [
+      {kind: 'put', key, value: toJson(settled)},
+      ...acceptedWrites(
+        {generation, digest, planId, configuration},
+        {generation, digest, planId, moves},
+        bodiesKept,
+      ),
+    ],
+  };
+}
+
+function* readRow(
+  key: TableKey,
+): Generator<MoveEffect, TableRow | undefined | 'unreadable', MoveReply> {
+  const reply = yield {kind: 'readRow', key};
+  if (reply.kind !== 'row') throw new Error('driver: expected a row');
+  return reply.result.ok ? reply.result.val : 'unreadable';
+}
+
+function* waitFor(duration: Milliseconds): MoveFlow<void> {
+  const reply = yield {kind: 'wait', duration};
+  if (reply.kind !== 'waited') throw new Error('driver: expected a pause');
+}
--- /dev/null
+++ b/packages/core/src/ownership/queries/find_awaited.ts
@@ -0,0 +1,100 @@
+import {unreachable} from '../../kernel/flow';
+import type {Generation, Milliseconds} from '../../types';
+import type {MoveItem} from '../../configuration';
+import type {AwaitedProcess, OutEvidence, ProcessReport} from '../types';
+
+/** A list that lags by seconds must have said "gone" for so long. */
+const DELISTED_LONG_ENOUGH: Milliseconds = 30_000;
+
+/** Allowance for clocks that run at slightly different rates. */
+const LEASE_MARGIN: Milliseconds = 2_000;
+
+/** Processes that may still act on a configuration before `generation`. */
+export function findAwaited(
+  generation: Generation,
+  items: readonly MoveItem[],
+  reports: readonly ProcessReport[],
+): readonly AwaitedProcess[] {
+  const awaited = reports
+    .map(report => whyAwaited(report, generation, items))
+    .filter(process => process !== undefined);
+  const olderSystem = reports.filter(report => report.side === 'older-system');
+  const isUnheard = olderSystem.length === 0;
+  return [
+    ...awaited,
+    ...findNotAsked(reports),
+    ...(isUnheard ? [OLDER_SYSTEM_UNHEARD] : []),
+  ];
+}
+
+const OLDER_SYSTEM_UNHEARD: AwaitedProcess = {
+  process: 'older-system',
+  reason: 'noWordFromOlderSystem',
+};
+
+function whyAwaited(
+  report: ProcessReport,
+  generation: Generation,
+  items: readonly MoveItem[],
+): AwaitedProcess | undefined {
+  const {process} = report;
+  switch (report.kind) {
+    case 'reports':
+      // Failure: a process that has not adopted the closing generation still
+      // serves on the old side after the new side has opened.
+      if (report.generation < generation) return {process, reason: 'behind'};
+      if (isBusy(report, items)) return {process, reason: 'busy'};
+      return undefined;
+    case 'silent':
+      // Failure: a frozen or cut off process goes on serving when it wakes.
+      return {process, reason: 'silent'};
+    case 'out':
+      if (isSurelyOut(report.evidence)) return undefined;
+      return {process, reason: 'notSurelyOut'};
+    default:
+      return unreachable(report);
+  }
+}
+
+function isBusy(
+  report: Extract<ProcessReport, {kind: 'reports'}>,
+  items: readonly MoveItem[],
+): boolean {
+  return items.some(item =>
+    item.kind === 'target'
+      ? report.busyTargets.includes(item.name)
+      : report.busyWorkspaces.includes(item.name),
+  );
+}
+
+/**
+ * Failure: a process starts during an outage, learns the old generation from a
+ * peer, and is on no list when the move asks. That peer has heard its hello
+ * before, so it names it here, or it had the new generation to tell by then.
+ */
+function findNotAsked(
+  reports: readonly ProcessReport[],
+): readonly AwaitedProcess[] {
+  const asked = new Set(reports.map(report => report.process));
+  const heardOf = reports.flatMap(report =>
+    report.kind === 'reports' ? report.heardOf : [],
+  );
+  return [...new Set(heardOf)]
+    .filter(process => !asked.has(process))
+    .map(process => ({process, reason: 'notAsked'}));
+}
+
+/** Whether the evidence excludes that the process still serves or orders. */
+export function isSurelyOut(evidence: OutEvidence): boolean {
+  switch (evidence.kind) {
+    case 'goodbye':
+    case 'declared':
+      return true;
+    case 'leaseEnded':
+      return evidence.since >= LEASE_MARGIN;
+    case 'delisted':
+      return evidence.since >= DELISTED_LONG_ENOUGH;
+    default:
+      return unreachable(evidence);
+  }
+}
--- /dev/null
+++ b/test/configuration/commit.test.ts
@@ -0,0 +1,313 @@
+import {
+  abandonPlan,
+  BODIES_KEPT,
+  confirmPlan,
+  decodeMoveRow,
+  moveKey,
+  storePlan,
+  type TableFlow,
+} from '@hibiscusbeam/core';
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {intentOf, planOf} from '../fixtures/configuration_samples';
+import {
+  createFaultyTable,
+  tableFault,
+  type TableFault,
+} from '../fixtures/faulty_table';
+import {type MemoryTable, sha256Text} from '../fixtures/memory_table';
+import {propertySettings} from '../fixtures/property_settings';
+import {
+  type Answer,
+  createOperatorRace,
+  type OperatorRace,
+  readAccepted,
+} from '../fixtures/racing_operators';
+
+const OPTIONS = {digestText: sha256Text};
+
+const raceStep = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc.record({
+      kind: fc.constant('step' as const),
+      operator: fc.nat(3),
+      fault: tableFault,
+    }),
+  },
+  {weight: 1, arbitrary: fc.record({kind: fc.constant('late' as const)})},
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('restart' as const),
+      operator: fc.nat(3),
+    }),
+  },
+);
+
+type RaceStep = typeof raceStep extends fc.Arbitrary<infer Step> ? Step : never;
+
+/** Runs a race as arbitrary steps say, then without faults to calm down. */
+function runRace(steps: readonly RaceStep[]) {
+  const race = createOperatorRace(4);
+  for (const step of steps) {
+    if (step.kind === 'late') race.faulty.applyLate();
+    else if (step.kind === 'restart') race.restart(step.operator);
+    else race.step(step.operator, step.fault);
+  }
+  while (race.faulty.lateCount() > 0) race.faulty.applyLate();
+  return race;
+}
+
+function check(verdict: (race: OperatorRace) => void): void {
+  fc.assert(
+    fc.property(fc.array(raceStep, {minLength: 40, maxLength: 160}), steps =>
+      verdict(runRace(steps)),
+    ),
+    propertySettings(150),
+  );
+}
+
+/** What an operator was told for certain never comes into force. */
+function isFinalRefusal(answer: Answer): boolean {
+  if (answer.kind === 'abandoned') return true;
+  if (answer.kind === 'confirmed') return false;
+  return ['overtaken', 'planAbandoned'].includes(answer.fault.kind);
+}
+
+function run<Outcome>(
+  flow: TableFlow<Outcome>,
+  answer: ReturnType<typeof createFaultyTable>['answer'],
+  faults: readonly TableFault[] = [],
+): Outcome {
+  let position = 0;
+  let next = flow.next();
+  while (!next.done) {
+    const isWait = next.value.kind === 'wait';
+    const fault = isWait ? 'none' : (faults[position] ?? 'none');
+    if (!isWait) position += 1;
+    next = flow.next(answer(next.value, fault));
+  }
+  return next.value;
+}
+
+/** A table with some accepted generations and one plan on top. */
+function site(generations: number) {
+  const faulty = createFaultyTable(() => {});
+  const go = <Outcome>(
+    flow: TableFlow<Outcome>,
+    faults: readonly TableFault[] = [],
+  ) => run(flow, faulty.answer, faults);
+  const keep = (planId: string, workspace = planId, priority = 1) => {
+    const intent = intentOf({kind: 'workspace', workspace, priority});
+    const plan = planOf(intent, readAccepted(faulty.table), planId).unwrap();
+    return go(storePlan(plan)).unwrap();
+  };
+  for (let number = 1; number <= generations; number += 1) {
+    keep(`earlier-${number}`);
+    go(confirmPlan(`earlier-${number}`, OPTIONS)).unwrap();
+  }
+  return {faulty, go, keep};
+}
+
+function generationOf(table: MemoryTable): number {
+  return readAccepted(table).generation;
+}
+
+describe('operators that race', () => {
+  // A user sees a change that was accepted disappear: two operators confirm
+  // almost at once, or one is frozen between reading the head and committing,
+  // and the second commit is built on a configuration without the first.
+  test('accepted generations form one line and none is lost', () => {
+    check(({line}) => {
+      line.forEach((accepted, position) => {
+        expect(accepted.generation).toBe(position + 1);
+        const before = line[position - 1]?.configuration.workspaces ?? {};
+        const now = Object.keys(accepted.configuration.workspaces);
+        expect(now).toEqual(expect.arrayContaining(Object.keys(before)));
+        expect(now).toContain(accepted.planId);
+      });
+    });
+  });
+
+  // An operator's reply is lost and they confirm again, or two confirm the
+  // same plan: it must be one change, and both are told its generation.
+  test('a confirmed plan is applied at most once', () => {
+    check(({line, answers}) => {
+      const applied = line.map(accepted => accepted.planId);
+      expect(new Set(applied).size).toBe(applied.length);
+      for (const answer of answers) {
+        if (answer.kind !== 'confirmed') continue;
+        expect(applied[answer.generation - 1]).toBe(answer.planId);
+      }
+    });
+  });
+
+  // An operator abandons a plan, or is told that another change came first;
+  // then a late commit of the same plan arrives at the table.
+  test('a refused or abandoned plan never comes into force', () => {
+    check(({line, answers}) => {
+      const applied = new Set(line.map(accepted => accepted.planId));
+      for (const answer of answers.filter(isFinalRefusal)) {
+        expect(applied.has(answer.planId)).toBe(false);
+      }
+    });
+  });
+
+  test('the table keeps a bounded history', () => {
+    check(({faulty}) => {
+      const bodies = faulty.table
+        .keys()
+        .filter(key => key.startsWith('configuration/body/'));
+      expect(bodies.length).toBeLessThanOrEqual(2);
+    });
+  });
+});
+
+describe('confirming one plan', () => {
+  // The commit takes effect, its reply is lost, then the platform is down. An
+  // operator told "nothing changed" would plan the same change a second time.
+  test('never says that nothing changed when something did', () => {
+    fc.assert(
+      fc.property(fc.array(tableFault, {maxLength: 12}), faults => {
+        const {faulty, go, keep} = site(0);
+        keep('plan-1');
+        const result = go(confirmPlan('plan-1', OPTIONS), faults);
+        if (result.ok) expect(generationOf(faulty.table)).toBe(1);
+        if (result.err && result.val.kind !== 'outcomeUnknown') {
+          expect(generationOf(faulty.table)).toBe(0);
+          expect(faulty.lateCount()).toBe(0);
+        }
+        while (faulty.lateCount() > 0) faulty.applyLate();
+        const again = go(confirmPlan('plan-1', OPTIONS)).unwrap();
+        expect(again.accepted.generation).toBe(1);
+        expect(generationOf(faulty.table)).toBe(1);
+      }),
+      propertySettings(400),
+    );
+  });
+
+  test('twice is one change, with the same answer', () => {
+    const {faulty, go, keep} = site(3);
+    keep('plan-x');
+    const first = go(confirmPlan('plan-x', OPTIONS)).unwrap();
+    keep('plan-y');
+    go(confirmPlan('plan-y', OPTIONS)).unwrap();
+    const second = go(confirmPlan('plan-x', OPTIONS)).unwrap();
+    expect(first.wasConfirmed).toBe(false);
+    expect(second).toEqual({...first, wasConfirmed: true});
+    expect(generationOf(faulty.table)).toBe(5);
+  });
+
+  test('says clearly that the outcome is unknown, and how to ask', () => {
+    const {go, keep} = site(0);
+    keep('plan-1');
+    const down = Array.from({length: 8}, () => 'unavailable' as const);
+    const faults = ['none', 'none', 'lostAfter', ...down] as const;
+    const result = go(confirmPlan('plan-1', OPTIONS), faults);
+    expect(result.err && result.val).toMatchObject({
+      kind: 'outcomeUnknown',
+      advice: expect.stringContaining('intent confirm plan-1') as string,
+    });
+  });
+
+  test('names the change that came first and touches the same', () => {
+    const {go, keep} = site(1);
+    keep('plan-a', 'w', 1);
+    keep('plan-b', 'w', 2);
+    go(confirmPlan('plan-a', OPTIONS)).unwrap();
+    const result = go(confirmPlan('plan-b', OPTIONS));
+    expect(result.err && result.val).toMatchObject({
+      kind: 'overtaken',
+      relation: 'sameThings',
+      base: 1,
+      head: 2,
+      others: [
+        {
+          planId: 'plan-a',
+          operator: 'operator-1',
+          summary: 'workspace w',
+          shared: [{kind: 'workspace', name: 'w'}],
+        },
+      ],
+    });
+  });
+
+  test('tells an unrelated plan to plan again in one command', () => {
+    const {go, keep} = site(0);
+    keep('plan-a', 'v');
+    keep('plan-b', 'w');
+    go(confirmPlan('plan-a', OPTIONS)).unwrap();
+    const result = go(confirmPlan('plan-b', OPTIONS));
+    expect(result.err && result.val).toMatchObject({
+      kind: 'overtaken',
+      relation: 'unrelated',
+      advice: 're-plan with: hibiscusbeam intent plan FILE',
+    });
+  });
+
+  // A plan lies about for days. All bodies since its base have been trimmed,
+  // so "the next body must not exist" alone would let it become the head.
+  test('a plan from before the history is refused', () => {
+    const {faulty, go, keep} = site(0);
+    keep('plan-old', 'w');
+    for (let number = 0; number <= BODIES_KEPT + 1; number += 1) {
+      keep(`plan-${number}`);
+      go(confirmPlan(`plan-${number}`, OPTIONS)).unwrap();
+    }
+    const head = generationOf(faulty.table);
+    expect(go(confirmPlan('plan-old', OPTIONS)).err).toBe(true);
+    expect(generationOf(faulty.table)).toBe(head);
+  });
+
+  test('a stored plan that was damaged is not applied', () => {
+    const {faulty, go, keep} = site(0);
+    const plan = keep('plan-1');
+    const key = 'plans/plan-1';
+    const configuration = {...plan.configuration, olderSystemSwitchedOff: true};
+    const damaged = {plan: {...plan, configuration}, state: {kind: 'planned'}};
+    const value = JSON.parse(JSON.stringify(damaged)) as null;
+    faulty.table.commit({conditions: [], writes: [{kind: 'put', key, value}]});
+    const result = go(confirmPlan('plan-1', OPTIONS));
+    expect(result.err && result.val.kind).toBe('malformedRow');
+    expect(generationOf(faulty.table)).toBe(0);
+  });
+
+  // A workspace is closed for its move. Another operator, whose plan was made
+  // without knowing of the move, opens it: then both sides serve it.
+  test('a plan that touches what is moving is refused', () => {
+    const {faulty, go, keep} = site(0);
+    keep('plan-1', 'w');
+    go(confirmPlan('plan-1', OPTIONS)).unwrap();
+    const own = {kind: 'own', owner: 'older-system', workspaces: ['w']};
+    const base = readAccepted(faulty.table);
+    go(storePlan(planOf(intentOf(own), base, 'plan-2').unwrap())).unwrap();
+    go(confirmPlan('plan-2', OPTIONS)).unwrap();
+    const row = faulty.table.read(moveKey('plan-2'))!;
+    expect(decodeMoveRow(row)).toMatchObject({closedAt: 2});
+    const closed = readAccepted(faulty.table);
+    const open = intentOf({kind: 'workspace', workspace: 'w', open: true});
+    go(storePlan(planOf(open, closed, 'plan-3').unwrap())).unwrap();
+    const result = go(confirmPlan('plan-3', OPTIONS));
+    expect(result.err && result.val).toMatchObject({
+      kind: 'moving',
+      moveId: 'plan-2',
+    });
+  });
+
+  test('an abandoned plan stays abandoned, a confirmed one confirmed', () => {
+    const {go, keep} = site(0);
+    keep('plan-1');
+    expect(go(abandonPlan('plan-1')).ok).toBe(true);
+    expect(go(abandonPlan('plan-1')).ok).toBe(true);
+    expect(go(confirmPlan('plan-1', OPTIONS)).val).toMatchObject({
+      kind: 'planAbandoned',
+    });
+    keep('plan-2');
+    go(confirmPlan('plan-2', OPTIONS)).unwrap();
+    expect(go(abandonPlan('plan-2')).val).toMatchObject({
+      kind: 'planAlreadyConfirmed',
+      generation: 1,
+    });
+  });
+});
