--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './orders';
 export * from './requests';
 export * from './routing';
+export * from './ownership';
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
