--- a/bench/routing/baseline_policies.ts
+++ b/bench/routing/baseline_policies.ts
@@ -61,6 +61,7 @@
       port.send(request, next, 0);
     },
     onReport: () => {},
+    onEntryGone: () => {},
     onTargetGone: target => {
       const position = live.indexOf(target);
       if (position >= 0) live.splice(position, 1);
--- a/bench/routing/entry_policy.ts
+++ b/bench/routing/entry_policy.ts
@@ -46,4 +46,5 @@
   readonly onFailure: (attempt: EntryAttempt) => void;
   readonly onReport: (report: LoadReport) => void;
   readonly onTargetGone: (target: string) => void;
+  readonly onEntryGone: (entry: string) => void;
 }
--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -203,6 +203,7 @@
     },
     onReport: report =>
       router.record({kind: 'reportReceived', report, now: now()}),
+    onEntryGone: entry => limits.entryGone(entry),
     onTargetGone: target =>
       router.record({kind: 'targetGone', target, now: now()}),
   };
--- a/bench/routing/site.ts
+++ b/bench/routing/site.ts
@@ -345,8 +345,11 @@
   entries: readonly Entry[],
 ): void {
   const zone = targets[0]!.zone;
-  for (const entry of entries) {
-    if (entry.zone === zone) entry.alive = false;
+  for (const lost of entries.filter(entry => entry.zone === zone)) {
+    lost.alive = false;
+    clock.schedule(GONE_DETECTION, () => {
+      for (const entry of entries) entry.policy.onEntryGone(lost.name);
+    });
   }
   for (const target of targets.filter(lost => lost.zone === zone)) {
     target.engine.kill();
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -127,3 +127,6 @@
 
 /** Seconds of its share that an entry may spend at once. */
 export const LIMIT_BURST_SECONDS = 1;
+
+/** Requests that an entry may let pass at once, however small its share. */
+export const LEAST_LIMIT_BURST = 4;
--- a/packages/core/src/routing/workspace_limits.ts
+++ b/packages/core/src/routing/workspace_limits.ts
@@ -6,6 +6,7 @@
 } from '../types';
 import {
   EVEN_SHARE,
+  LEAST_LIMIT_BURST,
   LEAST_USE_SHARE,
   LIMIT_BURST_SECONDS,
   STALE_HEARTBEATS,
@@ -156,7 +157,7 @@
 function createLimitState(limit: number): LimitState {
   return {
     limit,
-    tokens: 1,
+    tokens: LEAST_LIMIT_BURST,
     filledAt: undefined,
     requested: 0,
     published: leastUse(limit),
@@ -180,7 +181,7 @@
 }
 
 function fill(state: LimitState, rate: number, now: MonotonicInstant): void {
-  const most = Math.max(1, rate * LIMIT_BURST_SECONDS);
+  const most = Math.max(LEAST_LIMIT_BURST, rate * LIMIT_BURST_SECONDS);
   const elapsed = state.filledAt === undefined ? 0 : now - state.filledAt;
   state.filledAt = now;
   state.tokens = Math.min(most, state.tokens + (rate * elapsed) / 1_000);
