Take a queue's turn time from the requests in flight

Cause: the gap between dispatches, measured while nothing queued, said nothing about the turns of a queue. Now Little's law: time in a slot over own requests in flight.

--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -106,7 +106,6 @@
         return port.refuse(request, decision.retryAfter);
       case 'dispatch':
         retries.recordFirstTry();
-        admission.recordDispatch(now());
         return dispatch(request, choice, 0);
       case 'queue':
         return enqueue(request);
@@ -129,7 +128,6 @@
       if (choice === undefined || !admission.mayDispatch(choice)) return;
       queue.dequeue();
       retries.recordFirstTry();
-      admission.recordDispatch(now());
       dispatch(request, choice, 0);
     }
   };
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -43,8 +43,6 @@
     expected: Milliseconds,
     actual: Milliseconds,
   ) => void;
-  /** Learns how fast requests leave this entry. */
-  readonly recordDispatch: (now: MonotonicInstant) => void;
   /** Time kept free because first tokens come later than expected. */
   readonly margin: () => Milliseconds;
 }
@@ -57,21 +55,13 @@
   readonly longestTargetWait: Milliseconds;
 }
 
-/** Weight of the newest gap between dispatches. */
-const GAP_WEIGHT = 0.1;
-
-/** Until measured, the time between two dispatches of a queue. */
-const INITIAL_GAP: Milliseconds = 50;
-
 /** Creates an admission without experience. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const largestMargin = LARGEST_MARGIN_SHARE * options.firstTokenGoal;
   let margin = 0;
-  let gap = INITIAL_GAP;
-  let lastDispatch: MonotonicInstant | undefined;
 
   const decide = (request: AdmissionRequest): AdmissionDecision => {
-    const queued = request.turnsAhead * gap;
+    const queued = request.turnsAhead * request.choice.turnTime;
     const late = lateness(request, queued, margin);
     if (late > 0) {
       return {
@@ -98,18 +88,10 @@
     margin = Math.min(largestMargin, Math.max(0, margin));
   };
 
-  const recordDispatch = (now: MonotonicInstant): void => {
-    if (lastDispatch !== undefined) {
-      gap += GAP_WEIGHT * (now - lastDispatch - gap);
-    }
-    lastDispatch = now;
-  };
-
   return {
     decide,
     mayDispatch,
     recordFirstToken,
-    recordDispatch,
     margin: () => margin,
   };
 }
--- a/packages/core/src/routing/queries/choose_target.ts
+++ b/packages/core/src/routing/queries/choose_target.ts
@@ -176,6 +176,7 @@
     expectedWait,
     expectedFirstToken: expectedWait + estimateFirstToken(state, target),
     expectedTokenTime: target.tokenTime.value(),
+    turnTime: state.serviceTime.value() / Math.max(1, state.attempts.size),
     probe: target.health.kind === 'probing',
   };
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -87,6 +87,8 @@
   readonly expectedFirstToken: Milliseconds;
   /** Measured time between tokens at this target. */
   readonly expectedTokenTime: Milliseconds;
+  /** Expected time from one end of a request of this entry to the next. */
+  readonly turnTime: Milliseconds;
   /** True if this request tries whether an ejected target has recovered. */
   readonly probe: boolean;
 }
