Leave slots free for workspaces under their share

Cause: with a flood the queues and slots were full of it, and a quiet workspace's request waited behind them.

--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -11,6 +11,7 @@
   createRetryBudget,
   createRouter,
   createWorkspaceLimits,
+  createWorkspaceShares,
 } from '@hibiscusbeam/core';
 import type {WorkspaceLimits} from '@hibiscusbeam/core';
 import type {EntryAttempt, EntryPolicy, EntryPort} from './entry_policy';
@@ -40,6 +41,7 @@
     longestTargetWait: 600,
   });
   const queue: FairQueue<LoadRequest> = createFairQueue();
+  const shares = createWorkspaceShares();
   const retries = createRetryBudget();
   const limits = createWorkspaceLimits({
     entry: port.entry,
@@ -70,6 +72,7 @@
     alreadyProduced: number,
   ): void => {
     const attempt = port.send(request, choice.target, alreadyProduced);
+    shares.started(request.workspace, weightOf(request.workspace));
     const sentAt = now();
     router.record({
       kind: 'dispatched',
@@ -86,6 +89,9 @@
   };
   const retryCounts = new Map<LoadRequest, number>();
 
+  const isOverShare = (request: LoadRequest): boolean =>
+    shares.isOverShare(request.workspace, weightOf(request.workspace));
+
   const onRequest = (request: LoadRequest): void => {
     const limited = limits.take(request.workspace, now());
     if (limited.kind === 'limited') {
@@ -100,6 +106,7 @@
       expectedTokens: MEAN_OUTPUT_TOKENS,
       choice,
       turnsAhead: queue.turnsAhead(placeOf(request)),
+      overShare: isOverShare(request),
     });
     switch (decision.kind) {
       case 'refuse':
@@ -125,7 +132,7 @@
       const request = queue.peek();
       if (request === undefined) return;
       const choice = choose(request, []);
-      if (choice === undefined || !admission.mayDispatch(choice)) return;
+      if (choice === undefined || !admission.mayDispatch(choice, false)) return;
       queue.dequeue();
       retries.recordFirstTry();
       dispatch(request, choice, 0);
@@ -165,6 +172,8 @@
     kind: 'finished' | 'refused' | 'failed',
   ): void => {
     router.record({kind, attempt, now: now()});
+    const workspace = attempts.get(attempt)?.request.workspace;
+    if (workspace !== undefined) shares.ended(workspace);
     expectations.delete(attempt);
     attempts.delete(attempt);
   };
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -4,6 +4,7 @@
   ADMISSION_QUANTILE,
   LARGEST_MARGIN_SHARE,
   LONGEST_RETRY_AFTER,
+  RESERVED_SLOT_SHARE,
   SHORTEST_RETRY_AFTER,
 } from './constants';
 import type {TargetChoice} from './types';
@@ -20,6 +21,8 @@
   readonly choice: TargetChoice;
   /** Requests of the entry's queue that have their turn before this one. */
   readonly turnsAhead: number;
+  /** Whether the workspace already holds more than its share. */
+  readonly overShare: boolean;
 }
 
 /** What to do with a request, at once and finally. */
@@ -29,7 +32,7 @@
   | {readonly kind: 'queue'; readonly expectedWait: Milliseconds}
   | {
       readonly kind: 'refuse';
-      readonly reason: 'deadlineTooShort' | 'queueFull';
+      readonly reason: 'deadlineTooShort' | 'workspaceLimit';
       readonly retryAfter: Milliseconds;
     };
 
@@ -37,7 +40,7 @@
 export interface Admission {
   readonly decide: (request: AdmissionRequest) => AdmissionDecision;
   /** Whether a request at the head of the queue should go to `choice` now. */
-  readonly mayDispatch: (choice: TargetChoice) => boolean;
+  readonly mayDispatch: (choice: TargetChoice, overShare: boolean) => boolean;
   /** Learns how far the expectation was off. */
   readonly recordFirstToken: (
     expected: Milliseconds,
@@ -70,13 +73,25 @@
         retryAfter: boundRetryAfter(late),
       };
     }
+    const {choice, overShare} = request;
     const alone = request.turnsAhead === 0;
-    if (alone && mayDispatch(request.choice)) return {kind: 'dispatch'};
+    if (alone && mayDispatch(choice, overShare)) return {kind: 'dispatch'};
+    // Guard against a flood whose queued requests are overtaken until it is too
+    // late for them: their callers would be refused only after a long wait.
+    if (overShare) {
+      return {
+        kind: 'refuse',
+        reason: 'workspaceLimit',
+        retryAfter: boundRetryAfter(choice.turnTime),
+      };
+    }
     return {kind: 'queue', expectedWait: queued};
   };
 
-  const mayDispatch = (choice: TargetChoice): boolean =>
-    choice.expectedWait <= options.longestTargetWait;
+  const mayDispatch = (choice: TargetChoice, overShare: boolean): boolean =>
+    overShare
+      ? choice.expectedLoad <= 1 - RESERVED_SLOT_SHARE
+      : choice.expectedWait <= options.longestTargetWait;
 
   const recordFirstToken = (
     expected: Milliseconds,
--- a/packages/core/src/routing/index.ts
+++ b/packages/core/src/routing/index.ts
@@ -7,3 +7,4 @@
 export * from './subset';
 export * from './workspace_limits';
 export {SHARE_SUM_BOUND} from './constants';
+export * from './workspace_shares';
--- a/packages/core/src/routing/queries/choose_target.ts
+++ b/packages/core/src/routing/queries/choose_target.ts
@@ -174,6 +174,7 @@
   return {
     target: target.target,
     expectedWait,
+    expectedLoad: (load + 1) / target.slots,
     expectedFirstToken: expectedWait + estimateFirstToken(state, target),
     expectedTokenTime: target.tokenTime.value(),
     turnTime: state.serviceTime.value() / Math.max(1, state.attempts.size),
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -83,6 +83,8 @@
   readonly target: TargetName;
   /** Expected wait for a slot at the target. */
   readonly expectedWait: Milliseconds;
+  /** Load with this request, as a share of the target's slots. */
+  readonly expectedLoad: number;
   /** Expected time from dispatch to the first token, the wait included. */
   readonly expectedFirstToken: Milliseconds;
   /** Measured time between tokens at this target. */
