--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -4,6 +4,7 @@
   ADMISSION_QUANTILE,
   LARGEST_MARGIN_SHARE,
   LONGEST_RETRY_AFTER,
+  RESERVED_SLOT_SHARE,
   SHORTEST_RETRY_AFTER,
 } from './constants';
 import type {TargetChoice} from './types';
@@ -20,6 +21,8 @@
   readonly choice: TargetChoice;
   /** Requests of the entry's queue that have their turn before this one. */
   readonly turnsAhead: number;
+  /** Whether the workspace already holds more than its share. */
+  readonly overShare: boolean;
 }
 
 /** What to do with a request, at once and finally. */
@@ -29,7 +32,7 @@
   | {readonly kind: 'queue'; readonly expectedWait: Milliseconds}
   | {
       readonly kind: 'refuse';
-      readonly reason: 'deadlineTooShort' | 'queueFull';
+      readonly reason: 'deadlineTooShort' | 'workspaceLimit';
       readonly retryAfter: Milliseconds;
     };
 
@@ -37,14 +40,12 @@
 export interface Admission {
   readonly decide: (request: AdmissionRequest) => AdmissionDecision;
   /** Whether a request at the head of the queue should go to `choice` now. */
-  readonly mayDispatch: (choice: TargetChoice) => boolean;
+  readonly mayDispatch: (choice: TargetChoice, overShare: boolean) => boolean;
   /** Learns how far the expectation was off. */
   readonly recordFirstToken: (
     expected: Milliseconds,
     actual: Milliseconds,
   ) => void;
-  /** Learns how fast requests leave this entry. */
-  readonly recordDispatch: (now: MonotonicInstant) => void;
   /** Time kept free because first tokens come later than expected. */
   readonly margin: () => Milliseconds;
 }
@@ -57,21 +58,13 @@
   readonly longestTargetWait: Milliseconds;
 }
 
-/** Weight of the newest gap between dispatches. */
-const GAP_WEIGHT = 0.1;
-
-/** Until measured, the time between two dispatches of a queue. */
-const INITIAL_GAP: Milliseconds = 50;
-
 /** Creates an admission without experience. */
 export function createAdmission(options: AdmissionOptions): Admission {
   const largestMargin = LARGEST_MARGIN_SHARE * options.firstTokenGoal;
   let margin = 0;
-  let gap = INITIAL_GAP;
-  let lastDispatch: MonotonicInstant | undefined;
 
   const decide = (request: AdmissionRequest): AdmissionDecision => {
-    const queued = request.turnsAhead * gap;
+    const queued = request.turnsAhead * request.choice.turnTime;
     const late = lateness(request, queued, margin);
     if (late > 0) {
       return {
@@ -80,13 +73,25 @@
         retryAfter: boundRetryAfter(late),
       };
     }
+    const {choice, overShare} = request;
     const alone = request.turnsAhead === 0;
-    if (alone && mayDispatch(request.choice)) return {kind: 'dispatch'};
+    if (alone && mayDispatch(choice, overShare)) return {kind: 'dispatch'};
+    // Guard against a flood whose queued requests are overtaken until it is too
+    // late for them: their callers would be refused only after a long wait.
+    if (overShare) {
+      return {
+        kind: 'refuse',
+        reason: 'workspaceLimit',
+        retryAfter: boundRetryAfter(choice.turnTime),
+      };
+    }
     return {kind: 'queue', expectedWait: queued};
   };
 
-  const mayDispatch = (choice: TargetChoice): boolean =>
-    choice.expectedWait <= options.longestTargetWait;
+  const mayDispatch = (choice: TargetChoice, overShare: boolean): boolean =>
+    overShare
+      ? choice.expectedLoad <= 1 - RESERVED_SLOT_SHARE
+      : choice.expectedWait <= options.longestTargetWait;
 
   const recordFirstToken = (
     expected: Milliseconds,
@@ -98,18 +103,10 @@
     margin = Math.min(largestMargin, Math.max(0, margin));
   };
 
-  const recordDispatch = (now: MonotonicInstant): void => {
-    if (lastDispatch !== undefined) {
-      gap += GAP_WEIGHT * (now - lastDispatch - gap);
-    }
-    lastDispatch = now;
-  };
-
   return {
     decide,
     mayDispatch,
     recordFirstToken,
-    recordDispatch,
     margin: () => margin,
   };
 }
--- a/packages/core/src/routing/queries/choose_target.ts
+++ b/packages/core/src/routing/queries/choose_target.ts
@@ -174,8 +174,10 @@
   return {
     target: target.target,
     expectedWait,
+    expectedLoad: (load + 1) / target.slots,
     expectedFirstToken: expectedWait + estimateFirstToken(state, target),
     expectedTokenTime: target.tokenTime.value(),
+    turnTime: state.serviceTime.value() / Math.max(1, state.attempts.size),
     probe: target.health.kind === 'probing',
   };
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -83,10 +83,14 @@
   readonly target: TargetName;
   /** Expected wait for a slot at the target. */
   readonly expectedWait: Milliseconds;
+  /** Load with this request, as a share of the target's slots. */
+  readonly expectedLoad: number;
   /** Expected time from dispatch to the first token, the wait included. */
   readonly expectedFirstToken: Milliseconds;
   /** Measured time between tokens at this target. */
   readonly expectedTokenTime: Milliseconds;
+  /** Expected time from one end of a request of this entry to the next. */
+  readonly turnTime: Milliseconds;
   /** True if this request tries whether an ejected target has recovered. */
   readonly probe: boolean;
 }
