Prove the not-repeatable call under arbitrary interleavings

A small scheduler steps several calls, two agents with old and new lives and one table, with lost, late and doubled messages, kills, pauses and outages.

--- a/packages/core/src/requests/commands/at_most_once_flow.ts
+++ b/packages/core/src/requests/commands/at_most_once_flow.ts
@@ -1,23 +1,19 @@
 import {unreachable} from '../../kernel/flow';
-import type {
-  NotRunEvidence,
-  NotRunReason,
-  TableRow,
-  TargetName,
-} from '../../types';
+import type {NotRunEvidence, NotRunReason, TargetName} from '../../types';
 import type {OwnAttempt} from '../evidence';
-import {readClaim, type ClaimRow} from '../queries/claim_row';
+import type {ClaimRow} from '../queries/claim_row';
 import type {
   AttemptAddress,
   RequestFlow,
   RequestResult,
   TargetChoice,
 } from '../types';
-import {loadAnswer} from './answer_storage';
 import type {AtMostOnceOptions} from './at_most_once_options';
-import {resolveAttempt, type Resolution} from './attempt_resolution';
+import {awaitResolution} from './attempt_resolution';
 import {runToEnd} from './attempt_run';
 import {answered, outcomeUnknown} from './call_ends';
+import {end, type CallStep} from './call_step';
+import {meetClaim, recordEnd} from './meet_claim';
 import {
   recordAnswer,
   recordUnknown,
@@ -26,32 +22,19 @@
 } from './claim_records';
 import {writeClaimRow} from './claim_writes';
 import {createOwnAttempts} from './own_attempts';
-import {chooseTarget, perform, readRow} from './steps';
+import {chooseTarget, readRow} from './steps';
 
-/** What the call does next. */
-type Next =
-  /** Claim the key over `base`; `undefined`: over no row. */
-  | {readonly kind: 'claim'; readonly base: FreeClaim | undefined}
-  /** See what the row that stands there means for this call. */
-  | {readonly kind: 'meet'; readonly row: TableRow}
-  /** Run the own attempt, whose claim stands at `version`. */
-  | {
-      readonly kind: 'run';
-      readonly own: OwnAttempt;
-      readonly address: AttemptAddress;
-      readonly version: number;
-    }
-  | {readonly kind: 'end'; readonly result: RequestResult};
+/** What a caller is told of a refusal. */
+interface Refusal {
+  readonly reason: NotRunReason;
+  readonly retryAfter: number;
+}
 
 // Each round either ends the call or answers another entry's write of the
 // same key; so many such writes during one call mean a caller that floods
 // its own key.
 const MAXIMUM_ROUNDS = 16;
 
-function end(result: RequestResult): Next {
-  return {kind: 'end', result};
-}
-
 /**
  * Serves a call that may not be repeated: at most one attempt per key ever
  * runs, whichever entries its caller asks. Ends by the deadline and a few
@@ -65,7 +48,7 @@
   const attempts = createOwnAttempts(options.createAttempt);
   const excluded: TargetName[] = [];
 
-  function* claim(base: FreeClaim | undefined): RequestFlow<Next> {
+  function* claim(base: FreeClaim | undefined): RequestFlow<CallStep> {
     if (now() >= deadline) {
       return yield* giveUp(base, 'deadlineTooShort', limits.retryAfter);
     }
@@ -88,7 +71,7 @@
   function* claimFor(
     base: FreeClaim | undefined,
     choice: Extract<TargetChoice, {kind: 'target'}>,
-  ): RequestFlow<Next> {
+  ): RequestFlow<CallStep> {
     const own = attempts.next();
     const {target, instance, incarnation} = choice;
     const address = {attempt: own.attempt, target, instance, incarnation};
@@ -109,7 +92,7 @@
     }
   }
 
-  function endNotRun(reason: NotRunReason, retryAfter: number): Next {
+  function endNotRun(reason: NotRunReason, retryAfter: number): CallStep {
     return end(attempts.endNotRun(reason, retryAfter));
   }
 
@@ -117,83 +100,23 @@
     base: FreeClaim | undefined,
     reason: NotRunReason,
     retryAfter: number,
-  ): RequestFlow<Next> {
+  ): RequestFlow<CallStep> {
     const next = endNotRun(reason, retryAfter);
     if (base !== undefined) yield* releaseClaim(options, base);
     return next;
   }
 
-  function* meet(row: TableRow): RequestFlow<Next> {
-    const found = readClaim(row.value);
-    if (found.err) return end(outcomeUnknown('the key has an unknown record'));
-    const state = found.val;
-    // One key for two calls would hand one call the other's answer.
-    if (state.fingerprint !== fingerprint) {
-      return endNotRun('keyReused', limits.retryAfter);
-    }
-    const {version} = row;
-    switch (state.kind) {
-      case 'released':
-        return {kind: 'claim', base: {version, attempt: state.attempt}};
-      case 'outcomeUnknown':
-        return end(outcomeUnknown(state.detail));
-      case 'answered': {
-        const answer = yield* loadAnswer(options, state);
-        if (answer !== undefined) return end(answered(answer));
-        return end(outcomeUnknown('answered, but not readable at present'));
-      }
-      case 'claimed':
-        return yield* meetClaimed(version, state.address);
-      default:
-        return unreachable(state);
-    }
-  }
-
-  function* meetClaimed(
-    version: number,
-    address: AttemptAddress,
-  ): RequestFlow<Next> {
-    const resolution = yield* resolveAttempt(options, address);
-    switch (resolution.kind) {
-      case 'neverRan':
-        return {kind: 'claim', base: {version, attempt: address.attempt}};
-      case 'running':
-        return endNotRun('inProgress', limits.retryAfter);
-      case 'answerGone':
-        // Its own entry may hold the answer and be about to record it.
-        return end(outcomeUnknown('the call has run; no answer is recorded'));
-      case 'unreachable':
-        return end(outcomeUnknown('the target that may run it is silent'));
-      case 'answered':
-      case 'unknowable':
-        return yield* recordEnd(version, address, resolution);
-      default:
-        return unreachable(resolution);
-    }
-  }
-
-  function* recordEnd(
-    version: number,
-    address: AttemptAddress,
-    resolution: Extract<Resolution, {kind: 'answered' | 'unknowable'}>,
-  ): RequestFlow<Next> {
-    if (resolution.kind === 'answered') {
-      yield* recordAnswer(options, version, resolution.answer);
-      return end(answered(resolution.answer));
-    }
-    yield* recordUnknown(options, version, address, resolution.detail);
-    return end(outcomeUnknown(resolution.detail));
-  }
-
   function* run(
     own: OwnAttempt,
     address: AttemptAddress,
     version: number,
-  ): RequestFlow<Next> {
+  ): RequestFlow<CallStep> {
     const {attempt} = address;
     // A process that was paused after its claim would run a call on which
     // its caller has long given up.
-    if (now() >= deadline) return {kind: 'claim', base: {version, attempt}};
+    if (now() >= deadline) {
+      return {kind: 'claim', base: {version, claimed: attempt}};
+    }
     const effect = own.dispatch(address, {until: deadline, deadline});
     const runEnd = yield* runToEnd(effect, options);
     switch (runEnd.kind) {
@@ -203,9 +126,8 @@
       case 'refused': {
         const evidence = own.refused(runEnd.event);
         if (evidence === undefined) return yield* settle(address, version);
-        const {reason, retryAfter} = runEnd.event;
-        const base = {version, attempt};
-        return yield* elsewhere(address, base, evidence, reason, retryAfter);
+        const base = {version, claimed: attempt};
+        return yield* elsewhere(address, base, evidence, runEnd.event);
       }
       case 'unclear':
         return yield* settle(address, version);
@@ -218,9 +140,8 @@
     address: AttemptAddress,
     base: FreeClaim,
     evidence: NotRunEvidence,
-    reason: NotRunReason,
-    retryAfter: number,
-  ): RequestFlow<Next> {
+    {reason, retryAfter}: Refusal,
+  ): RequestFlow<CallStep> {
     attempts.proved(evidence);
     excluded.push(address.target);
     if (excluded.length < limits.targetTries && now() < deadline) {
@@ -233,52 +154,40 @@
   function* settle(
     address: AttemptAddress,
     version: number,
-  ): RequestFlow<Next> {
-    const base = {version, attempt: address.attempt};
-    for (;;) {
-      const found = yield* resolveAttempt(options, address);
-      switch (found.kind) {
-        case 'neverRan': {
-          const {evidence} = found;
-          const {retryAfter} = limits;
-          return yield* elsewhere(
-            address,
-            base,
-            evidence,
-            'queueFull',
-            retryAfter,
-          );
-        }
-        case 'answerGone': {
-          const detail = 'the call has run; its answer was lost';
-          yield* recordUnknown(options, version, address, detail);
-          return end(outcomeUnknown(detail));
-        }
-        case 'answered':
-        case 'unknowable':
-          return yield* recordEnd(version, address, found);
-        case 'running':
-        case 'unreachable':
-          break;
-        default:
-          return unreachable(found);
+  ): RequestFlow<CallStep> {
+    const found = yield* awaitResolution(options, address);
+    switch (found.kind) {
+      case 'neverRan': {
+        const base = {version, claimed: address.attempt};
+        const refusal = {
+          reason: 'queueFull',
+          retryAfter: limits.retryAfter,
+        } as const;
+        return yield* elsewhere(address, base, found.evidence, refusal);
       }
-      // Without this end a frozen agent would hold its callers for ever.
-      if (now() + limits.pollInterval >= deadline) {
-        return end(outcomeUnknown('no answer by the deadline'));
+      case 'answerGone': {
+        const detail = 'the call has run; its answer was lost';
+        yield* recordUnknown(options, version, address, detail);
+        return end(outcomeUnknown(detail));
       }
-      yield* perform({kind: 'wait', duration: limits.pollInterval}, 'done');
+      case 'answered':
+      case 'unknowable':
+        return yield* recordEnd(options, version, address, found);
+      case 'undecided':
+        return end(outcomeUnknown('no answer by the deadline'));
+      default:
+        return unreachable(found);
     }
   }
 
-  let next: Next = {kind: 'claim', base: undefined};
+  let next: CallStep = {kind: 'claim', base: undefined};
   for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
     switch (next.kind) {
       case 'claim':
         next = yield* claim(next.base);
         break;
       case 'meet':
-        next = yield* meet(next.row);
+        next = yield* meetClaim(options, attempts, next.row);
         break;
       case 'run':
         next = yield* run(next.own, next.address, next.version);
--- a/packages/core/src/requests/commands/attempt_registry.ts
+++ b/packages/core/src/requests/commands/attempt_registry.ts
@@ -10,6 +10,7 @@
 import {parseAttempt, type AttemptParts} from '../queries/attempt_id';
 import type {RefusedEvent, TombstoneAnswer, WholeAnswer} from '../types';
 import {createAnswerCache} from './answer_cache';
+import {createAttemptMemory} from './attempt_memory';
 
 /** What the agent does with a dispatch that reached it. */
 export type StartDecision =
@@ -89,70 +90,15 @@
   };
 }
 
-/** `closed`: refused or tombstoned, so never started. */
-type SettledState = 'closed' | 'finished';
-
-type AttemptState =
-  | 'running'
-  | SettledState
-  | 'unseen'
-  /** May have run and be forgotten; never starts. */
-  | 'forgotten'
-  /** Never seen, and no room to remember it: never starts. */
-  | 'barred';
-
-/**
- * Creates the registry. Memory is bounded: a record may be forgotten only
- * once its sender's mark has passed its sequence, and nothing at or below
- * the mark ever starts; senders are never forgotten but limited in number.
- * So a forgotten attempt can't start again, whatever the clocks say.
- */
+/** Creates the registry of one life of an agent. */
 export function createAttemptRegistry(
   options: AttemptRegistryOptions,
 ): AttemptRegistry {
-  const {incarnation, maximumRunning, maximumRecords} = options;
-  const running = new Set<AttemptId>();
-  const settled = new Map<AttemptId, SettledState>();
-  /** By sender: the highest sequence that may have been forgotten. */
-  const marks = new Map<string, number>();
+  const {incarnation, maximumRunning} = options;
   const answers = createAnswerCache(options);
+  const memory = createAttemptMemory(options, answers.remove);
   let leaving = false;
 
-  function stateOf(attempt: AttemptId, parts: AttemptParts): AttemptState {
-    if (running.has(attempt)) return 'running';
-    const state = settled.get(attempt);
-    if (state !== undefined) return state;
-    const mark = marks.get(parts.sender);
-    if (mark === undefined) {
-      // Once full, it stays full: an unknown sender's attempts never start.
-      return marks.size < options.maximumSenders ? 'unseen' : 'barred';
-    }
-    // A record that was dropped may have been of a run: started again after
-    // a late second copy, the call would run twice.
-    return parts.sequence <= mark ? 'forgotten' : 'unseen';
-  }
-
-  function remember(parts: AttemptParts): void {
-    if (!marks.has(parts.sender)) marks.set(parts.sender, 0);
-  }
-
-  function settle(attempt: AttemptId, state: SettledState): void {
-    settled.set(attempt, state);
-    for (const [oldest] of settled) {
-      if (settled.size <= maximumRecords) return;
-      forget(oldest);
-    }
-  }
-
-  function forget(attempt: AttemptId): void {
-    const parts = parseAttempt(attempt);
-    if (parts === undefined) return;
-    const mark = marks.get(parts.sender) ?? 0;
-    marks.set(parts.sender, Math.max(mark, parts.sequence));
-    settled.delete(attempt);
-    answers.remove(attempt);
-  }
-
   function refuse(attempt: AttemptId, reason: NotRunReason): StartDecision {
     const {retryAfter} = options;
     const kind = 'refused' as const;
@@ -160,16 +106,15 @@
   }
 
   function startUnseen(attempt: AttemptId, parts: AttemptParts): StartDecision {
-    remember(parts);
-    const full = running.size >= maximumRunning;
+    const full = memory.sizes().running >= maximumRunning;
     if (leaving || full) {
       // The caller is told "not run": a late second copy of the message must
       // not start it when there is room again.
-      settle(attempt, 'closed');
+      memory.close(attempt, parts);
       return refuse(attempt, leaving ? 'targetLeaving' : 'queueFull');
     }
     // Recorded before it is passed on, so that a second copy finds it.
-    running.add(attempt);
+    memory.started(attempt, parts);
     return {kind: 'start'};
   }
 
@@ -183,7 +128,7 @@
     attempt: AttemptId,
     parts: AttemptParts,
   ): TombstoneAnswer['state'] {
-    const state = stateOf(attempt, parts);
+    const state = memory.stateOf(attempt, parts);
     switch (state) {
       case 'running':
         return 'started';
@@ -194,8 +139,7 @@
       case 'barred':
         return 'tombstoned';
       case 'unseen':
-        remember(parts);
-        settle(attempt, 'closed');
+        memory.close(attempt, parts);
         return 'tombstoned';
       default:
         return unreachable(state);
@@ -213,7 +157,7 @@
       if (parts === undefined) {
         return {kind: 'failed', detail: 'malformed attempt'};
       }
-      const state = stateOf(attempt, parts);
+      const state = memory.stateOf(attempt, parts);
       switch (state) {
         case 'unseen':
           return startUnseen(attempt, parts);
@@ -232,9 +176,8 @@
       }
     },
     finish(attempt, answer, now) {
-      if (!running.delete(attempt)) return;
+      if (!memory.finished(attempt)) return;
       if (answer !== undefined) answers.keep(attempt, answer, now);
-      settle(attempt, 'finished');
     },
     tombstone(attempt, addressedTo) {
       const parts = parseAttempt(attempt);
@@ -251,11 +194,6 @@
     setLeaving(value) {
       leaving = value;
     },
-    sizes: () => ({
-      running: running.size,
-      records: settled.size,
-      senders: marks.size,
-      answerBytes: answers.bytes(),
-    }),
+    sizes: () => ({...memory.sizes(), answerBytes: answers.bytes()}),
   };
 }
--- a/packages/core/src/requests/commands/attempt_resolution.ts
+++ b/packages/core/src/requests/commands/attempt_resolution.ts
@@ -10,7 +10,7 @@
 } from '../types';
 import type {AtMostOnceOptions} from './at_most_once_options';
 import {runToEnd} from './attempt_run';
-import {askTombstone, readRow} from './steps';
+import {askTombstone, perform, readRow} from './steps';
 
 /** What is known of an attempt that may have run. */
 export type Resolution =
@@ -32,7 +32,7 @@
   options: AtMostOnceOptions,
   address: AttemptAddress,
 ): RequestFlow<Resolution> {
-  const until = options.now() + options.limits.tombstoneTimeout;
+  const until = answerBy(options);
   const answer = yield* askTombstone({kind: 'tombstone', address, until});
   if (answer === undefined || answer.attempt !== address.attempt) {
     return yield* askTable(address);
@@ -44,6 +44,31 @@
   return yield* judge(options, address, answer);
 }
 
+/** A {@link Resolution} that more waiting would not change. */
+export type FinalResolution =
+  | Exclude<Resolution, {readonly kind: 'running' | 'unreachable'}>
+  | {readonly kind: 'undecided'};
+
+/** Resolves an attempt, looking again until it has ended or the deadline. */
+export function* awaitResolution(
+  options: AtMostOnceOptions,
+  address: AttemptAddress,
+): RequestFlow<FinalResolution> {
+  const {limits, now, deadline} = options;
+  // Without this end a frozen agent would hold its callers for ever.
+  while (now() < deadline) {
+    const found = yield* resolveAttempt(options, address);
+    if (found.kind !== 'running' && found.kind !== 'unreachable') return found;
+    const duration = Math.min(limits.pollInterval, deadline - now());
+    yield* perform({kind: 'wait', duration}, 'done');
+  }
+  return {kind: 'undecided'};
+}
+
+function answerBy({now, limits, deadline}: AtMostOnceOptions): number {
+  return Math.min(now() + limits.tombstoneTimeout, deadline);
+}
+
 function* judge(
   options: AtMostOnceOptions,
   address: AttemptAddress,
@@ -72,7 +97,7 @@
   options: AtMostOnceOptions,
   address: AttemptAddress,
 ): RequestFlow<Resolution> {
-  const until = options.now() + options.limits.tombstoneTimeout;
+  const until = answerBy(options);
   const end = yield* runToEnd({kind: 'collect', address, until}, options);
   if (end.kind !== 'answered') return {kind: 'answerGone'};
   return {kind: 'answered', answer: end.answer};
--- a/packages/core/src/requests/commands/claim_records.ts
+++ b/packages/core/src/requests/commands/claim_records.ts
@@ -5,10 +5,11 @@
 import type {AtMostOnceOptions} from './at_most_once_options';
 import {attemptOf, writeClaimRow} from './claim_writes';
 
-/** A claim row whose attempt is proved never to run. */
+/** A key that is free: its row is released, or its attempt never runs. */
 export interface FreeClaim {
   readonly version: number;
-  readonly attempt: AttemptId;
+  /** The attempt that still stands in the row, proved never to run. */
+  readonly claimed: AttemptId | undefined;
 }
 
 /** Marks the key free, so that a retry needs no word from the agent. */
@@ -16,8 +17,9 @@
   options: AtMostOnceOptions,
   claim: FreeClaim,
 ): RequestFlow<void> {
+  const {version, claimed: attempt} = claim;
+  if (attempt === undefined) return;
   const {fingerprint} = options;
-  const {version, attempt} = claim;
   const row: ClaimRow = {kind: 'released', fingerprint, attempt};
   yield* writeClaimRow(options, version, row);
 }
--- /dev/null
+++ b/packages/core/src/requests/commands/meet_claim.ts
@@ -0,0 +1,82 @@
+import {unreachable} from '../../kernel/flow';
+import type {TableRow} from '../../types';
+import {readClaim} from '../queries/claim_row';
+import type {AttemptAddress, RequestFlow} from '../types';
+import {loadAnswer} from './answer_storage';
+import type {AtMostOnceOptions} from './at_most_once_options';
+import {resolveAttempt, type Resolution} from './attempt_resolution';
+import {answered, outcomeUnknown} from './call_ends';
+import {end, type CallStep} from './call_step';
+import {recordAnswer, recordUnknown} from './claim_records';
+import type {OwnAttempts} from './own_attempts';
+
+/** What the row that stands at the key means for a call that meets it. */
+export function* meetClaim(
+  options: AtMostOnceOptions,
+  attempts: OwnAttempts,
+  row: TableRow,
+): RequestFlow<CallStep> {
+  const found = readClaim(row.value);
+  if (found.err) return end(outcomeUnknown('the key has an unknown record'));
+  const state = found.val;
+  // One key for two calls would hand one call the other's answer.
+  if (state.fingerprint !== options.fingerprint) {
+    return end(attempts.endNotRun('keyReused', options.limits.retryAfter));
+  }
+  const {version} = row;
+  switch (state.kind) {
+    case 'released':
+      return {kind: 'claim', base: {version, claimed: undefined}};
+    case 'outcomeUnknown':
+      return end(outcomeUnknown(state.detail));
+    case 'answered': {
+      const answer = yield* loadAnswer(options, state);
+      if (answer !== undefined) return end(answered(answer));
+      return end(outcomeUnknown('answered, but not readable at present'));
+    }
+    case 'claimed':
+      return yield* meetClaimed(options, attempts, version, state.address);
+    default:
+      return unreachable(state);
+  }
+}
+
+function* meetClaimed(
+  options: AtMostOnceOptions,
+  attempts: OwnAttempts,
+  version: number,
+  address: AttemptAddress,
+): RequestFlow<CallStep> {
+  const resolution = yield* resolveAttempt(options, address);
+  switch (resolution.kind) {
+    case 'neverRan':
+      return {kind: 'claim', base: {version, claimed: address.attempt}};
+    case 'running':
+      return end(attempts.endNotRun('inProgress', options.limits.retryAfter));
+    case 'answerGone':
+      // Its own entry may hold the answer and be about to record it.
+      return end(outcomeUnknown('the call has run; no answer is recorded'));
+    case 'unreachable':
+      return end(outcomeUnknown('the target that may run it is silent'));
+    case 'answered':
+    case 'unknowable':
+      return yield* recordEnd(options, version, address, resolution);
+    default:
+      return unreachable(resolution);
+  }
+}
+
+/** Records an end that was learnt from the agent or about it. */
+export function* recordEnd(
+  options: AtMostOnceOptions,
+  version: number,
+  address: AttemptAddress,
+  resolution: Extract<Resolution, {kind: 'answered' | 'unknowable'}>,
+): RequestFlow<CallStep> {
+  if (resolution.kind === 'answered') {
+    yield* recordAnswer(options, version, resolution.answer);
+    return end(answered(resolution.answer));
+  }
+  yield* recordUnknown(options, version, address, resolution.detail);
+  return end(outcomeUnknown(resolution.detail));
+}
--- /dev/null
+++ b/test/requests/at_most_once.test.ts
@@ -0,0 +1,105 @@
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {propertySettings} from '../fixtures/property_settings';
+import {answerTo} from './fake_agent';
+import {runWorld, type Call, type WorldReport} from './world';
+
+const choices = fc.array(
+  fc.record({which: fc.nat(10_000), how: fc.nat(10_000)}),
+  {minLength: 5, maxLength: 60, size: 'max'},
+);
+const bounds = fc.record({
+  maximumRecords: fc.integer({min: 1, max: 20}),
+  maximumRunning: fc.integer({min: 1, max: 3}),
+  answerBytes: fc.constantFrom(0, 100_000),
+  inlineAnswerBytes: fc.constantFrom(0, 100_000),
+});
+
+const RUNS = 2000;
+
+function everyWorld(check: (report: WorldReport) => void): void {
+  fc.assert(
+    fc.property(choices, bounds, (chosen, bound) => {
+      check(runWorld(chosen, bound));
+    }),
+    propertySettings(RUNS),
+  );
+}
+
+function textsOf(call: Call): readonly string[] {
+  const frames = call.result?.answer?.frames ?? [];
+  return frames.map(frame => new TextDecoder().decode(frame));
+}
+
+function isAnswered(call: Call): boolean {
+  return call.result?.outcome.kind === 'answered';
+}
+
+// A dealer sends a settlement notice; the answer is late and the dealer sends
+// it again through another entry. Meanwhile replies of the table get lost,
+// entries are killed or paused, agents restart, messages come late or twice.
+// Two loans on one vehicle would be the end of it; a "not run" that runs
+// later, or the answer to another notice, are as bad.
+describe('a call that may not be repeated', () => {
+  test('runs at most once per key', () => {
+    everyWorld(({runs}) => expect(runs).toBeLessThanOrEqual(1));
+  });
+
+  test('never runs after it was reported as not run', () => {
+    everyWorld(({calls, runsOf}) => {
+      for (const {result, attempts} of calls) {
+        if (result?.outcome.kind !== 'notRun') continue;
+        expect(attempts.map(runsOf).filter(count => count > 0)).toEqual([]);
+      }
+    });
+  });
+
+  test('gets exactly its own whole answer or none', () => {
+    everyWorld(({calls}) => {
+      for (const call of calls.filter(isAnswered)) {
+        const {attempt} = call.result!.answer!;
+        const whole = answerTo(attempt, call.body);
+        expect(call.result!.answer).toEqual(whole);
+      }
+    });
+  });
+
+  test('always ends', () => {
+    everyWorld(({calls}) => {
+      const open = calls.filter(({killed, result}) => !killed && !result);
+      expect(open).toEqual([]);
+    });
+  });
+
+  test('is answered the same once its answer is recorded', () => {
+    everyWorld(({calls, recorded, lastRetry}) => {
+      expect(new Set(recorded).size).toBeLessThanOrEqual(1);
+      const answers = calls.filter(isAnswered).map(textsOf);
+      for (const answer of answers) expect(answer).toEqual(answers[0]);
+      if (recorded.length > 0) expect(isAnswered(lastRetry)).toBe(true);
+    });
+  });
+});
+
+test('the worlds reach every kind of end', () => {
+  const seen = new Map<string, number>();
+  fc.assert(
+    fc.property(choices, bounds, (chosen, bound) => {
+      for (const {result} of runWorld(chosen, bound).calls) {
+        const outcome = result?.outcome;
+        const kind =
+          outcome?.kind === 'notRun'
+            ? `${outcome.reason} ${outcome.evidence.kind}`
+            : outcome?.kind === 'outcomeUnknown'
+              ? outcome.detail
+              : String(outcome?.kind);
+        seen.set(kind, (seen.get(kind) ?? 0) + 1);
+      }
+    }),
+    propertySettings(500),
+  );
+  if (process.env.SHOW_ENDS) console.log(seen);
+  for (const kind of ['answered', 'inProgress neverDispatched']) {
+    expect([...seen.keys()]).toContain(kind);
+  }
+});
