--- /dev/null
+++ b/packages/daemon/src/agent/agent_work.ts
@@ -0,0 +1,69 @@
+import type {ServeRequest} from '@hibiscusbeam/wire';
+import type {EngineControl} from './engine_control';
+import type {Readiness} from './serve_handler';
+import type {EngineRuns, PlainServiceRuns} from './target_runs';
+
+/** Whether a model engine can take the request, and how to run it. */
+export function prepareGenerate(
+  request: ServeRequest,
+  control: EngineControl | undefined,
+  runs: EngineRuns,
+): Readiness {
+  const {work, attempt, priority} = request;
+  if (work?.$case !== 'generate' || control === undefined) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  const {model, versionDigest, prompt, maximumTokens} = work.generate;
+  const version = control
+    .routable()
+    .find(
+      routable =>
+        routable.model === model &&
+        (versionDigest === '' || routable.versionDigest === versionDigest),
+    );
+  if (version === undefined || !control.mayStart(version.versionDigest)) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  return {
+    kind: 'ready',
+    run: timeout => {
+      // Named in full, so that a swap between this moment and the engine's
+      // start makes the engine refuse instead of answering with another one.
+      const chosen = version.versionDigest;
+      control.noteRun(chosen, 1);
+      const run = runs.run(
+        {
+          attempt,
+          model,
+          versionDigest: chosen,
+          prompt,
+          maximumTokens,
+          priority,
+        },
+        timeout,
+      );
+      return {...run, ended: () => control.noteRun(chosen, -1)};
+    },
+  };
+}
+
+/** Whether a plain service can take the request, and how to run it. */
+export function prepareCall(
+  request: ServeRequest,
+  service: string,
+  mayServe: boolean,
+  runs: PlainServiceRuns,
+): Readiness {
+  const {work, attempt} = request;
+  if (work?.$case !== 'call' || work.call.service !== service || !mayServe) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  const {operation, body} = work.call;
+  return {
+    kind: 'ready',
+    run: timeout => ({
+      ...runs.run(attempt, operation, body, timeout),
+      ended: () => undefined,
+    }),
+  };
+}
--- a/packages/daemon/src/agent/serve_handler.ts
+++ b/packages/daemon/src/agent/serve_handler.ts
@@ -32,9 +32,17 @@
 /** How long a call that may not be repeated is followed past its deadline. */
 const FOLLOW_PAST_DEADLINE: Milliseconds = 60_000;
 
+/** A run that its agent counts until `ended` is called. */
+export interface CountedRun extends TargetRun {
+  readonly ended: () => void;
+}
+
 /** Whether the target can take a request, and how. */
 export type Readiness =
-  | {readonly kind: 'ready'; readonly run: (timeout: Milliseconds) => TargetRun}
+  | {
+      readonly kind: 'ready';
+      readonly run: (timeout: Milliseconds) => CountedRun;
+    }
   | {readonly kind: 'notReady'; readonly reason: NotRunReason};
 
 /** What the handler needs from its agent. */
@@ -125,6 +133,7 @@
     // has gone, so that another entry can collect the answer.
     if (repeatable) call.on('cancelled', run.cancel);
     const whole = await passOn(call, request, run);
+    run.ended();
     registry.finish(attempt, answerOf(attempt, whole), clock());
     options.onEnd();
     if (whole === undefined) return void call.end();
--- a/packages/daemon/src/entry/answer_writer.ts
+++ b/packages/daemon/src/entry/answer_writer.ts
@@ -9,8 +9,8 @@
 
 /** Writes one answer to one caller. */
 export interface AnswerWriter {
-  /** Resolves once the caller's connection takes more. */
-  readonly write: (line: AnswerLine) => Promise<void>;
+  /** Undefined at once, or a promise until the connection takes more. */
+  readonly write: (line: AnswerLine) => Promise<void> | undefined;
   /** Ends with an outcome instead of an answer. */
   readonly giveOutcome: (outcome: UnansweredOutcome) => void;
   readonly end: () => void;
@@ -29,10 +29,11 @@
       response.once('close', resolve);
     });
   return {
-    write: async line => {
+    write: line => {
       if (!response.headersSent) response.writeHead(200, STREAM_HEADERS);
-      if (response.destroyed) return;
-      if (!response.write(`${JSON.stringify(line)}\n`)) await drained();
+      if (response.destroyed) return undefined;
+      const hasRoom = response.write(`${JSON.stringify(line)}\n`);
+      return hasRoom ? undefined : drained();
     },
     giveOutcome: outcome => {
       if (response.headersSent) {
--- /dev/null
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -0,0 +1,297 @@
+import {randomUUID} from 'node:crypto';
+import {
+  claimKey,
+  createAtMostOnceFlow,
+  createAttemptSource,
+  createOwnAttempt,
+  createRepeatableFlow,
+  DEFAULT_AT_MOST_ONCE_LIMITS,
+  DEFAULT_REPEATABLE_LIMITS,
+  mayServe,
+  type AcceptedConfiguration,
+  type AttemptId,
+  type EmitEffect,
+  type InstanceName,
+  type Milliseconds,
+  type ModelName,
+  type NotRunReason,
+  type RequestResult,
+  type ServiceName,
+  type WorkspaceConfiguration,
+  type WorkspaceLimits,
+  type WorkspaceName,
+} from '@hibiscusbeam/core';
+import type {Clock} from '../runtime/clock';
+import {createDigester, digestText} from '../runtime/digests';
+import type {AnswerWriter} from './answer_writer';
+import type {Dispatcher} from './dispatcher';
+import type {GenerateBody} from './request_parsing';
+import type {RequestRunner} from './request_runner';
+
+/** When to come back to a workspace that is closed while it moves. */
+const CLOSED_RETRY_AFTER: Milliseconds = 2_000;
+
+/** When to come back to an entry that has too much in progress. */
+const FULL_RETRY_AFTER: Milliseconds = 1_000;
+
+/** A caller's call of a plain service. */
+export interface ServiceCall {
+  readonly service: ServiceName;
+  readonly operation: string;
+  /** JSON text of the body. */
+  readonly content: Uint8Array;
+  readonly idempotencyKey: string | undefined;
+  readonly deadline: Milliseconds;
+}
+
+/** The final answer to a call of a plain service. */
+export interface CallResult {
+  readonly outcome: RequestResult['outcome'];
+  /** JSON text of the answer, if there is one. */
+  readonly content: Uint8Array | undefined;
+}
+
+/** Serves callers' requests. */
+export interface CallerService {
+  /** Streams the answer; always ends with an end line or an outcome. */
+  readonly generate: (
+    workspace: WorkspaceName,
+    model: ModelName,
+    body: GenerateBody,
+    writer: AnswerWriter,
+    callerGone: AbortSignal,
+  ) => Promise<RequestResult['outcome']>;
+  readonly call: (
+    workspace: WorkspaceName,
+    call: ServiceCall,
+  ) => Promise<CallResult>;
+  /** Whether the operation must run at most once, so that it needs a key. */
+  readonly needsKey: (service: ServiceName, operation: string) => boolean;
+}
+
+/** Options of {@link createCallerService}. */
+export interface CallerServiceOptions {
+  readonly instance: InstanceName;
+  readonly clock: Clock;
+  readonly configuration: () => AcceptedConfiguration | undefined;
+  readonly runner: RequestRunner;
+  readonly dispatcher: Dispatcher;
+  readonly limits: WorkspaceLimits;
+  /** Most requests in progress at this entry. */
+  readonly mostInProgress: number;
+}
+
+/** Creates the service of one life of an entry. */
+export function createCallerService(
+  options: CallerServiceOptions,
+): CallerService {
+  const {clock, runner, dispatcher, limits} = options;
+  const createAttempt = createAttemptSource(
+    `${options.instance}.${randomUUID()}`,
+  );
+
+  /** The reason to refuse before anything is dispatched, if there is one. */
+  const refusalOf = (
+    workspace: WorkspaceName,
+  ): RequestResult | WorkspaceConfiguration => {
+    const accepted = options.configuration();
+    if (accepted === undefined) {
+      return refuse(createAttempt, 'platformUnavailable', FULL_RETRY_AFTER);
+    }
+    const {configuration} = accepted;
+    const described = configuration.workspaces[workspace];
+    if (described === undefined || !mayServe(workspace, configuration)) {
+      return refuse(createAttempt, 'workspaceClosed', CLOSED_RETRY_AFTER);
+    }
+    if (runner.running() >= options.mostInProgress) {
+      return refuse(createAttempt, 'queueFull', FULL_RETRY_AFTER);
+    }
+    const taken = limits.take(workspace, clock());
+    if (taken.kind === 'limited') {
+      return refuse(createAttempt, 'workspaceLimit', taken.retryAfter);
+    }
+    return described;
+  };
+
+  const generate: CallerService['generate'] = async (
+    workspace,
+    model,
+    body,
+    writer,
+    callerGone,
+  ) => {
+    const admitted = refusalOf(workspace);
+    if ('outcome' in admitted) return finish(admitted.outcome, writer);
+    const {priority, weight} = admitted;
+    const deadline = clock() + body.deadline;
+    const {prompt, maximumTokens} = body;
+    dispatcher.recordFirstTry();
+    const flow = createRepeatableFlow({
+      deadline,
+      limits: DEFAULT_REPEATABLE_LIMITS,
+      now: clock,
+      createAttempt,
+      createDigester,
+      spendRetry: dispatcher.spendRetry,
+    });
+    const result = await runner.run(flow, {
+      routed: {
+        workspace,
+        precedence: {priority, weight},
+        work: {kind: 'model', model, versionDigest: undefined},
+        prompt,
+        maximumTokens,
+        firstTokenBy: undefined,
+        deadline,
+      },
+      serveWork: {
+        workspace,
+        work: {
+          $case: 'generate',
+          generate: {model, versionDigest: '', prompt, maximumTokens},
+        },
+        priority,
+        repeatable: true,
+      },
+      emit: frame => writeFrame(writer, frame),
+      callerGone,
+    });
+    return finish(result.outcome, writer);
+  };
+
+  const call: CallerService['call'] = async (workspace, serviceCall) => {
+    const admitted = refusalOf(workspace);
+    if ('outcome' in admitted) {
+      return {outcome: admitted.outcome, content: undefined};
+    }
+    const {priority, weight} = admitted;
+    const {service, operation, content, idempotencyKey} = serviceCall;
+    const deadline = clock() + serviceCall.deadline;
+    const context = {
+      routed: {
+        workspace,
+        precedence: {priority, weight},
+        work: {kind: 'service', service},
+        prompt: '',
+        maximumTokens: 0,
+        firstTokenBy: undefined,
+        deadline,
+      },
+      serveWork: {
+        workspace,
+        work: {$case: 'call', call: {service, operation, body: content}},
+        priority,
+        repeatable: idempotencyKey === undefined,
+      },
+      callerGone: undefined,
+    } as const;
+    if (idempotencyKey !== undefined) {
+      const flow = createAtMostOnceFlow({
+        key: claimKey(workspace, idempotencyKey),
+        fingerprint: fingerprintOf(serviceCall),
+        entry: options.instance,
+        deadline,
+        limits: DEFAULT_AT_MOST_ONCE_LIMITS,
+        now: clock,
+        createAttempt,
+        createDigester,
+      });
+      const result = await runner.run(flow, {
+        ...context,
+        emit: () => undefined,
+      });
+      const frames = result.answer?.frames;
+      return {
+        outcome: result.outcome,
+        content: frames === undefined ? undefined : Buffer.concat(frames),
+      };
+    }
+    return callRepeatable(context, deadline);
+  };
+
+  const callRepeatable = async (
+    context: Omit<Parameters<RequestRunner['run']>[1], 'emit'>,
+    deadline: number,
+  ): Promise<CallResult> => {
+    const parts: Uint8Array[] = [];
+    dispatcher.recordFirstTry();
+    const flow = createRepeatableFlow({
+      deadline,
+      limits: DEFAULT_REPEATABLE_LIMITS,
+      now: clock,
+      createAttempt,
+      createDigester,
+      spendRetry: dispatcher.spendRetry,
+    });
+    const {outcome} = await runner.run(flow, {
+      ...context,
+      emit: frame => {
+        if (frame.kind === 'data') parts.push(frame.content);
+        return undefined;
+      },
+    });
+    const content =
+      outcome.kind === 'answered' ? Buffer.concat(parts) : undefined;
+    return {outcome, content};
+  };
+
+  return {
+    generate,
+    call,
+    needsKey: (service, operation) => {
+      const described =
+        options.configuration()?.configuration.services[service];
+      return described?.notRepeatable.includes(operation) ?? true;
+    },
+  };
+}
+
+function refuse(
+  createAttempt: () => AttemptId,
+  reason: NotRunReason,
+  retryAfter: Milliseconds,
+): RequestResult {
+  const evidence = createOwnAttempt(createAttempt()).disown();
+  if (evidence === undefined) throw new Error('a new attempt was dispatched');
+  return {
+    outcome: {kind: 'notRun', evidence, reason, retryAfter},
+    answer: undefined,
+  };
+}
+
+function finish(
+  outcome: RequestResult['outcome'],
+  writer: AnswerWriter,
+): RequestResult['outcome'] {
+  if (outcome.kind === 'answered') writer.end();
+  else writer.giveOutcome(outcome);
+  return outcome;
+}
+
+function writeFrame(
+  writer: AnswerWriter,
+  frame: EmitEffect['frame'],
+): Promise<void> | undefined {
+  switch (frame.kind) {
+    case 'started': {
+      const versionDigest = frame.versionDigest ?? '';
+      return writer.write({kind: 'started', versionDigest});
+    }
+    case 'data': {
+      const {sequence, content} = frame;
+      const text = Buffer.from(content).toString();
+      return writer.write({kind: 'token', sequence, text});
+    }
+    case 'end': {
+      const {frameCount, digest} = frame;
+      return writer.write({kind: 'end', count: frameCount, digest});
+    }
+  }
+}
+
+/** The same key must mean the same call: this is what is compared. */
+function fingerprintOf(call: ServiceCall): string {
+  const {service, operation, content} = call;
+  const body = Buffer.from(content).toString();
+  return digestText(JSON.stringify([service, operation, body]));
+}
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -3,6 +3,7 @@
   createFairQueue,
   createRetryBudget,
   createRouter,
+  createWorkspaceShares,
   promptPrefix,
   type AttemptId,
   type ChooseTargetEffect,
@@ -24,7 +25,7 @@
 const FIRST_TOKEN_GOAL: Milliseconds = 1_900;
 
 /** Longest wait at a target; the rest waits here, where it can still move. */
-const LONGEST_TARGET_WAIT: Milliseconds = 100;
+const LONGEST_TARGET_WAIT: Milliseconds = 600;
 
 /** How often waiting requests and unhealthy targets are looked at. */
 const TURN_PERIOD: Milliseconds = 20;
@@ -54,6 +55,8 @@
   readonly choice: DispatchTarget;
   /** To be called once, when the attempt is dispatched or never will be. */
   readonly release: () => void;
+  /** To be called once, when the work at the target is over. */
+  readonly end: () => void;
   readonly expectedFirstToken: Milliseconds;
 }
 
@@ -105,6 +108,7 @@
   });
   const queue = createFairQueue<Waiter>({capacity: options.queueCapacity});
   const retryBudget = createRetryBudget();
+  const shares = createWorkspaceShares();
   const meanTokens = new Map<string, number>();
   let reservations = 0;
 
@@ -118,7 +122,10 @@
       exclude: effect.exclude,
     });
 
-  const reserve = (routed: TargetChoice): Reservation => {
+  const reserve = (
+    {workspace, precedence}: RoutedRequest,
+    routed: TargetChoice,
+  ): Reservation => {
     const agent = directory.ofTarget(routed.target);
     if (agent === undefined) return refuse('noTarget', QUEUE_FULL_RETRY_AFTER);
     // Several requests may be given a target in one turn of the loop, before
@@ -128,10 +135,12 @@
     const attempt = `reservation/${reservations}`;
     const {target} = routed;
     router.record({kind: 'dispatched', attempt, target, now: clock()});
+    shares.started(workspace, precedence.weight);
     const {instance, incarnation} = agent;
     return {
       choice: {kind: 'target', target, instance, incarnation},
       release: () => router.record({kind: 'refused', attempt, now: clock()}),
+      end: () => shares.ended(workspace),
       expectedFirstToken: routed.expectedFirstToken,
     };
   };
@@ -147,11 +156,14 @@
       expectedTokens: expectedTokens(request),
       choice: routed.val,
       turnsAhead: queue.turnsAhead(place),
+      overShare: shares.isOverShare(
+        request.workspace,
+        request.precedence.weight,
+      ),
     });
     switch (decision.kind) {
       case 'dispatch':
-        admission.recordDispatch(clock());
-        return reserve(routed.val);
+        return reserve(request, routed.val);
       case 'refuse':
         return refuse(decision.reason, decision.retryAfter);
       case 'queue':
@@ -184,10 +196,9 @@
         waiter.resolve(refuse('noTarget', routed.val.retryAfter));
         continue;
       }
-      if (!admission.mayDispatch(routed.val)) return;
+      if (!admission.mayDispatch(routed.val, false)) return;
       queue.dequeue();
-      admission.recordDispatch(clock());
-      waiter.resolve(reserve(routed.val));
+      waiter.resolve(reserve(waiter.request, routed.val));
     }
   };
 
@@ -249,6 +260,7 @@
   return {
     choice: {kind: 'none', reason, retryAfter},
     release: () => undefined,
+    end: () => undefined,
     expectedFirstToken: 0,
   };
 }
--- /dev/null
+++ b/packages/daemon/src/entry/http_face.ts
@@ -0,0 +1,328 @@
+import fastify, {
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from 'fastify';
+import type {WorkspaceName} from '@hibiscusbeam/core';
+import type {Log} from '../logs';
+import {bearerKey, nameOfKey} from '../runtime/keys';
+import type {EntrySettings} from '../types/settings';
+import {isWithinDepth} from '../utils/json_depth';
+import {createAnswerWriter} from './answer_writer';
+import type {CallerService} from './caller_service';
+import {refusalResponse, type HttpRefusal} from './http_errors';
+import {responseOf} from './outcome_mapping';
+import {planRefusalResponse} from './plan_refusals';
+import type {PlanService} from './plan_service';
+import {
+  parseDeadline,
+  parseGenerate,
+  parseIdempotencyKey,
+} from './request_parsing';
+
+/** Connections of callers held at once. */
+const MOST_CONNECTIONS = 4_096;
+
+/** A caller that sends its request slower than this is cut. */
+const REQUEST_TIMEOUT = 30_000;
+
+/** An address that a caller may use, and where it is. */
+export interface EntryAddress {
+  readonly address: string;
+  readonly zone: string;
+  readonly region: string;
+}
+
+/** What the face shows and asks. */
+export interface HttpFaceOptions {
+  readonly settings: EntrySettings;
+  readonly callers: CallerService;
+  readonly plans: PlanService;
+  readonly entries: () => readonly EntryAddress[];
+  readonly status: () => unknown;
+  readonly log: Log;
+  readonly onRefused: (reason: string) => void;
+}
+
+/** Builds the HTTP face for callers and operators. */
+export function createHttpFace(options: HttpFaceOptions): FastifyInstance {
+  const {settings, log} = options;
+  const server = fastify({
+    bodyLimit: settings.limits.requestBody,
+    requestTimeout: REQUEST_TIMEOUT,
+    forceCloseConnections: false,
+    logger: false,
+  });
+  server.server.maxConnections = MOST_CONNECTIONS;
+  readBodies(server, settings.limits.jsonDepth);
+  server.setErrorHandler((error, _request, reply) => {
+    const {statusCode, code, message} = error as Error & {
+      statusCode?: number;
+      code?: string;
+    };
+    const status = statusCode ?? 500;
+    if (status >= 500) log.error('a call failed', {error});
+    else options.onRefused(code ?? 'badRequest');
+    void reply
+      .status(status)
+      .send({error: code ?? 'badRequest', detail: message});
+  });
+  server.setNotFoundHandler((request, reply) =>
+    refuse(options, request, reply, {
+      kind: 'unknown',
+      detail: `${request.method} ${request.url.slice(0, 200)} is not served`,
+    }),
+  );
+  addCallerRoutes(server, options);
+  addOperatorRoutes(server, options);
+  return server;
+}
+
+/** Bodies are read as text first, so that their depth is checked. */
+function readBodies(server: FastifyInstance, depth: number): void {
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser(
+    'application/json',
+    {parseAs: 'string'},
+    (_request, body, done) => {
+      const text = body.toString();
+      if (!isWithinDepth(text, depth)) {
+        const fault = new Error(`nest JSON at most ${depth} deep`);
+        return done(Object.assign(fault, {statusCode: 400, code: 'tooDeep'}));
+      }
+      try {
+        done(null, {text, value: JSON.parse(text) as unknown});
+      } catch {
+        const fault = new Error('the body is not JSON');
+        done(Object.assign(fault, {statusCode: 400, code: 'notJson'}));
+      }
+    },
+  );
+  server.addContentTypeParser(
+    ['application/yaml', 'text/yaml'],
+    {parseAs: 'string'},
+    (_request, body, done) => done(null, {text: body.toString()}),
+  );
+}
+
+interface ReadBody {
+  readonly text: string;
+  readonly value: unknown;
+}
+
+function bodyOf(request: FastifyRequest): ReadBody {
+  const body = request.body as ReadBody | undefined;
+  return body ?? {text: '', value: undefined};
+}
+
+function refuse(
+  options: HttpFaceOptions,
+  request: FastifyRequest,
+  reply: FastifyReply,
+  refusal: HttpRefusal,
+): FastifyReply {
+  options.onRefused(refusal.kind);
+  if (refusal.kind === 'noKey' || refusal.kind === 'wrongKey') {
+    options.log.warn(`refused ${request.method} ${request.routeOptions.url}`, {
+      reason: refusal.kind,
+      from: request.ip,
+    });
+  }
+  const {status, body} = refusalResponse(refusal);
+  return reply.status(status).send(body);
+}
+
+function headerOf(request: FastifyRequest, name: string): string | undefined {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+function addCallerRoutes(
+  server: FastifyInstance,
+  options: HttpFaceOptions,
+): void {
+  const {settings, callers} = options;
+
+  const workspaceOf = (
+    request: FastifyRequest,
+  ): WorkspaceName | HttpRefusal => {
+    const key = bearerKey(headerOf(request, 'authorization'));
+    if (key === undefined) return {kind: 'noKey'};
+    const name = nameOfKey(settings.workspaceKeys, key);
+    return name ?? {kind: 'wrongKey'};
+  };
+
+  server.get('/v1/entries', (request, reply) => {
+    const workspace = workspaceOf(request);
+    if (typeof workspace !== 'string') {
+      return refuse(options, request, reply, workspace);
+    }
+    return reply.send({
+      entries: options.entries(),
+      keepForMilliseconds: settings.addressesKeptFor,
+    });
+  });
+
+  server.post<{Params: {model: string}}>(
+    '/v1/models/:model/generate',
+    async (request, reply) => {
+      const workspace = workspaceOf(request);
+      if (typeof workspace !== 'string') {
+        return refuse(options, request, reply, workspace);
+      }
+      const body = parseGenerate(
+        bodyOf(request).value,
+        settings.limits.longestDeadline,
+      );
+      if (body.err) return refuse(options, request, reply, body.val);
+      const gone = new AbortController();
+      reply.hijack();
+      reply.raw.once('close', () => gone.abort());
+      await callers.generate(
+        workspace,
+        request.params.model,
+        body.val,
+        createAnswerWriter(reply.raw),
+        gone.signal,
+      );
+      return reply;
+    },
+  );
+
+  server.post<{Params: {service: string; operation: string}}>(
+    '/v1/services/:service/calls/:operation',
+    async (request, reply) => {
+      const workspace = workspaceOf(request);
+      if (typeof workspace !== 'string') {
+        return refuse(options, request, reply, workspace);
+      }
+      const {service, operation} = request.params;
+      const deadline = parseDeadline(
+        headerOf(request, 'x-deadline'),
+        settings.limits.longestDeadline,
+      );
+      if (deadline.err) return refuse(options, request, reply, deadline.val);
+      const keyHeader = headerOf(request, 'idempotency-key');
+      const needsKey = callers.needsKey(service, operation);
+      const key = needsKey ? parseIdempotencyKey(keyHeader) : undefined;
+      if (key?.err === true) return refuse(options, request, reply, key.val);
+      const result = await callers.call(workspace, {
+        service,
+        operation,
+        content: Buffer.from(bodyOf(request).text),
+        idempotencyKey: key?.val,
+        deadline: deadline.val,
+      });
+      if (result.outcome.kind === 'answered') {
+        return reply
+          .type('application/json')
+          .send(Buffer.from(result.content ?? []));
+      }
+      const {status, headers, body} = responseOf(result.outcome);
+      return reply.status(status).headers(headers).send(body);
+    },
+  );
+}
+
+function addOperatorRoutes(
+  server: FastifyInstance,
+  options: HttpFaceOptions,
+): void {
+  const {settings, plans} = options;
+
+  const operatorOf = (request: FastifyRequest): string | HttpRefusal => {
+    const key = bearerKey(headerOf(request, 'authorization'));
+    if (key === undefined) return {kind: 'noKey'};
+    return nameOfKey(settings.operatorKeys, key) ?? {kind: 'wrongKey'};
+  };
+
+  /** Serves a route to operators only. */
+  const operatorRoute =
+    <Route extends {Params?: unknown}>(
+      handle: (
+        operator: string,
+        request: FastifyRequest<Route>,
+        reply: FastifyReply,
+      ) => Promise<unknown>,
+    ) =>
+    async (request: FastifyRequest<Route>, reply: FastifyReply) => {
+      const operator = operatorOf(request as FastifyRequest);
+      if (typeof operator !== 'string') {
+        return refuse(options, request as FastifyRequest, reply, operator);
+      }
+      return handle(operator, request, reply);
+    };
+
+  const send = <Value, Fault extends Parameters<typeof planRefusalResponse>[0]>(
+    reply: FastifyReply,
+    result:
+      | {readonly ok: true; readonly err: false; readonly val: Value}
+      | {readonly ok: false; readonly err: true; readonly val: Fault},
+    show: (value: Value) => unknown,
+  ) => {
+    if (result.ok) return reply.send(show(result.val));
+    const {status, headers, body} = planRefusalResponse(result.val);
+    return reply
+      .status(status)
+      .headers(headers ?? {})
+      .send(body);
+  };
+
+  server.post(
+    '/v1/intents/plan',
+    operatorRoute(async (operator, request, reply) => {
+      const {text} = bodyOf(request);
+      const planned = await plans.plan(text, operator);
+      return send(reply, planned, value => value);
+    }),
+  );
+  server.get(
+    '/v1/plans',
+    operatorRoute(async (_operator, _request, reply) =>
+      send(reply, await plans.list(), stored => ({
+        plans: stored.map(({plan, state}) => ({
+          planId: plan.planId,
+          summary: plan.summary,
+          operator: plan.operator,
+          plannedAt: plan.plannedAt,
+          base: plan.base,
+          state,
+        })),
+      })),
+    ),
+  );
+  server.get(
+    '/v1/plans/:planId',
+    operatorRoute<{Params: {planId: string}}>(
+      async (_operator, request, reply) =>
+        send(reply, await plans.show(request.params.planId), value => value),
+    ),
+  );
+  server.post(
+    '/v1/plans/:planId/confirm',
+    operatorRoute<{Params: {planId: string}}>(
+      async (operator, request, reply) => {
+        const {planId} = request.params;
+        options.log.info(`${operator} confirms ${planId}`);
+        return send(reply, await plans.confirm(planId), value => value);
+      },
+    ),
+  );
+  server.delete(
+    '/v1/plans/:planId',
+    operatorRoute<{Params: {planId: string}}>(
+      async (operator, request, reply) => {
+        const {planId} = request.params;
+        options.log.info(`${operator} abandons ${planId}`);
+        const abandoned = await plans.abandon(planId);
+        return send(reply, abandoned, value => ({planId: value}));
+      },
+    ),
+  );
+  server.get(
+    '/v1/status',
+    operatorRoute((_operator, _request, reply) =>
+      Promise.resolve(reply.send(options.status())),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/entry/plan_service.ts
@@ -0,0 +1,258 @@
+import {randomBytes} from 'node:crypto';
+import {
+  abandonPlan,
+  checkManifest,
+  confirmPlan,
+  decodeMoveRow,
+  decodePlanRow,
+  followGeneration,
+  MOVE_PREFIX,
+  parseIntent,
+  PLAN_PREFIX,
+  planIntent,
+  planKey,
+  storePlan,
+  versionsWanted,
+  type AcceptedConfiguration,
+  type Intent,
+  type IntentFault,
+  type KnownTarget,
+  type Plan,
+  type PlanCommitFault,
+  type PlanFacts,
+  type PlanFault,
+  type PlanId,
+  type PlannedMove,
+  type PlanRow,
+  type PlatformError,
+  type ProcessGeneration,
+  type VersionFact,
+} from '@hibiscusbeam/core';
+import type {Platform} from '@hibiscusbeam/platform';
+import {Err, Ok, type Result} from 'ts-results';
+import {parse as parseYaml} from 'yaml';
+import type {Clock} from '../runtime/clock';
+import {digestText} from '../runtime/digests';
+import {runTableFlow} from '../runtime/table_flow';
+
+/** Plans that a list shows at most. */
+const MOST_LISTED = 200;
+
+/** Moves looked at when planning; more are never open at once. */
+const MOST_MOVES = 1_000;
+
+/** Why an operator's request was not carried out. */
+export type PlanRefusal =
+  | {readonly kind: 'notYaml'; readonly detail: string}
+  | {
+      readonly kind: 'badIntent';
+      readonly faults: readonly IntentFault[];
+    }
+  | {
+      readonly kind: 'planRefused';
+      readonly faults: readonly PlanFault[];
+    }
+  | {readonly kind: 'starting'}
+  | {readonly kind: 'notCommitted'; readonly fault: PlanCommitFault}
+  | {readonly kind: 'platform'; readonly error: PlatformError};
+
+/** A plan as shown, with the processes that are not yet at it. */
+export interface ShownPlan extends PlanRow {
+  readonly inForce?: boolean;
+  readonly lagging?: readonly ProcessGeneration[];
+}
+
+/** What operators do with intents and plans. */
+export interface PlanService {
+  readonly plan: (
+    text: string,
+    operator: string,
+  ) => Promise<Result<PlanRow, PlanRefusal>>;
+  readonly confirm: (planId: PlanId) => Promise<
+    Result<
+      {
+        readonly planId: PlanId;
+        readonly generation: number;
+        readonly wasConfirmed: boolean;
+      },
+      PlanRefusal
+    >
+  >;
+  readonly show: (planId: PlanId) => Promise<Result<ShownPlan, PlanRefusal>>;
+  readonly list: () => Promise<Result<readonly PlanRow[], PlanRefusal>>;
+  readonly abandon: (planId: PlanId) => Promise<Result<PlanId, PlanRefusal>>;
+}
+
+/** Options of {@link createPlanService}. */
+export interface PlanServiceOptions {
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly current: () => AcceptedConfiguration | undefined;
+  readonly knownTargets: () => readonly KnownTarget[];
+  readonly rates: Pick<PlanFacts, 'originRate' | 'instanceRate'>;
+  readonly askGenerations: () => Promise<readonly ProcessGeneration[]>;
+  readonly onCommitted: (accepted: AcceptedConfiguration) => void;
+}
+
+/** Creates the service over the platform's table. */
+export function createPlanService(options: PlanServiceOptions): PlanService {
+  const {platform, clock} = options;
+  const {table} = platform;
+
+  const plan: PlanService['plan'] = async (text, operator) => {
+    const base = options.current();
+    if (base === undefined) return Err({kind: 'starting'});
+    const intent = readIntent(text);
+    if (intent.err) return intent;
+    const facts = await gatherFacts(intent.val);
+    if (facts.err) return facts;
+    const planned = planIntent({
+      intent: intent.val,
+      base,
+      facts: facts.val,
+      planId: newPlanId(),
+      operator,
+      now: Date.now(),
+      digestText,
+    });
+    if (planned.err) return Err({kind: 'planRefused', faults: planned.val});
+    return store(planned.val);
+  };
+
+  const store = async (
+    planned: Plan,
+  ): Promise<Result<PlanRow, PlanRefusal>> => {
+    const stored = await runTableFlow(storePlan(planned), table, clock);
+    if (stored.err) return Err({kind: 'notCommitted', fault: stored.val});
+    return Ok({plan: planned, state: {kind: 'planned'}});
+  };
+
+  const gatherFacts = async (
+    intent: Intent,
+  ): Promise<Result<PlanFacts, PlanRefusal>> => {
+    const versions = await Promise.all(versionsWanted(intent).map(readVersion));
+    const unreadable = versions.find(version => version.err);
+    if (unreadable?.err === true) return unreadable;
+    const moves = await readMoves();
+    if (moves.err) return moves;
+    return Ok({
+      versions: versions.filter(version => version.ok).map(({val}) => val),
+      targets: options.knownTargets(),
+      moves: moves.val,
+      ...options.rates,
+    });
+  };
+
+  const readVersion = async ({
+    model,
+    version,
+  }: {
+    readonly model: string;
+    readonly version: string;
+  }): Promise<Result<VersionFact, PlanRefusal>> => {
+    const missing = (detail: string): Result<VersionFact, PlanRefusal> =>
+      Ok({kind: 'missing', model, version, detail});
+    const resolved = version.startsWith('sha256:')
+      ? Ok(version)
+      : await platform.weights.resolve(model, version);
+    if (resolved.err) {
+      if (resolved.val.kind === 'notFound') return missing('no such version');
+      return Err({kind: 'platform', error: resolved.val});
+    }
+    const fetched = await platform.weights.manifest(resolved.val);
+    if (fetched.err && fetched.val.kind === 'notFound') {
+      return missing('the origin has no manifest of it');
+    }
+    if (fetched.err && fetched.val.kind !== 'malformed') {
+      return Err({kind: 'platform', error: fetched.val});
+    }
+    const checked = checkManifest(
+      resolved.val,
+      fetched.ok ? fetched.val : undefined,
+      digestText,
+    );
+    if (checked.err) {
+      const detail = JSON.stringify(checked.val).slice(0, LONGEST_DETAIL);
+      return Ok({kind: 'badManifest', model, version, detail});
+    }
+    const {manifest, versionDigest} = checked.val;
+    const size = manifest.chunks.reduce((sum, chunk) => sum + chunk.size, 0);
+    const {label} = manifest;
+    return Ok({kind: 'resolved', model, version, versionDigest, label, size});
+  };
+
+  const readMoves = async (): Promise<
+    Result<readonly PlannedMove[], PlanRefusal>
+  > => {
+    const rows = await table.scan(MOVE_PREFIX, MOST_MOVES);
+    if (rows.err) return Err({kind: 'platform', error: rows.val});
+    const moves = rows.val.map(decodeMoveRow);
+    return Ok(
+      moves.flatMap(move => (move?.state.kind === 'closed' ? [move.move] : [])),
+    );
+  };
+
+  const confirm: PlanService['confirm'] = async planId => {
+    const flow = confirmPlan(planId, {digestText});
+    const confirmed = await runTableFlow(flow, table, clock);
+    if (confirmed.err) {
+      return Err({kind: 'notCommitted', fault: confirmed.val});
+    }
+    const {accepted, wasConfirmed} = confirmed.val;
+    options.onCommitted(accepted);
+    return Ok({planId, generation: accepted.generation, wasConfirmed});
+  };
+
+  const show: PlanService['show'] = async planId => {
+    const row = await table.read(planKey(planId));
+    if (row.err) return Err({kind: 'platform', error: row.val});
+    const stored = row.val === undefined ? undefined : decodePlanRow(row.val);
+    if (stored === undefined) {
+      const fault = {kind: 'unknownPlan', planId} as const;
+      return Err({kind: 'notCommitted', fault});
+    }
+    if (stored.state.kind !== 'confirmed') return Ok(stored);
+    const processes = await options.askGenerations();
+    const followed = followGeneration(stored.state.generation, processes);
+    const {isInForce, lagging} = followed;
+    return Ok({...stored, inForce: isInForce, lagging});
+  };
+
+  const list: PlanService['list'] = async () => {
+    const rows = await table.scan(PLAN_PREFIX, MOST_LISTED);
+    if (rows.err) return Err({kind: 'platform', error: rows.val});
+    const plans = rows.val.map(decodePlanRow);
+    return Ok(
+      plans
+        .filter(stored => stored !== undefined)
+        .sort((left, right) => right.plan.plannedAt - left.plan.plannedAt),
+    );
+  };
+
+  const abandon: PlanService['abandon'] = async planId => {
+    const result = await runTableFlow(abandonPlan(planId), table, clock);
+    if (result.err) return Err({kind: 'notCommitted', fault: result.val});
+    return Ok(planId);
+  };
+
+  return {plan, confirm, show, list, abandon};
+}
+
+/** Characters of a manifest's faults shown to an operator. */
+const LONGEST_DETAIL = 1_000;
+
+function newPlanId(): PlanId {
+  return `plan-${randomBytes(6).toString('hex')}`;
+}
+
+function readIntent(text: string): Result<Intent, PlanRefusal> {
+  let value: unknown;
+  try {
+    value = parseYaml(text, {maxAliasCount: 0}) as unknown;
+  } catch (error) {
+    return Err({kind: 'notYaml', detail: (error as Error).message});
+  }
+  const intent = parseIntent(value);
+  if (intent.err) return Err({kind: 'badIntent', faults: intent.val});
+  return intent;
+}
--- a/packages/daemon/src/entry/request_runner.ts
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -85,6 +85,8 @@
   /** Whether routing still waits to hear how the attempt ended. */
   open: boolean;
   tokens: number;
+  /** Ends the share of the target that the workspace holds. */
+  endWork: (() => void) | undefined;
 }
 
 function createRequestDriver(
@@ -107,6 +109,7 @@
 
   const releaseReservation = (): void => {
     reservation?.release();
+    reservation?.end();
     reservation = undefined;
   };
 
@@ -131,7 +134,13 @@
           );
     const stream = createAttemptStream(call, clock);
     const isServe = kind === 'serve';
-    const own = {stream, dispatchedAt: now, open: isServe, tokens: 0};
+    const own: OwnStream = {
+      stream,
+      dispatchedAt: now,
+      open: isServe,
+      tokens: 0,
+      endWork: undefined,
+    };
     streams.set(address.attempt, own);
     return own;
   };
@@ -143,11 +152,15 @@
   ) => {
     const {attempt, target} = address;
     const expected = reservation?.expectedFirstToken ?? 0;
-    releaseReservation();
     const own = openStream(address, 'serve', deadline);
     if (own === undefined) {
+      releaseReservation();
       return event({kind: 'cut', detail: 'the agent is not known'});
     }
+    // From here on the attempt itself stands for the reservation.
+    reservation?.release();
+    own.endWork = reservation?.end;
+    reservation = undefined;
     dispatcher.record({kind: 'dispatched', attempt, target, now: clock()});
     if (context.serveWork.repeatable) {
       repeatableStreams.set(attempt, own.stream);
@@ -211,6 +224,7 @@
     kind: 'finished' | 'refused' | 'failed',
   ): void => {
     own.open = false;
+    own.endWork?.();
     repeatableStreams.delete(attempt);
     dispatcher.record({kind, attempt, now: clock()});
   };
--- a/packages/daemon/src/site/site_node.ts
+++ b/packages/daemon/src/site/site_node.ts
@@ -14,6 +14,7 @@
   PullConfigurationReply,
   SlotTarget,
   TargetReport,
+  WorkspaceUse,
 } from '@hibiscusbeam/wire';
 import {
   createConfigurationDriver,
@@ -46,6 +47,12 @@
   readonly agentHandlers?: AgentServer;
   /** Present on agents: what each heartbeat says of the target. */
   readonly targetReport?: () => TargetReport;
+  /** Present on entries: what each heartbeat to an entry says of use. */
+  readonly workspaceUses?: () => readonly WorkspaceUse[];
+  readonly onWorkspaceUses?: (
+    peer: Peer,
+    uses: readonly WorkspaceUse[],
+  ) => void;
   readonly isLeaving: () => boolean;
   readonly dump: () => Readonly<Record<string, unknown>>;
   readonly onAdopted: (accepted: AcceptedConfiguration) => void;
@@ -114,6 +121,7 @@
           generation: configuration.current()?.generation ?? 0,
           leaving: role.isLeaving(),
           target: toRole === 'entry' ? role.targetReport?.() : undefined,
+          uses: toRole === 'entry' ? [...(role.workspaceUses?.() ?? [])] : [],
         },
       },
     } as const;
@@ -146,7 +154,8 @@
       received: (peer, {message}) => {
         switch (message?.$case) {
           case 'heartbeat': {
-            const {sequence, leaving, generation, target} = message.heartbeat;
+            const {sequence, leaving, generation, target, uses} =
+              message.heartbeat;
             const {instance, incarnation} = peer;
             membership.heartbeat(
               {instance, incarnation, sequence, leaving},
@@ -154,6 +163,7 @@
             );
             if (generation > 0) configuration.hearPeer(instance, generation);
             if (target !== undefined) role.onTargetReport?.(peer, target);
+            if (peer.role === 'entry') role.onWorkspaceUses?.(peer, uses);
             return;
           }
           case 'goodbye':
