--- a/packages/daemon/src/settings/reference.ts
+++ b/packages/daemon/src/settings/reference.ts
@@ -1,11 +1,6 @@
 import * as z from 'zod';
-import {
-  agentSchema,
-  eitherRoleSchema,
-  entrySchema,
-  fieldNotes,
-  type FieldNotes,
-} from './schema';
+import {fieldNotes, type FieldNotes} from './fields';
+import {agentSchema, eitherRoleSchema, entrySchema} from './schema';
 
 /** One field as the reference page shows it. */
 export interface FieldDescription extends FieldNotes {
