--- /dev/null
+++ b/bench/distribution/run.ts
@@ -0,0 +1,247 @@
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {SwarmPeer} from '@hibiscusbeam/daemon';
+import type {BenchOptions} from './options';
+import {startOrigin, type Origin} from './origin';
+import {generateVersion, type BenchVersion} from './version';
+import {cpuSeconds} from './worker';
+import {startWorkers, type Workers} from './workers';
+
+/** Time for sessions to open before the measurement starts. */
+const SETTLE_MILLISECONDS = 1_500;
+
+/** Longest run, in windows; a run that takes longer has failed. */
+const LONGEST_RUN_WINDOWS = 60;
+
+/** Parts of the lower bound after which a fault comes, and that it lasts. */
+const FAULT_AT = 0.3;
+const OUTAGE_AT = 0.1;
+const FAULT_TIME = 0.2;
+
+/** The instance that a fault strikes. */
+const FAULTY_POSITION = 1;
+
+/** Delay of the platform's list of instances after a kill. */
+const LIST_LAG_MILLISECONDS = 2_000;
+
+/** One run's figures. */
+export interface BenchResult {
+  readonly strategy: string;
+  readonly prefer: string;
+  readonly fault: string;
+  readonly instances: number;
+  /** Instances that hold the whole version at the end. */
+  readonly replicas: number;
+  readonly seconds: number;
+  readonly lowerBoundSeconds: number;
+  readonly ratio: number;
+  readonly originCopies: number;
+  readonly p50Seconds: number;
+  readonly p99Seconds: number;
+  readonly verified: boolean;
+  readonly controlBytesPerNodePerSecond: number;
+  /** CPU share of the busiest process: 1 is one core in full use. */
+  readonly cpuShare: number;
+  readonly crossZoneCopies: number;
+  readonly neighbours: number;
+  readonly chunks: number;
+  readonly chunkBytes: number;
+  readonly windowSeconds: number;
+  readonly shared: number;
+  readonly reuse: boolean;
+  readonly seed: number;
+}
+
+/** Runs the bench once. */
+export async function runBench(options: BenchOptions): Promise<BenchResult> {
+  const versionBytes = options.chunks * options.chunkBytes;
+  const originRate = (4 * versionBytes) / options.windowSeconds;
+  const origin = await startOrigin(originRate, options.chunkBytes);
+  const workers = startWorkers(options.processes);
+  try {
+    const peers = await begin(options, workers, origin);
+    return await measure(options, workers, origin, peers);
+  } finally {
+    workers.stop();
+    origin.close();
+  }
+}
+
+async function begin(
+  options: BenchOptions,
+  workers: Workers,
+  origin: Origin,
+): Promise<readonly SwarmPeer[]> {
+  const positions = Array.from({length: options.instances}, (_, i) => i);
+  for (let worker = 0; worker < workers.count; worker += 1) {
+    workers.tell(worker, {
+      kind: 'begin',
+      options,
+      positions: positions.filter(place => place % workers.count === worker),
+      originUrl: origin.url,
+    });
+  }
+  const listening = await workers.fromAll('listening');
+  const peers = listening.flatMap(message => message.peers);
+  workers.tellAll({kind: 'peers', peers});
+  await workers.fromAll('connected');
+  return peers;
+}
+
+async function measure(
+  options: BenchOptions,
+  workers: Workers,
+  origin: Origin,
+  peers: readonly SwarmPeer[],
+): Promise<BenchResult> {
+  const sharedChunks = Math.round(options.shared * options.chunks);
+  const version = generate('2', options, sharedChunks);
+  origin.publish(version.content);
+  const lowerBound = lowerBoundSeconds(options);
+  const preload = options.reuse ? sharedChunks : 0;
+  await sleep(SETTLE_MILLISECONDS);
+  const cpuBefore = [cpuSeconds(), ...workers.cpuSeconds()];
+  let startedAt = performance.now();
+  let bytesBefore = 0;
+  let awaited = version;
+  const doneAt = new Map<string, number>();
+  const expected =
+    options.fault === 'kill' ? options.instances - 1 : options.instances;
+  const allDone = new Promise<void>((resolve, reject) => {
+    workers.onReady(({instance, versionDigest}) => {
+      if (versionDigest !== awaited.versionDigest) return;
+      if (options.fault === 'kill' && isFaulty(instance)) return;
+      doneAt.set(instance, performance.now());
+      if (doneAt.size === expected) resolve();
+    });
+    const longest = LONGEST_RUN_WINDOWS * options.windowSeconds * 1000;
+    setTimeout(() => reject(new Error('not all done')), longest).unref();
+  });
+  want(workers, version, undefined, preload);
+  const runningFault = inject(
+    options,
+    workers,
+    origin,
+    peers,
+    lowerBound,
+    () => {
+      const next = generate('3', options, 0);
+      origin.publish(next.content);
+      awaited = next;
+      doneAt.clear();
+      startedAt = performance.now();
+      bytesBefore = origin.bytesSent();
+      want(workers, next, version.versionDigest, 0);
+    },
+  );
+  await runningFault;
+  await allDone;
+  const seconds = (performance.now() - startedAt) / 1000;
+  const cpu = [cpuSeconds(), ...workers.cpuSeconds()].map(
+    (used, place) => (used - cpuBefore[place]!) / seconds,
+  );
+  workers.tellAll({kind: 'finish'});
+  const finished = await workers.fromAll('finished');
+  const total = (key: 'controlBytes' | 'crossZoneBytes' | 'neighbours') =>
+    finished.reduce((sum, message) => sum + message[key], 0);
+  const times = [...doneAt.values()]
+    .map(at => (at - startedAt) / 1000)
+    .sort((left, right) => left - right);
+  const versionBytes = options.chunks * options.chunkBytes;
+  return {
+    strategy: options.strategy,
+    prefer: options.prefer,
+    fault: options.fault,
+    instances: options.instances,
+    replicas: doneAt.size,
+    seconds: round(seconds),
+    lowerBoundSeconds: round(lowerBound),
+    ratio: round(seconds / lowerBound),
+    originCopies: round((origin.bytesSent() - bytesBefore) / versionBytes),
+    p50Seconds: round(quantile(times, 0.5)),
+    p99Seconds: round(quantile(times, 0.99)),
+    verified: finished.every(message => message.verified),
+    controlBytesPerNodePerSecond: Math.round(
+      total('controlBytes') / options.instances / seconds,
+    ),
+    cpuShare: round(Math.max(...cpu)),
+    crossZoneCopies: round(total('crossZoneBytes') / versionBytes),
+    neighbours: round(total('neighbours') / options.instances),
+    chunks: options.chunks,
+    chunkBytes: options.chunkBytes,
+    windowSeconds: options.windowSeconds,
+    shared: options.shared,
+    reuse: options.reuse,
+    seed: options.seed,
+  };
+}
+
+async function inject(
+  options: BenchOptions,
+  workers: Workers,
+  origin: Origin,
+  peers: readonly SwarmPeer[],
+  lowerBound: number,
+  supersede: () => void,
+): Promise<void> {
+  const at = options.fault === 'origin-outage' ? OUTAGE_AT : FAULT_AT;
+  const time = FAULT_TIME * lowerBound * 1000;
+  if (options.fault === 'none') return;
+  await sleep(at * lowerBound * 1000);
+  if (options.fault === 'supersede') return supersede();
+  if (options.fault === 'origin-outage') return origin.fail(time);
+  workers.tellAll({
+    kind: 'fault',
+    fault: options.fault,
+    position: FAULTY_POSITION,
+    time,
+  });
+  if (options.fault !== 'kill') return;
+  await sleep(LIST_LAG_MILLISECONDS);
+  const live = peers.filter(({instance}) => !isFaulty(instance));
+  workers.tellAll({kind: 'peers', peers: live});
+}
+
+function want(
+  workers: Workers,
+  {versionDigest, manifest}: BenchVersion,
+  superseded: string | undefined,
+  preload: number,
+): void {
+  const version = {versionDigest, manifest};
+  workers.tellAll({kind: 'want', version, superseded, preload});
+}
+
+function generate(
+  label: string,
+  options: BenchOptions,
+  sharedChunks: number,
+): BenchVersion {
+  const {seed, chunks, chunkBytes} = options;
+  return generateVersion(label, seed, chunks, chunkBytes, sharedChunks);
+}
+
+/** Least time in which the links could carry the version to all. */
+function lowerBoundSeconds(options: BenchOptions): number {
+  const {instances, windowSeconds} = options;
+  const origin = 4 / windowSeconds;
+  const link = 2 / windowSeconds;
+  return Math.max(
+    1 / origin,
+    1 / link,
+    instances / (origin + instances * link),
+  );
+}
+
+function isFaulty(instance: string): boolean {
+  return instance.endsWith(String(FAULTY_POSITION).padStart(4, '0'));
+}
+
+function quantile(sorted: readonly number[], share: number): number {
+  const place = Math.ceil(share * sorted.length) - 1;
+  return sorted[Math.max(0, place)] ?? 0;
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
--- /dev/null
+++ b/bench/distribution/sessions.ts
@@ -0,0 +1,104 @@
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import {SessionMessage, type PeerClient} from '@hibiscusbeam/wire';
+import type {SwarmDriver, SwarmPeer} from '@hibiscusbeam/daemon';
+
+/** Bytes of the gRPC and HTTP/2 headers of one message. */
+export const MESSAGE_HEADER_BYTES = 5 + 9;
+
+interface MessageStream {
+  readonly write: (message: SessionMessage) => boolean;
+  readonly end: () => void;
+  readonly on: (
+    event: 'data' | 'end' | 'error',
+    listener: (message: SessionMessage) => void,
+  ) => unknown;
+}
+
+/** The sessions of one instance with its neighbours. */
+export interface Sessions {
+  /** Opens a session, unless the neighbour is the one to open it. */
+  readonly connect: (peer: SwarmPeer) => void;
+  readonly accept: (
+    stream: ServerDuplexStream<SessionMessage, SessionMessage>,
+  ) => void;
+  readonly send: (instance: string, message: SessionMessage) => void;
+  readonly count: () => number;
+  readonly bytesSent: () => number;
+  readonly close: () => void;
+}
+
+/** Creates the sessions of `self`; the driver hears what they bring. */
+export function createSessions(
+  self: string,
+  clientOf: (address: string) => PeerClient,
+  driver: () => SwarmDriver,
+): Sessions {
+  const streams = new Map<string, MessageStream>();
+  let bytesSent = 0;
+  let closed = false;
+
+  function write(stream: MessageStream, message: SessionMessage): void {
+    const size = SessionMessage.encode(message).finish().length;
+    bytesSent += size + MESSAGE_HEADER_BYTES;
+    stream.write(message);
+  }
+
+  function open(instance: string, stream: MessageStream): void {
+    streams.set(instance, stream);
+    driver().onPeerConnected(instance);
+  }
+
+  function listen(stream: MessageStream, known: string | undefined): void {
+    let instance = known;
+    stream.on('data', ({message}) => {
+      if (message?.$case === 'hello') {
+        instance = message.hello.instance;
+        open(instance, stream);
+        return;
+      }
+      if (message?.$case !== 'haveDelta' || instance === undefined) return;
+      driver().onHaveDelta(instance, message.haveDelta);
+    });
+    const lose = () => {
+      if (closed || instance === undefined) return;
+      if (streams.get(instance) !== stream) return;
+      streams.delete(instance);
+      driver().onPeerGone(instance);
+    };
+    stream.on('end', lose);
+    stream.on('error', lose);
+  }
+
+  return {
+    connect(peer) {
+      if (peer.instance <= self || streams.has(peer.instance)) return;
+      const stream = clientOf(peer.address).session();
+      listen(stream, peer.instance);
+      write(stream, helloOf(self));
+      open(peer.instance, stream);
+    },
+    accept: stream => listen(stream, undefined),
+    send(instance, message) {
+      const stream = streams.get(instance);
+      if (stream !== undefined) write(stream, message);
+    },
+    count: () => streams.size,
+    bytesSent: () => bytesSent,
+    close() {
+      closed = true;
+      for (const stream of streams.values()) stream.end();
+    },
+  };
+}
+
+function helloOf(instance: string): SessionMessage {
+  const hello = {
+    instance,
+    role: 'agent',
+    zone: '',
+    region: '',
+    address: '',
+    incarnation: 1,
+  };
+  return {message: {$case: 'hello', hello}};
+}
