--- /dev/null
+++ b/test/configuration/spreading.test.ts
@@ -0,0 +1,190 @@
+import {
+  createGenerationKeeper,
+  DEFAULT_KEEPER_BOUNDS,
+  followGeneration,
+  initialConfiguration,
+} from '@hibiscusbeam/core';
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {sha256Text} from '../fixtures/memory_table';
+import {propertySettings} from '../fixtures/property_settings';
+import {
+  createSpreadingSite,
+  generationAt,
+  type SpreadingSite,
+} from '../fixtures/spreading_site';
+
+const PROCESSES = 6;
+
+const slot = fc.nat(PROCESSES - 1);
+const position = fc.nat(1_000);
+
+type Step = (site: SpreadingSite) => void;
+
+/** One thing that happens, with a name for counterexamples. */
+const step: fc.Arbitrary<{readonly name: string; readonly run: Step}> =
+  fc.oneof(
+    {weight: 4, arbitrary: named('deliver', position, deliver)},
+    {weight: 1, arbitrary: named('damage', position, damage)},
+    {weight: 1, arbitrary: named('drop', position, (s, p) => s.drop(p))},
+    {weight: 1, arbitrary: named('double', position, (s, p) => s.double(p))},
+    {weight: 2, arbitrary: named('accept', slot, (s, p) => s.accept(p))},
+    {weight: 2, arbitrary: named('kill', slot, (s, p) => s.kill(p))},
+    {weight: 3, arbitrary: named('start', slot, startFully)},
+    {weight: 2, arbitrary: named('startStep', slot, (s, p) => s.startStep(p))},
+    {weight: 2, arbitrary: named('tick', slot, (s, p) => s.tick(p))},
+    {weight: 1, arbitrary: named('time', fc.nat(900), (s, p) => s.advance(p))},
+    {weight: 1, arbitrary: named('outage', fc.boolean(), setPlatform)},
+    {weight: 2, arbitrary: named('beat', fc.tuple(slot, slot), heartbeat)},
+    {weight: 2, arbitrary: named('cut', fc.tuple(slot, slot), cut)},
+    {weight: 1, arbitrary: named('heal', fc.tuple(slot, slot), heal)},
+  );
+
+function named<Value>(
+  name: string,
+  values: fc.Arbitrary<Value>,
+  run: (site: SpreadingSite, value: Value) => void,
+) {
+  return values.map(value => ({
+    name: `${name} ${JSON.stringify(value)}`,
+    run: (site: SpreadingSite) => run(site, value),
+    toString: () => `${name} ${JSON.stringify(value)}`,
+  }));
+}
+
+function deliver(site: SpreadingSite, value: number): void {
+  site.deliver(value, false);
+}
+
+function damage(site: SpreadingSite, value: number): void {
+  site.deliver(value, true);
+}
+
+function setPlatform(site: SpreadingSite, isUp: boolean): void {
+  site.setPlatform(isUp);
+}
+
+function heartbeat(site: SpreadingSite, [from, to]: [number, number]): void {
+  site.heartbeat(from, to);
+}
+
+function cut(site: SpreadingSite, [left, right]: [number, number]): void {
+  site.setCut(left, right, true);
+}
+
+function heal(site: SpreadingSite, [left, right]: [number, number]): void {
+  site.setCut(left, right, false);
+}
+
+function startFully(site: SpreadingSite, number: number): void {
+  site.start(number);
+  for (let steps = 0; steps < 4; steps += 1) site.startStep(number);
+}
+
+/** Everything works again, but the platform stays as it is. */
+function calmDown(site: SpreadingSite): void {
+  site.healAll();
+  const numbers = site.slots.map((_, number) => number);
+  for (let round = 0; round < 10; round += 1) {
+    site.advance(500);
+    for (const number of numbers) {
+      startFully(site, number);
+      site.tick(number);
+      for (const to of numbers) if (to !== number) site.heartbeat(number, to);
+    }
+    for (let most = 2_000; site.queue.length > 0 && most > 0; most -= 1) {
+      site.deliver(0, false);
+    }
+  }
+}
+
+function check(runs: number, verdict: (site: SpreadingSite) => void): void {
+  const steps = fc.array(step, {minLength: 30, maxLength: 120});
+  fc.assert(
+    fc.property(steps, taken => {
+      const site = createSpreadingSite(PROCESSES);
+      for (const {run} of taken) run(site);
+      verdict(site);
+    }),
+    propertySettings(runs),
+  );
+}
+
+describe('spreading a generation', () => {
+  // A user sees an accepted change disappear again: a late copy of an older
+  // configuration arrives after the newer one, or a process is replaced during
+  // an outage and asks peers that lag behind its predecessor.
+  test('the generation of a process never goes down, nor its replacement', () => {
+    check(1_000, site => expect(site.falls).toEqual([]));
+  });
+
+  // A configuration is damaged on its way, or half of it is from an older one.
+  test('only accepted configurations come into force, whole', () => {
+    check(300, site => {
+      for (const {life} of site.slots) {
+        if (life.kind !== 'ready') continue;
+        const current = life.keeper.current();
+        expect(current).toEqual(site.line[current.generation]);
+      }
+    });
+  });
+
+  // An operator sees a process lag for ever: the one message that told it of
+  // the change was lost, or the peer that it asked was frozen.
+  test('every reachable process reaches the head', () => {
+    check(200, site => {
+      calmDown(site);
+      const ready = site.slots.filter(({life}) => life.kind === 'ready');
+      const generations = ready.map(found => generationAt(found) ?? 0);
+      const highest = Math.max(0, ...generations);
+      expect(generations.every(found => found === highest)).toBe(true);
+      if (!site.isPlatformUp()) return;
+      expect(ready).toHaveLength(PROCESSES);
+      expect(highest).toBe(site.line.length - 1);
+    });
+  });
+
+  // With no change in sight, hundreds of processes poll the head, and the
+  // table's reads are used up.
+  test('all processes together read the head at a fixed rate', () => {
+    fc.assert(
+      fc.property(fc.integer({min: 1, max: 600}), count => {
+        const start = initialConfiguration(sha256Text);
+        const keepers = Array.from({length: count}, (_, number) =>
+          createGenerationKeeper({
+            instance: `process-${number}`,
+            digestText: sha256Text,
+            start,
+            startedAt: 0,
+          }),
+        );
+        let reads = 0;
+        const seconds = 60;
+        for (let now = 0; now < seconds * 1_000; now += 250) {
+          for (const keeper of keepers) {
+            reads += keeper.tick({
+              now,
+              peers: [],
+              liveProcesses: count,
+            }).length;
+          }
+        }
+        const {headReadsPerSecond} = DEFAULT_KEEPER_BOUNDS;
+        // One read each more than the rate gives: the first period is cut.
+        expect(reads).toBeLessThanOrEqual(headReadsPerSecond * seconds + count);
+      }),
+      propertySettings(10),
+    );
+  });
+
+  test('names the processes that lag', () => {
+    const processes = [
+      {instance: 'a', generation: 3},
+      {instance: 'b', generation: 2},
+      {instance: 'c', generation: undefined},
+    ];
+    const followed = followGeneration(3, processes);
+    expect(followed.lagging.map(({instance}) => instance)).toEqual(['b', 'c']);
+    expect(followGeneration(2, processes.slice(0, 2)).isInForce).toBe(true);
+  });
+});
