--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -6,6 +6,12 @@
 /** A target takes at most this multiple of the mean load of its peers. */
 export const LOAD_BOUND_FACTOR = 1.25;
 
+/** The multiple where the bound above would leave callers waiting. */
+export const SATURATED_BOUND_FACTOR = 1.1;
+
+/** Above this load per slot the tighter of the two bounds holds. */
+export const FREE_LOAD = 1;
+
 /** Below this share of its slots a target is never over the bound. */
 export const LOAD_BOUND_FLOOR = 0.25;
 
--- a/packages/core/src/routing/queries/choose_target.ts
+++ b/packages/core/src/routing/queries/choose_target.ts
@@ -4,10 +4,12 @@
 import type {Milliseconds} from '../../types';
 import {
   AFFINITY_BONUS,
+  FREE_LOAD,
   LOAD_BOUND_FACTOR,
   LOAD_BOUND_FLOOR,
   NO_TARGET_RETRY_AFTER,
   OTHER_ZONE_COST,
+  SATURATED_BOUND_FACTOR,
 } from '../constants';
 import {rendezvousScore} from '../prefix';
 import type {RouterState, TargetState} from '../state';
@@ -109,7 +111,7 @@
   request: TargetRequest,
   eligible: readonly Candidate[],
 ): Candidate {
-  const bound = LOAD_BOUND_FACTOR * meanLoadPerSlot(eligible);
+  const bound = loadBound(meanLoadPerSlot(eligible));
   let first: Candidate | undefined;
   let second: Candidate | undefined;
   for (const candidate of eligible) {
@@ -127,6 +129,15 @@
   return firstCost <= cost(state, request, second) ? first : second;
 }
 
+/**
+ * Bound on a target's load per slot. Guard against a wait at a target while
+ * others have free slots: near saturation the bound is tighter.
+ */
+function loadBound(mean: number): number {
+  const free = Math.min(LOAD_BOUND_FACTOR * mean, FREE_LOAD);
+  return Math.max(SATURATED_BOUND_FACTOR * mean, free, LOAD_BOUND_FLOOR);
+}
+
 /** Mean load per slot with the new request counted in. */
 function meanLoadPerSlot(eligible: readonly Candidate[]): number {
   let load = 1;
@@ -144,7 +155,7 @@
  */
 function isOverBound(candidate: Candidate, bound: number): boolean {
   const slots = candidate.target.slots;
-  const allowed = slots * Math.max(bound, LOAD_BOUND_FLOOR);
+  const allowed = slots * bound;
   return candidate.load + 1 > Math.max(1, allowed);
 }
 
