Count the prompts that wait for their prefill

Cause: in a burst slots are free but prompts queue for prefill, which the wait for a slot does not show. The time between first tokens of a target with several own prompts is learned and counted for each.

--- a/packages/core/src/routing/commands/record_event.ts
+++ b/packages/core/src/routing/commands/record_event.ts
@@ -84,10 +84,22 @@
   target.lastProgressAt = now;
   target.waiting.delete(attemptId);
   target.streaming.set(attemptId, attempt);
-  if (attempt.unqueued) target.firstTokenTime.add(now - attempt.dispatchedAt);
+  if (attempt.unqueued) learnFirstToken(state, attempt, now);
+  target.lastFirstTokenAt = now;
   if (attempt.probe) notePassedProbe(target);
 }
 
+function learnFirstToken(
+  state: RouterState,
+  attempt: AttemptState,
+  now: MonotonicInstant,
+): void {
+  const {target} = attempt;
+  const behindAnother = target.lastFirstTokenAt > attempt.dispatchedAt;
+  if (behindAnother) state.firstTokenGap.add(now - target.lastFirstTokenAt);
+  else target.firstTokenTime.add(now - attempt.dispatchedAt);
+}
+
 function notePassedProbe(target: TargetState): void {
   const {health} = target;
   if (health.kind !== 'probing') return;
--- a/packages/core/src/routing/queries/estimate_load.ts
+++ b/packages/core/src/routing/queries/estimate_load.ts
@@ -58,11 +58,17 @@
   return (ahead * state.serviceTime.value()) / target.slots;
 }
 
-/** Expected time to the first token once a slot is free. */
+/**
+ * Expected time to the first token once a slot is free: a prompt's own prefill
+ * and those of the own requests that wait for theirs.
+ */
 export function estimateFirstToken(
   state: RouterState,
   target: TargetState,
 ): Milliseconds {
   const known = target.firstTokenTime.samples() > 0;
-  return known ? target.firstTokenTime.value() : state.medians.firstTokenTime;
+  const alone = known
+    ? target.firstTokenTime.value()
+    : state.medians.firstTokenTime;
+  return alone + target.waiting.size * state.firstTokenGap.value();
 }
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -64,6 +64,7 @@
   /** Attempts with a first token. */
   readonly streaming: Map<AttemptId, AttemptState>;
   lastProgressAt: MonotonicInstant;
+  lastFirstTokenAt: MonotonicInstant;
   /** Time from dispatch to first token where no wait was expected. */
   readonly firstTokenTime: MovingAverage;
   readonly tokenTime: MovingAverage;
@@ -90,6 +91,8 @@
   readonly medians: PeerMedians;
   /** Time in a slot over all targets; each target alone sees too few. */
   readonly serviceTime: MovingAverage;
+  /** Time between first tokens of a target that has several to prefill. */
+  readonly firstTokenGap: MovingAverage;
   /** True once `token` events come, without which silence says nothing. */
   tokensSeen: boolean;
 }
@@ -106,6 +109,7 @@
       compared: 0,
     },
     serviceTime: createMovingAverage(INITIAL_SERVICE_TIME),
+    firstTokenGap: createMovingAverage(0),
     tokensSeen: false,
   };
 }
@@ -132,6 +136,7 @@
     waiting: new Map(),
     streaming: new Map(),
     lastProgressAt: 0,
+    lastFirstTokenAt: 0,
     firstTokenTime: createMovingAverage(INITIAL_FIRST_TOKEN_TIME),
     tokenTime: createMovingAverage(INITIAL_TOKEN_TIME),
     serviceTime: createMovingAverage(INITIAL_SERVICE_TIME),
