Serve the whole path, thin: intent, weights, request, answer

Cause: everything later is measured on real processes. Ruled out: starting the demo inside the product; a process of ours starts no other, so the demo is a script outside of it.

--- a/bench/distribution/sessions.ts
+++ b/bench/distribution/sessions.ts
@@ -99,6 +99,8 @@
     region: '',
     address: '',
     incarnation: 1,
+    target: undefined,
+    callerAddress: '',
   };
   return {message: {$case: 'hello', hello}};
 }
--- /dev/null
+++ b/demo/rollout.ts
@@ -0,0 +1,170 @@
+import {writeFileSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import {stringify} from 'yaml';
+import {commandJson} from './site/command_line';
+import {exchangeJson} from './site/http';
+import type {SmallSite} from './site/small_site';
+
+/** The model that the demonstration serves. */
+export const DEMO_MODEL = 'repair-notes';
+
+/** The plain service of the demonstration. */
+export const DEMO_SERVICE = 'invoicing';
+
+/** Its operation that may not be repeated. */
+export const DEMO_OPERATION = 'charge-warranty';
+
+const CHUNKS = 64;
+const CHUNK_BYTES = 16 * 1024;
+
+/** How often the state of the site is asked for while waiting. */
+const POLL_PERIOD = 100;
+
+const LONGEST_WAIT = 30_000;
+
+/** Publishes a version at the origin; its content follows from `seed`. */
+export async function publishVersion(
+  site: SmallSite,
+  label: string,
+  seed: number,
+  sharedWith?: string,
+): Promise<string> {
+  const published = await exchangeJson<{versionDigest: string}>(
+    'POST',
+    `${site.platformUrl}/weights/versions`,
+    {
+      model: DEMO_MODEL,
+      label,
+      chunkCount: CHUNKS,
+      chunkSize: CHUNK_BYTES,
+      seed,
+      ...(sharedWith === undefined ? {} : {sharedWith, sharedShare: 0.5}),
+    },
+  );
+  return published.versionDigest;
+}
+
+/** The intent that sets up the whole small site. */
+export function firstIntent(site: SmallSite, version: string): unknown {
+  const names = (targets: readonly {readonly name: string}[]) =>
+    targets.map(target => target.name);
+  const engines = names(site.engines);
+  return {
+    summary: 'serve the repair notes',
+    changes: [
+      {kind: 'join', targets: [...engines, ...names(site.plainServices)]},
+      ...['shop-counter', 'call-centre', 'mower-app'].map(workspace => ({
+        kind: 'workspace',
+        workspace,
+        open: true,
+        requestsPerSecond: 1_000,
+      })),
+      {
+        kind: 'service',
+        service: DEMO_SERVICE,
+        notRepeatable: [DEMO_OPERATION],
+      },
+      serveChange(engines, version),
+    ],
+  };
+}
+
+/** The part of an intent that serves the model on these engines. */
+export function serveChange(
+  engines: readonly string[],
+  version: string,
+): unknown {
+  return {
+    kind: 'serve',
+    model: DEMO_MODEL,
+    version,
+    targets: {instances: engines},
+    capacityFloor: Math.max(0, engines.length - 1),
+    prefer: 'origin-bytes',
+  };
+}
+
+/** A plan as the command line prints it. */
+export interface PlannedIntent {
+  readonly plan: {
+    readonly planId: string;
+    readonly originBytes: number;
+    readonly expectedSeconds: number;
+    readonly changes: readonly unknown[];
+  };
+}
+
+/** Plans an intent by the command line; nothing changes yet. */
+export function planByCommand(
+  site: SmallSite,
+  intent: unknown,
+  binary = false,
+): Promise<PlannedIntent> {
+  const folder = dirname(site.settings.operatorKeyFile);
+  const file = join(folder, 'intent.yaml');
+  writeFileSync(file, stringify(intent));
+  return commandJson<PlannedIntent>(site, ['intent', 'plan', file], binary);
+}
+
+/** Confirms a plan by the command line. */
+export function confirmByCommand(
+  site: SmallSite,
+  planId: string,
+  binary = false,
+): Promise<{readonly generation: number}> {
+  return commandJson<{readonly generation: number}>(
+    site,
+    ['intent', 'confirm', planId],
+    binary,
+  );
+}
+
+interface StatusReply {
+  readonly versions: readonly {
+    readonly versionDigest: string;
+    readonly instancesDone: number;
+    readonly instancesTotal: number;
+  }[];
+}
+
+/** Waits until every instance that should serve the version does. */
+export async function waitUntilServed(
+  site: SmallSite,
+  versionDigest: string,
+  operatorKey: string,
+): Promise<void> {
+  const headers = {authorization: `Bearer ${operatorKey}`};
+  await waitFor(async () => {
+    const replies = await Promise.all(
+      site.entries.map(entry =>
+        exchangeJson<StatusReply>(
+          'GET',
+          `${entry.url}/v1/status`,
+          undefined,
+          headers,
+        ),
+      ),
+    );
+    return replies.every(reply =>
+      reply.versions.some(
+        version =>
+          version.versionDigest === versionDigest &&
+          version.instancesDone === version.instancesTotal,
+      ),
+    );
+  }, `version ${versionDigest} on every instance`);
+}
+
+/** Asks `condition` again and again until it holds. */
+export async function waitFor(
+  condition: () => Promise<boolean>,
+  what: string,
+  longest = LONGEST_WAIT,
+): Promise<void> {
+  const end = performance.now() + longest;
+  while (performance.now() < end) {
+    if (await condition()) return;
+    await new Promise(resolve => setTimeout(resolve, POLL_PERIOD));
+  }
+  throw new Error(`waited ${longest} ms in vain for ${what}`);
+}
--- a/demo/site/command_line.ts
+++ b/demo/site/command_line.ts
@@ -25,9 +25,13 @@
   const command = binary ? 'dist/hibiscusbeam' : process.execPath;
   const leading = binary ? [] : ['dist/hibiscusbeam.cjs'];
   return new Promise((resolve, reject) => {
-    const child = spawn(command, [...leading, ...commandArguments, ...options], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const child = spawn(
+      command,
+      [...leading, ...commandArguments, ...options],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
     let output = '';
     let errors = '';
     child.stdout.on('data', (piece: Buffer) => (output += piece.toString()));
--- a/demo/site/small_site.ts
+++ b/demo/site/small_site.ts
@@ -80,11 +80,19 @@
   const standin = async (
     kind: string,
     name: string,
+    extra: readonly string[] = [],
   ): Promise<{process: SiteProcess; url: string}> => {
     const process = start({
       name,
       program: 'standins',
-      programArguments: [kind, '--listen', `${HOST}:0`, '--name', name],
+      programArguments: [
+        kind,
+        '--listen',
+        `${HOST}:0`,
+        '--name',
+        name,
+        ...extra,
+      ],
     });
     const ready = JSON.parse(await process.ready) as {listening: string};
     return {process, url: `http://${ready.listening}`};
@@ -122,13 +130,15 @@
     index: number,
     kind: 'modelEngine' | 'plainService',
   ): Promise<RunningTarget> => {
-    const target = await standin(
-      kind === 'modelEngine' ? 'engine' : 'plain-service',
-      name,
-    );
+    const fencing = options.fencing ?? 'checked';
+    const target =
+      kind === 'modelEngine'
+        ? await standin('engine', name, ['--fencing', fencing])
+        : await standin('plain-service', name);
     const [port] = await freePorts(1);
     const place: AgentPlace = {
-      instance: `agent-of-${name}`,
+      // The agent runs in the target instance's slot and shares its name.
+      instance: name,
       ...placeAt(index),
       siteAddress: `${HOST}:${port}`,
       target: {
@@ -136,7 +146,7 @@
         kind,
         ...(kind === 'plainService' ? {service: 'invoicing'} : {}),
         url: target.url,
-        fencing: options.fencing ?? 'checked',
+        fencing,
       },
     };
     const agent = runAgent(place);
--- a/packages/daemon/src/agent/weights_keeper.ts
+++ b/packages/daemon/src/agent/weights_keeper.ts
@@ -106,8 +106,9 @@
   const versions = new Map<VersionDigest, ModelConfiguration>();
   if (!isOurs) return versions;
   for (const model of Object.values(configuration.models)) {
-    if (model.targets.includes(target))
+    if (model.targets.includes(target)) {
       versions.set(model.versionDigest, model);
+    }
   }
   return versions;
 }
--- a/packages/daemon/src/targets/engine_client.ts
+++ b/packages/daemon/src/targets/engine_client.ts
@@ -117,7 +117,10 @@
     generate: (work, signal) => generate(exchange, work, signal),
     cancel: async attempt =>
       done(
-        await exchange.bytes({method: 'DELETE', path: `/generate/${attempt}`}),
+        await exchange.bytes({
+          method: 'DELETE',
+          path: `/generate/${encodeURIComponent(attempt)}`,
+        }),
       ),
     close: exchange.close,
   };
