--- a/scripts/ci_verdict.mjs
+++ b/scripts/ci_verdict.mjs
@@ -1,4 +1,5 @@
-// Judges a run of .ci/run and prints the last line, `N passed, N failed`.
+// Judges a run of .ci/run and prints the last line, `N passed, N failed`, where
+// a file that could not be loaded counts as one failed.
 // Usage: node scripts/ci_verdict.mjs REPORT KNOWN-RED [failed steps...]
 import {existsSync, readFileSync} from 'node:fs';
 import {dirname, join} from 'node:path';
@@ -10,13 +11,20 @@
 const knownRed = readKnownRed();
 const report = readReport();
 const tests = report.testResults.flatMap(file => file.assertionResults);
+// Files that could not be loaded fail without a single test in the report.
+const unloadedFiles = report.testResults.filter(
+  file =>
+    file.status === 'failed' &&
+    !file.assertionResults.some(test => test.status === 'failed'),
+);
 judgeSteps();
 judgeTests();
 judgeFiles();
 judgeUnhandledErrors();
 for (const problem of problems) console.log(`FAILED: ${problem}`);
 const count = status => tests.filter(test => test.status === status).length;
-console.log(`${count('passed')} passed, ${count('failed')} failed`);
+const failed = count('failed') + unloadedFiles.length;
+console.log(`${count('passed')} passed, ${failed} failed`);
 process.exitCode = problems.length === 0 ? 0 : 1;
 
 function readKnownRed() {
@@ -84,15 +92,9 @@
   }
 }
 
-/** A file that cannot be loaded fails without a single test in the report. */
 function judgeFiles() {
-  for (const file of report.testResults) {
-    const failedTest = file.assertionResults.some(
-      test => test.status === 'failed',
-    );
-    if (file.status === 'failed' && !failedTest) {
-      problems.push(`file ${file.name}: ${file.message}`);
-    }
+  for (const file of unloadedFiles) {
+    problems.push(`file ${file.name}: ${file.message}`);
   }
 }
 
--- a/test/ci/verdict.test.ts
+++ b/test/ci/verdict.test.ts
@@ -68,6 +68,11 @@
     expect(lines).toEqual([`KNOWN RED: ${KNOWN}`, '1 passed, 1 failed']);
   });
 
+  test('counts a file that does not load as failed', () => {
+    const {lines} = judge({tests: {a: 'passed'}, unloadedFile: true});
+    expect(lines.at(-1)).toBe('1 passed, 1 failed');
+  });
+
   test.each<[string, Run]>([
     ['a failed test', {tests: {a: 'failed'}, failedSteps: ['test']}],
     ['a skipped test', {tests: {a: 'passed', b: 'skipped'}}],
