--- a/packages/hibiscusbeam/src/operator/operator_client.ts
+++ b/packages/hibiscusbeam/src/operator/operator_client.ts
@@ -26,6 +26,12 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Refusals with a status from 500 by which the entry says it did nothing. */
+const NOTHING_DONE: ReadonlySet<string> = new Set([
+  'platformUnavailable',
+  'starting',
+]);
+
 /** What operators ask of an entry. */
 export interface OperatorClient {
   readonly plan: (intent: string) => OperatorResult<PlanReply>;
@@ -184,7 +190,7 @@
   if (refusal.error === 'outcomeUnknown') {
     return {kind: 'outcomeUnknown', detail};
   }
-  if (refusal.error === 'platformUnavailable') {
+  if (NOTHING_DONE.has(refusal.error)) {
     return {kind: 'unreachable', detail};
   }
   if (status >= 500) return lost(call, detail);
--- a/test/command_line/operators.test.ts
+++ b/test/command_line/operators.test.ts
@@ -133,6 +133,7 @@
       4,
     ],
     ['a platform that is down', 503, {error: 'platformUnavailable'}, 3],
+    ['an entry that still starts', 503, {error: 'starting'}, 3],
     ['a key that opens nothing', 403, {error: 'wrongKey'}, 1],
   ])('get the exit code for %s', async (_name, status, body, code) => {
     const entry = await serveEntry(replying(status, body));
