--- a/packages/core/src/lease/commands/raise_incarnation.ts
+++ b/packages/core/src/lease/commands/raise_incarnation.ts
@@ -6,6 +6,7 @@
   CommitReply,
   Incarnation,
   InstanceName,
+  JsonValue,
   ReadReply,
   ReadRowEffect,
   TableCondition,
@@ -22,6 +23,8 @@
 const incarnationRowSchema = z.object({
   incarnation: z.number().int().positive(),
   token: z.string(),
+  /** What the agent says of itself; see `AgentDescription`. */
+  description: z.json().optional(),
 });
 
 /** What an agent's row holds. */
@@ -49,11 +52,13 @@
 
 /**
  * Raises the row's number once for this start, which `token` (random, unique
- * to the start) identifies. Run again after an error; it is idempotent.
+ * to the start) identifies, and keeps `description` in the row for others to
+ * read. Run again after an error; it is idempotent.
  */
 export function* raiseIncarnation(
   key: TableKey,
   token: string,
+  description: JsonValue = null,
 ): IncarnationFlow {
   let committed = false;
   for (let tries = 0; tries < MAXIMUM_TRIES; tries += 1) {
@@ -69,7 +74,8 @@
       return Ok({incarnation, stillCurrent: conditionOf(key, row.version)});
     }
     if (committed) return Err({kind: 'replaced'});
-    const value = {incarnation: (current.val?.incarnation ?? 0) + 1, token};
+    const incarnation = (current.val?.incarnation ?? 0) + 1;
+    const value = {incarnation, token, description};
     const result = yield* commit({
       conditions: [conditionOf(key, row?.version)],
       writes: [{kind: 'put', key, value}],
--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -20,6 +20,7 @@
 import {createPlainServiceClient} from '../targets/plain_service_client';
 import type {RunningProcess} from '../types/process';
 import type {AgentSettings} from '../types/settings';
+import {describeAgent} from '../site/agent_descriptions';
 import {prepareCall, prepareGenerate} from './agent_work';
 import {createCachedPrefixes} from './cached_prefixes';
 import {createEngineChunkStore} from './chunk_store';
@@ -248,6 +249,7 @@
     const started = node.start();
     life = await beginLife(
       instance,
+      describeAgent(settings),
       platform.table,
       clock,
       node.log('process'),
--- a/packages/daemon/src/agent/incarnation.ts
+++ b/packages/daemon/src/agent/incarnation.ts
@@ -3,6 +3,7 @@
   incarnationKey,
   raiseIncarnation,
   type InstanceName,
+  type JsonValue,
   type RaisedIncarnation,
 } from '@hibiscusbeam/core';
 import type {TableService} from '@hibiscusbeam/platform';
@@ -21,6 +22,7 @@
 /** Raises the agent's incarnation; tries for as long as it takes. */
 export async function beginLife(
   instance: InstanceName,
+  description: JsonValue,
   table: TableService,
   clock: Clock,
   log: Log,
@@ -30,7 +32,7 @@
   const key = incarnationKey(instance);
   while (!stopping.aborted) {
     const raised = await runTableFlow(
-      raiseIncarnation(key, token),
+      raiseIncarnation(key, token, description),
       table,
       clock,
     );
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
 import {every, monotonicClock, sleep} from '../runtime/clock';
 import type {Peer} from '../site/sessions';
+import {readKnownTargets} from '../site/agent_descriptions';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import type {RunningProcess} from '../types/process';
 import type {EntrySettings} from '../types/settings';
@@ -104,7 +105,7 @@
     },
   });
 
-  const view = createSiteView(() => node.membership);
+  const view = createSiteView();
   const limits = createWorkspaceLimits({
     entry: instance,
     heartbeat: HEARTBEAT_PERIOD,
@@ -138,7 +139,8 @@
     platform,
     clock,
     current: node.configuration.current,
-    knownTargets: view.knownTargets,
+    knownTargets: async () =>
+      readKnownTargets(platform.table, await node.refreshList()),
     rates: RATES,
     askGenerations: node.askGenerations,
     onCommitted: node.configuration.offerCommitted,
--- a/packages/daemon/src/entry/plan_service.ts
+++ b/packages/daemon/src/entry/plan_service.ts
@@ -88,7 +88,9 @@
   readonly platform: Platform;
   readonly clock: Clock;
   readonly current: () => AcceptedConfiguration | undefined;
-  readonly knownTargets: () => readonly KnownTarget[];
+  readonly knownTargets: () => Promise<
+    Result<readonly KnownTarget[], PlatformError>
+  >;
   readonly rates: Pick<PlanFacts, 'originRate' | 'instanceRate'>;
   readonly askGenerations: () => Promise<readonly ProcessGeneration[]>;
   readonly onCommitted: (accepted: AcceptedConfiguration) => void;
@@ -135,9 +137,11 @@
     if (unreadable?.err === true) return unreadable;
     const moves = await readMoves();
     if (moves.err) return moves;
+    const targets = await options.knownTargets();
+    if (targets.err) return Err({kind: 'platform', error: targets.val});
     return Ok({
       versions: versions.filter(version => version.ok).map(({val}) => val),
-      targets: options.knownTargets(),
+      targets: targets.val,
       moves: moves.val,
       ...options.rates,
     });
--- a/packages/daemon/src/entry/site_view.ts
+++ b/packages/daemon/src/entry/site_view.ts
@@ -1,9 +1,7 @@
 import type {
   AcceptedConfiguration,
   InstanceName,
-  KnownTarget,
   LoadReport,
-  Membership,
 } from '@hibiscusbeam/core';
 import type {TargetReport} from '@hibiscusbeam/wire';
 import type {Peer} from '../site/sessions';
@@ -27,7 +25,6 @@
   readonly hear: (peer: Peer, report: TargetReport) => void;
   readonly forget: (instance: InstanceName) => void;
   readonly meet: (peer: Peer) => void;
-  readonly knownTargets: () => readonly KnownTarget[];
   readonly versions: (
     accepted: AcceptedConfiguration,
     now: number,
@@ -35,7 +32,7 @@
 }
 
 /** Creates an empty view. */
-export function createSiteView(membership: () => Membership): SiteView {
+export function createSiteView(): SiteView {
   const peers = new Map<InstanceName, Peer>();
   const reports = new Map<InstanceName, TargetReport>();
   /** By version: when its chunks were first counted, and how many. */
@@ -67,23 +64,6 @@
     meet: peer => void peers.set(peer.instance, peer),
     hear: (peer, report) => void reports.set(peer.instance, report),
     forget: instance => void reports.delete(instance),
-    knownTargets: () =>
-      [...peers.values()].flatMap(peer => {
-        if (peer.target === undefined) return [];
-        const {name, service, checksFencing} = peer.target;
-        const liveness = membership().livenessOf(peer.instance);
-        return [
-          {
-            target: name,
-            instance: peer.instance,
-            zone: peer.zone,
-            kind: service === '' ? 'modelEngine' : 'plainService',
-            service: service === '' ? undefined : service,
-            fencing: checksFencing ? 'checked' : 'ignored',
-            live: liveness === 'live',
-          } satisfies KnownTarget,
-        ];
-      }),
     versions: ({configuration}, now) =>
       Object.entries(configuration.models).map(([model, described]) => {
         const {versionDigest, label, targets} = described;
