Prove leases and incarnations over stepped interleavings

Cause: a lease is only as good as its edges: lost and late replies, slow calls, pauses and clocks of different rates. Ruled out: proofs on wall-clock time; every call is stepped by the test. Conclusion: one holder acts at a time, and no two share a number.

--- /dev/null
+++ b/test/lease/holders.test.ts
@@ -0,0 +1,168 @@
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {propertySettings} from '../fixtures/property_settings';
+import {createSteppedTable, type SteppedTable} from '../fixtures/stepped_table';
+import {
+  arbitraryHop,
+  createSteppedHolder,
+  DURATION,
+  KEY,
+  type Hop,
+  type SteppedHolder,
+} from './stepped_holder';
+
+const RATES = [0.98, 1, 1.02];
+
+/** A holder begins a flow or goes on with it, for some hops of calls. */
+interface Step {
+  readonly holder: number;
+  readonly action: 'acquire' | 'renew' | 'release' | 'resume' | 'land';
+  readonly hops: readonly Hop[];
+}
+
+const elapsed = fc.oneof(
+  {weight: 8, arbitrary: fc.nat({max: 20})},
+  {weight: 1, arbitrary: fc.nat({max: 500})},
+  {weight: 1, arbitrary: fc.integer({min: DURATION - 60, max: DURATION + 40})},
+);
+
+const hops = fc.oneof(
+  fc.array(arbitraryHop(elapsed), {minLength: 6, maxLength: 8}),
+  fc.array(arbitraryHop(elapsed), {minLength: 1, maxLength: 5}),
+);
+
+const step: fc.Arbitrary<Step> = fc.record({
+  holder: fc.nat({max: RATES.length - 1}),
+  action: fc.constantFrom<Step['action']>(
+    'acquire',
+    'acquire',
+    'acquire',
+    'renew',
+    'renew',
+    'release',
+    'resume',
+    'resume',
+    'land',
+  ),
+  hops,
+});
+
+const steps = fc.array(step, {minLength: 5, maxLength: 25});
+
+type Check = (holders: readonly SteppedHolder[], now: number) => void;
+
+function runSteps(taken: readonly Step[], check: Check): SteppedTable {
+  const table = createSteppedTable();
+  const holders = RATES.map((rate, index) =>
+    createSteppedHolder(table, `agent-${index}`, rate),
+  );
+  let now = 0;
+  for (const {holder: index, action, hops: ahead} of taken) {
+    const holder = holders[index];
+    if (holder === undefined) throw new Error('no such holder');
+    if (action === 'land') table.landLate();
+    else if (action !== 'resume') holder.begin(action);
+    check(holders, now);
+    for (const hop of ahead) {
+      now += hop.elapsed;
+      check(holders, now);
+      holder.proceed(now, hop);
+      check(holders, now);
+    }
+  }
+  return table;
+}
+
+const checkOneActs: Check = (holders, now) => {
+  const acting = holders.filter(holder => holder.mayAct(now));
+  if (acting.length > 1) throw new Error('two act at once');
+};
+
+describe('the holders of one lease', () => {
+  // An operator sees an engine load and unload in turns: two agents give it
+  // orders. One was paused, or its renewal was slow or lost, while the other
+  // took the lease over, on a clock that runs a little faster or slower.
+  test('never act two at once', () => {
+    fc.assert(
+      fc.property(steps, taken => {
+        runSteps(taken, checkOneActs);
+      }),
+      propertySettings(1_500),
+    );
+  });
+
+  // The same sight, at the edge of the lease: the first holder's calls take up
+  // to half of the duration, and the second one asks all the time.
+  test('never overlap where one is slow and the other eager', () => {
+    const slow = fc.oneof(fc.nat({max: 5}), fc.nat({max: 500}));
+    const renewals = fc.array(
+      fc.array(arbitraryHop(slow), {minLength: 2, maxLength: 8}),
+      {minLength: 1, maxLength: 4},
+    );
+    fc.assert(
+      fc.property(renewals, fc.boolean(), (taken, firstIsFast) => {
+        const table = createSteppedTable();
+        const rates = firstIsFast ? [1.02, 0.98] : [0.98, 1.02];
+        const holders = rates.map((rate, index) =>
+          createSteppedHolder(table, `agent-${index}`, rate),
+        );
+        const [first, second] = holders;
+        if (first === undefined || second === undefined) throw new Error();
+        runToEnd(first, 0, 'acquire');
+        let now = 0;
+        const passTime = (duration: number): void => {
+          for (let passed = 0; passed <= duration; passed += 10) {
+            runToEnd(second, now + passed, 'acquire');
+            checkOneActs(holders, now + passed);
+          }
+          now += duration;
+        };
+        for (const renewal of taken) {
+          first.begin('renew');
+          for (const hop of renewal) {
+            passTime(hop.elapsed);
+            first.proceed(now, hop);
+            checkOneActs(holders, now);
+          }
+        }
+        passTime(DURATION + 100);
+      }),
+      propertySettings(100),
+    );
+  });
+
+  // A target that checks fencing takes orders from a replaced agent: the agent
+  // that follows got the same number, so the target can't tell them apart.
+  test('never act under the same fencing number', () => {
+    fc.assert(
+      fc.property(steps, taken => {
+        const holderOf = new Map<number, SteppedHolder>();
+        const table = runSteps(taken, (holders, now) => {
+          holders.forEach((holder, index) => {
+            const answer = holder.lease.mayAct(now * (RATES[index] ?? 1));
+            if (answer.kind !== 'mayAct') return;
+            const known = holderOf.get(answer.fencing) ?? holder;
+            if (known !== holder) throw new Error('two share a number');
+            holderOf.set(answer.fencing, holder);
+          });
+        });
+        const numbers = table
+          .history(KEY)
+          .map(row => (row.value as {fencing: number}).fencing);
+        expect(numbers).toEqual([...numbers].sort((a, b) => a - b));
+      }),
+      propertySettings(1_000),
+    );
+  });
+});
+
+function runToEnd(
+  holder: SteppedHolder,
+  now: number,
+  action: 'acquire' | 'renew',
+): void {
+  holder.begin(action);
+  while (!holder.isDone()) {
+    holder.proceed(now, {fault: 'none', elapsed: 0, slowReply: false});
+  }
+}
