Tell a flood by what a workspace sends to the whole site

Cause: own requests in flight are few per workspace and entry, so a margin wide enough to spare steady workspaces let the flood hold 38% of an entry. The use that entries publish for the limits tells the flood far better; with both conditions the margin on requests in flight can go.

--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -41,12 +41,12 @@
     longestTargetWait: 600,
   });
   const queue: FairQueue<LoadRequest> = createFairQueue();
-  const shares = createWorkspaceShares();
   const retries = createRetryBudget();
   const limits = createWorkspaceLimits({
     entry: port.entry,
     heartbeat: HEARTBEAT,
   });
+  const shares = createWorkspaceShares({siteUse: limits.siteUse});
   const expectations = new Map<string, Expectation>();
   const attempts = new Map<string, EntryAttempt>();
   const now = port.clock.now;
--- a/packages/core/src/routing/workspace_limits.ts
+++ b/packages/core/src/routing/workspace_limits.ts
@@ -38,6 +38,8 @@
   readonly receive: (published: PublishedUse, now: MonotonicInstant) => void;
   /** Forgets an entry that is surely gone. */
   readonly entryGone: (entry: InstanceName) => void;
+  /** Requests per second of the workspace at all entries, as published. */
+  readonly siteUse: (workspace: WorkspaceName) => number;
   /** This entry's share now, in requests per second. */
   readonly share: (workspace: WorkspaceName, now: MonotonicInstant) => number;
 }
@@ -123,6 +125,14 @@
     return USE_CHANGE_PER_HEARTBEAT ** missed;
   };
 
+  const siteUse = (workspace: WorkspaceName): number => {
+    let total = workspaces.get(workspace)?.published ?? 0;
+    for (const other of others.values()) {
+      total += other.use.get(workspace) ?? 0;
+    }
+    return total;
+  };
+
   const publish = (now: MonotonicInstant): PublishedUse => {
     const elapsed =
       publishedAt === undefined ? options.heartbeat : now - publishedAt;
@@ -150,6 +160,7 @@
     entryGone: entry => {
       others.delete(entry);
     },
+    siteUse,
     share,
   };
 }
--- a/packages/core/src/routing/workspace_shares.ts
+++ b/packages/core/src/routing/workspace_shares.ts
@@ -15,8 +15,16 @@
   weight: number;
 }
 
+/** Where the shares learn what a workspace sends to all entries. */
+export interface WorkspaceSharesOptions {
+  /** Requests per second at all entries, refused ones included. */
+  readonly siteUse: (workspace: WorkspaceName) => number;
+}
+
 /** Creates shares without requests. */
-export function createWorkspaceShares(): WorkspaceShares {
+export function createWorkspaceShares(
+  options: WorkspaceSharesOptions,
+): WorkspaceShares {
   const shares = new Map<WorkspaceName, Share>();
   let totalInFlight = 0;
   let totalWeight = 0;
@@ -42,13 +50,29 @@
     totalWeight -= share.weight;
   };
 
+  /**
+   * Over its part of the requests in flight here, and sending more than its
+   * part to the site: alone, the first would blame a workspace whose callers
+   * happen to use this entry, and the second would take from a busy one even
+   * what is its own.
+   */
   const isOverShare = (workspace: WorkspaceName, weight: number): boolean => {
     const own = shares.get(workspace);
     const weights = totalWeight + (own === undefined ? weight : 0);
     const fair = ((totalInFlight + 1) * weight) / weights;
-    // Few requests say little, so a share of them has a spread of its root.
-    const allowed = OVER_SHARE_FACTOR * fair + 2 * Math.sqrt(fair);
-    return (own?.inFlight ?? 0) + 1 > allowed;
+    if ((own?.inFlight ?? 0) + 1 <= fair) return false;
+    return sendsOverShare(workspace, weight, weights);
+  };
+
+  const sendsOverShare = (
+    workspace: WorkspaceName,
+    weight: number,
+    weights: number,
+  ): boolean => {
+    let use = shares.has(workspace) ? 0 : options.siteUse(workspace);
+    for (const active of shares.keys()) use += options.siteUse(active);
+    const fair = (use * weight) / weights;
+    return options.siteUse(workspace) > OVER_SHARE_FACTOR * fair;
   };
 
   return {
