Learn a target's queue from own first tokens

Cause: with reports 5 s late, 3% of the requests were refused for queues long gone and 4% waited in queues not yet reported. A first token that comes later than its prefill explains tells the queue at its dispatch.

--- a/packages/core/src/routing/commands/record_event.ts
+++ b/packages/core/src/routing/commands/record_event.ts
@@ -1,6 +1,8 @@
 import {unreachable} from '../../kernel/flow';
 import type {AttemptId, MonotonicInstant, TargetName} from '../../types';
+import {LEAST_WAIT_SEEN} from '../constants';
 import {
+  estimateFirstToken,
   estimateLoad,
   estimateWait,
   meanOthersPerSlot,
@@ -48,7 +50,8 @@
     target,
     dispatchedAt: now,
     probe: target.health.kind === 'probing',
-    unqueued: estimateWait(state, target, load) === 0,
+    loadBefore: load,
+    expectedPrefill: estimateFirstToken(state, target),
     firstTokenAt: undefined,
     lastProgressAt: now,
   };
@@ -84,7 +87,8 @@
   target.lastProgressAt = now;
   target.waiting.delete(attemptId);
   target.streaming.set(attemptId, attempt);
-  if (attempt.unqueued) learnFirstToken(state, attempt, now);
+  learnFirstToken(state, attempt, now);
+  learnLoad(state, attempt, now);
   target.lastFirstTokenAt = now;
   if (attempt.probe) notePassedProbe(target);
 }
@@ -95,11 +99,47 @@
   now: MonotonicInstant,
 ): void {
   const {target} = attempt;
+  if (estimateWait(state, target, attempt.loadBefore) > 0) return;
   const behindAnother = target.lastFirstTokenAt > attempt.dispatchedAt;
   if (behindAnother) state.firstTokenGap.add(now - target.lastFirstTokenAt);
   else target.firstTokenTime.add(now - attempt.dispatchedAt);
 }
 
+/**
+ * A first token tells how long the queue was at dispatch, later than any
+ * report can: with reports 5 s late it is the best news there is.
+ */
+function learnLoad(
+  state: RouterState,
+  attempt: AttemptState,
+  now: MonotonicInstant,
+): void {
+  const {target, dispatchedAt, loadBefore} = attempt;
+  if (dispatchedAt <= target.measuredAt) return;
+  const waited = now - dispatchedAt - attempt.expectedPrefill;
+  const queued = waited > LEAST_WAIT_SEEN;
+  const thoughtFull = loadBefore >= target.slots;
+  if (queued === thoughtFull && !queued) return;
+  const behind = (waited * target.slots) / state.serviceTime.value();
+  const load = queued ? target.slots + behind : target.slots - 1;
+  noteLoad(state, target, load, dispatchedAt);
+}
+
+/** Takes `load` at `instant` as the target's, own requests included. */
+function noteLoad(
+  state: RouterState,
+  target: TargetState,
+  load: number,
+  instant: MonotonicInstant,
+): void {
+  // Guard against an older report that comes after newer news.
+  if (instant < target.measuredAt) return;
+  const own = target.ownHistory.countAt(instant);
+  target.measuredAt = instant;
+  target.othersAtReport = Math.max(0, load - own);
+  target.allOwnAtReport = state.history.countAt(instant);
+}
+
 function notePassedProbe(target: TargetState): void {
   const {health} = target;
   if (health.kind !== 'probing') return;
@@ -165,17 +205,13 @@
   now: MonotonicInstant,
 ): void {
   const target = targetOf(state, report);
-  const measuredAt = now - report.age;
   target.zone = report.zone;
   target.service = report.service;
   target.leaving = report.leaving;
   target.loaded = report.loaded;
   target.slots = Math.max(1, report.slots);
   target.cachedPrefixes = new Set(report.cachedPrefixes);
-  target.measuredAt = measuredAt;
-  const own = target.ownHistory.countAt(measuredAt);
-  target.othersAtReport = Math.max(0, report.running + report.queued - own);
-  target.allOwnAtReport = state.history.countAt(measuredAt);
+  noteLoad(state, target, report.running + report.queued, now - report.age);
 }
 
 function targetOf(state: RouterState, report: LoadReport): TargetState {
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -142,3 +142,6 @@
 
 /** Workspaces over their share leave this part of a target's slots free. */
 export const RESERVED_SLOT_SHARE = 0.15;
+
+/** A first token later than expected by this shows a queue at its target. */
+export const LEAST_WAIT_SEEN: Milliseconds = 150;
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -38,8 +38,10 @@
   readonly target: TargetState;
   readonly dispatchedAt: MonotonicInstant;
   readonly probe: boolean;
-  /** True if the target had a free slot at dispatch, as far as known. */
-  readonly unqueued: boolean;
+  /** Load of the target before this attempt, as estimated at dispatch. */
+  readonly loadBefore: number;
+  /** Expected time from a slot to the first token, at dispatch. */
+  readonly expectedPrefill: Milliseconds;
   firstTokenAt: MonotonicInstant | undefined;
   lastProgressAt: MonotonicInstant;
 }
