Send out what was let into the queue

Cause: a few queued requests were refused when their time was up, 0.5 to 1.8 s after they came. Once let in, a request is now sent out after half a second even where the wait proves longer; nothing is refused but on arrival.

--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -39,6 +39,7 @@
   const admission: Admission = createAdmission({
     firstTokenGoal: FIRST_TOKEN_GOAL,
     longestTargetWait: 600,
+    longestEntryWait: 500,
   });
   const queue: FairQueue<LoadRequest> = createFairQueue();
   const retries = createRetryBudget();
@@ -127,25 +128,19 @@
   };
 
   const pump = (): void => {
-    dropLate();
     for (;;) {
       const request = queue.peek();
       if (request === undefined) return;
       const choice = choose(request, []);
-      if (choice === undefined || !admission.mayDispatch(choice, false)) return;
+      const waited = now() - request.arriveAt;
+      if (choice === undefined) return;
+      if (!admission.mayLeaveQueue(choice, waited)) return;
       queue.dequeue();
       retries.recordFirstTry();
       dispatch(request, choice, 0);
     }
   };
 
-  const dropLate = (): void => {
-    const late = queue.drop(
-      request => now() > request.arriveAt + FIRST_TOKEN_GOAL - LEAST_TIME,
-    );
-    for (const request of late) port.refuse(request, 1_000);
-  };
-
   const retryElsewhere = (attempt: EntryAttempt): void => {
     const {request, target} = attempt;
     const choice = choose(request, [target]);
@@ -216,9 +211,6 @@
   };
 }
 
-/** Time that even an idle target needs to the first token. */
-const LEAST_TIME = 100;
-
 function placeOf(request: LoadRequest): QueuePlace {
   const weight = weightOf(request.workspace);
   return {workspace: request.workspace, priority: 0, weight};
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -39,8 +39,11 @@
 /** Decides which requests can be answered in time. */
 export interface Admission {
   readonly decide: (request: AdmissionRequest) => AdmissionDecision;
-  /** Whether a request at the head of the queue should go to `choice` now. */
-  readonly mayDispatch: (choice: TargetChoice, overShare: boolean) => boolean;
+  /** Whether the head of the queue, there for `waited`, goes to `choice` now. */
+  readonly mayLeaveQueue: (
+    choice: TargetChoice,
+    waited: Milliseconds,
+  ) => boolean;
   /** Learns how far the expectation was off. */
   readonly recordFirstToken: (
     expected: Milliseconds,
@@ -56,6 +59,8 @@
   readonly firstTokenGoal: Milliseconds;
   /** Longest wait for a slot at a target; the rest waits at the entry. */
   readonly longestTargetWait: Milliseconds;
+  /** A request that has waited so long at the entry is sent out anyway. */
+  readonly longestEntryWait: Milliseconds;
 }
 
 /** Creates an admission without experience. */
@@ -93,6 +98,11 @@
       ? choice.expectedLoad <= 1 - RESERVED_SLOT_SHARE
       : choice.expectedWait <= options.longestTargetWait;
 
+  // Guard against a late refusal: a request that was let into the queue has
+  // been promised an answer, so it goes out even if the wait proves longer.
+  const mayLeaveQueue = (choice: TargetChoice, waited: Milliseconds): boolean =>
+    mayDispatch(choice, false) || waited >= options.longestEntryWait;
+
   const recordFirstToken = (
     expected: Milliseconds,
     actual: Milliseconds,
@@ -105,7 +115,7 @@
 
   return {
     decide,
-    mayDispatch,
+    mayLeaveQueue,
     recordFirstToken,
     margin: () => margin,
   };
