--- a/packages/core/src/requests/commands/attempt_resolution.ts
+++ b/packages/core/src/requests/commands/attempt_resolution.ts
@@ -37,10 +37,6 @@
   if (answer === undefined || answer.attempt !== address.attempt) {
     return yield* askTable(address);
   }
-  // An answer of another life of the agent says nothing about this attempt.
-  if (answer.incarnation !== address.incarnation) {
-    return yield* otherLife(address, answer);
-  }
   return yield* judge(options, address, answer);
 }
 
