--- a/packages/core/src/requests/commands/attempt_memory.ts
+++ b/packages/core/src/requests/commands/attempt_memory.ts
@@ -29,8 +29,8 @@
   readonly started: (attempt: AttemptId, parts: AttemptParts) => void;
   /** Makes sure that the attempt never starts. */
   readonly close: (attempt: AttemptId, parts: AttemptParts) => void;
-  /** `false` if the attempt was not running. */
-  readonly finished: (attempt: AttemptId) => boolean;
+  /** Notes how a running attempt ended; `false` if it was not running. */
+  readonly ended: (attempt: AttemptId, as: SettledState) => boolean;
   readonly sizes: () => {
     readonly running: number;
     readonly records: number;
@@ -97,9 +97,9 @@
       remember(parts);
       settle(attempt, 'closed');
     },
-    finished(attempt) {
+    ended(attempt, as) {
       if (!running.delete(attempt)) return false;
-      settle(attempt, 'finished');
+      settle(attempt, as);
       return true;
     },
     sizes: () => ({
--- a/packages/core/src/requests/commands/attempt_registry.ts
+++ b/packages/core/src/requests/commands/attempt_registry.ts
@@ -68,6 +68,14 @@
     answer: WholeAnswer | undefined,
     now: MonotonicInstant,
   ) => void;
+  /**
+   * Notes that the target itself refused a started attempt before any of its
+   * work; the attempt is closed. `undefined` if it was not running.
+   */
+  readonly turnedAway: (
+    attempt: AttemptId,
+    reason: NotRunReason,
+  ) => RefusedEvent | undefined;
   /** Makes sure that the attempt never starts, or says that it has. */
   readonly tombstone: (
     attempt: AttemptId,
@@ -99,10 +107,13 @@
   const memory = createAttemptMemory(options, answers.remove);
   let leaving = false;
 
-  function refuse(attempt: AttemptId, reason: NotRunReason): StartDecision {
+  function refusal(attempt: AttemptId, reason: NotRunReason): RefusedEvent {
     const {retryAfter} = options;
-    const kind = 'refused' as const;
-    return {kind, event: {kind, attempt, incarnation, reason, retryAfter}};
+    return {kind: 'refused', attempt, incarnation, reason, retryAfter};
+  }
+
+  function refuse(attempt: AttemptId, reason: NotRunReason): StartDecision {
+    return {kind: 'refused', event: refusal(attempt, reason)};
   }
 
   function startUnseen(attempt: AttemptId, parts: AttemptParts): StartDecision {
@@ -176,9 +187,15 @@
       }
     },
     finish(attempt, answer, now) {
-      if (!memory.finished(attempt)) return;
+      if (!memory.ended(attempt, 'finished')) return;
       if (answer !== undefined) answers.keep(attempt, answer, now);
     },
+    turnedAway(attempt, reason) {
+      // Closed, not forgotten: a second copy of the dispatch must not reach
+      // the target when it has room again.
+      if (!memory.ended(attempt, 'closed')) return undefined;
+      return refusal(attempt, reason);
+    },
     tombstone(attempt, addressedTo) {
       const parts = parseAttempt(attempt);
       // A word about another life's attempt would be a guess.
--- a/test/requests/attempt_registry.test.ts
+++ b/test/requests/attempt_registry.test.ts
@@ -71,6 +71,14 @@
               registry.setLeaving(chosen.answered);
               break;
           }
+          if (chosen.kind === 'start' && chosen.answered) {
+            // The target itself refused: it never did any of the work.
+            const away = registry.turnedAway(attempt, 'queueFull');
+            if (away !== undefined) {
+              started.delete(attempt);
+              disclaimed.add(attempt);
+            }
+          }
           const {running, records, senders, answerBytes} = registry.sizes();
           expect(running).toBeLessThanOrEqual(options.maximumRunning);
           expect(records).toBeLessThanOrEqual(options.maximumRecords);
