Add an embeddable client for callers

Picks an entry of its own zone, reads streams to their end line, repeats a call under its own key only, and never takes "not run" for an answer about a call that an earlier send may have run.

--- /dev/null
+++ b/packages/daemon/src/caller_client/entry_list.ts
@@ -0,0 +1,112 @@
+import type {Milliseconds, ZoneName} from '@hibiscusbeam/core';
+import {z} from 'zod';
+import type {EntryExchange} from './exchange';
+
+/** Which entry a caller uses, as the system tells it. */
+export interface EntryList {
+  /** The entry to use: the same one until it fails or the list changes. */
+  readonly current: () => Promise<string>;
+  /** Goes on to another entry after `entry` failed. */
+  readonly failed: (entry: string) => void;
+}
+
+/** Options of {@link createEntryList}. */
+export interface EntryListOptions {
+  readonly exchange: EntryExchange;
+  /** Entries to ask first. */
+  readonly entries: readonly string[];
+  readonly zone: ZoneName | undefined;
+  readonly now: () => Milliseconds;
+  readonly random: () => number;
+}
+
+const ENTRIES_REPLY = z.object({
+  entries: z
+    .array(z.object({address: z.string().min(1), zone: z.string()}))
+    .min(1),
+  keepForMilliseconds: z.number().nonnegative(),
+});
+
+/** An entry that doesn't say in this time which to use is passed over. */
+const ASK_TIMEOUT: Milliseconds = 2_000;
+
+/** After a failed question, the old list serves this long. */
+const ASK_AGAIN_AFTER: Milliseconds = 1_000;
+
+/** Keeps the system's answer to "which entry shall I use". */
+export function createEntryList(options: EntryListOptions): EntryList {
+  const {exchange, now, random} = options;
+  let order = shuffle(options.entries, random);
+  let goodUntil = -Infinity;
+  let asking: Promise<void> | undefined;
+
+  async function ask(): Promise<void> {
+    for (const entry of order) {
+      const reply = await askEntry(exchange, entry);
+      if (reply === undefined) continue;
+      order = arrange(reply.entries, order[0]);
+      goodUntil = now() + reply.keepForMilliseconds;
+      return;
+    }
+    // No entry answers. The old addresses stay in use: an entry that is being
+    // stopped serves as long as callers may hold its address.
+    goodUntil = now() + ASK_AGAIN_AFTER;
+  }
+
+  /** Own zone first, each group in random order, the entry in use kept. */
+  function arrange(
+    entries: z.infer<typeof ENTRIES_REPLY>['entries'],
+    inUse: string | undefined,
+  ): readonly string[] {
+    const isNear = (zone: string) => zone === options.zone;
+    const near = entries.filter(({zone}) => isNear(zone));
+    const far = entries.filter(({zone}) => !isNear(zone));
+    const first = near.length > 0 ? near : far;
+    const kept = first.filter(({address}) => address === inUse);
+    const arranged = [kept, shuffle(near, random), shuffle(far, random)]
+      .flat()
+      .map(({address}) => address);
+    return [...new Set(arranged)];
+  }
+
+  return {
+    async current() {
+      if (now() >= goodUntil) {
+        asking ??= ask().finally(() => (asking = undefined));
+        await asking;
+      }
+      const [entry] = order;
+      if (entry === undefined) throw new Error('no entry is known');
+      return entry;
+    },
+    failed(entry) {
+      order = [...order.filter(other => other !== entry), entry];
+    },
+  };
+}
+
+async function askEntry(
+  exchange: EntryExchange,
+  entry: string,
+): Promise<z.infer<typeof ENTRIES_REPLY> | undefined> {
+  const response = await exchange.send({
+    entry,
+    method: 'GET',
+    path: '/v1/entries',
+    timeout: ASK_TIMEOUT,
+  });
+  if (response.kind !== 'response') return undefined;
+  const body = await response.json().catch(() => undefined);
+  if (response.status !== 200) return undefined;
+  return ENTRIES_REPLY.safeParse(body).data;
+}
+
+function shuffle<Item>(
+  items: readonly Item[],
+  random: () => number,
+): readonly Item[] {
+  return items
+    .map(item => ({item, place: random()}))
+    .sort((left, right) => left.place - right.place)
+    .map(({item}) => item);
+}
--- /dev/null
+++ b/packages/daemon/src/caller_client/exchange.ts
@@ -0,0 +1,120 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {Agent, request, type Dispatcher} from 'undici';
+
+/** One HTTP request to one entry. */
+export interface EntryRequest {
+  /** `IP:port`. */
+  readonly entry: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly timeout: Milliseconds;
+}
+
+/** How far a request came that has no response. */
+export type ExchangeFailure =
+  /** No connection: the entry can't have seen the request. */
+  | {readonly kind: 'notSent'; readonly detail: string}
+  /** The entry may have seen it. */
+  | {readonly kind: 'cut'; readonly detail: string};
+
+/** A response whose body is still to be read. */
+export interface EntryResponse {
+  readonly kind: 'response';
+  readonly status: number;
+  readonly headers: Dispatcher.ResponseData['headers'];
+  /** Throws if the connection breaks off. */
+  readonly lines: () => AsyncGenerator<string>;
+  readonly json: () => Promise<unknown>;
+}
+
+/** HTTP to entries, connections kept open. */
+export interface EntryExchange {
+  readonly send: (
+    entryRequest: EntryRequest,
+  ) => Promise<EntryResponse | ExchangeFailure>;
+  readonly close: () => Promise<void>;
+}
+
+const CONNECT_TIMEOUT: Milliseconds = 2_000;
+
+/** A line or body beyond this is no answer of an entry. */
+const LONGEST_BODY = 16 * 1024 * 1024;
+
+/** Errors before any byte of a request is sent. */
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Creates the caller's connections. */
+export function createEntryExchange(workspaceKey: string): EntryExchange {
+  const agent = new Agent({connect: {timeout: CONNECT_TIMEOUT}});
+  return {
+    send: async ({entry, method, path, headers, body, timeout}) => {
+      try {
+        const response = await request(`http://${entry}${path}`, {
+          dispatcher: agent,
+          method,
+          headers: {
+            authorization: `Bearer ${workspaceKey}`,
+            ...(body === undefined ? {} : {'content-type': 'application/json'}),
+            ...headers,
+          },
+          ...(body === undefined ? {} : {body}),
+          signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeout))),
+        });
+        return responseOf(response);
+      } catch (error) {
+        return failureOf(error);
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+/** Turns what undici throws into how far the request came. */
+export function failureOf(error: unknown): ExchangeFailure {
+  const detail = error instanceof Error ? error.message : String(error);
+  const code = (error as {code?: unknown} | null)?.code;
+  const notSent = typeof code === 'string' && NOT_SENT.has(code);
+  return {kind: notSent ? 'notSent' : 'cut', detail};
+}
+
+function responseOf(response: Dispatcher.ResponseData): EntryResponse {
+  return {
+    kind: 'response',
+    status: response.statusCode,
+    headers: response.headers,
+    lines: () => readLines(response.body),
+    json: async () => JSON.parse(await readText(response.body)) as unknown,
+  };
+}
+
+async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  for await (const part of body) {
+    size += part.length;
+    if (size > LONGEST_BODY) throw new Error('the response is too long');
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
+async function* readLines(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const part of body) {
+    const lines = (rest + decoder.decode(part, {stream: true})).split('\n');
+    rest = lines.pop() ?? '';
+    if (rest.length > LONGEST_BODY) throw new Error('a line is too long');
+    yield* lines;
+  }
+  if (rest !== '') yield rest;
+}
--- /dev/null
+++ b/packages/daemon/src/caller_client/index.ts
@@ -0,0 +1,2 @@
+export * from './caller_client';
+export * from './types';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agent';
+export * from './caller_client';
 export * from './entry';
 export * from './logs';
 export * from './metrics';
--- /dev/null
+++ b/test/caller_client/caller_client.test.ts
@@ -0,0 +1,181 @@
+import {createCallerClient} from '@hibiscusbeam/daemon';
+import {describe, expect, onTestFinished, test} from 'vitest';
+import {startFakeEntries, wholeAnswer, type EntryScript} from './fake_entry';
+
+const PROMPT = {
+  model: 'repair-notes',
+  prompt: 'fault 12',
+  maximumTokens: 8,
+  deadline: 10_000,
+};
+const CHARGE = {
+  service: 'invoicing',
+  operation: 'charge',
+  body: {reference: 'r1'},
+  deadline: 10_000,
+};
+const CUT: EntryScript = {kind: 'cut', lines: []};
+const whole = wholeAnswer(['blade ', 'worn']);
+
+function notRun(reason: string, retryAfterMilliseconds: number): EntryScript {
+  const status = reason === 'inProgress' || reason === 'keyReused' ? 409 : 503;
+  const body = {outcome: 'notRun', reason, retryAfterMilliseconds};
+  return {kind: 'reply', status, body};
+}
+
+const DONE: EntryScript = {kind: 'reply', status: 200, body: {charged: 1}};
+
+/** A client of scripted entries, on a clock that only waits move. */
+async function setUp(
+  script: readonly EntryScript[],
+  zones: readonly string[] = ['far', 'near', 'far'],
+) {
+  const entries = await startFakeEntries(zones, script);
+  const waits: number[] = [];
+  let now = 0;
+  const client = createCallerClient({
+    entries: ['127.0.0.1:1', ...entries.addresses],
+    workspaceKey: 'key',
+    zone: 'near',
+    now: () => now,
+    random: () => 0,
+    wait: async duration => {
+      waits.push(duration);
+      now += duration;
+    },
+  });
+  onTestFinished(async () => {
+    await client.close();
+    await entries.close();
+  });
+  return {client, entries, waits, pass: (time: number) => (now += time)};
+}
+
+describe('a caller picks an entry', () => {
+  test('in its own zone, and keeps the answer as long as it is told', async () => {
+    const {client, entries, pass} = await setUp([]);
+    expect(await client.entry()).toBe(entries.addresses[1]);
+    pass(999);
+    await client.entry();
+    expect(entries.questions()).toBe(1);
+    pass(1);
+    expect(await client.entry()).toBe(entries.addresses[1]);
+    expect(entries.questions()).toBe(2);
+  });
+
+  test('and learns at once that none can be reached', async () => {
+    const client = createCallerClient({
+      entries: ['127.0.0.1:1'],
+      workspaceKey: 'key',
+      wait: async () => {},
+    });
+    onTestFinished(client.close);
+    expect(await client.generate(PROMPT)).toMatchObject({
+      kind: 'notRun',
+      reason: 'unreachable',
+    });
+  });
+});
+
+// A shop counter reads a repair note while it is written. The connection
+// breaks half way, or a token is lost: what is on the screen is not the note.
+describe('a caller reads a stream', () => {
+  test('to its end line, and then has the whole answer', async () => {
+    const {client} = await setUp([{kind: 'stream', lines: whole}]);
+    expect(await client.generate(PROMPT)).toEqual({
+      kind: 'answered',
+      answer: {text: 'blade worn', versionDigest: 'sha256:v', tokenCount: 2},
+    });
+  });
+
+  test.each<[string, readonly object[]]>([
+    ['without its end line', whole.slice(0, -1)],
+    ['with a token missing', whole.toSpliced(1, 1)],
+    ['with the last token missing', whole.toSpliced(2, 1)],
+    [
+      'with a token changed',
+      whole.toSpliced(1, 1, {kind: 'token', sequence: 0, text: 'shaft '}),
+    ],
+    [
+      'that ends with an outcome',
+      [
+        ...whole.slice(0, -1),
+        {kind: 'outcome', outcome: 'outcomeUnknown', detail: 'x'},
+      ],
+    ],
+  ])('%s and has no answer', async (_name, lines) => {
+    const {client, entries} = await setUp([{kind: 'stream', lines}]);
+    const shown: string[] = [];
+    const onToken = (text: string) => void shown.push(text);
+    const outcome = await client.generate({...PROMPT, onToken});
+    expect(outcome.kind).toBe('outcomeUnknown');
+    // What is shown may be cut short but has no hole.
+    const given = lines.flatMap(line => ('text' in line ? [line.text] : []));
+    const hasHole = given[0] === 'worn';
+    expect(shown).toEqual(hasHole ? [] : given);
+    if (shown.length > 0) expect(entries.seen).toHaveLength(1);
+  });
+
+  test('from another entry if it broke off before the first token', async () => {
+    const {client, entries} = await setUp([
+      CUT,
+      {kind: 'stream', lines: whole},
+    ]);
+    expect((await client.generate(PROMPT)).kind).toBe('answered');
+    const [first, second] = entries.seen;
+    expect(first?.entry).not.toBe(second?.entry);
+  });
+});
+
+// A warranty charge is sent and the connection breaks before the answer. It
+// may have been booked. Sent again as another call it would be booked twice;
+// "not run" for the second send must not pass for "not booked".
+describe('a caller of an operation that may not be repeated', () => {
+  test('sends it again under the same key only', async () => {
+    const {client, entries} = await setUp([
+      CUT,
+      notRun('inProgress', 70),
+      DONE,
+    ]);
+    const outcome = await client.call({...CHARGE, idempotencyKey: 'k1'});
+    expect(outcome).toEqual({kind: 'answered', answer: {charged: 1}});
+    expect(entries.seen.map(({key}) => key)).toEqual(['k1', 'k1', 'k1']);
+    expect(new Set(entries.seen.map(({body}) => body)).size).toBe(1);
+  });
+
+  test('sends it once if it has no key and may have run', async () => {
+    const {client, entries} = await setUp([CUT, DONE]);
+    expect((await client.call(CHARGE)).kind).toBe('outcomeUnknown');
+    expect(entries.seen).toHaveLength(1);
+  });
+
+  test.each(['platformUnavailable', 'inProgress', 'keyReused'])(
+    'does not take %s for "not run" after a send that may have run',
+    async reason => {
+      const refusals = Array.from({length: 9}, () => notRun(reason, 50));
+      const {client} = await setUp([CUT, ...refusals]);
+      const outcome = await client.call({...CHARGE, idempotencyKey: 'k1'});
+      expect(outcome.kind).toBe('outcomeUnknown');
+    },
+  );
+
+  test('comes back when it is told to, and not past its deadline', async () => {
+    const {client, waits} = await setUp([
+      notRun('queueFull', 3000),
+      notRun('platformUnavailable', 8000),
+    ]);
+    expect(await client.call({...CHARGE, idempotencyKey: 'k1'})).toEqual({
+      kind: 'notRun',
+      reason: 'platformUnavailable',
+      retryAfter: 8000,
+    });
+    expect(waits).toEqual([3000]);
+  });
+
+  test('hears of a wrong request at once', async () => {
+    const body = {error: 'badField', detail: 'x'};
+    const {client, entries} = await setUp([{kind: 'reply', status: 400, body}]);
+    expect((await client.call(CHARGE)).kind).toBe('rejected');
+    expect(entries.seen).toHaveLength(1);
+  });
+});
