--- /dev/null
+++ b/bench/shared/load.ts
@@ -0,0 +1,88 @@
+import {request, Agent} from 'undici';
+import {DEMO_KEYS} from '../../demo/site/settings_files';
+
+/** Load of one kind of request. */
+export interface LoadOptions {
+  readonly url: string;
+  readonly model: string;
+  readonly requests: number;
+  readonly concurrency: number;
+  readonly tokens: number;
+}
+
+/** What a load came to. */
+export interface LoadResult {
+  readonly seconds: number;
+  readonly answered: number;
+  readonly others: number;
+  readonly tokens: number;
+  /** Milliseconds to the first token, sorted. */
+  readonly firstTokens: readonly number[];
+}
+
+const HEADERS = {
+  'content-type': 'application/json',
+  authorization: `Bearer ${DEMO_KEYS.workspaces['mower-app']}`,
+};
+
+/** Sends requests with a fixed number at a time; closed loop, bounded. */
+export async function sendLoad(options: LoadOptions): Promise<LoadResult> {
+  const dispatcher = new Agent({connections: options.concurrency});
+  const firstTokens: number[] = [];
+  let sent = 0;
+  let answered = 0;
+  let others = 0;
+  let tokens = 0;
+
+  const sendOne = async (number: number): Promise<void> => {
+    const begun = performance.now();
+    const reply = await request(
+      `${options.url}/v1/models/${options.model}/generate`,
+      {
+        method: 'POST',
+        dispatcher,
+        headers: HEADERS,
+        body: JSON.stringify({
+          prompt: `prompt ${number}`,
+          maximumTokens: options.tokens,
+          firstTokenWithin: '30s',
+          deadline: '60s',
+        }),
+      },
+    );
+    let lines = 0;
+    let last = '';
+    for await (const piece of reply.body) {
+      const text = (piece as Buffer).toString();
+      if (lines === 0) firstTokens.push(performance.now() - begun);
+      for (const line of text.split('\n')) {
+        if (line.includes('"kind":"token"')) lines += 1;
+      }
+      last = text;
+    }
+    tokens += lines;
+    if (reply.statusCode === 200 && last.includes('"kind":"end"')) {
+      answered += 1;
+    } else others += 1;
+  };
+
+  const begun = performance.now();
+  await Promise.all(
+    Array.from({length: options.concurrency}, async () => {
+      while (sent < options.requests) {
+        sent += 1;
+        await sendOne(sent);
+      }
+    }),
+  );
+  const seconds = (performance.now() - begun) / 1_000;
+  await dispatcher.close();
+  firstTokens.sort((left, right) => left - right);
+  return {seconds, answered, others, tokens, firstTokens};
+}
+
+/** The value below which `share` of the sorted values lie. */
+export function quantile(sorted: readonly number[], share: number): number {
+  const index = Math.min(sorted.length - 1, Math.floor(share * sorted.length));
+  return sorted[index] ?? 0;
+}
--- a/demo/site/small_site.ts
+++ b/demo/site/small_site.ts
@@ -28,6 +28,8 @@
   readonly addressesKeptFor?: string;
   /** Whether engines refuse an order with an old fencing number. */
   readonly fencing?: 'checked' | 'ignored';
+  /** Further options of each engine stand-in's command line. */
+  readonly engineOptions?: readonly string[];
 }
 
 /** A target with the agent in its slot. */
@@ -133,7 +135,11 @@
     const fencing = options.fencing ?? 'checked';
     const target =
       kind === 'modelEngine'
-        ? await standin('engine', name, ['--fencing', fencing])
+        ? await standin('engine', name, [
+            '--fencing',
+            fencing,
+            ...(options.engineOptions ?? []),
+          ])
         : await standin('plain-service', name);
     const [port] = await freePorts(1);
     const place: AgentPlace = {
--- a/scripts/programs.mjs
+++ b/scripts/programs.mjs
@@ -5,4 +5,5 @@
 await Promise.all([
   bundle('packages/hibiscusbeam/src/main.ts', 'dist/hibiscusbeam.cjs'),
   bundle('packages/standins/src/main.ts', 'dist/standins.cjs'),
+  bundle('bench/throughput/bare_entry.ts', 'dist/bare_entry.cjs'),
 ]);
