--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -8,6 +8,9 @@
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport} from '@hibiscusbeam/wire';
+import {createLog} from '../logs';
+import {measurePlatform} from '../platform_access/measured_platform';
+import {openMetrics, sendGauges} from '../process/process_metrics';
 import {every, monotonicClock, sleep} from '../runtime/clock';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import {
@@ -22,6 +25,7 @@
 import type {AgentSettings} from '../types/settings';
 import {describeAgent} from '../site/agent_descriptions';
 import {prepareCall, prepareGenerate} from './agent_work';
+import {createByteCounter} from './byte_counter';
 import {createCachedPrefixes} from './cached_prefixes';
 import {createEngineChunkStore} from './chunk_store';
 import {startEngineControl, type EngineControl} from './engine_control';
@@ -66,7 +70,17 @@
   const clock = monotonicClock;
   const {target, instance} = settings;
   const {url, timeout} = settings.platform;
-  const platform = createHttpPlatform({url, timeout});
+  const processLog = createLog({
+    settings: settings.log,
+    part: 'process',
+    secrets: [settings.siteKey],
+  });
+  const metrics = openMetrics(settings, 'agent', processLog);
+  const platform = measurePlatform(
+    createHttpPlatform({url, timeout}),
+    metrics,
+    clock,
+  );
   const stopping = new AbortController();
   const isEngine = target.kind === 'modelEngine';
   const engine = createEngineClient(target.url, instance);
@@ -96,6 +110,7 @@
     settings,
     clock,
     platform,
+    onRefused: reason => metrics.count('site.refused', {reason}),
     role: {
       role: 'agent',
       incarnation: () => life?.incarnation,
@@ -154,8 +169,10 @@
       }),
     onReady: versionDigest =>
       node.log('transfers').info(`holds all of ${versionDigest}`),
-    onCutOff: peer =>
-      node.log('transfers').warn(`takes nothing more from ${peer}`),
+    onCutOff: peer => {
+      node.log('transfers').warn(`takes nothing more from ${peer}`);
+      metrics.count('transfers.cut_off', {});
+    },
   });
   const weights: WeightsKeeper = createWeightsKeeper({
     target: target.name,
@@ -245,6 +262,15 @@
     };
   };
 
+  const countBytes = createByteCounter(metrics);
+
+  const sendTargetMetrics = (): void => {
+    const {running: atTarget, queued} = reportTarget();
+    metrics.gauge('target.running', {}, atTarget);
+    metrics.gauge('target.queued', {}, queued);
+    countBytes(swarm.progress());
+  };
+
   const start = async (): Promise<void> => {
     const started = node.start();
     life = await beginLife(
@@ -252,10 +278,15 @@
       describeAgent(settings),
       platform.table,
       clock,
-      node.log('process'),
+      processLog,
       stopping.signal,
     );
     await started;
+    stopGauges = sendGauges(metrics, {
+      generation: () => node.configuration.current()?.generation ?? 0,
+      members: node.membership.members,
+      sendMore: sendTargetMetrics,
+    });
     if (life === undefined) return;
     const {incarnation} = life;
     log.info(`begins life ${incarnation} at ${target.name}`);
@@ -274,6 +305,7 @@
       accepted,
       gone,
       log,
+      metrics,
       onRoutableChanged: () => node.sessions.beat(),
     });
     stopCacheEvents = every(
@@ -283,6 +315,7 @@
     void swarm.start();
   };
   let stopCacheEvents = (): void => undefined;
+  let stopGauges = (): void => undefined;
 
   const stop = async (): Promise<void> => {
     stopping.abort();
@@ -291,9 +324,11 @@
     const deadline = clock() + LONGEST_DRAIN;
     while (running > 0 && clock() < deadline) await sleep(DRAIN_PERIOD);
     stopCacheEvents();
+    stopGauges();
     swarm.stop();
     await control?.stop();
     await node.stop('planned stop');
+    await metrics.close();
     await Promise.all([engine.close(), service.close()]);
   };
 
--- a/packages/daemon/src/agent/engine_control.ts
+++ b/packages/daemon/src/agent/engine_control.ts
@@ -11,6 +11,7 @@
 } from '@hibiscusbeam/core';
 import type {TableService} from '@hibiscusbeam/platform';
 import type {Log} from '../logs';
+import type {Metrics} from '../metrics';
 import {sleep, type Clock} from '../runtime/clock';
 import {drive} from '../runtime/drive';
 import type {SwarmDriver} from '../swarm';
@@ -58,6 +59,7 @@
   /** Targets known to be dead or leaving. */
   readonly gone: () => ReadonlySet<TargetName>;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** Called when what may be routed here has changed. */
   readonly onRoutableChanged: () => void;
 }
@@ -99,6 +101,7 @@
     clock,
     log,
     accepted,
+    onStep: step => options.metrics.count('activation.swaps', {step}),
     evidence: model => ({
       loaded: plan?.routable.some(version => version.model === model) ?? false,
       fenced: reconciler.isFenced(clock()),
@@ -124,6 +127,8 @@
     const stillInForce = () => accepted().generation === generation;
     const flow = reconciler.giveOrders(next, stillInForce);
     const round = await drive(flow, performOrder);
+    const outcome = round.kind;
+    options.metrics.count('target.orders', {outcome}, next.orders.length);
     if (round.kind !== 'given') {
       return log.warn(`stopped giving orders: ${round.kind}`);
     }
--- a/packages/daemon/src/agent/permits.ts
+++ b/packages/daemon/src/agent/permits.ts
@@ -30,6 +30,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly accepted: () => AcceptedConfiguration;
+  readonly onStep: (step: 'permitTaken' | 'serving') => void;
   readonly evidence: (model: ModelName) => {
     readonly loaded: boolean;
     readonly fenced: boolean;
@@ -85,6 +86,7 @@
         return log.debug(`no permit to swap ${model}`, {reason: result.val});
       }
       serving.delete(model);
+      options.onStep('permitTaken');
       log.info(`may stop serving ${model} for its swap`);
     });
 
@@ -100,6 +102,7 @@
         return log.debug(`not yet counted for ${model}`, {reason: result.val});
       }
       serving.add(model);
+      options.onStep('serving');
       log.info(`counts as serving ${model}`);
     });
 
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -102,6 +102,7 @@
   readonly siteUse: (workspace: WorkspaceName) => number;
   /** Told of attempts that have stalled and should be given up. */
   readonly onStalled: (attempt: AttemptId) => void;
+  readonly onRetry: () => void;
 }
 
 /** Joins router, admission, fair queue and retry budget. */
@@ -246,7 +247,11 @@
       meanTokens.set(work.model, mean + TOKENS_WEIGHT * (tokens - mean));
     },
     recordFirstTry: retryBudget.recordFirstTry,
-    spendRetry: retryBudget.takeRetry,
+    spendRetry: () => {
+      const isTaken = retryBudget.takeRetry();
+      if (isTaken) options.onRetry();
+      return isTaken;
+    },
     waiting: queue.size,
     dump: () => router.dump(clock()),
     close: stop,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -9,6 +9,9 @@
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
+import {createLog} from '../logs';
+import {measurePlatform} from '../platform_access/measured_platform';
+import {openMetrics, sendGauges} from '../process/process_metrics';
 import {every, monotonicClock, sleep} from '../runtime/clock';
 import type {Peer} from '../site/sessions';
 import {readKnownTargets} from '../site/agent_descriptions';
@@ -17,6 +20,7 @@
 import type {EntrySettings} from '../types/settings';
 import {formatAddress} from '../utils/address';
 import {createCallerService} from './caller_service';
+import {measureCallers} from './measured_callers';
 import {createDispatcher} from './dispatcher';
 import {createGroupCommitDriver} from './group_commit_driver';
 import {createHttpFace, type EntryAddress} from './http_face';
@@ -61,7 +65,17 @@
   const clock = monotonicClock;
   const {instance, zone, region} = settings;
   const {url, timeout} = settings.platform;
-  const platform = createHttpPlatform({url, timeout});
+  const processLog = createLog({
+    settings: settings.log,
+    part: 'process',
+    secrets: [settings.siteKey],
+  });
+  const metrics = openMetrics(settings, 'entry', processLog);
+  const platform = measurePlatform(
+    createHttpPlatform({url, timeout}),
+    metrics,
+    clock,
+  );
   const directory = createTargetDirectory();
   const callerAddress = formatAddress(settings.callerAddress);
   // Higher at each start of the same instance, also while the platform is
@@ -70,11 +84,13 @@
   let leaving = false;
   let uses: readonly WorkspaceUse[] = [];
   let stopPublishing = (): void => undefined;
+  let stopGauges = (): void => undefined;
 
   const node: SiteNode = createSiteNode({
     settings,
     clock,
     platform,
+    onRefused: reason => metrics.count('site.refused', {reason}),
     role: {
       role: 'entry',
       incarnation: () => incarnation,
@@ -110,7 +126,9 @@
     entry: instance,
     heartbeat: HEARTBEAT_PERIOD,
   });
-  const groupCommit = createGroupCommitDriver(platform.table, clock);
+  const groupCommit = createGroupCommitDriver(platform.table, clock, size =>
+    metrics.gauge('claims.batch_size', {}, size),
+  );
   const runner = createRequestRunner({
     clock,
     platform,
@@ -126,16 +144,21 @@
     queueCapacity: settings.limits.waiting,
     siteUse: limits.siteUse,
     onStalled: runner.giveUpStalled,
+    onRetry: () => metrics.count('requests.retried', {}),
   });
-  const callers = createCallerService({
-    instance,
+  const callers = measureCallers(
+    createCallerService({
+      instance,
+      clock,
+      configuration: node.configuration.current,
+      runner,
+      dispatcher,
+      limits,
+      mostInProgress: settings.limits.waiting * IN_PROGRESS_PER_WAITING,
+    }),
+    metrics,
     clock,
-    configuration: node.configuration.current,
-    runner,
-    dispatcher,
-    limits,
-    mostInProgress: settings.limits.waiting * IN_PROGRESS_PER_WAITING,
-  });
+  );
   const plans = createPlanService({
     platform,
     clock,
@@ -158,7 +181,7 @@
       return {generation: accepted.generation, versions};
     },
     log: node.log('callers'),
-    onRefused: () => undefined,
+    onRefused: reason => metrics.count('callers.refused', {reason}),
   });
 
   const followConfiguration = ({
@@ -265,13 +288,21 @@
         ([workspace, requestsPerSecond]) => ({workspace, requestsPerSecond}),
       );
     });
+    stopGauges = sendGauges(metrics, {
+      generation: () => node.configuration.current()?.generation ?? 0,
+      members: node.membership.members,
+      sendMore: () => {
+        metrics.gauge('requests.waiting', {}, dispatcher.waiting());
+        metrics.gauge('claims.in_flight', {}, groupCommit.pending());
+      },
+    });
     followSite();
-    node.log('process').info(`serves callers at ${callerAddress}`);
+    processLog.info(`serves callers at ${callerAddress}`);
   };
 
   const stop = async (): Promise<void> => {
     leaving = true;
-    node.log('process').info('leaves the list of addresses');
+    processLog.info('leaves the list of addresses');
     node.sessions.beat();
     // Callers may keep the old answer so long; until then this entry serves
     // whoever comes, or they would meet a refused connection.
@@ -282,8 +313,10 @@
     }
     await face.close();
     stopPublishing();
+    stopGauges();
     dispatcher.close();
     await node.stop('planned stop');
+    await metrics.close();
   };
 
   return {start, stop};
--- a/packages/daemon/src/entry/group_commit_driver.ts
+++ b/packages/daemon/src/entry/group_commit_driver.ts
@@ -33,6 +33,7 @@
 export function createGroupCommitDriver(
   table: TableService,
   clock: Clock,
+  onBatch: (size: number) => void,
 ): GroupCommitDriver {
   const group = createGroupCommit({
     maximumRows: MAXIMUM_ROWS,
@@ -61,6 +62,7 @@
 
   const pump = (): void => {
     for (const {batch, transaction} of group.takeDue(clock())) {
+      onBatch(transaction.writes.length);
       void send(batch, transaction);
     }
     schedule();
--- a/packages/daemon/src/metrics/metric_names.ts
+++ b/packages/daemon/src/metrics/metric_names.ts
@@ -99,35 +99,25 @@
     tags: ['role'],
     meaning: 'Processes of the site that this process sees as live.',
   },
-  'transfers.chunks_verified': {
-    kind: 'counter',
-    unit: 'chunks',
-    tags: ['source'],
-    meaning: 'Chunks fetched and verified, from the origin or a peer.',
-  },
-  'transfers.chunks_rejected': {
-    kind: 'counter',
-    unit: 'chunks',
-    tags: ['source'],
-    meaning: 'Chunks thrown away since their digest did not match.',
-  },
   'transfers.bytes': {
     kind: 'counter',
     unit: 'bytes',
     tags: ['source'],
     meaning: 'Bytes of weights received, from the origin or a peer.',
   },
-  'transfers.buffered': {
-    kind: 'gauge',
-    unit: 'bytes',
+  'transfers.cut_off': {
+    kind: 'counter',
+    unit: 'peers',
     tags: [],
-    meaning: "Chunk bytes in the agent's memory.",
+    meaning:
+      'Peers from which nothing more is taken, since they sent bad chunks.',
   },
   'activation.swaps': {
     kind: 'counter',
     unit: 'swaps',
-    tags: ['outcome'],
-    meaning: 'Changes of the version that a target serves.',
+    tags: ['step'],
+    meaning:
+      'Steps of swaps: a permit taken, or the target counted as serving again.',
   },
   'target.orders': {
     kind: 'counter',
--- /dev/null
+++ b/packages/daemon/src/process/process_metrics.ts
@@ -0,0 +1,66 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import type {Member} from '@hibiscusbeam/core';
+import {createMetrics, type Metrics} from '../metrics';
+import type {Log} from '../logs';
+import {every} from '../runtime/clock';
+import type {CommonSettings} from '../types/settings';
+
+/** How often gauges are sent. */
+const GAUGE_PERIOD = 1_000;
+
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+
+/** Failures to send are logged once in so many. */
+const LOGGED_FAILURES = 100;
+
+/** Opens the metrics of one process. */
+export function openMetrics(
+  settings: CommonSettings,
+  role: 'entry' | 'agent',
+  log: Log,
+): Metrics {
+  const {instance, zone} = settings;
+  let failures = 0;
+  return createMetrics({
+    settings: settings.metrics,
+    tags: {role, instance, zone},
+    onError: error => {
+      failures += 1;
+      if (failures % LOGGED_FAILURES !== 1) return;
+      log.warn('cannot send metrics', {failures, error});
+    },
+  });
+}
+
+/** What every process measures of itself once a second. */
+export interface ProcessGauges {
+  readonly generation: () => number;
+  readonly members: () => readonly Member[];
+  /** Sends the gauges of the process's role. */
+  readonly sendMore: () => void;
+}
+
+/** Sends gauges until the returned function is called. */
+export function sendGauges(
+  metrics: Metrics,
+  gauges: ProcessGauges,
+): () => void {
+  const delay = monitorEventLoopDelay();
+  delay.enable();
+  const stop = every(GAUGE_PERIOD, () => {
+    const live = gauges.members().filter(({liveness}) => liveness === 'live');
+    for (const role of ['entry', 'agent'] as const) {
+      const count = live.filter(member => member.role === role).length;
+      metrics.gauge('membership.live', {role}, count);
+    }
+    metrics.gauge('configuration.generation', {}, gauges.generation());
+    const worst = delay.max / NANOSECONDS_PER_MILLISECOND;
+    metrics.time('process.loop_delay', {}, worst);
+    delay.reset();
+    gauges.sendMore();
+  });
+  return () => {
+    delay.disable();
+    stop();
+  };
+}
--- a/packages/daemon/src/site/site_node.ts
+++ b/packages/daemon/src/site/site_node.ts
@@ -70,6 +70,8 @@
   readonly clock: Clock;
   readonly platform: Platform;
   readonly role: SiteNodeRole;
+  /** Told why a call of another process was refused. */
+  readonly onRefused: (reason: string) => void;
 }
 
 /** The part that every process of the site has in common. */
@@ -266,7 +268,10 @@
     server = await startSiteServer({
       listen: settings.siteAddress,
       siteKey: settings.siteKey,
-      onRefused: method => siteLog.warn(`refused ${method} without the key`),
+      onRefused: method => {
+        siteLog.warn(`refused ${method} without the key`);
+        options.onRefused('noKey');
+      },
       handlers: {
         session: stream => {
           if (role.incarnation() === undefined) stream.end();
