Ask the neighbour that was asked least recently

Cause: all chose the holder with the fewest chunks, so some uploads queued while other uplinks stood idle.

--- a/packages/core/src/distribution/commands/neighbours.ts
+++ b/packages/core/src/distribution/commands/neighbours.ts
@@ -118,6 +118,7 @@
   const created: Neighbour = {
     instance,
     busyUntil: 0,
+    lastAsked: -Infinity,
     suspendedUntil: undefined,
     failures: 0,
     badChunks: 0,
--- a/packages/core/src/distribution/commands/schedule_neighbours.ts
+++ b/packages/core/src/distribution/commands/schedule_neighbours.ts
@@ -82,7 +82,7 @@
 }
 
 /**
- * The free holder with the fewest chunks, since fewer ask it. A holder in
+ * The free holder that was asked least recently, so that load spreads. A holder in
  * another zone only if the own zone has none and it is this node's turn.
  */
 function chooseSender(
@@ -92,7 +92,7 @@
   free: readonly Neighbour[],
 ): Neighbour | undefined {
   let best: Neighbour | undefined;
-  let bestCount = Infinity;
+  let bestAsked = Infinity;
   let bestIsOwnZone = false;
   for (const neighbour of free) {
     const have = version.haves.get(neighbour.instance);
@@ -100,9 +100,9 @@
     const isOwnZone = isInOwnZone(state, neighbour.instance);
     if (bestIsOwnZone && !isOwnZone) continue;
     const isBetterZone = isOwnZone && !bestIsOwnZone;
-    if (!isBetterZone && have.count() >= bestCount) continue;
+    if (!isBetterZone && neighbour.lastAsked >= bestAsked) continue;
     best = neighbour;
-    bestCount = have.count();
+    bestAsked = neighbour.lastAsked;
     bestIsOwnZone = isOwnZone;
   }
   if (best === undefined || bestIsOwnZone) return best;
--- a/packages/core/src/distribution/commands/transfers.ts
+++ b/packages/core/src/distribution/commands/transfers.ts
@@ -36,7 +36,10 @@
     return;
   }
   const neighbour = state.neighbours.get(sender.instance);
-  if (neighbour !== undefined) neighbour.transfer = id;
+  if (neighbour !== undefined) {
+    neighbour.transfer = id;
+    neighbour.lastAsked = state.now;
+  }
   state.effects.push({
     kind: 'askNeighbour',
     transfer: id,
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -41,6 +41,7 @@
   readonly instance: InstanceName;
   /** No request before this time. */
   busyUntil: number;
+  lastAsked: number;
   /** Its chunks do not count as reachable before this time. */
   suspendedUntil: number | undefined;
   failures: number;
