Give the swarm eight download and four upload slots

Cause: with six and two, an uplink whose readers were slow carried less than its rate, and queues at the senders ran empty.

--- a/packages/core/src/distribution/bounds.ts
+++ b/packages/core/src/distribution/bounds.ts
@@ -8,10 +8,10 @@
 export const LARGEST_VERSION_BYTES = 4 * 1024 ** 4;
 
 /** Downloads at once; enough to keep a link busy while senders queue. */
-export const DOWNLOAD_SLOTS = 6;
+export const DOWNLOAD_SLOTS = 8;
 
 /** Uploads at once; few, so that the first copies of a chunk finish early. */
-export const UPLOAD_SLOTS = 2;
+export const UPLOAD_SLOTS = 4;
 
 /** Uploads that may wait for a slot; more would only age in the queue. */
 export const WAITING_UPLOADS = 8;
