Count a rank's patience in steps between neighbours

Cause: the learned spread of arrivals alone was too short in the first seconds, so higher ranks fetched chunks that were on their way. Ruled out: a fixed longer patience; it fits one link rate only.

--- a/packages/core/src/distribution/commands/schedule_origin.ts
+++ b/packages/core/src/distribution/commands/schedule_origin.ts
@@ -1,6 +1,7 @@
 import * as bounds from '../bounds';
 import {slotsLeft, wakeAt, type SwarmState, type WantedVersion} from '../state';
 import {expectedAt, turnAt} from './availability';
+import {patience} from '../queries/patience';
 import {hasBuffer, isUnderWay} from './schedule_limits';
 import {startTransfer} from './transfers';
 
@@ -58,7 +59,7 @@
     version.unreachableSince[position]!,
     state.originClock,
   );
-  return base + rank * state.patience.bound();
+  return base + rank * patience(state);
 }
 
 /** Time that the origin needs for one copy; 0 if its rate is not known. */
--- a/packages/core/src/distribution/queries/progress.ts
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -1,4 +1,5 @@
 import type {InstanceName} from '../../types';
+import {patience} from './patience';
 import type {SwarmState, WantedVersion} from '../state';
 import type {SwarmDump, VersionProgress} from '../types';
 
@@ -34,7 +35,7 @@
     suspended: [...state.neighbours.values()]
       .filter(neighbour => neighbour.suspendedUntil !== undefined)
       .map(neighbour => neighbour.instance),
-    patience: state.patience.bound(),
+    patience: patience(state),
   };
 }
 
