--- a/packages/core/src/orders/commands/plan_loads.ts
+++ b/packages/core/src/orders/commands/plan_loads.ts
@@ -11,7 +11,7 @@
     const manifest = pass.input.verified.get(versionDigest);
     if (manifest === undefined) continue;
     if (isThereOrComing(pass, versionDigest)) continue;
-    if (!fitsBeside(pass, versionDigest)) {
+    if (!fitsBeside(pass, versionDigest, manifest)) {
       pass.withoutRoom.push(versionDigest);
       continue;
     }
--- a/packages/core/src/orders/commands/plan_pass.ts
+++ b/packages/core/src/orders/commands/plan_pass.ts
@@ -3,7 +3,6 @@
 import {
   forgetGoneVersions,
   loadedVersions,
-  noteLife,
   type ReconcilerMemory,
 } from '../reconciler_memory';
 import {isWanted, servesWanted, type Pass, type Serving} from '../pass';
@@ -33,7 +32,7 @@
   input: ReconcileInput,
 ): ReconcilePlan {
   const {wanted, observed} = input;
-  if (observed !== undefined) noteLife(memory, observed.report);
+  if (observed !== undefined) memory.life = observed.report.life;
   memory.routable = [];
   if (memory.replaced) return EMPTY_PLAN;
   switch (wanted.kind) {
@@ -110,8 +109,9 @@
     if (!pass.wanted.servedElsewhere.has(model)) return true;
   } else {
     // Until the new version is whole here, the old one serves on.
-    if (!pass.input.verified.has(wanted)) return false;
-    if (fitsBeside(pass, wanted)) return false;
+    const manifest = pass.input.verified.get(wanted);
+    if (manifest === undefined) return false;
+    if (fitsBeside(pass, wanted, manifest)) return false;
   }
   // Guards against too many targets without a version at once, which would
   // show as capacity under the floor.
@@ -122,7 +122,10 @@
 
 function isDone(pass: Pass, model: ModelName): boolean {
   if (pass.wanted.versions.has(model)) return servesWanted(pass, model);
-  return !pass.loaded.some(version => version.model === model);
+  // Guards against a permit returned while the unload is still under way: the
+  // target would count as serving and then go. Only the report itself says
+  // that the version is gone.
+  return !pass.observed.report.loaded.some(version => version.model === model);
 }
 
 function routableVersions(pass: Pass): readonly ReportedVersion[] {
--- a/packages/core/src/orders/queries/room.ts
+++ b/packages/core/src/orders/queries/room.ts
@@ -8,13 +8,15 @@
 }
 
 /**
- * Whether a verified version fits beside all that the engine has or is given.
+ * Whether a version fits beside all that the engine has or is given.
  * A version that is not known here counts as filling the engine's memory.
  */
-export function fitsBeside(pass: Pass, wanted: VersionDigest): boolean {
+export function fitsBeside(
+  pass: Pass,
+  wanted: VersionDigest,
+  manifest: Manifest,
+): boolean {
   const {verified} = pass.input;
-  const manifest = verified.get(wanted);
-  if (manifest === undefined) return false;
   const present = presentVersions(pass).filter(digest => digest !== wanted);
   const {engineMemory} = pass.settings;
   if (engineMemory === undefined) {
--- a/packages/core/src/orders/reconciler_memory.ts
+++ b/packages/core/src/orders/reconciler_memory.ts
@@ -8,7 +8,7 @@
 
 /** What a reconciler remembers between passes. */
 export interface ReconcilerMemory {
-  /** The engine's life that the rest of this memory is about. */
+  /** The engine's life in the last report. */
   life: string | undefined;
   /** When the last load or unload of a version was answered. */
   readonly answeredAt: Map<string, MonotonicInstant>;
@@ -34,14 +34,6 @@
   };
 }
 
-/** Forgets what a restarted engine has lost. */
-export function noteLife(memory: ReconcilerMemory, report: EngineReport): void {
-  if (memory.life === report.life) return;
-  memory.life = report.life;
-  memory.answeredAt.clear();
-  memory.closed.clear();
-}
-
 /** Forgets closed versions that the engine no longer has. */
 export function forgetGoneVersions(
   memory: ReconcilerMemory,
