--- /dev/null
+++ b/examples/embed_configuration.ts
@@ -0,0 +1,128 @@
+// Embeds the configuration part: two operators plan, one is overtaken, and a
+// process adopts what was accepted. The table is a few lines of memory here;
+// a real one is the platform's, behind the same effects.
+import {createHash} from 'node:crypto';
+import {
+  type AcceptedConfiguration,
+  type CommitOutcome,
+  confirmPlan,
+  createGenerationKeeper,
+  type DigestText,
+  initialConfiguration,
+  parseIntent,
+  type Plan,
+  type PlanFacts,
+  planIntent,
+  storePlan,
+  type TableCondition,
+  type TableFlow,
+  type TableFlowEffect,
+  type TableFlowReply,
+  type TableRow,
+  type TableTransaction,
+} from '@hibiscusbeam/core';
+import {Ok} from 'ts-results';
+
+const digestText: DigestText = text =>
+  `sha256:${createHash('sha256').update(text).digest('hex')}`;
+
+const rows = new Map<string, TableRow>();
+
+function holds(condition: TableCondition): boolean {
+  const row = rows.get(condition.key);
+  if (condition.kind === 'absent') return row === undefined;
+  return row?.version === condition.version;
+}
+
+function commit({conditions, writes}: TableTransaction): CommitOutcome {
+  const broken = conditions.filter(condition => !holds(condition));
+  if (broken.length > 0) {
+    const failed = broken.map(({key}) => ({key, row: rows.get(key)}));
+    return {kind: 'conditionFailed', failed};
+  }
+  for (const write of writes) {
+    const {key} = write;
+    const version = (rows.get(key)?.version ?? 0) + 1;
+    if (write.kind === 'delete') rows.delete(key);
+    else rows.set(key, {key, version, value: write.value});
+  }
+  return {kind: 'committed'};
+}
+
+function answer(effect: TableFlowEffect): TableFlowReply {
+  switch (effect.kind) {
+    case 'readRow':
+      return {kind: 'row', result: new Ok(rows.get(effect.key))};
+    case 'commit':
+      return {kind: 'commit', result: new Ok(commit(effect.transaction))};
+    case 'wait':
+      return {kind: 'waited'};
+  }
+}
+
+/** Drives a flow to its end. */
+function run<Outcome>(flow: TableFlow<Outcome>): Outcome {
+  let next = flow.next();
+  while (!next.done) next = flow.next(answer(next.value));
+  return next.value;
+}
+
+const facts: PlanFacts = {
+  versions: [],
+  targets: [
+    {
+      target: 'engine-1',
+      instance: 'bilbao-1',
+      zone: 'bilbao-hall',
+      kind: 'modelEngine',
+      fencing: 'checked',
+      live: true,
+    },
+  ],
+  originRate: 1_000_000,
+  instanceRate: 1_000_000,
+  moves: [],
+};
+
+function plan(
+  planId: string,
+  operator: string,
+  base: AcceptedConfiguration,
+  change: unknown,
+): Plan {
+  const intent = parseIntent({changes: [change]}).unwrap();
+  const request = {intent, base, facts, planId, operator, now: 0, digestText};
+  return run(storePlan(planIntent(request).unwrap())).unwrap();
+}
+
+const start = initialConfiguration(digestText);
+const join = {kind: 'join', targets: ['engine-1']};
+const workspace = {kind: 'workspace', workspace: 'dealers', priority: 1};
+const first = plan('plan-1', 'Ane', start, join);
+plan('plan-2', 'Jon', start, workspace);
+for (const {subject, before, after} of first.changes) {
+  console.log(`${subject.kind} ${subject.name}: ${before} -> ${after}`);
+}
+
+const confirmed = run(confirmPlan('plan-1', {digestText})).unwrap();
+console.log(`plan-1 is generation ${confirmed.accepted.generation}`);
+const again = run(confirmPlan('plan-1', {digestText})).unwrap();
+console.log(`confirmed again: still generation ${again.accepted.generation}`);
+
+const refused = run(confirmPlan('plan-2', {digestText}));
+if (refused.err && refused.val.kind === 'overtaken') {
+  const [other] = refused.val.others;
+  console.log(`plan-2 came second to ${other?.planId} of ${other?.operator}`);
+  console.log(refused.val.advice);
+}
+
+const keeper = createGenerationKeeper({
+  instance: 'oviedo-1',
+  digestText,
+  start,
+  startedAt: 0,
+});
+keeper.offer(confirmed.accepted, {kind: 'platform'}, 0).unwrap();
+console.log(`oviedo-1 has generation ${keeper.current().generation}`);
+const late = keeper.offer(start, {kind: 'peer', peer: 'bilbao-1'}, 1);
+console.log(`a late copy is refused: ${late.err && late.val.kind}`);
--- a/packages/core/src/configuration/commands/confirm_plan.ts
+++ b/packages/core/src/configuration/commands/confirm_plan.ts
@@ -10,7 +10,12 @@
 } from '../../types';
 import {decodeAccepted, HEAD_KEY, planKey, toJson} from '../queries/rows';
 import {bodyKey, decodeMoveRow, moveKey} from '../queries/rows';
-import {planSubjects, sharedSubjects, subjectOfItem} from '../queries/subjects';
+import {
+  planSubjects,
+  sharedSubjects,
+  SITE_SUBJECT,
+  subjectOfItem,
+} from '../queries/subjects';
 import type {
   HeadRow,
   MoveRow,
@@ -163,7 +168,8 @@
     if (!row.ok) return row.val;
     const move = row.val === undefined ? undefined : decodeMoveRow(row.val);
     if (move === undefined) return {kind: 'malformedRow', key};
-    const moving = move.move.items.map(subjectOfItem);
+    // The older system must not be off when the move gives it something.
+    const moving = [SITE_SUBJECT, ...move.move.items.map(subjectOfItem)];
     const shared = sharedSubjects(planSubjects(plan), moving);
     if (shared.length > 0) {
       return {kind: 'moving', planId: plan.planId, moveId, shared};
@@ -205,9 +211,7 @@
 }
 
 /** The condition that the head is still as it was read. */
-export function headCondition(
-  head: Versioned<HeadRow> | undefined,
-): TableCondition {
+function headCondition(head: Versioned<HeadRow> | undefined): TableCondition {
   return head === undefined
     ? {kind: 'absent', key: HEAD_KEY}
     : {kind: 'versionIs', key: HEAD_KEY, version: head.version};
--- a/packages/core/src/configuration/queries/apply_change.ts
+++ b/packages/core/src/configuration/queries/apply_change.ts
@@ -51,7 +51,7 @@
     case 'own':
       return applyMove(draft, change, path);
     case 'switch-off':
-      return applySwitchOff(draft, path);
+      return applySwitchOff(draft, facts, path);
     default:
       return unreachable(change);
   }
@@ -77,12 +77,17 @@
       continue;
     }
     const before = lookUp(draft.configuration.targets, name);
+    const owner = before?.owner ?? change.owner ?? 'hibiscusbeam';
+    if (change.owner !== undefined && change.owner !== owner) {
+      const detail = `target ${name} changes owner by an own change`;
+      faults.push(planFault('changesOwner', path, detail));
+    }
     const service = known.service === undefined ? {} : {service: known.service};
     joined = withTarget(joined, name, {
       kind: known.kind,
       ...service,
       zone: known.zone,
-      owner: before?.owner ?? change.owner,
+      owner,
       fencing: change.fencing ?? known.fencing,
       state: 'joined',
     });
@@ -125,7 +130,7 @@
   const owner = before?.owner ?? change.owner ?? DEFAULT_WORKSPACE.owner;
   if (change.owner !== undefined && change.owner !== owner) {
     const detail = `workspace ${change.workspace} changes owner by an own change`;
-    return {draft, faults: [planFault('statedTwice', path, detail)]};
+    return {draft, faults: [planFault('changesOwner', path, detail)]};
   }
   if (owner === 'older-system' && configuration.olderSystemSwitchedOff) {
     const detail = 'the older system is off';
@@ -152,7 +157,11 @@
   };
 }
 
-function applySwitchOff(draft: Draft, path: string): ChangedDraft {
+function applySwitchOff(
+  draft: Draft,
+  facts: PlanFacts,
+  path: string,
+): ChangedDraft {
   const {configuration} = draft;
   const owned = [
     ...Object.entries(configuration.targets),
@@ -160,8 +169,9 @@
   ]
     .filter(([, item]) => item.owner === 'older-system')
     .map(([name]) => name);
-  if (owned.length > 0 || draft.moved.length > 0) {
-    const names = [...owned, ...draft.moved.map(item => item.name)];
+  const moving = [...facts.moves.flatMap(move => move.items), ...draft.moved];
+  if (owned.length > 0 || moving.length > 0) {
+    const names = [...owned, ...moving.map(item => item.name)];
     const detail = `move first: ${[...new Set(names)].join(', ')}`;
     return {
       draft,
--- a/packages/core/src/configuration/queries/intent_schema.ts
+++ b/packages/core/src/configuration/queries/intent_schema.ts
@@ -62,7 +62,7 @@
 const joinSchema = z.strictObject({
   kind: z.literal('join'),
   targets: someNames,
-  owner: ownerSchema.default('hibiscusbeam'),
+  owner: ownerSchema.optional(),
   fencing: z.enum(['checked', 'ignored']).optional(),
 });
 
--- a/packages/core/src/configuration/queries/parse_intent.ts
+++ b/packages/core/src/configuration/queries/parse_intent.ts
@@ -5,8 +5,8 @@
 
 /**
  * Checks an intent that was parsed from YAML or JSON. Defaults: `capacityFloor`
- * 0, `prefer` time, a joining target's `owner` hibiscusbeam, `summary` made
- * from the changes. On failure returns every fault with the path of its field.
+ * 0, `prefer` time, `summary` made from the changes; what else is left out is
+ * filled in by planning. On failure returns every fault with the path of its field.
  */
 export function parseIntent(input: unknown): Result<Intent, IntentFault[]> {
   const parsed = intentSchema.safeParse(input);
--- a/packages/core/src/configuration/types/intent.ts
+++ b/packages/core/src/configuration/types/intent.ts
@@ -39,8 +39,8 @@
 export interface JoinChange {
   readonly kind: 'join';
   readonly targets: readonly TargetName[];
-  /** For targets that the configuration does not hold yet. */
-  readonly owner: Owner;
+  /** Only for targets that the configuration does not hold yet. */
+  readonly owner?: Owner | undefined;
   /** Replaces what the target's own settings say. */
   readonly fencing?: FencingSupport | undefined;
 }
--- a/packages/core/src/configuration/types/plan.ts
+++ b/packages/core/src/configuration/types/plan.ts
@@ -137,6 +137,7 @@
   | 'notJoined'
   | 'wrongKind'
   | 'ownedByOlderSystem'
+  | 'changesOwner'
   | 'versionMissing'
   | 'badManifest'
   | 'tooFewTargets'
--- a/test/configuration/commit.test.ts
+++ b/test/configuration/commit.test.ts
@@ -87,7 +87,7 @@
 function isFinalRefusal(answer: Answer): boolean {
   if (answer.kind === 'abandoned') return true;
   if (answer.kind === 'confirmed') return false;
-  return ['overtaken', 'planAbandoned'].includes(answer.fault.kind);
+  return ['overtaken', 'planAbandoned', 'moving'].includes(answer.fault.kind);
 }
 
 function run<Outcome>(
@@ -339,13 +339,18 @@
     const row = faulty.table.read(moveKey('plan-2'))!;
     expect(decodeMoveRow(row)).toMatchObject({closedAt: 2});
     const closed = readAccepted(faulty.table);
-    const open = intentOf({kind: 'workspace', workspace: 'w', open: true});
-    go(storePlan(planOf(open, closed, 'plan-3').unwrap())).unwrap();
-    const result = go(confirmPlan('plan-3', OPTIONS));
-    expect(result.err && result.val).toMatchObject({
-      kind: 'moving',
-      moveId: 'plan-2',
-    });
+    const changes = [
+      {kind: 'workspace', workspace: 'w', open: true},
+      {kind: 'switch-off'},
+    ];
+    for (const [number, change] of changes.entries()) {
+      const planId = `plan-${number + 3}`;
+      const plan = planOf(intentOf(change), closed, planId).unwrap();
+      go(storePlan(plan)).unwrap();
+      const result = go(confirmPlan(planId, OPTIONS));
+      const expected = {kind: 'moving', moveId: 'plan-2'};
+      expect(result.err && result.val).toMatchObject(expected);
+    }
   });
 
   test('an abandoned plan stays abandoned, a confirmed one confirmed', () => {
--- a/test/configuration/intents.test.ts
+++ b/test/configuration/intents.test.ts
@@ -14,7 +14,7 @@
     expect(intent.summary).toBe('serve m 1; join a');
     expect(intent.changes).toMatchObject([
       {capacityFloor: 0, prefer: 'time', targets: {count: 2}},
-      {owner: 'hibiscusbeam'},
+      {targets: ['a']},
     ]);
   });
 
--- a/test/configuration/planning.test.ts
+++ b/test/configuration/planning.test.ts
@@ -90,6 +90,8 @@
     expect(refusals(joined, intentOf(service))).toEqual(['wrongKind']);
     const switchOff = intentOf({kind: 'switch-off'});
     expect(refusals(older, switchOff)).toEqual(['stillOwnedByOlderSystem']);
+    const again = intentOf({...JOIN_ALL, owner: 'older-system'});
+    expect(new Set(refusals(joined, again))).toEqual(new Set(['changesOwner']));
     expect(refusals(joined, intentOf(JOIN_ALL))).toEqual(['nothingToChange']);
     const twice = intentOf(JOIN_ALL, {kind: 'leave', targets: ['invoicing-1']});
     expect(refusals(joined, twice)).toContain('statedTwice');
@@ -134,8 +136,11 @@
       {before: 'older-system', after: 'hibiscusbeam'},
     ]);
     const moves = [plan.move!];
-    expect(refusals(base, intentOf(own), {...FACTS, moves})).toEqual([
-      'moving',
+    const facts = {...FACTS, moves};
+    expect(refusals(base, intentOf(own), facts)).toEqual(['moving']);
+    const switchOff = intentOf({kind: 'switch-off'});
+    expect(refusals(EMPTY, switchOff, facts)).toEqual([
+      'stillOwnedByOlderSystem',
     ]);
   });
 
