--- a/packages/core/src/requests/commands/caller_stream.ts
+++ b/packages/core/src/requests/commands/caller_stream.ts
@@ -1,79 +1,65 @@
 import type {VersionDigest} from '../../types';
 import {equalBytes} from '../queries/answer_encoding';
-import type {EmitEffect, RequestFlow} from '../types';
+import type {EmitEffect} from '../types';
 import type {FrameResult} from './answer_assembler';
 
-/** What came of passing a frame on. */
-export type PassResult =
-  /** The caller has it, from this try or an earlier one. */
-  | 'passed'
-  /** The caller has been sent something else in this place. */
-  | 'differs'
-  | 'callerGone';
+/** A frame for the caller. */
+export type CallerFrame = EmitEffect['frame'];
+
+/** The frames to send; `differs`: the caller was sent something else. */
+export type CallerFrames = readonly CallerFrame[] | 'differs';
 
 /** The part of one answer that its caller has been sent. */
 export interface CallerStream {
-  /** Sends a frame, or skips it if an earlier try sent an equal one. */
-  readonly pass: (
+  /** What to send for a frame; nothing if an earlier try sent an equal one. */
+  readonly take: (
     frame: Extract<FrameResult, {kind: 'started' | 'data' | 'complete'}>,
-  ) => RequestFlow<PassResult>;
+  ) => CallerFrames;
   /** The version of the frames that the caller has, if it has any. */
   readonly begunVersion: () => VersionDigest | undefined;
 }
 
+const NOTHING: CallerFrames = [];
+
 /** Sends one answer over several tries, each frame once. */
 export function createCallerStream(): CallerStream {
   const sent: Uint8Array[] = [];
   let version: VersionDigest | undefined;
   let begun = false;
 
-  function* emit(frame: EmitEffect['frame']): RequestFlow<PassResult> {
-    const reply = yield {kind: 'emit', frame};
-    return reply.kind === 'callerGone' ? 'callerGone' : 'passed';
-  }
-
   /** The start goes out with the first content: until then, any version. */
-  function* begin(): RequestFlow<PassResult> {
-    if (begun) return 'passed';
+  function withStart(frame: CallerFrame): CallerFrames {
+    if (begun) return [frame];
     begun = true;
-    return yield* emit({kind: 'started', versionDigest: version});
+    return [{kind: 'started', versionDigest: version}, frame];
   }
 
-  function passStarted(versionDigest: VersionDigest | undefined): PassResult {
+  function takeStarted(versionDigest: VersionDigest | undefined): CallerFrames {
     // The rest of an answer from another version would mix two versions.
     if (begun && version !== versionDigest) return 'differs';
     version = versionDigest;
-    return 'passed';
+    return NOTHING;
   }
 
-  function* passData(
-    sequence: number,
-    content: Uint8Array,
-  ): RequestFlow<PassResult> {
+  function takeData(sequence: number, content: Uint8Array): CallerFrames {
     const earlier = sent[sequence];
-    if (earlier !== undefined) {
-      // Two runs may word one answer differently; spliced, neither is whole.
-      return equalBytes(earlier, content) ? 'passed' : 'differs';
+    if (earlier === undefined) {
+      sent.push(content);
+      return withStart({kind: 'data', sequence, content});
     }
-    const start = yield* begin();
-    if (start !== 'passed') return start;
-    sent.push(content);
-    return yield* emit({kind: 'data', sequence, content});
+    // Two runs may word one answer differently; spliced, neither is whole.
+    return equalBytes(earlier, content) ? NOTHING : 'differs';
   }
 
   return {
     begunVersion: () => (begun ? version : undefined),
-    *pass(frame) {
-      if (frame.kind === 'started') return passStarted(frame.versionDigest);
-      if (frame.kind === 'data') {
-        return yield* passData(frame.sequence, frame.content);
-      }
+    take(frame) {
+      if (frame.kind === 'started') return takeStarted(frame.versionDigest);
+      if (frame.kind === 'data') return takeData(frame.sequence, frame.content);
       const {frames, digest} = frame.answer;
       // The caller has more than this whole answer: another answer.
       if (frames.length < sent.length) return 'differs';
-      const start = yield* begin();
-      if (start !== 'passed') return start;
-      return yield* emit({kind: 'end', frameCount: frames.length, digest});
+      return withStart({kind: 'end', frameCount: frames.length, digest});
     },
   };
 }
--- a/packages/core/src/requests/commands/repeatable_flow.ts
+++ b/packages/core/src/requests/commands/repeatable_flow.ts
@@ -9,6 +9,8 @@
 import type {
   AttemptAddress,
   AttemptEvent,
+  AwaitEventEffect,
+  RefusedEvent,
   RequestFlow,
   RequestResult,
   TargetChoice,
@@ -20,7 +22,11 @@
   type FrameResult,
 } from './answer_assembler';
 import {answered, outcomeUnknown} from './call_ends';
-import {createCallerStream, type CallerStream} from './caller_stream';
+import {
+  createCallerStream,
+  type CallerFrame,
+  type CallerStream,
+} from './caller_stream';
 import {createOwnAttempts} from './own_attempts';
 import type {RepeatableOptions} from './repeatable_options';
 import {chooseTarget, nextEvent} from './steps';
@@ -37,6 +43,18 @@
   | {readonly kind: 'failed'; readonly detail: string}
   | {readonly kind: 'callerGone'};
 
+/** What one event means: frames for the caller, and the try's end. */
+interface Verdict {
+  readonly frames: readonly CallerFrame[];
+  readonly end: TryEnd | undefined;
+}
+
+const GO_ON: Verdict = {frames: [], end: undefined};
+
+function over(end: TryEnd): Verdict {
+  return {frames: [], end};
+}
+
 type TargetChosen = Extract<TargetChoice, {kind: 'target'}>;
 
 function failed(detail: string): TryEnd {
@@ -115,21 +133,28 @@
   const effect = own.dispatch(destination, {until, deadline});
   let event = yield* nextEvent(effect);
   for (;;) {
-    const tryEnd = yield* judge(own, assembler, stream, event);
-    if (tryEnd !== undefined) {
-      yield* cancelUnlessOver(tryEnd, effect.address);
-      return tryEnd;
+    const verdict = judge(own, assembler, stream, event);
+    for (const frame of verdict.frames) {
+      const reply = yield {kind: 'emit', frame};
+      if (reply.kind !== 'callerGone') continue;
+      yield {kind: 'cancel', address: effect.address};
+      return {kind: 'callerGone'};
+    }
+    if (verdict.end !== undefined) {
+      yield* cancelUnlessOver(verdict.end, effect.address);
+      return verdict.end;
     }
     // Frames of other attempts must not keep the call past its deadline.
     if (now() >= deadline) {
       yield {kind: 'cancel', address: effect.address};
       return failed('no end by the deadline');
     }
-    event = yield* nextEvent({
+    const next: AwaitEventEffect = {
       kind: 'awaitEvent',
       attempt,
       until: silenceEnd(options),
-    });
+    };
+    event = yield* nextEvent(next);
   }
 }
 
@@ -146,48 +171,47 @@
   return Math.min(options.deadline, options.now() + options.limits.silence);
 }
 
-function* judge(
+function judge(
   own: OwnAttempt,
   assembler: AnswerAssembler,
   stream: CallerStream,
   event: AttemptEvent,
-): RequestFlow<TryEnd | undefined> {
+): Verdict {
   switch (event.kind) {
     case 'started':
     case 'data':
     case 'end':
-      return yield* pass(stream, assembler.accept(event));
-    case 'refused': {
-      if (event.attempt !== own.attempt) return undefined;
-      const evidence = own.refused(event);
-      if (evidence === undefined) return failed('refused by another life');
-      const {reason, retryAfter} = event;
-      return {kind: 'refused', evidence, reason, retryAfter};
-    }
+      return pass(stream, assembler.accept(event));
+    case 'refused':
+      if (event.attempt !== own.attempt) return GO_ON;
+      return over(refusedBy(own, event));
     case 'failed':
-      if (event.attempt !== own.attempt) return undefined;
-      return failed(event.detail);
+      if (event.attempt !== own.attempt) return GO_ON;
+      return over(failed(event.detail));
     case 'cut':
-      return failed(event.detail);
+      return over(failed(event.detail));
     case 'timedOut':
-      return failed('silent for too long');
+      return over(failed('silent for too long'));
     case 'callerGone':
-      return {kind: 'callerGone'};
+      return over({kind: 'callerGone'});
     default:
       return unreachable(event);
   }
 }
 
+function refusedBy(own: OwnAttempt, event: RefusedEvent): TryEnd {
+  const evidence = own.refused(event);
+  if (evidence === undefined) return failed('refused by another life');
+  const {reason, retryAfter} = event;
+  return {kind: 'refused', evidence, reason, retryAfter};
+}
+
 /** Passes what the assembler accepted to the caller. */
-function* pass(
-  stream: CallerStream,
-  result: FrameResult,
-): RequestFlow<TryEnd | undefined> {
-  if (result.kind === 'dropped') return undefined;
-  if (result.kind === 'broken') return failed(result.detail);
-  const passed = yield* stream.pass(result);
-  if (passed === 'callerGone') return {kind: 'callerGone'};
-  if (passed === 'differs') return failed('another answer than was begun');
-  if (result.kind !== 'complete') return undefined;
-  return {kind: 'answered', answer: result.answer};
+function pass(stream: CallerStream, result: FrameResult): Verdict {
+  if (result.kind === 'dropped') return GO_ON;
+  if (result.kind === 'broken') return over(failed(result.detail));
+  const frames = stream.take(result);
+  if (frames === 'differs') return over(failed('another answer than begun'));
+  if (result.kind !== 'complete') return {frames, end: undefined};
+  return {frames, end: {kind: 'answered', answer: result.answer}};
 }
--- a/packages/core/src/requests/commands/steps.ts
+++ b/packages/core/src/requests/commands/steps.ts
@@ -50,7 +50,10 @@
     {readonly kind: 'dispatch' | 'collect' | 'awaitEvent'}
   >,
 ): RequestFlow<AttemptEvent> {
-  return (yield* perform(effect, 'event')).event;
+  // Written out: this step runs once for each token.
+  const reply = yield effect;
+  if (reply.kind === 'event') return reply.event;
+  throw new Error(`${effect.kind} was replied to with ${reply.kind}`);
 }
 
 /** Asks for a tombstone; `undefined` if no answer came. */
--- a/test/requests/evidence.test.ts
+++ b/test/requests/evidence.test.ts
@@ -137,6 +137,7 @@
   events: (now: number) => AttemptEvent,
   objectContent?: Uint8Array,
   row?: Parameters<typeof writeClaim>[0],
+  commitTime = 0,
 ) {
   let now = 0;
   const flow = createAtMostOnceFlow({
@@ -159,6 +160,7 @@
       case 'chooseTarget':
         return {kind: 'choice', choice: {kind: 'target', ...destination}};
       case 'commit': {
+        now += commitTime;
         const failed = [{key: 'claims/w/k', row: standing}];
         const result = Ok(
           standing
@@ -180,12 +182,15 @@
         return {kind: 'event', event: events(now)};
     }
   }
+  const effects: string[] = [];
   let step = flow.next();
   while (!step.done && now < 5000) {
     now += 10;
+    effects.push(step.value.kind);
     step = flow.next(replyTo(step.value.kind));
   }
-  return {outcome: step.done ? step.value.outcome.kind : 'none', now};
+  const outcome = step.done ? step.value.outcome.kind : 'none';
+  return {outcome, now, effects};
 }
 
 // A target is frozen: it takes the call and says nothing more. The counter
@@ -196,6 +201,20 @@
   expect(cut.now).toBeLessThan(1200);
 });
 
+// An entry is paused between its claim and its dispatch. When it wakes, the
+// dealer has long gone to another counter; a call that starts now would
+// surprise everybody. The key is freed for the next retry.
+test('a call that was paused past its deadline dispatches nothing', () => {
+  const paused = runCall(
+    () => ({kind: 'timedOut'}),
+    undefined,
+    undefined,
+    2000,
+  );
+  expect(paused.outcome).toBe('notRun');
+  expect(paused.effects).toEqual(['chooseTarget', 'commit', 'commit']);
+});
+
 // Frames of another call keep coming on this call's stream, without end.
 test('a call that gets foreign frames only ends at its deadline', () => {
   const foreign = {kind: 'failed', attempt: 'another#1', detail: ''} as const;
