--- a/demo/rollout.ts
+++ b/demo/rollout.ts
@@ -64,7 +64,7 @@
         service: DEMO_SERVICE,
         notRepeatable: [DEMO_OPERATION],
       },
-      serveChange(engines, version),
+      ...(engines.length === 0 ? [] : [serveChange(engines, version)]),
     ],
   };
 }
--- a/demo/site/settings_files.ts
+++ b/demo/site/settings_files.ts
@@ -48,11 +48,23 @@
   readonly operatorKeyFile: string;
 }
 
+/** Settings that a site may choose; durations and sizes with their units. */
+export interface SiteSettings {
+  readonly addressesKeptFor?: string;
+  /** How long a process waits for the platform's answer. */
+  readonly platformTimeout?: string;
+  /** The entries' bounds, in place of the defaults. */
+  readonly limits?: {
+    readonly requestBody?: string;
+    readonly waiting?: number;
+  };
+}
+
 /** Prepares `folder` and the key files in it. */
 export function createSettingsWriter(
   folder: string,
   platformUrl: string,
-  extra: {readonly addressesKeptFor: string},
+  chosen: SiteSettings,
 ): SettingsWriter {
   mkdirSync(folder, {recursive: true});
   const siteKeyFile = join(folder, 'site.key');
@@ -64,7 +76,7 @@
     instance: place.instance,
     zone: place.zone,
     region: place.region,
-    platform: {url: platformUrl, timeout: '2s'},
+    platform: {url: platformUrl, timeout: chosen.platformTimeout ?? '2s'},
     log: {level: 'info', format: 'json'},
   });
   const write = (name: string, settings: unknown): string => {
@@ -87,7 +99,8 @@
             ([name, key]) => ({name, sha256: sha256(key)}),
           ),
         },
-        addressesKeptFor: extra.addressesKeptFor,
+        addressesKeptFor: chosen.addressesKeptFor ?? '5s',
+        ...(chosen.limits === undefined ? {} : {limits: chosen.limits}),
       }),
     agent: place =>
       write(place.instance, {
--- a/demo/site/small_site.ts
+++ b/demo/site/small_site.ts
@@ -8,6 +8,7 @@
   type AgentPlace,
   type EntryPlace,
   type SettingsWriter,
+  type SiteSettings,
 } from './settings_files';
 
 const HOST = '127.0.0.1';
@@ -19,13 +20,12 @@
 ] as const;
 
 /** How large a site to start, and from what. */
-export interface SmallSiteOptions {
+export interface SmallSiteOptions extends SiteSettings {
   readonly entries: number;
   readonly engines: number;
   readonly plainServices: number;
   /** Runs our processes from the one binary. */
   readonly binary: boolean;
-  readonly addressesKeptFor?: string;
   /** Whether engines refuse an order with an old fencing number. */
   readonly fencing?: 'checked' | 'ignored';
 }
@@ -99,9 +99,7 @@
   };
 
   const platform = await standin('platform', 'platform');
-  const settings = createSettingsWriter(folder, platform.url, {
-    addressesKeptFor: options.addressesKeptFor ?? '5s',
-  });
+  const settings = createSettingsWriter(folder, platform.url, options);
 
   const list = (place: EntryPlace | AgentPlace): Promise<unknown> => {
     const isEntry = 'callerAddress' in place;
