Tell a woken entry's caller what became of the key

Cause: an entry that was paused between claim and dispatch found on waking that its attempt was tombstoned. It gave up and said notRun although another entry had taken the key over and run the call: releaseClaim learnt of the other row and dropped it. Ruled out: a second run (the service counted one before and after) and the attempt's own evidence (it truly never ran); only the word to the caller was false. Before: notRun, reason noTarget, with one run counted. After: the answer of the run, as recorded, with one run counted. test/requests: 6 passed as before. Conclusion: an entry that gives a claim up meets the row that stands there.

--- a/packages/core/src/requests/commands/at_most_once_flow.ts
+++ b/packages/core/src/requests/commands/at_most_once_flow.ts
@@ -102,8 +102,12 @@
     retryAfter: number,
   ): RequestFlow<CallStep> {
     const next = endNotRun(reason, retryAfter);
-    if (base !== undefined) yield* releaseClaim(options, base);
-    return next;
+    if (base === undefined) return next;
+    const taken = yield* releaseClaim(options, base);
+    // While this entry was paused, another one may have had the attempt
+    // tombstoned and run the call as its own. "Not run" would then show as a
+    // charge that its caller makes by hand a second time; the row tells.
+    return taken === undefined ? next : {kind: 'meet', row: taken};
   }
 
   function* run(
--- a/packages/core/src/requests/commands/claim_records.ts
+++ b/packages/core/src/requests/commands/claim_records.ts
@@ -1,4 +1,4 @@
-import type {AttemptId} from '../../types';
+import type {AttemptId, TableRow} from '../../types';
 import {readClaim, type ClaimRow} from '../queries/claim_row';
 import type {AttemptAddress, RequestFlow, WholeAnswer} from '../types';
 import {storeAnswer} from './answer_storage';
@@ -12,16 +12,20 @@
   readonly claimed: AttemptId | undefined;
 }
 
-/** Marks the key free, so that a retry needs no word from the agent. */
+/**
+ * Marks the key free, so that a retry needs no word from the agent. Gives the
+ * row of another call that has taken the key over, if one has.
+ */
 export function* releaseClaim(
   options: AtMostOnceOptions,
   claim: FreeClaim,
-): RequestFlow<void> {
+): RequestFlow<TableRow | undefined> {
   const {version, claimed: attempt} = claim;
-  if (attempt === undefined) return;
+  if (attempt === undefined) return undefined;
   const {fingerprint} = options;
   const row: ClaimRow = {kind: 'released', fingerprint, attempt};
-  yield* writeClaimRow(options, version, row);
+  const write = yield* writeClaimRow(options, version, row);
+  return write.kind === 'other' ? write.row : undefined;
 }
 
 /** Records the answer as well as can be; the caller gets it either way. */
