Carry a confirmed move to its end from any entry

A confirmed move stayed closed for ever: core's flow had no driver. Any entry now carries on what the head names as open: the confirming one at once, others by rank. Processes say what they may still act on (Peer.ReportActivity), the older system says it over HTTP, and 'intent show' names whom a move waits for.

An agent refused nothing between adopting the closing generation and its next pass over the engine, and never looked at the workspace of a late request; both are checked at the start of each attempt now.

--- a/demo/site/settings_files.ts
+++ b/demo/site/settings_files.ts
@@ -52,7 +52,10 @@
 export function createSettingsWriter(
   folder: string,
   platformUrl: string,
-  extra: {readonly addressesKeptFor: string},
+  extra: {
+    readonly addressesKeptFor: string;
+    readonly olderSystemUrl?: string | undefined;
+  },
 ): SettingsWriter {
   mkdirSync(folder, {recursive: true});
   const siteKeyFile = join(folder, 'site.key');
@@ -87,6 +90,9 @@
             ([name, key]) => ({name, sha256: sha256(key)}),
           ),
         },
+        ...(extra.olderSystemUrl === undefined
+          ? {}
+          : {olderSystem: {url: extra.olderSystemUrl}}),
         addressesKeptFor: extra.addressesKeptFor,
       }),
     agent: place =>
--- a/demo/site/small_site.ts
+++ b/demo/site/small_site.ts
@@ -18,6 +18,15 @@
   {zone: 'oviedo-hall', region: 'west'},
 ] as const;
 
+/** What the older system serves and for whom. */
+export interface OlderSystemOptions {
+  readonly model: string;
+  readonly label: string;
+  readonly workspaces: readonly string[];
+  /** Time between its rounds of orders and requests, in milliseconds. */
+  readonly period: number;
+}
+
 /** How large a site to start, and from what. */
 export interface SmallSiteOptions {
   readonly entries: number;
@@ -26,6 +35,8 @@
   /** Runs our processes from the one binary. */
   readonly binary: boolean;
   readonly addressesKeptFor?: string;
+  /** Starts the older system too; it owns all targets and these workspaces. */
+  readonly olderSystem?: OlderSystemOptions;
   /** Whether engines refuse an order with an old fencing number. */
   readonly fencing?: 'checked' | 'ignored';
 }
@@ -55,6 +66,8 @@
   readonly engines: readonly RunningTarget[];
   readonly plainServices: readonly RunningTarget[];
   readonly settings: SettingsWriter;
+  /** The older system's address, if there is one. */
+  readonly olderSystemUrl: string | undefined;
   /** Starts an agent anew in the slot of a target. */
   readonly restartAgent: (target: RunningTarget) => Promise<SiteProcess>;
   /** Starts one more entry and lists it at the platform. */
@@ -81,26 +94,29 @@
     kind: string,
     name: string,
     extra: readonly string[] = [],
+    address = `${HOST}:0`,
   ): Promise<{process: SiteProcess; url: string}> => {
     const process = start({
       name,
       program: 'standins',
-      programArguments: [
-        kind,
-        '--listen',
-        `${HOST}:0`,
-        '--name',
-        name,
-        ...extra,
-      ],
+      programArguments: [kind, '--listen', address, '--name', name, ...extra],
     });
     const ready = JSON.parse(await process.ready) as {listening: string};
     return {process, url: `http://${ready.listening}`};
   };
 
   const platform = await standin('platform', 'platform');
+  const olderSystemAddress =
+    options.olderSystem === undefined
+      ? undefined
+      : `${HOST}:${(await freePorts(1))[0]}`;
+  const olderSystemUrl =
+    olderSystemAddress === undefined
+      ? undefined
+      : `http://${olderSystemAddress}`;
   const settings = createSettingsWriter(folder, platform.url, {
     addressesKeptFor: options.addressesKeptFor ?? '5s',
+    olderSystemUrl,
   });
 
   const list = (place: EntryPlace | AgentPlace): Promise<unknown> => {
@@ -199,6 +215,26 @@
         addTarget(`invoicing-${number}`, number - 1, 'plainService'),
       ),
     );
+    if (options.olderSystem !== undefined) {
+      const {model, label, workspaces, period} = options.olderSystem;
+      const placesOf = (targets: readonly RunningTarget[], option: string) =>
+        targets.flatMap(({name, url}) => [
+          option,
+          `${name}=${url.replace('http://', '')}`,
+        ]);
+      await standin(
+        'older-system',
+        'older-system',
+        [
+          ...['--platform', platform.url.replace('http://', '')],
+          ...['--model', model, '--label', label, '--period', `${period}`],
+          ...placesOf(engines, '--engines'),
+          ...placesOf(plainServices, '--services'),
+          ...['--reorder', '--workspaces', ...workspaces],
+        ],
+        olderSystemAddress,
+      );
+    }
     let added = options.entries;
     return {
       platformUrl: platform.url,
@@ -207,6 +243,7 @@
       engines,
       plainServices,
       settings,
+      olderSystemUrl,
       restartAgent: async target => {
         const agent = runAgent(target.place);
         await agent.ready;
--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -2,9 +2,11 @@
   createAttemptRegistry,
   DEFAULT_REGISTRY_BOUNDS,
   hash32,
+  mayServe,
   type AcceptedConfiguration,
   type AttemptRegistry,
   type TargetName,
+  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport} from '@hibiscusbeam/wire';
@@ -20,6 +22,7 @@
 import {createPlainServiceClient} from '../targets/plain_service_client';
 import type {RunningProcess} from '../types/process';
 import type {AgentSettings} from '../types/settings';
+import {createTally} from '../utils/tally';
 import {prepareCall, prepareGenerate} from './agent_work';
 import {createCachedPrefixes} from './cached_prefixes';
 import {createEngineChunkStore} from './chunk_store';
@@ -44,6 +47,13 @@
 /** Requests that a plain service runs side by side. */
 const PLAIN_SERVICE_SLOTS = 16;
 
+function servesWorkspace(
+  workspace: WorkspaceName,
+  accepted: AcceptedConfiguration | undefined,
+): boolean {
+  return accepted !== undefined && mayServe(workspace, accepted.configuration);
+}
+
 /** Starts the agent in a target's slot. */
 export async function startAgent(
   settings: AgentSettings,
@@ -76,6 +86,7 @@
   let life: AgentLife | undefined;
   let registry: AttemptRegistry | undefined;
   let control: EngineControl | undefined;
+  const workspaces = createTally();
   let running = 0;
   let leaving = false;
 
@@ -83,12 +94,25 @@
     clock,
     registry: () => registry,
     incarnation: () => life?.incarnation,
-    prepare: request =>
-      isEngine
-        ? prepareGenerate(request, control, engineRuns)
-        : prepareCall(request, target.service ?? '', isOurs(), serviceRuns),
-    onStart: () => void (running += 1),
-    onEnd: () => void (running -= 1),
+    prepare: request => {
+      // Failure: a request of a workspace that has moved away arrives late and
+      // runs here, while the caller has it run by the older system.
+      const current = node.configuration.current();
+      if (!servesWorkspace(request.workspace, current)) {
+        return {kind: 'notReady', reason: 'workspaceClosed'};
+      }
+      return isEngine
+        ? prepareGenerate(request, control, isOurs(), engineRuns)
+        : prepareCall(request, target.service ?? '', isOurs(), serviceRuns);
+    },
+    onStart: ({workspace}) => {
+      running += 1;
+      const endOfWorkspace = workspaces.begin(workspace);
+      return () => {
+        running -= 1;
+        endOfWorkspace();
+      };
+    },
   });
 
   const node: SiteNode = createSiteNode({
@@ -104,6 +128,11 @@
         checksFencing: target.fencing === 'checked',
       },
       isLeaving: () => leaving,
+      activity: () => ({
+        busyTargets:
+          running > 0 || control?.isOrdering() === true ? [target.name] : [],
+        busyWorkspaces: workspaces.names(),
+      }),
       targetReport: () => reportTarget(),
       agentHandlers: {
         ...handler,
--- a/packages/daemon/src/agent/agent_work.ts
+++ b/packages/daemon/src/agent/agent_work.ts
@@ -7,10 +7,14 @@
 export function prepareGenerate(
   request: ServeRequest,
   control: EngineControl | undefined,
+  mayServe: boolean,
   runs: EngineRuns,
 ): Readiness {
   const {work, attempt, priority} = request;
-  if (work?.$case !== 'generate' || control === undefined) {
+  // Failure: a move closes the target, this agent says that it is idle, and
+  // between that and the next pass over the engine it starts one more request.
+  // `routable` is as old as the last pass, the configuration is not.
+  if (work?.$case !== 'generate' || control === undefined || !mayServe) {
     return {kind: 'notReady', reason: 'noTarget'};
   }
   const {model, versionDigest, prompt, maximumTokens} = work.generate;
--- a/packages/daemon/src/agent/engine_control.ts
+++ b/packages/daemon/src/agent/engine_control.ts
@@ -39,6 +39,8 @@
   readonly routable: () => readonly ReportedVersion[];
   readonly mayStart: (versionDigest: VersionDigest) => boolean;
   readonly view: () => EngineView | undefined;
+  /** Whether an order may be on its way to the engine. */
+  readonly isOrdering: () => boolean;
   readonly noteRun: (versionDigest: VersionDigest, change: 1 | -1) => void;
   readonly stop: () => Promise<void>;
   readonly dump: () => unknown;
@@ -90,6 +92,7 @@
   let plan: ReconcilePlan | undefined;
   let view: EngineView | undefined;
   let engineLife: string | undefined;
+  let ordering = false;
 
   const permits = createPermits({
     target: target.name,
@@ -123,7 +126,10 @@
     if (next.orders.length === 0) return;
     const stillInForce = () => accepted().generation === generation;
     const flow = reconciler.giveOrders(next, stillInForce);
-    const round = await drive(flow, performOrder);
+    ordering = true;
+    const round = await drive(flow, performOrder).finally(() => {
+      ordering = false;
+    });
     if (round.kind !== 'given') {
       return log.warn(`stopped giving orders: ${round.kind}`);
     }
@@ -175,6 +181,7 @@
     routable: () => plan?.routable ?? [],
     mayStart: reconciler.mayStart,
     view: () => view,
+    isOrdering: () => ordering,
     noteRun: (versionDigest, change) => {
       const count = (running.get(versionDigest) ?? 0) + change;
       if (count > 0) running.set(versionDigest, count);
--- a/packages/daemon/src/agent/serve_handler.ts
+++ b/packages/daemon/src/agent/serve_handler.ts
@@ -52,8 +52,8 @@
   readonly registry: () => AttemptRegistry | undefined;
   readonly incarnation: () => number | undefined;
   readonly prepare: (request: ServeRequest) => Readiness;
-  readonly onStart: () => void;
-  readonly onEnd: () => void;
+  /** Called as an attempt starts; the returned function ends it. */
+  readonly onStart: (request: ServeRequest) => () => void;
 }
 
 type Answer = ServerWritableStream<unknown, ServeFrame>;
@@ -124,7 +124,7 @@
     readiness: Extract<Readiness, {kind: 'ready'}>,
   ): Promise<void> => {
     const {attempt, repeatable, deadlineMilliseconds} = request;
-    options.onStart();
+    const end = options.onStart(request);
     const timeout = repeatable
       ? deadlineMilliseconds
       : deadlineMilliseconds + FOLLOW_PAST_DEADLINE;
@@ -135,7 +135,7 @@
     const whole = await passOn(call, request, run);
     run.ended();
     registry.finish(attempt, answerOf(attempt, whole), clock());
-    options.onEnd();
+    end();
     if (whole === undefined) return void call.end();
     endWith(call, endFrame(attempt, whole.frameCount, whole.digest));
   };
--- a/packages/daemon/src/configuration/configuration_driver.ts
+++ b/packages/daemon/src/configuration/configuration_driver.ts
@@ -8,6 +8,7 @@
   type AcceptedConfiguration,
   type Generation,
   type GenerationKeeper,
+  type HeadRow,
   type InstanceName,
   type KeeperEffect,
   type PeerAnswer,
@@ -50,6 +51,8 @@
   readonly transport: ConfigurationTransport;
   readonly log: Log;
   readonly onAdopted: (accepted: AcceptedConfiguration) => void;
+  /** Called with each head row that was read, newer or not. */
+  readonly onHead: (head: HeadRow) => void;
 }
 
 /** One process's configuration, learned, kept and passed on. */
@@ -60,6 +63,8 @@
   readonly hearPeer: (peer: InstanceName, generation: Generation) => void;
   /** Takes a configuration that this process has just committed. */
   readonly offerCommitted: (accepted: AcceptedConfiguration) => void;
+  /** Takes that the head has come to this generation. */
+  readonly hearHead: (generation: Generation) => void;
   readonly reply: (knownGeneration: Generation) => PullConfigurationReply;
   readonly tick: () => void;
   readonly dump: () => unknown;
@@ -99,6 +104,7 @@
         if (row === undefined) return;
         const head = decodeHead(row);
         if (head === undefined) return log.warn('cannot read the head row');
+        options.onHead(head);
         return carryOut(keeper.hearHead(head.generation, clock()));
       }
       case 'readBody': {
@@ -198,6 +204,10 @@
     offerCommitted: accepted => {
       if (keeper !== undefined) offer(keeper, accepted, {kind: 'platform'});
     },
+    hearHead: generation => {
+      if (keeper === undefined) return;
+      carryOut(keeper.hearHead(generation, clock()));
+    },
     reply: knownGeneration => replyOf(keeper?.current(), knownGeneration),
     tick: () => {
       if (keeper === undefined) return;
--- a/packages/daemon/src/entry/caller_service.ts
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -23,6 +23,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '../runtime/clock';
 import {createDigester, digestText} from '../runtime/digests';
+import type {Tally} from '../utils/tally';
 import type {AnswerWriter} from './answer_writer';
 import type {Dispatcher} from './dispatcher';
 import type {GenerateBody} from './request_parsing';
@@ -79,6 +80,8 @@
   readonly limits: WorkspaceLimits;
   /** Most requests in progress at this entry. */
   readonly mostInProgress: number;
+  /** Workspaces with requests in progress. */
+  readonly workspacesInProgress: Tally;
 }
 
 /** Creates the service of one life of an entry. */
@@ -113,7 +116,28 @@
     return described;
   };
 
-  const generate: CallerService['generate'] = async (
+  /** Counts a request from its admission to its final answer. */
+  const whileCounted = async <Value>(
+    workspace: WorkspaceName,
+    work: () => Promise<Value>,
+  ): Promise<Value> => {
+    // Failure: a move sees the workspace idle between a request's admission
+    // and its dispatch, opens it on the other side, and the request runs here.
+    const end = options.workspacesInProgress.begin(workspace);
+    try {
+      return await work();
+    } finally {
+      end();
+    }
+  };
+
+  const generate: CallerService['generate'] = (workspace, ...others) =>
+    whileCounted(workspace, () => generateAdmitted(workspace, ...others));
+
+  const call: CallerService['call'] = (workspace, serviceCall) =>
+    whileCounted(workspace, () => callAdmitted(workspace, serviceCall));
+
+  const generateAdmitted: CallerService['generate'] = async (
     workspace,
     model,
     body,
@@ -159,7 +183,10 @@
     return finish(result.outcome, writer);
   };
 
-  const call: CallerService['call'] = async (workspace, serviceCall) => {
+  const callAdmitted: CallerService['call'] = async (
+    workspace,
+    serviceCall,
+  ) => {
     const admitted = refusalOf(workspace);
     if ('outcome' in admitted) {
       return {outcome: admitted.outcome, content: undefined};
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -13,13 +13,17 @@
 import type {Peer} from '../site/sessions';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import type {RunningProcess} from '../types/process';
+import {createOlderSystemClient, startOwnershipTeller} from '../older_system';
 import type {EntrySettings} from '../types/settings';
 import {formatAddress} from '../utils/address';
+import {createTally} from '../utils/tally';
 import {createCallerService} from './caller_service';
 import {createDispatcher} from './dispatcher';
 import {createGroupCommitDriver} from './group_commit_driver';
 import {createHttpFace, type EntryAddress} from './http_face';
+import {createMoveDriver} from './move_driver';
 import {createPlanService} from './plan_service';
+import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
 import {createSiteView, loadReportOf} from './site_view';
 import {createTargetDirectory} from './target_directory';
@@ -69,6 +73,11 @@
   let leaving = false;
   let uses: readonly WorkspaceUse[] = [];
   let stopPublishing = (): void => undefined;
+  const workspacesInProgress = createTally();
+  const olderSystem =
+    settings.olderSystem === undefined
+      ? undefined
+      : createOlderSystemClient(settings.olderSystem.url);
 
   const node: SiteNode = createSiteNode({
     settings,
@@ -79,6 +88,12 @@
       incarnation: () => incarnation,
       callerAddress,
       isLeaving: () => leaving,
+      // What is in progress at a target is its agent's to say.
+      activity: () => ({
+        busyTargets: [],
+        busyWorkspaces: workspacesInProgress.names(),
+      }),
+      onHead: head => moves.hearHead(head),
       workspaceUses: () => uses,
       onWorkspaceUses: (peer, published) =>
         limits.receive(
@@ -95,6 +110,7 @@
         requests: {running: runner.running(), waiting: dispatcher.waiting()},
         claims: {inFlight: groupCommit.pending()},
         routing: dispatcher.dump(),
+        moves: moves.dump(),
       }),
       onAdopted: accepted => followConfiguration(accepted),
       onPeerOpened: peer => meet(peer),
@@ -132,8 +148,26 @@
     runner,
     dispatcher,
     limits,
+    workspacesInProgress,
     mostInProgress: settings.limits.waiting * IN_PROGRESS_PER_WAITING,
   });
+  /** Position among the live entries; 0 acts first. */
+  const rankFor = (subject: string): number => {
+    const others = node.membership
+      .members()
+      .filter(member => member.role === 'entry' && member.liveness === 'live')
+      .map(member => member.instance);
+    return rendezvousOrder(subject, [instance, ...others]).indexOf(instance);
+  };
+  const survey = createProcessSurvey({instance, node, olderSystem});
+  const moves = createMoveDriver({
+    table: platform.table,
+    clock,
+    survey,
+    rank: rankFor,
+    onOpened: node.configuration.hearHead,
+    log: node.log('configuration'),
+  });
   const plans = createPlanService({
     platform,
     clock,
@@ -141,7 +175,9 @@
     knownTargets: view.knownTargets,
     rates: RATES,
     askGenerations: node.askGenerations,
-    onCommitted: node.configuration.offerCommitted,
+    survey,
+    onCommitted: accepted => node.configuration.offerCommitted(accepted),
+    onMoveConfirmed: moves.begin,
   });
   const face = createHttpFace({
     settings,
@@ -254,6 +290,7 @@
     return [...byAddress.values()].slice(0, MOST_ADDRESSES);
   };
 
+  let stopTelling = (): void => undefined;
   const start = async (): Promise<void> => {
     await node.start();
     await face.listen(settings.callerAddress);
@@ -262,6 +299,14 @@
         ([workspace, requestsPerSecond]) => ({workspace, requestsPerSecond}),
       );
     });
+    if (olderSystem !== undefined) {
+      stopTelling = startOwnershipTeller({
+        olderSystem,
+        current: node.configuration.current,
+        rank: () => rankFor('older-system'),
+        log: node.log('configuration'),
+      }).stop;
+    }
     followSite();
     node.log('process').info(`serves callers at ${callerAddress}`);
   };
@@ -279,8 +324,11 @@
     }
     await face.close();
     stopPublishing();
+    stopTelling();
+    moves.stop();
     dispatcher.close();
     await node.stop('planned stop');
+    await olderSystem?.close();
   };
 
   return {start, stop};
--- /dev/null
+++ b/packages/daemon/src/entry/move_driver.ts
@@ -0,0 +1,184 @@
+import {
+  finishMove,
+  unreachable,
+  type AwaitedProcess,
+  type Generation,
+  type HeadRow,
+  type Milliseconds,
+  type MonotonicInstant,
+  type MoveEffect,
+  type MoveReply,
+  type PlanId,
+} from '@hibiscusbeam/core';
+import type {TableService} from '@hibiscusbeam/platform';
+import type {Log} from '../logs';
+import {every, sleep, type Clock} from '../runtime/clock';
+import {digestText} from '../runtime/digests';
+import type {ProcessSurvey} from './process_survey';
+
+/** Period in which an entry looks for moves to carry on. */
+const LOOK_PERIOD: Milliseconds = 500;
+
+/** An entry of the next rank takes an open move over after so much longer. */
+const TAKE_OVER_AFTER: Milliseconds = 5_000;
+
+/** Entries that carry one move at once; the next ones come up as others die. */
+const MOST_CARRIERS = 3;
+
+/** Processes asked per second while a move waits, on a site of hundreds. */
+const ASKED_PER_SECOND = 200;
+
+/** Carries open moves to their end. */
+export interface MoveDriver {
+  /** Takes which moves the head names as open. */
+  readonly hearHead: (head: HeadRow) => void;
+  /** Begins at once; for the entry that has confirmed the plan. */
+  readonly begin: (moveId: PlanId) => void;
+  readonly dump: () => unknown;
+  readonly stop: () => void;
+}
+
+/** Options of {@link createMoveDriver}. */
+export interface MoveDriverOptions {
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly survey: ProcessSurvey;
+  /** Position of this entry among the live ones for a move; 0 is first. */
+  readonly rank: (moveId: PlanId) => number;
+  readonly onOpened: (generation: Generation) => void;
+  readonly log: Log;
+}
+
+interface OpenMove {
+  readonly seenAt: MonotonicInstant;
+  carried: boolean;
+  awaited: readonly AwaitedProcess[];
+  /** Processes that the last survey asked. */
+  asked: number;
+}
+
+/**
+ * Drives core's move flow over table and processes. All state is in the table:
+ * several entries may carry one move at once, and each may be lost.
+ */
+export function createMoveDriver(options: MoveDriverOptions): MoveDriver {
+  const {table, clock, log} = options;
+  const open = new Map<PlanId, OpenMove>();
+  const stopping = new AbortController();
+
+  const note = (moveId: PlanId): OpenMove => {
+    const known = open.get(moveId);
+    if (known !== undefined) return known;
+    const noted: OpenMove = {
+      seenAt: clock(),
+      carried: false,
+      awaited: [],
+      asked: 0,
+    };
+    open.set(moveId, noted);
+    return noted;
+  };
+
+  const carry = async (moveId: PlanId, move: OpenMove): Promise<void> => {
+    if (move.carried) return;
+    move.carried = true;
+    log.info(`carries the move ${moveId} on`);
+    const flow = finishMove({moveId, direction: 'forward', digestText});
+    let step = flow.next();
+    while (step.done !== true) {
+      const reply = await perform(moveId, move, step.value);
+      if (stopping.signal.aborted) return;
+      step = flow.next(reply);
+    }
+    open.delete(moveId);
+    const result = step.value;
+    if (result.err) {
+      return log.error(`cannot carry the move ${moveId} on`, {
+        reason: result.val,
+      });
+    }
+    const {kind, generation} = result.val;
+    log.info(`the move ${moveId} is ${kind} by generation ${generation}`);
+    options.onOpened(generation);
+  };
+
+  const perform = async (
+    moveId: PlanId,
+    move: OpenMove,
+    effect: MoveEffect,
+  ): Promise<MoveReply> => {
+    switch (effect.kind) {
+      case 'readRow':
+        return {kind: 'row', result: await table.read(effect.key)};
+      case 'commit':
+        return {
+          kind: 'commit',
+          result: await table.commit(effect.transaction),
+        };
+      case 'wait':
+        await sleep(effect.duration, stopping.signal);
+        return {kind: 'waited'};
+      case 'readProcesses': {
+        const reports = await options.survey();
+        move.asked = reports.length;
+        return {kind: 'processes', reports};
+      }
+      case 'awaitProcesses': {
+        noteAwaited(moveId, move, effect.processes);
+        const spread = (move.asked / ASKED_PER_SECOND) * 1_000;
+        await sleep(Math.max(effect.duration, spread), stopping.signal);
+        return {kind: 'waited'};
+      }
+      default:
+        return unreachable(effect);
+    }
+  };
+
+  const noteAwaited = (
+    moveId: PlanId,
+    move: OpenMove,
+    awaited: readonly AwaitedProcess[],
+  ): void => {
+    const changed = JSON.stringify(awaited) !== JSON.stringify(move.awaited);
+    move.awaited = awaited;
+    if (!changed) return;
+    const named = awaited.slice(0, MOST_NAMED);
+    log.info(`the move ${moveId} waits`, {count: awaited.length, named});
+  };
+
+  const look = (): void => {
+    for (const [moveId, move] of open) {
+      if (move.carried) continue;
+      const rank = options.rank(moveId);
+      if (rank >= MOST_CARRIERS) continue;
+      if (clock() - move.seenAt < rank * TAKE_OVER_AFTER) continue;
+      void carry(moveId, move);
+    }
+  };
+  const stopLooking = every(LOOK_PERIOD, look);
+
+  return {
+    hearHead: head => {
+      for (const moveId of head.moves) note(moveId);
+      const stillOpen = new Set(head.moves);
+      for (const [moveId, move] of open) {
+        // One that is carried learns its end from its own row.
+        if (!stillOpen.has(moveId) && !move.carried) open.delete(moveId);
+      }
+    },
+    begin: moveId => void carry(moveId, note(moveId)),
+    dump: () =>
+      [...open].map(([moveId, {carried, awaited}]) => ({
+        moveId,
+        carried,
+        awaited: awaited.slice(0, MOST_NAMED),
+      })),
+    stop: () => {
+      stopping.abort();
+      stopLooking();
+    },
+  };
+}
+
+/** Processes named in one log line or dump. */
+const MOST_NAMED = 20;
--- a/packages/daemon/src/entry/plan_service.ts
+++ b/packages/daemon/src/entry/plan_service.ts
@@ -5,8 +5,10 @@
   confirmPlan,
   decodeMoveRow,
   decodePlanRow,
+  findAwaited,
   followGeneration,
   MOVE_PREFIX,
+  moveKey,
   parseIntent,
   PLAN_PREFIX,
   planIntent,
@@ -14,9 +16,11 @@
   storePlan,
   versionsWanted,
   type AcceptedConfiguration,
+  type AwaitedProcess,
   type Intent,
   type IntentFault,
   type KnownTarget,
+  type MoveRow,
   type Plan,
   type PlanCommitFault,
   type PlanFacts,
@@ -31,6 +35,7 @@
 import type {Platform} from '@hibiscusbeam/platform';
 import {Err, Ok, type Result} from 'ts-results';
 import {parse as parseYaml} from 'yaml';
+import type {ProcessSurvey} from './process_survey';
 import type {Clock} from '../runtime/clock';
 import {digestText} from '../runtime/digests';
 import {runTableFlow} from '../runtime/table_flow';
@@ -60,6 +65,17 @@
 export interface ShownPlan extends PlanRow {
   readonly inForce?: boolean;
   readonly lagging?: readonly ProcessGeneration[];
+  /** Present if the plan moves targets or workspaces. */
+  readonly move?: ShownMove;
+}
+
+/** How far a confirmed move has come. */
+export interface ShownMove {
+  readonly state: MoveRow['state'];
+  /** Generation in which both sides are closed. */
+  readonly closedAt: number;
+  /** Processes that it waits for, and why; empty once it is settled. */
+  readonly awaited: readonly AwaitedProcess[];
 }
 
 /** What operators do with intents and plans. */
@@ -91,7 +107,9 @@
   readonly knownTargets: () => readonly KnownTarget[];
   readonly rates: Pick<PlanFacts, 'originRate' | 'instanceRate'>;
   readonly askGenerations: () => Promise<readonly ProcessGeneration[]>;
+  readonly survey: ProcessSurvey;
   readonly onCommitted: (accepted: AcceptedConfiguration) => void;
+  readonly onMoveConfirmed: (moveId: PlanId) => void;
 }
 
 /** Creates the service over the platform's table. */
@@ -200,9 +218,19 @@
     }
     const {accepted, wasConfirmed} = confirmed.val;
     options.onCommitted(accepted);
+    // Not awaited: the answer that the plan is confirmed must not wait for a
+    // platform that goes down right now. The head names the move as well.
+    void beginMove(planId);
     return Ok({planId, generation: accepted.generation, wasConfirmed});
   };
 
+  const beginMove = async (planId: PlanId): Promise<void> => {
+    const row = await table.read(moveKey(planId));
+    if (row.err || row.val === undefined) return;
+    const isOpen = decodeMoveRow(row.val)?.state.kind === 'closed';
+    if (isOpen) options.onMoveConfirmed(planId);
+  };
+
   const show: PlanService['show'] = async planId => {
     const row = await table.read(planKey(planId));
     if (row.err) return Err({kind: 'platform', error: row.val});
@@ -215,7 +243,25 @@
     const processes = await options.askGenerations();
     const followed = followGeneration(stored.state.generation, processes);
     const {isInForce, lagging} = followed;
-    return Ok({...stored, inForce: isInForce, lagging});
+    const shown = {...stored, inForce: isInForce, lagging};
+    if (stored.plan.move === undefined) return Ok(shown);
+    const move = await showMove(planId);
+    if (move.err) return move;
+    return Ok(move.val === undefined ? shown : {...shown, move: move.val});
+  };
+
+  const showMove = async (
+    planId: PlanId,
+  ): Promise<Result<ShownMove | undefined, PlanRefusal>> => {
+    const row = await table.read(moveKey(planId));
+    if (row.err) return Err({kind: 'platform', error: row.val});
+    const move = row.val === undefined ? undefined : decodeMoveRow(row.val);
+    if (move === undefined) return Ok(undefined);
+    const {state, closedAt} = move;
+    if (state.kind !== 'closed') return Ok({state, closedAt, awaited: []});
+    const reports = await options.survey();
+    const awaited = findAwaited(closedAt, move.move.items, reports);
+    return Ok({state, closedAt, awaited});
   };
 
   const list: PlanService['list'] = async () => {
--- /dev/null
+++ b/packages/daemon/src/older_system/index.ts
@@ -0,0 +1,2 @@
+export * from './older_system_client';
+export * from './ownership_teller';
--- /dev/null
+++ b/packages/daemon/src/older_system/ownership_teller.ts
@@ -0,0 +1,104 @@
+import {
+  sideMayOrder,
+  sideMayServe,
+  type AcceptedConfiguration,
+  type Milliseconds,
+  type SiteConfiguration,
+} from '@hibiscusbeam/core';
+import type {Log} from '../logs';
+import {sleep} from '../runtime/clock';
+import type {
+  OlderSystemClient,
+  OlderSystemState,
+  Ownership,
+} from './older_system_client';
+
+/** Pause of the entry whose turn it is. */
+const FIRST_PERIOD: Milliseconds = 500;
+
+/** Further entries look so much more seldom, by rank. */
+const PERIOD_BY_RANK: Milliseconds = 3_000;
+
+/** Entries that look at all; more would only add calls. */
+const MOST_TELLERS = 3;
+
+/** Tells the older system what it owns, until stopped. */
+export interface OwnershipTeller {
+  readonly stop: () => void;
+}
+
+/** Options of {@link startOwnershipTeller}. */
+export interface OwnershipTellerOptions {
+  readonly olderSystem: OlderSystemClient;
+  readonly current: () => AcceptedConfiguration | undefined;
+  /** Position of this entry among the live ones; 0 tells first. */
+  readonly rank: () => number;
+  readonly log: Log;
+}
+
+/**
+ * Brings the older system to the ownership of the generation that this entry
+ * knows. Each entry may do so at any time: the older system keeps to the
+ * highest generation that it was told.
+ */
+export function startOwnershipTeller(
+  options: OwnershipTellerOptions,
+): OwnershipTeller {
+  const {olderSystem, log} = options;
+  const stopping = new AbortController();
+
+  const tellIfBehind = async (): Promise<void> => {
+    const accepted = options.current();
+    if (accepted === undefined || accepted.generation === 0) return;
+    const state = await olderSystem.state();
+    if (state === undefined || state.generation >= accepted.generation) return;
+    await olderSystem.tell(ownershipAt(accepted, state));
+    log.info(`told the older system of generation ${accepted.generation}`);
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const rank = options.rank();
+      if (rank < MOST_TELLERS) await tellIfBehind();
+      const period = FIRST_PERIOD + rank * PERIOD_BY_RANK;
+      await sleep(Math.min(period, LONGEST_PERIOD), stopping.signal);
+    }
+  };
+  void run();
+
+  return {stop: () => stopping.abort()};
+}
+
+/** An entry that becomes first learns it within this time. */
+const LONGEST_PERIOD: Milliseconds = FIRST_PERIOD + 2 * PERIOD_BY_RANK;
+
+/**
+ * What the older system owns at a configuration. What the configuration does
+ * not name has never been ours, and stays with the older system.
+ */
+export function ownershipAt(
+  {generation, configuration}: AcceptedConfiguration,
+  state: OlderSystemState,
+): Ownership {
+  const targets = Object.keys(configuration.targets).filter(name =>
+    sideMayOrder('older-system', name, configuration),
+  );
+  const workspaces = Object.keys(configuration.workspaces).filter(name =>
+    sideMayServe('older-system', name, configuration),
+  );
+  return {
+    generation,
+    targets: [...unnamed(state.targets, configuration.targets), ...targets],
+    workspaces: [
+      ...unnamed(state.workspaces, configuration.workspaces),
+      ...workspaces,
+    ],
+  };
+}
+
+function unnamed(
+  names: readonly string[],
+  named: SiteConfiguration['targets'] | SiteConfiguration['workspaces'],
+): readonly string[] {
+  return names.filter(name => !Object.hasOwn(named, name));
+}
--- a/packages/daemon/src/settings/load_settings.ts
+++ b/packages/daemon/src/settings/load_settings.ts
@@ -86,6 +86,7 @@
     callerAddress: file.listen.callers,
     operatorKeys: file.keys.operators,
     workspaceKeys: file.keys.workspaces,
+    olderSystem: file.olderSystem,
     limits: file.limits,
     addressesKeptFor: file.addressesKeptFor,
   };
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -65,6 +65,15 @@
   ),
 });
 
+const olderSystemGroup = group({
+  url: field(urlSchema.clone(), {
+    type: 'URL',
+    meaning:
+      'Where the older system says what it owns and is told so; required if `olderSystem` is present. Without `olderSystem` no move can end.',
+    example: 'http://10.0.0.6:8500',
+  }),
+});
+
 const entryShape = {
   role: choiceSchema(['entry']),
   ...commonShape,
@@ -81,6 +90,7 @@
     operators: hashedKeysSchema('Name of an operator.', 'ainhoa'),
     workspaces: hashedKeysSchema('Name of a workspace.', 'oviedo-counter'),
   }),
+  olderSystem: olderSystemGroup.optional(),
   limits: limitsGroup.prefault({}),
   addressesKeptFor: fieldWithDefault(
     durationSchema({least: '1s', most: '1h'}),
--- a/packages/daemon/src/site/site_node.ts
+++ b/packages/daemon/src/site/site_node.ts
@@ -3,15 +3,19 @@
   TICK_PERIOD,
   type AcceptedConfiguration,
   type Generation,
+  type HeadRow,
   type Incarnation,
   type InstanceName,
   type Membership,
+  type TargetName,
+  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import type {ListedInstance, Platform} from '@hibiscusbeam/platform';
 import type {
   AgentServer,
   HaveDelta,
   PullConfigurationReply,
+  ReportActivityReply,
   SlotTarget,
   TargetReport,
   WorkspaceUse,
@@ -26,6 +30,7 @@
 import {every, type Clock} from '../runtime/clock';
 import type {CommonSettings} from '../types/settings';
 import {formatAddress} from '../utils/address';
+import {createAcquaintances, type Acquaintances} from './acquaintances';
 import {
   startInstanceListPoller,
   type InstanceListPoller,
@@ -37,6 +42,12 @@
 /** A peer that does not answer a pull within this time counts as silent. */
 const PULL_TIMEOUT = 1_000;
 
+/** Where a process may still act on what a move has closed. */
+export interface Activity {
+  readonly busyTargets: readonly TargetName[];
+  readonly busyWorkspaces: readonly WorkspaceName[];
+}
+
 /** What an entry or an agent adds to the common part. */
 export interface SiteNodeRole {
   readonly role: 'entry' | 'agent';
@@ -56,6 +67,10 @@
   readonly isLeaving: () => boolean;
   readonly dump: () => Readonly<Record<string, unknown>>;
   readonly onAdopted: (accepted: AcceptedConfiguration) => void;
+  /** Where requests or orders are in progress at this moment. */
+  readonly activity: () => Activity;
+  /** Called with each head row that was read. */
+  readonly onHead?: (head: HeadRow) => void;
   readonly onTargetReport?: (peer: Peer, report: TargetReport) => void;
   readonly onHaveDelta?: (peer: Peer, delta: HaveDelta) => void;
   readonly onPeerOpened?: (peer: Peer) => void;
@@ -89,6 +104,13 @@
       readonly generation: Generation | undefined;
     }[]
   >;
+  readonly acquaintances: Acquaintances;
+  /** This process's own activity, as others get it when they ask. */
+  readonly ownActivity: () => ReportActivityReply;
+  /** Another process's activity; undefined if it is silent. */
+  readonly askActivity: (
+    address: string,
+  ) => Promise<ReportActivityReply | undefined>;
   /** Listens and learns the generation; resolves when ready. */
   readonly start: () => Promise<void>;
   /** Says goodbye and waits for the calls in progress. */
@@ -104,6 +126,7 @@
   const siteLog = log('site');
   const clients = createSiteClientPool(settings.siteKey);
   const membership = createMembership(settings.instance);
+  const acquaintances = createAcquaintances();
   let heartbeats = 0;
   let server: SiteServer | undefined;
   let poller: InstanceListPoller | undefined;
@@ -149,6 +172,7 @@
           peer.incarnation,
           clock(),
         );
+        acquaintances.hello(peer);
         role.onPeerOpened?.(peer);
       },
       received: (peer, {message}) => {
@@ -167,6 +191,7 @@
             return;
           }
           case 'goodbye':
+            acquaintances.goodbye(peer.instance, peer.incarnation);
             membership.goodbye(peer.instance, peer.incarnation, clock());
             return;
           case 'haveDelta':
@@ -216,6 +241,7 @@
     platform,
     log: log('configuration'),
     onAdopted: role.onAdopted,
+    onHead: role.onHead ?? (() => undefined),
     transport: {
       peers: async () => {
         const lines = await (poller?.refresh() ?? []);
@@ -248,6 +274,30 @@
     ];
   };
 
+  // All of one turn of the loop: a generation adopted between two of these
+  // would let a request that began before it go unseen.
+  const ownActivity = (): ReportActivityReply => {
+    const {busyTargets, busyWorkspaces} = role.activity();
+    return {
+      generation: configuration.current()?.generation ?? 0,
+      busyTargets: [...busyTargets],
+      busyWorkspaces: [...busyWorkspaces],
+      heardOf: acquaintances.all().map(process => ({...process})),
+    };
+  };
+
+  const askActivity: SiteNode['askActivity'] = address =>
+    new Promise(resolve => {
+      clients
+        .at(address)
+        .peer.reportActivity(
+          {},
+          clients.metadata,
+          {deadline: Date.now() + PULL_TIMEOUT},
+          (error, reply) => resolve(error === null ? reply : undefined),
+        );
+    });
+
   const dump = (): string =>
     JSON.stringify({
       instance: settings.instance,
@@ -278,13 +328,16 @@
               ? GENERATION_ONLY
               : request.knownGeneration,
           ),
+        reportActivity: ownActivity,
         dump: () => ({json: dump()}),
         agent: role.agentHandlers,
       },
     });
-    poller = startInstanceListPoller(platform.instances, lines =>
-      membership.list(lines, clock()),
-    );
+    poller = startInstanceListPoller(platform.instances, lines => {
+      membership.list(lines, clock());
+      const instances = lines.map(line => line.instance);
+      acquaintances.list(instances, clock());
+    });
     await poller.refresh();
     await configuration.start();
     timers.push(
@@ -317,6 +370,9 @@
     listed: () => poller?.latest() ?? [],
     refreshList: () => poller?.refresh() ?? Promise.resolve([]),
     askGenerations,
+    acquaintances,
+    ownActivity,
+    askActivity,
     start,
     stop,
   };
--- a/packages/daemon/src/site/site_server.ts
+++ b/packages/daemon/src/site/site_server.ts
@@ -12,6 +12,7 @@
   type DumpReply,
   type PullConfigurationReply,
   type PullConfigurationRequest,
+  type ReportActivityReply,
   type SessionMessage,
 } from '@hibiscusbeam/wire';
 import type {SocketAddress} from '../types/settings';
@@ -27,6 +28,7 @@
   readonly pullConfiguration: (
     request: PullConfigurationRequest,
   ) => PullConfigurationReply;
+  readonly reportActivity: () => ReportActivityReply;
   readonly dump: () => DumpReply;
   /** Present on agents only. */
   readonly agent?: AgentServer;
@@ -70,6 +72,9 @@
     pullConfiguration: guard.unary('pullConfiguration', (call, callback) =>
       callback(null, handlers.pullConfiguration(call.request)),
     ),
+    reportActivity: guard.unary('reportActivity', (_call, callback) =>
+      callback(null, handlers.reportActivity()),
+    ),
     dump: guard.unary('dump', (_call, callback) =>
       callback(null, handlers.dump()),
     ),
--- a/packages/daemon/src/types/settings.ts
+++ b/packages/daemon/src/types/settings.ts
@@ -57,6 +57,12 @@
   readonly metrics: MetricsSettings | undefined;
 }
 
+/** How to reach the older system. */
+export interface OlderSystemSettings {
+  /** Base address of its HTTP interface for moves. */
+  readonly url: string;
+}
+
 /** Bounds on what one caller may send or occupy. */
 export interface CallerLimits {
   readonly requestBody: Bytes;
@@ -74,6 +80,8 @@
   readonly callerAddress: SocketAddress;
   readonly operatorKeys: readonly HashedKey<string>[];
   readonly workspaceKeys: readonly HashedKey<WorkspaceName>[];
+  /** The system that this one takes over from; absent where there is none. */
+  readonly olderSystem: OlderSystemSettings | undefined;
   readonly limits: CallerLimits;
   /** How long callers may keep the answer to "which entry shall I use". */
   readonly addressesKeptFor: Milliseconds;
--- /dev/null
+++ b/packages/daemon/src/utils/tally.ts
@@ -0,0 +1,29 @@
+/** How much is in progress under each name. */
+export interface Tally {
+  /** Counts one more; the returned function ends it, once. */
+  readonly begin: (name: string) => () => void;
+  /** Names under which something is in progress. */
+  readonly names: () => readonly string[];
+}
+
+/** Nothing is in progress at first. */
+export function createTally(): Tally {
+  const counts = new Map<string, number>();
+  const change = (name: string, by: 1 | -1): void => {
+    const count = (counts.get(name) ?? 0) + by;
+    if (count > 0) counts.set(name, count);
+    else counts.delete(name);
+  };
+  return {
+    begin: name => {
+      change(name, 1);
+      let ended = false;
+      return () => {
+        if (ended) return;
+        ended = true;
+        change(name, -1);
+      };
+    },
+    names: () => [...counts.keys()],
+  };
+}
--- a/packages/hibiscusbeam/src/operator/replies.ts
+++ b/packages/hibiscusbeam/src/operator/replies.ts
@@ -34,10 +34,32 @@
   generation: z.number().optional(),
 });
 
+const moveSchema = z.object({
+  state: z.object({
+    kind: z.enum(['closed', 'opened', 'cancelled']),
+    generation: z.number().optional(),
+  }),
+  closedAt: z.number(),
+  awaited: z.array(z.object({process: z.string(), reason: z.string()})),
+});
+
 /** Reply to planning an intent and to showing a plan. */
 export const planReplySchema = z.object({
   plan: planSchema,
   state: planStateSchema,
+  /** Whether every process is at the plan's generation; once confirmed. */
+  inForce: z.boolean().optional(),
+  lagging: z
+    .array(
+      z.object({
+        instance: z.string(),
+        /** Absent if the process did not say. */
+        generation: z.number().optional(),
+      }),
+    )
+    .optional(),
+  /** Present once a plan that moves something is confirmed. */
+  move: moveSchema.optional(),
 });
 
 /** Reply to listing plans. */
@@ -100,6 +122,9 @@
 /** What a plan would do, and what became of it. */
 export type PlanReply = z.output<typeof planReplySchema>;
 
+/** How far a move has come. */
+export type MoveReply = z.output<typeof moveSchema>;
+
 /** Plans, newest first. */
 export type PlanListReply = z.output<typeof planListReplySchema>;
 
--- a/packages/hibiscusbeam/src/output/plan_text.ts
+++ b/packages/hibiscusbeam/src/output/plan_text.ts
@@ -1,4 +1,4 @@
-import type {PlanListReply, PlanReply} from '../operator/replies';
+import type {MoveReply, PlanListReply, PlanReply} from '../operator/replies';
 import {cleanText, formatBytes, formatSeconds, formatTable} from './text';
 
 interface Subject {
@@ -7,7 +7,8 @@
 }
 
 /** A plan for people: what changes, what it costs, who owns what. */
-export function formatPlan({plan, state}: PlanReply): string {
+export function formatPlan(reply: PlanReply): string {
+  const {plan, state} = reply;
   const sections = [
     [
       `Plan ${plan.planId}: ${cleanText(plan.summary)}`,
@@ -47,10 +48,55 @@
       ['WHAT', 'WARNING'],
       plan.warnings.map(warning => [nameOf(warning.subject), warning.detail]),
     ),
+    describeForce(reply),
+    ...(reply.move === undefined ? [] : describeMove(reply.move)),
   ];
   return sections.filter(text => text !== '').join('\n\n');
 }
 
+function describeForce({inForce, lagging}: PlanReply): string {
+  if (inForce === undefined) return '';
+  if (inForce) return 'In force everywhere.';
+  const rows = (lagging ?? []).map(({instance, generation}) => [
+    instance,
+    generation === undefined ? 'no answer' : `${generation}`,
+  ]);
+  return section('Not yet in force at', ['PROCESS', 'GENERATION'], rows);
+}
+
+/** Why a move waits for a process, in an operator's words. */
+const REASONS: Readonly<Record<string, string>> = {
+  behind: 'has not adopted the closing generation',
+  busy: 'has requests or orders in progress',
+  silent: 'does not answer',
+  notSurelyOut: 'does not answer and is not known to be out for long enough',
+  notAsked: 'others have heard of it, and it cannot be asked',
+  noWordFromOlderSystem: 'has not said what it owns',
+};
+
+function describeMove({state, closedAt, awaited}: MoveReply): string[] {
+  switch (state.kind) {
+    case 'opened':
+      return [
+        `Move: opened on the new side as generation ${state.generation}.`,
+      ];
+    case 'cancelled':
+      return [
+        `Move: opened again on the old side as generation ${state.generation}.`,
+      ];
+    case 'closed': {
+      const rows = awaited.map(({process, reason}) => [
+        process,
+        REASONS[reason] ?? reason,
+      ]);
+      const closed = `Move: closed on both sides since generation ${closedAt}`;
+      if (rows.length === 0) return [`${closed}; about to open.`];
+      const heading = `${closed}; waits for`;
+      return [section(heading, ['PROCESS', 'WHY'], rows)];
+    }
+  }
+}
+
 /** Plans in a table. */
 export function formatPlanList({plans}: PlanListReply): string {
   if (plans.length === 0) return 'No plans.';
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -79,6 +79,8 @@
 addCommand<OlderSystemOptions>(program, 'older-system', startOlderSystem)
   .requiredOption('--platform <IP:port>', 'address of the platform')
   .requiredOption('--engines <TARGET=IP:port>', 'repeat for more', parseEngine)
+  .option('--services <TARGET=IP:port>', 'repeat for more', parseEngine)
+  .option('--reorder', 'order again in each round what is loaded')
   .requiredOption('--model <model>', 'the model it serves')
   .requiredOption('--label <label>', 'the label of the version it serves')
   .option('--workspaces <names...>', 'workspaces it sends requests for', [])
--- a/packages/standins/src/older_system/http.ts
+++ b/packages/standins/src/older_system/http.ts
@@ -17,7 +17,7 @@
   readonly postJson: (
     url: string,
     body: unknown,
-    signal?: AbortSignal,
+    headers?: Readonly<Record<string, string>>,
   ) => Promise<boolean>;
   readonly close: () => Promise<void>;
 }
@@ -52,12 +52,11 @@
       );
       await response.body.dump();
     },
-    postJson: async (url, body, signal) => {
+    postJson: async (url, body, headers) => {
       const response = await request(url, {
         dispatcher,
-        signal,
         method: 'POST',
-        headers: {'content-type': 'application/json', ...giver},
+        headers: {'content-type': 'application/json', ...giver, ...headers},
         body: JSON.stringify(body),
       });
       await response.body.text();
--- a/packages/standins/src/older_system/loader.ts
+++ b/packages/standins/src/older_system/loader.ts
@@ -24,11 +24,13 @@
   readonly platform: string;
   readonly model: string;
   readonly label: string;
+  /** Gives its order again in each round, also for what is loaded. */
+  readonly reorder: boolean;
 }
 
 /** A loader for one model and label. */
 export function createLoader(options: LoaderOptions): Loader {
-  const {http, platform, model, label} = options;
+  const {http, platform, model, label, reorder} = options;
   const origin = `http://${platform}/weights`;
   const orders = {accepted: 0, refused: 0};
   let originBytes: Bytes = 0;
@@ -70,7 +72,8 @@
         `${origin}/models/${model}/versions/${label}`,
         signal,
       );
-      if (await holds(engineUrl, versionDigest, signal)) return;
+      const isHeld = await holds(engineUrl, versionDigest, signal);
+      if (isHeld && !reorder) return;
       const manifest = await http.getJson<Manifest>(
         `${origin}/manifests/${versionDigest}`,
         signal,
@@ -78,7 +81,10 @@
       await copyChunks(engineUrl, manifest, signal);
       const order = {kind: 'load', versionDigest, manifest};
       const body = {order, fencing: FENCING};
-      const accepted = await http.postJson(`${engineUrl}/orders`, body, signal);
+      if (signal.aborted) return;
+      // An order that is on its way is waited for: cut off here it would still
+      // arrive, after the older system has said that it is not busy any more.
+      const accepted = await http.postJson(`${engineUrl}/orders`, body);
       orders[accepted ? 'accepted' : 'refused'] += 1;
     },
     state: () => ({orders: {...orders}, originBytes}),
--- a/packages/standins/src/older_system/older_system.ts
+++ b/packages/standins/src/older_system/older_system.ts
@@ -1,7 +1,8 @@
+import {randomUUID} from 'node:crypto';
 import type {Milliseconds} from '@hibiscusbeam/core';
 import {z} from 'zod';
 import {createSystemClock} from '../shared/clock';
-import {createServer, listenOn, parseBody} from '../shared/server';
+import {createServer, listenOn, parseBody, sendError} from '../shared/server';
 import type {StandIn, StandInOptions} from '../shared/server';
 import {createOlderSystemHttp} from './http';
 import {createLoader} from './loader';
@@ -14,6 +15,13 @@
 const ownershipSchema = z.strictObject({
   targets: z.array(z.string()),
   workspaces: z.array(z.string()),
+  /** Absent if a test sets the ownership by itself. */
+  generation: z.int().nonnegative().optional(),
+});
+
+const callSchema = z.strictObject({
+  workspace: z.string(),
+  body: z.looseObject({reference: z.string().min(1)}),
 });
 
 /** An engine that the older system may give orders to. */
@@ -23,17 +31,23 @@
   readonly address: string;
 }
 
+/** A plain service that the older system may call. */
+export type OlderSystemService = OlderSystemEngine;
+
 /** What the older system is started with; it owns all it is given. */
 export interface OlderSystemOptions extends StandInOptions {
   /** The platform's `IP:port`. */
   readonly platform: string;
   readonly engines: readonly OlderSystemEngine[];
+  readonly services?: readonly OlderSystemService[];
   readonly workspaces: readonly string[];
   /** The model and label that it keeps loaded on its targets. */
   readonly model: string;
   readonly label: string;
   /** Time between two rounds of orders and requests. */
   readonly period?: Milliseconds;
+  /** Gives its orders again in each round, also for what is loaded. */
+  readonly reorder?: boolean;
 }
 
 /** Starts the older system, which gives orders and sends requests too. */
@@ -43,11 +57,16 @@
   const {engines, model, label} = options;
   const clock = options.clock ?? createSystemClock();
   const http = createOlderSystemHttp();
-  const loader = createLoader({http, platform: options.platform, model, label});
+  const services = options.services ?? [];
+  const reorder = options.reorder ?? false;
+  const {platform} = options;
+  const loader = createLoader({http, platform, model, label, reorder});
   const loading = new Map<string, AbortController>();
   const requests = {answered: 0, failed: 0, running: 0};
+  const inProgress: {workspace: string; target: string}[] = [];
+  let generation = 0;
   let targets: ReadonlySet<string> = new Set(
-    engines.map(engine => engine.target),
+    [...engines, ...services].map(({target}) => target),
   );
   let workspaces: readonly string[] = options.workspaces;
   let round = 0;
@@ -71,12 +90,30 @@
     const attempt = `older-system/${workspace}/${round}`;
     const prompt = `${workspace} asks ${round}`;
     const body = {attempt, model, prompt, maximumTokens: REQUEST_TOKENS};
+    await whileBusy(workspace, engine.target, () =>
+      http.postJson(`http://${engine.address}/generate`, body),
+    );
+  }
+
+  async function whileBusy(
+    workspace: string,
+    target: string,
+    send: () => Promise<boolean>,
+  ): Promise<boolean> {
+    const work = {workspace, target};
+    inProgress.push(work);
     requests.running += 1;
-    const answered = await http
-      .postJson(`http://${engine.address}/generate`, body)
-      .catch(() => false);
+    const answered = await send().catch(() => false);
     requests.running -= 1;
+    inProgress.splice(inProgress.indexOf(work), 1);
     requests[answered ? 'answered' : 'failed'] += 1;
+    return answered;
+  }
+
+  /** A service that it may call for the workspace, if it owns both. */
+  function serviceFor(workspace: string): OlderSystemService | undefined {
+    if (!workspaces.includes(workspace)) return undefined;
+    return services.find(({target}) => targets.has(target));
   }
 
   function startRound(): void {
@@ -98,6 +135,7 @@
 
   /** Transfers and orders for lost targets stop; requests begun finish. */
   function setOwnership(ownership: z.infer<typeof ownershipSchema>): void {
+    generation = ownership.generation ?? generation;
     targets = new Set(ownership.targets);
     workspaces = ownership.workspaces;
     for (const [target, abort] of loading) {
@@ -107,13 +145,42 @@
 
   const server = createServer();
   server.put('/ownership', (request, reply) => {
-    setOwnership(parseBody(ownershipSchema, request));
+    const ownership = parseBody(ownershipSchema, request);
+    // Told late by an entry that lags, it would own again what has moved.
+    if ((ownership.generation ?? generation) < generation) {
+      return sendError(reply, 409, 'staleGeneration');
+    }
+    setOwnership(ownership);
     return reply.send({});
   });
+  // A caller of the older system: answered, or surely not run, or unknown.
+  server.post<{Params: {operation: string}}>(
+    '/calls/:operation',
+    async (request, reply) => {
+      const {workspace, body} = parseBody(callSchema, request);
+      const service = serviceFor(workspace);
+      if (service === undefined) return reply.send({outcome: 'notRun'});
+      const url = `http://${service.address}/calls/${request.params.operation}`;
+      const headers = {'x-attempt': `older-system/${randomUUID()}`};
+      const answered = await whileBusy(workspace, service.target, () =>
+        http.postJson(url, body, headers),
+      );
+      const outcome = answered ? 'answered' : 'outcomeUnknown';
+      return reply.send({outcome});
+    },
+  );
   server.get('/state', (_request, reply) =>
     reply.send({
+      generation,
       targets: [...targets],
       workspaces,
+      busyTargets: [
+        ...new Set([
+          ...loading.keys(),
+          ...inProgress.map(({target}) => target),
+        ]),
+      ],
+      busyWorkspaces: [...new Set(inProgress.map(({workspace}) => workspace))],
       requests,
       ...loader.state(),
     }),
