Tell a closed target from an instance that leaves

What a user sees: after a move there and back no request reaches the target. The agent said 'leaving' in its heartbeats while its target was closed; entries took the instance for one that ends, closed the session for good and never routed to it in this life.

--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -89,6 +89,7 @@
   const workspaces = createTally();
   let running = 0;
   let leaving = false;
+  let refusing = false;
 
   const handler = createServeHandler({
     clock,
@@ -214,14 +215,16 @@
     const listed = node.listed().find(line => line.instance === instance);
     const configured =
       node.configuration.current()?.configuration.targets[target.name];
-    const next =
-      stopping.signal.aborted ||
-      listed?.state === 'leaving' ||
-      configured?.state === 'leaving';
-    if (next === leaving) return;
-    leaving = next;
-    registry?.setLeaving(leaving);
-    log.info(leaving ? 'leaves and starts nothing new' : 'serves again');
+    // Failure: a target that moves away and back gets no request any more.
+    // Others take an instance that says "leaving" for one that ends, and never
+    // meet it again in this life; a closed target is theirs to read from the
+    // configuration.
+    leaving = stopping.signal.aborted || listed?.state === 'leaving';
+    const next = leaving || configured?.state === 'leaving';
+    if (next === refusing) return;
+    refusing = next;
+    registry?.setLeaving(refusing);
+    log.info(refusing ? 'leaves and starts nothing new' : 'serves again');
     // At once: each further heartbeat period would bring requests that can
     // only be refused.
     node.sessions.beat();
@@ -287,7 +290,7 @@
     const {incarnation} = life;
     log.info(`begins life ${incarnation} at ${target.name}`);
     registry = createAttemptRegistry({incarnation, ...DEFAULT_REGISTRY_BOUNDS});
-    registry.setLeaving(leaving);
+    registry.setLeaving(refusing);
     if (!isEngine) return;
     control = startEngineControl({
       instance,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,3 +7,4 @@
 export * from './types/process';
 export * from './swarm';
 export * from './types/settings';
+export {createSiteClientPool, type SiteClientPool} from './site/site_clients';
--- /dev/null
+++ b/test/processes/moving_site.ts
@@ -0,0 +1,259 @@
+import {callService, type CallAnswer} from '../../demo/requests';
+import {
+  DEMO_MODEL,
+  DEMO_OPERATION,
+  DEMO_SERVICE,
+  waitFor,
+} from '../../demo/rollout';
+import {exchange, exchangeJson} from '../../demo/site/http';
+import {DEMO_KEYS, type DemoWorkspace} from '../../demo/site/settings_files';
+import {askActivity} from '../../demo/site/site_peers';
+import {startSmallSite, type SmallSite} from '../../demo/site/small_site';
+
+/** Workspaces that move; the third one stays with us throughout. */
+export const MOVED_WORKSPACES = ['call-centre', 'shop-counter'] as const;
+
+export const OLDER_LABEL = '2026-10-01.1';
+
+const OPERATOR = {authorization: `Bearer ${DEMO_KEYS.operator}`};
+
+/** An answer to an operator as HTTP gave it. */
+export interface OperatorReply<Body = Record<string, unknown>> {
+  readonly status: number;
+  readonly body: Body;
+}
+
+/** Asks an entry as an operator. */
+export async function operate<Body = Record<string, unknown>>(
+  method: 'GET' | 'POST' | 'DELETE',
+  entryUrl: string,
+  path: string,
+  body?: unknown,
+): Promise<OperatorReply<Body>> {
+  const reply = await exchange(method, `${entryUrl}${path}`, body, OPERATOR);
+  return {status: reply.status, body: JSON.parse(reply.text) as Body};
+}
+
+/** Plans an intent by HTTP and gives the plan's id; throws if refused. */
+export async function planIntent(
+  entryUrl: string,
+  summary: string,
+  changes: readonly unknown[],
+): Promise<string> {
+  const intent = {summary, changes};
+  const reply = await operate<{plan?: {planId: string}}>(
+    'POST',
+    entryUrl,
+    '/v1/intents/plan',
+    intent,
+  );
+  if (reply.body.plan === undefined) {
+    throw new Error(`not planned: ${JSON.stringify(reply.body)}`);
+  }
+  return reply.body.plan.planId;
+}
+
+/** Plans and confirms; gives the generation. */
+export async function apply(
+  entryUrl: string,
+  summary: string,
+  changes: readonly unknown[],
+): Promise<number> {
+  const planId = await planIntent(entryUrl, summary, changes);
+  return (await confirm(entryUrl, planId)).generation;
+}
+
+export async function confirm(
+  entryUrl: string,
+  planId: string,
+): Promise<{readonly generation: number; readonly wasConfirmed: boolean}> {
+  const path = `/v1/plans/${planId}/confirm`;
+  const reply = await operate<{generation: number; wasConfirmed: boolean}>(
+    'POST',
+    entryUrl,
+    path,
+  );
+  if (reply.status !== 200) throw new Error(JSON.stringify(reply.body));
+  return reply.body;
+}
+
+/** A plan as `intent show` gets it. */
+export interface Shown {
+  readonly state: {readonly kind: string; readonly generation?: number};
+  readonly inForce?: boolean;
+  readonly move?: {
+    readonly state: {readonly kind: string; readonly generation?: number};
+    readonly awaited: readonly {
+      readonly process: string;
+      readonly reason: string;
+    }[];
+  };
+}
+
+export async function show(entryUrl: string, planId: string): Promise<Shown> {
+  const reply = await operate<Shown>('GET', entryUrl, `/v1/plans/${planId}`);
+  if (reply.status !== 200) throw new Error(JSON.stringify(reply.body));
+  return reply.body;
+}
+
+export function until(
+  what: string,
+  condition: () => Promise<boolean>,
+): Promise<void> {
+  return waitFor(condition, what, 90_000);
+}
+
+/** The table, the weights and the objects fail, or work again. */
+export async function setOutage(site: SmallSite, outage: boolean) {
+  await exchangeJson('POST', `${site.platformUrl}/faults`, {
+    table: {outage},
+    weights: {outage},
+    objects: {outage},
+  });
+}
+
+/** The older system's state as it says it. */
+export interface OlderState {
+  readonly generation: number;
+  readonly targets: readonly string[];
+  readonly workspaces: readonly string[];
+  readonly busyTargets: readonly string[];
+  readonly busyWorkspaces: readonly string[];
+  readonly originBytes: number;
+  readonly orders: {readonly accepted: number};
+}
+
+export function olderState(site: SmallSite): Promise<OlderState> {
+  return exchangeJson('GET', `${site.olderSystemUrl}/state`);
+}
+
+/** Whether a call of the plain service is in progress there. */
+export async function isServiceBusy(
+  site: SmallSite,
+  process: string,
+): Promise<boolean> {
+  const [service] = site.plainServices;
+  const state =
+    process === 'older-system'
+      ? await olderState(site)
+      : await askActivity(service?.place.siteAddress ?? '');
+  return state.busyTargets.includes(service?.name ?? '');
+}
+
+/** What became of one reference, which its caller never repeats elsewhere
+ * unless the answer was "not run". */
+export type Settled = 'oldAnswered' | 'newAnswered' | 'unknown' | 'notRun';
+
+/** Callers that send calls which may not be repeated, to both sides. */
+export interface Callers {
+  readonly settled: ReadonlyMap<string, Settled>;
+  readonly count: (kind: Settled) => number;
+  /** Resolves once every call in progress has its final answer. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Answers "not run" after which a caller gives a reference up. */
+const MOST_TRIES = 12;
+
+const PAUSE = 25;
+
+/** Starts callers; each asks one side, and the other only after "not run". */
+export function startCallers(site: SmallSite, callers: number): Callers {
+  const settled = new Map<string, Settled>();
+  let running = true;
+
+  const askOlder = async (workspace: string, reference: string) => {
+    const path = `${site.olderSystemUrl}/calls/${DEMO_OPERATION}`;
+    const body = {workspace, body: {reference}};
+    const reply = await exchangeJson<{outcome: CallAnswer['outcome']}>(
+      'POST',
+      path,
+      body,
+    );
+    return reply.outcome;
+  };
+
+  const askOurs = async (
+    workspace: DemoWorkspace,
+    reference: string,
+    entryUrl: string,
+  ) => {
+    const path = {service: DEMO_SERVICE, operation: DEMO_OPERATION};
+    const body = {reference};
+    const key = reference;
+    const called = await callService(entryUrl, workspace, path, body, key);
+    return called.outcome;
+  };
+
+  const settle = async (
+    workspace: DemoWorkspace,
+    reference: string,
+    entryUrl: string,
+  ): Promise<Settled> => {
+    for (let tries = 0; tries < MOST_TRIES; tries += 1) {
+      const ours = await askOurs(workspace, reference, entryUrl);
+      if (ours === 'answered') return 'newAnswered';
+      if (ours !== 'notRun') return 'unknown';
+      const older = await askOlder(workspace, reference);
+      if (older === 'answered') return 'oldAnswered';
+      if (older !== 'notRun') return 'unknown';
+      await new Promise(resolve => setTimeout(resolve, PAUSE));
+    }
+    return 'notRun';
+  };
+
+  const call = async (caller: number): Promise<void> => {
+    const workspace = MOVED_WORKSPACES[caller % MOVED_WORKSPACES.length];
+    if (workspace === undefined) return;
+    for (let number = 0; running; number += 1) {
+      const reference = `repair-${caller}-${number}`;
+      const entry = site.entries[number % site.entries.length];
+      const became = await settle(workspace, reference, entry?.url ?? '');
+      settled.set(reference, became);
+      await new Promise(resolve => setTimeout(resolve, PAUSE));
+    }
+  };
+
+  const all = Promise.all(
+    Array.from({length: callers}, (_, caller) => call(caller)),
+  );
+  all.catch(() => undefined);
+  return {
+    settled,
+    count: kind =>
+      [...settled.values()].filter(became => became === kind).length,
+    stop: async () => {
+      running = false;
+      await all;
+    },
+  };
+}
+
+/** Order givers of a target in order, each run of the same named once. */
+export async function giversOf(engineUrl: string): Promise<readonly string[]> {
+  const {orders} = await exchangeJson<{orders: readonly {giver: string}[]}>(
+    'GET',
+    `${engineUrl}/orders`,
+  );
+  const givers = orders.map(order => order.giver);
+  return givers.filter((giver, index) => giver !== givers[index - 1]);
+}
+
+/** A site where the older system owns every target and two workspaces. */
+export async function startMovingSite(): Promise<SmallSite> {
+  const site = await startSmallSite({
+    entries: 2,
+    engines: 3,
+    plainServices: 1,
+    binary: false,
+    // Nothing at the engine itself would tell the two order givers apart.
+    fencing: 'ignored',
+    olderSystem: {
+      model: DEMO_MODEL,
+      label: OLDER_LABEL,
+      workspaces: MOVED_WORKSPACES,
+      period: 50,
+    },
+  });
+  return site;
+}
