--- a/demo/site/settings_files.ts
+++ b/demo/site/settings_files.ts
@@ -64,7 +64,7 @@
 export function createSettingsWriter(
   folder: string,
   platformUrl: string,
-  chosen: SiteSettings,
+  chosen: SiteSettings & {readonly olderSystemUrl?: string | undefined},
 ): SettingsWriter {
   mkdirSync(folder, {recursive: true});
   const siteKeyFile = join(folder, 'site.key');
@@ -99,6 +99,9 @@
             ([name, key]) => ({name, sha256: sha256(key)}),
           ),
         },
+        ...(chosen.olderSystemUrl === undefined
+          ? {}
+          : {olderSystem: {url: chosen.olderSystemUrl}}),
         addressesKeptFor: chosen.addressesKeptFor ?? '5s',
         ...(chosen.limits === undefined ? {} : {limits: chosen.limits}),
       }),
--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -2,9 +2,11 @@
   createAttemptRegistry,
   DEFAULT_REGISTRY_BOUNDS,
   hash32,
+  mayServe,
   type AcceptedConfiguration,
   type AttemptRegistry,
   type TargetName,
+  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport} from '@hibiscusbeam/wire';
@@ -24,6 +26,7 @@
 import type {RunningProcess} from '../types/process';
 import type {AgentSettings} from '../types/settings';
 import {describeAgent} from '../site/agent_descriptions';
+import {createTally} from '../utils/tally';
 import {prepareCall, prepareGenerate} from './agent_work';
 import {createByteCounter} from './byte_counter';
 import {createCachedPrefixes} from './cached_prefixes';
@@ -49,6 +52,13 @@
 /** Requests that a plain service runs side by side. */
 const PLAIN_SERVICE_SLOTS = 16;
 
+function servesWorkspace(
+  workspace: WorkspaceName,
+  accepted: AcceptedConfiguration | undefined,
+): boolean {
+  return accepted !== undefined && mayServe(workspace, accepted.configuration);
+}
+
 /** Starts the agent in a target's slot. */
 export async function startAgent(
   settings: AgentSettings,
@@ -91,19 +101,34 @@
   let life: AgentLife | undefined;
   let registry: AttemptRegistry | undefined;
   let control: EngineControl | undefined;
+  const workspaces = createTally();
   let running = 0;
   let leaving = false;
+  let refusing = false;
 
   const handler = createServeHandler({
     clock,
     registry: () => registry,
     incarnation: () => life?.incarnation,
-    prepare: request =>
-      isEngine
-        ? prepareGenerate(request, control, engineRuns)
-        : prepareCall(request, target.service ?? '', isOurs(), serviceRuns),
-    onStart: () => void (running += 1),
-    onEnd: () => void (running -= 1),
+    prepare: request => {
+      // Failure: a request of a workspace that has moved away arrives late and
+      // runs here, while the caller has it run by the older system.
+      const current = node.configuration.current();
+      if (!servesWorkspace(request.workspace, current)) {
+        return {kind: 'notReady', reason: 'workspaceClosed'};
+      }
+      return isEngine
+        ? prepareGenerate(request, control, isOurs(), engineRuns)
+        : prepareCall(request, target.service ?? '', isOurs(), serviceRuns);
+    },
+    onStart: ({workspace}) => {
+      running += 1;
+      const endOfWorkspace = workspaces.begin(workspace);
+      return () => {
+        running -= 1;
+        endOfWorkspace();
+      };
+    },
   });
 
   const node: SiteNode = createSiteNode({
@@ -120,6 +145,11 @@
         checksFencing: target.fencing === 'checked',
       },
       isLeaving: () => leaving,
+      activity: () => ({
+        busyTargets:
+          running > 0 || control?.isOrdering() === true ? [target.name] : [],
+        busyWorkspaces: workspaces.names(),
+      }),
       targetReport: () => reportTarget(),
       agentHandlers: {
         ...handler,
@@ -203,14 +233,16 @@
     const listed = node.listed().find(line => line.instance === instance);
     const configured =
       node.configuration.current()?.configuration.targets[target.name];
-    const next =
-      stopping.signal.aborted ||
-      listed?.state === 'leaving' ||
-      configured?.state === 'leaving';
-    if (next === leaving) return;
-    leaving = next;
-    registry?.setLeaving(leaving);
-    log.info(leaving ? 'leaves and starts nothing new' : 'serves again');
+    // Failure: a target that moves away and back gets no request any more.
+    // Others take an instance that says "leaving" for one that ends, and never
+    // meet it again in this life; a closed target is theirs to read from the
+    // configuration.
+    leaving = stopping.signal.aborted || listed?.state === 'leaving';
+    const next = leaving || configured?.state === 'leaving';
+    if (next === refusing) return;
+    refusing = next;
+    registry?.setLeaving(refusing);
+    log.info(refusing ? 'leaves and starts nothing new' : 'serves again');
     // At once: each further heartbeat period would bring requests that can
     // only be refused.
     node.sessions.beat();
@@ -291,7 +323,7 @@
     const {incarnation} = life;
     log.info(`begins life ${incarnation} at ${target.name}`);
     registry = createAttemptRegistry({incarnation, ...DEFAULT_REGISTRY_BOUNDS});
-    registry.setLeaving(leaving);
+    registry.setLeaving(refusing);
     if (!isEngine) return;
     control = startEngineControl({
       instance,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -17,14 +17,18 @@
 import {readKnownTargets} from '../site/agent_descriptions';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import type {RunningProcess} from '../types/process';
+import {createOlderSystemClient, startOwnershipTeller} from '../older_system';
 import type {EntrySettings} from '../types/settings';
 import {formatAddress} from '../utils/address';
+import {createTally} from '../utils/tally';
 import {createCallerService} from './caller_service';
 import {measureCallers} from './measured_callers';
 import {createDispatcher} from './dispatcher';
 import {createGroupCommitDriver} from './group_commit_driver';
 import {createHttpFace, type EntryAddress} from './http_face';
+import {createMoveDriver} from './move_driver';
 import {createPlanService} from './plan_service';
+import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
 import {createSiteView, loadReportOf} from './site_view';
 import {createTargetDirectory} from './target_directory';
@@ -85,6 +89,11 @@
   let uses: readonly WorkspaceUse[] = [];
   let stopPublishing = (): void => undefined;
   let stopGauges = (): void => undefined;
+  const workspacesInProgress = createTally();
+  const olderSystem =
+    settings.olderSystem === undefined
+      ? undefined
+      : createOlderSystemClient(settings.olderSystem.url);
 
   const node: SiteNode = createSiteNode({
     settings,
@@ -96,6 +105,12 @@
       incarnation: () => incarnation,
       callerAddress,
       isLeaving: () => leaving,
+      // What is in progress at a target is its agent's to say.
+      activity: () => ({
+        busyTargets: [],
+        busyWorkspaces: workspacesInProgress.names(),
+      }),
+      onHead: head => moves.hearHead(head),
       workspaceUses: () => uses,
       onWorkspaceUses: (peer, published) =>
         limits.receive(
@@ -112,6 +127,7 @@
         requests: {running: runner.running(), waiting: dispatcher.waiting()},
         claims: {inFlight: groupCommit.pending()},
         routing: dispatcher.dump(),
+        moves: moves.dump(),
       }),
       onAdopted: accepted => followConfiguration(accepted),
       onPeerOpened: peer => meet(peer),
@@ -154,11 +170,29 @@
       runner,
       dispatcher,
       limits,
+      workspacesInProgress,
       mostInProgress: settings.limits.waiting * IN_PROGRESS_PER_WAITING,
     }),
     metrics,
     clock,
   );
+  /** Position among the live entries; 0 acts first. */
+  const rankFor = (subject: string): number => {
+    const others = node.membership
+      .members()
+      .filter(member => member.role === 'entry' && member.liveness === 'live')
+      .map(member => member.instance);
+    return rendezvousOrder(subject, [instance, ...others]).indexOf(instance);
+  };
+  const survey = createProcessSurvey({instance, node, olderSystem});
+  const moves = createMoveDriver({
+    table: platform.table,
+    clock,
+    survey,
+    rank: rankFor,
+    onOpened: node.configuration.hearHead,
+    log: node.log('configuration'),
+  });
   const plans = createPlanService({
     platform,
     clock,
@@ -167,7 +201,9 @@
       readKnownTargets(platform.table, await node.refreshList()),
     rates: RATES,
     askGenerations: node.askGenerations,
-    onCommitted: node.configuration.offerCommitted,
+    survey,
+    onCommitted: accepted => node.configuration.offerCommitted(accepted),
+    onMoveConfirmed: moves.begin,
   });
   const face = createHttpFace({
     settings,
@@ -280,6 +316,7 @@
     return [...byAddress.values()].slice(0, MOST_ADDRESSES);
   };
 
+  let stopTelling = (): void => undefined;
   const start = async (): Promise<void> => {
     await node.start();
     await face.listen(settings.callerAddress);
@@ -296,6 +333,14 @@
         metrics.gauge('claims.in_flight', {}, groupCommit.pending());
       },
     });
+    if (olderSystem !== undefined) {
+      stopTelling = startOwnershipTeller({
+        olderSystem,
+        current: node.configuration.current,
+        rank: () => rankFor('older-system'),
+        log: node.log('configuration'),
+      }).stop;
+    }
     followSite();
     processLog.info(`serves callers at ${callerAddress}`);
   };
@@ -314,8 +359,11 @@
     await face.close();
     stopPublishing();
     stopGauges();
+    stopTelling();
+    moves.stop();
     dispatcher.close();
     await node.stop('planned stop');
+    await olderSystem?.close();
     await metrics.close();
   };
 
