Run the tests on real processes after the others, one file at a time

Cause: with the property tests beside them, sites of a dozen processes each starved one another (load average 27 on 12 cores): heartbeats came seconds late, 3 of 291 tests failed for want of a target. Ruled out: longer time-outs; the suspicion bound is the product's own. Conclusion: a project of their own, in sequence; to be measured idle.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -38,11 +38,32 @@
   };
 }
 
+const TIMEOUTS = {testTimeout: 60_000, hookTimeout: 120_000};
+
 export default defineConfig({
-  plugins: [removeGuard(process.env.GUARD_REMOVED)],
   test: {
-    include: ['test/**/*.test.ts'],
-    testTimeout: 60_000,
-    hookTimeout: 60_000,
+    projects: [
+      {
+        plugins: [removeGuard(process.env.GUARD_REMOVED)],
+        test: {
+          ...TIMEOUTS,
+          name: 'parts',
+          include: ['test/**/*.test.ts'],
+          exclude: ['test/processes/**'],
+          sequence: {groupOrder: 0},
+        },
+      },
+      {
+        test: {
+          ...TIMEOUTS,
+          name: 'processes',
+          include: ['test/processes/**/*.test.ts'],
+          // Each file starts a site of up to a dozen processes; several sites
+          // beside property tests would starve one another's heartbeats.
+          fileParallelism: false,
+          sequence: {groupOrder: 1},
+        },
+      },
+    ],
   },
 });
