Hold transfers to a share of each link, and test chunks over gRPC

Cause: live requests share the links; slots alone leave no room, since one stream fills a link. Ruled out: pacing at one end only; the other end's answers would still queue. Conclusion: transfers take nine tenths of a known link at most, and a tenth while a request waits for each of the target's slots.

--- a/packages/core/src/distribution/commands/schedule_origin.ts
+++ b/packages/core/src/distribution/commands/schedule_origin.ts
@@ -27,11 +27,12 @@
 function dueNow(state: SwarmState, version: WantedVersion): readonly number[] {
   const due: {readonly position: number; readonly at: number}[] = [];
   for (const position of version.missing) {
+    const at = dueAt(state, version, position);
+    if (at === Infinity) continue;
     const chunk = version.manifest.chunks[position]!;
     if (isUnderWay(state, chunk.digest)) continue;
-    const at = dueAt(state, version, position);
     if (at <= state.now) due.push({position, at});
-    else if (at !== Infinity) wakeAt(state, at);
+    else wakeAt(state, at);
   }
   due.sort((left, right) => left.at - right.at);
   return due.map(entry => entry.position);
--- a/packages/core/src/distribution/swarm_node.ts
+++ b/packages/core/src/distribution/swarm_node.ts
@@ -23,6 +23,7 @@
   noteUploadProgress,
 } from './commands/uploads';
 import {dropVersion, wantVersion} from './commands/versions';
+import {transferShare} from './queries/headroom';
 import {dumpOf, neighboursOf, progressOf} from './queries/progress';
 import {createSwarmState, wakeAt, type SwarmState} from './state';
 import type {
@@ -49,6 +50,7 @@
     nextWakeUp: () => state.wakeUp,
     progress: () => progressOf(state),
     neighbours: () => neighboursOf(state),
+    transferShare: () => transferShare(state),
     dump: () => dumpOf(state),
   };
 }
--- a/packages/daemon/src/swarm/downloads.ts
+++ b/packages/daemon/src/swarm/downloads.ts
@@ -9,6 +9,7 @@
 import type {PlatformError} from '@hibiscusbeam/core';
 import {Err, type Result} from 'ts-results';
 import {receiveChunk} from './chunk_receiver';
+import type {Pacer} from './pacer';
 import type {SwarmDriverOptions} from './types';
 
 type Pieces = AsyncIterable<Result<Uint8Array, RequestFailure>>;
@@ -35,6 +36,7 @@
 /** Creates the runner of downloads; it tells the swarm node what happens. */
 export function createDownloads(
   options: Pick<SwarmDriverOptions, 'weights' | 'fetchChunk'>,
+  link: Pacer,
   tell: (event: SwarmEvent) => void,
 ): Downloads {
   const controllers = new Map<TransferId, AbortController>();
@@ -63,7 +65,12 @@
       const noteProgress = (bytes: Bytes) =>
         tell({kind: 'progress', transfer, bytes});
       try {
-        return await receiveChunk(open(signal), digest, size, noteProgress);
+        return await receiveChunk(
+          paced(open(signal), link),
+          digest,
+          size,
+          noteProgress,
+        );
       } catch {
         return Err<RequestFailure>({kind: 'unavailable'});
       }
@@ -120,6 +127,14 @@
   }
 }
 
+/** Leaves pieces unread while the link's share is used up. */
+async function* paced(pieces: Pieces, link: Pacer): Pieces {
+  for await (const piece of pieces) {
+    if (piece.ok) await link.take(piece.val.length);
+    yield piece;
+  }
+}
+
 async function* refused(): Pieces {
   yield Err({kind: 'unavailable'});
 }
--- a/packages/daemon/src/swarm/swarm_driver.ts
+++ b/packages/daemon/src/swarm/swarm_driver.ts
@@ -11,6 +11,7 @@
 } from '@hibiscusbeam/core';
 import {performance} from 'node:perf_hooks';
 import {createDownloads} from './downloads';
+import {createPacer} from './pacer';
 import type {
   SwarmDriver,
   SwarmDriverOptions,
@@ -26,8 +27,11 @@
 export function createSwarmDriver(options: SwarmDriverOptions): SwarmDriver {
   const now = options.now ?? (() => performance.now());
   const node = createSwarmNode(options);
-  const downloads = createDownloads(options, tell);
-  const uploads = createUploadGate(options.store, tell);
+  const {linkBytesPerSecond} = options;
+  const downLink = createPacer(linkBytesPerSecond, node.transferShare, now);
+  const upLink = createPacer(linkBytesPerSecond, node.transferShare, now);
+  const downloads = createDownloads(options, downLink, tell);
+  const uploads = createUploadGate(options.store, upLink, tell);
   const waiting = new Map<VersionDigest, ((outcome: WaitOutcome) => void)[]>();
   let addresses: ReadonlyMap<InstanceName, string> = new Map();
   let timer: NodeJS.Timeout | undefined;
--- a/packages/daemon/src/swarm/types.ts
+++ b/packages/daemon/src/swarm/types.ts
@@ -63,6 +63,8 @@
   readonly transferBuffer: Bytes;
   /** The site's share of the origin's link, when known. */
   readonly originBytesPerSecond?: BytesPerSecond;
+  /** Rate of this instance's link, each way; unknown leaves it unpaced. */
+  readonly linkBytesPerSecond?: BytesPerSecond;
   readonly downloadSlots?: number;
   readonly uploadSlots?: number;
   readonly ownZonePicks?: number;
--- a/packages/daemon/src/swarm/upload_gate.ts
+++ b/packages/daemon/src/swarm/upload_gate.ts
@@ -6,6 +6,7 @@
   UploadId,
 } from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
+import type {Pacer} from './pacer';
 import type {ChunkStore} from './types';
 
 interface OpenUpload {
@@ -29,6 +30,7 @@
 /** Creates the gate that holds each upload until the swarm node admits it. */
 export function createUploadGate(
   store: ChunkStore,
+  link: Pacer,
   tell: (event: SwarmEvent) => void,
 ): UploadGate {
   const open = new Map<UploadId, OpenUpload>();
@@ -47,6 +49,7 @@
     try {
       for await (const piece of store.get(digest, signal)) {
         if (piece.err) throw new Error(`chunk not read: ${piece.val.detail}`);
+        await link.take(piece.val.length);
         if (signal.aborted) throw new Error('upload stopped');
         yield piece.val;
         tell({kind: 'uploadProgress', upload});
--- /dev/null
+++ b/test/distribution/grpc_chunks.test.ts
@@ -0,0 +1,114 @@
+import {
+  credentials,
+  Server,
+  ServerCredentials,
+  type ServerWritableStream,
+} from '@grpc/grpc-js';
+import type {RequestFailure} from '@hibiscusbeam/core';
+import {
+  answerFetchChunk,
+  fetchChunkOver,
+  type SwarmDriver,
+} from '@hibiscusbeam/daemon';
+import {
+  AgentClient,
+  AgentService,
+  type ChunkPiece,
+  type FetchChunkRequest,
+} from '@hibiscusbeam/wire';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Err, Ok} from 'ts-results';
+import {afterEach, describe, expect, test} from 'vitest';
+
+const PIECE_BYTES = 64 * 1024;
+
+/** Flow-control windows and socket buffers between two processes. */
+const MOST_BUFFERED_BYTES = 8 * 1024 * 1024;
+
+const closers: (() => void)[] = [];
+
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+async function serve(
+  serveChunk: SwarmDriver['serveChunk'],
+): Promise<AgentClient> {
+  const server = new Server();
+  type Call = ServerWritableStream<FetchChunkRequest, ChunkPiece>;
+  server.addService(AgentService, {
+    fetchChunk: (call: Call) => void answerFetchChunk(call, {serveChunk}),
+  });
+  const port = await new Promise<number>((resolve, reject) => {
+    const insecure = ServerCredentials.createInsecure();
+    server.bindAsync('127.0.0.1:0', insecure, (error, bound) =>
+      error === null ? resolve(bound) : reject(error),
+    );
+  });
+  const client = new AgentClient(
+    `127.0.0.1:${port}`,
+    credentials.createInsecure(),
+  );
+  closers.push(() => {
+    client.close();
+    server.forceShutdown();
+  });
+  return client;
+}
+
+describe('chunks over gRPC', () => {
+  test('a slow reader holds the sender back', async () => {
+    let sentBytes = 0;
+    async function* endless() {
+      while (sentBytes < 64 * MOST_BUFFERED_BYTES) {
+        sentBytes += PIECE_BYTES;
+        yield Buffer.alloc(PIECE_BYTES);
+      }
+    }
+    const client = await serve(async () => Ok(endless()));
+    const controller = new AbortController();
+    const pieces = fetchChunkOver(client, 'a', 'd', controller.signal);
+    await pieces.next();
+    let before = -1;
+    while (before !== sentBytes) {
+      before = sentBytes;
+      await sleep(300);
+    }
+    expect(sentBytes).toBeLessThan(MOST_BUFFERED_BYTES);
+    controller.abort();
+    await pieces.return(undefined);
+  });
+
+  test.each<RequestFailure>([
+    {kind: 'busy', retryAfter: 250},
+    {kind: 'notHeld'},
+    {kind: 'unavailable'},
+  ])('carries the refusal $kind to the reader', async failure => {
+    const client = await serve(async () => Err(failure));
+    const {signal} = new AbortController();
+    const seen = [];
+    for await (const piece of fetchChunkOver(client, 'a', 'd', signal)) {
+      seen.push(piece.val);
+    }
+    expect(seen).toEqual([failure]);
+  });
+
+  test('tells the sender who asks, and that the reader is gone', async () => {
+    let asker = '';
+    let isGone = false;
+    const client = await serve(async (instance, _digest, signal) => {
+      asker = instance;
+      await new Promise(resolve => signal.addEventListener('abort', resolve));
+      isGone = true;
+      return Err({kind: 'unavailable'});
+    });
+    const controller = new AbortController();
+    const pieces = fetchChunkOver(client, 'agent-7', 'd', controller.signal);
+    const first = pieces.next();
+    while (asker === '') await sleep(5);
+    controller.abort();
+    await first;
+    while (!isGone) await sleep(5);
+    expect(asker).toBe('agent-7');
+  });
+});
--- a/test/distribution/node.test.ts
+++ b/test/distribution/node.test.ts
@@ -131,8 +131,10 @@
       tell(node, {kind: 'neighbourHave', neighbour, ...gained}, 10);
     });
     expect(node.dump().downloads.length).toBe(1);
+    expect(node.transferShare()).toBeCloseTo(0.1);
     tell(node, {kind: 'liveRequestLoad', ...load, queued: 0}, 20);
     expect(node.dump().downloads.length).toBe(4);
+    expect(node.transferShare()).toBeCloseTo(0.9);
   });
 });
 
