Give the bench's links a bucket of one chunk; count requests

Cause: on a machine with twice as many busy processes as cores, timers were later than 50 ms, and links carried less than their rate. Ruled out: encoding each message twice for its size, which cost CPU.

--- a/bench/distribution/instance.ts
+++ b/bench/distribution/instance.ts
@@ -25,7 +25,7 @@
 import {createMemoryStore, type MemoryStore} from './memory_store';
 import type {BenchOptions} from './options';
 import {createOriginClient} from './origin';
-import type {Sessions} from './sessions';
+import {MESSAGE_HEADER_BYTES, type Sessions} from './sessions';
 
 type ChunkCall = ServerWritableStream<FetchChunkRequest, ChunkPiece>;
 
@@ -76,6 +76,8 @@
   readonly fail: (fault: 'kill' | 'stall' | 'corrupt', time: number) => void;
   readonly isAlive: () => boolean;
   readonly requestBytes: () => number;
+  /** Requests for chunks to other instances, with those refused. */
+  readonly requests: () => number;
 }
 
 /** Name of the instance at a position. */
@@ -94,14 +96,15 @@
   const zone = `zone-${position % options.zones}`;
   const versionBytes = options.chunks * options.chunkBytes;
   const linkRate = (2 * versionBytes) / options.windowSeconds;
-  const up = createLink(linkRate);
-  const down = createLink(linkRate);
+  const up = createLink(linkRate, options.chunkBytes);
+  const down = createLink(linkRate, options.chunkBytes);
   const store = createMemoryStore();
   const origin = createOriginClient(originUrl);
   const clients = new Map<string, {agent: AgentClient; peer: PeerClient}>();
   let corrupting = false;
   let alive = true;
   let requestBytes = 0;
+  let requests = 0;
 
   function clientOf(address: string) {
     const known = clients.get(address);
@@ -143,7 +146,8 @@
     },
     fromPeer(address, digest, signal) {
       // Field tag and length, then the digest; headers as of any message.
-      requestBytes += digest.length + 2 + 14;
+      requests += 1;
+      requestBytes += digest.length + 2 + MESSAGE_HEADER_BYTES;
       const {agent} = clientOf(address);
       return paced(fetchChunkOver(agent, instance, digest, signal));
     },
@@ -170,6 +174,7 @@
     store,
     mover,
     requestBytes: () => requestBytes,
+    requests: () => requests,
     isAlive: () => alive,
     fail(fault, time) {
       if (fault === 'corrupt') corrupting = true;
--- a/bench/distribution/links.ts
+++ b/bench/distribution/links.ts
@@ -1,12 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/**
- * What a link may carry at once after a pause, as time at its rate; more than
- * a timer is late on a busy machine, and less than one chunk takes.
- */
-const BURST_MILLISECONDS = 50;
-
 /** A link of limited rate, shared by all who take from it. */
 export interface Link {
   /** Waits until the link has carried `bytes` more. */
@@ -15,13 +9,18 @@
   readonly freeze: (time: number) => void;
 }
 
-/** Creates a link as a token bucket of `bytesPerSecond`. */
-export function createLink(bytesPerSecond: number): Link {
+/**
+ * Creates a link as a token bucket. `burstBytes` is what it may carry at once
+ * after a pause; it also makes up for the timers of a busy machine, which are
+ * late by tens of milliseconds.
+ */
+export function createLink(bytesPerSecond: number, burstBytes: number): Link {
+  const burst = (burstBytes * 1000) / bytesPerSecond;
   let freeAt = 0;
   return {
     async take(bytes) {
       const now = performance.now();
-      const start = Math.max(now - BURST_MILLISECONDS, freeAt);
+      const start = Math.max(now - burst, freeAt);
       freeAt = start + (bytes * 1000) / bytesPerSecond;
       if (freeAt > now) await sleep(freeAt - now);
     },
--- a/bench/distribution/messages.ts
+++ b/bench/distribution/messages.ts
@@ -41,6 +41,7 @@
       readonly verified: boolean;
       readonly controlBytes: number;
       readonly crossZoneBytes: number;
+      readonly requests: number;
       /** Neighbours of all instances of this process together. */
       readonly neighbours: number;
       readonly cutOffs: number;
--- a/bench/distribution/origin.ts
+++ b/bench/distribution/origin.ts
@@ -26,7 +26,7 @@
   chunkBytes: number,
 ): Promise<Origin> {
   const chunks = new Map<Digest, Uint8Array>();
-  const link = createLink(bytesPerSecond);
+  const link = createLink(bytesPerSecond, chunkBytes);
   const open = new Set<ServerResponse>();
   let bytesSent = 0;
   let isDown = false;
--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -43,6 +43,8 @@
   /** CPU share of the busiest process: 1 is one core in full use. */
   readonly cpuShare: number;
   readonly crossZoneCopies: number;
+  /** Requests to other instances per chunk and instance, refused ones too. */
+  readonly requestsPerChunk: number;
   readonly neighbours: number;
   readonly chunks: number;
   readonly chunkBytes: number;
@@ -142,8 +144,9 @@
   );
   workers.tellAll({kind: 'finish'});
   const finished = await workers.fromAll('finished');
-  const total = (key: 'controlBytes' | 'crossZoneBytes' | 'neighbours') =>
-    finished.reduce((sum, message) => sum + message[key], 0);
+  const total = (
+    key: 'controlBytes' | 'crossZoneBytes' | 'neighbours' | 'requests',
+  ) => finished.reduce((sum, message) => sum + message[key], 0);
   const times = [...doneAt.values()]
     .map(at => (at - startedAt) / 1000)
     .sort((left, right) => left - right);
@@ -166,6 +169,9 @@
     ),
     cpuShare: round(Math.max(...cpu)),
     crossZoneCopies: round(total('crossZoneBytes') / versionBytes),
+    requestsPerChunk: round(
+      total('requests') / options.instances / options.chunks,
+    ),
     neighbours: round(total('neighbours') / options.instances),
     chunks: options.chunks,
     chunkBytes: options.chunkBytes,
--- a/bench/distribution/sessions.ts
+++ b/bench/distribution/sessions.ts
@@ -1,5 +1,5 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import {SessionMessage, type PeerClient} from '@hibiscusbeam/wire';
+import type {PeerClient, SessionMessage} from '@hibiscusbeam/wire';
 import type {SwarmDriver, SwarmPeer} from '@hibiscusbeam/daemon';
 
 /** Bytes of the gRPC and HTTP/2 headers of one message. */
@@ -38,8 +38,7 @@
   let closed = false;
 
   function write(stream: MessageStream, message: SessionMessage): void {
-    const size = SessionMessage.encode(message).finish().length;
-    bytesSent += size + MESSAGE_HEADER_BYTES;
+    bytesSent += sizeOf(message) + MESSAGE_HEADER_BYTES;
     stream.write(message);
   }
 
@@ -91,6 +90,18 @@
   };
 }
 
+/** Size on the wire; counted, since encoding each message twice costs CPU. */
+function sizeOf({message}: SessionMessage): number {
+  if (message?.$case !== 'haveDelta') return 0;
+  const {versionDigest, gained} = message.haveDelta;
+  const positions = gained.reduce(
+    (bytes, position) => bytes + (position < 128 ? 1 : 2),
+    0,
+  );
+  const tagAndLength = 2;
+  return 3 * tagAndLength + versionDigest.length + positions;
+}
+
 function helloOf(instance: string): SessionMessage {
   const hello = {
     instance,
--- a/bench/distribution/worker.ts
+++ b/bench/distribution/worker.ts
@@ -88,6 +88,7 @@
           (mover.sessions?.bytesSent() ?? 0) + requestBytes(),
       ),
       crossZoneBytes: sum(({mover}) => mover.crossZoneBytes()),
+      requests: sum(({requests}) => requests()),
       neighbours: sum(({mover}) => mover.neighbourCount()),
       cutOffs: sum(({mover}) => mover.cutOffs()),
     });
