Prove activation permits over stepped interleavings

Cause: capacity must stay at the floor whatever is lost, late or replaced. Ruled out: a check for overtaken flows after each commit, which the check before the next write and before the grant make needless. Conclusion: deaths alone take capacity under the floor, swaps never do.

--- a/packages/core/src/activation/commands/change_row.ts
+++ b/packages/core/src/activation/commands/change_row.ts
@@ -74,7 +74,6 @@
       row.val,
       changed.val,
     );
-    if (change.isSuperseded()) return Err({kind: 'superseded'});
     if (result.err) return result;
     if (result.val.kind === 'committed') return Ok(undefined);
     seen = result.val;
--- /dev/null
+++ b/test/activation/stepped_target.ts
@@ -0,0 +1,105 @@
+import {
+  createActivation,
+  incarnationKey,
+  type Activation,
+  type ActivationFlow,
+  type CommitEffect,
+  type Incarnation,
+  type ReadRowEffect,
+} from '@hibiscusbeam/core';
+import type {SteppedTable, TableFault} from '../fixtures/stepped_table';
+
+/** An agent of one target; several may believe they are in charge. */
+export interface SteppedAgent {
+  readonly incarnation: Incarnation;
+  readonly activation: Activation;
+  generation: number;
+  /** The floor and the deaths when the last permit was asked for. */
+  permitFor: {readonly floor: number; readonly deaths: number} | undefined;
+  readonly begin: (flow: ActivationFlow) => void;
+  readonly hop: (fault: TableFault) => void;
+  /** Goes on with the flow that the last one has overtaken. */
+  readonly hopOvertaken: (fault: TableFault) => void;
+}
+
+interface RunningFlow {
+  readonly flow: ActivationFlow;
+  readonly effect: ReadRowEffect | CommitEffect;
+}
+
+/** A target with its engine, which checks fencing. */
+export interface SteppedTarget {
+  readonly name: string;
+  loaded: boolean;
+  dead: boolean;
+  highestFencing: Incarnation;
+  /** Oldest first; the last one is in charge. */
+  readonly agents: SteppedAgent[];
+}
+
+/** A target whose engine serves. */
+export function createSteppedTarget(name: string): SteppedTarget {
+  return {name, loaded: true, dead: false, highestFencing: 0, agents: []};
+}
+
+/** Starts an agent anew while the earlier one may still be there. */
+export function startAgent(table: SteppedTable, target: SteppedTarget): void {
+  const incarnation = target.agents.length + 1;
+  const key = incarnationKey(target.name);
+  const value = {incarnation, token: `${target.name} ${incarnation}`};
+  table.commit({conditions: [], writes: [{kind: 'put', key, value}]}, 'none');
+  const activation = createActivation({
+    model: 'notes',
+    target: target.name,
+    instance: target.name,
+    incarnation,
+    token: value.token,
+    stillCurrent: {kind: 'versionIs', key, version: incarnation},
+  });
+  target.agents.push(createAgent(table, incarnation, activation));
+}
+
+function createAgent(
+  table: SteppedTable,
+  incarnation: Incarnation,
+  activation: Activation,
+): SteppedAgent {
+  let current: RunningFlow | undefined;
+  let overtaken: RunningFlow | undefined;
+  return {
+    incarnation,
+    activation,
+    generation: 1,
+    permitFor: undefined,
+    begin: begun => {
+      overtaken = current;
+      current = begin(begun);
+    },
+    hop: fault => {
+      current = hop(table, current, fault);
+    },
+    hopOvertaken: fault => {
+      overtaken = hop(table, overtaken, fault);
+    },
+  };
+}
+
+function begin(flow: ActivationFlow): RunningFlow | undefined {
+  const first = flow.next();
+  return first.done === true ? undefined : {flow, effect: first.value};
+}
+
+function hop(
+  table: SteppedTable,
+  running: RunningFlow | undefined,
+  fault: TableFault,
+): RunningFlow | undefined {
+  if (running === undefined) return undefined;
+  const {flow, effect} = running;
+  const reply =
+    effect.kind === 'readRow'
+      ? table.read(effect.key, fault)
+      : table.commit(effect.transaction, fault);
+  const next = flow.next(reply);
+  return next.done === true ? undefined : {flow, effect: next.value};
+}
