--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -186,7 +186,8 @@
   // Requests to one instance fail again and again: its link breaks each second
   // second, and each time it came back it got work at once.
   test('damps an instance that comes and goes', () => {
-    const MOST_RETURNS = 9;
+    // Holds of 2, 4, 8, 16, 32 and 32 s: the seventh return is too late.
+    const MOST_RETURNS = 6;
     fc.assert(
       fc.property(
         fc.array(fc.nat({max: 8}), {minLength: 40, maxLength: 200}),
