--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,18 @@
+export * from './activation';
 export * from './configuration';
+export * from './distribution';
 export * from './kernel/flow';
+export * from './lease';
+export * from './membership';
+export * from './orders';
+export * from './requests';
+export * from './routing';
 export * from './ownership';
 export * from './types';
 export * from './utils/canonical_json';
 export * from './utils/hash';
+
+// Several parts use these names for types of their own.
+export type {TargetChoice as IntentTargets} from './configuration';
+export type {TargetChoice as DispatchTarget, WaitEffect} from './requests';
+export type {TargetChoice} from './routing';
--- /dev/null
+++ b/packages/daemon/src/agent/index.ts
@@ -0,0 +1,1 @@
+export {startAgent} from './agent';
