Move a request that waits at a target to an idle one

Cause: a request that met an unreported queue waited it out while other targets had free slots; with reports 5 s late 1% to 2% of first tokens came too late.

--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -22,6 +22,8 @@
 
 const JUDGE_PERIOD = 100;
 const PUMP_PERIOD = 20;
+const MOVE_PATIENCE = 700;
+const MOVE_RESERVE = 5;
 
 /** Our policy with what the site's heartbeats need of it. */
 export interface HibiscusbeamPolicy extends EntryPolicy {
@@ -159,9 +161,24 @@
       forget(stalled.attempt, 'refused');
       retryElsewhere(attempt);
     }
+    moveOverdue();
     port.clock.schedule(JUDGE_PERIOD, judge);
   };
 
+  /** Takes back what waits at a target while another one has a free slot. */
+  const moveOverdue = (): void => {
+    for (const overdue of router.overdueAttempts(MOVE_PATIENCE, now())) {
+      const attempt = attempts.get(overdue.attempt);
+      if (attempt === undefined || retries.available() < MOVE_RESERVE) continue;
+      if (now() > attempt.request.arriveAt + FIRST_TOKEN_GOAL) continue;
+      const choice = choose(attempt.request, [attempt.target]);
+      if (choice === undefined || !choice.idle) continue;
+      port.cancel(overdue.attempt);
+      forget(overdue.attempt, 'refused');
+      retryElsewhere(attempt);
+    }
+  };
+
   const forget = (
     attempt: string,
     kind: 'finished' | 'refused' | 'failed',
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -145,3 +145,6 @@
 
 /** A first token later than expected by this shows a queue at its target. */
 export const LEAST_WAIT_SEEN: Milliseconds = 150;
+
+/** Load per slot up to which a waiting request is moved to a target. */
+export const IDLE_LOAD = 0.95;
--- a/packages/core/src/routing/queries/choose_target.ts
+++ b/packages/core/src/routing/queries/choose_target.ts
@@ -5,6 +5,7 @@
 import {
   AFFINITY_BONUS,
   FREE_LOAD,
+  IDLE_LOAD,
   LOAD_BOUND_FACTOR,
   LOAD_BOUND_FLOOR,
   NO_TARGET_RETRY_AFTER,
@@ -189,6 +190,7 @@
     expectedFirstToken: expectedWait + estimateFirstToken(state, target),
     expectedTokenTime: target.tokenTime.value(),
     turnTime: state.serviceTime.value() / Math.max(1, state.attempts.size),
+    idle: load + 1 <= IDLE_LOAD * target.slots && target.waiting.size === 0,
     probe: target.health.kind === 'probing',
   };
 }
--- a/packages/core/src/routing/queries/describe_router.ts
+++ b/packages/core/src/routing/queries/describe_router.ts
@@ -1,7 +1,12 @@
-import type {MonotonicInstant} from '../../types';
+import type {Milliseconds, MonotonicInstant} from '../../types';
 import {DUMPED_TARGETS} from '../constants';
 import type {RouterState, TargetState} from '../state';
-import type {RouterDump, StalledAttempt, TargetDump} from '../types';
+import type {
+  OverdueAttempt,
+  RouterDump,
+  StalledAttempt,
+  TargetDump,
+} from '../types';
 import {estimateLoad, meanOthersPerSlot} from './estimate_load';
 
 /** The router's state for people; bounded by `DUMPED_TARGETS`. */
@@ -53,3 +58,20 @@
   }
   return stalled;
 }
+
+/** Attempts without a first token after `patience`, at any target. */
+export function findOverdueAttempts(
+  state: RouterState,
+  patience: Milliseconds,
+  now: MonotonicInstant,
+): readonly OverdueAttempt[] {
+  const overdue: OverdueAttempt[] = [];
+  for (const {target, waiting} of state.targets.values()) {
+    for (const {attempt, dispatchedAt} of waiting.values()) {
+      // Oldest first, so the rest of this target's attempts is younger.
+      if (now - dispatchedAt <= patience) break;
+      overdue.push({attempt, target});
+    }
+  }
+  return overdue;
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,12 +1,17 @@
 import type {Result} from 'ts-results';
-import type {MonotonicInstant} from '../types';
+import type {Milliseconds, MonotonicInstant} from '../types';
 import {judgeTargets} from './commands/judge_targets';
 import {recordEvent} from './commands/record_event';
 import {chooseTarget} from './queries/choose_target';
-import {describeRouter, findStalledAttempts} from './queries/describe_router';
+import {
+  describeRouter,
+  findOverdueAttempts,
+  findStalledAttempts,
+} from './queries/describe_router';
 import {createRouterState} from './state';
 import type {
   NoTargetError,
+  OverdueAttempt,
   RouterDump,
   RoutingEvent,
   StalledAttempt,
@@ -26,6 +31,11 @@
   ) => Result<TargetChoice, NoTargetError>;
   /** Attempts to give up and, if repeatable, to send elsewhere. */
   readonly stalledAttempts: () => readonly StalledAttempt[];
+  /** Attempts that have waited longer than `patience` for a first token. */
+  readonly overdueAttempts: (
+    patience: Milliseconds,
+    now: MonotonicInstant,
+  ) => readonly OverdueAttempt[];
   readonly dump: (now: MonotonicInstant) => RouterDump;
 }
 
@@ -37,6 +47,8 @@
     judge: now => judgeTargets(state, now),
     chooseTarget: request => chooseTarget(state, request),
     stalledAttempts: () => findStalledAttempts(state),
+    overdueAttempts: (patience, now) =>
+      findOverdueAttempts(state, patience, now),
     dump: now => describeRouter(state, now),
   };
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -91,6 +91,8 @@
   readonly expectedTokenTime: Milliseconds;
   /** Expected time from one end of a request of this entry to the next. */
   readonly turnTime: Milliseconds;
+  /** True if slots are free and no own request waits for its prefill. */
+  readonly idle: boolean;
   /** True if this request tries whether an ejected target has recovered. */
   readonly probe: boolean;
 }
@@ -112,6 +114,12 @@
   readonly cause: EjectionCause;
 }
 
+/** An attempt whose first token is late. */
+export interface OverdueAttempt {
+  readonly attempt: AttemptId;
+  readonly target: TargetName;
+}
+
 /** One target as the router sees it, for a dump. */
 export interface TargetDump {
   readonly target: TargetName;
