--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -22,8 +22,6 @@
 
 const JUDGE_PERIOD = 100;
 const PUMP_PERIOD = 20;
-const MOVE_PATIENCE = 700;
-const MOVE_RESERVE = 5;
 
 /** Our policy with what the site's heartbeats need of it. */
 export interface HibiscusbeamPolicy extends EntryPolicy {
@@ -40,8 +38,6 @@
   const router: Router = createRouter();
   const admission: Admission = createAdmission({
     firstTokenGoal: FIRST_TOKEN_GOAL,
-    longestTargetWait: 600,
-    longestEntryWait: 500,
   });
   const queue: FairQueue<LoadRequest> = createFairQueue();
   const retries = createRetryBudget();
@@ -61,7 +57,6 @@
     const chosen = router.chooseTarget({
       work: {kind: 'model', model: MODEL, versionDigest: undefined},
       prefix: request.prefix,
-      priority: 0,
       zone: port.zone,
       now: now(),
       exclude,
@@ -151,15 +146,21 @@
     dispatch(request, choice, port.produced(request));
   };
 
+  const moveTo = (attempt: EntryAttempt, choice: TargetChoice): void => {
+    port.cancel(attempt.attempt);
+    forget(attempt.attempt, 'refused');
+    retryCounts.set(attempt.request, attempt.tries + 1);
+    dispatch(attempt.request, choice, port.produced(attempt.request));
+  };
+
   const judge = (): void => {
     router.judge(now());
     for (const stalled of router.stalledAttempts()) {
       const attempt = attempts.get(stalled.attempt);
-      if (attempt === undefined || retries.available() < 1) continue;
-      if (choose(attempt.request, [attempt.target]) === undefined) continue;
-      port.cancel(stalled.attempt);
-      forget(stalled.attempt, 'refused');
-      retryElsewhere(attempt);
+      if (attempt === undefined) continue;
+      const choice = choose(attempt.request, [attempt.target]);
+      if (choice === undefined || !retries.takeRetry()) continue;
+      moveTo(attempt, choice);
     }
     moveOverdue();
     port.clock.schedule(JUDGE_PERIOD, judge);
@@ -167,15 +168,13 @@
 
   /** Takes back what waits at a target while another one has a free slot. */
   const moveOverdue = (): void => {
-    for (const overdue of router.overdueAttempts(MOVE_PATIENCE, now())) {
+    for (const overdue of router.overdueAttempts(now())) {
       const attempt = attempts.get(overdue.attempt);
-      if (attempt === undefined || retries.available() < MOVE_RESERVE) continue;
+      if (attempt === undefined) continue;
       if (now() > attempt.request.arriveAt + FIRST_TOKEN_GOAL) continue;
       const choice = choose(attempt.request, [attempt.target]);
       if (choice === undefined || !choice.idle) continue;
-      port.cancel(overdue.attempt);
-      forget(overdue.attempt, 'refused');
-      retryElsewhere(attempt);
+      if (retries.takeMove()) moveTo(attempt, choice);
     }
   };
 
--- a/bench/routing/site.ts
+++ b/bench/routing/site.ts
@@ -1,4 +1,4 @@
-import {hash32} from '@hibiscusbeam/core';
+import {chooseSubset, hash32} from '@hibiscusbeam/core';
 import type {BaselineName} from './baseline_policies';
 import {createBaselinePolicy} from './baseline_policies';
 import type {BenchCase, SiteSize} from './cases';
@@ -56,6 +56,7 @@
   readonly name: string;
   readonly zone: string;
   readonly policy: EntryPolicy;
+  readonly held: ReadonlySet<string>;
   alive: boolean;
 }
 
@@ -87,7 +88,7 @@
     zone,
     clock,
     random: createRandom(seed ^ hash32(entry)),
-    targets: targets.map(target => target.name),
+    targets: heldTargets(policyName, entry, size),
     send: (request, target, alreadyProduced) =>
       send(entry, zone, request, target, alreadyProduced),
     cancel: attempt => endAttempt(attempt),
@@ -221,6 +222,25 @@
   return `zone-${position % size.zones}`;
 }
 
+/** Ours holds a bounded subset; the baselines know every target. */
+function heldTargets(
+  policyName: PolicyName,
+  entry: string,
+  size: SiteSize,
+): readonly string[] {
+  const targets = Array.from({length: size.engines}, (_, position) => ({
+    target: `engine-${position}`,
+    zone: zoneOf(position, size),
+    serves: [MODEL],
+  }));
+  if (policyName !== 'hibiscusbeam') return targets.map(held => held.target);
+  const entries = Array.from({length: size.entries}, (_, position) => ({
+    instance: `entry-${position}`,
+    zone: zoneOf(position, size),
+  }));
+  return chooseSubset({entry, entries, targets});
+}
+
 function createTargets(clock: FakeClock, size: SiteSize): readonly Target[] {
   return Array.from({length: size.engines}, (_, position) => ({
     name: `engine-${position}`,
@@ -242,7 +262,7 @@
       policyName === 'hibiscusbeam'
         ? createHibiscusbeamPolicy(port)
         : createBaselinePolicy(policyName, port);
-    return {name, zone, policy, alive: true};
+    return {name, zone, policy, held: new Set(port.targets), alive: true};
   });
 }
 
@@ -301,6 +321,7 @@
     clock.schedule(delay, () => {
       for (const entry of entries) {
         if (!entry.alive || target.engine.isDead()) continue;
+        if (!entry.held.has(target.name)) continue;
         entry.policy.onReport({
           target: target.name,
           zone: target.zone,
--- a/packages/core/src/routing/admission.ts
+++ b/packages/core/src/routing/admission.ts
@@ -3,7 +3,9 @@
   ADMISSION_MARGIN_STEP,
   ADMISSION_QUANTILE,
   LARGEST_MARGIN_SHARE,
+  LONGEST_ENTRY_WAIT,
   LONGEST_RETRY_AFTER,
+  LONGEST_TARGET_WAIT,
   RESERVED_SLOT_SHARE,
   SHORTEST_RETRY_AFTER,
 } from './constants';
@@ -57,10 +59,6 @@
 export interface AdmissionOptions {
   /** Time within which a first token is due; bounds the margin. */
   readonly firstTokenGoal: Milliseconds;
-  /** Longest wait for a slot at a target; the rest waits at the entry. */
-  readonly longestTargetWait: Milliseconds;
-  /** A request that has waited so long at the entry is sent out anyway. */
-  readonly longestEntryWait: Milliseconds;
 }
 
 /** Creates an admission without experience. */
@@ -96,12 +94,12 @@
   const mayDispatch = (choice: TargetChoice, overShare: boolean): boolean =>
     overShare
       ? choice.expectedLoad <= 1 - RESERVED_SLOT_SHARE
-      : choice.expectedWait <= options.longestTargetWait;
+      : choice.expectedWait <= LONGEST_TARGET_WAIT;
 
   // Guard against a late refusal: a request that was let into the queue has
   // been promised an answer, so it goes out even if the wait proves longer.
   const mayLeaveQueue = (choice: TargetChoice, waited: Milliseconds): boolean =>
-    mayDispatch(choice, false) || waited >= options.longestEntryWait;
+    mayDispatch(choice, false) || waited >= LONGEST_ENTRY_WAIT;
 
   const recordFirstToken = (
     expected: Milliseconds,
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -148,3 +148,15 @@
 
 /** Load per slot up to which a waiting request is moved to a target. */
 export const IDLE_LOAD = 0.95;
+
+/** Wait for a first token after which a request may be moved. */
+export const MOVE_PATIENCE: Milliseconds = 700;
+
+/** Retries that moves leave in the budget, for targets that fail. */
+export const MOVE_RESERVE = 5;
+
+/** Longest wait for a slot at a target; the rest waits at the entry. */
+export const LONGEST_TARGET_WAIT: Milliseconds = 600;
+
+/** A request that has waited so long at the entry is sent out anyway. */
+export const LONGEST_ENTRY_WAIT: Milliseconds = 500;
--- a/packages/core/src/routing/queries/describe_router.ts
+++ b/packages/core/src/routing/queries/describe_router.ts
@@ -1,5 +1,5 @@
-import type {Milliseconds, MonotonicInstant} from '../../types';
-import {DUMPED_TARGETS} from '../constants';
+import type {MonotonicInstant} from '../../types';
+import {DUMPED_TARGETS, MOVE_PATIENCE} from '../constants';
 import type {RouterState, TargetState} from '../state';
 import type {
   OverdueAttempt,
@@ -59,17 +59,16 @@
   return stalled;
 }
 
-/** Attempts without a first token after `patience`, at any target. */
+/** Attempts without a first token after `MOVE_PATIENCE`. */
 export function findOverdueAttempts(
   state: RouterState,
-  patience: Milliseconds,
   now: MonotonicInstant,
 ): readonly OverdueAttempt[] {
   const overdue: OverdueAttempt[] = [];
   for (const {target, waiting} of state.targets.values()) {
     for (const {attempt, dispatchedAt} of waiting.values()) {
       // Oldest first, so the rest of this target's attempts is younger.
-      if (now - dispatchedAt <= patience) break;
+      if (now - dispatchedAt <= MOVE_PATIENCE) break;
       overdue.push({attempt, target});
     }
   }
--- a/packages/core/src/routing/retry_budget.ts
+++ b/packages/core/src/routing/retry_budget.ts
@@ -1,10 +1,12 @@
-import {RETRY_RESERVE, RETRY_SHARE} from './constants';
+import {MOVE_RESERVE, RETRY_RESERVE, RETRY_SHARE} from './constants';
 
 /** Bounds retries to a share of first tries. */
 export interface RetryBudget {
   readonly recordFirstTry: () => void;
   /** Takes one retry if the budget allows it. */
   readonly takeRetry: () => boolean;
+  /** Takes one for a request that is moved, if enough is left for failures. */
+  readonly takeMove: () => boolean;
   /** Retries that may be taken now. */
   readonly available: () => number;
 }
@@ -28,15 +30,19 @@
   const share = options.share ?? RETRY_SHARE;
   const reserve = options.reserve ?? RETRY_RESERVE;
   let available = reserve;
+
+  const takeIfLeft = (left: number): boolean => {
+    if (available < left) return false;
+    available -= 1;
+    return true;
+  };
+
   return {
     recordFirstTry: () => {
       available = Math.min(reserve, available + share);
     },
-    takeRetry: () => {
-      if (available < 1) return false;
-      available -= 1;
-      return true;
-    },
+    takeRetry: () => takeIfLeft(1),
+    takeMove: () => takeIfLeft(MOVE_RESERVE),
     available: () => Math.floor(available),
   };
 }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,5 +1,5 @@
 import type {Result} from 'ts-results';
-import type {Milliseconds, MonotonicInstant} from '../types';
+import type {MonotonicInstant} from '../types';
 import {judgeTargets} from './commands/judge_targets';
 import {recordEvent} from './commands/record_event';
 import {chooseTarget} from './queries/choose_target';
@@ -31,9 +31,8 @@
   ) => Result<TargetChoice, NoTargetError>;
   /** Attempts to give up and, if repeatable, to send elsewhere. */
   readonly stalledAttempts: () => readonly StalledAttempt[];
-  /** Attempts that have waited longer than `patience` for a first token. */
+  /** Attempts to move if `chooseTarget`, with theirs excluded, is `idle`. */
   readonly overdueAttempts: (
-    patience: Milliseconds,
     now: MonotonicInstant,
   ) => readonly OverdueAttempt[];
   readonly dump: (now: MonotonicInstant) => RouterDump;
@@ -47,8 +46,7 @@
     judge: now => judgeTargets(state, now),
     chooseTarget: request => chooseTarget(state, request),
     stalledAttempts: () => findStalledAttempts(state),
-    overdueAttempts: (patience, now) =>
-      findOverdueAttempts(state, patience, now),
+    overdueAttempts: now => findOverdueAttempts(state, now),
     dump: now => describeRouter(state, now),
   };
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -69,8 +69,6 @@
   readonly work: RoutedWork;
   /** From `promptPrefix`; any constant for a plain service. */
   readonly prefix: number;
-  /** Lower numbers go first. */
-  readonly priority: number;
   /** The entry's own zone. */
   readonly zone: ZoneName;
   readonly now: MonotonicInstant;
