--- a/bench/routing/cases.ts
+++ b/bench/routing/cases.ts
@@ -24,7 +24,9 @@
 
 /** Requests before this only warm up. */
 export const MEASURED_FROM = 20_000;
+/** When a fault or a flood starts. */
 export const FAULT_AT = 25_000;
+/** When the last request arrives. */
 export const LOAD_UNTIL = 120_000;
 
 /** The bursts of the brief: ten times the mean, here for 3 s of each 60. */
--- /dev/null
+++ b/bench/routing/heartbeats.ts
@@ -0,0 +1,82 @@
+import {hash32} from '@hibiscusbeam/core';
+import type {BenchCase, SiteSize} from './cases';
+import type {FakeClock} from './fake_clock';
+import type {HibiscusbeamPolicy} from './hibiscusbeam_policy';
+import {configureLimits} from './hibiscusbeam_policy';
+import {createRandom} from './load';
+import type {Entry, Target} from './members';
+import {ENGINE, MODEL, VERSION} from './site_configuration';
+import {FAR_DELAY, HEARTBEAT} from './timing';
+
+/** Cache events come so much later than the load, and with gaps. */
+const CACHE_EVENT_DELAY = 1_000;
+const CACHE_EVENT_GAPS = 0.1;
+const MOST_CACHE_HINTS = 64;
+
+/** Carries the use of workspaces between our entries. */
+export function shareHeartbeats(
+  clock: FakeClock,
+  entries: readonly Entry[],
+  size: SiteSize,
+): void {
+  const ours = entries.flatMap(entry =>
+    'limits' in entry.policy
+      ? [{entry, limits: (entry.policy as HibiscusbeamPolicy).limits}]
+      : [],
+  );
+  for (const {limits} of ours) configureLimits(limits, size.engines);
+  const beat = (): void => {
+    for (const sender of ours) {
+      if (!sender.entry.alive) continue;
+      const published = sender.limits.publish(clock.now());
+      clock.schedule(FAR_DELAY, () => {
+        for (const {limits} of ours) limits.receive(published, clock.now());
+      });
+    }
+    clock.schedule(HEARTBEAT, beat);
+  };
+  beat();
+}
+
+/** Carries a target's load to the entries that hold it, late. */
+export function reportRegularly(
+  clock: FakeClock,
+  target: Target,
+  entries: readonly Entry[],
+  benchCase: BenchCase,
+  seed: number,
+): void {
+  const random = createRandom(seed ^ hash32(target.name));
+  let cacheSeen: readonly number[] = [];
+  const report = (): void => {
+    if (target.engine.isDead()) return;
+    const {running, queued, cachedPrefixes} = target.engine.load();
+    const hints = cacheSeen;
+    const delay = benchCase.reportDelay;
+    clock.schedule(CACHE_EVENT_DELAY, () => {
+      cacheSeen = cachedPrefixes
+        .filter(() => random() >= CACHE_EVENT_GAPS)
+        .slice(-MOST_CACHE_HINTS);
+    });
+    clock.schedule(delay, () => {
+      for (const entry of entries) {
+        if (!entry.alive || target.engine.isDead()) continue;
+        if (!entry.held.has(target.name)) continue;
+        entry.policy.onReport({
+          target: target.name,
+          zone: target.zone,
+          service: undefined,
+          leaving: false,
+          loaded: [{model: MODEL, versionDigest: VERSION}],
+          running,
+          queued,
+          slots: ENGINE.slots,
+          age: delay,
+          cachedPrefixes: hints,
+        });
+      }
+    });
+    clock.schedule(HEARTBEAT, report);
+  };
+  clock.schedule(random() * HEARTBEAT, report);
+}
--- a/bench/routing/hibiscusbeam_policy.ts
+++ b/bench/routing/hibiscusbeam_policy.ts
@@ -17,7 +17,7 @@
 import type {EntryAttempt, EntryPolicy, EntryPort} from './entry_policy';
 import type {LoadRequest} from './load';
 import {MEAN_OUTPUT_TOKENS} from './load';
-import {DEADLINE, FIRST_TOKEN_GOAL, HEARTBEAT} from './site';
+import {DEADLINE, FIRST_TOKEN_GOAL, HEARTBEAT} from './timing';
 import {MODEL, limitOf, weightOf} from './site_configuration';
 
 const JUDGE_PERIOD = 100;
--- a/bench/routing/main.ts
+++ b/bench/routing/main.ts
@@ -3,7 +3,7 @@
 import {CASES, LOAD_UNTIL} from './cases';
 import {createLoad} from './load';
 import type {PolicyFigures} from './metrics';
-import type {PolicyName} from './site';
+import type {PolicyName} from './members';
 import {runSite} from './site';
 
 const POLICIES: readonly PolicyName[] = [
--- /dev/null
+++ b/bench/routing/members.ts
@@ -0,0 +1,99 @@
+import {chooseSubset, hash32} from '@hibiscusbeam/core';
+import type {BaselineName} from './baseline_policies';
+import {createBaselinePolicy} from './baseline_policies';
+import type {SiteSize} from './cases';
+import type {EngineFake} from './engine_fake';
+import {createEngineFake} from './engine_fake';
+import type {EntryPolicy, EntryPort} from './entry_policy';
+import type {FakeClock} from './fake_clock';
+import {createHibiscusbeamPolicy} from './hibiscusbeam_policy';
+import type {LoadRequest} from './load';
+import {ENGINE, MODEL} from './site_configuration';
+
+/** Which policy the entries of a run have. */
+export type PolicyName = 'hibiscusbeam' | BaselineName;
+
+/** An engine with its place. */
+export interface Target {
+  readonly name: string;
+  readonly zone: string;
+  readonly engine: EngineFake;
+}
+
+/** An entry with its policy and the targets that it holds. */
+export interface Entry {
+  readonly name: string;
+  readonly zone: string;
+  readonly policy: EntryPolicy;
+  readonly held: ReadonlySet<string>;
+  alive: boolean;
+}
+
+/** How long a caller keeps the entry that it was told. */
+const ENTRY_KEPT = 30_000;
+
+/** Zones take turns over the processes. */
+export function zoneOf(position: number, size: SiteSize): string {
+  return `zone-${position % size.zones}`;
+}
+
+/** Ours holds a bounded subset; the baselines know every target. */
+export function heldTargets(
+  policyName: PolicyName,
+  entry: string,
+  size: SiteSize,
+): readonly string[] {
+  const targets = Array.from({length: size.engines}, (_, position) => ({
+    target: `engine-${position}`,
+    zone: zoneOf(position, size),
+    serves: [MODEL],
+  }));
+  if (policyName !== 'hibiscusbeam') return targets.map(held => held.target);
+  const entries = Array.from({length: size.entries}, (_, position) => ({
+    instance: `entry-${position}`,
+    zone: zoneOf(position, size),
+  }));
+  return chooseSubset({entry, entries, targets});
+}
+
+/** Creates idle engines. */
+export function createTargets(
+  clock: FakeClock,
+  size: SiteSize,
+): readonly Target[] {
+  return Array.from({length: size.engines}, (_, position) => ({
+    name: `engine-${position}`,
+    zone: zoneOf(position, size),
+    engine: createEngineFake(clock, ENGINE),
+  }));
+}
+
+/** Creates entries that all have the same policy. */
+export function createEntries(
+  policyName: PolicyName,
+  size: SiteSize,
+  createPort: (entry: string, zone: string) => EntryPort,
+): readonly Entry[] {
+  return Array.from({length: size.entries}, (_, position) => {
+    const name = `entry-${position}`;
+    const zone = zoneOf(position, size);
+    const port = createPort(name, zone);
+    const policy =
+      policyName === 'hibiscusbeam'
+        ? createHibiscusbeamPolicy(port)
+        : createBaselinePolicy(policyName, port);
+    return {name, zone, policy, held: new Set(port.targets), alive: true};
+  });
+}
+
+/** Callers keep an entry for a while; those of a lost entry choose anew. */
+export function entryOf(
+  request: LoadRequest,
+  entries: readonly Entry[],
+): Entry {
+  const period = Math.floor(
+    (request.arriveAt + request.caller * 150) / ENTRY_KEPT,
+  );
+  const alive = entries.filter(entry => entry.alive);
+  return alive[hash32(`${request.caller}/${period}`) % alive.length]!;
+}
--- a/bench/routing/metrics.ts
+++ b/bench/routing/metrics.ts
@@ -1,7 +1,7 @@
 import {FLOODING_WORKSPACE_RANK, LOAD_UNTIL, MEASURED_FROM} from './cases';
 import type {LoadRequest} from './load';
 import {workspaceName} from './load';
-import {DEADLINE, FIRST_TOKEN_GOAL} from './site';
+import {DEADLINE, FIRST_TOKEN_GOAL} from './timing';
 
 /** What one caller saw. Times in milliseconds since the start. */
 export interface RequestRecord {
--- a/bench/routing/site_configuration.ts
+++ b/bench/routing/site_configuration.ts
@@ -3,6 +3,7 @@
 
 /** The one model that all engines serve. */
 export const MODEL = 'repair-notes';
+/** The version that they all have. */
 export const VERSION = 'sha256:1';
 
 /**
