--- a/bench/routing/heartbeats.ts
+++ b/bench/routing/heartbeats.ts
@@ -25,6 +25,9 @@
       : [],
   );
   for (const {limits} of ours) configureLimits(limits, size.engines);
+  for (const {limits} of ours) {
+    for (const {entry} of ours) limits.entryJoined(entry.name, clock.now());
+  }
   const beat = (): void => {
     for (const sender of ours) {
       if (!sender.entry.alive) continue;
--- a/packages/core/src/routing/workspace_limits.ts
+++ b/packages/core/src/routing/workspace_limits.ts
@@ -36,6 +36,8 @@
   /** Use to send in the next heartbeat; call once per heartbeat. */
   readonly publish: (now: MonotonicInstant) => PublishedUse;
   readonly receive: (published: PublishedUse, now: MonotonicInstant) => void;
+  /** Counts a live entry from now on, before its first heartbeat comes. */
+  readonly entryJoined: (entry: InstanceName, now: MonotonicInstant) => void;
   /** Forgets an entry that is surely gone. */
   readonly entryGone: (entry: InstanceName) => void;
   /** Requests per second of the workspace at all entries, as published. */
@@ -51,8 +53,9 @@
 }
 
 interface OtherEntry {
-  use: ReadonlyMap<WorkspaceName, number>;
-  heardAt: MonotonicInstant;
+  /** Absent until the first heartbeat. */
+  readonly use: ReadonlyMap<WorkspaceName, number> | undefined;
+  readonly heardAt: MonotonicInstant;
 }
 
 interface LimitState {
@@ -106,8 +109,7 @@
     if (state === undefined) return Infinity;
     let total = state.published;
     for (const other of others.values()) {
-      const seen = other.use.get(workspace) ?? leastUse(state.limit);
-      total += seen * growthOf(other, now);
+      total += useOf(other, workspace, state.limit) * growthOf(other, now);
     }
     const byUse = (state.limit * state.published) / total;
     const even = state.limit / (others.size + 1);
@@ -125,10 +127,15 @@
     return USE_CHANGE_PER_HEARTBEAT ** missed;
   };
 
+  const entryJoined = (entry: InstanceName, now: MonotonicInstant): void => {
+    if (entry === options.entry || others.has(entry)) return;
+    others.set(entry, {use: undefined, heardAt: now});
+  };
+
   const siteUse = (workspace: WorkspaceName): number => {
     let total = workspaces.get(workspace)?.published ?? 0;
     for (const other of others.values()) {
-      total += other.use.get(workspace) ?? 0;
+      total += other.use?.get(workspace) ?? 0;
     }
     return total;
   };
@@ -157,6 +164,7 @@
     setLimit,
     publish,
     receive,
+    entryJoined,
     entryGone: entry => {
       others.delete(entry);
     },
@@ -186,6 +194,19 @@
   return Math.max(leastUse(state.limit), stepped);
 }
 
+/**
+ * Guard against an entry that starts and takes the whole limit because it has
+ * heard nobody: whoever it has not heard from counts as using all of it.
+ */
+function useOf(
+  other: OtherEntry,
+  workspace: WorkspaceName,
+  limit: number,
+): number {
+  if (other.use === undefined) return limit;
+  return other.use.get(workspace) ?? leastUse(limit);
+}
+
 /** Use that is assumed of an entry without any, so that it can grow. */
 function leastUse(limit: number): number {
   return limit * LEAST_USE_SHARE;
