--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,11 @@
+export * from './agent';
+export * from './caller_client';
+export * from './entry';
+export * from './logs';
+export * from './metrics';
+export * from './settings';
+export * from './site/request_dump';
+export * from './types/process';
+export * from './swarm';
 export * from './types/settings';
+export {createSiteClientPool, type SiteClientPool} from './site/site_clients';
