--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -3,10 +3,15 @@
 import {judgeTargets} from './commands/judge_targets';
 import {recordEvent} from './commands/record_event';
 import {chooseTarget} from './queries/choose_target';
-import {describeRouter, findStalledAttempts} from './queries/describe_router';
+import {
+  describeRouter,
+  findOverdueAttempts,
+  findStalledAttempts,
+} from './queries/describe_router';
 import {createRouterState} from './state';
 import type {
   NoTargetError,
+  OverdueAttempt,
   RouterDump,
   RoutingEvent,
   StalledAttempt,
@@ -26,6 +31,10 @@
   ) => Result<TargetChoice, NoTargetError>;
   /** Attempts to give up and, if repeatable, to send elsewhere. */
   readonly stalledAttempts: () => readonly StalledAttempt[];
+  /** Attempts to move if `chooseTarget`, with theirs excluded, is `idle`. */
+  readonly overdueAttempts: (
+    now: MonotonicInstant,
+  ) => readonly OverdueAttempt[];
   readonly dump: (now: MonotonicInstant) => RouterDump;
 }
 
@@ -37,6 +46,7 @@
     judge: now => judgeTargets(state, now),
     chooseTarget: request => chooseTarget(state, request),
     stalledAttempts: () => findStalledAttempts(state),
+    overdueAttempts: now => findOverdueAttempts(state, now),
     dump: now => describeRouter(state, now),
   };
 }
