--- a/packages/core/src/requests/commands/at_most_once_flow.ts
+++ b/packages/core/src/requests/commands/at_most_once_flow.ts
@@ -117,7 +117,11 @@
     if (now() >= deadline) {
       return {kind: 'claim', base: {version, claimed: attempt}};
     }
-    const effect = own.dispatch(address, {until: deadline, deadline});
+    const effect = own.dispatch(address, {
+      until: deadline,
+      deadline,
+      versionDigest: undefined,
+    });
     const runEnd = yield* runToEnd(effect, options);
     switch (runEnd.kind) {
       case 'answered':
--- a/packages/core/src/requests/commands/repeatable_flow.ts
+++ b/packages/core/src/requests/commands/repeatable_flow.ts
@@ -130,7 +130,11 @@
   });
   const destination = {target, instance, incarnation};
   const until = silenceEnd(options);
-  const effect = own.dispatch(destination, {until, deadline});
+  const effect = own.dispatch(destination, {
+    until,
+    deadline,
+    versionDigest: stream.begunVersion(),
+  });
   let event = yield* nextEvent(effect);
   for (;;) {
     const verdict = judge(own, assembler, stream, event);
--- a/packages/core/src/requests/evidence.ts
+++ b/packages/core/src/requests/evidence.ts
@@ -5,6 +5,7 @@
   NotRunEvidence,
   TargetName,
   Incarnation,
+  VersionDigest,
 } from '../types';
 import type {AttemptAddress, RefusedEvent, TombstoneAnswer} from './types';
 
@@ -22,6 +23,8 @@
   readonly until: MonotonicInstant;
   /** End of the caller's interest; the agent gets what is left of it. */
   readonly deadline: MonotonicInstant;
+  /** Present if the rest of an answer begun is asked for: no other version. */
+  readonly versionDigest: VersionDigest | undefined;
 }
 
 /** Where an attempt is sent. */
@@ -37,10 +40,7 @@
   /** Builds the dispatch, once. Throws if disowned or already dispatched. */
   readonly dispatch: (
     destination: AttemptDestination,
-    times: {
-      readonly until: MonotonicInstant;
-      readonly deadline: MonotonicInstant;
-    },
+    terms: Pick<DispatchEffect, 'until' | 'deadline' | 'versionDigest'>,
   ) => DispatchEffect;
   /** Gives the attempt up for good; `undefined` once it was dispatched. */
   readonly disown: () => NotRunEvidence | undefined;
@@ -58,7 +58,7 @@
   let state: OwnAttemptState = {kind: 'fresh'};
   return {
     attempt,
-    dispatch(destination, times) {
+    dispatch(destination, terms) {
       // A disowned attempt was reported as not run, and a second dispatch of
       // one attempt could reach another agent: both would falsify evidence.
       if (state.kind !== 'fresh') {
@@ -66,7 +66,7 @@
       }
       const address: AttemptAddress = {attempt, ...destination};
       state = {kind: 'dispatched', address};
-      return {kind: 'dispatch', address, ...times} as DispatchEffect;
+      return {kind: 'dispatch', address, ...terms} as DispatchEffect;
     },
     disown() {
       // A dispatched attempt may run at any later time, so it can't be
--- a/packages/daemon/src/caller_client/caller_client.ts
+++ b/packages/daemon/src/caller_client/caller_client.ts
@@ -152,7 +152,7 @@
 }
 
 function generateSendable(call: GenerateCall): Sendable<GeneratedAnswer> {
-  const {model, prompt, maximumTokens} = call;
+  const {model, prompt, maximumTokens, firstTokenWithin} = call;
   let begun = false;
   const onToken = (text: string): void => {
     begun = true;
@@ -162,7 +162,14 @@
     path: `/v1/models/${encodeURIComponent(model)}/generate`,
     headers: () => ({}),
     body: remaining =>
-      JSON.stringify({prompt, maximumTokens, deadline: durationOf(remaining)}),
+      JSON.stringify({
+        prompt,
+        maximumTokens,
+        deadline: durationOf(remaining),
+        ...(firstTokenWithin === undefined
+          ? {}
+          : {firstTokenWithin: durationOf(firstTokenWithin)}),
+      }),
     read: response => readStream(response, onToken),
     // Tokens already shown would be shown twice, or mixed with others.
     repeatable: () => !begun,
--- a/packages/daemon/src/caller_client/types.ts
+++ b/packages/daemon/src/caller_client/types.ts
@@ -36,6 +36,8 @@
   readonly model: string;
   readonly prompt: string;
   readonly maximumTokens: number;
+  /** A request whose first token would come later is refused at once. */
+  readonly firstTokenWithin?: Milliseconds;
   /** Time for the whole request, waits and retries included. */
   readonly deadline: Milliseconds;
   /** Sees each token as it comes; the answer is whole only at the end. */
