Break off no answer that still moves and can go nowhere better

Cause, of three kinds, seen as answers that ended in their middle with outcomeUnknown 'silent for too long' after 71 to 552 ms, while the connection of another was cut: - two equal engines with 2 ms tokens were measured at 0.4 and 2.8 ms between tokens, for the way bunches them; one was ejected as slow; - a retry that could only go to an ejected target was sent there and broken off within 20 ms, as is done with every attempt at an ejected target; - three cut connections ejected a target, and with it went the streams there that still moved. Ruled out: the silence limit of 5 s (ended far earlier), the agent (it was cancelled by the entry), the engine's crossing of answers. Conclusion: slow needs 10 ms beside the factor; failures move only attempts without a first token; a last resort is left alone.

--- a/packages/core/src/routing/commands/judge_targets.ts
+++ b/packages/core/src/routing/commands/judge_targets.ts
@@ -9,6 +9,7 @@
   SAMPLES_TO_COMPARE,
   SHORTEST_EJECTION,
   SLOW_FACTOR,
+  SLOW_MARGIN,
   STALL_TIME,
   STALL_TOKEN_TIMES,
 } from '../constants';
@@ -95,12 +96,18 @@
   return Math.max(FIRST_TOKEN_STALL_TIME, relative);
 }
 
-/** Guard against a slow target: slow relative to peers, not to a fixed time. */
+/**
+ * Guard against a slow target: slow relative to peers, not to a fixed time. A
+ * difference that nobody can perceive does not count: equal targets would be
+ * ejected in turn, which shows as answers that are broken off and begun anew.
+ */
 function isSlow(state: RouterState, target: TargetState): boolean {
   const {medians} = state;
   if (medians.compared < 2) return false;
   if (target.tokenTime.samples() < SAMPLES_TO_COMPARE) return false;
-  return target.tokenTime.value() > SLOW_FACTOR * medians.tokenTime;
+  const {tokenTime} = medians;
+  const allowed = Math.max(SLOW_FACTOR * tokenTime, tokenTime + SLOW_MARGIN);
+  return target.tokenTime.value() > allowed;
 }
 
 /** Guard against ejecting the site: a fault of all is not an outlier. */
--- a/packages/core/src/routing/commands/record_event.ts
+++ b/packages/core/src/routing/commands/record_event.ts
@@ -49,6 +49,7 @@
     dispatchedAt: now,
     probe: target.health.kind === 'probing',
     unqueued: estimateWait(state, target, load) === 0,
+    lastResort: target.health.kind === 'ejected',
     firstTokenAt: undefined,
     lastProgressAt: now,
   };
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -51,6 +51,12 @@
 /** A target is slow from this multiple of its peers' median. */
 export const SLOW_FACTOR = 3;
 
+/**
+ * And only from so much above the median: how tokens are bunched on their way
+ * alone gave means of 0.4 and 2.8 ms for two equal engines with 2 ms tokens.
+ */
+export const SLOW_MARGIN: Milliseconds = 10;
+
 /** A stream that is silent for so long, and for so many token times, stalls. */
 export const STALL_TIME: Milliseconds = 600;
 export const STALL_TOKEN_TIMES = 12;
--- a/packages/core/src/routing/queries/describe_router.ts
+++ b/packages/core/src/routing/queries/describe_router.ts
@@ -1,7 +1,12 @@
-import type {MonotonicInstant} from '../../types';
+import type {AttemptId, MonotonicInstant} from '../../types';
 import {DUMPED_TARGETS} from '../constants';
 import type {RouterState, TargetState} from '../state';
-import type {RouterDump, StalledAttempt, TargetDump} from '../types';
+import type {
+  EjectionCause,
+  RouterDump,
+  StalledAttempt,
+  TargetDump,
+} from '../types';
 import {estimateLoad, meanOthersPerSlot} from './estimate_load';
 
 /** The router's state for people; bounded by `DUMPED_TARGETS`. */
@@ -46,10 +51,27 @@
   for (const target of state.targets.values()) {
     const {health} = target;
     if (health.kind !== 'ejected') continue;
-    const attempts = [...target.waiting.keys(), ...target.streaming.keys()];
-    for (const attempt of attempts) {
-      stalled.push({attempt, target: target.target, cause: health.cause});
+    const {cause} = health;
+    for (const attempt of attemptsToMove(target, cause)) {
+      stalled.push({attempt, target: target.target, cause});
     }
   }
   return stalled;
 }
+
+function attemptsToMove(
+  target: TargetState,
+  cause: EjectionCause,
+): readonly AttemptId[] {
+  const waiting = [...target.waiting.values()];
+  // Failures of other attempts say nothing about a stream that moves; broken
+  // off, it shows as an answer that stops in its middle.
+  const streaming = cause === 'failures' ? [] : target.streaming.values();
+  return (
+    [...waiting, ...streaming]
+      // Nothing better could take it when it was sent here: moved on, it would
+      // have nowhere to go and end without an answer.
+      .filter(attempt => !attempt.lastResort)
+      .map(({attempt}) => attempt)
+  );
+}
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -40,6 +40,8 @@
   readonly probe: boolean;
   /** True if the target had a free slot at dispatch, as far as known. */
   readonly unqueued: boolean;
+  /** True if the target was ejected, and no better one could take it. */
+  readonly lastResort: boolean;
   firstTokenAt: MonotonicInstant | undefined;
   lastProgressAt: MonotonicInstant;
 }
