--- /dev/null
+++ b/test/processes/whole_answers.test.ts
@@ -0,0 +1,161 @@
+import {answerText} from '@hibiscusbeam/standins';
+import {afterAll, beforeAll, describe, expect, test} from 'vitest';
+import {publishVersion, serveChange, waitUntilServed} from '../../demo/rollout';
+import {DEMO_KEYS} from '../../demo/site/settings_files';
+import {generate, type Generated} from './callers';
+import {
+  carryOut,
+  entryUrl,
+  runsAt,
+  setFaults,
+  startServedSite,
+  type ServedSite,
+} from './served_site';
+
+const TOKENS = 40;
+
+let site: ServedSite;
+let urls: readonly string[];
+
+beforeAll(async () => {
+  site = await startServedSite({entries: 2, engines: 2, plainServices: 0});
+  urls = [entryUrl(site, 0), entryUrl(site, 1)];
+});
+
+afterAll(() => site?.stop());
+
+interface Asked {
+  readonly prompt: string;
+  readonly answer: Generated;
+}
+
+/** Asks for `count` answers at once, through both entries in turn. */
+function askMany(
+  name: string,
+  count: number,
+  deadline = '20s',
+): Promise<readonly Asked[]> {
+  const prompts = Array.from({length: count}, (_, index) => `${name} ${index}`);
+  return Promise.all(
+    prompts.map(async (prompt, index) => ({
+      prompt,
+      answer: await generate(urls[index % urls.length] ?? '', {
+        prompt,
+        maximumTokens: TOKENS,
+        deadline,
+      }),
+    })),
+  );
+}
+
+/** The engines' text follows from version and prompt, so a mix shows. */
+function expectOwnWholeAnswer({prompt, answer}: Asked): void {
+  const {versionDigest} = answer;
+  expect(answer.tokens).toBe(TOKENS);
+  expect(answer.text).toBe(answerText({versionDigest, prompt}, TOKENS));
+}
+
+/** What came may be cut short, but never be another's or of two versions. */
+function expectOwnBeginning({prompt, answer}: Asked): void {
+  const {versionDigest, tokens, text} = answer;
+  expect(text).toBe(answerText({versionDigest, prompt}, tokens));
+}
+
+async function setEngineFaults(faults: unknown): Promise<void> {
+  await Promise.all(site.engines.map(({url}) => setFaults(url, faults)));
+}
+
+describe('a caller of a model', () => {
+  // Two callers ask one engine; it sends each answer on the other's
+  // connection, and some late. Each caller must see its own note or none.
+  test('gets its own answer when the engine crosses and delays answers', async () => {
+    await setEngineFaults({crossNext: 6, lateNext: 4, lateBy: 700});
+    const asked = await askMany('crossed', 32);
+    await setEngineFaults({crossNext: 0, lateNext: 0});
+    for (const one of asked) {
+      expect(one.answer.outcome).toBe('whole');
+      expectOwnWholeAnswer(one);
+    }
+  });
+
+  // The connection to an engine is cut in the middle of an answer. The entry
+  // asks another engine for the same version and goes on where the caller is,
+  // or lets the stream end without its end line.
+  test('gets a whole answer or none when a connection is cut in mid-stream', async () => {
+    await setEngineFaults({dropNext: 2});
+    const asked = await askMany('cut', 24);
+    await setEngineFaults({dropNext: 0});
+    for (const one of asked) {
+      expectOwnBeginning(one);
+      if (one.answer.outcome === 'whole') expectOwnWholeAnswer(one);
+      else expect(one.answer.outcome).toBe('outcomeUnknown');
+    }
+    // Four cuts among 24 first tries are within the retry budget.
+    expect(asked.map(({answer}) => answer.outcome)).not.toContain('notRun');
+    const whole = asked.filter(({answer}) => answer.outcome === 'whole');
+    expect(whole.length).toBeGreaterThanOrEqual(20);
+  });
+
+  // An engine accepts requests and answers nothing. Its callers are answered
+  // by the other engine or told by their deadline; none waits for ever.
+  test('is answered by another engine, or told so, when one is frozen', async () => {
+    const [frozen] = site.engines;
+    if (frozen === undefined) throw new Error('no engine');
+    const before = Object.keys(await runsAt(frozen)).length;
+    await setFaults(frozen.url, {frozen: true});
+    const asked = await askMany('frozen', 16, '12s');
+    await setFaults(frozen.url, {frozen: false});
+    for (const one of asked) {
+      expectOwnBeginning(one);
+      if (one.answer.outcome === 'whole') expectOwnWholeAnswer(one);
+      else expect(['notRun', 'outcomeUnknown']).toContain(one.answer.outcome);
+    }
+    expect(asked.some(({answer}) => answer.outcome === 'whole')).toBe(true);
+    expect(Object.keys(await runsAt(frozen)).length).toBeGreaterThanOrEqual(
+      before,
+    );
+    const after = await askMany('thawed', 4);
+    for (const one of after) expectOwnWholeAnswer(one);
+  });
+
+  // A new version is rolled out while callers ask without a pause and
+  // connections are cut. An answer that began on the old version and was
+  // finished on the new one would draft a note from two models.
+  test('never gets a mix of two versions while engines swap and links break', async () => {
+    const next = await publishVersion(site, 'second', 2, site.versionDigest);
+    const names = site.engines.map(({name}) => name);
+    const asked: Asked[] = [];
+    let swapped = false;
+    const ask = async (caller: number): Promise<void> => {
+      for (let round = 0; !swapped || round < 2; round += 1) {
+        const prompt = `swap ${caller} ${round}`;
+        const answer = await generate(urls[caller % urls.length] ?? '', {
+          prompt,
+          maximumTokens: TOKENS,
+        });
+        asked.push({prompt, answer});
+        if (round % 5 === 0) await setEngineFaults({dropNext: 1});
+      }
+    };
+    const callers = [0, 1, 2, 3].map(ask);
+    await carryOut(site, {
+      summary: 'serve the second version',
+      changes: [serveChange(names, 'second')],
+    });
+    await waitUntilServed(site, next, DEMO_KEYS.operator);
+    swapped = true;
+    await Promise.all(callers);
+    await setEngineFaults({dropNext: 0});
+
+    for (const one of asked) {
+      expectOwnBeginning(one);
+      if (one.answer.outcome === 'whole') expectOwnWholeAnswer(one);
+    }
+    const versions = new Set(
+      asked
+        .filter(({answer}) => answer.outcome === 'whole')
+        .map(({answer}) => answer.versionDigest),
+    );
+    expect([...versions].sort()).toEqual([site.versionDigest, next].sort());
+  });
+});
