Keep a refusal by the target itself true, and continue answers on their version

Cause: an attempt that the engine refused before any work was noted as finished; an entry that lost the refusal was then told 'it has run' and reported an unknown outcome for what never ran. And the rest of a begun answer was asked of any version, to be rejected by the flow afterwards. Ruled out: answering a tombstone from the engine; the registry decides alone.

--- a/packages/daemon/src/agent/serve_handler.ts
+++ b/packages/daemon/src/agent/serve_handler.ts
@@ -132,12 +132,36 @@
     // A call that may not be repeated is followed to its end even if its entry
     // has gone, so that another entry can collect the answer.
     if (repeatable) call.on('cancelled', run.cancel);
-    const whole = await passOn(call, request, run);
+    const result = await passOn(call, request, run);
     run.ended();
-    registry.finish(attempt, answerOf(attempt, whole), clock());
+    endRun(call, registry, attempt, result);
     end();
-    if (whole === undefined) return void call.end();
-    endWith(call, endFrame(attempt, whole.frameCount, whole.digest));
+  };
+
+  /** Notes the end in the registry before the entry hears of it. */
+  const endRun = (
+    call: Answer,
+    registry: AttemptRegistry,
+    attempt: AttemptId,
+    result: RunResult,
+  ): void => {
+    switch (result.kind) {
+      case 'whole': {
+        const {frameCount, digest} = result;
+        registry.finish(attempt, answerOf(attempt, result), clock());
+        return endWith(call, endFrame(attempt, frameCount, digest));
+      }
+      case 'turnedAway': {
+        const event = registry.turnedAway(attempt, result.reason);
+        if (event !== undefined) return endWith(call, refusedFrame(event));
+        return endWith(call, failedFrame(attempt, 'the target refused it'));
+      }
+      case 'broken':
+        registry.finish(attempt, undefined, clock());
+        return endWith(call, failedFrame(attempt, result.detail));
+      default:
+        return unreachable(result);
+    }
   };
 
   const replay = (call: Answer, answer: WholeAnswer): void => {
@@ -173,6 +197,7 @@
 
 /** An answer that came whole. */
 interface WholeRun {
+  readonly kind: 'whole';
   readonly versionDigest: string | undefined;
   readonly frameCount: number;
   readonly digest: string;
@@ -180,12 +205,19 @@
   readonly frames: readonly Uint8Array[] | undefined;
 }
 
-/** Sends a run's events as frames; undefined if the answer is not whole. */
+/** How a run ended. */
+type RunResult =
+  | WholeRun
+  /** The target refused it before any work. */
+  | {readonly kind: 'turnedAway'; readonly reason: NotRunReason}
+  | {readonly kind: 'broken'; readonly detail: string};
+
+/** Sends a run's events as frames, all but the last. */
 async function passOn(
   call: Answer,
   request: ServeRequest,
   run: TargetRun,
-): Promise<WholeRun | undefined> {
+): Promise<RunResult> {
   const {attempt, incarnation, repeatable} = request;
   const digester = createDigester();
   const frames: Uint8Array[] = [];
@@ -209,7 +241,7 @@
         // the caller an answer with a hole in it.
         if (event.sequence !== frameCount) {
           run.cancel();
-          return breakOff(call, attempt, 'a part of the answer is missing');
+          return broken('a part of the answer is missing');
         }
         frameCount += 1;
         digester.update(event.content);
@@ -222,42 +254,34 @@
       }
       case 'end':
         if (event.count !== frameCount) {
-          return breakOff(call, attempt, 'the answer is shorter than it says');
+          return broken('the answer is shorter than it says');
         }
         return {
+          kind: 'whole',
           versionDigest,
           frameCount,
           digest: digester.finish(),
           frames: repeatable ? undefined : frames,
         };
       case 'notStarted':
-        return refuseUnstarted(call, request, event);
+        return {kind: 'turnedAway', reason: reasonOf(event)};
       case 'broken':
-        return breakOff(call, attempt, event.detail);
+        return broken(event.detail);
       default:
         return unreachable(event);
     }
   }
-  return undefined;
+  return broken('the target ended without an answer');
 }
 
-function refuseUnstarted(
-  call: Answer,
-  request: ServeRequest,
+function reasonOf(
   event: Extract<RunEvent, {kind: 'notStarted'}>,
-): undefined {
-  const {attempt, incarnation} = request;
-  const reason = event.detail.includes('queue') ? 'queueFull' : 'noTarget';
-  const retryAfter = NOT_SERVED_RETRY_AFTER;
-  call.write(
-    refusedFrame({kind: 'refused', attempt, incarnation, reason, retryAfter}),
-  );
-  return undefined;
+): NotRunReason {
+  return event.detail.includes('queue') ? 'queueFull' : 'noTarget';
 }
 
-function breakOff(call: Answer, attempt: AttemptId, detail: string): undefined {
-  call.write(failedFrame(attempt, detail));
-  return undefined;
+function broken(detail: string): RunResult {
+  return {kind: 'broken', detail};
 }
 
 function endWith(call: Answer, frame: ServeFrame): void {
@@ -281,9 +305,9 @@
 
 function answerOf(
   attempt: AttemptId,
-  whole: WholeRun | undefined,
+  whole: WholeRun,
 ): WholeAnswer | undefined {
-  if (whole?.frames === undefined) return undefined;
+  if (whole.frames === undefined) return undefined;
   const {versionDigest, frames, digest} = whole;
   return {attempt, versionDigest, frames, digest};
 }
--- a/packages/daemon/src/entry/request_runner.ts
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -11,6 +11,7 @@
   type RequestReply,
   type RequestResult,
   type TombstoneAnswer,
+  type VersionDigest,
 } from '@hibiscusbeam/core';
 import type {Platform} from '@hibiscusbeam/platform';
 import {TombstoneReply_State, type TombstoneReply} from '@hibiscusbeam/wire';
@@ -116,6 +117,7 @@
     address: AttemptAddress,
     kind: 'serve' | 'collect',
     deadline: MonotonicInstant,
+    versionDigest?: VersionDigest,
   ): OwnStream | undefined => {
     const agent = directory.ofInstance(address.instance);
     if (agent === undefined) return undefined;
@@ -124,7 +126,12 @@
     const call =
       kind === 'serve'
         ? client.serve(
-            serveRequestOf(context.serveWork, address, deadline - now),
+            serveRequestOf(
+              context.serveWork,
+              address,
+              deadline - now,
+              versionDigest,
+            ),
             clients.metadata,
           )
         : client.collect(
@@ -145,13 +152,12 @@
   };
 
   const dispatch = (
-    address: AttemptAddress,
-    until: MonotonicInstant,
-    deadline: MonotonicInstant,
+    effect: Extract<RequestEffect, {readonly kind: 'dispatch'}>,
   ) => {
+    const {address, until, deadline, versionDigest} = effect;
     const {attempt, target} = address;
     const expected = reservation?.expectedFirstToken ?? 0;
-    const own = openStream(address, 'serve', deadline);
+    const own = openStream(address, 'serve', deadline, versionDigest);
     if (own === undefined) {
       releaseReservation();
       return event({kind: 'cut', detail: 'the agent is not known'});
@@ -274,7 +280,7 @@
           return {kind: 'choice', choice: reserved.choice};
         });
       case 'dispatch':
-        return dispatch(effect.address, effect.until, effect.deadline);
+        return dispatch(effect);
       case 'collect': {
         const own = openStream(effect.address, 'collect', effect.until);
         if (own === undefined) {
