Go on telling a cut-off sender what is held

Ruled out: keeping to ask it; that costs a download per bad chunk. Conclusion: cutting off goes one way.

--- a/packages/core/src/distribution/commands/neighbours.ts
+++ b/packages/core/src/distribution/commands/neighbours.ts
@@ -41,15 +41,13 @@
         ownZone: state.options.ownZonePicks ?? bounds.OWN_ZONE_PICKS,
         crossZone: state.options.crossZonePicks ?? bounds.CROSS_ZONE_PICKS,
       },
-    ).filter(instance => !state.cutOff.has(instance)),
+    ),
   );
   const before = version.neighbours;
   const names = new Set(live.map(member => member.instance));
   for (const instance of before) {
     // Kept although no longer chosen: its have-map is known on both sides.
-    if (names.has(instance) && !state.cutOff.has(instance)) {
-      chosen.add(instance);
-    }
+    if (names.has(instance)) chosen.add(instance);
   }
   version.neighbours = chosen;
   const added = [...chosen].filter(instance => !before.has(instance));
--- a/packages/core/src/distribution/commands/transfers.ts
+++ b/packages/core/src/distribution/commands/transfers.ts
@@ -120,10 +120,11 @@
     forgetChunk(state, neighbour, transfer.digest);
     return;
   }
+  // It stays a neighbour that hears what is held here: its own downloads may
+  // be whole, and without have-maps it would never complete.
   state.cutOff.add(neighbour.instance);
   suspend(state, neighbour, Infinity);
   for (const version of state.versions.values()) {
-    version.neighbours.delete(neighbour.instance);
     version.haves.delete(neighbour.instance);
   }
   state.effects.push({kind: 'cutOff', neighbour: neighbour.instance});
--- a/test/distribution/faults.test.ts
+++ b/test/distribution/faults.test.ts
@@ -46,7 +46,8 @@
 
   // A rollout loads the network for nothing. Order of events: an instance's
   // memory is bad, so each of its chunks fails its digest and is asked for
-  // again. Cause: it still says that it holds them.
+  // again. Cause: it still says that it holds them. It must itself complete:
+  // the others stop asking it, but go on telling it what they hold.
   test('a sender of bad chunks is cut off after two', () => {
     fc.assert(
       fc.property(fc.nat(), seed => {
@@ -58,6 +59,7 @@
         });
         expect(mesh.run()).toBe(true);
         expect(mesh.wrongReady).toEqual([]);
+        expect(mesh.now()).toBeLessThan(15_000);
         for (let by = 1; by < 6; by += 1) {
           const bad = mesh.served.filter(
             upload => upload.by === by && upload.from === 'agent-0',
--- a/test/distribution/node.test.ts
+++ b/test/distribution/node.test.ts
@@ -73,6 +73,28 @@
     expect(senders).toEqual(['a', 'b']);
   });
 
+  // An instance whose memory spoils what it sends never completes. Order of
+  // events: its neighbours cut it off. Cause: they stop telling it, too.
+  test('still tells what it holds to a sender that it cut off', () => {
+    const node = startNode(['a', 'b']);
+    tell(node, {kind: 'neighbourHave', neighbour: 'a', ...have([0, 1])}, 10);
+    const digests = version.manifest.chunks.map(chunk => chunk.digest);
+    for (const transfer of [1, 2]) {
+      const digest = node.dump().downloads[0]!.digest;
+      const bad = {transfer, digest, verified: false} as const;
+      tell(node, {kind: 'chunkArrived', ...bad}, 20);
+    }
+    expect(node.dump().cutOff).toEqual(['a']);
+    const stored = {kind: 'chunkStored', digest: digests[5]!, life: '1'};
+    const effects = [
+      ...tell(node, stored as SwarmEvent, 30),
+      ...tell(node, {kind: 'tick'}, 1_000),
+    ];
+    expect(effects).toContainEqual(
+      expect.objectContaining({kind: 'announce', neighbours: ['a', 'b']}),
+    );
+  });
+
   test('holds no more chunks in memory than its buffer takes', () => {
     const node = startNode([], {transferBuffer: 128, holders: ['self']});
     const asked = tell(node, {kind: 'tick'}, 1_000);
