--- /dev/null
+++ b/packages/core/src/routing/workspace_shares.ts
@@ -0,0 +1,87 @@
+import type {WorkspaceName} from '../types';
+import {OVER_SHARE_FACTOR} from './constants';
+
+/** Which workspaces hold more of this entry's requests than their weight. */
+export interface WorkspaceShares {
+  readonly started: (workspace: WorkspaceName, weight: number) => void;
+  readonly ended: (workspace: WorkspaceName) => void;
+  /** Whether one more request would put the workspace over its share. */
+  readonly isOverShare: (workspace: WorkspaceName, weight: number) => boolean;
+  readonly inFlight: () => ReadonlyMap<WorkspaceName, number>;
+}
+
+interface Share {
+  inFlight: number;
+  weight: number;
+}
+
+/** Where the shares learn what a workspace sends to all entries. */
+export interface WorkspaceSharesOptions {
+  /** Requests per second at all entries, refused ones included. */
+  readonly siteUse: (workspace: WorkspaceName) => number;
+}
+
+/** Creates shares without requests. */
+export function createWorkspaceShares(
+  options: WorkspaceSharesOptions,
+): WorkspaceShares {
+  const shares = new Map<WorkspaceName, Share>();
+  let totalInFlight = 0;
+  let totalWeight = 0;
+
+  const started = (workspace: WorkspaceName, weight: number): void => {
+    totalInFlight += 1;
+    const share = shares.get(workspace);
+    if (share !== undefined) {
+      share.inFlight += 1;
+      return;
+    }
+    shares.set(workspace, {inFlight: 1, weight});
+    totalWeight += weight;
+  };
+
+  const ended = (workspace: WorkspaceName): void => {
+    const share = shares.get(workspace);
+    if (share === undefined) return;
+    totalInFlight -= 1;
+    share.inFlight -= 1;
+    if (share.inFlight > 0) return;
+    shares.delete(workspace);
+    totalWeight -= share.weight;
+  };
+
+  /**
+   * Over its part of the requests in flight here, and sending more than its
+   * part to the site: alone, the first would blame a workspace whose callers
+   * happen to use this entry, and the second would take from a busy one even
+   * what is its own.
+   */
+  const isOverShare = (workspace: WorkspaceName, weight: number): boolean => {
+    const own = shares.get(workspace);
+    const weights = totalWeight + (own === undefined ? weight : 0);
+    const fair = ((totalInFlight + 1) * weight) / weights;
+    if ((own?.inFlight ?? 0) + 1 <= fair) return false;
+    return sendsOverShare(workspace, weight, weights);
+  };
+
+  const sendsOverShare = (
+    workspace: WorkspaceName,
+    weight: number,
+    weights: number,
+  ): boolean => {
+    let use = shares.has(workspace) ? 0 : options.siteUse(workspace);
+    for (const active of shares.keys()) use += options.siteUse(active);
+    const fair = (use * weight) / weights;
+    return options.siteUse(workspace) > OVER_SHARE_FACTOR * fair;
+  };
+
+  return {
+    started,
+    ended,
+    isOverShare,
+    inFlight: () =>
+      new Map(
+        [...shares].map(([name, {inFlight}]) => [name, inFlight] as const),
+      ),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/index.ts
@@ -0,0 +1,1 @@
+export {startEntry} from './entry';
--- a/test/membership/held_targets.test.ts
+++ b/test/membership/held_targets.test.ts
@@ -10,7 +10,7 @@
   type InstanceName,
   type TargetName,
 } from '@hibiscusbeam/core';
-import {SessionMessage} from '@hibiscusbeam/wire';
+import {SessionMessage, type Heartbeat} from '@hibiscusbeam/wire';
 import * as fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {propertySettings} from '../fixtures/property_settings';
@@ -36,6 +36,11 @@
   return [...held.values()].filter(each => each.has(target)).length;
 }
 
+function encodedSize(heartbeat: Heartbeat): number {
+  const message = {$case: 'heartbeat', heartbeat} as const;
+  return SessionMessage.encode({message}).finish().length;
+}
+
 describe('the targets that an entry holds', () => {
   const sizes = [fc.integer({min: 1, max: 40}), fc.nat({max: 60})] as const;
 
@@ -116,15 +121,16 @@
     const digest = `sha256:${'0'.repeat(64)}`;
     const version = {model: 'credit-summaries', versionDigest: digest};
     const sequence = 100_000_000;
-    const heartbeat = {sequence, generation: 100_000, leaving: false};
-    const bare = SessionMessage.encode({
-      message: {
-        $case: 'heartbeat',
-        heartbeat: {...heartbeat, target: undefined},
-      },
-    }).finish();
-    expect(bare.length).toBeLessThanOrEqual(ENTRY_HEARTBEAT_SIZE);
-    expect(bare.length).toBeGreaterThan(ENTRY_HEARTBEAT_SIZE / 2);
+    const heartbeat: Heartbeat = {
+      sequence,
+      generation: 100_000,
+      leaving: false,
+      target: undefined,
+      uses: [],
+    };
+    const bare = encodedSize(heartbeat);
+    expect(bare).toBeLessThanOrEqual(ENTRY_HEARTBEAT_SIZE);
+    expect(bare).toBeGreaterThan(ENTRY_HEARTBEAT_SIZE / 2);
     const target = {
       incarnation: 1_000,
       loaded: [version, version],
@@ -142,10 +148,8 @@
         },
       ],
     };
-    const full = SessionMessage.encode({
-      message: {$case: 'heartbeat', heartbeat: {...heartbeat, target}},
-    }).finish();
-    expect(full.length).toBeLessThanOrEqual(AGENT_HEARTBEAT_SIZE);
-    expect(full.length).toBeGreaterThan(AGENT_HEARTBEAT_SIZE * 0.8);
+    const full = encodedSize({...heartbeat, target});
+    expect(full).toBeLessThanOrEqual(AGENT_HEARTBEAT_SIZE);
+    expect(full).toBeGreaterThan(AGENT_HEARTBEAT_SIZE * 0.8);
   });
 });
