--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -24,12 +24,6 @@
 /** First token goal of the users: 1.9 s for 95 in 100. */
 const FIRST_TOKEN_GOAL: Milliseconds = 1_900;
 
-/** Longest wait at a target; the rest waits here, where it can still move. */
-const LONGEST_TARGET_WAIT: Milliseconds = 600;
-
-/** A request that was let into the queue goes out after this at the latest. */
-const LONGEST_ENTRY_WAIT: Milliseconds = 500;
-
 /** How often waiting requests and unhealthy targets are looked at. */
 const TURN_PERIOD: Milliseconds = 20;
 
@@ -111,8 +105,6 @@
   const router = createRouter();
   const admission = createAdmission({
     firstTokenGoal: FIRST_TOKEN_GOAL,
-    longestTargetWait: LONGEST_TARGET_WAIT,
-    longestEntryWait: LONGEST_ENTRY_WAIT,
   });
   const queue = createFairQueue<Waiter>({capacity: options.queueCapacity});
   const retryBudget = createRetryBudget();
@@ -124,7 +116,6 @@
     router.chooseTarget({
       work: withVersion(request.work, effect.versionDigest),
       prefix: promptPrefix(request.prompt),
-      priority: request.precedence.priority,
       zone: options.zone,
       now: clock(),
       exclude: effect.exclude,
