--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -230,6 +230,7 @@
 
   const meet = (peer: Peer): void => {
     view.meet(peer);
+    if (peer.role === 'entry') limits.entryJoined(peer.instance, clock());
     if (peer.target === undefined) return;
     const {address, incarnation: life} = peer;
     directory.put({
@@ -242,6 +243,9 @@
 
   const lose = (peer: Peer): void => {
     view.forget(peer.instance);
+    // Without this the silence of a replaced entry would count as ever more
+    // use, and the shares of all others would fall towards nothing.
+    if (peer.role === 'entry') limits.entryGone(peer.instance);
     if (peer.target === undefined) return;
     dispatcher.record({
       kind: 'targetGone',
