Let agents find neighbours they have no session with

Cause: agents hold sessions with their swarm neighbours only, so all others are silent to them and count as dead 6 s after the start; the swarm was then given nobody, and each instance fetched the whole version from the origin.

--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -29,6 +29,7 @@
 import {startEngineControl, type EngineControl} from './engine_control';
 import {beginLife, type AgentLife} from './incarnation';
 import {createServeHandler} from './serve_handler';
+import {createSwarmCandidates} from './swarm_candidates';
 import {createEngineRuns, createPlainServiceRuns} from './target_runs';
 import {createWeightsKeeper, type WeightsKeeper} from './weights_keeper';
 
@@ -87,6 +88,7 @@
   let registry: AttemptRegistry | undefined;
   let control: EngineControl | undefined;
   const workspaces = createTally();
+  const candidates = createSwarmCandidates();
   let running = 0;
   let leaving = false;
   let refusing = false;
@@ -232,11 +234,14 @@
 
   const followSite = (): void => {
     judgeLeaving();
-    const peers = node.membership
-      .members()
-      .filter(member => member.role === 'agent' && member.instance !== instance)
-      .filter(member => member.liveness !== 'dead');
     if (!isEngine) return;
+    const agents = node.membership
+      .members()
+      .filter(
+        ({role, instance: name}) => role === 'agent' && name !== instance,
+      );
+    const chosen = new Set(swarm.neighbours());
+    const peers = candidates.choose(agents, chosen, clock());
     swarm.setPeers(peers);
     const neighbours = new Set(swarm.neighbours());
     const addresses = peers
--- /dev/null
+++ b/packages/daemon/src/agent/swarm_candidates.ts
@@ -0,0 +1,58 @@
+import type {
+  InstanceName,
+  Member,
+  Milliseconds,
+  MonotonicInstant,
+} from '@hibiscusbeam/core';
+
+/** A neighbour that was not heard for so long after it was chosen is out. */
+const GIVEN_UP_AFTER: Milliseconds = 6_000;
+
+/** It is tried again after so long, if the platform still lists it. */
+const TRIED_AGAIN_AFTER: Milliseconds = 30_000;
+
+/** Which agents the swarm may choose its neighbours from. */
+export interface SwarmCandidates {
+  /** `neighbours` are those that the swarm has chosen at present. */
+  readonly choose: (
+    agents: readonly Member[],
+    neighbours: ReadonlySet<InstanceName>,
+    now: MonotonicInstant,
+  ) => readonly Member[];
+}
+
+/**
+ * Agents hold sessions with their neighbours only, so that all others are
+ * silent and count as dead a few seconds after the start.
+ *
+ * Failure: a version that comes later finds no living agent, and each instance
+ * fetches all of it from the origin. Only one that stays silent while it is a
+ * neighbour is left out, for a while.
+ */
+export function createSwarmCandidates(): SwarmCandidates {
+  const chosenAt = new Map<InstanceName, MonotonicInstant>();
+  const outUntil = new Map<InstanceName, MonotonicInstant>();
+
+  const isCandidate = (agent: Member, now: MonotonicInstant): boolean => {
+    const {instance, liveness} = agent;
+    if (liveness !== 'dead') return true;
+    const since = chosenAt.get(instance);
+    if (since !== undefined && now - since >= GIVEN_UP_AFTER) {
+      outUntil.set(instance, now + TRIED_AGAIN_AFTER);
+      chosenAt.delete(instance);
+    }
+    return now >= (outUntil.get(instance) ?? now);
+  };
+
+  return {
+    choose: (agents, neighbours, now) => {
+      for (const instance of chosenAt.keys()) {
+        if (!neighbours.has(instance)) chosenAt.delete(instance);
+      }
+      for (const instance of neighbours) {
+        if (!chosenAt.has(instance)) chosenAt.set(instance, now);
+      }
+      return agents.filter(agent => isCandidate(agent, now));
+    },
+  };
+}
