Add the configuration bench

From sending a confirmation to in force at every process, on real processes, with an outage of the platform right after the commit, and with a quarter of the processes killed meanwhile.

--- /dev/null
+++ b/bench/configuration/changes.ts
@@ -0,0 +1,104 @@
+import {exchangeJson} from '../../demo/site/http';
+import {DEMO_KEYS} from '../../demo/site/settings_files';
+import type {SmallSite} from '../../demo/site/small_site';
+import type {BenchProcess} from './site_processes';
+
+/** Pause between two questions to one process: the error of each figure. */
+const POLL_PERIOD = 10;
+
+/** A process that has not come to the generation by then never will. */
+const LONGEST_WAIT = 120_000;
+
+const OPERATOR = {authorization: `Bearer ${DEMO_KEYS.operator}`};
+
+/** A planned change, to be confirmed. */
+export interface PlannedChange {
+  readonly planId: string;
+  readonly base: number;
+}
+
+/** Plans another weight for a workspace at one of the entries. */
+export async function planChange(
+  site: SmallSite,
+  number: number,
+): Promise<PlannedChange> {
+  const workspaces = Object.keys(DEMO_KEYS.workspaces);
+  const workspace = workspaces[number % workspaces.length];
+  const {plan} = await exchangeJson<{plan: PlannedChange}>(
+    'POST',
+    `${entryFor(site, number)}/v1/intents/plan`,
+    {
+      summary: `change ${number}`,
+      changes: [{kind: 'workspace', workspace, open: true, weight: number + 2}],
+    },
+    OPERATOR,
+  );
+  return plan;
+}
+
+/** Confirms a plan at one of the entries; gives its generation. */
+export async function confirmChange(
+  site: SmallSite,
+  number: number,
+  planId: string,
+): Promise<number> {
+  const url = `${entryFor(site, number)}/v1/plans/${planId}/confirm`;
+  const reply = await exchangeJson<{generation: number}>(
+    'POST',
+    url,
+    undefined,
+    OPERATOR,
+  );
+  return reply.generation;
+}
+
+function entryFor(site: SmallSite, number: number): string {
+  const entry = site.entries[number % site.entries.length];
+  if (entry === undefined) throw new Error('the site has no entry');
+  return entry.url;
+}
+
+/** Resolves, with the time, once the process is at the generation. */
+export async function reachedAt(
+  process: BenchProcess,
+  generation: number,
+): Promise<number> {
+  const end = performance.now() + LONGEST_WAIT;
+  while (performance.now() < end) {
+    const known = await process.askGeneration();
+    if (known !== undefined && known >= generation) return performance.now();
+    await new Promise(resolve => setTimeout(resolve, POLL_PERIOD));
+  }
+  throw new Error(`${process.name} did not come to generation ${generation}`);
+}
+
+/** Resolves once the table's head is at the generation. */
+export async function committed(
+  site: SmallSite,
+  generation: number,
+): Promise<void> {
+  while ((await headOf(site)) < generation) {
+    await new Promise(resolve => setTimeout(resolve, 1));
+  }
+}
+
+/** The generation of the table's head. */
+export async function headOf(site: SmallSite): Promise<number> {
+  const {row} = await exchangeJson<{
+    row: {value: {generation: number}} | null;
+  }>('POST', `${site.platformUrl}/table/read`, {key: 'configuration/head'});
+  return row?.value.generation ?? 0;
+}
+
+/** Whether the plan is part of the line, at the generation that was answered. */
+export async function isKept(
+  site: SmallSite,
+  planId: string,
+  generation: number,
+): Promise<boolean> {
+  const {row} = await exchangeJson<{
+    row: {value: {state: {kind: string; generation?: number}}} | null;
+  }>('POST', `${site.platformUrl}/table/read`, {key: `plans/${planId}`});
+  const state = row?.value.state;
+  return state?.kind === 'confirmed' && state.generation === generation;
+}
--- /dev/null
+++ b/bench/configuration/options.ts
@@ -0,0 +1,52 @@
+import {parseArgs} from 'node:util';
+
+/** What goes wrong right after each commit. */
+export type Fault = 'none' | 'outage' | 'kill';
+
+/** What the bench runs. */
+export interface BenchOptions {
+  readonly entries: number;
+  readonly agents: number;
+  readonly changes: number;
+  readonly fault: Fault;
+  /** How long the platform is down after each commit, in milliseconds. */
+  readonly outage: number;
+  readonly json: boolean;
+}
+
+const FAULTS: readonly Fault[] = ['none', 'outage', 'kill'];
+
+/** Reads the command line; throws on what it does not know. */
+export function readOptions(programArguments: readonly string[]): BenchOptions {
+  const {values} = parseArgs({
+    args: [...programArguments],
+    options: {
+      entries: {type: 'string', default: '4'},
+      agents: {type: 'string', default: '16'},
+      changes: {type: 'string'},
+      fault: {type: 'string', default: 'none'},
+      'outage-seconds': {type: 'string', default: '60'},
+      json: {type: 'boolean', default: false},
+    },
+  });
+  const fault = FAULTS.find(known => known === values.fault);
+  if (fault === undefined) {
+    throw new Error(`--fault must be one of ${FAULTS.join(', ')}`);
+  }
+  // With a fault each change takes a whole outage.
+  const changes = values.changes ?? (fault === 'none' ? '200' : '1');
+  return {
+    entries: countOf('entries', values.entries),
+    agents: countOf('agents', values.agents),
+    changes: countOf('changes', changes),
+    fault,
+    outage: countOf('outage-seconds', values['outage-seconds']) * 1_000,
+    json: values.json,
+  };
+}
+
+function countOf(name: string, text: string): number {
+  const count = Number(text);
+  if (Number.isInteger(count) && count > 0) return count;
+  throw new Error(`--${name} must be a whole number above 0`);
+}
--- /dev/null
+++ b/bench/configuration/traffic.ts
@@ -0,0 +1,51 @@
+import {readFileSync} from 'node:fs';
+import {exchangeJson} from '../../demo/site/http';
+import type {SmallSite} from '../../demo/site/small_site';
+import type {BenchProcess} from './site_processes';
+
+/** What was sent and read so far. */
+export interface Traffic {
+  readonly at: number;
+  /** By process: bytes that it has read and written, sockets and logs alike. */
+  readonly bytes: readonly number[];
+  readonly tableReads: number;
+  readonly tableWrites: number;
+}
+
+/** Reads all counters. */
+export async function readTraffic(
+  site: SmallSite,
+  processes: readonly BenchProcess[],
+): Promise<Traffic> {
+  const {table} = await exchangeJson<{
+    table: {reads: number; writes: number};
+  }>('GET', `${site.platformUrl}/counters`);
+  return {
+    at: performance.now(),
+    bytes: processes.map(process => bytesOf(process.processId())),
+    tableReads: table.reads,
+    tableWrites: table.writes,
+  };
+}
+
+/** Counted by the kernel for each process; loopback has no other counter. */
+function bytesOf(processId: number): number {
+  const counters = readFileSync(`/proc/${processId}/io`, 'utf8');
+  const valueOf = (name: string): number =>
+    Number(new RegExp(`^${name}: (\\d+)$`, 'm').exec(counters)?.[1] ?? 0);
+  return valueOf('rchar') + valueOf('wchar');
+}
+
+/** Mean bytes per process and second between two readings. */
+export function bytesPerNodePerSecond(from: Traffic, to: Traffic): number {
+  const gained = to.bytes.map(
+    (bytes, index) => bytes - (from.bytes[index] ?? 0),
+  );
+  const total = gained.reduce((sum, bytes) => sum + bytes, 0);
+  return total / gained.length / secondsBetween(from, to);
+}
+
+/** Seconds between two readings. */
+export function secondsBetween(from: Traffic, to: Traffic): number {
+  return (to.at - from.at) / 1_000;
+}
--- a/demo/site/small_site.ts
+++ b/demo/site/small_site.ts
@@ -70,6 +70,8 @@
   readonly olderSystemUrl: string | undefined;
   /** Starts an agent anew in the slot of a target. */
   readonly restartAgent: (target: RunningTarget) => Promise<SiteProcess>;
+  /** Starts a killed process anew; does not wait until it is ready. */
+  readonly startAgain: (killed: RunningTarget | RunningEntry) => SiteProcess;
   /** Starts one more entry and lists it at the platform. */
   readonly addEntry: (name: string) => Promise<RunningEntry>;
   readonly unlist: (instance: string) => Promise<void>;
@@ -141,6 +143,14 @@
       binary: options.binary,
     });
 
+  const runEntry = (place: EntryPlace): SiteProcess =>
+    start({
+      name: place.instance,
+      program: 'hibiscusbeam',
+      programArguments: ['entry', '--settings', settings.entry(place)],
+      binary: options.binary,
+    });
+
   const addTarget = async (
     name: string,
     index: number,
@@ -182,12 +192,7 @@
       callerAddress: `${HOST}:${callerPort}`,
     };
     await list(place);
-    const process = start({
-      name,
-      program: 'hibiscusbeam',
-      programArguments: ['entry', '--settings', settings.entry(place)],
-      binary: options.binary,
-    });
+    const process = runEntry(place);
     await process.ready;
     return {name, url: `http://${place.callerAddress}`, process, place};
   };
@@ -249,6 +254,8 @@
         await agent.ready;
         return agent;
       },
+      startAgain: killed =>
+        'agent' in killed ? runAgent(killed.place) : runEntry(killed.place),
       addEntry: name => addEntry(name, added++),
       unlist: async instance => {
         await exchangeJson('DELETE', `${platform.url}/instances/${instance}`);
