--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -2,11 +2,9 @@
   createAttemptRegistry,
   DEFAULT_REGISTRY_BOUNDS,
   hash32,
-  mayServe,
   type AcceptedConfiguration,
   type AttemptRegistry,
   type TargetName,
-  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport} from '@hibiscusbeam/wire';
@@ -23,7 +21,7 @@
 import type {RunningProcess} from '../types/process';
 import type {AgentSettings} from '../types/settings';
 import {createTally} from '../utils/tally';
-import {prepareCall, prepareGenerate} from './agent_work';
+import {prepareCall, prepareGenerate, refuseClosed} from './agent_work';
 import {createCachedPrefixes} from './cached_prefixes';
 import {createEngineChunkStore} from './chunk_store';
 import {startEngineControl, type EngineControl} from './engine_control';
@@ -48,13 +46,6 @@
 /** Requests that a plain service runs side by side. */
 const PLAIN_SERVICE_SLOTS = 16;
 
-function servesWorkspace(
-  workspace: WorkspaceName,
-  accepted: AcceptedConfiguration | undefined,
-): boolean {
-  return accepted !== undefined && mayServe(workspace, accepted.configuration);
-}
-
 /** Starts the agent in a target's slot. */
 export async function startAgent(
   settings: AgentSettings,
@@ -98,12 +89,8 @@
     registry: () => registry,
     incarnation: () => life?.incarnation,
     prepare: request => {
-      // Failure: a request of a workspace that has moved away arrives late and
-      // runs here, while the caller has it run by the older system.
-      const current = node.configuration.current();
-      if (!servesWorkspace(request.workspace, current)) {
-        return {kind: 'notReady', reason: 'workspaceClosed'};
-      }
+      const closed = refuseClosed(request, node.configuration.current());
+      if (closed !== undefined) return closed;
       return isEngine
         ? prepareGenerate(request, control, isOurs(), engineRuns)
         : prepareCall(request, target.service ?? '', isOurs(), serviceRuns);
--- a/packages/daemon/src/agent/agent_work.ts
+++ b/packages/daemon/src/agent/agent_work.ts
@@ -1,20 +1,36 @@
+import {mayServe, type AcceptedConfiguration} from '@hibiscusbeam/core';
 import type {ServeRequest} from '@hibiscusbeam/wire';
 import type {EngineControl} from './engine_control';
 import type {Readiness} from './serve_handler';
 import type {EngineRuns, PlainServiceRuns} from './target_runs';
 
+/**
+ * Refuses a request of a workspace that is not ours to serve.
+ *
+ * Failure: the request of a workspace that has moved away arrives late and runs
+ * here, while its caller has it run by the older system.
+ */
+export function refuseClosed(
+  {workspace}: Pick<ServeRequest, 'workspace'>,
+  accepted: AcceptedConfiguration | undefined,
+): Readiness | undefined {
+  const isOurs =
+    accepted !== undefined && mayServe(workspace, accepted.configuration);
+  return isOurs ? undefined : {kind: 'notReady', reason: 'workspaceClosed'};
+}
+
 /** Whether a model engine can take the request, and how to run it. */
 export function prepareGenerate(
   request: ServeRequest,
   control: EngineControl | undefined,
-  mayServe: boolean,
+  isOurs: boolean,
   runs: EngineRuns,
 ): Readiness {
   const {work, attempt, priority} = request;
   // Failure: a move closes the target, this agent says that it is idle, and
   // between that and the next pass over the engine it starts one more request.
   // `routable` is as old as the last pass, the configuration is not.
-  if (work?.$case !== 'generate' || control === undefined || !mayServe) {
+  if (work?.$case !== 'generate' || control === undefined || !isOurs) {
     return {kind: 'notReady', reason: 'noTarget'};
   }
   const {model, versionDigest, prompt, maximumTokens} = work.generate;
@@ -55,11 +71,11 @@
 export function prepareCall(
   request: ServeRequest,
   service: string,
-  mayServe: boolean,
+  isOurs: boolean,
   runs: PlainServiceRuns,
 ): Readiness {
   const {work, attempt} = request;
-  if (work?.$case !== 'call' || work.call.service !== service || !mayServe) {
+  if (work?.$case !== 'call' || work.call.service !== service || !isOurs) {
     return {kind: 'notReady', reason: 'noTarget'};
   }
   const {operation, body} = work.call;
--- /dev/null
+++ b/test/moving/acquaintances.test.ts
@@ -0,0 +1,51 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {createAcquaintances} from '../../packages/daemon/src/site/acquaintances';
+import {propertySettings} from '../fixtures/property_settings';
+
+const FROZEN = {instance: 'engine-3', address: '10.0.1.3:7400'};
+
+const said = (incarnation: number) => ({...FROZEN, incarnation});
+
+const names = (acquaintances: ReturnType<typeof createAcquaintances>) =>
+  acquaintances.all().map(({instance}) => instance);
+
+describe('acquaintances', () => {
+  // What a user sees: a target that gets orders from two systems. An agent
+  // freezes; the list drops it for a moment, or the platform is down and says
+  // nothing for minutes; a move forgets the agent and opens; the agent wakes.
+  test('keep whom the list has not called gone for 30 s on end', () => {
+    const step = fc.record({
+      pause: fc.integer({min: 1, max: 20_000}),
+      isListed: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 20}), steps => {
+        const acquaintances = createAcquaintances();
+        acquaintances.hello(said(1));
+        let now = 0;
+        let absentFrom: number | undefined;
+        let isOut = false;
+        for (const {pause, isListed} of steps) {
+          now += pause;
+          acquaintances.list(isListed ? [FROZEN.instance] : [], now);
+          absentFrom = isListed ? undefined : (absentFrom ?? now);
+          const absence = absentFrom === undefined ? 0 : now - absentFrom;
+          isOut ||= absence >= 30_000;
+          expect(acquaintances.delistedFor(FROZEN.instance)).toBe(absence);
+          expect(names(acquaintances)).toEqual(isOut ? [] : ['engine-3']);
+        }
+      }),
+      propertySettings(300),
+    );
+  });
+
+  test('forget whoever says goodbye, but not for a goodbye of an earlier life', () => {
+    const acquaintances = createAcquaintances();
+    acquaintances.hello(said(2));
+    acquaintances.goodbye(FROZEN.instance, 1);
+    expect(names(acquaintances)).toEqual(['engine-3']);
+    acquaintances.goodbye(FROZEN.instance, 2);
+    expect(names(acquaintances)).toEqual([]);
+  });
+});
--- a/test/processes/moving.test.ts
+++ b/test/processes/moving.test.ts
@@ -39,6 +39,7 @@
   let site: SmallSite;
   let callers: Callers;
   let entryUrl = '';
+  let otherUrl = '';
   let serviceUrl = '';
   let targets: readonly string[] = [];
   let staying = '';
@@ -96,6 +97,7 @@
     owner: 'older-system' | 'hibiscusbeam',
     moved: readonly string[],
     holder: string,
+    afterConfirm: () => Promise<void>,
   ): Promise<void> => {
     const planId = await planIntent(entryUrl, `move to ${owner}`, [
       {kind: 'own', owner, targets: moved, workspaces: MOVED_WORKSPACES},
@@ -105,8 +107,9 @@
       isServiceBusy(site, holder),
     );
     await confirm(entryUrl, planId);
+    await afterConfirm();
     await until(`the move waits for ${holder}`, async () => {
-      const {move} = await show(entryUrl, planId);
+      const {move} = await show(otherUrl, planId);
       const awaited = move?.awaited ?? [];
       return (
         awaited.some(({process}) => process === holder) &&
@@ -121,11 +124,20 @@
     await expectClosed(owner, planId);
     await setOutage(site, false);
     await until(`all open for ${owner}, everywhere`, async () => {
-      const {move, inForce} = await show(entryUrl, planId);
+      const {move, inForce} = await show(otherUrl, planId);
       return move?.state.kind === 'opened' && inForce === true;
     });
   };
 
+  /** The entry that has confirmed dies; another carries the move on. */
+  const replaceEntry = async (): Promise<void> => {
+    const [entry] = site.entries;
+    if (entry === undefined) return;
+    entry.process.signal('SIGKILL');
+    await entry.process.exited;
+    await site.startAgain(entry).ready;
+  };
+
   /** Both sides are idle; that the platform is down must open neither. */
   const expectClosed = async (owner: string, planId: string): Promise<void> => {
     for (const {name, url} of site.entries) {
@@ -138,7 +150,7 @@
       expect(called).toMatchObject({outcome: 'notRun'});
       expect(called.text).toContain('workspaceClosed');
     }
-    const shown = await operate('GET', entryUrl, `/v1/plans/${planId}`);
+    const shown = await operate('GET', otherUrl, `/v1/plans/${planId}`);
     expect(shown).toMatchObject({
       status: 503,
       body: {error: 'platformUnavailable'},
@@ -149,7 +161,7 @@
 
   beforeAll(async () => {
     site = await startMovingSite();
-    entryUrl = site.entries[0]?.url ?? '';
+    [entryUrl = '', otherUrl = ''] = site.entries.map(({url}) => url);
     const [service] = site.plainServices;
     serviceUrl = service?.url ?? '';
     const engines = site.engines.map(({name}) => name);
@@ -159,7 +171,9 @@
     await untilGivers(['older-system']);
     await until20More('oldAnswered');
 
-    await moveAll('hibiscusbeam', targets, 'older-system');
+    await moveAll('hibiscusbeam', targets, 'older-system', () =>
+      Promise.resolve(),
+    );
     const serve = {
       kind: 'serve',
       model: DEMO_MODEL,
@@ -174,7 +188,7 @@
 
     // One engine stays: a plan never takes the last one that serves a model.
     const back = targets.filter(name => name !== staying);
-    await moveAll('older-system', back, service?.name ?? '');
+    await moveAll('older-system', back, service?.name ?? '', replaceEntry);
     await untilGivers(['older-system', 'hibiscusbeam', 'older-system']);
     await until20More('oldAnswered');
     await callers.stop();
--- a/test/processes/moving_site.ts
+++ b/test/processes/moving_site.ts
@@ -181,8 +181,15 @@
     const path = {service: DEMO_SERVICE, operation: DEMO_OPERATION};
     const body = {reference};
     const key = reference;
-    const called = await callService(entryUrl, workspace, path, body, key);
-    return called.outcome;
+    // An entry that was killed says nothing: the call may have run.
+    const called = await callService(
+      entryUrl,
+      workspace,
+      path,
+      body,
+      key,
+    ).catch(() => undefined);
+    return called?.outcome ?? 'outcomeUnknown';
   };
 
   const settle = async (
