Go on calling instances that count as dead while they are listed

What a user sees: a healthy, listed instance gets no request any more and learns no configuration while the platform is down. Cause: entries dropped the session of a member that counted as dead and never opened one again, and agents open none to entries.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,11 +1,9 @@
 import {
-  chooseHeldTargets,
   createWorkspaceLimits,
   HEARTBEAT_PERIOD,
   mayOrder,
   rendezvousOrder,
   type AcceptedConfiguration,
-  type Member,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
@@ -26,11 +24,9 @@
 import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
 import {createSiteView, loadReportOf} from './site_view';
+import {chooseSessions} from './wanted_sessions';
 import {createTargetDirectory} from './target_directory';
 
-/** Other entries that one entry opens sessions to. */
-const ENTRY_NEIGHBOURS = 8;
-
 /** Addresses in one answer to "which entry shall I use". */
 const MOST_ADDRESSES = 8;
 
@@ -252,26 +248,12 @@
     node.sessions.keep(new Set(wantedSessions()));
   };
 
-  const wantedSessions = (): readonly string[] => {
-    const members = node.membership
-      .members()
-      .filter(member => member.instance !== instance && isPresent(member));
-    const entries = members.filter(member => member.role === 'entry');
-    const agents = members.filter(member => member.role === 'agent');
-    const neighbours = rendezvousOrder(
+  const wantedSessions = (): readonly string[] =>
+    chooseSessions({
       instance,
-      entries.map(entry => entry.instance),
-    ).slice(0, ENTRY_NEIGHBOURS);
-    const held = chooseHeldTargets({
-      entry: instance,
-      entries: [instance, ...entries.map(entry => entry.instance)],
-      targets: agents.map(agent => agent.instance),
-    });
-    const chosen = new Set([...neighbours, ...held]);
-    return members
-      .filter(member => chosen.has(member.instance))
-      .map(member => member.address);
-  };
+      members: node.membership.members(),
+      listed: new Set(node.listed().map(line => line.instance)),
+    }).map(member => member.address);
 
   const entryAddresses = (): readonly EntryAddress[] => {
     const others = node.sessions
@@ -336,7 +318,3 @@
 
 /** Requests in progress for each one that may wait for a target. */
 const IN_PROGRESS_PER_WAITING = 8;
-
-function isPresent(member: Member): boolean {
-  return member.liveness !== 'dead' && member.liveness !== 'leaving';
-}
--- /dev/null
+++ b/packages/daemon/src/entry/wanted_sessions.ts
@@ -0,0 +1,60 @@
+import {
+  chooseHeldTargets,
+  rendezvousOrder,
+  type InstanceName,
+  type Member,
+} from '@hibiscusbeam/core';
+
+/** Other entries that one entry opens sessions to. */
+const ENTRY_NEIGHBOURS = 8;
+
+/** What the choice of sessions rests on. */
+export interface SessionChoice {
+  readonly instance: InstanceName;
+  readonly members: readonly Member[];
+  /** Instances that the platform's list names. */
+  readonly listed: ReadonlySet<InstanceName>;
+}
+
+/**
+ * Members that an entry keeps a session with. Dead ones take nobody's place,
+ * but as long as the platform lists them they are tried as well.
+ *
+ * Failure: an instance that was frozen, or slow to start, counts as dead at
+ * every entry; no one calls it, and it gets no request for the rest of its life.
+ */
+export function chooseSessions(choice: SessionChoice): readonly Member[] {
+  const {members, listed} = choice;
+  const present = members.filter(({liveness}) => !isOut(liveness));
+  const dead = members.filter(
+    ({liveness, instance}) => liveness === 'dead' && listed.has(instance),
+  );
+  const chosen = chooseAmong(choice.instance, present);
+  const chosenWithDead = chooseAmong(choice.instance, [...present, ...dead]);
+  return [
+    ...present.filter(({instance}) => chosen.has(instance)),
+    ...dead.filter(({instance}) => chosenWithDead.has(instance)),
+  ];
+}
+
+function isOut(liveness: Member['liveness']): boolean {
+  return liveness === 'dead' || liveness === 'leaving';
+}
+
+function chooseAmong(
+  instance: InstanceName,
+  members: readonly Member[],
+): ReadonlySet<InstanceName> {
+  const namesOf = (role: Member['role']): readonly InstanceName[] =>
+    members
+      .filter(member => member.role === role && member.instance !== instance)
+      .map(member => member.instance);
+  const entries = namesOf('entry');
+  const neighbours = rendezvousOrder(instance, entries);
+  const held = chooseHeldTargets({
+    entry: instance,
+    entries: [instance, ...entries],
+    targets: namesOf('agent'),
+  });
+  return new Set([...neighbours.slice(0, ENTRY_NEIGHBOURS), ...held]);
+}
--- /dev/null
+++ b/test/processes/sessions.test.ts
@@ -0,0 +1,52 @@
+import {requestDump} from '@hibiscusbeam/daemon';
+import {afterAll, beforeAll, expect, test} from 'vitest';
+import {DEMO_KEYS} from '../../demo/site/settings_files';
+import {startSmallSite, type SmallSite} from '../../demo/site/small_site';
+import {until} from './moving_site';
+
+let site: SmallSite;
+
+beforeAll(async () => {
+  site = await startSmallSite({
+    entries: 2,
+    engines: 1,
+    plainServices: 0,
+    binary: false,
+  });
+});
+
+afterAll(() => site.stop());
+
+/** How each entry sees the agent. */
+async function livenessAtEntries(): Promise<readonly (string | undefined)[]> {
+  const dumps = await Promise.all(
+    site.entries.map(entry =>
+      requestDump(entry.place.siteAddress, DEMO_KEYS.site),
+    ),
+  );
+  return dumps.map(dump => {
+    const {membership} = JSON.parse(dump.unwrap()) as {
+      membership: readonly {instance: string; liveness: string}[];
+    };
+    return membership.find(({instance}) => instance === 'engine-1')?.liveness;
+  });
+}
+
+const seenAs = (liveness: string) =>
+  until(`the agent ${liveness} at every entry`, async () => {
+    const seen = await livenessAtEntries();
+    return seen.every(one => one === liveness);
+  });
+
+// What a user sees: an instance that is healthy and listed gets no request for
+// the rest of its life, and does not learn new configurations while the
+// platform is down. It was frozen, or slow to start, for longer than it takes
+// to count as dead; the entries closed the session and never tried again.
+test('an agent that was silent until it counted as dead is met again', async () => {
+  await seenAs('live');
+  site.engines[0]?.agent.signal('SIGSTOP');
+  await seenAs('dead');
+  site.engines[0]?.agent.signal('SIGCONT');
+  await seenAs('live');
+  expect(await livenessAtEntries()).toEqual(['live', 'live']);
+}, 300_000);
