--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -2,11 +2,9 @@
   createAttemptRegistry,
   DEFAULT_REGISTRY_BOUNDS,
   hash32,
-  mayServe,
   type AcceptedConfiguration,
   type AttemptRegistry,
   type TargetName,
-  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport} from '@hibiscusbeam/wire';
@@ -27,13 +25,14 @@
 import type {AgentSettings} from '../types/settings';
 import {describeAgent} from '../site/agent_descriptions';
 import {createTally} from '../utils/tally';
-import {prepareCall, prepareGenerate} from './agent_work';
+import {prepareCall, prepareGenerate, refuseClosed} from './agent_work';
 import {createByteCounter} from './byte_counter';
 import {createCachedPrefixes} from './cached_prefixes';
 import {createEngineChunkStore} from './chunk_store';
 import {startEngineControl, type EngineControl} from './engine_control';
 import {beginLife, type AgentLife} from './incarnation';
 import {createServeHandler} from './serve_handler';
+import {createSwarmCandidates} from './swarm_candidates';
 import {createEngineRuns, createPlainServiceRuns} from './target_runs';
 import {createWeightsKeeper, type WeightsKeeper} from './weights_keeper';
 
@@ -52,13 +51,6 @@
 /** Requests that a plain service runs side by side. */
 const PLAIN_SERVICE_SLOTS = 16;
 
-function servesWorkspace(
-  workspace: WorkspaceName,
-  accepted: AcceptedConfiguration | undefined,
-): boolean {
-  return accepted !== undefined && mayServe(workspace, accepted.configuration);
-}
-
 /** Starts the agent in a target's slot. */
 export async function startAgent(
   settings: AgentSettings,
@@ -102,6 +94,7 @@
   let registry: AttemptRegistry | undefined;
   let control: EngineControl | undefined;
   const workspaces = createTally();
+  const candidates = createSwarmCandidates();
   let running = 0;
   let leaving = false;
   let refusing = false;
@@ -111,12 +104,8 @@
     registry: () => registry,
     incarnation: () => life?.incarnation,
     prepare: request => {
-      // Failure: a request of a workspace that has moved away arrives late and
-      // runs here, while the caller has it run by the older system.
-      const current = node.configuration.current();
-      if (!servesWorkspace(request.workspace, current)) {
-        return {kind: 'notReady', reason: 'workspaceClosed'};
-      }
+      const closed = refuseClosed(request, node.configuration.current());
+      if (closed !== undefined) return closed;
       return isEngine
         ? prepareGenerate(request, control, isOurs(), engineRuns)
         : prepareCall(request, target.service ?? '', isOurs(), serviceRuns);
@@ -250,11 +239,14 @@
 
   const followSite = (): void => {
     judgeLeaving();
-    const peers = node.membership
-      .members()
-      .filter(member => member.role === 'agent' && member.instance !== instance)
-      .filter(member => member.liveness !== 'dead');
     if (!isEngine) return;
+    const agents = node.membership
+      .members()
+      .filter(
+        ({role, instance: name}) => role === 'agent' && name !== instance,
+      );
+    const chosen = new Set(swarm.neighbours());
+    const peers = candidates.choose(agents, chosen, clock());
     swarm.setPeers(peers);
     const neighbours = new Set(swarm.neighbours());
     const addresses = peers
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,11 +1,9 @@
 import {
-  chooseHeldTargets,
   createWorkspaceLimits,
   HEARTBEAT_PERIOD,
   mayOrder,
   rendezvousOrder,
   type AcceptedConfiguration,
-  type Member,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
@@ -31,11 +29,9 @@
 import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
 import {createSiteView, loadReportOf} from './site_view';
+import {chooseSessions} from './wanted_sessions';
 import {createTargetDirectory} from './target_directory';
 
-/** Other entries that one entry opens sessions to. */
-const ENTRY_NEIGHBOURS = 8;
-
 /** Addresses in one answer to "which entry shall I use". */
 const MOST_ADDRESSES = 8;
 
@@ -282,45 +278,17 @@
     node.sessions.keep(new Set(wantedSessions()));
   };
 
-  const wantedSessions = (): readonly string[] => {
-    const members = node.membership
-      .members()
-      .filter(member => member.instance !== instance);
-    const present = members.filter(isPresent);
-    const listedLive = new Set(
-      node
-        .listed()
-        .filter(line => line.state === 'live')
-        .map(line => line.instance),
-    );
-    // An agent opens no session to an entry. One that is started again in its
-    // slot, or stays after all, would never be met: it shows as a target that
-    // gets no work while it is ready. So long as it is listed it is asked.
-    const gone = members.filter(
-      member => !isPresent(member) && listedLive.has(member.instance),
-    );
-    const chosen = chooseSessions(present);
-    const returning = chooseSessions([...present, ...gone]);
-    return [
-      ...present.filter(member => chosen.has(member.instance)),
-      ...gone.filter(member => returning.has(member.instance)),
-    ].map(member => member.address);
-  };
-
-  const chooseSessions = (members: readonly Member[]): ReadonlySet<string> => {
-    const entries = members.filter(member => member.role === 'entry');
-    const agents = members.filter(member => member.role === 'agent');
-    const neighbours = rendezvousOrder(
+  const wantedSessions = (): readonly string[] =>
+    chooseSessions({
       instance,
-      entries.map(entry => entry.instance),
-    ).slice(0, ENTRY_NEIGHBOURS);
-    const held = chooseHeldTargets({
-      entry: instance,
-      entries: [instance, ...entries.map(entry => entry.instance)],
-      targets: agents.map(agent => agent.instance),
-    });
-    return new Set([...neighbours, ...held]);
-  };
+      members: node.membership.members(),
+      listed: new Set(
+        node
+          .listed()
+          .filter(line => line.state === 'live')
+          .map(line => line.instance),
+      ),
+    }).map(member => member.address);
 
   const entryAddresses = (): readonly EntryAddress[] => {
     const others = node.sessions
@@ -395,7 +363,3 @@
 
 /** Requests in progress for each one that may wait for a target. */
 const IN_PROGRESS_PER_WAITING = 8;
-
-function isPresent(member: Member): boolean {
-  return member.liveness !== 'dead' && member.liveness !== 'leaving';
-}
