Add the slopes bench

Cause: docs/CAPACITY.md has to rest on measured slopes. Ruled out: counters inside the product for bytes on the wire; the kernel knows them by socket (ss), headers of HTTP/2 included. Figures: none yet; it runs once the machine is idle.

--- /dev/null
+++ b/bench/slopes/served_site.ts
@@ -0,0 +1,36 @@
+import {
+  confirmByCommand,
+  firstIntent,
+  planByCommand,
+  publishVersion,
+  waitUntilServed,
+} from '../../demo/rollout';
+import {DEMO_KEYS} from '../../demo/site/settings_files';
+import {
+  startSmallSite,
+  type SmallSite,
+  type SmallSiteOptions,
+} from '../../demo/site/small_site';
+
+/** Starts a site and brings in one version. */
+export async function servedSite(
+  options: Partial<SmallSiteOptions>,
+): Promise<SmallSite> {
+  const site = await startSmallSite({
+    entries: 2,
+    engines: 4,
+    plainServices: 0,
+    binary: false,
+    ...options,
+  });
+  try {
+    const version = await publishVersion(site, 'one', 1);
+    const {plan} = await planByCommand(site, firstIntent(site, 'one'));
+    await confirmByCommand(site, plan.planId);
+    await waitUntilServed(site, version, DEMO_KEYS.operator);
+    return site;
+  } catch (error) {
+    await site.stop();
+    throw error;
+  }
+}
--- /dev/null
+++ b/bench/slopes/site_bytes.ts
@@ -0,0 +1,37 @@
+import {execFileSync} from 'node:child_process';
+
+/** Bytes that processes have sent on sockets between processes of the site. */
+export interface SiteBytes {
+  readonly sent: number;
+  readonly received: number;
+}
+
+const BUFFER = 64 * 1024 * 1024;
+
+/**
+ * Reads from the kernel what each process has sent and received on TCP sockets
+ * of which one end is a site address. Payload only, without TCP and IP headers.
+ */
+export function readSiteBytes(
+  sitePorts: ReadonlySet<number>,
+): ReadonlyMap<number, SiteBytes> {
+  const text = execFileSync('ss', ['-tniHpO'], {
+    encoding: 'utf8',
+    maxBuffer: BUFFER,
+  });
+  const byProcess = new Map<number, SiteBytes>();
+  for (const line of text.split('\n')) {
+    const ports = [...line.matchAll(/127\.0\.0\.1:(\d+)/g)].map(match =>
+      Number(match[1]),
+    );
+    if (!ports.some(port => sitePorts.has(port))) continue;
+    const processId = Number(/pid=(\d+)/.exec(line)?.[1]);
+    const before = byProcess.get(processId) ?? {sent: 0, received: 0};
+    byProcess.set(processId, {
+      sent: before.sent + Number(/bytes_sent:(\d+)/.exec(line)?.[1] ?? 0),
+      received:
+        before.received + Number(/bytes_received:(\d+)/.exec(line)?.[1] ?? 0),
+    });
+  }
+  return byProcess;
+}
