Trim plans from long ago

Ruled out: trimming in the confirming transaction (plans that were never confirmed stay for ever). Conclusion: one scan in 16 generations, at the entry that confirms.

--- a/packages/daemon/src/entry/plan_service.ts
+++ b/packages/daemon/src/entry/plan_service.ts
@@ -14,8 +14,10 @@
   planIntent,
   planKey,
   storePlan,
+  trimPlans,
   versionsWanted,
   type AcceptedConfiguration,
+  type Generation,
   type AwaitedProcess,
   type Intent,
   type IntentFault,
@@ -43,6 +45,12 @@
 /** Plans that a list shows at most. */
 const MOST_LISTED = 200;
 
+/** Plans looked at in one round of trimming. */
+const MOST_TRIMMED = 500;
+
+/** Plans are trimmed once in so many generations. */
+const GENERATIONS_PER_TRIM = 16;
+
 /** Moves looked at when planning; more are never open at once. */
 const MOST_MOVES = 1_000;
 
@@ -222,6 +230,9 @@
     }
     const {accepted, wasConfirmed} = confirmed.val;
     options.onCommitted(accepted);
+    if (accepted.generation % GENERATIONS_PER_TRIM === 0) {
+      void trim(accepted.generation);
+    }
     // Not awaited: the answer that the plan is confirmed must not wait for a
     // platform that goes down right now. The head names the move as well.
     void beginMove(planId);
@@ -235,6 +246,18 @@
     if (isOpen) options.onMoveConfirmed(planId);
   };
 
+  /**
+   * Deletes plans from long ago. Without it the rows would grow by 1,800 a day
+   * and a list would not show the newest. Failures are left to the next time.
+   */
+  const trim = async (head: Generation): Promise<void> => {
+    const rows = await table.scan(PLAN_PREFIX, MOST_TRIMMED);
+    if (rows.err) return;
+    for (const transaction of trimPlans(rows.val, head)) {
+      await table.commit(transaction);
+    }
+  };
+
   const show: PlanService['show'] = async planId => {
     const row = await table.read(planKey(planId));
     if (row.err) return Err({kind: 'platform', error: row.val});
