--- a/bench/distribution/run.ts
+++ b/bench/distribution/run.ts
@@ -3,6 +3,7 @@
 import type {SwarmPeer} from '@hibiscusbeam/daemon';
 import type {BenchOptions} from './options';
 import {startOrigin, type Origin} from './origin';
+import {lowerBoundSeconds, quantile, round, type BenchResult} from './result';
 import {generateVersion, type BenchVersion} from './version';
 import {cpuSeconds} from './worker';
 import {startWorkers, type Workers} from './workers';
@@ -24,36 +25,6 @@
 /** Delay of the platform's list of instances after a kill. */
 const LIST_LAG_MILLISECONDS = 2_000;
 
-/** One run's figures. */
-export interface BenchResult {
-  readonly strategy: string;
-  readonly prefer: string;
-  readonly fault: string;
-  readonly instances: number;
-  /** Instances that hold the whole version at the end. */
-  readonly replicas: number;
-  readonly seconds: number;
-  readonly lowerBoundSeconds: number;
-  readonly ratio: number;
-  readonly originCopies: number;
-  readonly p50Seconds: number;
-  readonly p99Seconds: number;
-  readonly verified: boolean;
-  readonly controlBytesPerNodePerSecond: number;
-  /** CPU share of the busiest process: 1 is one core in full use. */
-  readonly cpuShare: number;
-  readonly crossZoneCopies: number;
-  /** Requests to other instances per chunk and instance, refused ones too. */
-  readonly requestsPerChunk: number;
-  readonly neighbours: number;
-  readonly chunks: number;
-  readonly chunkBytes: number;
-  readonly windowSeconds: number;
-  readonly shared: number;
-  readonly reuse: boolean;
-  readonly seed: number;
-}
-
 /** Runs the bench once. */
 export async function runBench(options: BenchOptions): Promise<BenchResult> {
   const versionBytes = options.chunks * options.chunkBytes;
@@ -227,27 +198,6 @@
   return generateVersion(label, seed, chunks, chunkBytes, sharedChunks);
 }
 
-/** Least time in which the links could carry the version to all. */
-function lowerBoundSeconds(options: BenchOptions): number {
-  const {instances, windowSeconds} = options;
-  const origin = 4 / windowSeconds;
-  const link = 2 / windowSeconds;
-  return Math.max(
-    1 / origin,
-    1 / link,
-    instances / (origin + instances * link),
-  );
-}
-
 function isFaulty(instance: string): boolean {
   return instance.endsWith(String(FAULTY_POSITION).padStart(4, '0'));
 }
-
-function quantile(sorted: readonly number[], share: number): number {
-  const place = Math.ceil(share * sorted.length) - 1;
-  return sorted[Math.max(0, place)] ?? 0;
-}
-
-function round(value: number): number {
-  return Math.round(value * 1000) / 1000;
-}
--- a/packages/daemon/src/swarm/upload_gate.ts
+++ b/packages/daemon/src/swarm/upload_gate.ts
@@ -81,7 +81,10 @@
     },
     start: upload => open.get(upload)?.admit(Ok(undefined)),
     refuse: (upload, failure) => open.get(upload)?.admit(Err(failure)),
-    stop: upload => open.get(upload)?.controller.abort(),
+    stop(upload) {
+      open.get(upload)?.controller.abort();
+      open.delete(upload);
+    },
     stopAll() {
       for (const {controller} of open.values()) controller.abort();
     },
--- a/test/distribution/invariants.test.ts
+++ b/test/distribution/invariants.test.ts
@@ -1,7 +1,8 @@
 import * as fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {propertySettings} from '../fixtures/property_settings';
-import {createMesh, type Fault} from './mesh';
+import {createMesh} from './mesh';
+import type {Fault} from './mesh_types';
 import {generateVersion} from './versions';
 
 const NODES = 5;
--- a/test/distribution/mesh.ts
+++ b/test/distribution/mesh.ts
@@ -1,69 +1,21 @@
 import {
   createSwarmNode,
-  hash32,
   type Digest,
   type InstanceName,
   type RequestFailure,
-  type RolloutPreference,
   type SwarmEffect,
   type SwarmEvent,
-  type SwarmNode,
-  type SwarmNodeOptions,
 } from '@hibiscusbeam/core';
+import {createMeshClock} from './mesh_clock';
+import type {Ask, Fault, MeshNode, MeshOptions} from './mesh_types';
 import type {GeneratedVersion} from './versions';
 
-/** Something that goes wrong at one instant. */
-export type Fault =
-  | {readonly kind: 'kill'; readonly node: number}
-  | {readonly kind: 'freeze'; readonly node: number; readonly time: number}
-  | {readonly kind: 'restartAgent'; readonly node: number}
-  | {readonly kind: 'restartEngine'; readonly node: number}
-  | {readonly kind: 'cutSession'; readonly node: number; readonly other: number}
-  | {readonly kind: 'originOutage'; readonly time: number}
-  | {readonly kind: 'supersede'}
-  | {readonly kind: 'corruptNext' | 'crossNext' | 'doubleNext' | 'lateNext'};
-
-export interface MeshOptions {
-  readonly nodes: number;
-  readonly zones?: number;
-  readonly seed: number;
-  /** The first is wanted at the start, each next one at a `supersede`. */
-  readonly versions: readonly GeneratedVersion[];
-  readonly prefer?: RolloutPreference;
-  readonly node?: Partial<SwarmNodeOptions>;
-  /** Nodes that send only bad chunks. */
-  readonly badSenders?: readonly number[];
-}
-
-interface MeshNode {
-  readonly instance: InstanceName;
-  readonly zone: string;
-  node: SwarmNode;
-  /** Counts restarts of the agent: messages for an older life are lost. */
-  agentLife: number;
-  engineLife: number;
-  /** Bytes as stored, by the digest that they were stored under. */
-  store: Map<Digest, string>;
-  alive: boolean;
-  frozenUntil: number;
-  wakeUp: number;
-  readonly pieces: Map<number, string>;
-  readonly ready: Set<Digest>;
-}
-
-interface Ask {
-  readonly at: number;
-  readonly by: number;
-  readonly from: InstanceName;
-  readonly digest: Digest;
-}
-
 /** Longest simulated time before a mesh counts as stuck, in milliseconds. */
 const LONGEST_RUN = 900_000;
 
 /** Pure swarm nodes joined by links that lose, delay, double and cross. */
 export function createMesh(options: MeshOptions) {
-  const queue: {at: number; order: number; run: () => void}[] = [];
+  const {now, draw, later, runUntil} = createMeshClock(options.seed);
   const asks: Ask[] = [];
   const cutOffs: {by: number; neighbour: InstanceName}[] = [];
   const wrongReady: string[] = [];
@@ -73,9 +25,6 @@
     {by: number; life: number; transfer: number; digest: Digest}
   >();
   const pending = {corrupt: 0, cross: 0, double: 0, late: 0};
-  let now = 0;
-  let order = 0;
-  let draws = 0;
   let current = 0;
   let originDownUntil = 0;
   let nextUpload = 1;
@@ -108,32 +57,22 @@
     });
   }
 
-  function draw(range: number): number {
-    draws += 1;
-    return hash32(`${options.seed}:${draws}`) % range;
-  }
-
-  function later(delay: number, run: () => void): void {
-    order += 1;
-    queue.push({at: now + delay, order, run});
-  }
-
   /** Delivers to one life of a node; a frozen node gets it when it wakes. */
   function tell(place: number, life: number, event: SwarmEvent): void {
     const target = nodes[place]!;
     if (!target.alive || target.agentLife !== life) return;
-    if (target.frozenUntil > now) {
+    if (target.frozenUntil > now()) {
       if (target.frozenUntil === Infinity) return;
-      later(target.frozenUntil - now, () => tell(place, life, event));
+      later(target.frozenUntil - now(), () => tell(place, life, event));
       return;
     }
-    for (const effect of target.node.handle(event, now)) {
+    for (const effect of target.node.handle(event, now())) {
       carryOut(place, effect);
     }
     const at = target.node.nextWakeUp();
     if (at === undefined || at === target.wakeUp) return;
     target.wakeUp = at;
-    later(Math.max(1, at - now), () => {
+    later(Math.max(1, at - now()), () => {
       target.wakeUp = Infinity;
       tell(place, life, {kind: 'tick'});
     });
@@ -187,15 +126,15 @@
     switch (effect.kind) {
       case 'askOrigin': {
         const {transfer, digest} = effect;
-        asks.push({at: now, by: place, from: 'origin', digest});
-        if (originDownUntil > now) {
+        asks.push({at: now(), by: place, from: 'origin', digest});
+        if (originDownUntil > now()) {
           fail(place, life, transfer, {kind: 'unavailable'});
         } else deliver(place, life, transfer, digest, true);
         return;
       }
       case 'askNeighbour': {
         const {transfer, digest, neighbour} = effect;
-        asks.push({at: now, by: place, from: neighbour, digest});
+        asks.push({at: now(), by: place, from: neighbour, digest});
         const sender = names.indexOf(neighbour);
         later(1 + draw(5), () => {
           const target = nodes[sender]!;
@@ -225,7 +164,7 @@
         const good = options.badSenders?.includes(place) !== true;
         served.push({by: upload.by, from: own.instance});
         deliver(upload.by, upload.life, upload.transfer, upload.digest, good);
-        const reads = nodes[upload.by]!.frozenUntil <= now;
+        const reads = nodes[upload.by]!.frozenUntil <= now();
         if (!reads) return;
         const ended = {kind: 'uploadEnded', upload: effect.upload} as const;
         later(25, () => tell(place, life, ended));
@@ -338,7 +277,7 @@
         nodes[fault.node]!.alive = false;
         return loseSessions(fault.node);
       case 'freeze':
-        nodes[fault.node]!.frozenUntil = now + fault.time;
+        nodes[fault.node]!.frozenUntil = now() + fault.time;
         return;
       case 'restartAgent': {
         const own = nodes[fault.node]!;
@@ -362,7 +301,7 @@
         endSession(fault.node, fault.other);
         return endSession(fault.other, fault.node);
       case 'originOutage':
-        originDownUntil = now + fault.time;
+        originDownUntil = now() + fault.time;
         return;
       case 'supersede': {
         const old = options.versions[current]!;
@@ -413,15 +352,7 @@
         inject(fault);
       });
     }
-    while (now < LONGEST_RUN) {
-      queue.sort((one, two) => two.at - one.at || two.order - one.order);
-      const next = queue.pop();
-      if (next === undefined) return left === 0 && isDone();
-      now = next.at;
-      next.run();
-      if (left === 0 && isDone()) return true;
-    }
-    return false;
+    return runUntil(() => left === 0 && isDone(), LONGEST_RUN);
   }
 
   return {
@@ -432,7 +363,7 @@
     served,
     wrongReady,
     run,
-    now: () => now,
+    now,
     originAsks: () => asks.filter(ask => ask.from === 'origin'),
   };
 }
--- /dev/null
+++ b/test/distribution/mesh_clock.ts
@@ -0,0 +1,41 @@
+import {hash32} from '@hibiscusbeam/core';
+
+/** Time and chance of a mesh: its own queue of events, and seeded draws. */
+export interface MeshClock {
+  readonly now: () => number;
+  /** A number from 0 to `range`, exclusive. */
+  readonly draw: (range: number) => number;
+  readonly later: (delay: number, run: () => void) => void;
+  /** Runs events until `isDone`; false if none is left, or at `longest`. */
+  readonly runUntil: (isDone: () => boolean, longest: number) => boolean;
+}
+
+/** Creates a clock at 0 whose draws depend on `seed` alone. */
+export function createMeshClock(seed: number): MeshClock {
+  const queue: {at: number; order: number; run: () => void}[] = [];
+  let now = 0;
+  let order = 0;
+  let draws = 0;
+  return {
+    now: () => now,
+    draw(range) {
+      draws += 1;
+      return hash32(`${seed}:${draws}`) % range;
+    },
+    later(delay, run) {
+      order += 1;
+      queue.push({at: now + delay, order, run});
+    },
+    runUntil(isDone, longest) {
+      while (now < longest) {
+        queue.sort((one, two) => two.at - one.at || two.order - one.order);
+        const next = queue.pop();
+        if (next === undefined) return isDone();
+        now = next.at;
+        next.run();
+        if (isDone()) return true;
+      }
+      return false;
+    },
+  };
+}
--- /dev/null
+++ b/test/distribution/mesh_types.ts
@@ -0,0 +1,57 @@
+import type {
+  Digest,
+  InstanceName,
+  RolloutPreference,
+  SwarmNode,
+  SwarmNodeOptions,
+} from '@hibiscusbeam/core';
+import type {GeneratedVersion} from './versions';
+
+/** Something that goes wrong at one instant. */
+export type Fault =
+  | {readonly kind: 'kill'; readonly node: number}
+  | {readonly kind: 'freeze'; readonly node: number; readonly time: number}
+  | {readonly kind: 'restartAgent'; readonly node: number}
+  | {readonly kind: 'restartEngine'; readonly node: number}
+  | {readonly kind: 'cutSession'; readonly node: number; readonly other: number}
+  | {readonly kind: 'originOutage'; readonly time: number}
+  | {readonly kind: 'supersede'}
+  | {readonly kind: 'corruptNext' | 'crossNext' | 'doubleNext' | 'lateNext'};
+
+/** A mesh and what is wrong with it from the start. */
+export interface MeshOptions {
+  readonly nodes: number;
+  readonly zones?: number;
+  readonly seed: number;
+  /** The first is wanted at the start, each next one at a `supersede`. */
+  readonly versions: readonly GeneratedVersion[];
+  readonly prefer?: RolloutPreference;
+  readonly node?: Partial<SwarmNodeOptions>;
+  /** Nodes that send only bad chunks. */
+  readonly badSenders?: readonly number[];
+}
+
+/** One agent with its store. */
+export interface MeshNode {
+  readonly instance: InstanceName;
+  readonly zone: string;
+  node: SwarmNode;
+  /** Counts restarts of the agent: messages for an older life are lost. */
+  agentLife: number;
+  engineLife: number;
+  /** Bytes as stored, by the digest that they were stored under. */
+  store: Map<Digest, string>;
+  alive: boolean;
+  frozenUntil: number;
+  wakeUp: number;
+  readonly pieces: Map<number, string>;
+  readonly ready: Set<Digest>;
+}
+
+/** One request for a chunk. */
+export interface Ask {
+  readonly at: number;
+  readonly by: number;
+  readonly from: InstanceName;
+  readonly digest: Digest;
+}
