Give signs of life to a reader that waits for its upload slot

Cause: with slow links a chunk waits several seconds in a sender's queue; readers took the sender for frozen, suspended it and asked others.

--- a/bench/distribution/links.ts
+++ b/bench/distribution/links.ts
@@ -7,6 +7,7 @@
   readonly take: (bytes: number) => Promise<void>;
   /** Carries nothing for so long, in milliseconds. */
   readonly freeze: (time: number) => void;
+  readonly isFrozen: () => boolean;
 }
 
 /**
@@ -17,6 +18,7 @@
 export function createLink(bytesPerSecond: number, burstBytes: number): Link {
   const burst = (burstBytes * 1000) / bytesPerSecond;
   let freeAt = 0;
+  let frozenUntil = 0;
   return {
     async take(bytes) {
       const now = performance.now();
@@ -25,7 +27,9 @@
       if (freeAt > now) await sleep(freeAt - now);
     },
     freeze(time) {
-      freeAt = performance.now() + time;
+      frozenUntil = performance.now() + time;
+      freeAt = frozenUntil;
     },
+    isFrozen: () => performance.now() < frozenUntil,
   };
 }
--- a/packages/core/src/distribution/bounds.ts
+++ b/packages/core/src/distribution/bounds.ts
@@ -45,7 +45,7 @@
 
 /** Time without progress that counts as a stall, and its limits. */
 export const FIRST_STALL = 3_000;
-export const SHORTEST_STALL = 500;
+export const SHORTEST_STALL = 1_000;
 export const LONGEST_STALL = 30_000;
 
 /** Wait for the neighbours' first have-maps before the origin is asked. */
--- a/packages/daemon/src/swarm/grpc_chunks.ts
+++ b/packages/daemon/src/swarm/grpc_chunks.ts
@@ -23,6 +23,11 @@
 /** Wait after a busy answer that names none. */
 const DEFAULT_RETRY_AFTER = 100;
 
+/** Time between signs of life to a reader that waits, in milliseconds. */
+const KEEP_ALIVE_INTERVAL = 250;
+
+const NO_BYTES = Buffer.alloc(0);
+
 /** Reads a chunk over `FetchChunk`; unread pieces hold the sender back. */
 export async function* fetchChunkOver(
   client: AgentClient,
@@ -57,7 +62,15 @@
   call.on('cancelled', () => controller.abort());
   const instance = String(call.metadata.get(INSTANCE_KEY)[0] ?? call.getPeer());
   const {digest} = call.request;
+  // A reader can't tell a queue from a frozen sender by silence alone, and
+  // would ask others for chunks that are on their way. Empty pieces say that
+  // this end is alive.
+  const keepAlive = setInterval(
+    () => call.write({content: NO_BYTES, size: 0}),
+    KEEP_ALIVE_INTERVAL,
+  );
   const served = await driver.serveChunk(instance, digest, controller.signal);
+  clearInterval(keepAlive);
   if (served.err) {
     call.emit('error', toStatus(served.val));
     return;
--- a/test/distribution/grpc_chunks.test.ts
+++ b/test/distribution/grpc_chunks.test.ts
@@ -93,6 +93,29 @@
     expect(seen).toEqual([failure]);
   });
 
+  // A rollout copies chunks twice. Order of events: a chunk waits in a long
+  // queue, its reader takes the sender for frozen and asks another. Cause: a
+  // queue is as silent as a frozen sender.
+  test('gives signs of life while a chunk waits for its slot', async () => {
+    let admit = () => {};
+    const admitted = new Promise<void>(resolve => (admit = resolve));
+    async function* chunk() {
+      yield Buffer.from('bytes');
+    }
+    const client = await serve(async () => {
+      await admitted;
+      return Ok(chunk());
+    });
+    const {signal} = new AbortController();
+    const pieces = fetchChunkOver(client, 'a', 'd', signal);
+    const first = await pieces.next();
+    admit();
+    expect(first.value.val.length).toBe(0);
+    const rest = [];
+    for await (const piece of pieces) rest.push(String(piece.val));
+    expect(rest.join('')).toBe('bytes');
+  });
+
   test('tells the sender who asks, and that the reader is gone', async () => {
     let asker = '';
     let isGone = false;
