--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -137,8 +137,8 @@
 /** Requests that an entry may let pass at once, however small its share. */
 export const LEAST_LIMIT_BURST = 4;
 
-/** A workspace sends over its share from this multiple of its weight's part. */
-export const OVER_SHARE_FACTOR = 1.8;
+/** A workspace sends over its share from this multiple of the others' rate. */
+export const OVER_SHARE_FACTOR = 2.5;
 
 /** Workspaces over their share leave this part of a target's slots free. */
 export const RESERVED_SLOT_SHARE = 0.15;
--- a/packages/core/src/routing/workspace_shares.ts
+++ b/packages/core/src/routing/workspace_shares.ts
@@ -61,17 +61,23 @@
     const weights = totalWeight + (own === undefined ? weight : 0);
     const fair = ((totalInFlight + 1) * weight) / weights;
     if ((own?.inFlight ?? 0) + 1 <= fair) return false;
-    return sendsOverShare(workspace, weight, weights);
+    return sendsOverShare(workspace, weight);
   };
 
+  /** Compares with the others only, since a flood is most of the mean. */
   const sendsOverShare = (
     workspace: WorkspaceName,
     weight: number,
-    weights: number,
   ): boolean => {
-    let use = shares.has(workspace) ? 0 : options.siteUse(workspace);
-    for (const active of shares.keys()) use += options.siteUse(active);
-    const fair = (use * weight) / weights;
+    let othersUse = 0;
+    let othersWeight = 0;
+    for (const [other, share] of shares) {
+      if (other === workspace) continue;
+      othersUse += options.siteUse(other);
+      othersWeight += share.weight;
+    }
+    if (othersWeight === 0) return false;
+    const fair = (othersUse * weight) / othersWeight;
     return options.siteUse(workspace) > OVER_SHARE_FACTOR * fair;
   };
 
