--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -11,6 +11,7 @@
 import {createLog} from '../logs';
 import {measurePlatform} from '../platform_access/measured_platform';
 import {openMetrics, sendGauges} from '../process/process_metrics';
+import {startProcess} from '../process/running_process';
 import {every, monotonicClock, sleep} from '../runtime/clock';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import {
@@ -52,20 +53,8 @@
 const PLAIN_SERVICE_SLOTS = 16;
 
 /** Starts the agent in a target's slot. */
-export async function startAgent(
-  settings: AgentSettings,
-): Promise<RunningProcess> {
-  const agent = createAgent(settings);
-  await agent.start();
-  let finish = (): void => undefined;
-  const stopped = new Promise<void>(resolve => (finish = resolve));
-  return {
-    stopped,
-    stop: async () => {
-      await agent.stop();
-      finish();
-    },
-  };
+export function startAgent(settings: AgentSettings): Promise<RunningProcess> {
+  return startProcess(createAgent(settings));
 }
 
 function createAgent(settings: AgentSettings) {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,18 +1,17 @@
 import {
   createWorkspaceLimits,
   HEARTBEAT_PERIOD,
-  mayOrder,
   rendezvousOrder,
   SUSPECT_AFTER,
   type AcceptedConfiguration,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
-import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
+import type {WorkspaceUse} from '@hibiscusbeam/wire';
 import {createLog} from '../logs';
 import {measurePlatform} from '../platform_access/measured_platform';
 import {openMetrics, sendGauges} from '../process/process_metrics';
+import {startProcess} from '../process/running_process';
 import {every, monotonicClock, sleep} from '../runtime/clock';
-import type {Peer} from '../site/sessions';
 import {readKnownTargets} from '../site/agent_descriptions';
 import {createSiteNode, type SiteNode} from '../site/site_node';
 import type {RunningProcess} from '../types/process';
@@ -29,8 +28,9 @@
 import {createPlanService} from './plan_service';
 import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
-import {createSiteView, loadReportOf} from './site_view';
+import {createSiteView} from './site_view';
 import {createSessionChooser} from './wanted_sessions';
+import {createTargetFeed} from './target_feed';
 import {createTargetDirectory} from './target_directory';
 
 /** Addresses in one answer to "which entry shall I use". */
@@ -52,20 +52,8 @@
 const RATES = {originRate: 125_000_000, instanceRate: 1_250_000_000};
 
 /** Starts an entry. */
-export async function startEntry(
-  settings: EntrySettings,
-): Promise<RunningProcess> {
-  const entry = createEntry(settings);
-  await entry.start();
-  let finish = (): void => undefined;
-  const stopped = new Promise<void>(resolve => (finish = resolve));
-  return {
-    stopped,
-    stop: async () => {
-      await entry.stop();
-      finish();
-    },
-  };
+export function startEntry(settings: EntrySettings): Promise<RunningProcess> {
+  return startProcess(createEntry(settings));
 }
 
 function createEntry(settings: EntrySettings) {
@@ -134,9 +122,9 @@
         moves: moves.dump(),
       }),
       onAdopted: accepted => followConfiguration(accepted),
-      onPeerOpened: peer => meet(peer),
-      onPeerClosed: peer => lose(peer),
-      onTargetReport: (peer, report) => hear(peer, report),
+      onPeerOpened: peer => feed.meet(peer),
+      onPeerClosed: peer => feed.lose(peer),
+      onTargetReport: (peer, report) => feed.hear(peer, report),
       onTick: () => followSite(),
     },
   });
@@ -166,6 +154,15 @@
     onMove: runner.takeBack,
     onRetry: () => metrics.count('requests.retried', {}),
   });
+  const feed = createTargetFeed({
+    clock,
+    directory,
+    view,
+    limits,
+    dispatcher,
+    membership: node.membership,
+    configuration: node.configuration.current,
+  });
   const callers = measureCallers(
     createCallerService({
       instance,
@@ -232,57 +229,8 @@
     }
   };
 
-  const meet = (peer: Peer): void => {
-    view.meet(peer);
-    if (peer.role === 'entry') limits.entryJoined(peer.instance, clock());
-    if (peer.target === undefined) return;
-    const {address, incarnation: life} = peer;
-    directory.put({
-      target: peer.target.name,
-      instance: peer.instance,
-      address,
-      incarnation: life,
-    });
-  };
-
-  const lose = (peer: Peer): void => {
-    view.forget(peer.instance);
-    // Without this the silence of a replaced entry would count as ever more
-    // use, and the shares of all others would fall towards nothing.
-    if (peer.role === 'entry') limits.entryGone(peer.instance);
-    if (peer.target === undefined) return;
-    dispatcher.record({
-      kind: 'targetGone',
-      target: peer.target.name,
-      now: clock(),
-    });
-  };
-
-  const hear = (peer: Peer, report: TargetReport): void => {
-    view.hear(peer, report);
-    const liveness = node.membership.livenessOf(peer.instance);
-    const load = loadReportOf(peer, report, liveness === 'leaving');
-    if (load === undefined) return;
-    const accepted = node.configuration.current();
-    const isOurs =
-      accepted !== undefined && mayOrder(load.target, accepted.configuration);
-    if (liveness !== 'live' || !isOurs) {
-      const {target} = load;
-      dispatcher.record({kind: 'targetGone', target, now: clock()});
-      return;
-    }
-    dispatcher.record({kind: 'reportReceived', report: load, now: clock()});
-  };
-
-  /** Takes targets out of routing that the membership no longer sees live. */
   const followSite = (): void => {
-    for (const member of node.membership.members()) {
-      if (member.role !== 'agent' || member.liveness === 'live') continue;
-      const agent = directory.ofInstance(member.instance);
-      if (agent === undefined) continue;
-      const {target} = agent;
-      dispatcher.record({kind: 'targetGone', target, now: clock()});
-    }
+    feed.dropGone();
     node.sessions.keep(new Set(wantedSessions()));
   };
 
--- a/packages/daemon/src/entry/request_runner.ts
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -14,7 +14,6 @@
   type VersionDigest,
 } from '@hibiscusbeam/core';
 import type {Platform} from '@hibiscusbeam/platform';
-import {TombstoneReply_State, type TombstoneReply} from '@hibiscusbeam/wire';
 import {sleep, type Clock} from '../runtime/clock';
 import {drive} from '../runtime/drive';
 import type {SiteClientPool} from '../site/site_clients';
@@ -23,6 +22,7 @@
 import type {GroupCommitDriver} from './group_commit_driver';
 import {serveRequestOf, type ServeWork} from './serve_requests';
 import type {TargetDirectory} from './target_directory';
+import {askTombstone} from './tombstones';
 
 /** One request under way. */
 export interface RequestContext {
@@ -246,19 +246,8 @@
   ): Promise<TombstoneAnswer | undefined> => {
     const agent = directory.ofInstance(address.instance);
     if (agent === undefined) return Promise.resolve(undefined);
-    const {attempt, incarnation} = address;
     const remaining = Math.max(1, until - clock());
-    return new Promise(resolve => {
-      clients
-        .at(agent.address)
-        .agent.tombstone(
-          {attempt, incarnation},
-          clients.metadata,
-          {deadline: Date.now() + remaining},
-          (error, reply) =>
-            resolve(error === null ? tombstoneAnswerOf(reply) : undefined),
-        );
-    });
+    return askTombstone(clients, agent.address, address, remaining);
   };
 
   const perform = (
@@ -345,22 +334,3 @@
 function event(next: AttemptEvent): RequestReply {
   return {kind: 'event', event: next};
 }
-
-function tombstoneAnswerOf(reply: TombstoneReply): TombstoneAnswer | undefined {
-  const {attempt, incarnation} = reply;
-  switch (reply.state) {
-    case TombstoneReply_State.STATE_TOMBSTONED:
-      return {attempt, incarnation, state: 'tombstoned'};
-    case TombstoneReply_State.STATE_STARTED:
-      return {attempt, incarnation, state: 'started'};
-    case TombstoneReply_State.STATE_FINISHED:
-      return {attempt, incarnation, state: 'finished'};
-    case TombstoneReply_State.STATE_FORGOTTEN:
-      return {attempt, incarnation, state: 'forgotten'};
-    case TombstoneReply_State.STATE_OTHER_INCARNATION:
-      return {attempt, incarnation, state: 'otherIncarnation'};
-    case TombstoneReply_State.STATE_UNSPECIFIED:
-    case TombstoneReply_State.UNRECOGNIZED:
-      return undefined;
-  }
-}
--- /dev/null
+++ b/packages/daemon/src/entry/target_feed.ts
@@ -0,0 +1,80 @@
+import {
+  mayOrder,
+  type AcceptedConfiguration,
+  type Membership,
+  type TargetName,
+  type WorkspaceLimits,
+} from '@hibiscusbeam/core';
+import type {TargetReport} from '@hibiscusbeam/wire';
+import type {Clock} from '../runtime/clock';
+import type {Peer} from '../site/sessions';
+import type {Dispatcher} from './dispatcher';
+import {loadReportOf, type SiteView} from './site_view';
+import type {TargetDirectory} from './target_directory';
+
+/** Passes what the sessions bring on to routing, limits and the site's view. */
+export interface TargetFeed {
+  readonly meet: (peer: Peer) => void;
+  readonly lose: (peer: Peer) => void;
+  readonly hear: (peer: Peer, report: TargetReport) => void;
+  /** Takes targets out of routing that the membership no longer sees live. */
+  readonly dropGone: () => void;
+}
+
+/** Options of {@link createTargetFeed}. */
+export interface TargetFeedOptions {
+  readonly clock: Clock;
+  readonly directory: TargetDirectory;
+  readonly view: SiteView;
+  readonly limits: WorkspaceLimits;
+  readonly dispatcher: Dispatcher;
+  readonly membership: Membership;
+  readonly configuration: () => AcceptedConfiguration | undefined;
+}
+
+/** Creates the feed of one entry. */
+export function createTargetFeed(options: TargetFeedOptions): TargetFeed {
+  const {clock, directory, view, limits, dispatcher, membership} = options;
+
+  const takeOut = (target: TargetName): void =>
+    dispatcher.record({kind: 'targetGone', target, now: clock()});
+
+  const isOurs = (target: TargetName): boolean => {
+    const accepted = options.configuration();
+    return accepted !== undefined && mayOrder(target, accepted.configuration);
+  };
+
+  return {
+    meet: peer => {
+      view.meet(peer);
+      const {instance, address, incarnation, target} = peer;
+      if (peer.role === 'entry') limits.entryJoined(instance, clock());
+      if (target === undefined) return;
+      directory.put({target: target.name, instance, address, incarnation});
+    },
+    lose: peer => {
+      view.forget(peer.instance);
+      // Without this the silence of a replaced entry would count as ever more
+      // use, and the shares of all others would fall towards nothing.
+      if (peer.role === 'entry') limits.entryGone(peer.instance);
+      if (peer.target !== undefined) takeOut(peer.target.name);
+    },
+    hear: (peer, report) => {
+      view.hear(peer, report);
+      const liveness = membership.livenessOf(peer.instance);
+      const load = loadReportOf(peer, report, liveness === 'leaving');
+      if (load === undefined) return;
+      if (liveness !== 'live' || !isOurs(load.target)) {
+        return takeOut(load.target);
+      }
+      dispatcher.record({kind: 'reportReceived', report: load, now: clock()});
+    },
+    dropGone: () => {
+      for (const member of membership.members()) {
+        if (member.role !== 'agent' || member.liveness === 'live') continue;
+        const agent = directory.ofInstance(member.instance);
+        if (agent !== undefined) takeOut(agent.target);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/process/running_process.ts
@@ -0,0 +1,21 @@
+import type {RunningProcess} from '../types/process';
+
+/** What a process does when it starts and stops. */
+export interface ProcessLife {
+  readonly start: () => Promise<void>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a process; resolves once it serves. */
+export async function startProcess(life: ProcessLife): Promise<RunningProcess> {
+  await life.start();
+  let finish = (): void => undefined;
+  const stopped = new Promise<void>(resolve => (finish = resolve));
+  return {
+    stopped,
+    stop: async () => {
+      await life.stop();
+      finish();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/site/peer_calls.ts
@@ -0,0 +1,78 @@
+import type {Generation, InstanceName, Milliseconds} from '@hibiscusbeam/core';
+import type {ListedInstance} from '@hibiscusbeam/platform';
+import type {
+  PullConfigurationReply,
+  ReportActivityReply,
+} from '@hibiscusbeam/wire';
+import {GENERATION_ONLY} from '../configuration/configuration_driver';
+import type {SiteClientPool} from './site_clients';
+
+/** A peer that does not answer within this time counts as silent. */
+const REPLY_TIMEOUT: Milliseconds = 1_000;
+
+/** The generation of one process; undefined if it is silent. */
+export interface AskedGeneration {
+  readonly instance: InstanceName;
+  readonly generation: Generation | undefined;
+}
+
+/** Short calls to other processes; each ends in bounded time. */
+export interface PeerCalls {
+  readonly pull: (
+    peer: InstanceName,
+    knownGeneration: Generation,
+  ) => Promise<PullConfigurationReply | undefined>;
+  readonly askActivity: (
+    address: string,
+  ) => Promise<ReportActivityReply | undefined>;
+  readonly askGenerations: (
+    lines: readonly ListedInstance[],
+  ) => Promise<readonly AskedGeneration[]>;
+}
+
+/** Creates the calls; `addressOf` knows where an instance listens. */
+export function createPeerCalls(
+  clients: SiteClientPool,
+  addressOf: (instance: InstanceName) => string | undefined,
+): PeerCalls {
+  // gRPC takes a deadline as an instant of the wall clock.
+  const options = () => ({deadline: Date.now() + REPLY_TIMEOUT});
+
+  const pull: PeerCalls['pull'] = (peer, known) => {
+    const address = addressOf(peer);
+    if (address === undefined) return Promise.resolve(undefined);
+    const knownGeneration = Math.max(0, known);
+    return new Promise(resolve => {
+      clients
+        .at(address)
+        .peer.pullConfiguration(
+          {knownGeneration},
+          clients.metadata,
+          options(),
+          (error, reply) => resolve(error === null ? reply : undefined),
+        );
+    });
+  };
+
+  const askActivity: PeerCalls['askActivity'] = address =>
+    new Promise(resolve => {
+      clients
+        .at(address)
+        .peer.reportActivity({}, clients.metadata, options(), (error, reply) =>
+          resolve(error === null ? reply : undefined),
+        );
+    });
+
+  const askGeneration = async ({
+    instance,
+  }: ListedInstance): Promise<AskedGeneration> => {
+    const reply = await pull(instance, GENERATION_ONLY);
+    return {instance, generation: reply?.generation};
+  };
+
+  return {
+    pull,
+    askActivity,
+    askGenerations: lines => Promise.all(lines.map(askGeneration)),
+  };
+}
--- a/packages/daemon/src/site/site_node.ts
+++ b/packages/daemon/src/site/site_node.ts
@@ -2,7 +2,6 @@
   createMembership,
   TICK_PERIOD,
   type AcceptedConfiguration,
-  type Generation,
   type HeadRow,
   type Incarnation,
   type InstanceName,
@@ -14,7 +13,6 @@
 import type {
   AgentServer,
   HaveDelta,
-  PullConfigurationReply,
   ReportActivityReply,
   SlotTarget,
   TargetReport,
@@ -35,13 +33,11 @@
   startInstanceListPoller,
   type InstanceListPoller,
 } from './instance_list_poller';
+import {createPeerCalls, type AskedGeneration} from './peer_calls';
 import {createSessions, type Peer, type Sessions} from './sessions';
 import {createSiteClientPool, type SiteClientPool} from './site_clients';
 import {startSiteServer, type SiteServer} from './site_server';
 
-/** A peer that does not answer a pull within this time counts as silent. */
-const PULL_TIMEOUT = 1_000;
-
 /** Where a process may still act on what a move has closed. */
 export interface Activity {
   readonly busyTargets: readonly TargetName[];
@@ -100,12 +96,7 @@
   readonly listed: () => readonly ListedInstance[];
   readonly refreshList: () => Promise<readonly ListedInstance[]>;
   /** The generation that each listed process has; undefined if silent. */
-  readonly askGenerations: () => Promise<
-    readonly {
-      readonly instance: InstanceName;
-      readonly generation: Generation | undefined;
-    }[]
-  >;
+  readonly askGenerations: () => Promise<readonly AskedGeneration[]>;
   readonly acquaintances: Acquaintances;
   /** This process's own activity, as others get it when they ask. */
   readonly ownActivity: () => ReportActivityReply;
@@ -216,23 +207,7 @@
       ?.address ??
     poller?.latest().find(line => line.instance === instance)?.address;
 
-  const pull = (
-    peer: InstanceName,
-    knownGeneration: Generation,
-  ): Promise<PullConfigurationReply | undefined> => {
-    const address = addressOf(peer);
-    if (address === undefined) return Promise.resolve(undefined);
-    return new Promise(resolve => {
-      clients
-        .at(address)
-        .peer.pullConfiguration(
-          {knownGeneration: Math.max(0, knownGeneration)},
-          clients.metadata,
-          {deadline: Date.now() + PULL_TIMEOUT},
-          (error, reply) => resolve(error === null ? reply : undefined),
-        );
-    });
-  };
+  const calls = createPeerCalls(clients, addressOf);
 
   const others = (lines: readonly ListedInstance[]) =>
     lines.filter(line => line.instance !== settings.instance);
@@ -251,29 +226,18 @@
       },
       connected: () => sessions.peers().map(peer => peer.instance),
       liveProcesses: () => poller?.latest().length ?? 1,
-      pull,
+      pull: calls.pull,
       announce: peers => {
         for (const peer of peers) sessions.send(peer, heartbeat(''));
       },
     },
   });
 
-  const askGenerations = async () => {
-    const lines = others(poller?.latest() ?? []);
-    const replies = await Promise.all(
-      lines.map(line => pull(line.instance, GENERATION_ONLY)),
-    );
-    const own = {
-      instance: settings.instance,
-      generation: configuration.current()?.generation,
-    };
-    return [
-      own,
-      ...lines.map((line, index) => ({
-        instance: line.instance,
-        generation: replies[index]?.generation,
-      })),
-    ];
+  const askGenerations = async (): Promise<readonly AskedGeneration[]> => {
+    const {instance} = settings;
+    const generation = configuration.current()?.generation;
+    const asked = await calls.askGenerations(others(poller?.latest() ?? []));
+    return [{instance, generation}, ...asked];
   };
 
   // All of one turn of the loop: a generation adopted between two of these
@@ -288,18 +252,6 @@
     };
   };
 
-  const askActivity: SiteNode['askActivity'] = address =>
-    new Promise(resolve => {
-      clients
-        .at(address)
-        .peer.reportActivity(
-          {},
-          clients.metadata,
-          {deadline: Date.now() + PULL_TIMEOUT},
-          (error, reply) => resolve(error === null ? reply : undefined),
-        );
-    });
-
   const dump = (): string =>
     JSON.stringify({
       instance: settings.instance,
@@ -377,7 +329,7 @@
     askGenerations,
     acquaintances,
     ownActivity,
-    askActivity,
+    askActivity: calls.askActivity,
     start,
     stop,
   };
