--- a/packages/core/src/routing/commands/record_event.ts
+++ b/packages/core/src/routing/commands/record_event.ts
@@ -52,6 +52,7 @@
     probe: target.health.kind === 'probing',
     loadBefore: load,
     expectedPrefill: estimateFirstToken(state, target),
+    lastResort: target.health.kind === 'ejected',
     firstTokenAt: undefined,
     lastProgressAt: now,
   };
--- a/packages/daemon/src/entry/caller_service.ts
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -7,6 +7,7 @@
   createRepeatableFlow,
   DEFAULT_AT_MOST_ONCE_LIMITS,
   DEFAULT_REPEATABLE_LIMITS,
+  lookUp,
   mayServe,
   type AcceptedConfiguration,
   type AttemptId,
@@ -25,7 +26,7 @@
 import {createDigester, digestText} from '../runtime/digests';
 import type {Tally} from '../utils/tally';
 import type {AnswerWriter} from './answer_writer';
-import type {Dispatcher} from './dispatcher';
+import type {Dispatcher, RoutedRequest} from './dispatcher';
 import type {GenerateBody} from './request_parsing';
 import type {RequestRunner} from './request_runner';
 
@@ -102,7 +103,7 @@
       return refuse(createAttempt, 'platformUnavailable', FULL_RETRY_AFTER);
     }
     const {configuration} = accepted;
-    const described = configuration.workspaces[workspace];
+    const described = lookUp(configuration.workspaces, workspace);
     if (described === undefined || !mayServe(workspace, configuration)) {
       return refuse(createAttempt, 'workspaceClosed', CLOSED_RETRY_AFTER);
     }
@@ -137,6 +138,18 @@
   const call: CallerService['call'] = (workspace, serviceCall) =>
     whileCounted(workspace, () => callAdmitted(workspace, serviceCall));
 
+  const createRepeatable = (routed: RoutedRequest) => {
+    dispatcher.recordFirstTry();
+    return createRepeatableFlow({
+      deadline: routed.deadline,
+      limits: DEFAULT_REPEATABLE_LIMITS,
+      now: clock,
+      createAttempt,
+      createDigester,
+      spendRetry: () => dispatcher.spendRetry(routed),
+    });
+  };
+
   const generateAdmitted: CallerService['generate'] = async (
     workspace,
     model,
@@ -151,25 +164,18 @@
     const deadline = receivedAt + body.deadline;
     const firstTokenBy = receivedAt + body.firstTokenWithin;
     const {prompt, maximumTokens} = body;
-    dispatcher.recordFirstTry();
-    const flow = createRepeatableFlow({
+    const routed: RoutedRequest = {
+      workspace,
+      precedence: {priority, weight},
+      work: {kind: 'model', model, versionDigest: undefined},
+      prompt,
+      maximumTokens,
+      firstTokenBy,
       deadline,
-      limits: DEFAULT_REPEATABLE_LIMITS,
-      now: clock,
-      createAttempt,
-      createDigester,
-      spendRetry: dispatcher.spendRetry,
-    });
+    };
+    const flow = createRepeatable(routed);
     const result = await runner.run(flow, {
-      routed: {
-        workspace,
-        precedence: {priority, weight},
-        work: {kind: 'model', model, versionDigest: undefined},
-        prompt,
-        maximumTokens,
-        firstTokenBy,
-        deadline,
-      },
+      routed,
       serveWork: {
         workspace,
         work: {
@@ -235,23 +241,14 @@
         content: frames === undefined ? undefined : Buffer.concat(frames),
       };
     }
-    return callRepeatable(context, deadline);
+    return callRepeatable(context);
   };
 
   const callRepeatable = async (
     context: Omit<Parameters<RequestRunner['run']>[1], 'emit'>,
-    deadline: number,
   ): Promise<CallResult> => {
     const parts: Uint8Array[] = [];
-    dispatcher.recordFirstTry();
-    const flow = createRepeatableFlow({
-      deadline,
-      limits: DEFAULT_REPEATABLE_LIMITS,
-      now: clock,
-      createAttempt,
-      createDigester,
-      spendRetry: dispatcher.spendRetry,
-    });
+    const flow = createRepeatable(context.routed);
     const {outcome} = await runner.run(flow, {
       ...context,
       emit: frame => {
@@ -268,8 +265,9 @@
     generate,
     call,
     needsKey: (service, operation) => {
-      const described =
-        options.configuration()?.configuration.services[service];
+      const accepted = options.configuration();
+      if (accepted === undefined) return true;
+      const described = lookUp(accepted.configuration.services, service);
       return described?.notRepeatable.includes(operation) ?? true;
     },
   };
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -11,6 +11,7 @@
   type MonotonicInstant,
   type TargetChoice,
   type RoutedWork,
+  type TargetName,
   type RouterDump,
   type RoutingEvent,
   type DispatchTarget,
@@ -24,7 +25,10 @@
 /** First token goal of the users: 1.9 s for 95 in 100. */
 const FIRST_TOKEN_GOAL: Milliseconds = 1_900;
 
-/** How often waiting requests and unhealthy targets are looked at. */
+/** How often targets and attempts under way are judged. */
+const JUDGE_PERIOD: Milliseconds = 100;
+
+/** How often waiting requests are looked at. */
 const TURN_PERIOD: Milliseconds = 20;
 
 /** Weight of the newest answer in the mean number of tokens. */
@@ -70,7 +74,14 @@
   ) => void;
   readonly recordAnswer: (work: RoutedWork, tokens: number) => void;
   readonly recordFirstTry: () => void;
-  readonly spendRetry: () => boolean;
+  /** Whether the request may be tried once more. */
+  readonly spendRetry: (request: RoutedRequest) => boolean;
+  /** Says which request an attempt at a target is for, until it ends. */
+  readonly began: (
+    attempt: AttemptId,
+    request: RoutedRequest,
+    target: TargetName,
+  ) => void;
   readonly waiting: () => number;
   readonly dump: () => RouterDump;
   readonly close: () => void;
@@ -94,8 +105,8 @@
   readonly queueCapacity: number;
   /** Requests per second that a workspace sends to the whole site. */
   readonly siteUse: (workspace: WorkspaceName) => number;
-  /** Told of attempts that have stalled and should be given up. */
-  readonly onStalled: (attempt: AttemptId) => void;
+  /** Told of attempts that should be given up, as another target is better. */
+  readonly onMove: (attempt: AttemptId) => void;
   readonly onRetry: () => void;
 }
 
@@ -110,6 +121,12 @@
   const retryBudget = createRetryBudget();
   const shares = createWorkspaceShares({siteUse: options.siteUse});
   const meanTokens = new Map<string, number>();
+  const attempts = new Map<
+    AttemptId,
+    {readonly request: RoutedRequest; readonly target: TargetName}
+  >();
+  /** Requests whose next try is paid for. */
+  const granted = new WeakSet<RoutedRequest>();
   let reservations = 0;
 
   const route = ({request, effect}: Pick<Waiter, 'request' | 'effect'>) =>
@@ -216,11 +233,55 @@
     return Math.min(maximumTokens, mean);
   };
 
-  const stop = every(TURN_PERIOD, () => {
-    router.judge(clock());
+  /** Another target for an attempt's request, if there is one. */
+  const findElsewhere = (attempt: AttemptId): TargetChoice | undefined => {
+    const begun = attempts.get(attempt);
+    if (begun === undefined) return undefined;
+    const {request, target} = begun;
+    const effect = {
+      exclude: [target],
+      versionDigest: undefined,
+      until: request.deadline,
+    };
+    const routed = route({request, effect});
+    return routed.ok ? routed.val : undefined;
+  };
+
+  const move = (attempt: AttemptId): void => {
+    const request = attempts.get(attempt)?.request;
+    if (request === undefined) return;
+    granted.add(request);
+    attempts.delete(attempt);
+    options.onRetry();
+    options.onMove(attempt);
+  };
+
+  /** Takes attempts back from targets that have stalled. */
+  const moveStalled = (): void => {
     for (const {attempt} of router.stalledAttempts()) {
-      options.onStalled(attempt);
+      if (findElsewhere(attempt) === undefined) continue;
+      if (retryBudget.takeRetry()) move(attempt);
     }
+  };
+
+  /** Takes back what waits at a target while another one has a free slot. */
+  const moveOverdue = (): void => {
+    for (const {attempt} of router.overdueAttempts(clock())) {
+      const begun = attempts.get(attempt);
+      const firstTokenBy = begun?.request.firstTokenBy ?? 0;
+      if (begun === undefined || clock() > firstTokenBy) continue;
+      if (findElsewhere(attempt)?.idle !== true) continue;
+      if (retryBudget.takeMove()) move(attempt);
+    }
+  };
+
+  const stopJudging = every(JUDGE_PERIOD, () => {
+    router.judge(clock());
+    moveStalled();
+    moveOverdue();
+  });
+
+  const stopTurns = every(TURN_PERIOD, () => {
     dropOverdue();
     giveTurns();
   });
@@ -229,7 +290,9 @@
     choose,
     record: event => {
       router.record(event);
-      if (event.kind === 'finished') giveTurns();
+      if (!isEnd(event)) return;
+      attempts.delete(event.attempt);
+      giveTurns();
     },
     recordFirstToken: admission.recordFirstToken,
     recordAnswer: (work, tokens) => {
@@ -238,17 +301,37 @@
       meanTokens.set(work.model, mean + TOKENS_WEIGHT * (tokens - mean));
     },
     recordFirstTry: retryBudget.recordFirstTry,
-    spendRetry: () => {
+    began: (attempt, request, target) =>
+      void attempts.set(attempt, {request, target}),
+    spendRetry: request => {
+      // Already paid for by whoever took the attempt back.
+      if (granted.delete(request)) return true;
       const isTaken = retryBudget.takeRetry();
       if (isTaken) options.onRetry();
       return isTaken;
     },
     waiting: queue.size,
     dump: () => router.dump(clock()),
-    close: stop,
+    close: () => {
+      stopJudging();
+      stopTurns();
+    },
   };
 }
 
+function isEnd(
+  event: RoutingEvent,
+): event is Extract<
+  RoutingEvent,
+  {readonly kind: 'finished' | 'refused' | 'failed'}
+> {
+  return (
+    event.kind === 'finished' ||
+    event.kind === 'refused' ||
+    event.kind === 'failed'
+  );
+}
+
 function withVersion(
   work: RoutedWork,
   versionDigest: string | undefined,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -1,11 +1,10 @@
 import {
-  chooseHeldTargets,
   createWorkspaceLimits,
   HEARTBEAT_PERIOD,
   mayOrder,
   rendezvousOrder,
+  SUSPECT_AFTER,
   type AcceptedConfiguration,
-  type Member,
 } from '@hibiscusbeam/core';
 import {createHttpPlatform} from '@hibiscusbeam/platform';
 import type {TargetReport, WorkspaceUse} from '@hibiscusbeam/wire';
@@ -31,17 +30,21 @@
 import {createProcessSurvey} from './process_survey';
 import {createRequestRunner} from './request_runner';
 import {createSiteView, loadReportOf} from './site_view';
+import {createSessionChooser} from './wanted_sessions';
 import {createTargetDirectory} from './target_directory';
 
-/** Other entries that one entry opens sessions to. */
-const ENTRY_NEIGHBOURS = 8;
-
 /** Addresses in one answer to "which entry shall I use". */
 const MOST_ADDRESSES = 8;
 
 /** How long a planned stop waits for requests in progress. */
 const LONGEST_DRAIN = 120_000;
 
+/**
+ * How long others may name a stopping entry to callers: one that has not heard
+ * its word by then has lost the session and names it no more.
+ */
+const STILL_NAMED_FOR = SUSPECT_AFTER;
+
 /** Pause between looks at what still runs while stopping. */
 const DRAIN_PERIOD = 50;
 
@@ -89,6 +92,7 @@
   let uses: readonly WorkspaceUse[] = [];
   let stopPublishing = (): void => undefined;
   let stopGauges = (): void => undefined;
+  const chooseSessions = createSessionChooser();
   const workspacesInProgress = createTally();
   const olderSystem =
     settings.olderSystem === undefined
@@ -159,7 +163,7 @@
     directory,
     queueCapacity: settings.limits.waiting,
     siteUse: limits.siteUse,
-    onStalled: runner.giveUpStalled,
+    onMove: runner.takeBack,
     onRetry: () => metrics.count('requests.retried', {}),
   });
   const callers = measureCallers(
@@ -282,26 +286,17 @@
     node.sessions.keep(new Set(wantedSessions()));
   };
 
-  const wantedSessions = (): readonly string[] => {
-    const members = node.membership
-      .members()
-      .filter(member => member.instance !== instance && isPresent(member));
-    const entries = members.filter(member => member.role === 'entry');
-    const agents = members.filter(member => member.role === 'agent');
-    const neighbours = rendezvousOrder(
+  const wantedSessions = (): readonly string[] =>
+    chooseSessions({
       instance,
-      entries.map(entry => entry.instance),
-    ).slice(0, ENTRY_NEIGHBOURS);
-    const held = chooseHeldTargets({
-      entry: instance,
-      entries: [instance, ...entries.map(entry => entry.instance)],
-      targets: agents.map(agent => agent.instance),
-    });
-    const chosen = new Set([...neighbours, ...held]);
-    return members
-      .filter(member => chosen.has(member.instance))
-      .map(member => member.address);
-  };
+      members: node.membership.members(),
+      listed: new Set(
+        node
+          .listed()
+          .filter(line => line.state === 'live')
+          .map(line => line.instance),
+      ),
+    }).map(member => member.address);
 
   const entryAddresses = (): readonly EntryAddress[] => {
     const others = node.sessions
@@ -354,8 +349,9 @@
     processLog.info('leaves the list of addresses');
     node.sessions.beat();
     // Callers may keep the old answer so long; until then this entry serves
-    // whoever comes, or they would meet a refused connection.
-    await sleep(settings.addressesKeptFor);
+    // whoever comes, or they would meet a refused connection. Another entry
+    // that hears of the stop late gives the address out for a while longer.
+    await sleep(settings.addressesKeptFor + STILL_NAMED_FOR);
     const deadline = clock() + LONGEST_DRAIN;
     while (runner.running() > 0 && clock() < deadline) {
       await sleep(DRAIN_PERIOD);
@@ -376,7 +372,3 @@
 
 /** Requests in progress for each one that may wait for a target. */
 const IN_PROGRESS_PER_WAITING = 8;
-
-function isPresent(member: Member): boolean {
-  return member.liveness !== 'dead' && member.liveness !== 'leaving';
-}
--- a/packages/daemon/src/entry/request_runner.ts
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -11,6 +11,7 @@
   type RequestReply,
   type RequestResult,
   type TombstoneAnswer,
+  type VersionDigest,
 } from '@hibiscusbeam/core';
 import type {Platform} from '@hibiscusbeam/platform';
 import {TombstoneReply_State, type TombstoneReply} from '@hibiscusbeam/wire';
@@ -41,8 +42,8 @@
     flow: RequestFlow<RequestResult>,
     context: RequestContext,
   ) => Promise<RequestResult>;
-  /** Gives a stalled attempt up if it may be repeated. */
-  readonly giveUpStalled: (attempt: AttemptId) => void;
+  /** Takes an attempt back, if it may be repeated, to try it elsewhere. */
+  readonly takeBack: (attempt: AttemptId) => void;
   readonly running: () => number;
 }
 
@@ -60,11 +61,11 @@
 export function createRequestRunner(
   options: RequestRunnerOptions,
 ): RequestRunner {
-  const repeatableStreams = new Map<AttemptId, AttemptStream>();
+  const takeBacks = new Map<AttemptId, () => void>();
   let running = 0;
   return {
     run: async (flow, context) => {
-      const request = createRequestDriver(options, context, repeatableStreams);
+      const request = createRequestDriver(options, context, takeBacks);
       running += 1;
       try {
         return await drive(flow, request.perform);
@@ -73,8 +74,7 @@
         request.close();
       }
     },
-    giveUpStalled: attempt =>
-      repeatableStreams.get(attempt)?.interrupt({kind: 'timedOut'}),
+    takeBack: attempt => takeBacks.get(attempt)?.(),
     running: () => running,
   };
 }
@@ -92,7 +92,7 @@
 function createRequestDriver(
   options: RequestRunnerOptions,
   context: RequestContext,
-  repeatableStreams: Map<AttemptId, AttemptStream>,
+  takeBacks: Map<AttemptId, () => void>,
 ) {
   const {clock, platform, clients, directory} = options;
   const dispatcher = options.dispatcher();
@@ -117,6 +117,7 @@
     address: AttemptAddress,
     kind: 'serve' | 'collect',
     deadline: MonotonicInstant,
+    versionDigest?: VersionDigest,
   ): OwnStream | undefined => {
     const agent = directory.ofInstance(address.instance);
     if (agent === undefined) return undefined;
@@ -125,7 +126,12 @@
     const call =
       kind === 'serve'
         ? client.serve(
-            serveRequestOf(context.serveWork, address, deadline - now),
+            serveRequestOf(
+              context.serveWork,
+              address,
+              deadline - now,
+              versionDigest,
+            ),
             clients.metadata,
           )
         : client.collect(
@@ -146,13 +152,12 @@
   };
 
   const dispatch = (
-    address: AttemptAddress,
-    until: MonotonicInstant,
-    deadline: MonotonicInstant,
+    effect: Extract<RequestEffect, {readonly kind: 'dispatch'}>,
   ) => {
+    const {address, until, deadline, versionDigest} = effect;
     const {attempt, target} = address;
     const expected = reservation?.expectedFirstToken ?? 0;
-    const own = openStream(address, 'serve', deadline);
+    const own = openStream(address, 'serve', deadline, versionDigest);
     if (own === undefined) {
       releaseReservation();
       return event({kind: 'cut', detail: 'the agent is not known'});
@@ -163,7 +168,12 @@
     reservation = undefined;
     dispatcher.record({kind: 'dispatched', attempt, target, now: clock()});
     if (context.serveWork.repeatable) {
-      repeatableStreams.set(attempt, own.stream);
+      dispatcher.began(attempt, context.routed, target);
+      takeBacks.set(attempt, () => {
+        // Withdrawn, which says nothing bad about the target.
+        closeAttempt(attempt, own, 'refused');
+        own.stream.interrupt({kind: 'timedOut'});
+      });
     }
     return awaitEvent(attempt, own, until, expected);
   };
@@ -223,9 +233,10 @@
     own: OwnStream,
     kind: 'finished' | 'refused' | 'failed',
   ): void => {
+    if (!own.open) return;
     own.open = false;
     own.endWork?.();
-    repeatableStreams.delete(attempt);
+    takeBacks.delete(attempt);
     dispatcher.record({kind, attempt, now: clock()});
   };
 
@@ -269,7 +280,7 @@
           return {kind: 'choice', choice: reserved.choice};
         });
       case 'dispatch':
-        return dispatch(effect.address, effect.until, effect.deadline);
+        return dispatch(effect);
       case 'collect': {
         const own = openStream(effect.address, 'collect', effect.until);
         if (own === undefined) {
