Meet targets again that come back in their slot

Cause, of two kinds: an entry opened no session to an agent that it held for dead or leaving, and an agent opens none to entries. An agent that was started again more than six seconds later, or after a planned stop, was never met: its list line had not changed. And an instance that said it leaves and then that it stays, as after an intent to leave and one to join, was ignored until it was restarted. Ruled out: the platform's list (it called the instance live all the time) and the agent (met at once by an entry that asks it). Conclusion: whoever is listed as live is asked, beside the held subset of those present; the newest heartbeat of a life has the last word unless the list or a goodbye speaks against it.

--- a/packages/core/src/membership/commands/messages.ts
+++ b/packages/core/src/membership/commands/messages.ts
@@ -45,16 +45,34 @@
   if (record === undefined) return 'needsHello';
   if (heartbeat.incarnation > record.incarnation) return 'needsHello';
   if (heartbeat.incarnation < record.incarnation) return 'ignored';
-  if (record.liveness === 'leaving') return 'ignored';
   // Guards against an old heartbeat that comes late: it would show as a dead
   // instance that stays in routing.
   if (heartbeat.sequence <= record.lastSequence) return 'ignored';
   record.lastSequence = heartbeat.sequence;
+  const takesBack = takesLeavingBack(record, heartbeat);
+  record.saidLeaving = heartbeat.leaving;
+  if (record.liveness === 'leaving') {
+    if (!takesBack) return 'ignored';
+    setLiveness(record, 'joining', now, memory.log);
+  }
   if (heartbeat.leaving) setLiveness(record, 'leaving', now, memory.log);
   else noteHeard(record, now, memory.log);
   return 'taken';
 }
 
+/**
+ * Whether an instance that said it leaves now says that it stays, as after an
+ * operator's second thought. Without this it would get no work until it is
+ * restarted. What the list calls leaving, or what said goodbye, stays gone.
+ */
+function takesLeavingBack(
+  record: MemberRecord,
+  heartbeat: MemberHeartbeat,
+): boolean {
+  if (!record.saidLeaving || heartbeat.leaving) return false;
+  return record.listed !== 'leaving' && !record.saidGoodbye;
+}
+
 /** Takes a goodbye. */
 export function takeGoodbye(
   memory: MembershipMemory,
--- a/packages/core/src/membership/member_record.ts
+++ b/packages/core/src/membership/member_record.ts
@@ -26,6 +26,8 @@
   listed: 'live' | 'leaving' | undefined;
   /** Said goodbye itself, in this life. */
   saidGoodbye: boolean;
+  /** Its last heartbeat in this life said that it is leaving. */
+  saidLeaving: boolean;
 }
 
 /** A record of an instance that was not heard yet. */
@@ -45,6 +47,7 @@
     lastFall: now,
     listed: undefined,
     saidGoodbye: false,
+    saidLeaving: false,
   };
 }
 
@@ -93,6 +96,7 @@
   record.lastHeard = undefined;
   record.lastSequence = -1;
   record.saidGoodbye = false;
+  record.saidLeaving = false;
   setLiveness(record, 'joining', now, log);
 }
 
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -219,7 +219,29 @@
   const wantedSessions = (): readonly string[] => {
     const members = node.membership
       .members()
-      .filter(member => member.instance !== instance && isPresent(member));
+      .filter(member => member.instance !== instance);
+    const present = members.filter(isPresent);
+    const listedLive = new Set(
+      node
+        .listed()
+        .filter(line => line.state === 'live')
+        .map(line => line.instance),
+    );
+    // An agent opens no session to an entry. One that is started again in its
+    // slot, or stays after all, would never be met: it shows as a target that
+    // gets no work while it is ready. So long as it is listed it is asked.
+    const gone = members.filter(
+      member => !isPresent(member) && listedLive.has(member.instance),
+    );
+    const chosen = chooseSessions(present);
+    const returning = chooseSessions([...present, ...gone]);
+    return [
+      ...present.filter(member => chosen.has(member.instance)),
+      ...gone.filter(member => returning.has(member.instance)),
+    ].map(member => member.address);
+  };
+
+  const chooseSessions = (members: readonly Member[]): ReadonlySet<string> => {
     const entries = members.filter(member => member.role === 'entry');
     const agents = members.filter(member => member.role === 'agent');
     const neighbours = rendezvousOrder(
@@ -231,10 +253,7 @@
       entries: [instance, ...entries.map(entry => entry.instance)],
       targets: agents.map(agent => agent.instance),
     });
-    const chosen = new Set([...neighbours, ...held]);
-    return members
-      .filter(member => chosen.has(member.instance))
-      .map(member => member.address);
+    return new Set([...neighbours, ...held]);
   };
 
   const entryAddresses = (): readonly EntryAddress[] => {
