Serve on while other entries may still name a stopping one

Cause: a stopping entry served for addressesKeptFor from its signal on, but an entry that was paused then named it to callers up to a second later. Ruled out: the drain (requests in progress were finished).

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -4,6 +4,7 @@
   HEARTBEAT_PERIOD,
   mayOrder,
   rendezvousOrder,
+  SUSPECT_AFTER,
   type AcceptedConfiguration,
   type Member,
 } from '@hibiscusbeam/core';
@@ -33,6 +34,12 @@
 /** How long a planned stop waits for requests in progress. */
 const LONGEST_DRAIN = 120_000;
 
+/**
+ * How long others may name a stopping entry to callers: one that has not heard
+ * its word by then has lost the session and names it no more.
+ */
+const STILL_NAMED_FOR = SUSPECT_AFTER;
+
 /** Pause between looks at what still runs while stopping. */
 const DRAIN_PERIOD = 50;
 
@@ -290,8 +297,9 @@
     node.log('process').info('leaves the list of addresses');
     node.sessions.beat();
     // Callers may keep the old answer so long; until then this entry serves
-    // whoever comes, or they would meet a refused connection.
-    await sleep(settings.addressesKeptFor);
+    // whoever comes, or they would meet a refused connection. Another entry
+    // that hears of the stop late gives the address out for a while longer.
+    await sleep(settings.addressesKeptFor + STILL_NAMED_FOR);
     const deadline = clock() + LONGEST_DRAIN;
     while (runner.running() > 0 && clock() < deadline) {
       await sleep(DRAIN_PERIOD);
