--- a/test/processes/callers.ts
+++ b/test/processes/callers.ts
@@ -69,6 +69,7 @@
 export interface Generated {
   readonly status: number;
   readonly outcome: 'whole' | 'notRun' | 'outcomeUnknown' | 'broken';
+  /** Why, as the entry says; undefined for an answer. */
   readonly reason: string | undefined;
   readonly versionDigest: string;
   readonly text: string;
@@ -115,6 +116,7 @@
   readonly kind?: string;
   readonly outcome?: 'notRun' | 'outcomeUnknown';
   readonly reason?: string;
+  readonly detail?: string;
   readonly versionDigest?: string;
   readonly sequence?: number;
   readonly text?: string;
@@ -137,7 +139,7 @@
   return {
     status,
     outcome: isWhole ? 'whole' : (last?.outcome ?? 'broken'),
-    reason: last?.reason,
+    reason: last?.reason ?? last?.detail,
     versionDigest: lines[0]?.versionDigest ?? '',
     text,
     tokens: tokens.length,
