Take no peer or list line that no channel can be opened to

Cause: a hello with an empty or unreadable address was taken into the membership; the next tick opened a channel to it, grpc threw, and the entry ended with an uncaught error. A line of the platform's instance list goes the same way. Ruled out: malformed messages (grpc answers them) and odd heartbeats of a well introduced peer (150 and 75 generated ones). Conclusion: a hello must read as the settings of a process would.

--- a/packages/daemon/src/site/instance_list_poller.ts
+++ b/packages/daemon/src/site/instance_list_poller.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {InstanceList, ListedInstance} from '@hibiscusbeam/platform';
 import {sleep} from '../runtime/clock';
+import {isUsableAddress} from './usable_peers';
 
 /** Shortest time between two reads of the list by one process. */
 const SHORTEST_PERIOD: Milliseconds = 1_000;
@@ -30,7 +31,8 @@
     // While the platform is down the last list stands: sessions tell who
     // lives, and forgetting everybody would cut the site off from itself.
     if (listed.ok && !stopping.signal.aborted) {
-      latest = listed.val;
+      // A line without a usable address would end whoever connects to it.
+      latest = listed.val.filter(line => isUsableAddress(line.address));
       onList(latest);
     }
     return latest;
--- a/packages/daemon/src/site/sessions.ts
+++ b/packages/daemon/src/site/sessions.ts
@@ -7,6 +7,7 @@
 import type {Hello, SessionMessage} from '@hibiscusbeam/wire';
 import {every} from '../runtime/clock';
 import type {SiteClientPool} from './site_clients';
+import {isUsableHello} from './usable_peers';
 
 /** Pause before a session that closed is opened again. */
 const REOPEN_PAUSE: Milliseconds = 500;
@@ -108,8 +109,10 @@
   const receive = (session: Session, message: SessionMessage): void => {
     if (session.ended) return;
     if (message.message?.$case === 'hello') {
+      const {hello} = message.message;
+      if (!isUsableHello(hello)) return end(session);
       const known = session.peer !== undefined;
-      session.peer = message.message.hello;
+      session.peer = hello;
       if (!known) options.events.opened(session.peer);
       return;
     }
