Know no service by a name that every object has

Cause: services were looked up by a plain index, so that '__proto__' found Object.prototype and the entry answered 500. Conclusion: names from outside go through lookUp.

--- a/packages/core/src/configuration/index.ts
+++ b/packages/core/src/configuration/index.ts
@@ -7,6 +7,7 @@
 export * from './queries/configuration_digest';
 export * from './queries/follow';
 export * from './queries/initial_configuration';
+export * from './queries/lookup';
 export * from './queries/parse_intent';
 export * from './queries/plan_intent';
 export * from './queries/rows';
--- a/packages/daemon/src/entry/caller_service.ts
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -7,6 +7,7 @@
   createRepeatableFlow,
   DEFAULT_AT_MOST_ONCE_LIMITS,
   DEFAULT_REPEATABLE_LIMITS,
+  lookUp,
   mayServe,
   type AcceptedConfiguration,
   type AttemptId,
@@ -99,7 +100,7 @@
       return refuse(createAttempt, 'platformUnavailable', FULL_RETRY_AFTER);
     }
     const {configuration} = accepted;
-    const described = configuration.workspaces[workspace];
+    const described = lookUp(configuration.workspaces, workspace);
     if (described === undefined || !mayServe(workspace, configuration)) {
       return refuse(createAttempt, 'workspaceClosed', CLOSED_RETRY_AFTER);
     }
@@ -239,8 +240,9 @@
     generate,
     call,
     needsKey: (service, operation) => {
-      const described =
-        options.configuration()?.configuration.services[service];
+      const accepted = options.configuration();
+      if (accepted === undefined) return true;
+      const described = lookUp(accepted.configuration.services, service);
       return described?.notRepeatable.includes(operation) ?? true;
     },
   };
