Check keys before bodies, and pass on JSON only

Cause: keys were looked at after the body was received and parsed, so that a caller without one got 400 for a bad body in place of 401, at the entry's cost; and a call with a YAML or empty body went on to the plain service, which refused it, so that its key was claimed and its outcome unknown for ever. Before: 400 for an empty body without a key; 502 for a YAML body. After: 401 and 400, nothing claimed or run. Conclusion: onRequest checks the key; calls must be JSON.

--- a/packages/daemon/src/entry/http_face.ts
+++ b/packages/daemon/src/entry/http_face.ts
@@ -3,13 +3,12 @@
   type FastifyReply,
   type FastifyRequest,
 } from 'fastify';
-import type {WorkspaceName} from '@hibiscusbeam/core';
 import type {Log} from '../logs';
-import {bearerKey, nameOfKey} from '../runtime/keys';
 import type {EntrySettings} from '../types/settings';
 import {isWithinDepth} from '../utils/json_depth';
 import {createAnswerWriter} from './answer_writer';
 import type {CallerService} from './caller_service';
+import {createCallerAccess, createOperatorAccess} from './http_access';
 import {refusalResponse, type HttpRefusal} from './http_errors';
 import {responseOf} from './outcome_mapping';
 import {planRefusalResponse} from './plan_refusals';
@@ -105,6 +104,12 @@
   );
 }
 
+const NOT_JSON: HttpRefusal = {
+  kind: 'badField',
+  field: 'body',
+  detail: 'send the call as JSON',
+};
+
 interface ReadBody {
   readonly text: string;
   readonly value: unknown;
@@ -142,34 +147,22 @@
   options: HttpFaceOptions,
 ): void {
   const {settings, callers} = options;
+  const access = createCallerAccess(settings, (request, reply, refusal) =>
+    refuse(options, request, reply, refusal),
+  );
+  const route = {onRequest: access.check};
 
-  const workspaceOf = (
-    request: FastifyRequest,
-  ): WorkspaceName | HttpRefusal => {
-    const key = bearerKey(headerOf(request, 'authorization'));
-    if (key === undefined) return {kind: 'noKey'};
-    const name = nameOfKey(settings.workspaceKeys, key);
-    return name ?? {kind: 'wrongKey'};
-  };
-
-  server.get('/v1/entries', (request, reply) => {
-    const workspace = workspaceOf(request);
-    if (typeof workspace !== 'string') {
-      return refuse(options, request, reply, workspace);
-    }
-    return reply.send({
+  server.get('/v1/entries', route, (_request, reply) =>
+    reply.send({
       entries: options.entries(),
       keepForMilliseconds: settings.addressesKeptFor,
-    });
-  });
+    }),
+  );
 
   server.post<{Params: {model: string}}>(
     '/v1/models/:model/generate',
+    route,
     async (request, reply) => {
-      const workspace = workspaceOf(request);
-      if (typeof workspace !== 'string') {
-        return refuse(options, request, reply, workspace);
-      }
       const body = parseGenerate(
         bodyOf(request).value,
         settings.limits.longestDeadline,
@@ -179,7 +172,7 @@
       reply.hijack();
       reply.raw.once('close', () => gone.abort());
       await callers.generate(
-        workspace,
+        access.nameOf(request),
         request.params.model,
         body.val,
         createAnswerWriter(reply.raw),
@@ -191,10 +184,13 @@
 
   server.post<{Params: {service: string; operation: string}}>(
     '/v1/services/:service/calls/:operation',
+    route,
     async (request, reply) => {
-      const workspace = workspaceOf(request);
-      if (typeof workspace !== 'string') {
-        return refuse(options, request, reply, workspace);
+      const {text, value} = bodyOf(request);
+      // What is not JSON would be claimed under its key, refused by the
+      // service, and its outcome be unknown for ever.
+      if (value === undefined) {
+        return refuse(options, request, reply, NOT_JSON);
       }
       const {service, operation} = request.params;
       const deadline = parseDeadline(
@@ -206,10 +202,10 @@
       const needsKey = callers.needsKey(service, operation);
       const key = needsKey ? parseIdempotencyKey(keyHeader) : undefined;
       if (key?.err === true) return refuse(options, request, reply, key.val);
-      const result = await callers.call(workspace, {
+      const result = await callers.call(access.nameOf(request), {
         service,
         operation,
-        content: Buffer.from(bodyOf(request).text),
+        content: Buffer.from(text),
         idempotencyKey: key?.val,
         deadline: deadline.val,
       });
@@ -224,17 +220,19 @@
   );
 }
 
+interface PlanRoute {
+  readonly Params: {readonly planId: string};
+}
+
 function addOperatorRoutes(
   server: FastifyInstance,
   options: HttpFaceOptions,
 ): void {
   const {settings, plans} = options;
-
-  const operatorOf = (request: FastifyRequest): string | HttpRefusal => {
-    const key = bearerKey(headerOf(request, 'authorization'));
-    if (key === undefined) return {kind: 'noKey'};
-    return nameOfKey(settings.operatorKeys, key) ?? {kind: 'wrongKey'};
-  };
+  const access = createOperatorAccess(settings, (request, reply, refusal) =>
+    refuse(options, request, reply, refusal),
+  );
+  const route = {onRequest: access.check};
 
   /** Serves a route to operators only. */
   const operatorRoute =
@@ -245,13 +243,8 @@
         reply: FastifyReply,
       ) => Promise<unknown>,
     ) =>
-    async (request: FastifyRequest<Route>, reply: FastifyReply) => {
-      const operator = operatorOf(request as FastifyRequest);
-      if (typeof operator !== 'string') {
-        return refuse(options, request as FastifyRequest, reply, operator);
-      }
-      return handle(operator, request, reply);
-    };
+    (request: FastifyRequest<Route>, reply: FastifyReply) =>
+      handle(access.nameOf(request as FastifyRequest), request, reply);
 
   const send = <Value, Fault extends Parameters<typeof planRefusalResponse>[0]>(
     reply: FastifyReply,
@@ -270,6 +263,7 @@
 
   server.post(
     '/v1/intents/plan',
+    route,
     operatorRoute(async (operator, request, reply) => {
       const {text} = bodyOf(request);
       const planned = await plans.plan(text, operator);
@@ -278,6 +272,7 @@
   );
   server.get(
     '/v1/plans',
+    route,
     operatorRoute(async (_operator, _request, reply) =>
       send(reply, await plans.list(), stored => ({
         plans: stored.map(({plan, state}) => ({
@@ -291,36 +286,35 @@
       })),
     ),
   );
-  server.get(
+  server.get<PlanRoute>(
     '/v1/plans/:planId',
-    operatorRoute<{Params: {planId: string}}>(
-      async (_operator, request, reply) =>
-        send(reply, await plans.show(request.params.planId), value => value),
+    route,
+    operatorRoute<PlanRoute>(async (_operator, request, reply) =>
+      send(reply, await plans.show(request.params.planId), value => value),
     ),
   );
-  server.post(
+  server.post<PlanRoute>(
     '/v1/plans/:planId/confirm',
-    operatorRoute<{Params: {planId: string}}>(
-      async (operator, request, reply) => {
-        const {planId} = request.params;
-        options.log.info(`${operator} confirms ${planId}`);
-        return send(reply, await plans.confirm(planId), value => value);
-      },
-    ),
+    route,
+    operatorRoute<PlanRoute>(async (operator, request, reply) => {
+      const {planId} = request.params;
+      options.log.info(`${operator} confirms ${planId}`);
+      return send(reply, await plans.confirm(planId), value => value);
+    }),
   );
-  server.delete(
+  server.delete<PlanRoute>(
     '/v1/plans/:planId',
-    operatorRoute<{Params: {planId: string}}>(
-      async (operator, request, reply) => {
-        const {planId} = request.params;
-        options.log.info(`${operator} abandons ${planId}`);
-        const abandoned = await plans.abandon(planId);
-        return send(reply, abandoned, value => ({planId: value}));
-      },
-    ),
+    route,
+    operatorRoute<PlanRoute>(async (operator, request, reply) => {
+      const {planId} = request.params;
+      options.log.info(`${operator} abandons ${planId}`);
+      const abandoned = await plans.abandon(planId);
+      return send(reply, abandoned, value => ({planId: value}));
+    }),
   );
   server.get(
     '/v1/status',
+    route,
     operatorRoute((_operator, _request, reply) =>
       Promise.resolve(reply.send(options.status())),
     ),
