Give a slow origin more time after each download given up

Ruled out: a longer fixed time; the number of fetchers decides what is long. A stalled download now keeps its slot at the origin, one is asked for at a time after a failure, and an outage counts only bounded in the patience.

--- a/packages/core/src/distribution/bounds.ts
+++ b/packages/core/src/distribution/bounds.ts
@@ -47,6 +47,7 @@
 export const FIRST_STALL = 3_000;
 export const SHORTEST_STALL = 1_000;
 export const LONGEST_STALL = 30_000;
+export const LONGEST_ORIGIN_STALL = 120_000;
 
 /** Wait for the neighbours' first have-maps before the origin is asked. */
 export const SETTLE_TIME = 300;
--- a/packages/core/src/distribution/commands/availability.ts
+++ b/packages/core/src/distribution/commands/availability.ts
@@ -14,7 +14,11 @@
   const self = state.options.instance;
   const expected = expectedAt(state, version, position);
   if (version.holders[owner] !== self) {
-    state.patience.add(Math.max(0, state.now - expected));
+    // An outage of the origin makes all chunks late at once; taken whole, it
+    // would make the patience many times too long.
+    const longest = 2 * state.patience.bound();
+    const late = Math.max(0, state.now - expected);
+    state.patience.add(Math.min(longest, late));
   }
   version.lastSign[owner] = state.now;
 }
--- a/packages/core/src/distribution/commands/chunks.ts
+++ b/packages/core/src/distribution/commands/chunks.ts
@@ -123,6 +123,7 @@
   if (transfer.sender.kind === 'origin') {
     state.originTime.add(time);
     state.originFailures = 0;
+    state.originStalls = 0;
     return;
   }
   state.neighbourTime.add(time);
--- a/packages/core/src/distribution/commands/schedule_origin.ts
+++ b/packages/core/src/distribution/commands/schedule_origin.ts
@@ -1,3 +1,4 @@
+import type {Digest} from '../../types';
 import * as bounds from '../bounds';
 import {slotsLeft, wakeAt, type SwarmState, type WantedVersion} from '../state';
 import {expectedAt, turnAt} from './availability';
@@ -17,7 +18,7 @@
     return;
   }
   for (const position of dueNow(state, version)) {
-    if (originTransfers(state) >= slotsLeft(state, bounds.ORIGIN_SLOTS)) return;
+    if (originTransfers(state) >= originSlots(state)) return;
     const chunk = version.manifest.chunks[position]!;
     if (!hasBuffer(state, chunk.size)) return;
     startTransfer(state, chunk.digest, chunk.size, {kind: 'origin'});
@@ -31,6 +32,7 @@
     if (at === Infinity) continue;
     const chunk = version.manifest.chunks[position]!;
     if (isUnderWay(state, chunk.digest)) continue;
+    if (isAskedOfOrigin(state, chunk.digest)) continue;
     if (at <= state.now) due.push({position, at});
     else wakeAt(state, at);
   }
@@ -82,10 +84,25 @@
   return Math.max(settledAt, state.originBackoffUntil);
 }
 
+/** One at a time after a failure, when many ask for what is overdue. */
+function originSlots(state: SwarmState): number {
+  const isFailing = state.originFailures > 0 || state.originStalls > 0;
+  return isFailing ? 1 : slotsLeft(state, bounds.ORIGIN_SLOTS);
+}
+
+/** Downloads from the origin; a stalled one still burdens its link. */
 function originTransfers(state: SwarmState): number {
   let count = 0;
   for (const transfer of state.transfers.values()) {
-    if (transfer.sender.kind === 'origin' && !transfer.stalled) count += 1;
+    if (transfer.sender.kind === 'origin') count += 1;
   }
   return count;
 }
+
+function isAskedOfOrigin(state: SwarmState, digest: Digest): boolean {
+  for (const transfer of state.transfers.values()) {
+    const isOrigin = transfer.sender.kind === 'origin';
+    if (isOrigin && transfer.digest === digest) return true;
+  }
+  return false;
+}
--- a/packages/core/src/distribution/commands/transfers.ts
+++ b/packages/core/src/distribution/commands/transfers.ts
@@ -152,6 +152,7 @@
     const quiet = state.now - transfer.lastProgress;
     if (quiet >= 2 * limit) {
       cancelTransfer(state, transfer.id);
+      if (transfer.sender.kind === 'origin') state.originStalls += 1;
       continue;
     }
     if (quiet >= limit && !transfer.stalled) stall(state, transfer, limit);
@@ -176,9 +177,12 @@
 }
 
 function stallLimit(state: SwarmState, transfer: Transfer): number {
-  return transfer.sender.kind === 'origin'
-    ? state.originTime.bound()
-    : state.neighbourTime.bound();
+  if (transfer.sender.kind === 'neighbour') return state.neighbourTime.bound();
+  // Many fetchers at once make each download from the origin slow. Giving up
+  // after a fixed time, all would start over again for ever and none would
+  // end; with twice the time after each, they end.
+  const limit = state.originTime.bound() * 2 ** state.originStalls;
+  return Math.min(bounds.LONGEST_ORIGIN_STALL, limit);
 }
 
 function failOrigin(state: SwarmState, failure: RequestFailure): void {
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -119,6 +119,8 @@
   readonly active: Map<Digest, number>;
   originBackoffUntil: number;
   originFailures: number;
+  /** Downloads from the origin given up since the last whole one. */
+  originStalls: number;
   /** Ranks above 0 count their patience from here at the earliest. */
   originClock: number;
   readonly uploads: Map<UploadId, Upload>;
@@ -158,6 +160,7 @@
     active: new Map(),
     originBackoffUntil: 0,
     originFailures: 0,
+    originStalls: 0,
     originClock: 0,
     uploads: new Map(),
     waitingUploads: [],
--- a/test/distribution/node.test.ts
+++ b/test/distribution/node.test.ts
@@ -112,6 +112,19 @@
     expect(node.dump().downloads).toEqual([]);
   });
 
+  // After an outage nothing moves although the origin answers. Order of
+  // events: all ask at once, so each download is slow; all give up and start
+  // over. Cause: the time until giving up did not grow.
+  test('gives a slow origin more time after each download given up', () => {
+    const node = startNode([], {transferBuffer: 64, holders: ['self']});
+    const asks: number[] = [];
+    for (let at = 0; at <= 60_000; at += 100) {
+      const effects = tell(node, {kind: 'tick'}, at);
+      if (effects.some(effect => effect.kind === 'askOrigin')) asks.push(at);
+    }
+    expect(asks).toEqual([6_000, 18_000, 42_000]);
+  });
+
   // One instance that stops reading slows all its neighbours. Order of events:
   // it asks for a chunk, freezes, and its upload keeps a slot. Cause: an open
   // stream alone counts as an upload in progress.
