Let an idle entry and an idle agent rest

Cause: an idle entry took 50 turns a second over an empty queue, an idle agent asked its engine five times a second; and the site launcher ran programs with source maps, which do not ship. Ruled out: heartbeats (1 a second) and the keeper (4 a second) as main cost.

--- a/demo/site/processes.ts
+++ b/demo/site/processes.ts
@@ -75,7 +75,7 @@
   }
   return {
     command: process.execPath,
-    leading: ['--enable-source-maps', BUNDLES[options.program]],
+    leading: [BUNDLES[options.program]],
   };
 }
 
--- a/packages/daemon/src/agent/engine_control.ts
+++ b/packages/daemon/src/agent/engine_control.ts
@@ -23,8 +23,11 @@
 import {holdTargetLease} from './target_lease';
 import type {WeightsKeeper} from './weights_keeper';
 
-/** Pause between two passes over wanted and reported state. */
-const PASS_PERIOD = 200;
+/** Pause between two passes while the engine is brought to another state. */
+const BUSY_PASS_PERIOD = 200;
+
+/** Pause while nothing is to be done: an idle agent's cost is its passes. */
+const IDLE_PASS_PERIOD = 500;
 
 /** What the engine said last, for heartbeats. */
 export interface EngineView {
@@ -174,10 +177,25 @@
     }
   };
 
+  const passPeriod = (): number => {
+    const wanted = wantedState(accepted().configuration, target.name);
+    if (wanted.kind !== 'serve') return IDLE_PASS_PERIOD;
+    const served = new Set(plan?.routable.map(line => line.versionDigest));
+    const isWhole = [...wanted.versions.values()].every(version =>
+      served.has(version),
+    );
+    const isSettled =
+      isWhole &&
+      plan?.orders.length === 0 &&
+      plan.needsPermit.length === 0 &&
+      plan.draining.length === 0;
+    return isSettled ? IDLE_PASS_PERIOD : BUSY_PASS_PERIOD;
+  };
+
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       await pass();
-      await sleep(PASS_PERIOD, stopping.signal);
+      await sleep(passPeriod(), stopping.signal);
     }
   };
   const passes = run();
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -194,6 +194,7 @@
     place: Parameters<typeof queue.enqueue>[1],
   ): void => {
     const enqueued = queue.enqueue(waiter, place);
+    takeTurns();
     if (enqueued.kind === 'full') {
       waiter.resolve(refuse('queueFull', QUEUE_FULL_RETRY_AFTER));
     }
@@ -281,10 +282,18 @@
     moveOverdue();
   });
 
-  const stopTurns = every(TURN_PERIOD, () => {
-    dropOverdue();
-    giveTurns();
-  });
+  // Only while something waits: fifty turns a second of an idle entry would be
+  // a good part of its budget of processor time.
+  let stopTurns: (() => void) | undefined;
+  const takeTurns = (): void => {
+    stopTurns ??= every(TURN_PERIOD, () => {
+      dropOverdue();
+      giveTurns();
+      if (queue.size() > 0) return;
+      stopTurns?.();
+      stopTurns = undefined;
+    });
+  };
 
   return {
     choose,
@@ -314,7 +323,7 @@
     dump: () => router.dump(clock()),
     close: () => {
       stopJudging();
-      stopTurns();
+      stopTurns?.();
     },
   };
 }
