Plan in the demo once the entry knows its targets

Cause: the demo planned as soon as all processes were ready, up to a second before the entry's next look at the instance list; the plan was then refused with 'no target invoicing-1 is known'. Conclusion: the demo repeats a plan that is refused for this cause alone.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -6,7 +6,7 @@
   DEMO_OPERATION,
   DEMO_SERVICE,
   firstIntent,
-  planByCommand,
+  planOnceKnown,
   publishVersion,
   waitUntilServed,
 } from './rollout';
@@ -46,7 +46,7 @@
   tally.versionDigest = version;
   say(`The origin holds ${DEMO_MODEL} 2026-12-02.1 (${version}).`);
   const intent = firstIntent(site, '2026-12-02.1');
-  const {plan} = await planByCommand(site, intent, options.binary);
+  const {plan} = await planOnceKnown(site, intent, options.binary);
   say(
     `Planned ${plan.planId}: ${plan.changes.length} changes, ${plan.originBytes} bytes from the origin. Nothing has changed yet.`,
   );
--- a/demo/rollout.ts
+++ b/demo/rollout.ts
@@ -22,6 +22,9 @@
 
 const LONGEST_WAIT = 30_000;
 
+/** In the refusal of a plan that names a target not yet heard of. */
+const UNKNOWN_TARGET = 'is known';
+
 /** Publishes a version at the origin; its content follows from `seed`. */
 export async function publishVersion(
   site: SmallSite,
@@ -106,6 +109,28 @@
   return commandJson<PlannedIntent>(site, ['intent', 'plan', file], binary);
 }
 
+/** As `planByCommand`, once the entry has heard of every target it names. */
+export async function planOnceKnown(
+  site: SmallSite,
+  intent: unknown,
+  binary = false,
+): Promise<PlannedIntent> {
+  const planned: PlannedIntent[] = [];
+  // The entry learns of targets by its next look at the instance list, a
+  // second or so after they are listed; until then its plan is refused.
+  await waitFor(async () => {
+    try {
+      planned.push(await planByCommand(site, intent, binary));
+    } catch (error) {
+      if (!String(error).includes(UNKNOWN_TARGET)) throw error;
+    }
+    return planned.length > 0;
+  }, 'the entry to know all targets');
+  const [plan] = planned;
+  if (plan === undefined) throw new Error('nothing was planned');
+  return plan;
+}
+
 /** Confirms a plan by the command line. */
 export function confirmByCommand(
   site: SmallSite,
