--- /dev/null
+++ b/packages/daemon/src/agent/agent_work.ts
@@ -0,0 +1,89 @@
+import {mayServe, type AcceptedConfiguration} from '@hibiscusbeam/core';
+import type {ServeRequest} from '@hibiscusbeam/wire';
+import type {EngineControl} from './engine_control';
+import type {Readiness} from './serve_handler';
+import type {EngineRuns, PlainServiceRuns} from './target_runs';
+
+/**
+ * Refuses a request of a workspace that is not ours to serve.
+ *
+ * Failure: the request of a workspace that has moved away arrives late and runs
+ * here, while its caller has it run by the older system.
+ */
+export function refuseClosed(
+  {workspace}: Pick<ServeRequest, 'workspace'>,
+  accepted: AcceptedConfiguration | undefined,
+): Readiness | undefined {
+  const isOurs =
+    accepted !== undefined && mayServe(workspace, accepted.configuration);
+  return isOurs ? undefined : {kind: 'notReady', reason: 'workspaceClosed'};
+}
+
+/** Whether a model engine can take the request, and how to run it. */
+export function prepareGenerate(
+  request: ServeRequest,
+  control: EngineControl | undefined,
+  isOurs: boolean,
+  runs: EngineRuns,
+): Readiness {
+  const {work, attempt, priority} = request;
+  // Failure: a move closes the target, this agent says that it is idle, and
+  // between that and the next pass over the engine it starts one more request.
+  // `routable` is as old as the last pass, the configuration is not.
+  if (work?.$case !== 'generate' || control === undefined || !isOurs) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  const {model, versionDigest, prompt, maximumTokens} = work.generate;
+  const version = control
+    .routable()
+    .find(
+      routable =>
+        routable.model === model &&
+        (versionDigest === '' || routable.versionDigest === versionDigest),
+    );
+  if (version === undefined || !control.mayStart(version.versionDigest)) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  return {
+    kind: 'ready',
+    run: timeout => {
+      // Named in full, so that a swap between this moment and the engine's
+      // start makes the engine refuse instead of answering with another one.
+      const chosen = version.versionDigest;
+      control.noteRun(chosen, 1);
+      const run = runs.run(
+        {
+          attempt,
+          model,
+          versionDigest: chosen,
+          prompt,
+          maximumTokens,
+          priority,
+        },
+        timeout,
+      );
+      return {...run, ended: () => control.noteRun(chosen, -1)};
+    },
+  };
+}
+
+/** Whether a plain service can take the request, and how to run it. */
+export function prepareCall(
+  request: ServeRequest,
+  service: string,
+  isOurs: boolean,
+  runs: PlainServiceRuns,
+): Readiness {
+  const {work, attempt} = request;
+  if (work?.$case !== 'call' || work.call.service !== service || !isOurs) {
+    return {kind: 'notReady', reason: 'noTarget'};
+  }
+  const {operation, body} = work.call;
+  return {
+    kind: 'ready',
+    run: timeout => ({
+      ...runs.run(attempt, operation, body, timeout),
+      ended: () => undefined,
+    }),
+  };
+}
