Leave no listener behind on the signal that stops a loop

Cause: sleep added an abort listener to its signal and never removed it; every pass of an agent left one (Node warned of 11 listeners), so that memory grew for the life of the process. A signal aborted before the pause was missed too.

--- a/packages/daemon/src/runtime/clock.ts
+++ b/packages/daemon/src/runtime/clock.ts
@@ -12,11 +12,16 @@
   signal?: AbortSignal,
 ): Promise<void> {
   return new Promise(resolve => {
-    const timer = setTimeout(resolve, duration);
-    signal?.addEventListener('abort', () => {
+    const wake = (): void => {
       clearTimeout(timer);
+      // Loops sleep on one signal for the life of the process: a listener left
+      // behind by each pause would show as memory that grows without end.
+      signal?.removeEventListener('abort', wake);
       resolve();
-    });
+    };
+    const timer = setTimeout(wake, duration);
+    if (signal?.aborted === true) wake();
+    else signal?.addEventListener('abort', wake);
   });
 }
 
