--- a/packages/daemon/src/agent/agent.ts
+++ b/packages/daemon/src/agent/agent.ts
@@ -137,7 +137,7 @@
         target: target.name,
         requests: {running, ...registry?.sizes()},
         engine: control?.dump(),
-        transfers: swarm.dump(),
+        swarm: swarm.dump(),
       }),
       onAdopted: accepted => followConfiguration(accepted),
       onHaveDelta: ({instance: peer}, {versionDigest, gained}) =>
