Take ports for sites from below the range of outgoing connections

Cause: a port found free was taken by another process's outgoing connection before its agent listened on it (seen once: EADDRINUSE, with three sites being started at a time).

--- a/demo/site/processes.ts
+++ b/demo/site/processes.ts
@@ -94,23 +94,32 @@
   });
 }
 
+/**
+ * Ports below those that the kernel gives to outgoing connections: a port of
+ * that range may be taken by another process's connection between this look
+ * and the start of the process that shall listen on it.
+ */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+
+let nextOffset = (process.pid * 97) % PORTS;
+
 /** Finds `count` free TCP ports on the loopback address. */
 export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({length: count}, () => listenAnywhere()),
-  );
-  const ports = servers.map(server => server.port);
-  await Promise.all(servers.map(server => server.close()));
+  const ports: number[] = [];
+  for (let tries = 0; tries < PORTS && ports.length < count; tries++) {
+    const port = FIRST_PORT + nextOffset;
+    nextOffset = (nextOffset + 1) % PORTS;
+    if (await isFree(port)) ports.push(port);
+  }
+  if (ports.length < count) throw new Error('no free ports on loopback');
   return ports;
 }
 
-async function listenAnywhere() {
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const address = server.address();
-  const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-  return {
-    port,
-    close: () => new Promise<void>(resolve => server.close(() => resolve())),
-  };
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
 }
