--- a/packages/daemon/src/entry/plan_service.ts
+++ b/packages/daemon/src/entry/plan_service.ts
@@ -1,6 +1,10 @@
 import {randomBytes} from 'node:crypto';
 import {
   abandonPlan,
+  bodyKey,
+  decodeAccepted,
+  decodeHead,
+  HEAD_KEY,
   checkManifest,
   confirmPlan,
   decodeMoveRow,
@@ -128,8 +132,9 @@
   const {table} = platform;
 
   const plan: PlanService['plan'] = async (text, operator) => {
-    const base = options.current();
-    if (base === undefined) return Err({kind: 'starting'});
+    const current = options.current();
+    if (current === undefined) return Err({kind: 'starting'});
+    const base = await newestOf(current);
     const intent = readIntent(text);
     if (intent.err) return intent;
     const facts = await gatherFacts(intent.val);
@@ -147,6 +152,28 @@
     return store(planned.val);
   };
 
+  /**
+   * The head's configuration. This entry may be a heartbeat behind another one
+   * that has just committed: a plan on what it knows would be refused with
+   * reasons that no longer hold, or be overtaken once confirmed.
+   */
+  const newestOf = async (
+    current: AcceptedConfiguration,
+  ): Promise<AcceptedConfiguration> => {
+    const row = await table.read(HEAD_KEY);
+    const head =
+      row.ok && row.val !== undefined ? decodeHead(row.val) : undefined;
+    if (head === undefined || head.generation <= current.generation) {
+      return current;
+    }
+    const body = await table.read(bodyKey(head.generation));
+    const value = body.ok ? body.val?.value : undefined;
+    const accepted = decodeAccepted(value, digestText);
+    if (accepted === undefined) return current;
+    options.onCommitted(accepted);
+    return accepted;
+  };
+
   const store = async (
     planned: Plan,
   ): Promise<Result<PlanRow, PlanRefusal>> => {
