--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -21,20 +21,10 @@
 const FIRST_SHARE = 0.35;
 
 /**
- * Longest wait for a place, in objectives. What is late by then still takes a
- * place that nobody else wants: a late answer earns a quarter, and a refused
- * caller who returns to be refused again costs as much. Held longer, a refusal
- * costs its caller more than the chance of a place is worth.
+ * Longest wait for a place of a request that is late anyhow. Held longer, its
+ * refusal would cost its caller more than the chance of a place is worth.
  */
-const LONGEST_WAIT = 0.65;
-
-/**
- * Pause named to callers whose request found no place, in objectives: the least
- * one, and what is added by turns. Engines that load a version are back after
- * 2 to 2.4 s; who returns within it is refused once more.
- */
-const LEAST_RETURN = 2.5;
-const RETURN_SPREAD = 2.5;
+const LATE_WAIT: Milliseconds = 60;
 
 /** Silence of a target, in objectives, after which an answer is given up. */
 const SILENCE_IN_OBJECTIVES = 3.5;
@@ -95,9 +85,11 @@
   return {
     limits: accepted => {
       const onTimeUntil = onTimeLimit(accepted);
-      const {arrivedAt, deadline, route} = accepted;
-      const longest = arrivedAt + route.objective * LONGEST_WAIT;
-      return {onTimeUntil, waitUntil: Math.min(deadline, longest)};
+      const waitUntil = Math.min(
+        accepted.deadline,
+        Math.max(onTimeUntil, accepted.arrivedAt + LATE_WAIT),
+      );
+      return {onTimeUntil, waitUntil};
     },
     resumeLimits: ({deadline}, now) => {
       const waitUntil = Math.min(deadline, now + RESUME_WAIT);
@@ -126,7 +118,7 @@
   route: Route,
 ): Milliseconds {
   const share = hash32(requestId ?? '') / 2 ** 32;
-  return route.objective * (LEAST_RETURN + share * RETURN_SPREAD);
+  return route.objective * (0.5 + share);
 }
 
 /** Longest silence of a target before its answer is given up. */
