Fetch the next version while the one before it waits for its load

Cause: a version that is named four seconds after another comes too late. The engine's staging area has one copy of a model, so chunks of version 3 were asked for only once version 2 was ordered to load, up to 6 s later; past the bound of 8 s no engine may start anything, and all callers are refused for seconds.

Ruled out: the origin (2.0 copies in all) and the rate of transfers (11 chunks a second, as for version 2).

Change: chunks of the version that follows are kept in memory (2.4 MB here, at most 32 MB) and staged when the order for the one before it is accepted. They are passed on to others meanwhile.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -152,13 +152,16 @@
     digest: Digest,
     signal: AbortSignal,
   ): AsyncGenerator<Result<Uint8Array, PlatformError>> {
-    const content = keeper.fetching()?.content;
-    const position = content?.digests.indexOf(digest) ?? -1;
+    const content = keeper
+      .fetching()
+      .map(version => version.content)
+      .find(({digests}) => digests.includes(digest));
     const address = originAddress();
-    if (content === undefined || position === -1 || address === undefined) {
+    if (content === undefined || address === undefined) {
       yield Err({kind: 'unavailable', detail: 'no origin for the chunk'});
       return;
     }
+    const position = content.digests.indexOf(digest);
     const pieces = ports.origin.chunk(address, content, position, signal);
     for await (const piece of pieces) yield piece.mapErr(toPlatformError);
   }
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -49,6 +49,12 @@
  */
 const UNDER_WAY = 0.3;
 
+/**
+ * Largest version that is fetched while the one before it still lies staged;
+ * it is kept in memory until then, in bytes.
+ */
+const LARGEST_AHEAD = 32 * 1024 * 1024;
+
 /** Share of a version's bound after which its chunks usually have been moved. */
 const MOVED_BY = 0.5;
 
@@ -78,8 +84,8 @@
 /** Keeps an engine at the newest version. */
 export interface EngineKeeper {
   readonly start: (signal: AbortSignal) => void;
-  /** The content that is being fetched, with its digest. */
-  readonly fetching: () => FetchedVersion | undefined;
+  /** The versions that are being fetched or are there. */
+  readonly fetching: () => readonly FetchedVersion[];
   /** Whether the engine serves requests now. */
   readonly isServing: () => boolean;
 }
@@ -95,7 +101,12 @@
 /** Creates the keeper of the engine beside this agent. */
 export function createEngineKeeper(options: EngineKeeperOptions): EngineKeeper {
   const {engine, operator, staged, swarm, clock, log} = options;
+  /** What the engine is to load next, or has loaded. */
   let fetched: FetchedVersion | undefined;
+  /** What follows it, fetched while the other still waits for its load. */
+  let following: FetchedVersion | undefined;
+  let isLoading = false;
+  let held: EngineStanding['held'] = [];
   let contentAskedAt = -Infinity;
   let orderedAt = -Infinity;
   let asking = false;
@@ -108,6 +119,8 @@
       const standing = await engine.standing(LOOK_TIMEOUT);
       if (standing.ok) {
         isServing = standing.val.held.length > 0;
+        isLoading = standing.val.ordering;
+        held = standing.val.held;
         options.onStanding(standing.val, loadsIn(standing.val));
         logState(standing.val);
         look(standing.val);
@@ -123,11 +136,10 @@
     // hold, since it has not met them yet.
     if (model === undefined || !options.areMembersKnown()) return;
     const wanted = operator.namedVersion(model.name);
-    const isNewest =
-      fetched !== undefined && fetched.content.version >= (wanted ?? 0);
-    if (!isNewest && !finishesFirst(standing)) {
-      return void askContent(model, wanted);
-    }
+    if (following !== undefined && !finishesFirst()) turnTo(following);
+    const newest = (following ?? fetched)?.content.version ?? 0;
+    const isNewest = fetched !== undefined && newest >= (wanted ?? 0);
+    if (!isNewest && mayFetch(model)) void askContent(model, wanted);
     if (fetched === undefined || standing.ordering) return;
     const {identified} = fetched;
     const serves = isServed(standing, fetched.content);
@@ -160,14 +172,19 @@
    * bound from its own naming, so one that is well under way is loaded; the
    * newer one has time after it.
    */
-  function finishesFirst(standing: EngineStanding): boolean {
+  function finishesFirst(): boolean {
     if (fetched === undefined) return false;
-    if (isServed(standing, fetched.content) || standing.ordering) return false;
+    if (isServed({held}, fetched.content) || isLoading) return false;
     const age = clock() - fetched.knownSince;
     const {versionBound} = options;
     return age >= versionBound * UNDER_WAY && age < versionBound;
   }
 
+  /** A version too large for the memory waits until the staging area is free. */
+  function mayFetch({chunkSize, chunks}: WantedModel): boolean {
+    return chunkSize * chunks <= LARGEST_AHEAD || !finishesFirst();
+  }
+
   function isReady(versionDigest: Digest): boolean {
     return swarm
       .progress()
@@ -199,7 +216,8 @@
   }
 
   function adopt(content: VersionContent, model: WantedModel): void {
-    if (content.version <= (fetched?.content.version ?? 0)) return;
+    const newest = (following ?? fetched)?.content.version ?? 0;
+    if (content.version <= newest) return;
     const identified = identify(content, model.chunkSize);
     const checked = checkManifest(
       identified.versionDigest,
@@ -210,14 +228,46 @@
       log.warn('content of a version is malformed', {faults: checked.val});
       return;
     }
-    if (fetched !== undefined) swarm.abandon(fetched.identified.versionDigest);
-    fetched = {content, identified, knownSince: clock()};
-    staged.aim(content);
-    const {versionDigest, manifest} = identified;
+    const next: FetchedVersion = {content, identified, knownSince: clock()};
+    const follows = finishesFirst();
     log.info('fetches a version', {
       model: content.model,
       version: content.version,
+      after: follows ? fetched?.content.version : undefined,
     });
+    if (follows) follow(next);
+    else turnTo(next);
+    fetch(next, model);
+  }
+
+  /**
+   * Fetches a version while the one before it waits for its load.
+   *
+   * Failure: a version is named four seconds after another. Staged only after
+   * the other's load, it comes after its bound; until then no engine may begin
+   * anything, and callers are refused for seconds. Guard: its chunks are moved
+   * meanwhile and wait in memory.
+   */
+  function follow(next: FetchedVersion): void {
+    if (following !== undefined) abandon(following);
+    following = next;
+    staged.prepare(next.content);
+  }
+
+  function turnTo(next: FetchedVersion): void {
+    if (fetched !== undefined) abandon(fetched);
+    if (following !== undefined && following !== next) abandon(following);
+    following = undefined;
+    fetched = next;
+    staged.aim(next.content);
+  }
+
+  function abandon({identified}: FetchedVersion): void {
+    swarm.abandon(identified.versionDigest);
+  }
+
+  function fetch({identified}: FetchedVersion, model: WantedModel): void {
+    const {versionDigest, manifest} = identified;
     void swarm.refreshHeld().then(() =>
       swarm.want(versionDigest, manifest, {
         prefer: 'origin-bytes',
@@ -269,7 +319,8 @@
 
   return {
     start: signal => void run(signal),
-    fetching: () => fetched,
+    fetching: () =>
+      [fetched, following].filter(version => version !== undefined),
     isServing: () => isServing,
   };
 }
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -8,15 +8,21 @@
 import type {EngineControl, EngineError, VersionContent} from '../ports';
 
 /**
- * The chunks that lie staged at the engine, by digest.
+ * The chunks that lie staged at the engine, by digest, and those of the version
+ * after it, which are kept in memory until they may be staged.
  *
  * The engine keeps one copy of a model, by position, and checks nothing: a new
  * version's chunk overwrites the old one's, and staged bytes may turn bad.
  */
 export interface StagedChunks {
   readonly store: ChunkStore;
-  /** Sets the version whose chunks are staged from now on. */
+  /**
+   * Sets the version whose chunks are staged from now on; stages those of it
+   * that were kept in memory.
+   */
   readonly aim: (content: VersionContent) => void;
+  /** Sets the version whose chunks are kept in memory until it is aimed at. */
+  readonly prepare: (content: VersionContent) => void;
   /**
    * Reads all staged chunks of the version again; then runs `whenWhole` with
    * nothing staged in between. Returns undefined if a chunk is missing or bad.
@@ -39,6 +45,8 @@
 /** Creates the store over the engine's staging area. */
 export function createStagedChunks(engine: EngineControl): StagedChunks {
   let aim: VersionContent | undefined;
+  let prepared: VersionContent | undefined;
+  const kept = new Map<Digest, Buffer>();
   /** Digest that was last seen or put at each position. */
   const lying = new Map<number, Digest>();
   let isRead = false;
@@ -49,21 +57,53 @@
     pieces: readonly Uint8Array[],
   ): Promise<Result<void, ChunkStoreError>> {
     await frozen;
+    const bytes = Buffer.concat(pieces);
+    const isPrepared = prepared?.digests.includes(digest) === true;
+    if (isPrepared) kept.set(digest, bytes);
     const position = aim?.digests.indexOf(digest) ?? -1;
-    if (aim === undefined || position === -1) {
-      return Err({kind: 'refused', detail: 'the chunk is of another version'});
+    if (aim !== undefined && position !== -1) {
+      return stage(aim, position, digest, bytes);
     }
+    if (isPrepared) return Ok.EMPTY;
+    return Err({kind: 'refused', detail: 'the chunk is of another version'});
+  }
+
+  async function stage(
+    {model}: VersionContent,
+    position: number,
+    digest: Digest,
+    bytes: Buffer,
+  ): Promise<Result<void, ChunkStoreError>> {
     lying.delete(position);
-    const stored = await engine.stage(
-      aim.model,
-      position,
-      Buffer.concat(pieces),
-    );
+    const stored = await engine.stage(model, position, bytes);
     if (stored.err) return stored.mapErr(toStoreError);
     lying.set(position, digest);
     return Ok.EMPTY;
   }
 
+  function aimAt(content: VersionContent): void {
+    aim = content;
+    if (prepared?.version !== content.version) kept.clear();
+    prepared = undefined;
+    if (kept.size > 0) frozen = frozen.then(() => stageKept(content));
+  }
+
+  /** What can't be staged is found missing before the order. */
+  async function stageKept(content: VersionContent): Promise<void> {
+    for (const [digest, bytes] of kept) {
+      const position = content.digests.indexOf(digest);
+      if (aim === content && position !== -1) {
+        await stage(content, position, digest, bytes);
+      }
+      kept.delete(digest);
+    }
+  }
+
+  function prepare(content: VersionContent): void {
+    if (prepared?.version !== content.version) kept.clear();
+    prepared = content;
+  }
+
   async function list() {
     if (aim === undefined) return Ok({life: LIFE, digests: []});
     // Reading all again takes 100 ms; it is done right before an order anyway.
@@ -71,7 +111,7 @@
       const read = await readAll(aim);
       if (read.err) return read.mapErr(toStoreError);
     }
-    return Ok({life: LIFE, digests: [...lying.values()]});
+    return Ok({life: LIFE, digests: [...lying.values(), ...kept.keys()]});
   }
 
   /** Reads what lies staged, and remembers the digest at each position. */
@@ -96,6 +136,11 @@
   async function* get(
     digest: Digest,
   ): AsyncGenerator<Result<Uint8Array, ChunkStoreError>> {
+    const inMemory = kept.get(digest);
+    if (inMemory !== undefined) {
+      yield* inParts(inMemory);
+      return;
+    }
     const position = positionOf(digest);
     if (aim === undefined || position === undefined) {
       yield Err({kind: 'notHeld', detail: 'not staged'});
@@ -113,9 +158,7 @@
       yield read.mapErr(toStoreError);
       return;
     }
-    for (let at = 0; at < read.val.length; at += SENT_AT_ONCE) {
-      yield Ok(read.val.subarray(at, at + SENT_AT_ONCE));
-    }
+    yield* inParts(read.val);
   }
 
   function positionOf(digest: Digest): number | undefined {
@@ -143,11 +186,18 @@
 
   return {
     store: {put, list, get},
-    aim: content => (aim = content),
+    aim: aimAt,
+    prepare,
     withWhole,
   };
 }
 
+function* inParts(bytes: Buffer): Generator<Result<Uint8Array, never>> {
+  for (let at = 0; at < bytes.length; at += SENT_AT_ONCE) {
+    yield Ok(bytes.subarray(at, at + SENT_AT_ONCE));
+  }
+}
+
 function toStoreError(error: EngineError): ChunkStoreError {
   switch (error.kind) {
     case 'notHeld':
--- a/packages/fleet/src/agent/wanted_version.ts
+++ b/packages/fleet/src/agent/wanted_version.ts
@@ -13,6 +13,8 @@
 export interface WantedModel {
   readonly name: string;
   readonly chunkSize: Bytes;
+  /** Chunks of each of its versions. */
+  readonly chunks: number;
   /** Address of the origin of its weights. */
   readonly origin: string;
   readonly originRate: BytesPerSecond | undefined;
@@ -31,6 +33,7 @@
   return {
     name,
     chunkSize: own.weights.chunkSize,
+    chunks: own.weights.chunks,
     origin: origin.address,
     originRate: origin.linkRate,
   };
@@ -38,7 +41,7 @@
 
 /** Whether an engine serves the version or a newer one. */
 export function isServed(
-  {held}: EngineStanding,
+  {held}: Pick<EngineStanding, 'held'>,
   {model, version}: VersionContent,
 ): boolean {
   return held.some(entry => entry.model === model && entry.version >= version);
--- a/test/fleet/agent.test.ts
+++ b/test/fleet/agent.test.ts
@@ -9,6 +9,9 @@
 
 const CHUNKS = 6;
 
+/** Time after which a version of the site's bound of 8 s is finished first. */
+const UNDER_WAY = 2_600;
+
 let site: HostSite;
 let origin: HostOrigin;
 let newest = 1;
@@ -64,6 +67,29 @@
   expect(origin.sent.length - sentBefore).toBe(CHUNKS);
 });
 
+// Version 3 is named while version 2 lies staged and waits for its load. Moved
+// only after that load, it comes after its bound, and callers are refused.
+test('fetches the next version while the one before waits for its load', async () => {
+  await startSite();
+  const both = [await startEngine('one'), await startEngine('two')];
+  await Promise.all(both.map(site.startAgent));
+  await eventually(() => both.every(engine => engine.held() === 1));
+  name(2);
+  await eventually(() => both.some(engine => engine.held() === 2));
+  await new Promise(resolve => setTimeout(resolve, UNDER_WAY));
+  expect(both.filter(engine => engine.held() === 1)).toHaveLength(1);
+  name(3);
+  const ahead = {model: 'model', version: 3, after: 2};
+  const isFetchedAhead = () =>
+    site.lines.some(
+      ({sentence, fields}) =>
+        sentence === 'fetches a version' &&
+        JSON.stringify(fields) === JSON.stringify(ahead),
+    );
+  await eventually(isFetchedAhead);
+  await eventually(() => both.every(engine => engine.held() === 3));
+});
+
 // Staged bytes turn bad after they were fetched, while the engine is down. An
 // engine that loads them would answer with broken weights.
 test('an engine never loads a staged chunk that has turned bad', async () => {
--- /dev/null
+++ b/test/fleet/staged_chunks.test.ts
@@ -0,0 +1,105 @@
+import {createHash} from 'node:crypto';
+import {Ok} from 'ts-results';
+import {expect, test} from 'vitest';
+import {createStagedChunks} from '../../packages/fleet/src/agent/staged_chunks';
+import type {
+  EngineControl,
+  VersionContent,
+} from '../../packages/fleet/src/ports';
+
+const CHUNKS = 4;
+
+function chunk(version: number, position: number): Buffer {
+  return Buffer.from(`chunk ${position} of version ${version}`);
+}
+
+function digest(bytes: Buffer): string {
+  return `sha256:${createHash('sha256').update(bytes).digest('hex')}`;
+}
+
+function content(version: number): VersionContent {
+  const positions = Array.from({length: CHUNKS}, (_none, position) => position);
+  const digests = positions.map(position => digest(chunk(version, position)));
+  return {model: 'model', version, digests};
+}
+
+function startStaging() {
+  const lying = new Map<number, Buffer>();
+  const engine: EngineControl = {
+    standing: () => Promise.reject(new Error('not asked here')),
+    staged: () => Promise.resolve(Ok([...lying.keys()])),
+    readStaged: (_model, position) => Promise.resolve(Ok(lying.get(position)!)),
+    stage: (_model, position, bytes) => {
+      lying.set(position, bytes);
+      return Promise.resolve(Ok.EMPTY);
+    },
+    load: () => Promise.reject(new Error('not asked here')),
+  };
+  return {lying, staged: createStagedChunks(engine)};
+}
+
+type Staged = ReturnType<typeof startStaging>['staged'];
+
+async function putAll(staged: Staged, version: number): Promise<void> {
+  for (let position = 0; position < CHUNKS; position += 1) {
+    const bytes = chunk(version, position);
+    const stored = await staged.store.put(digest(bytes), [bytes]);
+    expect(stored.ok).toBe(true);
+  }
+}
+
+async function isWhole(staged: Staged, version: number): Promise<boolean> {
+  const ran = await staged.withWhole(content(version), async () => 'ran');
+  return ran === 'ran';
+}
+
+// Version 2 lies staged and waits for its load when version 3 is named. Its
+// chunks must not overwrite those of version 2, or the engine would load a mix
+// of both; nor may they wait, or version 3 comes after its bound.
+test('keeps the chunks of the next version until the one before is loaded', async () => {
+  const {lying, staged} = startStaging();
+  staged.aim(content(2));
+  await putAll(staged, 2);
+  staged.prepare(content(3));
+  await putAll(staged, 3);
+  expect(lying.get(1)).toEqual(chunk(2, 1));
+  expect(await isWhole(staged, 2)).toBe(true);
+  staged.aim(content(3));
+  expect(await isWhole(staged, 3)).toBe(true);
+  expect(lying.get(1)).toEqual(chunk(3, 1));
+});
+
+test('passes on chunks that wait in memory', async () => {
+  const {staged} = startStaging();
+  staged.aim(content(2));
+  staged.prepare(content(3));
+  await putAll(staged, 3);
+  const parts: Uint8Array[] = [];
+  const wanted = digest(chunk(3, 2));
+  for await (const part of staged.store.get(
+    wanted,
+    new AbortController().signal,
+  )) {
+    parts.push(part.unwrap());
+  }
+  expect(Buffer.concat(parts)).toEqual(chunk(3, 2));
+});
+
+test('forgets the chunks of a version that is skipped', async () => {
+  const {staged} = startStaging();
+  staged.aim(content(2));
+  staged.prepare(content(3));
+  await putAll(staged, 3);
+  staged.aim(content(4));
+  const listed = await staged.store.list();
+  expect(listed.unwrap().digests).toEqual([]);
+  expect(await isWhole(staged, 4)).toBe(false);
+});
+
+test('refuses chunks of versions that nobody asked for', async () => {
+  const {staged} = startStaging();
+  staged.aim(content(2));
+  const bytes = chunk(9, 0);
+  const stored = await staged.store.put(digest(bytes), [bytes]);
+  expect(stored).toMatchObject({err: true, val: {kind: 'refused'}});
+});
