Send callers elsewhere before a configuration is too old

Change: it counts as unready from 3.5 s on. The age is at most 2 s, and the time of an answer, while the store is well; directory answers live for 2 s.

Ruled out: leaving it to callers, who take a 503 for no fault of the address.

A test goes with it.

Conclusion: kept for the callers' sake.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -49,6 +49,14 @@
 /** Margin of the revocation bound, for clocks that run apart. */
 const REVOCATION_MARGIN: Milliseconds = 300;
 
+/**
+ * Age of the confirmed configuration at which callers are sent to other
+ * entries, as a share of the age at which keys aren't served any more. Callers
+ * keep a directory's answer for one or two seconds, and the age grows to two
+ * seconds between two answers of a store that is well.
+ */
+const TURNED_AWAY_SHARE = 0.75;
+
 /**
  * Time before the bound at which an entry stops to send to engines with an
  * older version. A request may wait at the engine before it begins; 1 s is the
@@ -111,8 +119,17 @@
       places.pump();
     },
   });
+  const longestConfirmationAge = bounds.revocation - REVOCATION_MARGIN;
+  // Failure: an entry that is cut off from the store refuses every request with
+  // a key, and its callers come back to it though the others would serve them.
+  // Guard: it counts as unready before that, and directories leave it out.
   const isReady = (): boolean =>
-    phase === 'serving' && operator.table() !== undefined;
+    phase === 'serving' &&
+    operator.table() !== undefined &&
+    confirmation.isFresh(
+      machineClock(),
+      longestConfirmationAge * TURNED_AWAY_SHARE,
+    );
   const greeting = (): EntryGreeting => ({
     instance: settings.instance,
     ready: isReady(),
@@ -144,7 +161,7 @@
     clock,
     machineClock,
     log: logs('requests'),
-    longestConfirmationAge: bounds.revocation - REVOCATION_MARGIN,
+    longestConfirmationAge,
     stopping: () => phase,
   });
   const callers = createCallerFace(handler);
--- a/test/fleet/entry.test.ts
+++ b/test/fleet/entry.test.ts
@@ -237,6 +237,18 @@
   await eventually(isServed);
 });
 
+// An entry is cut off from the store. It refuses requests with a key, and the
+// callers that the directory goes on sending there are refused in vain.
+test('counts as unready before its configuration is too old', async () => {
+  const {settings} = await site.startEntry({revocation: 1_500});
+  site.configure();
+  await eventually(() => isReady(settings.readinessAddress));
+  site.store.setFault('silent');
+  await eventually(async () => !(await isReady(settings.readinessAddress)));
+  site.store.setFault('none');
+  await eventually(() => isReady(settings.readinessAddress));
+});
+
 test('serves a key until it is taken away, and not after', async () => {
   await startPlain('one');
   const {settings} = await startReadyEntry(1);
