--- a/packages/core/src/placement/version_rule.ts
+++ b/packages/core/src/placement/version_rule.ts
@@ -1,5 +1,12 @@
 import type {Milliseconds, ModelName, MonotonicInstant} from '../types';
 
+/**
+ * Time before a version's bound at which older ones start nothing more, in
+ * milliseconds. A request may wait at the engine before it begins; 1 s is the
+ * longest wait seen there under full load.
+ */
+export const VERSION_MARGIN = 1_000;
+
 /** Versions that the operator has named, and which of them must be in force. */
 export interface NamedVersions {
   /** Takes a name; an older one than known changes nothing. */
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -1,9 +1,11 @@
 import {
   checkManifest,
-  earliestLoad,
+  loadTimes,
   loadWave,
+  VERSION_MARGIN,
   type Digest,
   type IdentifiedManifest,
+  type LoadTimes,
   type Milliseconds,
   type MonotonicInstant,
   type SwarmMember,
@@ -42,13 +44,6 @@
 /** Pause before an order is given again. */
 const ORDER_RETRY: Milliseconds = 300;
 
-/**
- * Share of a version's bound after which it is finished though a newer one has
- * been named: by then more than half of it has been moved. Below that, going
- * straight to the newer one costs less than a second load of every engine.
- */
-const UNDER_WAY = 0.3;
-
 /**
  * Largest version that is fetched while the one before it still lies staged;
  * it is kept in memory until then, in bytes.
@@ -105,6 +100,8 @@
   let fetched: FetchedVersion | undefined;
   /** What follows it, fetched while the other still waits for its load. */
   let following: FetchedVersion | undefined;
+  /** From when on the version that the engine serves may start nothing. */
+  let outdatedAt: MonotonicInstant = Infinity;
   let isLoading = false;
   let held: EngineStanding['held'] = [];
   let contentAskedAt = -Infinity;
@@ -136,14 +133,20 @@
     // hold, since it has not met them yet.
     if (model === undefined || !options.areMembersKnown()) return;
     const wanted = operator.namedVersion(model.name);
-    if (following !== undefined && !finishesFirst()) turnTo(following);
+    if (following !== undefined && !goesFirst()) {
+      if (isSkipped()) outdatedAt = clock();
+      turnTo(following);
+    }
     const newest = (following ?? fetched)?.content.version ?? 0;
     const isNewest = fetched !== undefined && newest >= (wanted ?? 0);
     if (!isNewest && mayFetch(model)) void askContent(model, wanted);
     if (fetched === undefined || standing.ordering) return;
     const {identified} = fetched;
-    const serves = isServed(standing, fetched.content);
-    if (serves || !isReady(identified.versionDigest)) return;
+    if (isServed(standing, fetched.content)) {
+      outdatedAt = Infinity;
+      return;
+    }
+    if (!isReady(identified.versionDigest)) return;
     if (isMyTurn(standing)) void order(fetched);
   }
 
@@ -151,38 +154,50 @@
   function loadsIn(standing: EngineStanding): Milliseconds | undefined {
     if (fetched === undefined || standing.ordering) return undefined;
     if (isServed(standing, fetched.content)) return undefined;
-    const wave = loadWave(options.self, options.members());
-    const earliest = Math.max(
-      earliestLoad(wave, options.versionBound),
-      options.versionBound * MOVED_BY,
-    );
+    const moved = options.versionBound * MOVED_BY;
+    const earliest = Math.max(times().earliest, moved);
     return fetched.knownSince + earliest - clock();
   }
 
-  /** An engine that serves nothing yet loads at once. */
+  function times(): LoadTimes {
+    const wave = loadWave(options.self, options.members());
+    return loadTimes(wave, options.versionBound);
+  }
+
+  /** An engine that may start nothing as it is loads at once. */
   function isMyTurn(standing: EngineStanding): boolean {
     if (fetched === undefined || standing.held.length === 0) return true;
-    const wave = loadWave(options.self, options.members());
-    const {versionBound} = options;
-    return clock() - fetched.knownSince >= earliestLoad(wave, versionBound);
+    if (clock() >= outdatedAt) return true;
+    if (isSkipped()) return false;
+    return clock() - fetched.knownSince >= times().earliest;
+  }
+
+  /** Whether the version in hand gives way to the one that follows it. */
+  function isSkipped(): boolean {
+    if (fetched === undefined || following === undefined) return false;
+    const gap = following.knownSince - fetched.knownSince;
+    return gap < times().committedFrom;
   }
 
   /**
-   * Whether the version in hand goes before a newer one. Each version has its
-   * bound from its own naming, so one that is well under way is loaded; the
-   * newer one has time after it.
+   * Whether the version in hand keeps the staging area from a newer one. Each
+   * version has its bound from its own naming, so one that is well under way is
+   * loaded, and the newer one has time after it. One that is skipped stays for
+   * the others to fetch, until what the engine serves may start nothing more.
    */
-  function finishesFirst(): boolean {
+  function goesFirst(): boolean {
     if (fetched === undefined) return false;
     if (isServed({held}, fetched.content) || isLoading) return false;
     const age = clock() - fetched.knownSince;
     const {versionBound} = options;
-    return age >= versionBound * UNDER_WAY && age < versionBound;
+    const underWay = loadTimes('first', versionBound).committedFrom;
+    const end = isSkipped() ? versionBound - VERSION_MARGIN : versionBound;
+    return age >= underWay && age < end;
   }
 
   /** A version too large for the memory waits until the staging area is free. */
   function mayFetch({chunkSize, chunks}: WantedModel): boolean {
-    return chunkSize * chunks <= LARGEST_AHEAD || !finishesFirst();
+    return chunkSize * chunks <= LARGEST_AHEAD || !goesFirst();
   }
 
   function isReady(versionDigest: Digest): boolean {
@@ -229,7 +244,7 @@
       return;
     }
     const next: FetchedVersion = {content, identified, knownSince: clock()};
-    const follows = finishesFirst();
+    const follows = goesFirst();
     log.info('fetches a version', {
       model: content.model,
       version: content.version,
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -2,6 +2,7 @@
   createConfirmation,
   createNamedVersions,
   createTargetBook,
+  VERSION_MARGIN,
   type Milliseconds,
 } from '@hibiscusbeam/core';
 import {
@@ -57,13 +58,6 @@
  */
 const TURNED_AWAY_SHARE = 0.75;
 
-/**
- * Time before the bound at which an entry stops to send to engines with an
- * older version. A request may wait at the engine before it begins; 1 s is the
- * longest wait seen there under full load.
- */
-const VERSION_MARGIN: Milliseconds = 1_000;
-
 /** Most of a directory answer's life that is used, so that news spread soon. */
 const LONGEST_DIRECTORY_LIFE: Milliseconds = 2_000;
 
