Tell other entries since when a version is named

Cause: an entry that starts anew counted a version's bound from its own first look.

Ruled out: the clocks (machine clocks agree to milliseconds), the feed (each entry knew the name 10 to 30 ms after its start).

Change: greetings between entries carry the last names with their age, and the first moment that any of them knows counts.

Before and after: test/fleet/version_namings.test.ts fails without taking the namings (the second entry never claims the age), and passes with it; a test of the memory of names as well.

--- a/packages/core/src/placement/version_rule.ts
+++ b/packages/core/src/placement/version_rule.ts
@@ -7,13 +7,24 @@
  */
 export const VERSION_MARGIN = 1_000;
 
+/** That a version was named, and since when that is known somewhere. */
+export interface VersionNaming {
+  readonly model: ModelName;
+  readonly version: number;
+  readonly knownSince: MonotonicInstant;
+}
+
 /** Versions that the operator has named, and which of them must be in force. */
 export interface NamedVersions {
-  /** Takes a name; an older one than known changes nothing. */
+  /**
+   * Takes a name, also one that another process learned of before; of several
+   * moments for the same version the first one counts. Returns whether the
+   * version is newer than all known before.
+   */
   readonly name: (
     model: ModelName,
     version: number,
-    now: MonotonicInstant,
+    knownSince: MonotonicInstant,
   ) => boolean;
   readonly newest: (model: ModelName) => number | undefined;
   /** The oldest version that may still start a request, if there is one. */
@@ -22,12 +33,12 @@
     now: MonotonicInstant,
   ) => number | undefined;
   readonly all: () => ReadonlyMap<ModelName, number>;
+  /** The last few names of each model, for other processes. */
+  readonly recent: () => readonly VersionNaming[];
 }
 
-interface Naming {
-  readonly version: number;
-  readonly knownSince: MonotonicInstant;
-}
+/** Names told to others; two follow one another within a bound at most. */
+const RECENT = 3;
 
 /**
  * Creates the memory of named versions.
@@ -36,25 +47,34 @@
  * not put off the one before it.
  */
 export function createNamedVersions(bound: Milliseconds): NamedVersions {
-  const namings = new Map<ModelName, Naming[]>();
+  const namings = new Map<ModelName, readonly VersionNaming[]>();
+
+  const newest = (model: ModelName): number | undefined =>
+    namings.get(model)?.at(-1)?.version;
 
   return {
-    name: (model, version, now) => {
+    name: (model, version, knownSince) => {
       const known = namings.get(model) ?? [];
-      if (version <= (known.at(-1)?.version ?? 0)) return false;
-      namings.set(model, [...known, {version, knownSince: now}]);
-      return true;
+      const same = known.find(naming => naming.version === version);
+      const first = Math.min(knownSince, same?.knownSince ?? knownSince);
+      const isNew = version > (newest(model) ?? 0);
+      const others = known.filter(naming => naming !== same);
+      const next = [...others, {model, version, knownSince: first}];
+      next.sort((one, other) => one.version - other.version);
+      namings.set(model, next);
+      return isNew;
     },
-    newest: model => namings.get(model)?.at(-1)?.version,
+    newest,
     least: (model, now) =>
       namings.get(model)?.findLast(({knownSince}) => now - knownSince >= bound)
         ?.version,
     all: () => {
-      const newest = new Map<ModelName, number>();
-      for (const [model, known] of namings) {
-        newest.set(model, known.at(-1)?.version ?? 0);
+      const versions = new Map<ModelName, number>();
+      for (const model of namings.keys()) {
+        versions.set(model, newest(model) ?? 0);
       }
-      return newest;
+      return versions;
     },
+    recent: () => [...namings.values()].flatMap(known => known.slice(-RECENT)),
   };
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -128,10 +128,24 @@
     instance: settings.instance,
     ready: isReady(),
     configurationVersion: operator.table()?.version ?? 0,
+    namings: versions.recent().map(({model, version, knownSince}) => ({
+      model,
+      version,
+      ageMilliseconds: Math.max(0, Math.round(machineClock() - knownSince)),
+    })),
   });
+  // Failure: an entry that starts anew counts a version's bound from its own
+  // first look, and sends requests to engines with the older one for seconds
+  // after it. Guard: the others say since when they know of the name.
+  const takeNamings = ({namings}: EntryGreeting): void => {
+    for (const {model, version, ageMilliseconds} of namings) {
+      versions.name(model, version, machineClock() - ageMilliseconds);
+    }
+  };
   const circle = createEntryCircle({
     log: logs('membership'),
     self: greeting,
+    onGreeting: takeNamings,
   });
   const members = createMemberFollower({
     self,
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -18,6 +18,8 @@
   readonly log: Log;
   /** What this entry says of itself. */
   readonly self: () => EntryGreeting;
+  /** Takes what another entry says. */
+  readonly onGreeting: (greeting: EntryGreeting) => void;
 }
 
 /** The other entries, and which of them callers may be sent to. */
@@ -73,6 +75,7 @@
       }
       neighbour.lost = 0;
       neighbour.ready = reply.val.ready;
+      options.onGreeting(reply.val);
       return;
     }
     neighbour.lost += 1;
@@ -87,6 +90,7 @@
       neighbour.ready = greeting.ready;
       neighbour.lost = 0;
     }
+    options.onGreeting(greeting);
     return options.self();
   }
 
--- /dev/null
+++ b/test/fleet/version_namings.test.ts
@@ -0,0 +1,53 @@
+import type {EntryGreeting} from '@hibiscusbeam/wire';
+import {afterEach, expect, test} from 'vitest';
+import {
+  callOnce,
+  createEntryChannels,
+} from '../../packages/fleet/src/link/channels';
+import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
+
+/** How much later than the first entry the second one starts. */
+const LATER = 1_500;
+
+let site: HostSite;
+const channels = createEntryChannels();
+
+afterEach(async () => {
+  channels.keep(new Set());
+  await site.close();
+});
+
+/** Age of the name of version 2, as an entry tells it to others. */
+async function ageAt(peerAddress: string): Promise<number | undefined> {
+  const greeting: EntryGreeting = {
+    instance: 'stranger',
+    ready: false,
+    configurationVersion: 0,
+    namings: [],
+  };
+  const reply = await callOnce<EntryGreeting>(1_000, done =>
+    channels.at(peerAddress).greet(greeting, done),
+  );
+  return reply.ok ? reply.val.namings[0]?.ageMilliseconds : undefined;
+}
+
+// A version is named, and an entry starts anew before its bound. Counted from
+// its own first look, it would go on to send requests to engines with the
+// older version for seconds after the bound.
+test('an entry learns from the others since when a version is named', async () => {
+  site = await startHostSite();
+  site.configure();
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  const first = await site.startEntry();
+  await eventually(
+    async () => (await ageAt(first.settings.peerAddress)) !== undefined,
+  );
+  await new Promise(resolve => setTimeout(resolve, LATER));
+  const second = await site.startEntry();
+  await eventually(async () => {
+    const ageAtFirst = await ageAt(first.settings.peerAddress);
+    const ageAtSecond = await ageAt(second.settings.peerAddress);
+    return (ageAtSecond ?? 0) >= (ageAtFirst ?? Infinity);
+  });
+  expect(await ageAt(second.settings.peerAddress)).toBeGreaterThan(LATER);
+});
--- a/test/placement/named_versions.test.ts
+++ b/test/placement/named_versions.test.ts
@@ -12,7 +12,22 @@
   expect(versions.least('model', 12_000)).toBe(3);
 });
 
-test('an older name changes nothing', () => {
+// An entry starts anew six seconds after a version was named. Counted from its
+// own first look, it would send requests to the older version for 6 s too long.
+test('the first process that learned of a name sets the bound', () => {
+  const versions = createNamedVersions(8_000);
+  versions.name('model', 3, 6_000);
+  expect(versions.name('model', 2, -1_000)).toBe(false);
+  expect(versions.name('model', 3, 1_000)).toBe(false);
+  versions.name('model', 3, 5_000);
+  expect(versions.least('model', 7_000)).toBe(2);
+  expect(versions.least('model', 9_000)).toBe(3);
+  const [two, three] = versions.recent();
+  expect(two).toMatchObject({version: 2, knownSince: -1_000});
+  expect(three).toMatchObject({version: 3, knownSince: 1_000});
+});
+
+test('an older name is not the newest', () => {
   const versions = createNamedVersions(8_000);
   expect(versions.name('model', 3, 0)).toBe(true);
   expect(versions.name('model', 2, 100)).toBe(false);
