Name refused callers a time after the loads

Cause: refused callers were told to come back after 0.5 to 1.5 objectives (0.2 to 0.6 s).

Ruled out: waiting longer in the queue (tried and reverted); pauses that grow with the share of refusals, since callers keep to a third of the time they have, 2 s here.

--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -26,6 +26,14 @@
  */
 const LATE_WAIT: Milliseconds = 60;
 
+/**
+ * Pause named to callers whose request found no place, in objectives: the least
+ * one, and what is added by turns. Engines that load a version are back after
+ * 2 to 2.4 s; who returns within it is refused once more.
+ */
+const LEAST_RETURN = 2.5;
+const RETURN_SPREAD = 2.5;
+
 /** Silence of a target, in objectives, after which an answer is given up. */
 const SILENCE_IN_OBJECTIVES = 3.5;
 
@@ -118,7 +126,7 @@
   route: Route,
 ): Milliseconds {
   const share = hash32(requestId ?? '') / 2 ** 32;
-  return route.objective * (0.5 + share);
+  return route.objective * (LEAST_RETURN + share * RETURN_SPREAD);
 }
 
 /** Longest silence of a target before its answer is given up. */
