Keep verified chunks in memory until the engine has taken them

Cause: chunks that turn bad while they lie staged are noticed when another agent asks for them. The holder then says that it holds them no more; when the last holder has, the chunk is asked of the origin after the patience of a rank, 2.5 s and more here. The bytes were verified in memory a moment before.

Change: a verified copy stays in memory (2.4 MB, at most 32 MB) until the order was accepted. Others are served from it, without a read of the engine, and bad chunks are staged anew right before the order.

Before and after: test/fleet/staged_chunks.test.ts, "mends staged chunks that have turned bad", fails before. Its worth wasn't measured apart.

--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -30,7 +30,7 @@
   isServed,
   type WantedModel,
 } from './wanted_version';
-import type {StagedChunks} from './staged_chunks';
+import {LARGEST_KEPT, type StagedChunks} from './staged_chunks';
 
 /** Period of looks at the own engine; they are free on its own machine. */
 const LOOK_PERIOD: Milliseconds = 100;
@@ -44,12 +44,6 @@
 /** Pause before an order is given again. */
 const ORDER_RETRY: Milliseconds = 300;
 
-/**
- * Largest version that is fetched while the one before it still lies staged;
- * it is kept in memory until then, in bytes.
- */
-const LARGEST_AHEAD = 32 * 1024 * 1024;
-
 /** Share of a version's bound after which its chunks usually have been moved. */
 const MOVED_BY = 0.5;
 
@@ -197,7 +191,7 @@
 
   /** A version too large for the memory waits until the staging area is free. */
   function mayFetch({chunkSize, chunks}: WantedModel): boolean {
-    return chunkSize * chunks <= LARGEST_AHEAD || !goesFirst();
+    return chunkSize * chunks <= LARGEST_KEPT || !goesFirst();
   }
 
   function isReady(versionDigest: Digest): boolean {
@@ -311,6 +305,7 @@
       await swarm.refreshHeld();
       return;
     }
+    if (reply.ok) staged.forget(content);
     log.info('ordered to load', {
       model,
       version,
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -1,4 +1,4 @@
-import type {Digest} from '@hibiscusbeam/core';
+import type {Bytes, Digest} from '@hibiscusbeam/core';
 import {
   digestBytes,
   type ChunkStore,
@@ -8,8 +8,9 @@
 import type {EngineControl, EngineError, VersionContent} from '../ports';
 
 /**
- * The chunks that lie staged at the engine, by digest, and those of the version
- * after it, which are kept in memory until they may be staged.
+ * The chunks that lie staged at the engine, by digest. They are kept in memory
+ * too until the engine has taken them: those of the next version since they may
+ * not be staged yet, and all of them since staged bytes may turn bad.
  *
  * The engine keeps one copy of a model, by position, and checks nothing: a new
  * version's chunk overwrites the old one's, and staged bytes may turn bad.
@@ -23,9 +24,12 @@
   readonly aim: (content: VersionContent) => void;
   /** Sets the version whose chunks are kept in memory until it is aimed at. */
   readonly prepare: (content: VersionContent) => void;
+  /** Drops what is kept in memory of a version that the engine has taken. */
+  readonly forget: (content: VersionContent) => void;
   /**
-   * Reads all staged chunks of the version again; then runs `whenWhole` with
-   * nothing staged in between. Returns undefined if a chunk is missing or bad.
+   * Reads all staged chunks of the version again and stages bad ones anew; then
+   * runs `whenWhole` with nothing staged in between. Returns undefined if a
+   * chunk is still missing or bad.
    */
   readonly withWhole: <Outcome>(
     content: VersionContent,
@@ -39,6 +43,9 @@
  */
 const SENT_AT_ONCE = 8 * 1024;
 
+/** Largest version whose chunks are kept in memory, in bytes. */
+export const LARGEST_KEPT: Bytes = 32 * 1024 * 1024;
+
 /** Name of the only life that the staging area has. */
 const LIFE = 'staged';
 
@@ -58,9 +65,9 @@
   ): Promise<Result<void, ChunkStoreError>> {
     await frozen;
     const bytes = Buffer.concat(pieces);
-    const isPrepared = prepared?.digests.includes(digest) === true;
-    if (isPrepared) kept.set(digest, bytes);
     const position = aim?.digests.indexOf(digest) ?? -1;
+    const isPrepared = prepared?.digests.includes(digest) === true;
+    if (isPrepared || position !== -1) keep(digest, bytes);
     if (aim !== undefined && position !== -1) {
       return stage(aim, position, digest, bytes);
     }
@@ -68,6 +75,20 @@
     return Err({kind: 'refused', detail: 'the chunk is of another version'});
   }
 
+  /**
+   * Failure: staged bytes turn bad on several engines. Each that reads them
+   * for another agent says that it holds them no more, and when the last holder
+   * has, the chunk is asked of the origin anew after seconds of patience.
+   * Guard: a verified copy stays in memory for the others and to mend the own.
+   */
+  function keep(digest: Digest, bytes: Buffer): void {
+    const chunks = Math.max(
+      aim?.digests.length ?? 0,
+      prepared?.digests.length ?? 0,
+    );
+    if (chunks * bytes.length <= LARGEST_KEPT) kept.set(digest, bytes);
+  }
+
   async function stage(
     {model}: VersionContent,
     position: number,
@@ -83,25 +104,37 @@
 
   function aimAt(content: VersionContent): void {
     aim = content;
-    if (prepared?.version !== content.version) kept.clear();
     prepared = undefined;
+    dropUnwanted();
     if (kept.size > 0) frozen = frozen.then(() => stageKept(content));
   }
 
-  /** What can't be staged is found missing before the order. */
-  async function stageKept(content: VersionContent): Promise<void> {
-    for (const [digest, bytes] of kept) {
-      const position = content.digests.indexOf(digest);
-      if (aim === content && position !== -1) {
-        await stage(content, position, digest, bytes);
-      }
-      kept.delete(digest);
+  function prepare(content: VersionContent): void {
+    prepared = content;
+    dropUnwanted();
+  }
+
+  function dropUnwanted(): void {
+    const wanted = [...(aim?.digests ?? []), ...(prepared?.digests ?? [])];
+    for (const digest of kept.keys()) {
+      if (!wanted.includes(digest)) kept.delete(digest);
     }
   }
 
-  function prepare(content: VersionContent): void {
-    if (prepared?.version !== content.version) kept.clear();
-    prepared = content;
+  function forget(content: VersionContent): void {
+    for (const digest of content.digests) {
+      if (prepared?.digests.includes(digest) !== true) kept.delete(digest);
+    }
+  }
+
+  /** Stages kept chunks that don't lie there whole. */
+  async function stageKept(content: VersionContent): Promise<void> {
+    for (const [position, digest] of content.digests.entries()) {
+      const bytes = kept.get(digest);
+      if (bytes === undefined || lying.get(position) === digest) continue;
+      if (aim?.version !== content.version) return;
+      await stage(content, position, digest, bytes);
+    }
   }
 
   async function list() {
@@ -175,6 +208,7 @@
     const run = frozen.then(async () => {
       const read = await readAll(content);
       if (read.err) return undefined;
+      await stageKept(content);
       const isWhole = content.digests.every(
         (digest, position) => lying.get(position) === digest,
       );
@@ -188,6 +222,7 @@
     store: {put, list, get},
     aim: aimAt,
     prepare,
+    forget,
     withWhole,
   };
 }
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -69,6 +69,26 @@
   expect(lying.get(1)).toEqual(chunk(3, 1));
 });
 
+// A staged chunk turns bad on the last engine that holds it. Fetched from the
+// origin once more, it comes after seconds in which others wait for it too.
+test('mends staged chunks that have turned bad', async () => {
+  const {lying, staged} = startStaging();
+  staged.aim(content(2));
+  await putAll(staged, 2);
+  lying.set(1, Buffer.from('bad'));
+  expect(await isWhole(staged, 2)).toBe(true);
+  expect(lying.get(1)).toEqual(chunk(2, 1));
+});
+
+test('keeps nothing in memory once the engine has taken a version', async () => {
+  const {lying, staged} = startStaging();
+  staged.aim(content(2));
+  await putAll(staged, 2);
+  staged.forget(content(2));
+  lying.set(1, Buffer.from('bad'));
+  expect(await isWhole(staged, 2)).toBe(false);
+});
+
 test('passes on chunks that wait in memory', async () => {
   const {staged} = startStaging();
   staged.aim(content(2));
