Move the plan of versions into core, and load at once what is overdue

Cause, found by a property over the time between two names: with 0.7 to 2.3 s between them all engines skip the first version.

Ruled out: a smaller share for skipping, which costs an origin copy more and moves two versions over the same links.

Change: what an engine serves is outdated from the first name after it, however many follow; from then on it loads as soon as it can.

The property asks for 0.7 s.

--- a/packages/core/src/distribution/index.ts
+++ b/packages/core/src/distribution/index.ts
@@ -3,3 +3,4 @@
 export * from './queries/check_manifest';
 export * from './swarm_node';
 export * from './types';
+export * from './version_plan';
--- /dev/null
+++ b/packages/core/src/distribution/version_plan.ts
@@ -0,0 +1,182 @@
+import {VERSION_MARGIN} from '../placement/version_rule';
+import type {Milliseconds, MonotonicInstant} from '../types';
+import {loadTimes, type LoadTimes, type LoadWave} from './load_waves';
+
+/** A version as the plan sees it. */
+export interface PlannedVersion {
+  readonly version: number;
+  /** When this process learned of it. */
+  readonly knownSince: MonotonicInstant;
+}
+
+/** How the engine stands. */
+export interface PlannedEngine {
+  /** The version that it serves; undefined if it serves none. */
+  readonly served: number | undefined;
+  /** Whether it loads one now. */
+  readonly isLoading: boolean;
+}
+
+/** What follows from a step of the plan. */
+export type PlanStep<Version> =
+  /** The version is staged from now on; the others are given up. */
+  | {
+      readonly kind: 'stage';
+      readonly version: Version;
+      readonly givenUp: readonly Version[];
+    }
+  /** The version is fetched, and staged after the one in hand. */
+  | {
+      readonly kind: 'prepare';
+      readonly version: Version;
+      readonly givenUp: readonly Version[];
+    };
+
+/** What the plan needs. */
+export interface VersionPlanOptions {
+  /** Time after a version's naming in which all must have it. */
+  readonly bound: Milliseconds;
+  readonly wave: () => LoadWave;
+}
+
+/** Which versions an engine is given, one after the other. */
+export interface VersionPlan<Version extends PlannedVersion> {
+  /** Takes a newer version; undefined if it is none. */
+  readonly take: (
+    version: Version,
+    now: MonotonicInstant,
+  ) => PlanStep<Version> | undefined;
+  /** Takes in how the engine stands; may turn to the version that follows. */
+  readonly observe: (
+    engine: PlannedEngine,
+    now: MonotonicInstant,
+  ) => PlanStep<Version> | undefined;
+  /** The version that is staged or served. */
+  readonly inHand: () => Version | undefined;
+  /** The versions that are fetched or there. */
+  readonly wanted: () => readonly Version[];
+  /** The newest version known; 0 before the first. */
+  readonly newest: () => number;
+  /** Whether the version in hand keeps the staging area from a newer one. */
+  readonly keepsStaging: (now: MonotonicInstant) => boolean;
+  /** Whether the engine already serves the version in hand. */
+  readonly isServed: () => boolean;
+  /** Whether the engine may be told to load the version in hand now. */
+  readonly mayLoad: (now: MonotonicInstant) => boolean;
+  /** Time until the load; undefined if none is near. */
+  readonly loadsIn: (now: MonotonicInstant) => Milliseconds | undefined;
+}
+
+/** Share of a version's bound after which its chunks usually have been moved. */
+const MOVED_BY = 0.5;
+
+/**
+ * Creates the plan of one engine.
+ *
+ * Each version has its bound from its own naming. One that is named soon after
+ * another takes its place; later than that the one in hand is loaded first, or
+ * skipped by the second wave, while the newer one is fetched already.
+ */
+export function createVersionPlan<Version extends PlannedVersion>(
+  options: VersionPlanOptions,
+): VersionPlan<Version> {
+  const {bound} = options;
+  let inHand: Version | undefined;
+  let following: Version | undefined;
+  let engine: PlannedEngine = {served: undefined, isLoading: false};
+  /** All versions that were taken and that the engine does not serve yet. */
+  let newer: readonly PlannedVersion[] = [];
+
+  const times = (): LoadTimes => loadTimes(options.wave(), bound);
+  const newest = (): number => (following ?? inHand)?.version ?? 0;
+
+  function isServed(): boolean {
+    if (inHand === undefined || engine.served === undefined) return false;
+    return engine.served >= inHand.version;
+  }
+
+  function isSkipped(): boolean {
+    if (inHand === undefined || following === undefined) return false;
+    return following.knownSince - inHand.knownSince < times().committedFrom;
+  }
+
+  /**
+   * One that is skipped stays for the others to fetch, until what the engine
+   * serves may start nothing more.
+   */
+  function keepsStaging(now: MonotonicInstant): boolean {
+    if (inHand === undefined || isServed() || engine.isLoading) return false;
+    const age = now - inHand.knownSince;
+    const underWay = loadTimes('first', bound).committedFrom;
+    const end = isSkipped() ? bound - VERSION_MARGIN : bound;
+    return age >= underWay && age < end;
+  }
+
+  function take(
+    version: Version,
+    now: MonotonicInstant,
+  ): PlanStep<Version> | undefined {
+    if (version.version <= newest()) return undefined;
+    newer = [...newer, version];
+    if (!keepsStaging(now)) return turnTo(version);
+    const givenUp = following === undefined ? [] : [following];
+    following = version;
+    return {kind: 'prepare', version, givenUp};
+  }
+
+  function turnTo(version: Version): PlanStep<Version> {
+    const givenUp = [inHand, following].filter(
+      known => known !== undefined && known !== version,
+    ) as readonly Version[];
+    inHand = version;
+    following = undefined;
+    return {kind: 'stage', version, givenUp};
+  }
+
+  function observe(
+    standing: PlannedEngine,
+    now: MonotonicInstant,
+  ): PlanStep<Version> | undefined {
+    engine = standing;
+    const served = standing.served ?? 0;
+    newer = newer.filter(({version}) => version > served);
+    if (following === undefined || keepsStaging(now)) return undefined;
+    return turnTo(following);
+  }
+
+  /** From when on what the engine serves may start nothing. */
+  function outdatedAt(): MonotonicInstant {
+    const earliest = Math.min(...newer.map(({knownSince}) => knownSince));
+    return earliest + bound - VERSION_MARGIN;
+  }
+
+  /** An engine that may start nothing as it is loads at once. */
+  function mayLoad(now: MonotonicInstant): boolean {
+    if (inHand === undefined || engine.isLoading || isServed()) return false;
+    if (engine.served === undefined || now >= outdatedAt()) return true;
+    return !isSkipped() && now - inHand.knownSince >= times().earliest;
+  }
+
+  function loadsIn(now: MonotonicInstant): Milliseconds | undefined {
+    if (inHand === undefined || engine.isLoading || isServed()) {
+      return undefined;
+    }
+    const earliest = Math.max(times().earliest, bound * MOVED_BY);
+    return inHand.knownSince + earliest - now;
+  }
+
+  return {
+    take,
+    observe,
+    inHand: () => inHand,
+    wanted: () =>
+      [inHand, following].filter(
+        version => version !== undefined,
+      ) as readonly Version[],
+    newest,
+    keepsStaging,
+    isServed,
+    mayLoad,
+    loadsIn,
+  };
+}
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -1,13 +1,13 @@
 import {
   checkManifest,
-  loadTimes,
+  createVersionPlan,
   loadWave,
-  VERSION_MARGIN,
+  unreachable,
   type Digest,
   type IdentifiedManifest,
-  type LoadTimes,
   type Milliseconds,
-  type MonotonicInstant,
+  type PlannedVersion,
+  type PlanStep,
   type SwarmMember,
 } from '@hibiscusbeam/core';
 import {
@@ -24,12 +24,7 @@
   VersionOrigin,
 } from '../ports';
 import type {OperatorWatch} from './operator_watch';
-import {
-  findWantedModel,
-  identify,
-  isServed,
-  type WantedModel,
-} from './wanted_version';
+import {findWantedModel, identify, type WantedModel} from './wanted_version';
 import {LARGEST_KEPT, type StagedChunks} from './staged_chunks';
 
 /** Period of looks at the own engine; they are free on its own machine. */
@@ -44,9 +39,6 @@
 /** Pause before an order is given again. */
 const ORDER_RETRY: Milliseconds = 300;
 
-/** Share of a version's bound after which its chunks usually have been moved. */
-const MOVED_BY = 0.5;
-
 /** What keeping an engine needs. */
 export interface EngineKeeperOptions {
   readonly service: string;
@@ -80,24 +72,18 @@
 }
 
 /** A version that is being fetched or is there. */
-export interface FetchedVersion {
+export interface FetchedVersion extends PlannedVersion {
   readonly content: VersionContent;
   readonly identified: IdentifiedManifest;
-  /** When this agent learned of it. */
-  readonly knownSince: MonotonicInstant;
 }
 
 /** Creates the keeper of the engine beside this agent. */
 export function createEngineKeeper(options: EngineKeeperOptions): EngineKeeper {
   const {engine, operator, staged, swarm, clock, log} = options;
-  /** What the engine is to load next, or has loaded. */
-  let fetched: FetchedVersion | undefined;
-  /** What follows it, fetched while the other still waits for its load. */
-  let following: FetchedVersion | undefined;
-  /** From when on the version that the engine serves may start nothing. */
-  let outdatedAt: MonotonicInstant = Infinity;
-  let isLoading = false;
-  let held: EngineStanding['held'] = [];
+  const plan = createVersionPlan<FetchedVersion>({
+    bound: options.versionBound,
+    wave: () => loadWave(options.self, options.members()),
+  });
   let contentAskedAt = -Infinity;
   let orderedAt = -Infinity;
   let asking = false;
@@ -110,88 +96,41 @@
       const standing = await engine.standing(LOOK_TIMEOUT);
       if (standing.ok) {
         isServing = standing.val.held.length > 0;
-        isLoading = standing.val.ordering;
-        held = standing.val.held;
-        options.onStanding(standing.val, loadsIn(standing.val));
+        const {ordering: isLoading} = standing.val;
+        const served = servedVersion(standing.val);
+        carryOut(plan.observe({served, isLoading}, clock()));
+        options.onStanding(standing.val, plan.loadsIn(clock()));
         logState(standing.val);
-        look(standing.val);
+        look();
       } else logUnreachable(standing.val);
       await sleep(LOOK_PERIOD, signal);
     }
   }
 
-  function look(standing: EngineStanding): void {
+  function servedVersion({held}: EngineStanding): number | undefined {
+    const model = plan.inHand()?.content.model;
+    return held.find(entry => model === undefined || entry.model === model)
+      ?.version;
+  }
+
+  function look(): void {
     const services = operator.reading()?.state.configuration?.services ?? [];
     const model = findWantedModel(services, options.service);
     // Failure: an agent that joins asks the origin for what its neighbours
     // hold, since it has not met them yet.
     if (model === undefined || !options.areMembersKnown()) return;
     const wanted = operator.namedVersion(model.name);
-    if (following !== undefined && !goesFirst()) {
-      if (isSkipped()) outdatedAt = clock();
-      turnTo(following);
-    }
-    const newest = (following ?? fetched)?.content.version ?? 0;
-    const isNewest = fetched !== undefined && newest >= (wanted ?? 0);
+    const newest = plan.newest();
+    const isNewest = newest > 0 && newest >= (wanted ?? 0);
     if (!isNewest && mayFetch(model)) void askContent(model, wanted);
-    if (fetched === undefined || standing.ordering) return;
-    const {identified} = fetched;
-    if (isServed(standing, fetched.content)) {
-      outdatedAt = Infinity;
-      return;
-    }
-    if (!isReady(identified.versionDigest)) return;
-    if (isMyTurn(standing)) void order(fetched);
-  }
-
-  /** Time until this engine is to load; undefined if none is near. */
-  function loadsIn(standing: EngineStanding): Milliseconds | undefined {
-    if (fetched === undefined || standing.ordering) return undefined;
-    if (isServed(standing, fetched.content)) return undefined;
-    const moved = options.versionBound * MOVED_BY;
-    const earliest = Math.max(times().earliest, moved);
-    return fetched.knownSince + earliest - clock();
-  }
-
-  function times(): LoadTimes {
-    const wave = loadWave(options.self, options.members());
-    return loadTimes(wave, options.versionBound);
-  }
-
-  /** An engine that may start nothing as it is loads at once. */
-  function isMyTurn(standing: EngineStanding): boolean {
-    if (fetched === undefined || standing.held.length === 0) return true;
-    if (clock() >= outdatedAt) return true;
-    if (isSkipped()) return false;
-    return clock() - fetched.knownSince >= times().earliest;
-  }
-
-  /** Whether the version in hand gives way to the one that follows it. */
-  function isSkipped(): boolean {
-    if (fetched === undefined || following === undefined) return false;
-    const gap = following.knownSince - fetched.knownSince;
-    return gap < times().committedFrom;
-  }
-
-  /**
-   * Whether the version in hand keeps the staging area from a newer one. Each
-   * version has its bound from its own naming, so one that is well under way is
-   * loaded, and the newer one has time after it. One that is skipped stays for
-   * the others to fetch, until what the engine serves may start nothing more.
-   */
-  function goesFirst(): boolean {
-    if (fetched === undefined) return false;
-    if (isServed({held}, fetched.content) || isLoading) return false;
-    const age = clock() - fetched.knownSince;
-    const {versionBound} = options;
-    const underWay = loadTimes('first', versionBound).committedFrom;
-    const end = isSkipped() ? versionBound - VERSION_MARGIN : versionBound;
-    return age >= underWay && age < end;
+    const inHand = plan.inHand();
+    if (inHand === undefined || !plan.mayLoad(clock())) return;
+    if (isReady(inHand.identified.versionDigest)) void order(inHand);
   }
 
   /** A version too large for the memory waits until the staging area is free. */
   function mayFetch({chunkSize, chunks}: WantedModel): boolean {
-    return chunkSize * chunks <= LARGEST_KEPT || !goesFirst();
+    return chunkSize * chunks <= LARGEST_KEPT || !plan.keepsStaging(clock());
   }
 
   function isReady(versionDigest: Digest): boolean {
@@ -225,8 +164,7 @@
   }
 
   function adopt(content: VersionContent, model: WantedModel): void {
-    const newest = (following ?? fetched)?.content.version ?? 0;
-    if (content.version <= newest) return;
+    if (content.version <= plan.newest()) return;
     const identified = identify(content, model.chunkSize);
     const checked = checkManifest(
       identified.versionDigest,
@@ -237,42 +175,40 @@
       log.warn('content of a version is malformed', {faults: checked.val});
       return;
     }
-    const next: FetchedVersion = {content, identified, knownSince: clock()};
-    const follows = goesFirst();
+    const {version} = content;
+    const next = {version, content, identified, knownSince: clock()};
+    const before = plan.inHand()?.version;
+    const step = plan.take(next, clock());
     log.info('fetches a version', {
       model: content.model,
-      version: content.version,
-      after: follows ? fetched?.content.version : undefined,
+      version,
+      after: step?.kind === 'prepare' ? before : undefined,
     });
-    if (follows) follow(next);
-    else turnTo(next);
+    carryOut(step);
     fetch(next, model);
   }
 
   /**
-   * Fetches a version while the one before it waits for its load.
-   *
    * Failure: a version is named four seconds after another. Staged only after
    * the other's load, it comes after its bound; until then no engine may begin
    * anything, and callers are refused for seconds. Guard: its chunks are moved
    * meanwhile and wait in memory.
    */
-  function follow(next: FetchedVersion): void {
-    if (following !== undefined) abandon(following);
-    following = next;
-    staged.prepare(next.content);
-  }
-
-  function turnTo(next: FetchedVersion): void {
-    if (fetched !== undefined) abandon(fetched);
-    if (following !== undefined && following !== next) abandon(following);
-    following = undefined;
-    fetched = next;
-    staged.aim(next.content);
-  }
-
-  function abandon({identified}: FetchedVersion): void {
-    swarm.abandon(identified.versionDigest);
+  function carryOut(step: PlanStep<FetchedVersion> | undefined): void {
+    if (step === undefined) return;
+    for (const {identified} of step.givenUp) {
+      swarm.abandon(identified.versionDigest);
+    }
+    switch (step.kind) {
+      case 'stage':
+        staged.aim(step.version.content);
+        return;
+      case 'prepare':
+        staged.prepare(step.version.content);
+        return;
+      default:
+        unreachable(step);
+    }
   }
 
   function fetch({identified}: FetchedVersion, model: WantedModel): void {
@@ -329,8 +265,7 @@
 
   return {
     start: signal => void run(signal),
-    fetching: () =>
-      [fetched, following].filter(version => version !== undefined),
+    fetching: plan.wanted,
     isServing: () => isServing,
   };
 }
--- a/packages/fleet/src/agent/wanted_version.ts
+++ b/packages/fleet/src/agent/wanted_version.ts
@@ -7,7 +7,7 @@
   type ServiceName,
 } from '@hibiscusbeam/core';
 import {digestText} from '@hibiscusbeam/daemon';
-import type {EngineStanding, VersionContent} from '../ports';
+import type {VersionContent} from '../ports';
 
 /** The model that the engine is to hold. */
 export interface WantedModel {
@@ -39,14 +39,6 @@
   };
 }
 
-/** Whether an engine serves the version or a newer one. */
-export function isServed(
-  {held}: Pick<EngineStanding, 'held'>,
-  {model, version}: VersionContent,
-): boolean {
-  return held.some(entry => entry.model === model && entry.version >= version);
-}
-
 /** The content as the swarm names it. */
 export function identify(
   content: VersionContent,
--- /dev/null
+++ b/test/distribution/version_plan.test.ts
@@ -0,0 +1,136 @@
+import {
+  createVersionPlan,
+  VERSION_MARGIN,
+  type LoadWave,
+  type PlannedVersion,
+} from '@hibiscusbeam/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+import {propertyRuns} from '../forwarding/property_runs';
+
+const BOUND = 8_000;
+
+/** Times of a site: to move a version, to load one, and with nothing running. */
+const MOVED_IN = 4_400;
+const LOADED_IN = 2_300;
+const IDLE_LOADED_IN = 400;
+
+const STEP = 100;
+
+function planOf(wave: LoadWave) {
+  return createVersionPlan<PlannedVersion>({bound: BOUND, wave: () => wave});
+}
+
+function named(version: number, knownSince: number): PlannedVersion {
+  return {version, knownSince};
+}
+
+const serving = (served: number) => ({served, isLoading: false});
+
+test('an engine that serves nothing loads at once', () => {
+  const plan = planOf('second');
+  plan.observe({served: undefined, isLoading: false}, 0);
+  expect(plan.take(named(1, 0), 0)).toMatchObject({kind: 'stage'});
+  expect(plan.mayLoad(0)).toBe(true);
+});
+
+test('a version that is named soon after another takes its place', () => {
+  const plan = planOf('first');
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
+  const step = plan.take(named(3, 2_000), 2_000);
+  expect(step).toMatchObject({kind: 'stage', givenUp: [{version: 2}]});
+});
+
+test('an older version than known changes nothing', () => {
+  const plan = planOf('first');
+  plan.take(named(3, 0), 0);
+  expect(plan.take(named(2, 10), 10)).toBeUndefined();
+  expect(plan.newest()).toBe(3);
+});
+
+// Version 3 is named while version 2 waits for its load. Staged at once, its
+// chunks would overwrite those of version 2, which then comes after its bound.
+test('the first wave loads a version before the one that follows it', () => {
+  const plan = planOf('first');
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
+  plan.observe(serving(1), 4_000);
+  expect(plan.take(named(3, 4_000), 4_000)).toMatchObject({kind: 'prepare'});
+  expect(plan.inHand()?.version).toBe(2);
+  expect(plan.mayLoad(4_500)).toBe(true);
+  const step = plan.observe({served: 1, isLoading: true}, 4_600);
+  expect(step).toMatchObject({kind: 'stage', version: {version: 3}});
+});
+
+// Two loads within four seconds would each stop the engine for two of them.
+test('the second wave skips a version that is soon replaced', () => {
+  const plan = planOf('second');
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
+  plan.observe(serving(1), 4_000);
+  plan.take(named(3, 4_000), 4_000);
+  expect(plan.mayLoad(6_900)).toBe(false);
+  const end = BOUND - VERSION_MARGIN;
+  const step = plan.observe(serving(1), end);
+  expect(step).toMatchObject({kind: 'stage', givenUp: [{version: 2}]});
+  expect(plan.mayLoad(end)).toBe(true);
+});
+
+/** An engine of one wave, with the times of a site. */
+function simulateEngine(wave: LoadWave) {
+  const plan = planOf(wave);
+  const namedAt = new Map<number, number>([[1, -Infinity]]);
+  let served: number | undefined = 1;
+  let loading: {version: number; until: number} | undefined;
+
+  function mayStart(now: number): boolean {
+    if (served === undefined || loading !== undefined) return false;
+    const own = served;
+    return ![...namedAt].some(
+      ([version, at]) => version > own && now - at >= BOUND - VERSION_MARGIN,
+    );
+  }
+
+  return {
+    take(version: number, now: number) {
+      namedAt.set(version, now);
+      plan.take(named(version, now), now);
+    },
+    advance(now: number) {
+      if (loading !== undefined && now >= loading.until) {
+        served = loading.version;
+        loading = undefined;
+      }
+      plan.observe({served, isLoading: loading !== undefined}, now);
+      const next = plan.inHand();
+      if (next === undefined || !plan.mayLoad(now)) return;
+      if (now - next.knownSince < MOVED_IN) return;
+      const time = mayStart(now) ? LOADED_IN : IDLE_LOADED_IN;
+      loading = {version: next.version, until: now + time};
+    },
+    mayStart,
+    served: () => served,
+  };
+}
+
+// Both waves stand still at the same time, and all callers are refused.
+test('engines of both waves are dark together for 0.7 s at most', () => {
+  fc.assert(
+    fc.property(fc.integer({min: 0, max: 200}), gap => {
+      const engines = [simulateEngine('first'), simulateEngine('second')];
+      let dark = 0;
+      for (let now = 0; now <= 40_000; now += STEP) {
+        for (const engine of engines) {
+          if (now === 0) engine.take(2, now);
+          if (now === gap * STEP) engine.take(3, now);
+          engine.advance(now);
+        }
+        if (!engines.some(engine => engine.mayStart(now))) dark += STEP;
+      }
+      expect(engines.map(engine => engine.served())).toEqual([3, 3]);
+      expect(dark).toBeLessThanOrEqual(700);
+    }),
+    propertyRuns,
+  );
+});
