Say in the log when the origin of weights is lost and regained

A trial that printed each agent's state showed requests to the origin failing from 20.5 s on, with waits up to 3.2 s between them, and going through again at 27.4 s.

Ruled out with the same trial: chunks refused by the staging area (none), stalled or suspended senders (none), the ranks of those who ask the origin.

Change: reading from the origin is a module of its own, which logs the first failure and the first answer after it. A read that was given up on our side is no failure.

No decision changes.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -1,4 +1,4 @@
-import {hash32, type Digest, type Milliseconds} from '@hibiscusbeam/core';
+import {hash32, type Milliseconds} from '@hibiscusbeam/core';
 import {
   answerFetchChunk,
   createSwarmDriver,
@@ -9,14 +9,11 @@
   type RunningProcess,
   type SwarmDriver,
 } from '@hibiscusbeam/daemon';
-import type {PlatformError} from '@hibiscusbeam/core';
 import {randomUUID} from 'node:crypto';
-import {Err, type Result} from 'ts-results';
 import {createMemberFollower} from '../link/member_follower';
 import {openPeerServer} from '../link/peer_server';
 import type {
   EngineControl,
-  EngineError,
   MemberDescription,
   MemberTable,
   OperatorFeed,
@@ -26,6 +23,7 @@
 import {createEngineKeeper, type EngineKeeper} from './engine_keeper';
 import {createEngineReports} from './engine_reports';
 import {createOperatorWatch} from './operator_watch';
+import {createOriginReader} from './origin_reader';
 import {createPeerAgents} from './peer_agents';
 import {createStagedChunks} from './staged_chunks';
 
@@ -81,11 +79,17 @@
     log: logs('membership'),
   });
   const transferLog = logs('transfers');
+  const originReader = createOriginReader({
+    origin: ports.origin,
+    operator,
+    wanted: () => keeper.fetching().map(({content}) => content),
+    log: transferLog,
+  });
   const swarm: SwarmDriver = createSwarmDriver({
     instance: settings.instance,
     zone: settings.zone,
     seed: hash32(settings.instance),
-    weights: {chunk: readFromOrigin},
+    weights: originReader,
     store: staged.store,
     transferBuffer: TRANSFER_BUFFER,
     linkBytesPerSecond: bytesPerSecond(settings.linkMegabits),
@@ -148,32 +152,6 @@
       reports.offer(standing, monotonicClock(), loadsIn),
   });
 
-  async function* readFromOrigin(
-    digest: Digest,
-    signal: AbortSignal,
-  ): AsyncGenerator<Result<Uint8Array, PlatformError>> {
-    const content = keeper
-      .fetching()
-      .map(version => version.content)
-      .find(({digests}) => digests.includes(digest));
-    const address = originAddress();
-    if (content === undefined || address === undefined) {
-      yield Err({kind: 'unavailable', detail: 'no origin for the chunk'});
-      return;
-    }
-    const position = content.digests.indexOf(digest);
-    const pieces = ports.origin.chunk(address, content, position, signal);
-    for await (const piece of pieces) yield piece.mapErr(toPlatformError);
-  }
-
-  function originAddress(): string | undefined {
-    const services = operator.reading()?.state.configuration?.services ?? [];
-    for (const service of services) {
-      if (service.kind === 'weightOrigin') return service.address;
-    }
-    return undefined;
-  }
-
   const server = await openPeerServer(settings.peerAddress, {
     role: 'agent',
     handlers: {
@@ -205,15 +183,3 @@
   if (megabits === undefined) return undefined;
   return (megabits * 1e6) / 8;
 }
-
-function toPlatformError(error: EngineError): PlatformError {
-  switch (error.kind) {
-    case 'notHeld':
-      return {kind: 'notFound', detail: error.detail};
-    case 'unreachable':
-    case 'refused':
-      return {kind: 'unavailable', detail: error.detail};
-    case 'malformed':
-      return error;
-  }
-}
