--- a/packages/core/src/distribution/version_plan.ts
+++ b/packages/core/src/distribution/version_plan.ts
@@ -63,16 +63,8 @@
   readonly isServed: () => boolean;
   /** Whether the engine may be told to load the version in hand now. */
   readonly mayLoad: (now: MonotonicInstant) => boolean;
-  /**
-   * Time until the load of the version in hand, of which the share `moved` has
-   * been moved; undefined if no load is to come.
-   */
-  readonly loadsIn: (
-    moved: number,
-    now: MonotonicInstant,
-  ) => Milliseconds | undefined;
-  /** Whether what the engine serves may start requests. */
-  readonly mayStart: (now: MonotonicInstant) => boolean;
+  /** Time until the load; undefined if none is near. */
+  readonly loadsIn: (now: MonotonicInstant) => Milliseconds | undefined;
 }
 
 /** Share of a version's bound after which its chunks usually have been moved. */
@@ -165,22 +157,12 @@
     return !isSkipped() && now - inHand.knownSince >= times().earliest;
   }
 
-  function loadsIn(
-    moved: number,
-    now: MonotonicInstant,
-  ): Milliseconds | undefined {
+  function loadsIn(now: MonotonicInstant): Milliseconds | undefined {
     if (inHand === undefined || engine.isLoading || isServed()) {
       return undefined;
     }
-    if (isSkipped()) return undefined;
-    const age = now - inHand.knownSince;
-    return Math.max(times().earliest - age, timeToMove(moved, age));
-  }
-
-  /** Goes by the rate so far, so that a stalled version's load moves away. */
-  function timeToMove(moved: number, age: Milliseconds): Milliseconds {
-    if (moved <= 0) return bound * MOVED_BY;
-    return (age * (1 - moved)) / moved;
+    const earliest = Math.max(times().earliest, bound * MOVED_BY);
+    return inHand.knownSince + earliest - now;
   }
 
   return {
@@ -196,6 +178,5 @@
     isServed,
     mayLoad,
     loadsIn,
-    mayStart: now => engine.served !== undefined && now < outdatedAt(),
   };
 }
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -41,11 +41,10 @@
 }
 
 /**
- * Longest time that a request may run on after its engine is to load weights,
- * in milliseconds. The load waits for the last one that runs while all other
- * slots stand idle: 2.0 to 2.4 s for answers of 1.4 s in the mean.
+ * Cost of a request that would run on after its engine is to load weights: the
+ * load waits for it while the other slots stand idle.
  */
-const RUN_INTO_LOAD = 800;
+const RUN_INTO_LOAD_COST = 0.5;
 
 /** Creates the book of an entry. */
 export function createTargetBook(self: SendingEntry): TargetBook {
@@ -121,7 +120,7 @@
     if (usable.length === 0) return {kind: 'none'};
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
-      hasRoom(entry, need, senders.length),
+      hasRoom(entry, need.now, senders.length),
     );
     let best: TargetEntry | undefined;
     let bestCost = Infinity;
@@ -189,14 +188,14 @@
 /** Whether this entry may send one more request to a target. */
 function hasRoom(
   entry: TargetEntry,
-  need: PlaceNeed,
+  now: MonotonicInstant,
   senders: number,
 ): boolean {
-  if (!isReported(entry, need.now) || entry.report === undefined) {
+  if (!isReported(entry, now) || entry.report === undefined) {
     return hasRoomUnreported(entry, senders);
   }
   // An engine that loads weights refuses everything until it is done.
-  if (entry.report.ordering || runsIntoLoad(entry, need)) return false;
+  if (entry.report.ordering) return false;
   return entry.ownChange < entry.allowed;
 }
 
@@ -232,12 +231,10 @@
   const load = loadOf(entry, need.now) / Math.max(1, entry.target.slots);
   const far = entry.target.zone === zone ? 0 : OTHER_ZONE_LOAD;
   const pace = entry.report?.pace ?? 1;
-  return load * pace + far;
+  return load * pace + far + loadCost(entry, need);
 }
 
-function runsIntoLoad(entry: TargetEntry, need: PlaceNeed): boolean {
-  const loadsIn = entry.report?.loadsIn;
-  if (loadsIn === undefined) return false;
-  const sinceReport = need.now - entry.reportedAt;
-  return need.expectedRun > loadsIn - sinceReport + RUN_INTO_LOAD;
+function loadCost({report}: TargetEntry, {expectedRun}: PlaceNeed): number {
+  if (report?.loadsIn === undefined) return 0;
+  return expectedRun > report.loadsIn ? RUN_INTO_LOAD_COST : 0;
 }
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -89,15 +89,17 @@
   let asking = false;
   let ordering = false;
   let lastState = '';
+  let isServing = false;
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const standing = await engine.standing(LOOK_TIMEOUT);
       if (standing.ok) {
+        isServing = standing.val.held.length > 0;
         const {ordering: isLoading} = standing.val;
         const served = servedVersion(standing.val);
         carryOut(plan.observe({served, isLoading}, clock()));
-        options.onStanding(standing.val, plan.loadsIn(movedShare(), clock()));
+        options.onStanding(standing.val, plan.loadsIn(clock()));
         logState(standing.val);
         look();
       } else logUnreachable(standing.val);
@@ -131,16 +133,6 @@
     return chunkSize * chunks <= LARGEST_KEPT || !plan.keepsStaging(clock());
   }
 
-  /** Share of the chunks of the version in hand that is here. */
-  function movedShare(): number {
-    const versionDigest = plan.inHand()?.identified.versionDigest;
-    const progress = swarm
-      .progress()
-      .find(entry => entry.versionDigest === versionDigest);
-    if (progress === undefined) return 0;
-    return progress.chunksHeld / progress.chunksTotal;
-  }
-
   function isReady(versionDigest: Digest): boolean {
     return swarm
       .progress()
@@ -274,6 +266,6 @@
   return {
     start: signal => void run(signal),
     fetching: plan.wanted,
-    isServing: () => plan.mayStart(clock()),
+    isServing: () => isServing,
   };
 }
