Try: let the freshest of the waiting requests go first

Cause looked for: under overload, those with the least time left go first and get a place when an answer is only just on time, so that a tenth of the first attempts that find a place is late.

--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -125,6 +125,6 @@
   return (
     isLate - isOtherLate ||
     one.priority - other.priority ||
-    one.onTimeUntil - other.onTimeUntil
+    other.onTimeUntil - one.onTimeUntil
   );
 }
