--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -125,6 +125,6 @@
   return (
     isLate - isOtherLate ||
     one.priority - other.priority ||
-    other.onTimeUntil - one.onTimeUntil
+    one.onTimeUntil - other.onTimeUntil
   );
 }
