Learn callers' patience apart for each timeout of a route

Cause: what a caller's later attempt lacks in patience against the longest seen on its route counts as time already spent. Patience is cut at the route's timeout; an operator who shortens that below the patience of callers made every request on the route look late for good: behind all others in the queue, and refused after 60 ms once engines are full. Found by reading.

Before and after: test/fleet/timeliness.test.ts, "a shorter timeout makes no first attempt look late", fails before.

--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -68,7 +68,13 @@
  * the times that targets take.
  */
 export function createTimeliness(answerTimes: AnswerTimes): Timeliness {
-  /** Longest patience seen on each route: that of a caller's first attempt. */
+  /**
+   * Longest patience seen on each route: that of a caller's first attempt.
+   *
+   * Failure: an operator shortens a route's timeout. Measured against the
+   * patience seen before, all requests on it look late, go behind all others
+   * and are refused first. Guard: each timeout is learned apart.
+   */
   const fullPatience = new Map<string, Milliseconds>();
 
   /**
@@ -82,8 +88,9 @@
     arrivedAt,
   }: AcceptedRequest): MonotonicInstant {
     const patience = Math.min(header.patience ?? Infinity, route.timeout);
-    const full = Math.max(fullPatience.get(route.name) ?? 0, patience);
-    fullPatience.set(route.name, full);
+    const key = `${route.name} ${route.timeout}`;
+    const full = Math.max(fullPatience.get(key) ?? 0, patience);
+    fullPatience.set(key, full);
     const spent = full - patience;
     const answerTime =
       answerTimes.expected(service) ?? route.objective * FIRST_SHARE;
--- /dev/null
+++ b/test/fleet/timeliness.test.ts
@@ -0,0 +1,46 @@
+import {createAnswerTimes, type Route} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
+import {createTimeliness} from '../../packages/fleet/src/entry/timeliness';
+
+const OBJECTIVE = 400;
+
+function accepted(timeout: number, patience: number): AcceptedRequest {
+  const route = {name: 'route', timeout, objective: OBJECTIVE} as Route;
+  return {
+    header: {patience} as AcceptedRequest['header'],
+    route,
+    service: 'engines',
+    access: {kind: 'anonymous'},
+    body: Buffer.alloc(0),
+    arrivedAt: 0,
+    deadline: Math.min(timeout, patience),
+  };
+}
+
+test('a later attempt has less time left than the first one', () => {
+  const timeliness = createTimeliness(createAnswerTimes());
+  const first = timeliness.limits(accepted(20_000, 6_000));
+  const second = timeliness.limits(accepted(20_000, 5_000));
+  expect(first.onTimeUntil - second.onTimeUntil).toBe(1_000);
+});
+
+test('waits no longer than an answer would be on time', () => {
+  const answerTimes = createAnswerTimes();
+  const timeliness = createTimeliness(answerTimes);
+  const idle = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
+  for (let count = 0; count < 50; count += 1)
+    {answerTimes.record('engines', 300);}
+  const busy = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
+  expect(idle).toBeGreaterThan(busy);
+  expect(busy).toBeLessThanOrEqual(OBJECTIVE - 300 + 1e-6);
+});
+
+// An operator shortens a route's timeout below the patience of its callers. All
+// of them look late, and once engines are full they are refused before others.
+test('a shorter timeout makes no first attempt look late', () => {
+  const timeliness = createTimeliness(createAnswerTimes());
+  const before = timeliness.limits(accepted(20_000, 6_000));
+  const after = timeliness.limits(accepted(3_000, 6_000));
+  expect(after.onTimeUntil).toBe(before.onTimeUntil);
+});
