--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -29,8 +29,9 @@
   const answerTimes = createAnswerTimes();
   const timeliness = createTimeliness(answerTimes);
   const idle = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
-  for (let count = 0; count < 50; count += 1)
-    {answerTimes.record('engines', 300);}
+  for (let count = 0; count < 50; count += 1) {
+    answerTimes.record('engines', 300);
+  }
   const busy = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
   expect(idle).toBeGreaterThan(busy);
   expect(busy).toBeLessThanOrEqual(OBJECTIVE - 300 + 1e-6);
