--- /dev/null
+++ b/test/activation/permits_site.ts
@@ -0,0 +1,268 @@
+import {
+  activationKey,
+  parseActivationRow,
+  type SwapRequest,
+} from '@hibiscusbeam/core';
+import * as fc from 'fast-check';
+import {propertySettings} from '../fixtures/property_settings';
+import {
+  createSteppedTable,
+  type SteppedTable,
+  type TableFault,
+} from '../fixtures/stepped_table';
+import {
+  createSteppedTarget,
+  startAgent,
+  type SteppedAgent,
+  type SteppedTarget,
+} from './stepped_target';
+
+const MOST_TARGETS = 4;
+
+/** One step of a run: an agent of a target acts, then faults strike. */
+export interface Step {
+  readonly target: number;
+  /** Whether an earlier agent acts, which was paused and replaced. */
+  readonly earlier: boolean;
+  readonly action:
+    | 'take'
+    | 'report'
+    | 'withdraw'
+    | 'unload'
+    | 'load'
+    | 'fence'
+    | 'adopt'
+    | 'replace'
+    | 'die'
+    | 'land'
+    | 'resume'
+    | 'resumeOvertaken';
+  readonly faults: readonly TableFault[];
+}
+
+type Action = Step['action'];
+
+interface Mix {
+  readonly actions: readonly Action[];
+  readonly fault: fc.Arbitrary<TableFault>;
+  readonly earlier: number;
+  readonly runs: number;
+}
+
+/** Steps of a mix; an action that stands twice comes twice as often. */
+export function stepsOf(mix: Mix): fc.Arbitrary<readonly Step[]> {
+  const step = fc.record({
+    target: fc.nat({max: MOST_TARGETS - 1}),
+    earlier: fc.oneof(
+      {weight: 10 - mix.earlier, arbitrary: fc.constant(false)},
+      {weight: mix.earlier, arbitrary: fc.constant(true)},
+    ),
+    action: fc.constantFrom(...mix.actions),
+    faults: fc.oneof(
+      fc.array(mix.fault, {minLength: 4, maxLength: 6}),
+      fc.array(mix.fault, {minLength: 1, maxLength: 1}),
+      fc.array(mix.fault, {minLength: 2, maxLength: 2}),
+    ),
+  });
+  return fc.array(step, {minLength: 10, maxLength: 60});
+}
+
+/** No fault at any hop. */
+export const NO_FAULT = fc.constant<TableFault>('none');
+/** What agents do when they swap, and nothing else. */
+export const SWAPS: readonly Action[] = [
+  'take',
+  'take',
+  'unload',
+  'unload',
+  'load',
+  'report',
+  'resume',
+];
+
+interface Site {
+  readonly table: SteppedTable;
+  readonly targets: readonly SteppedTarget[];
+  /** Capacity floor by generation, from 1 on. */
+  readonly floors: readonly number[];
+}
+
+interface SiteSize {
+  readonly targets: number;
+  readonly floors: readonly number[];
+}
+
+/** Few targets meet one another more often; the floor rises once. */
+export const sizes: fc.Arbitrary<SiteSize> = fc
+  .constantFrom(2, 2, 3, MOST_TARGETS)
+  .chain(targets =>
+    fc
+      .array(fc.integer({min: 1, max: targets - 1}), {
+        minLength: 2,
+        maxLength: 2,
+      })
+      .map(floors => ({targets, floors: [0, ...floors.sort()]})),
+  );
+
+/** Starts targets that all serve, with agents that have reported it. */
+export function createSite({targets: count, floors}: SiteSize): Site {
+  const table = createSteppedTable();
+  const targets = Array.from({length: count}, (_, index) =>
+    createSteppedTarget(`engine-${index}`),
+  );
+  const site = {table, targets, floors};
+  for (const target of targets) {
+    startAgent(table, target);
+    act(site, target, latest(target), 'fence');
+    act(site, target, latest(target), 'report');
+    for (let hop = 0; hop < 2; hop += 1) latest(target).hop('none');
+  }
+  return site;
+}
+
+/** The agent in charge of a target. */
+export function latest(target: SteppedTarget): SteppedAgent {
+  const agent = target.agents.at(-1);
+  if (agent === undefined) throw new Error('target without agent');
+  return agent;
+}
+
+/** Takes one step. */
+export function take(site: Site, next: Step): void {
+  const target = site.targets[next.target % site.targets.length];
+  if (target === undefined) throw new Error('no such target');
+  const agent = next.earlier ? target.agents.at(-2) : latest(target);
+  if (agent === undefined) return;
+  act(site, target, agent, next.action);
+  for (const fault of next.faults) agent.hop(fault);
+}
+
+/** Lets an agent act once; checks the floor after an unload. */
+export function act(
+  site: Site,
+  target: SteppedTarget,
+  agent: SteppedAgent,
+  kind: Step['action'],
+): void {
+  const {table, targets} = site;
+  const obeyed = !target.dead && agent.incarnation >= target.highestFencing;
+  switch (kind) {
+    case 'take': {
+      const request = requestOf(site, agent);
+      const floor = site.floors[writtenGeneration(table)] ?? 0;
+      agent.permitFor = {floor, deaths: deaths(targets)};
+      agent.begin(agent.activation.takePermit(request));
+      break;
+    }
+    case 'report':
+      agent.begin(
+        agent.activation.reportServing({
+          generation: agent.generation,
+          loaded: target.loaded,
+          fenced: target.highestFencing === agent.incarnation,
+        }),
+      );
+      break;
+    case 'withdraw':
+      if (!target.loaded) {
+        agent.begin(agent.activation.withdraw(agent.generation));
+      }
+      break;
+    case 'unload':
+      if (!obeyed || !target.loaded) break;
+      if (!agent.activation.holdsPermit()) break;
+      target.highestFencing = agent.incarnation;
+      target.loaded = false;
+      checkCapacity(site, agent);
+      break;
+    case 'load':
+      if (!obeyed) break;
+      target.highestFencing = agent.incarnation;
+      target.loaded = true;
+      break;
+    case 'fence':
+      if (obeyed) target.highestFencing = agent.incarnation;
+      break;
+    case 'adopt':
+      agent.generation = 2;
+      break;
+    case 'replace':
+      startAgent(table, target);
+      break;
+    case 'die':
+      target.dead = true;
+      target.loaded = false;
+      break;
+    case 'land':
+      table.landLate();
+      break;
+    case 'resumeOvertaken':
+      agent.hopOvertaken('none');
+      break;
+    case 'resume':
+      break;
+  }
+}
+
+/** An agent's request for a permit. */
+export function requestOf(site: Site, agent: SteppedAgent): SwapRequest {
+  const gone = site.targets.filter(target => target.dead);
+  return {
+    generation: agent.generation,
+    capacityFloor: site.floors[agent.generation] ?? 0,
+    configured: site.targets.map(target => target.name),
+    gone: new Set(gone.map(target => target.name)),
+  };
+}
+
+function deaths(targets: readonly SteppedTarget[]): number {
+  return targets.filter(target => target.dead).length;
+}
+
+/** Only deaths since the permit was asked for may take more than the floor. */
+function checkCapacity(site: Site, agent: SteppedAgent): void {
+  const permit = agent.permitFor;
+  if (permit === undefined) throw new Error('unload without a request');
+  const serving = site.targets.filter(target => target.loaded).length;
+  const since = deaths(site.targets) - permit.deaths;
+  if (serving + since >= permit.floor) return;
+  throw new Error(`${serving} serve, floor ${permit.floor}`);
+}
+
+/** The highest generation by which a permit was ever given. */
+function writtenGeneration(table: SteppedTable): number {
+  const rows = table.history(activationKey('notes'));
+  const generations = rows.map(
+    row => (row.value as {generation: number}).generation,
+  );
+  return Math.max(1, ...generations);
+}
+
+/** Asserts that no run of a mix goes under the floor. */
+export function holdsUnder(mix: Mix): void {
+  fc.assert(
+    fc.property(sizes, stepsOf(mix), (size, taken) => {
+      const site = createSite(size);
+      for (const next of taken) take(site, next);
+    }),
+    propertySettings(mix.runs),
+  );
+}
+
+/** Two targets of which one must serve, seen from the first one. */
+export function createPair(): {
+  readonly site: Site;
+  readonly target: SteppedTarget;
+  readonly agent: SteppedAgent;
+} {
+  const site = createSite({targets: 2, floors: [0, 1, 1]});
+  const [target] = site.targets;
+  if (target === undefined) throw new Error('no target');
+  return {site, target, agent: latest(target)};
+}
+
+/** A target's state in the row of permits. */
+export function stateOf(site: Site, target: SteppedTarget): string | undefined {
+  const row = site.table.row(activationKey('notes'));
+  return parseActivationRow(row).unwrap().targets[target.name]?.state;
+}
