Add `hibiscusbeam explain` and `hibiscusbeam failures`

Cause: from a request's id to its cause an engineer had to grep the logs of all entries and know by heart what each result, reason and cause means.

`explain` finds the request's end, the entry's last words on its configuration, versions and the store before it, each attempt, and what the list said of each target before and after, and closes with the cause in a sentence. `failures` counts failed requests by cause. Both read files or standard input; words before a line name the process, so that logs collected into one file are told apart. Nothing is put in order by time across files, since clocks differ.

--- /dev/null
+++ b/packages/hibiscusbeam/src/commands/explain.ts
@@ -0,0 +1,89 @@
+import type {Command} from 'commander';
+import {readFileSync} from 'node:fs';
+import {Err, Ok, type Result} from 'ts-results';
+import {EXIT_CODES, type ExitCode} from '../exit_codes';
+import {readLogLines, type LogLine} from '../explain/log_lines';
+import {countFailures, tellRequest} from '../explain/request_story';
+import type {ProgramIo} from '../io';
+import {cleanText} from '../output/text';
+import type {FinishCommand, ProgramContext} from './context';
+import {exampleOf} from './intent';
+
+/** Adds `explain` and `failures`. */
+export function addExplainCommands(
+  program: Command,
+  {io}: ProgramContext,
+  finish: FinishCommand,
+): void {
+  program
+    .command('explain')
+    .argument('<request>', 'id of the request')
+    .argument('[files...]', 'logs of several processes; standard input if none')
+    .description("tell one request's story and its cause from logs")
+    .addHelpText('after', exampleOf('explain 16cbfbb98f38a87d entry-*.log'))
+    .action(async (request: string, files: readonly string[]) => {
+      finish(await explain(io, request, files));
+    });
+  program
+    .command('failures')
+    .argument('[files...]', 'logs of several processes; standard input if none')
+    .description('count failed requests by cause from logs')
+    .addHelpText('after', exampleOf('failures entry-*.log'))
+    .action(async (files: readonly string[]) => {
+      finish(await listFailures(io, files));
+    });
+}
+
+async function explain(
+  io: ProgramIo,
+  request: string,
+  files: readonly string[],
+): Promise<ExitCode> {
+  const lines = await readLogs(io, files);
+  if (lines.err) return refuse(io, lines.val);
+  const story = [...tellRequest(lines.val, request)];
+  if (story.length === 0) {
+    io.error(
+      `no line tells the end of ${cleanText(request)}; give the logs of all entries of that time\n`,
+    );
+    return EXIT_CODES.refused;
+  }
+  for (const line of story) io.out(`${cleanText(line)}\n`);
+  return EXIT_CODES.ok;
+}
+
+async function listFailures(
+  io: ProgramIo,
+  files: readonly string[],
+): Promise<ExitCode> {
+  const lines = await readLogs(io, files);
+  if (lines.err) return refuse(io, lines.val);
+  for (const [cause, count] of countFailures(lines.val)) {
+    io.out(`${count}\t${cleanText(cause)}\n`);
+  }
+  return EXIT_CODES.ok;
+}
+
+async function readLogs(
+  io: ProgramIo,
+  files: readonly string[],
+): Promise<Result<readonly LogLine[], string>> {
+  if (files.length === 0) {
+    return Ok([...readLogLines(await io.readInput(), '-')]);
+  }
+  const lines: LogLine[] = [];
+  for (const file of files) {
+    try {
+      lines.push(...readLogLines(readFileSync(file, 'utf8'), file));
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : 'not readable';
+      return Err(`${file}: ${detail}`);
+    }
+  }
+  return Ok(lines);
+}
+
+function refuse(io: ProgramIo, detail: string): ExitCode {
+  io.error(`log not read: ${cleanText(detail)}; name files that exist\n`);
+  return EXIT_CODES.usage;
+}
--- /dev/null
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -0,0 +1,88 @@
+import type {AnsweredHere, ForwardedEnd, RequestEnd} from './request_end';
+
+/** The cause of a request's end, in a sentence. */
+export function causeText(end: RequestEnd): string {
+  switch (end.kind) {
+    case 'answeredHere':
+      return answeredText(end);
+    case 'forwarded':
+      return forwardedText(end);
+  }
+}
+
+/** A short name of the cause, to count requests by. */
+export function causeName(end: RequestEnd): string {
+  if (end.kind === 'answeredHere') return `${end.status} ${end.reason}`;
+  const detail = end.reason ?? end.cause;
+  return detail === undefined ? end.result : `${end.result} ${detail}`;
+}
+
+function answeredText({status, reason, confirmationAge}: AnsweredHere): string {
+  switch (reason) {
+    case 'staleConfiguration':
+      return `Not run: the entry had no word from the store for ${confirmationAge ?? 'an unknown number of'} ms, and may not go by keys and routes that old.`;
+    case 'noConfiguration':
+      return 'Not run: the entry had read no configuration yet.';
+    case 'leaving':
+      return 'Not run: the entry was about to stop.';
+    case 'unknown key':
+      return 'Refused: the configuration in force has no such key.';
+    case 'no route':
+      return 'Refused: the configuration in force has no route for its host and path.';
+    default:
+      return `Answered ${status} by the entry itself: ${reason}.`;
+  }
+}
+
+function forwardedText(end: ForwardedEnd): string {
+  const tries = end.attempts.length;
+  switch (end.result) {
+    case 'passOn':
+    case 'streamed':
+      return tries > 1
+        ? `Answered whole, at attempt ${tries}.`
+        : 'Answered whole.';
+    case 'notRun':
+      return notRunText(end);
+    case 'unknown':
+      return `May have run: ${lossText(end.cause)} before an answer, and it may not or could not be sent again.`;
+    case 'cut':
+      return `The stream broke after event ${end.lastEvent ?? 'none'}: ${lossText(end.cause)}, and it could not go on elsewhere.`;
+    case 'timedOut':
+      return `Ended after ${end.took} ms: the route's time or the caller's patience was up.`;
+    case 'callerGone':
+      return `The caller left after ${end.took} ms.`;
+    default:
+      return `Ended as ${end.result}.`;
+  }
+}
+
+function notRunText({reason, took, attempts}: ForwardedEnd): string {
+  const before =
+    attempts.length === 0 ? '' : ` after ${attempts.length} attempt(s)`;
+  switch (reason) {
+    case 'allFull':
+      return `Not run: no target had room within ${took} ms${before}; the caller was told when to come back.`;
+    case 'noTarget':
+      return `Not run${before}: no listed target of the service may take it (leaving, tried already, or with an older version than may start).`;
+    default:
+      return `Not run${before}: ${reason ?? 'no reason logged'}.`;
+  }
+}
+
+function lossText(cause: string | undefined): string {
+  switch (cause) {
+    case 'connectionLost':
+      return 'the connection to the target was lost';
+    case 'silence':
+      return 'the target fell silent';
+    case 'foreignAnswer':
+      return 'the target sent what belongs to another request, or events out of order';
+    case 'malformedAnswer':
+      return 'the target sent no answer that counts';
+    case 'timedOut':
+      return 'its time was up';
+    default:
+      return cause ?? 'for a cause that was not logged';
+  }
+}
