--- a/test/processes/bad_input.test.ts
+++ b/test/processes/bad_input.test.ts
@@ -5,7 +5,8 @@
 import {exchange, type HttpReply} from '../../demo/site/http';
 import {DEMO_KEYS} from '../../demo/site/settings_files';
 import {propertySettings} from '../fixtures/property_settings';
-import {callOnce, generate} from './callers';
+import {generate} from './callers';
+import {createGoodCallsCheck} from './good_calls';
 import {
   entryUrl,
   plainService,
@@ -14,6 +15,7 @@
   startServedSite,
   type ServedSite,
 } from './served_site';
+import {printable, oddName, encoded, wrongGenerate} from './bad_input_values';
 
 const BODY_LIMIT = 64 * 1024;
 const WAITING = 4;
@@ -33,18 +35,8 @@
 
 afterAll(() => site?.stop());
 
-let goodCalls = 0;
-
-// After each flood of bad input: nobody has died, and a good request of each
-// kind is answered at its first try.
-afterEach(async () => {
-  goodCalls += 1;
-  const answer = await generate(url, {prompt: `good ${goodCalls}`});
-  expect(answer.outcome).toBe('whole');
-  const reference = `good-${goodCalls}`;
-  const charged = await callOnce(url, {reference, key: reference});
-  expect(charged.outcome).toBe('answered');
-});
+// After each flood of bad input.
+afterEach(createGoodCallsCheck(() => url));
 
 const CALLER = `Bearer ${DEMO_KEYS.workspaces['shop-counter']}`;
 const OPERATOR = `Bearer ${DEMO_KEYS.operator}`;
@@ -73,38 +65,6 @@
   return exchange(method as 'GET', `${url}${path}`, sent, headers);
 }
 
-const printable = fc.string({unit: 'grapheme-ascii', maxLength: 60});
-
-/** Names that every JavaScript object answers to, and other odd ones. */
-const oddName = fc.oneof(
-  fc.constantFrom('__proto__', 'constructor', 'toString', 'valueOf', '..'),
-  fc.string({minLength: 1, maxLength: 40}),
-  fc.string({unit: 'binary', minLength: 1, maxLength: 20}),
-);
-
-function encoded(name: string): string {
-  // A lone surrogate has no UTF-8 form, so that no client could send it.
-  return encodeURIComponent(Buffer.from(name).toString());
-}
-
-const wrongGenerate = fc.oneof(
-  fc.jsonValue().filter(value => !isObjectWithPrompt(value)),
-  fc.record({prompt: fc.constantFrom('', 5, null, [], {})}),
-  fc.record({
-    prompt: fc.constant('p'),
-    maximumTokens: fc.constantFrom(0, -1, 1.5, 1e9, '5', null),
-  }),
-  fc.record({
-    prompt: fc.constant('p'),
-    deadline: fc.constantFrom('5', '0s', '-1s', '1 s', 5, '9999999999s', 's'),
-  }),
-  fc.record({prompt: fc.constant('p'), more: fc.jsonValue()}),
-);
-
-function isObjectWithPrompt(value: unknown): boolean {
-  return typeof value === 'object' && value !== null && 'prompt' in value;
-}
-
 describe('the HTTP face', () => {
   test('refuses callers and operators without a key, or with a wrong one', async () => {
     const routes = fc.constantFrom(...CALLER_ROUTES, ...OPERATOR_ROUTES);
--- a/test/processes/bad_site_input.test.ts
+++ b/test/processes/bad_site_input.test.ts
@@ -13,7 +13,7 @@
 import {DEMO_MODEL, DEMO_SERVICE} from '../../demo/rollout';
 import {DEMO_KEYS} from '../../demo/site/settings_files';
 import {propertySettings} from '../fixtures/property_settings';
-import {callOnce, generate} from './callers';
+import {createGoodCallsCheck} from './good_calls';
 import {
   createSiteCaller,
   SITE_METHODS,
@@ -28,6 +28,15 @@
   startServedSite,
   type ServedSite,
 } from './served_site';
+import {
+  SERVE,
+  COLLECT,
+  TOMBSTONE,
+  SESSION,
+  expectedWithoutKey,
+  number,
+  text,
+} from './bad_site_values';
 
 let site: ServedSite;
 let callers: readonly SiteCaller[];
@@ -43,19 +52,8 @@
   await site?.stop();
 });
 
-let goodCalls = 0;
-
-// After each flood of bad input: nobody has died, and a good request of each
-// kind is answered at its first try.
-afterEach(async () => {
-  goodCalls += 1;
-  const url = entryUrl(site, 0);
-  const answer = await generate(url, {prompt: `good ${goodCalls}`});
-  expect(answer.outcome).toBe('whole');
-  const reference = `good-${goodCalls}`;
-  const charged = await callOnce(url, {reference, key: reference});
-  expect(charged.outcome).toBe('answered');
-});
+// After each flood of bad input.
+afterEach(createGoodCallsCheck(() => entryUrl(site, 0)));
 
 const SITE_KEY = `Bearer ${DEMO_KEYS.site}`;
 
@@ -81,31 +79,6 @@
   );
 }
 
-const SERVE = methodNamed('Serve');
-const COLLECT = methodNamed('Collect');
-const TOMBSTONE = methodNamed('Tombstone');
-const SESSION = methodNamed('Session');
-
-function methodNamed(name: string): SiteMethod {
-  const found = SITE_METHODS.find(({path}) => path.endsWith(`/${name}`));
-  if (found === undefined) throw new Error(name);
-  return found;
-}
-
-/** What an entry answers for the methods that only agents serve. */
-function expectedWithoutKey(position: number, {path}: SiteMethod): status {
-  const isAgentsOnly = path.includes('Agent') && position === 0;
-  return isAgentsOnly ? status.UNIMPLEMENTED : status.UNAUTHENTICATED;
-}
-
-const number = fc.oneof(fc.nat(5), fc.maxSafeNat());
-const text = fc.oneof(
-  fc.string(),
-  fc.string({unit: 'binary', maxLength: 50}),
-  fc.constantFrom('', 'a#1', '#1', 'a#', 'a#99999999999999999999', '\0'),
-  fc.integer({min: 1_000, max: 100_000}).map(length => 'x'.repeat(length)),
-);
-
 describe('the gRPC face', () => {
   test('refuses every method without the key, and with garbage for one', async () => {
     const key = fc.oneof(
