--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 export {startFleetAgent, type AgentPorts} from './agent/agent';
 export {startFleetEntry, type EntryPorts} from './entry/entry';
 export type * from './ports';
-export {createLogWriter, createProcessLogs} from './runtime/process_log';
+export * from './link/http_calls';
+export {runFleetProcess, type StartRole} from './runtime/fleet_process';
 export * from './settings';
