Part the dispatcher, the plan service and the tests of commits

Cause: a reader of either met three pages of types before the first decision. Conclusion: no behaviour changes.

--- a/packages/daemon/src/entry/caller_service.ts
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -26,7 +26,7 @@
 import {createDigester, digestText} from '../runtime/digests';
 import type {Tally} from '../utils/tally';
 import type {AnswerWriter} from './answer_writer';
-import type {Dispatcher, RoutedRequest} from './dispatcher';
+import type {Dispatcher, RoutedRequest} from './dispatcher_types';
 import type {GenerateBody} from './request_parsing';
 import type {RequestRunner} from './request_runner';
 
--- a/packages/daemon/src/entry/http_face.ts
+++ b/packages/daemon/src/entry/http_face.ts
@@ -12,7 +12,7 @@
 import {refusalResponse, type HttpRefusal} from './http_errors';
 import {responseOf} from './outcome_mapping';
 import {planRefusalResponse} from './plan_refusals';
-import type {PlanService} from './plan_service';
+import type {PlanService} from './plan_service_types';
 import {
   parseDeadline,
   parseGenerate,
--- a/packages/daemon/src/entry/plan_refusals.ts
+++ b/packages/daemon/src/entry/plan_refusals.ts
@@ -1,5 +1,5 @@
 import {unreachable, type PlanCommitFault} from '@hibiscusbeam/core';
-import type {PlanRefusal} from './plan_service';
+import type {PlanRefusal} from './plan_service_types';
 
 /** A refusal as HTTP shows it to an operator. */
 export interface RefusalResponse {
--- a/packages/daemon/src/entry/request_runner.ts
+++ b/packages/daemon/src/entry/request_runner.ts
@@ -18,7 +18,7 @@
 import {drive} from '../runtime/drive';
 import type {SiteClientPool} from '../site/site_clients';
 import {createAttemptStream, type AttemptStream} from './attempt_stream';
-import type {Dispatcher, Reservation, RoutedRequest} from './dispatcher';
+import type {Dispatcher, Reservation, RoutedRequest} from './dispatcher_types';
 import type {GroupCommitDriver} from './group_commit_driver';
 import {serveRequestOf, type ServeWork} from './serve_requests';
 import type {TargetDirectory} from './target_directory';
--- a/packages/daemon/src/entry/target_feed.ts
+++ b/packages/daemon/src/entry/target_feed.ts
@@ -8,7 +8,7 @@
 import type {TargetReport} from '@hibiscusbeam/wire';
 import type {Clock} from '../runtime/clock';
 import type {Peer} from '../site/sessions';
-import type {Dispatcher} from './dispatcher';
+import type {Dispatcher} from './dispatcher_types';
 import {loadReportOf, type SiteView} from './site_view';
 import type {TargetDirectory} from './target_directory';
 
