Read the rest of a body whose request was refused

The library answers 413 as soon as it knows the length, with `connection: close`, and the server closes with bytes unread: the connection is reset while the caller still writes, and the caller never sees the answer. On a calm machine the whole body fits into the buffers of the sockets before that, so the test passed by luck.

Change: refusals (status below 500) leave the connection open; the rest of the body is read and dropped, within the timeout of a request.

Before and after: a new test writes the body after it has read the 413, and sends one more request on the connection.

Conclusion: a fault of the product, not of the test.

--- a/packages/daemon/src/entry/http_face.ts
+++ b/packages/daemon/src/entry/http_face.ts
@@ -62,6 +62,10 @@
     const status = statusCode ?? 500;
     if (status >= 500) log.error('a call failed', {error});
     else options.onRefused(code ?? 'badRequest');
+    // Failure: closed with a part of the body unread, the connection is reset
+    // while the caller still writes, and it sees no answer. Guard: a connection
+    // that stays open has its rest read and dropped, for the request's timeout.
+    if (status < 500) reply.removeHeader('connection');
     void reply
       .status(status)
       .send({error: code ?? 'badRequest', detail: message});
--- a/test/processes/bad_input.test.ts
+++ b/test/processes/bad_input.test.ts
@@ -1,4 +1,4 @@
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import * as fc from 'fast-check';
 import {afterAll, afterEach, beforeAll, describe, expect, test} from 'vitest';
 import {DEMO_MODEL, DEMO_OPERATION, DEMO_SERVICE} from '../../demo/rollout';
@@ -65,6 +65,14 @@
   return exchange(method as 'GET', `${url}${path}`, sent, headers);
 }
 
+/** The next bytes on a connection, as text; empty if it ends first. */
+function nextData(socket: Socket): Promise<string> {
+  return new Promise(resolve => {
+    socket.once('data', (bytes: Buffer) => resolve(bytes.toString()));
+    socket.once('close', () => resolve(''));
+  });
+}
+
 describe('the HTTP face', () => {
   test('refuses callers and operators without a key, or with a wrong one', async () => {
     const routes = fc.constantFrom(...CALLER_ROUTES, ...OPERATOR_ROUTES);
@@ -147,6 +155,33 @@
     );
   });
 
+  // A caller sends a body that is too large. The entry answers as soon as it has
+  // read the length, and closes with bytes unread; the rest of the body then
+  // meets a reset, and the caller sees a broken connection instead of a 413.
+  test('lets a refused caller send the rest of its body', async () => {
+    const {hostname, port} = new URL(url);
+    const body = Buffer.alloc(BODY_LIMIT * 4, 'p');
+    const head = [
+      `POST /v1/models/${DEMO_MODEL}/generate HTTP/1.1`,
+      `Host: ${hostname}`,
+      `Authorization: ${CALLER}`,
+      'Content-Type: application/json',
+      `Content-Length: ${body.length}`,
+    ].join('\r\n');
+    const socket = connect(Number(port), hostname);
+    const errors: Error[] = [];
+    socket.on('error', error => errors.push(error));
+    socket.write(`${head}\r\n\r\n`);
+    const answer = await nextData(socket);
+    expect(answer).toMatch(/^HTTP\/1.1 413 /);
+    socket.write(body);
+    // Only a connection that was kept takes one more request.
+    socket.write(`GET /v1/entries HTTP/1.1\r\nHost: ${hostname}\r\n\r\n`);
+    expect(await nextData(socket)).toMatch(/^HTTP\/1.1 \d+ /);
+    expect(errors).toEqual([]);
+    socket.destroy();
+  });
+
   // A call's body goes on to the service as JSON. What is not JSON would be
   // claimed under its key, refused by the service, and be unknown for ever.
   test('passes on no call whose body is not JSON', async () => {
