Tell an engine's lives apart, and set rows of other writers aside

Cause of the first: entries and agents took the id for the life. What they believed of the former one (weights held, failures, requests in hand) went on until a report or a time-out. Plain targets keep what is in hand: the list is up to 0.9 s old, and the new life may have begun it. A target that denies what the list says of it is not asked again until there is news of it; that was the open point of requests turned away after a restart of engines.

Cause of the second: rows that lacked a field were passed over in silence, an unknown state counted as leaving, a missing one as ready, and an operator's row that could not be read failed the whole table. Now each row is decoded by itself; the others hold, and one log line a row and change names the field. An unreadable configuration confirms nothing, since it may take a key away.

Folding of the operator's and the members' feeds moves from platform/ into one loop of the product (three loops of the same shape before).

Ruled out: dating lives by the id alone (ids stay), by Sequence (an entry sees no count of orders). A machine's clock that is set back is covered: a newer life that has been silent for 2 s has the last word no more.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,4 +1,5 @@
 export * from './target_book';
+export * from './target_life';
 export * from './types';
 export * from './list_memory';
 export * from './directory_choice';
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,5 +1,6 @@
 import type {ModelName, MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, type SharePlace} from './allowance';
+import {isFormerLife, isSameLife} from './target_life';
 import type {
   EngineLoad,
   HeldModel,
@@ -27,8 +28,16 @@
 const FIRST_PAUSE = 500;
 const LONGEST_PAUSE = 4_000;
 
+/** Lines lapse after three heartbeats of 1.2 s without a sign of life. */
+const DENIAL_LIFE = 3_600;
+
 interface TargetEntry {
   target: ListedTarget;
+  /** Told when this life ends with their request in hand. */
+  readonly inHand: Set<() => void>;
+  /** What the list said when the target denied it. */
+  denied: string | undefined;
+  deniedAt: MonotonicInstant;
   ownInFlight: number;
   /** Own sends less own ends since the last report. */
   ownChange: number;
@@ -54,21 +63,54 @@
   let entries = new Map<string, TargetEntry>();
   const reports = new Map<string, {load: EngineLoad; at: MonotonicInstant}>();
 
-  function list(targets: readonly ListedTarget[]): void {
+  function list(targets: readonly ListedTarget[], now: MonotonicInstant): void {
     const next = new Map<string, TargetEntry>();
     for (const target of targets) {
-      const known = entries.get(target.instance);
-      const entry = known ?? createEntry(target);
-      entry.target = target;
-      next.set(target.instance, entry);
+      next.set(target.instance, entryOf(target, now));
     }
     entries = next;
   }
 
+  /** The entry of the newest life that list and reports know of. */
+  function entryOf(target: ListedTarget, now: MonotonicInstant): TargetEntry {
+    const known = entries.get(target.instance);
+    if (known === undefined) return createEntry(newestLife(target));
+    if (isFormerLife(target, known.target) && isReported(known, now)) {
+      return known;
+    }
+    if (!isSameLife(known.target, target)) {
+      endLife(known);
+      return createEntry(target);
+    }
+    if (known.denied !== saidOf(target)) known.denied = undefined;
+    known.target = target;
+    return known;
+  }
+
+  /**
+   * Failure: an engine dies and starts again, and the connections of its former
+   * life fall silent; their streams wait for seconds for an event that never
+   * comes. Guard: once its new life is known they are told at once. Targets that
+   * hold no weights may have begun a request in their new life already.
+   */
+  function endLife({inHand, target}: TargetEntry): void {
+    if (target.held === undefined) return;
+    for (const onLifeEnded of [...inHand]) onLifeEnded();
+  }
+
   function report(load: EngineLoad, now: MonotonicInstant): void {
+    if (isLate(load, now)) return;
     reports.set(load.address, {load, at: now});
-    for (const entry of entries.values()) {
-      if (entry.target.address !== load.address) continue;
+    for (const known of [...entries.values()]) {
+      const {target} = known;
+      if (target.address !== load.address || isFormerLife(load, target)) {
+        continue;
+      }
+      const hasRestarted = isFormerLife(target, load);
+      if (hasRestarted) endLife(known);
+      const entry = hasRestarted ? createEntry(newestLife(target)) : known;
+      entries.set(target.instance, entry);
+      entry.denied = undefined;
       entry.report = load;
       entry.reportedAt = now;
       entry.ownChange = 0;
@@ -76,6 +118,22 @@
     }
   }
 
+  /** A newer life that has fallen silent has the last word no more. */
+  function isLate(load: EngineLoad, now: MonotonicInstant): boolean {
+    const before = reports.get(load.address);
+    if (before === undefined || now - before.at >= REPORT_LIFE) return false;
+    return isFormerLife(load, before.load);
+  }
+
+  /** What the list says of a former life holds for the new one no more. */
+  function newestLife(target: ListedTarget): ListedTarget {
+    const reported = reports.get(target.address)?.load;
+    if (reported === undefined || !isFormerLife(target, reported)) {
+      return target;
+    }
+    return {...target, born: reported.born, held: target.held && []};
+  }
+
   function allowedAt(target: ListedTarget, load: EngineLoad): number {
     const used = load.running + load.waiting;
     return allowance(target.slots - used, placeAt(target.zone), load.sequence);
@@ -94,12 +152,14 @@
     places.clear();
   }
 
-  function begin(target: ListedTarget): () => void {
+  function begin(target: ListedTarget, onLifeEnded: () => void): () => void {
     const entry = entries.get(target.instance);
     if (entry === undefined) return () => undefined;
     entry.ownInFlight += 1;
     entry.ownChange += 1;
+    entry.inHand.add(onLifeEnded);
     return () => {
+      entry.inHand.delete(onLifeEnded);
       entry.ownInFlight -= 1;
       entry.ownChange -= 1;
     };
@@ -135,9 +195,14 @@
   }
 
   function createEntry(target: ListedTarget): TargetEntry {
-    const early = reports.get(target.address);
+    const reported = reports.get(target.address);
+    const isOfFormerLife = reported && isFormerLife(reported.load, target);
+    const early = isOfFormerLife === true ? undefined : reported;
     return {
       target,
+      inHand: new Set(),
+      denied: undefined,
+      deniedAt: -Infinity,
       ownInFlight: 0,
       ownChange: 0,
       allowed: early === undefined ? 0 : allowedAt(target, early.load),
@@ -154,6 +219,12 @@
     report,
     begin,
     noteFailure,
+    noteMisdirected(target, now) {
+      const entry = entries.get(target.instance);
+      if (entry === undefined) return;
+      entry.denied = saidOf(entry.target);
+      entry.deniedAt = now;
+    },
     noteSuccess(target) {
       const entry = entries.get(target.instance);
       if (entry === undefined) return;
@@ -172,6 +243,7 @@
   const {target} = entry;
   if (target.service !== need.service || target.leaving) return false;
   if (need.tried.has(target.instance)) return false;
+  if (isDenied(entry, need.now)) return false;
   if (need.model === undefined) return true;
   const version = versionHeldBy(entry, need.model, need.now);
   return version !== undefined && version >= (need.leastVersion ?? 0);
@@ -206,6 +278,22 @@
   return entry.ownInFlight < Math.ceil((2 * slots) / Math.max(1, senders));
 }
 
+/**
+ * Failure: engines have restarted, and the list still says what they held. Each
+ * request that goes by it is turned away, until the first report comes. Guard:
+ * what a target has denied once is believed no more, until it is reported on,
+ * its line changes, or a line that nobody renews would have lapsed.
+ */
+function isDenied(entry: TargetEntry, now: MonotonicInstant): boolean {
+  if (entry.denied === undefined || isReported(entry, now)) return false;
+  return now - entry.deniedAt < DENIAL_LIFE;
+}
+
+/** What a line of the list says that a target may deny. */
+function saidOf({address, born, held}: ListedTarget): string {
+  return JSON.stringify([address, born, held]);
+}
+
 /** The agent's word while it is fresh, the platform's list otherwise. */
 function heldBy(
   entry: TargetEntry,
--- /dev/null
+++ b/packages/core/src/placement/target_life.ts
@@ -0,0 +1,25 @@
+import type {EpochMilliseconds} from '../types';
+
+/** Something that one life of a target says, or that is said of it. */
+export interface OfLife {
+  /** Start of that life; undefined if the target doesn't say it. */
+  readonly born: EpochMilliseconds | undefined;
+}
+
+/**
+ * Whether `one` is of a life before that of `other`.
+ *
+ * Failure: a target starts again under the id that it had, and a late word of
+ * its former life is taken for news: requests go to an engine that holds
+ * nothing. Guard: both lives are dated by the same machine, and the earlier one
+ * has nothing to say. Lives without a date can't be told apart here.
+ */
+export function isFormerLife(one: OfLife, other: OfLife): boolean {
+  if (one.born === undefined || other.born === undefined) return false;
+  return one.born < other.born;
+}
+
+/** Whether both are of one life, as far as can be told. */
+export function isSameLife(one: OfLife, other: OfLife): boolean {
+  return !isFormerLife(one, other) && !isFormerLife(other, one);
+}
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,3 +1,4 @@
+import type {OfLife} from './target_life';
 import type {
   Milliseconds,
   ModelName,
@@ -13,8 +14,8 @@
 }
 
 /** One life of a target, as the platform lists it. */
-export interface ListedTarget {
-  /** Differs for each life. */
+export interface ListedTarget extends OfLife {
+  /** Stays the same if the target starts again under the id it had. */
   readonly instance: string;
   readonly service: ServiceName;
   /** `IP:port`. */
@@ -27,7 +28,7 @@
 }
 
 /** What an engine's own agent says of it. */
-export interface EngineLoad {
+export interface EngineLoad extends OfLife {
   readonly address: string;
   readonly held: readonly HeldModel[];
   /** Whether it loads weights and starts nothing new. */
@@ -64,12 +65,23 @@
 /** What an entry knows of the targets it may send to. */
 export interface TargetBook {
   /** Replaces the list. */
-  readonly list: (targets: readonly ListedTarget[]) => void;
+  readonly list: (
+    targets: readonly ListedTarget[],
+    now: MonotonicInstant,
+  ) => void;
   /** Replaces the entries that send to the same targets, this one included. */
   readonly setEntries: (entries: readonly SendingEntry[]) => void;
   readonly report: (load: EngineLoad, now: MonotonicInstant) => void;
-  /** Notes a request sent; the returned function notes its end. */
-  readonly begin: (target: ListedTarget, now: MonotonicInstant) => () => void;
+  /**
+   * Notes a request sent; the returned function notes its end. `onLifeEnded` is
+   * called if an engine's life ends with the request in hand.
+   */
+  readonly begin: (target: ListedTarget, onLifeEnded: () => void) => () => void;
+  /** Notes that a target denies to be, or to hold, what is believed of it. */
+  readonly noteMisdirected: (
+    target: ListedTarget,
+    now: MonotonicInstant,
+  ) => void;
   readonly noteFailure: (target: ListedTarget, now: MonotonicInstant) => void;
   readonly noteSuccess: (target: ListedTarget) => void;
   /** The best place with room, or why there is none. */
--- a/packages/core/src/types/units.ts
+++ b/packages/core/src/types/units.ts
@@ -4,6 +4,9 @@
 /** An instant on the process's monotonic clock, in milliseconds. */
 export type MonotonicInstant = number;
 
+/** Milliseconds since 1970 by the clock of the machine that says it. */
+export type EpochMilliseconds = number;
+
 /** An amount of data in bytes. */
 export type Bytes = number;
 
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -6,6 +6,7 @@
   type Digest,
   type IdentifiedManifest,
   type Milliseconds,
+  type OfLife,
   type PlannedVersion,
   type PlanStep,
   type SwarmMember,
@@ -88,6 +89,7 @@
   let orderedAt = -Infinity;
   let asking = false;
   let ordering = false;
+  let life: OfLife = {born: undefined};
   let lastState = '';
   let isServing = false;
 
@@ -95,6 +97,7 @@
     while (!signal.aborted) {
       const standing = await engine.standing(LOOK_TIMEOUT);
       if (standing.ok) {
+        noteLife(standing.val);
         isServing = standing.val.held.length > 0;
         const {ordering: isLoading} = standing.val;
         const served = servedVersion(standing.val);
@@ -107,6 +110,20 @@
     }
   }
 
+  /**
+   * Failure: an engine starts again under its id right after an order, and its
+   * load waits for a pause that belongs to the former life. What lies staged is
+   * read again before the order in any case.
+   */
+  function noteLife(standing: EngineStanding): void {
+    if (standing.born === undefined || life.born === standing.born) return;
+    const isFirst = life.born === undefined;
+    life = {born: standing.born};
+    if (isFirst) return;
+    log.info('engine has started anew', {born: standing.born});
+    orderedAt = -Infinity;
+  }
+
   function servedVersion({held}: EngineStanding): number | undefined {
     const model = plan.inHand()?.content.model;
     return held.find(entry => model === undefined || entry.model === model)
@@ -114,7 +131,7 @@
   }
 
   function look(): void {
-    const services = operator.reading()?.state.configuration?.services ?? [];
+    const services = operator.services();
     const model = findWantedModel(services, options.service);
     // Failure: an agent that joins asks the origin for what its neighbours
     // hold, since it has not met them yet.
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -88,8 +88,8 @@
   ): void {
     now = at;
     sequence += 1;
-    const {held, ordering, running, waiting, pace} = standing;
-    const state = JSON.stringify({held, ordering});
+    const {held, ordering, running, waiting, pace, born} = standing;
+    const state = JSON.stringify({held, ordering, born});
     const report: EngineReport = {
       engineAddress: options.engineAddress,
       loaded: held.map(({model, version}) => ({model, version})),
@@ -98,6 +98,7 @@
       waiting,
       pace,
       sequence,
+      born,
       loadsInMilliseconds:
         loadsIn === undefined ? undefined : Math.max(0, Math.round(loadsIn)),
     };
--- a/packages/fleet/src/agent/operator_watch.ts
+++ b/packages/fleet/src/agent/operator_watch.ts
@@ -1,5 +1,10 @@
-import type {Milliseconds, ModelName} from '@hibiscusbeam/core';
-import {sleep, type Log} from '@hibiscusbeam/daemon';
+import type {
+  Milliseconds,
+  ModelName,
+  ServiceDescription,
+} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import {runFeedLoop} from '../link/feed_loop';
 import type {OperatorFeed, OperatorReading} from '../ports';
 
 /**
@@ -17,7 +22,8 @@
 /** What an agent knows of the operator's writing. */
 export interface OperatorWatch {
   readonly start: (signal: AbortSignal) => void;
-  readonly reading: () => OperatorReading | undefined;
+  /** The services of the newest configuration; none before the first. */
+  readonly services: () => readonly ServiceDescription[];
   readonly namedVersion: (model: ModelName) => number | undefined;
   /** Takes a version that an entry tells of. */
   readonly learn: (model: ModelName, version: number) => void;
@@ -29,7 +35,7 @@
   log: Log,
 ): OperatorWatch {
   const named = new Map<ModelName, number>();
-  let reading: OperatorReading | undefined;
+  let services: readonly ServiceDescription[] = [];
 
   function learn(model: ModelName, version: number): void {
     if (version <= (named.get(model) ?? 0)) return;
@@ -37,35 +43,26 @@
     log.info('version named', {model, version});
   }
 
-  async function run(signal: AbortSignal): Promise<void> {
-    let from: OperatorReading | undefined;
-    while (!signal.aborted) {
-      const reply =
-        from === undefined
-          ? await feed.readAll(ANSWER_SLACK)
-          : await feed.follow(
-              from,
-              WAIT_FOR_CHANGE,
-              WAIT_FOR_CHANGE + ANSWER_SLACK,
-            );
-      if (reply.ok) {
-        from = reply.val;
-        reading = from;
-        for (const [model, version] of from.state.namedVersions) {
-          learn(model, version);
-        }
-        continue;
-      }
-      from = undefined;
-      if (reply.val.kind === 'historyLost') continue;
-      log.warn('operator feed lost', {error: reply.val});
-      await sleep(PAUSE_AFTER_FAILURE, signal);
-    }
+  function take({configuration, namedVersions}: OperatorReading): void {
+    services = configuration?.services ?? services;
+    for (const {model, version} of namedVersions) learn(model, version);
   }
 
   return {
-    start: signal => void run(signal),
-    reading: () => reading,
+    start: signal =>
+      void runFeedLoop(
+        {
+          name: 'operator feed',
+          log,
+          readAll: () => feed.readAll(ANSWER_SLACK),
+          follow: after =>
+            feed.follow(after, WAIT_FOR_CHANGE, WAIT_FOR_CHANGE + ANSWER_SLACK),
+          take,
+          pause: () => PAUSE_AFTER_FAILURE,
+        },
+        signal,
+      ),
+    services: () => services,
     namedVersion: model => named.get(model),
     learn,
   };
--- a/packages/fleet/src/agent/origin_reader.ts
+++ b/packages/fleet/src/agent/origin_reader.ts
@@ -48,8 +48,7 @@
   }
 
   function originAddress(): string | undefined {
-    const services =
-      options.operator.reading()?.state.configuration?.services ?? [];
+    const services = options.operator.services();
     for (const service of services) {
       if (service.kind === 'weightOrigin') return service.address;
     }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -189,6 +189,7 @@
         waiting: report.waiting,
         pace: report.pace,
         sequence: report.sequence,
+        born: report.born,
         loadsIn: report.loadsInMilliseconds,
       },
       clock(),
@@ -206,6 +207,10 @@
       draining: bounds.draining,
       heartbeat: settings.store.heartbeat,
       onChange: places.pump,
+      isConfigured: service => {
+        const table = operator.table();
+        return table && table.service(service) !== undefined;
+      },
     },
     stopped.signal,
   );
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -6,7 +6,8 @@
   type NamedVersions,
   type RouteTable,
 } from '@hibiscusbeam/core';
-import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import {runFeedLoop} from '../link/feed_loop';
 import type {OperatorFeed, OperatorReading} from '../ports';
 
 /**
@@ -45,59 +46,31 @@
 ): OperatorFollower {
   const {feed, clock, confirmation, log} = options;
   let table: RouteTable | undefined;
-  let failures = 0;
+  let askedAt: MonotonicInstant = -Infinity;
+  let isNewestLost = false;
 
-  async function run(signal: AbortSignal): Promise<void> {
-    let reading: OperatorReading | undefined;
-    while (!signal.aborted) {
-      const askedAt = clock();
-      const reply =
-        reading === undefined
-          ? await feed.readAll(ANSWER_SLACK)
-          : await feed.follow(
-              reading,
-              WAIT_FOR_CHANGE,
-              WAIT_FOR_CHANGE + ANSWER_SLACK,
-            );
-      if (reply.ok) {
-        noteRegained();
-        reading = reply.val;
-        const answeredAt = clock();
-        const {storeTime} = reading;
-        adopt(reading, answeredAt);
-        confirmation.record({askedAt, answeredAt, storeTime});
-        continue;
-      }
-      reading = undefined;
-      failures += 1;
-      if (failures === 1) log.warn('operator feed lost', {error: reply.val});
-      const pause = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** failures);
-      if (reply.val.kind !== 'historyLost') await sleep(pause, signal);
-    }
-  }
-
-  function noteRegained(): void {
-    if (failures === 0) return;
-    log.info('operator feed regained', {
-      failures,
-      confirmedAt: confirmation.confirmedAt(),
-    });
-    failures = 0;
-  }
-
-  function adopt({state}: OperatorReading, now: MonotonicInstant): void {
-    adoptConfiguration(state.configuration);
-    for (const [model, version] of state.namedVersions) {
-      const isNew = options.versions.name(model, version, now);
+  function take(reading: OperatorReading): void {
+    const answeredAt = clock();
+    adoptConfiguration(reading);
+    for (const {model, version} of reading.namedVersions) {
+      const isNew = options.versions.name(model, version, answeredAt);
       if (isNew) log.info('version named', {model, version});
     }
+    const {storeTime} = reading;
+    // Failure: the newest configuration can't be read and takes a key away,
+    // and the one before it counts as confirmed: the key is served for good.
+    // Guard: nothing is confirmed until a newer one can be read.
+    if (!isNewestLost) confirmation.record({askedAt, answeredAt, storeTime});
     options.onChange();
   }
 
-  function adoptConfiguration(
-    configuration: OperatorReading['state']['configuration'],
-  ): void {
+  function adoptConfiguration({
+    configuration,
+    isConfigurationLost,
+  }: OperatorReading): void {
+    if (isConfigurationLost) isNewestLost = true;
     if (configuration === undefined) return;
+    if (!isConfigurationLost) isNewestLost = false;
     // Failure: an answer that was held up brings an older configuration, and a
     // request is handled by a route that was dropped. Versions only grow here.
     if (configuration.version <= (table?.version ?? -Infinity)) return;
@@ -109,8 +82,33 @@
     });
   }
 
+  /** Notes when a question is asked, which is when the store looks or later. */
+  function ask<Answer>(question: () => Answer): Answer {
+    askedAt = clock();
+    return question();
+  }
+
   return {
-    start: signal => void run(signal),
+    start: signal =>
+      void runFeedLoop(
+        {
+          name: 'operator feed',
+          log,
+          readAll: () => ask(() => feed.readAll(ANSWER_SLACK)),
+          follow: after =>
+            ask(() =>
+              feed.follow(
+                after,
+                WAIT_FOR_CHANGE,
+                WAIT_FOR_CHANGE + ANSWER_SLACK,
+              ),
+            ),
+          take,
+          pause: failures =>
+            Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** failures),
+        },
+        signal,
+      ),
     table: () => table,
   };
 }
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -14,6 +14,8 @@
       readonly target: ListedTarget;
       /** Notes the end of the request at the target. */
       readonly end: () => void;
+      /** Aborts when the target's life ends, and with it the request there. */
+      readonly lifeEnded: AbortSignal;
     }
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
@@ -84,8 +86,10 @@
     if (request.signal.aborted) return {kind: 'abandoned'};
     const choice = book.choose(request.need());
     if (choice.kind === 'chosen') {
-      const end = book.begin(choice.target, now);
-      return {kind: 'place', target: choice.target, end};
+      const {target} = choice;
+      const life = new AbortController();
+      const end = book.begin(target, () => life.abort());
+      return {kind: 'place', target, end, lifeEnded: life.signal};
     }
     return now >= request.waitUntil ? choice : undefined;
   }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -1,5 +1,6 @@
 import type {
   AnswerTimes,
+  ForwardAttemptOutcome,
   ForwardEffect,
   ForwardReply,
   ListedTarget,
@@ -73,6 +74,7 @@
   const isModel = header.model !== undefined;
   let answer: WholeAnswer | undefined;
   let endPlace = (): void => undefined;
+  let lifeEnded: AbortSignal | undefined;
 
   async function choosePlace(
     tried: readonly ListedTarget[],
@@ -100,6 +102,7 @@
     switch (outcome.kind) {
       case 'place':
         endPlace = outcome.end;
+        lifeEnded = outcome.lifeEnded;
         return {
           kind: 'placed',
           place: {kind: 'place', target: outcome.target},
@@ -169,7 +172,7 @@
       now: options.clock,
       ownLines: options.ownLines,
       longestSilence: longestSilence(route),
-      signal,
+      signal: lifeEnded ? AbortSignal.any([signal, lifeEnded]) : signal,
       onFirstEvent: recordTime,
       keepAnswer: kept => (answer = kept),
       explain: story.explain,
@@ -180,7 +183,7 @@
     const by = endedBy();
     const final =
       by !== undefined && outcome.kind !== 'streamed' ? {kind: by} : outcome;
-    if (final === outcome) noteTarget(target, outcome.kind);
+    if (final === outcome) noteTarget(target, outcome);
     story.end(final.kind, 'cause' in final ? final.cause : undefined);
     return {kind: 'sent', outcome: final};
   }
@@ -203,10 +206,22 @@
 
   return {perform, answer: () => answer};
 
-  function noteTarget(target: ListedTarget, outcome: string): void {
-    const failed =
-      outcome === 'unknown' || outcome === 'broken' || outcome === 'notRun';
-    if (failed) options.book.noteFailure(target, options.clock());
-    else options.book.noteSuccess(target);
+  function noteTarget(
+    target: ListedTarget,
+    outcome: ForwardAttemptOutcome,
+  ): void {
+    const now = options.clock();
+    switch (outcome.kind) {
+      case 'unknown':
+      case 'broken':
+        return options.book.noteFailure(target, now);
+      case 'notRun':
+        if (outcome.cause === 'misdirected') {
+          options.book.noteMisdirected(target, now);
+        }
+        return options.book.noteFailure(target, now);
+      default:
+        return options.book.noteSuccess(target);
+    }
   }
 }
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -1,10 +1,12 @@
 import {
   createListMemory,
   type Milliseconds,
+  type ServiceName,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
-import type {TargetList} from '../ports';
+import {createUnusableRowLog} from '../link/unusable_row_log';
+import type {TargetList, TargetReading, UnusableRow} from '../ports';
 
 /**
  * Share of the draining bound after which the list is read again. Two reads fit
@@ -27,6 +29,8 @@
   readonly draining: Milliseconds;
   readonly heartbeat: Milliseconds;
   readonly onChange: () => void;
+  /** Whether a service is configured; undefined before any configuration. */
+  readonly isConfigured: (service: ServiceName) => boolean | undefined;
 }
 
 /** Keeps the book in step with the platform's list of targets. */
@@ -39,6 +43,7 @@
     heartbeat: options.heartbeat,
     returnTime: RETURN_TIME,
   });
+  const unusableRows = createUnusableRowLog('targets', log);
   const period = options.draining * READ_SHARE;
   let lines = new Map<string, string>();
   let lost = false;
@@ -47,8 +52,9 @@
     while (!signal.aborted) {
       const reply = await list.read(READ_TIMEOUT);
       if (reply.ok) {
+        unusableRows.note([...reply.val.unusable, ...unconfigured(reply.val)]);
         const targets = memory.take(reply.val.targets, clock());
-        book.list(targets);
+        book.list(targets, clock());
         logChanges(targets);
         options.onChange();
       } else memory.noteFailure(clock());
@@ -57,6 +63,18 @@
     }
   }
 
+  /** Targets of services that no route can name, as rows that are of no use. */
+  function unconfigured(reading: TargetReading): readonly UnusableRow[] {
+    return reading.targets
+      .filter(({service}) => options.isConfigured(service) === false)
+      .map(({instance, service}) => ({
+        key: instance,
+        // The same for each of its revisions, so that it is told of once.
+        revision: 0,
+        reason: `service ${service} is not configured`,
+      }));
+  }
+
   function logReach(nowLost: boolean, error: unknown): void {
     if (nowLost === lost) return;
     lost = nowLost;
--- /dev/null
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -0,0 +1,64 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {sleep, type Log} from '@hibiscusbeam/daemon';
+import type {Result} from 'ts-results';
+import type {HostError, Revision, StoreMoment} from '../ports';
+import {createUnusableRowLog} from './unusable_row_log';
+
+/** What a reading covers. */
+export type ReadingScope =
+  /** All rows, as of one moment. */
+  | 'all'
+  /** The rows that have changed since the reading before. */
+  | 'changes';
+
+/** How a table is read and followed. */
+export interface FeedLoopOptions<Reading extends StoreMoment> {
+  /** Names the table in log lines. */
+  readonly name: string;
+  readonly readAll: () => Promise<Result<Reading, HostError>>;
+  readonly follow: (after: Revision) => Promise<Result<Reading, HostError>>;
+  /** Takes a reading; the next question is asked once it is done. */
+  readonly take: (
+    reading: Reading,
+    scope: ReadingScope,
+  ) => void | Promise<void>;
+  /** Pause after so many questions in a row without an answer. */
+  readonly pause: (failures: number) => Milliseconds;
+  readonly log: Log;
+}
+
+/**
+ * Reads a table whole, then what changes, until the signal aborts. After a
+ * failure it is read whole again, since changes may have been missed.
+ */
+export async function runFeedLoop<Reading extends StoreMoment>(
+  options: FeedLoopOptions<Reading>,
+  signal: AbortSignal,
+): Promise<void> {
+  const {name, log} = options;
+  const unusableRows = createUnusableRowLog(name, log);
+  let revision: Revision | undefined;
+  let failures = 0;
+  while (!signal.aborted) {
+    const scope = revision === undefined ? 'all' : 'changes';
+    const reply = await (revision === undefined
+      ? options.readAll()
+      : options.follow(revision));
+    if (reply.ok) {
+      if (failures > 0) log.info(`${name} regained`, {failures});
+      failures = 0;
+      revision = reply.val.revision;
+      unusableRows.note(reply.val.unusable);
+      await options.take(reply.val, scope);
+      continue;
+    }
+    revision = undefined;
+    if (reply.val.kind === 'historyLost') {
+      log.info(`${name} is read whole`, {reason: reply.val.kind});
+      continue;
+    }
+    failures += 1;
+    if (failures === 1) log.warn(`${name} lost`, {error: reply.val});
+    await sleep(options.pause(failures), signal);
+  }
+}
--- a/packages/fleet/src/link/member_follower.ts
+++ b/packages/fleet/src/link/member_follower.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import {sleep, type Log} from '@hibiscusbeam/daemon';
 import type {MemberDescription, MemberReading, MemberTable} from '../ports';
+import {runFeedLoop, type ReadingScope} from './feed_loop';
 
 /** How long one question waits for a change; each question costs a call. */
 const WAIT_FOR_CHANGE: Milliseconds = 15_000;
@@ -25,6 +26,7 @@
   readonly self: MemberDescription;
   readonly table: MemberTable;
   readonly log: Log;
+  /** Told of all members but this process. */
   readonly onChange: (members: readonly MemberDescription[]) => void;
 }
 
@@ -44,44 +46,28 @@
   options: MemberFollowerOptions,
 ): MemberFollower {
   const {self, table, log} = options;
-  let others: readonly MemberDescription[] = [];
+  const known = new Map<string, MemberDescription>();
   let isKnown = false;
   let leaving = false;
 
-  async function run(signal: AbortSignal): Promise<void> {
-    let reading: MemberReading | undefined;
-    while (!signal.aborted) {
-      const reply =
-        reading === undefined
-          ? await table.readAll(ANSWER_SLACK)
-          : await table.follow(
-              reading,
-              WAIT_FOR_CHANGE,
-              WAIT_FOR_CHANGE + ANSWER_SLACK,
-            );
-      if (reply.err) {
-        if (reply.val.kind !== 'historyLost') {
-          log.warn('members not read', {error: reply.val});
-          await sleep(PAUSE_AFTER_FAILURE, signal);
-        }
-        reading = undefined;
-        continue;
-      }
-      const changed = reading?.members !== reply.val.members;
-      reading = reply.val;
-      if (changed) await adopt(reading.members, signal);
-    }
-  }
+  const others = (): readonly MemberDescription[] =>
+    [...known.values()].filter(member => member.instance !== self.instance);
 
-  async function adopt(
-    members: readonly MemberDescription[],
+  async function take(
+    {changes}: MemberReading,
+    scope: ReadingScope,
     signal: AbortSignal,
   ): Promise<void> {
-    others = members.filter(member => member.instance !== self.instance);
-    const own = members.find(member => member.instance === self.instance);
-    options.onChange(others);
+    if (scope === 'all') known.clear();
+    for (const {instance, member} of changes) {
+      if (member === undefined) known.delete(instance);
+      else known.set(instance, member);
+    }
+    if (scope === 'changes' && changes.length === 0) return;
+    options.onChange(others());
     isKnown = true;
-    log.info('members', {others: others.map(member => member.instance)});
+    log.info('members', {others: others().map(member => member.instance)});
+    const own = known.get(self.instance);
     if (own?.life !== self.life && !leaving) await register();
     await sleep(PAUSE_AFTER_CHANGE, signal);
   }
@@ -92,9 +78,25 @@
   }
 
   return {
-    start: signal => void run(signal),
+    start: signal =>
+      void runFeedLoop(
+        {
+          name: 'members',
+          log,
+          readAll: () => table.readAll(ANSWER_SLACK),
+          follow: after =>
+            table.follow(
+              after,
+              WAIT_FOR_CHANGE,
+              WAIT_FOR_CHANGE + ANSWER_SLACK,
+            ),
+          take: (reading, scope) => take(reading, scope, signal),
+          pause: () => PAUSE_AFTER_FAILURE,
+        },
+        signal,
+      ),
     isKnown: () => isKnown,
-    others: () => others,
+    others,
     leave: async () => {
       leaving = true;
       const removed = await table.remove(self.instance, WRITE_TIMEOUT);
--- a/packages/fleet/src/ports/engine.ts
+++ b/packages/fleet/src/ports/engine.ts
@@ -1,4 +1,9 @@
-import type {HeldModel, Milliseconds, ModelName} from '@hibiscusbeam/core';
+import type {
+  EpochMilliseconds,
+  HeldModel,
+  Milliseconds,
+  ModelName,
+} from '@hibiscusbeam/core';
 import type {Result} from 'ts-results';
 import type {EngineError} from './errors';
 
@@ -12,6 +17,8 @@
   readonly waiting: number;
   /** Times a pass takes longer than the service's profile says. */
   readonly pace: number;
+  /** Start of its life; undefined if it doesn't say. */
+  readonly born: EpochMilliseconds | undefined;
 }
 
 /** How an engine took the order to load. */
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -10,23 +10,35 @@
 /** A point in the store's history; grows with every transaction. */
 export type Revision = number;
 
-/** When the store answered. */
+/** A row that names nothing to use, such as one of another writer. */
+export interface UnusableRow {
+  readonly key: string;
+  readonly revision: Revision;
+  /** What is wrong with it, with the field's name. */
+  readonly reason: string;
+}
+
+/** When the store answered, and what of its answer can't be used. */
 export interface StoreMoment {
   readonly revision: Revision;
   /** The store's own steady clock. */
   readonly storeTime: Milliseconds;
+  readonly unusable: readonly UnusableRow[];
 }
 
-/** What the operator has written. */
-export interface OperatorState {
-  readonly configuration: RoutingConfiguration | undefined;
-  /** The newest version named for each model. */
-  readonly namedVersions: ReadonlyMap<ModelName, number>;
+/** A version that the operator has named. */
+export interface NamedVersion {
+  readonly model: ModelName;
+  readonly version: number;
 }
 
-/** What the operator has written, as of one moment. */
+/** What the operator has written: all of it, or what is new. */
 export interface OperatorReading extends StoreMoment {
-  readonly state: OperatorState;
+  /** Undefined if it was not written, or can't be used. */
+  readonly configuration: RoutingConfiguration | undefined;
+  /** Whether a configuration was written that can't be used. */
+  readonly isConfigurationLost: boolean;
+  readonly namedVersions: readonly NamedVersion[];
 }
 
 /** The operator's writing in the host platform's store. */
@@ -34,12 +46,9 @@
   readonly readAll: (
     timeout: Milliseconds,
   ) => Promise<Result<OperatorReading, HostError>>;
-  /**
-   * Waits up to `wait` for something written after `from`; returns the state
-   * with it. Fields that were not written since are those of `from`.
-   */
+  /** Waits up to `wait` for what is written after the revision. */
   readonly follow: (
-    from: OperatorReading,
+    after: Revision,
     wait: Milliseconds,
     timeout: Milliseconds,
   ) => Promise<Result<OperatorReading, HostError>>;
@@ -70,9 +79,16 @@
   readonly life: string;
 }
 
-/** The members, as of one moment. */
+/** A member's row that was written, or removed. */
+export interface MemberChange {
+  readonly instance: string;
+  /** Undefined once it was removed. */
+  readonly member: MemberDescription | undefined;
+}
+
+/** Rows of members: all of them, or those that have changed. */
 export interface MemberReading extends StoreMoment {
-  readonly members: readonly MemberDescription[];
+  readonly changes: readonly MemberChange[];
 }
 
 /** The members' own rows in the host platform's store. */
@@ -88,8 +104,9 @@
   readonly readAll: (
     timeout: Milliseconds,
   ) => Promise<Result<MemberReading, HostError>>;
+  /** Waits up to `wait` for rows that change after the revision. */
   readonly follow: (
-    from: MemberReading,
+    after: Revision,
     wait: Milliseconds,
     timeout: Milliseconds,
   ) => Promise<Result<MemberReading, HostError>>;
--- /dev/null
+++ b/test/fleet/engine_lives.test.ts
@@ -0,0 +1,42 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  startHostEngine,
+  startHostOrigin,
+  type HostEngine,
+  type HostOrigin,
+} from './fixtures/host_engine';
+import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
+
+const CHUNKS = 6;
+
+let site: HostSite;
+let origin: HostOrigin;
+let engine: HostEngine;
+
+beforeEach(async () => {
+  origin = await startHostOrigin(CHUNKS, () => 1);
+  site = await startHostSite(origin);
+  site.configure();
+  engine = await startHostEngine({instance: 'one', born: 1_000});
+});
+
+afterEach(async () => {
+  await site.close();
+  await origin.close();
+  await engine.close();
+});
+
+// An engine loses its power and starts again under its id: it serves nothing,
+// and nothing lies staged. Its agent must see both and bring the weights back.
+test('an engine that starts again under its id is given its weights', async () => {
+  await site.startAgent(engine);
+  await eventually(() => engine.held() === 1);
+  engine.staged.clear();
+  engine.restart();
+  await eventually(() => engine.held() === 1);
+  expect(engine.staged.size).toBe(CHUNKS);
+  const said = site.lines.filter(
+    ({sentence}) => sentence === 'engine has started anew',
+  );
+  expect(said).toHaveLength(1);
+});
--- a/test/fleet/origin_reader.test.ts
+++ b/test/fleet/origin_reader.test.ts
@@ -19,9 +19,8 @@
         : Ok(Buffer.from('chunk'));
     },
   };
-  const services = [{kind: 'weightOrigin', address: '127.0.0.1:1'}];
-  const reading = () => ({state: {configuration: {services}}});
-  const operator = {reading} as unknown as OperatorWatch;
+  const services = () => [{kind: 'weightOrigin', address: '127.0.0.1:1'}];
+  const operator = {services} as unknown as OperatorWatch;
   const reader = createOriginReader({
     origin,
     operator,
--- a/test/placement/list_memory.test.ts
+++ b/test/placement/list_memory.test.ts
@@ -3,9 +3,13 @@
 
 const options = {heartbeat: 1_200, returnTime: 2_000};
 
-function target(instance: string, changes: Partial<ListedTarget> = {}) {
+function target(
+  instance: string,
+  changes: Partial<ListedTarget> = {},
+): ListedTarget {
   return {
     instance,
+    born: undefined,
     service: 'plain',
     address: `${instance}:1`,
     zone: 'north',
--- a/test/placement/target_book.test.ts
+++ b/test/placement/target_book.test.ts
@@ -11,6 +11,7 @@
 function engine(instance: string, zone = 'north'): ListedTarget {
   return {
     instance,
+    born: undefined,
     service: 'engines',
     address: `${instance}:1`,
     zone,
@@ -23,6 +24,7 @@
 function load(instance: string, changes: Partial<EngineLoad> = {}): EngineLoad {
   return {
     address: `${instance}:1`,
+    born: undefined,
     held: [{model: 'model', version: 1}],
     ordering: false,
     running: 0,
@@ -48,7 +50,7 @@
 
 function bookOf(...targets: ListedTarget[]) {
   const book = createTargetBook(self);
-  book.list(targets);
+  book.list(targets, 0);
   return book;
 }
 
@@ -68,7 +70,7 @@
   for (;;) {
     const choice = book.choose(need());
     if (choice.kind !== 'chosen') break;
-    book.begin(choice.target, 0);
+    book.begin(choice.target, () => undefined);
     sent += 1;
   }
   expect(sent).toBe(3);
@@ -124,6 +126,6 @@
   for (let count = 0; count < 4; count += 1) {
     const choice = book.choose(need({now: 100}));
     expect(choice).toMatchObject({target: {instance: 'two'}});
-    if (choice.kind === 'chosen') book.begin(choice.target, 100);
+    if (choice.kind === 'chosen') book.begin(choice.target, () => undefined);
   }
 });
--- /dev/null
+++ b/test/platform/foreign_rows.test.ts
@@ -0,0 +1,245 @@
+import type {HostError} from '@hibiscusbeam/fleet';
+import fc from 'fast-check';
+import {Ok, type Result} from 'ts-results';
+import {describe, expect, test} from 'vitest';
+import {createMemberTable} from '../../platform/member_table';
+import {createOperatorFeed} from '../../platform/operator_feed';
+import type {
+  RowsReading,
+  StoreClient,
+  StoreRow,
+} from '../../platform/store_client';
+import {createTargetList} from '../../platform/target_list';
+import {propertySettings} from '../fixtures/property_settings';
+
+const REGISTRATION = {
+  Service: 'engines',
+  Address: '10.1.0.20:8406',
+  Zone: 'north',
+  Version: 'v1',
+  Slots: 16,
+  State: 'ready',
+  ColdRemainingMs: 0,
+  Sequence: 4,
+  Models: [{Name: 'model', Version: 2}],
+  born: 1_790_000_000_000,
+};
+
+const MEMBER = {
+  instance: 'front-1',
+  role: 'entry',
+  zone: 'north',
+  address: '10.1.0.40:7700',
+  callerAddress: '10.1.0.40:8005',
+  life: 'front-1-life',
+};
+
+const CONFIGURATION = {
+  Version: 3,
+  Routes: [
+    {
+      Name: 'route',
+      Host: 'site.example',
+      Prefix: '/',
+      Kind: 'safe',
+      Service: 'engines',
+      TimeoutMs: 1_000,
+    },
+  ],
+  Services: [{Name: 'engines'}],
+};
+
+const NAMED = {Model: 'model', Version: 2};
+
+function row(key: string, value: unknown, revision = 1): StoreRow {
+  return {key, revision, isRemoved: false, value};
+}
+
+function storeOf(rows: readonly StoreRow[]): StoreClient {
+  const reading: Result<RowsReading, HostError> = Ok({
+    revision: 9,
+    storeTime: 0,
+    rows,
+  });
+  return {
+    rows: () => Promise.resolve(reading),
+    feed: () => Promise.resolve(reading),
+    put: () => Promise.resolve(Ok.EMPTY),
+    remove: () => Promise.resolve(Ok.EMPTY),
+  };
+}
+
+async function readTargets(...rows: readonly StoreRow[]) {
+  return (await createTargetList(storeOf(rows)).read(1)).unwrap();
+}
+
+async function readMembers(...rows: readonly StoreRow[]) {
+  return (await createMemberTable(storeOf(rows)).readAll(1)).unwrap();
+}
+
+async function readOperator(...rows: readonly StoreRow[]) {
+  return (await createOperatorFeed(storeOf(rows)).readAll(1)).unwrap();
+}
+
+/** What another writer may leave in the place of `valid`, and is never valid. */
+function spoilt(valid: object, required: readonly string[]) {
+  const field = fc.constantFrom(...required);
+  const otherType = fc.constantFrom(null, true, {}, [], -1.5, '');
+  return fc.oneof(
+    // Bytes that are no JSON.
+    fc.constant(undefined),
+    fc.constantFrom(null, 7, 'text', [], true),
+    field.map(name =>
+      Object.fromEntries(
+        Object.entries(valid).filter(([known]) => known !== name),
+      ),
+    ),
+    fc
+      .tuple(field, otherType)
+      .map(([name, value]) => ({...valid, [name]: value})),
+  );
+}
+
+describe('registrations', () => {
+  const fields = Object.keys(REGISTRATION).filter(
+    name => name !== 'Models' && name !== 'born',
+  );
+
+  test('one that is whole names its engine', async () => {
+    const {targets, unusable} = await readTargets(row('i-1', REGISTRATION));
+    expect(targets).toEqual([
+      {
+        instance: 'i-1',
+        born: 1_790_000_000_000,
+        service: 'engines',
+        address: '10.1.0.20:8406',
+        zone: 'north',
+        slots: 16,
+        leaving: false,
+        held: [{model: 'model', version: 2}],
+      },
+    ]);
+    expect(unusable).toEqual([]);
+  });
+
+  test('those of other writers name none, and the others hold', async () => {
+    const foreign = spoilt(REGISTRATION, fields);
+    await fc.assert(
+      fc.asyncProperty(fc.array(foreign, {maxLength: 8}), async values => {
+        const rows = values.map((value, at) => row(`x-${at}`, value, at));
+        const read = await readTargets(...rows, row('i-1', REGISTRATION));
+        expect(read.targets.map(target => target.instance)).toEqual(['i-1']);
+        expect(read.unusable.map(({key}) => key)).toEqual(
+          rows.map(({key}) => key),
+        );
+      }),
+      propertySettings(200),
+    );
+  });
+
+  test.each([
+    ['a state that is not known', {State: 'warming'}],
+    ['a beginning that is no whole number', {born: 1.5}],
+    ['a beginning in words', {born: '2026-01-01'}],
+    ['models in another type', {Models: 'model'}],
+    ['an address that is none', {Address: 'engine.example'}],
+    ['no slots', {Slots: 0}],
+  ])('%s names no engine', async (_, changes) => {
+    const value = {...REGISTRATION, ...changes};
+    const {targets, unusable} = await readTargets(row('i-1', value));
+    expect(targets).toEqual([]);
+    const [field] = Object.keys(changes);
+    expect(unusable[0]?.reason).toContain(field);
+  });
+});
+
+describe('members', () => {
+  const fields = Object.keys(MEMBER).filter(name => name !== 'callerAddress');
+
+  test('those of other writers name none, and the others hold', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(spoilt(MEMBER, fields), {maxLength: 8}),
+        async values => {
+          const rows = values.map((value, at) => row(`x-${at}`, value, at));
+          const read = await readMembers(...rows, row('front-1', MEMBER));
+          expect(read.changes).toEqual([
+            {instance: 'front-1', member: {...MEMBER}},
+          ]);
+          expect(read.unusable).toHaveLength(rows.length);
+        },
+      ),
+      propertySettings(200),
+    );
+  });
+
+  test("a row under another member's key names none", async () => {
+    const {changes, unusable} = await readMembers(row('front-2', MEMBER));
+    expect(changes).toEqual([]);
+    expect(unusable[0]?.reason).toContain('instance');
+  });
+});
+
+describe("the operator's rows", () => {
+  test('versions of other writers name none, and the others hold', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(spoilt(NAMED, ['Model', 'Version']), {maxLength: 8}),
+        async values => {
+          const rows = values.map((value, at) =>
+            row(`version/x-${at}`, value, at),
+          );
+          const good = row('version/model', NAMED);
+          const read = await readOperator(
+            ...rows,
+            good,
+            row('config', CONFIGURATION),
+          );
+          expect(read.namedVersions).toEqual([{model: 'model', version: 2}]);
+          expect(read.configuration?.version).toBe(3);
+          expect(read.isConfigurationLost).toBe(false);
+          expect(read.unusable).toHaveLength(rows.length);
+        },
+      ),
+      propertySettings(200),
+    );
+  });
+
+  test('a configuration of another writer is none, versions hold', async () => {
+    const foreign = spoilt(CONFIGURATION, ['Version', 'Routes']).filter(
+      // A configuration without routes is one.
+      value => !isWithoutRoutes(value),
+    );
+    await fc.assert(
+      fc.asyncProperty(foreign, async value => {
+        const read = await readOperator(
+          row('config', value),
+          row('version/model', NAMED),
+        );
+        expect(read.configuration).toBeUndefined();
+        expect(read.isConfigurationLost).toBe(true);
+        expect(read.namedVersions).toHaveLength(1);
+      }),
+      propertySettings(200),
+    );
+  });
+
+  test('the last one written counts', async () => {
+    const read = await readOperator(
+      row('config', 'torn', 1),
+      row('config', CONFIGURATION, 2),
+    );
+    expect(read.isConfigurationLost).toBe(false);
+    expect(read.configuration?.version).toBe(3);
+  });
+
+  test('rows for something else are passed over', async () => {
+    const {unusable} = await readOperator(row('note', 'anything'));
+    expect(unusable).toEqual([]);
+  });
+});
+
+function isWithoutRoutes(value: unknown): boolean {
+  const {Routes} = Object(value) as {Routes?: unknown};
+  return Array.isArray(Routes) && Routes.length === 0;
+}
