Load a role's libraries with it only, and zod without its locales

Both roles loaded everything: fastify, ajv and prom-client in agents, 40 locales of zod in all, and modules of our packages that nobody uses, since none was marked as free of side effects.

Loading undici's parts one by one would save 4.8 MB more and reach into its files; not taken.

--- a/bench/days/main.ts
+++ b/bench/days/main.ts
@@ -3,7 +3,7 @@
 import {parseArgs} from 'node:util';
 import {parse as parseToml, stringify as writeToml} from 'smol-toml';
 import {parse as parseYaml} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {makeDays, type DaySet} from './make_days';
 
 /** The troubles that hurt most together, for every site. */
--- a/packages/core/src/configuration/queries/intent_schema.ts
+++ b/packages/core/src/configuration/queries/intent_schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Most changes in one intent: a plan must stay readable. */
 const MOST_CHANGES = 200;
--- a/packages/core/src/configuration/queries/rows.ts
+++ b/packages/core/src/configuration/queries/rows.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
   AcceptedConfiguration,
   DigestText,
--- a/packages/core/src/lease/commands/raise_incarnation.ts
+++ b/packages/core/src/lease/commands/raise_incarnation.ts
@@ -1,5 +1,5 @@
 import {Err, Ok, type Result} from 'ts-results';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Flow} from '../../kernel/flow';
 import type {
   CommitEffect,
--- a/packages/core/src/lease/lease_row.ts
+++ b/packages/core/src/lease/lease_row.ts
@@ -1,5 +1,5 @@
 import {Err, Ok, type Result} from 'ts-results';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {TableCondition, TableKey, TableRow} from '../types';
 import type {LeaseError} from './types';
 
--- a/packages/daemon/src/caller_client/entry_list.ts
+++ b/packages/daemon/src/caller_client/entry_list.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds, ZoneName} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EntryExchange} from './exchange';
 
 /** Which entry a caller uses, as the system tells it. */
--- a/packages/daemon/src/caller_client/response_reading.ts
+++ b/packages/daemon/src/caller_client/response_reading.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {Milliseconds, NotRunReason} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EntryResponse} from './exchange';
 import type {CallerOutcome, GeneratedAnswer} from './types';
 
--- a/packages/daemon/src/entry/request_parsing.ts
+++ b/packages/daemon/src/entry/request_parsing.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {Err, Ok, type Result} from 'ts-results';
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {HttpRefusal} from './http_errors';
--- a/packages/daemon/src/older_system/older_system_client.ts
+++ b/packages/daemon/src/older_system/older_system_client.ts
@@ -5,7 +5,7 @@
   WorkspaceName,
 } from '@hibiscusbeam/core';
 import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An older system without answer for so long counts as silent. */
 const CALL_TIMEOUT: Milliseconds = 1_000;
--- a/packages/daemon/src/site/agent_descriptions.ts
+++ b/packages/daemon/src/site/agent_descriptions.ts
@@ -7,7 +7,7 @@
 } from '@hibiscusbeam/core';
 import type {ListedInstance, TableService} from '@hibiscusbeam/platform';
 import {Ok, type Result} from 'ts-results';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AgentSettings} from '../types/settings';
 
 /** Start of the keys of the agents' rows. */
--- a/packages/daemon/src/targets/engine_client.ts
+++ b/packages/daemon/src/targets/engine_client.ts
@@ -1,6 +1,6 @@
 import {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   createTargetExchange,
   parseJson,
--- a/packages/daemon/src/targets/plain_service_client.ts
+++ b/packages/daemon/src/targets/plain_service_client.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {createTargetExchange, parseJson} from './http_exchange';
 import {Ok} from 'ts-results';
 import type {PlainServiceClient} from './types';
--- /dev/null
+++ b/packages/fleet/src/agent/index.ts
@@ -0,0 +1,1 @@
+export {startFleetAgent, type AgentPorts} from './agent';
--- /dev/null
+++ b/packages/fleet/src/entry/index.ts
@@ -0,0 +1,1 @@
+export {startFleetEntry, type EntryPorts} from './entry';
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,3 @@
-export {startFleetAgent, type AgentPorts} from './agent/agent';
-export {startFleetEntry, type EntryPorts} from './entry/entry';
 export type * from './ports';
 export * from './link/http_calls';
 export {runFleetProcess, type StartRole} from './runtime/fleet_process';
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const address = z
   .string()
--- a/packages/hibiscusbeam/src/explain/log_lines.ts
+++ b/packages/hibiscusbeam/src/explain/log_lines.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One line of a process's log. */
 export interface LogLine {
--- a/packages/hibiscusbeam/src/explain/request_end.ts
+++ b/packages/hibiscusbeam/src/explain/request_end.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LogLine} from './log_lines';
 
 /** How an entry ended a request that it had forwarded or tried to. */
--- a/packages/platform/src/node/schemas.ts
+++ b/packages/platform/src/node/schemas.ts
@@ -1,5 +1,5 @@
 import type {JsonValue} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const digest = z.string().regex(/^sha256:[0-9a-f]{64}$/);
 
--- a/packages/standins/src/engine/schemas.ts
+++ b/packages/standins/src/engine/schemas.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {answerFaultsShape} from '../shared/answer_faults';
 
 const duration = z.number().nonnegative();
--- a/packages/standins/src/older_system/older_system.ts
+++ b/packages/standins/src/older_system/older_system.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {Milliseconds} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createSystemClock} from '../shared/clock';
 import {createServer, listenOn, parseBody, sendError} from '../shared/server';
 import type {StandIn, StandInOptions} from '../shared/server';
--- a/packages/standins/src/plain_service/plain_service.ts
+++ b/packages/standins/src/plain_service/plain_service.ts
@@ -1,6 +1,6 @@
 import {hash32} from '@hibiscusbeam/core';
 import type {Milliseconds} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {answerFaultsShape, createAnswerFaults} from '../shared/answer_faults';
 import {createSystemClock} from '../shared/clock';
 import {createFreezer} from '../shared/freezer';
--- a/packages/standins/src/platform/schemas.ts
+++ b/packages/standins/src/platform/schemas.ts
@@ -1,5 +1,5 @@
 import type {JsonValue} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const duration = z.number().nonnegative();
 const count = z.int().nonnegative();
--- a/packages/standins/src/shared/answer_faults.ts
+++ b/packages/standins/src/shared/answer_faults.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Clock} from './clock';
 
 /** How long an answer waits for another one to be crossed with. */
