Try: hand streams on from engines that are to load

Hypothesis: a load waits 2 to 2.3 s for its engine's longest stream while fifteen slots stand idle; handed on to engines with room, the engine loads after 0.5 s.

An entry that hears of an order in progress moves its own streams there, the longest first, each only if there is a place elsewhere, a repeat is left and its route allows another attempt. Streams that go on elsewhere are first in the queue. The engine is ordered as before (after what runs), so nothing is cut that can't go on.

--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -57,6 +57,10 @@
     const outcome = outcomeOf(
       yield {kind: 'send', target, resumeAfter: progress.lastEventId},
     );
+    if (outcome.kind === 'handedOn') {
+      noteStreamEnd(progress, outcome.lastEventId);
+      continue;
+    }
     const result = afterAttempt(request, progress, outcome);
     if (result.kind !== 'again') return result;
     const reply: ForwardReply<Target> = yield {kind: 'takeRepeat'};
@@ -72,7 +76,7 @@
 function afterAttempt<Target>(
   request: ForwardedRequest,
   progress: Progress<Target>,
-  outcome: AttemptOutcome,
+  outcome: Exclude<AttemptOutcome, {kind: 'handedOn'}>,
 ): NextStep {
   switch (outcome.kind) {
     case 'streamed':
@@ -135,15 +139,23 @@
   progress: Progress<Target>,
   outcome: Extract<AttemptOutcome, {kind: 'broken'}>,
 ): NextStep {
-  progress.runs += 1;
-  progress.streamBegun = true;
-  progress.lastEventId = outcome.lastEventId ?? progress.lastEventId;
+  noteStreamEnd(progress, outcome.lastEventId);
   const otherwise: ForwardResult = {kind: 'cut', cause: outcome.cause};
   return progress.lastEventId !== undefined && mayRunAgain(request, progress)
     ? {kind: 'again', otherwise}
     : otherwise;
 }
 
+/** Notes that a run has ended after events that reached the caller. */
+function noteStreamEnd<Target>(
+  progress: Progress<Target>,
+  lastEventId: string | undefined,
+): void {
+  progress.runs += 1;
+  progress.streamBegun = true;
+  progress.lastEventId = lastEventId ?? progress.lastEventId;
+}
+
 /** Whether a request that may have run may be sent once more. */
 function mayRunAgain<Target>(
   request: ForwardedRequest,
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -36,6 +36,11 @@
       readonly cause: UnknownCause;
       readonly lastEventId: string | undefined;
     }
+  /**
+   * Events were passed on, then this process left the target, which is to load
+   * weights. The repeat that it takes is already paid.
+   */
+  | {readonly kind: 'handedOn'; readonly lastEventId: string}
   | {readonly kind: 'timedOut'}
   | {readonly kind: 'callerGone'};
 
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,5 +1,6 @@
 export * from './target_book';
 export * from './target_life';
+export * from './handover';
 export * from './types';
 export * from './list_memory';
 export * from './directory_choice';
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -218,6 +218,11 @@
     setEntries,
     report,
     begin,
+    isEmptying: (target, now) => {
+      const entry = entries.get(target.instance);
+      if (entry === undefined || !isReported(entry, now)) return false;
+      return entry.report?.ordering === true;
+    },
     noteFailure,
     noteMisdirected(target, now) {
       const entry = entries.get(target.instance);
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -77,6 +77,8 @@
    * called if an engine's life ends with the request in hand.
    */
   readonly begin: (target: ListedTarget, onLifeEnded: () => void) => () => void;
+  /** Whether a target takes nothing new and waits for what runs, to load. */
+  readonly isEmptying: (target: ListedTarget, now: MonotonicInstant) => boolean;
   /** Notes that a target denies to be, or to hold, what is believed of it. */
   readonly noteMisdirected: (
     target: ListedTarget,
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -37,6 +37,8 @@
   readonly ownLines: () => readonly string[];
   /** Longest wait for the beginning of an answer, and between its events. */
   readonly longestSilence: Milliseconds;
+  /** Aborts when the stream is to go on at another target. */
+  readonly handOn: AbortSignal;
   /** Aborts at the deadline and when the caller has gone. */
   readonly signal: AbortSignal;
   /** Is told when the first event of all attempts has come. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -36,6 +36,7 @@
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
 import {openDirectory, openMetricsFace, openReadiness} from './service_faces';
+import {createStreamHandover} from './stream_handover';
 import {startTargetFollower} from './target_follower';
 
 /** What an entry uses of the host platform. */
@@ -91,6 +92,7 @@
     zone: settings.zone,
   });
   const places = createPlaceQueue(book, clock);
+  const handover = createStreamHandover({book, clock});
   const life = `${settings.instance}-${randomUUID()}`;
   const self: MemberDescription = {
     instance: settings.instance,
@@ -159,6 +161,7 @@
     confirmation,
     book,
     places,
+    handover,
     budgets: createRepeatBudgets({
       share: bounds.repeats.share,
       slack: bounds.repeats.slack,
@@ -195,6 +198,7 @@
       clock(),
     );
     places.pump();
+    handover.look();
   };
 
   operator.start(stopped.signal);
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -25,6 +25,8 @@
 export interface PlaceRequest {
   /** The need as of now; read anew at each look. */
   readonly need: () => PlaceNeed;
+  /** Whether its caller already waits for the next event of a stream. */
+  readonly isResumed: boolean;
   /** 0 goes first. */
   readonly priority: number;
   /** Until when a place still makes for an answer on time. */
@@ -115,7 +117,8 @@
 }
 
 /**
- * Who goes first: requests that can still be answered on time, by priority and
+ * Who goes first: streams that go on, since their callers count each pause and
+ * their work so far would be lost; then requests that can still be answered on time, by priority and
  * then by what time they have; then those that are late anyhow. A late one
  * earns a quarter, and would make another one late besides.
  */
@@ -127,6 +130,7 @@
   const isLate = Number(one.onTimeUntil < now);
   const isOtherLate = Number(other.onTimeUntil < now);
   return (
+    Number(other.isResumed) - Number(one.isResumed) ||
     isLate - isOtherLate ||
     one.priority - other.priority ||
     one.onTimeUntil - other.onTimeUntil
--- a/packages/fleet/src/entry/repeat_budgets.ts
+++ b/packages/fleet/src/entry/repeat_budgets.ts
@@ -8,6 +8,8 @@
 export interface RepeatBudgets {
   readonly recordFirst: (service: ServiceName) => void;
   readonly takeRepeat: (service: ServiceName) => boolean;
+  /** Takes one for a stream that is moved, if enough is left for failures. */
+  readonly takeMove: (service: ServiceName) => boolean;
 }
 
 /** The site's bound on repeats, and among how many entries it is shared. */
@@ -53,5 +55,6 @@
   return {
     recordFirst: service => budgetOf(service)?.recordFirstTry(),
     takeRepeat: service => budgetOf(service)?.takeRetry() ?? false,
+    takeMove: service => budgetOf(service)?.takeMove() ?? false,
   };
 }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -5,6 +5,7 @@
   ForwardReply,
   ListedTarget,
   NamedVersions,
+  PlaceNeed,
   TargetBook,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
@@ -18,6 +19,7 @@
 import {withLength} from './request_body';
 import type {RequestStory} from './request_story';
 import type {StreamProgress} from './stream_relay';
+import type {StreamHandover} from './stream_handover';
 import {
   expectRun,
   longestSilence,
@@ -32,6 +34,7 @@
   readonly book: TargetBook;
   readonly places: PlaceQueue;
   readonly budgets: RepeatBudgets;
+  readonly handover: StreamHandover;
   readonly versions: NamedVersions;
   readonly timeliness: Timeliness;
   readonly answerTimes: AnswerTimes;
@@ -75,24 +78,29 @@
   let answer: WholeAnswer | undefined;
   let endPlace = (): void => undefined;
   let lifeEnded: AbortSignal | undefined;
+  let sentTo: readonly ListedTarget[] = [];
+
+  function needOf(tried: readonly ListedTarget[]): PlaceNeed {
+    return {
+      service,
+      model: header.model,
+      leastVersion: isModel ? leastVersion() : undefined,
+      expectedRun: expectRun(header, options.operator.table(), service),
+      tried: new Set(tried.map(target => target.instance)),
+      now: options.clock(),
+    };
+  }
 
   async function choosePlace(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
+    sentTo = tried;
     const {onTimeUntil, waitUntil} = progress.begun
       ? options.timeliness.resumeLimits(accepted, options.clock())
       : options.timeliness.limits(accepted);
-    const expectedRun = expectRun(header, options.operator.table(), service);
-    const triedInstances = new Set(tried.map(target => target.instance));
     const outcome = await options.places.take({
-      need: () => ({
-        service,
-        model: header.model,
-        leastVersion: isModel ? leastVersion() : undefined,
-        expectedRun,
-        tried: triedInstances,
-        now: options.clock(),
-      }),
+      need: () => needOf(tried),
+      isResumed: progress.begun,
       priority: priority(),
       onTimeUntil,
       waitUntil,
@@ -156,6 +164,8 @@
     });
     story.send(target);
     const sentAt = options.clock();
+    const handOn = new AbortController();
+    const stopOffering = offerToMove(target, handOn);
     const recordTime = (): void =>
       options.answerTimes.record(service, options.clock() - sentAt);
     const outcome = await attempt({
@@ -172,11 +182,13 @@
       now: options.clock,
       ownLines: options.ownLines,
       longestSilence: longestSilence(route),
+      handOn: handOn.signal,
       signal: lifeEnded ? AbortSignal.any([signal, lifeEnded]) : signal,
       onFirstEvent: recordTime,
       keepAnswer: kept => (answer = kept),
       explain: story.explain,
     });
+    stopOffering();
     if (outcome.kind === 'answered' && outcome.success) recordTime();
     endPlace();
     options.places.pump();
@@ -188,6 +200,24 @@
     return {kind: 'sent', outcome: final};
   }
 
+  /** Lets the stream go on elsewhere once its target is to load weights. */
+  function offerToMove(
+    target: ListedTarget,
+    handOn: AbortController,
+  ): () => void {
+    const sends = sentTo.length + 1;
+    if (!isModel || !route.resumable || sends >= route.attempts) {
+      return () => undefined;
+    }
+    return options.handover.offer(target, {
+      need: () => needOf([...sentTo, target]),
+      begunAt: () => progress.begunAt,
+      mayMove: () => progress.lastEventId !== undefined,
+      takeMove: () => options.budgets.takeMove(service),
+      handOn: () => handOn.abort(),
+    });
+  }
+
   function perform(
     effect: ForwardEffect<ListedTarget>,
   ): ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>> {
--- /dev/null
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -0,0 +1,99 @@
+import {
+  isWorthMoving,
+  type ListedTarget,
+  type Milliseconds,
+  type MonotonicInstant,
+  type PlaceNeed,
+  type TargetBook,
+} from '@hibiscusbeam/core';
+import type {Clock} from '@hibiscusbeam/daemon';
+
+/** A stream that could go on at another target. */
+export interface MovableStream {
+  /** What its next place must have. */
+  readonly need: () => PlaceNeed;
+  /** When its first event was passed on; undefined before. */
+  readonly begunAt: () => MonotonicInstant | undefined;
+  /** Whether it can go on where it stands now. */
+  readonly mayMove: () => boolean;
+  /** Takes one of the repeats that the site allows, if one is left. */
+  readonly takeMove: () => boolean;
+  /** Leaves the target; the stream goes on at its next place. */
+  readonly handOn: () => void;
+}
+
+/** Moves streams away from targets that are to load weights. */
+export interface StreamHandover {
+  /** Offers a stream at `target`; the returned function takes it back. */
+  readonly offer: (target: ListedTarget, stream: MovableStream) => () => void;
+  /** Looks for streams to move, after something has changed. */
+  readonly look: () => void;
+}
+
+/** What the handover needs. */
+export interface StreamHandoverOptions {
+  readonly book: TargetBook;
+  readonly clock: Clock;
+}
+
+/**
+ * Pause before the next stream is moved: each sees the places that the ones
+ * before it have taken.
+ */
+const NEXT_LOOK: Milliseconds = 5;
+
+interface Offer {
+  readonly target: ListedTarget;
+  readonly stream: MovableStream;
+}
+
+/** Creates the handover over the places of `book`. */
+export function createStreamHandover(
+  options: StreamHandoverOptions,
+): StreamHandover {
+  const {book, clock} = options;
+  const offers = new Set<Offer>();
+  let timer: NodeJS.Timeout | undefined;
+
+  function look(): void {
+    if (timer !== undefined) return;
+    const now = clock();
+    const candidates = [...offers].filter(
+      offer => book.isEmptying(offer.target, now) && isMovable(offer, now),
+    );
+    if (candidates.length === 0) return;
+    candidates.sort(
+      (one, other) => remaining(other, now) - remaining(one, now),
+    );
+    for (const offer of candidates) {
+      if (book.choose(offer.stream.need()).kind !== 'chosen') continue;
+      if (!offer.stream.takeMove()) break;
+      offers.delete(offer);
+      offer.stream.handOn();
+      break;
+    }
+    timer = setTimeout(() => {
+      timer = undefined;
+      look();
+    }, NEXT_LOOK);
+  }
+
+  function isMovable(offer: Offer, now: MonotonicInstant): boolean {
+    return offer.stream.mayMove() && isWorthMoving(remaining(offer, now));
+  }
+
+  function remaining({stream}: Offer, now: MonotonicInstant): Milliseconds {
+    const begunAt = stream.begunAt();
+    if (begunAt === undefined) return 0;
+    return stream.need().expectedRun - (now - begunAt);
+  }
+
+  return {
+    offer: (target, stream) => {
+      const offer = {target, stream};
+      offers.add(offer);
+      return () => void offers.delete(offer);
+    },
+    look,
+  };
+}
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -23,6 +23,8 @@
   readonly response: ServerResponse;
   readonly protocol: RequestProtocol;
   readonly progress: StreamProgress;
+  /** Aborts when the stream is to go on at another target. */
+  readonly handOn: AbortSignal;
   /** Longest silence of the target before it counts as lost. */
   readonly longestSilence: Milliseconds;
   readonly now: () => MonotonicInstant;
@@ -70,6 +72,14 @@
           : {kind: 'unknown', cause},
       );
     };
+    const handOn = (): void => {
+      const {lastEventId} = progress;
+      if (lastEventId === undefined) return;
+      clearTimeout(silence);
+      resolve({kind: 'handedOn', lastEventId});
+      body.destroy();
+    };
+    options.handOn.addEventListener('abort', handOn, {once: true});
     const silence = setTimeout(() => broken('silence'), options.longestSilence);
     body.on('data', (bytes: Buffer) => {
       silence.refresh();
