Allow for a request's own prompt in what it may wait

Cause: one learned mean of answer times for a whole service.

Now only what a request waits beside its own prompt is learned; its own time comes from the engine's published rate.

--- a/packages/core/src/placement/answer_times.ts
+++ b/packages/core/src/placement/answer_times.ts
@@ -2,9 +2,17 @@
 
 /** Time from a place at a target to the first part of its answer. */
 export interface AnswerTimes {
-  readonly record: (service: ServiceName, time: Milliseconds) => void;
+  /** `own` is the part of the time that the request's own prompt took. */
+  readonly record: (
+    service: ServiceName,
+    time: Milliseconds,
+    own: Milliseconds,
+  ) => void;
   /** Time to allow for, or undefined before anything was seen. */
-  readonly expected: (service: ServiceName) => Milliseconds | undefined;
+  readonly expected: (
+    service: ServiceName,
+    own: Milliseconds,
+  ) => Milliseconds | undefined;
 }
 
 /**
@@ -28,12 +36,21 @@
  * request that waits for a place until 130 ms before its objective is then
  * late, earns a quarter, and takes the place of one that would be on time.
  * Guard: what is allowed for follows what was seen.
+ *
+ * Failure: the largest prompts take four times as long to read as the mean, and
+ * wait for a place as if they took no longer: they are late while others are
+ * early. Guard: only what a request waits beside its own prompt is learned.
  */
 export function createAnswerTimes(): AnswerTimes {
   const services = new Map<ServiceName, Seen>();
 
-  function record(service: ServiceName, time: Milliseconds): void {
+  function record(
+    service: ServiceName,
+    whole: Milliseconds,
+    own: Milliseconds,
+  ): void {
     const known = services.get(service);
+    const time = Math.max(0, whole - own);
     services.set(
       service,
       known === undefined
@@ -44,9 +61,9 @@
 
   return {
     record,
-    expected: service => {
+    expected: (service, own) => {
       const seen = services.get(service);
-      return seen && seen.mean + DEVIATIONS * seen.deviation;
+      return seen && seen.mean + DEVIATIONS * seen.deviation + own;
     },
   };
 }
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -1,6 +1,7 @@
 export * from './target_book';
 export * from './target_life';
 export * from './handover';
+export * from './engine_times';
 export * from './types';
 export * from './list_memory';
 export * from './directory_choice';
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -58,6 +58,8 @@
   readonly stepTimePerRequest: Milliseconds;
   /** Prompt tokens read in a second. */
   readonly prefillRate: number;
+  /** Added for each million pairs of a prompt token and an earlier one. */
+  readonly timePerMillionPairs: Milliseconds;
   /** Token steps between two looks at waiting work. */
   readonly stride: number;
   /** Most prompt tokens read within one step. */
--- /dev/null
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -0,0 +1,34 @@
+import {
+  promptTime,
+  writingTime,
+  type Milliseconds,
+  type RouteTable,
+  type ServiceName,
+} from '@hibiscusbeam/core';
+import type {CallerHeader} from '../ports';
+
+/** What a request will probably ask of an engine; all 0 for plain targets. */
+export interface ExpectedRun {
+  /** Time in which its prompt is read. */
+  readonly promptTime: Milliseconds;
+  /** Time in which its answer is written. */
+  readonly writingTime: Milliseconds;
+}
+
+/** Works out a request's run from its header and the engines' profile. */
+export function expectRun(
+  header: CallerHeader,
+  table: RouteTable,
+  service: ServiceName,
+): ExpectedRun {
+  const described = table.service(service);
+  if (described?.kind !== 'modelEngine') {
+    return {promptTime: 0, writingTime: 0};
+  }
+  const {profile} = described;
+  const answer = header.expectedOutputTokens ?? header.mostOutputTokens ?? 0;
+  return {
+    promptTime: promptTime(profile, header.promptTokens ?? 0),
+    writingTime: writingTime(profile, answer),
+  };
+}
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -9,6 +9,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {CallerHeader} from '../ports';
+import {expectRun, type ExpectedRun} from './expected_run';
 import type {OperatorFollower} from './operator_follower';
 import {notRun, type OwnAnswer} from './own_answers';
 
@@ -35,6 +36,8 @@
   readonly route: Route;
   readonly service: ServiceName;
   readonly access: Exclude<CallerAccess, {kind: 'denied'}>;
+  /** What it will probably ask of its target. */
+  readonly run: ExpectedRun;
   readonly body: Buffer;
   readonly arrivedAt: MonotonicInstant;
   readonly deadline: MonotonicInstant;
@@ -79,5 +82,6 @@
   if (service === undefined) return notRun('noTarget', undefined);
   const patience = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + patience;
-  return {header, route, service, access, body, arrivedAt, deadline};
+  const run = expectRun(header, table, service);
+  return {header, route, service, access, run, body, arrivedAt, deadline};
 }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -20,12 +20,7 @@
 import type {RequestStory} from './request_story';
 import type {StreamProgress} from './stream_relay';
 import type {StreamHandover} from './stream_handover';
-import {
-  expectRun,
-  longestSilence,
-  spreadReturn,
-  type Timeliness,
-} from './timeliness';
+import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
 
 /** What carrying out a request's flow needs. */
 export interface RequestRunOptions {
@@ -73,7 +68,7 @@
 ): RequestRun {
   const {request, response, accepted} = context;
   const {story, progress, signal, endedBy} = context;
-  const {header, route, service, access} = accepted;
+  const {header, route, service, access, run} = accepted;
   const isModel = header.model !== undefined;
   let answer: WholeAnswer | undefined;
   let endPlace = (): void => undefined;
@@ -85,7 +80,7 @@
       service,
       model: header.model,
       leastVersion: isModel ? leastVersion() : undefined,
-      expectedRun: expectRun(header, options.operator.table(), service),
+      expectedRun: run.writingTime,
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
     };
@@ -167,7 +162,11 @@
     const handOn = new AbortController();
     const stopOffering = offerToMove(target, handOn);
     const recordTime = (): void =>
-      options.answerTimes.record(service, options.clock() - sentAt);
+      options.answerTimes.record(
+        service,
+        options.clock() - sentAt,
+        run.promptTime,
+      );
     const outcome = await attempt({
       route,
       requestId: header.requestId,
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -4,15 +4,9 @@
   type Milliseconds,
   type MonotonicInstant,
   type Route,
-  type RouteTable,
-  type ServiceName,
 } from '@hibiscusbeam/core';
-import type {CallerHeader} from '../ports';
 import type {AcceptedRequest} from './request_acceptance';
 
-/** Times that steps take longer beside the prompts of others; 60 ms for 42. */
-const PROMPTS_SLOW_STEPS = 1.4;
-
 /**
  * Time that a target takes, as a share of its route's objective, before any
  * answer of its service was seen. Idle engines took 130 ms of 400, plain
@@ -85,6 +79,7 @@
     header,
     route,
     service,
+    run,
     arrivedAt,
   }: AcceptedRequest): MonotonicInstant {
     const patience = Math.min(header.patience ?? Infinity, route.timeout);
@@ -93,7 +88,8 @@
     fullPatience.set(key, full);
     const spent = full - patience;
     const answerTime =
-      answerTimes.expected(service) ?? route.objective * FIRST_SHARE;
+      answerTimes.expected(service, run.promptTime) ??
+      route.objective * FIRST_SHARE;
     return arrivedAt - spent + route.objective - answerTime;
   }
 
@@ -113,20 +109,6 @@
   };
 }
 
-/** How long a request will probably run, from its header and the engine. */
-export function expectRun(
-  header: CallerHeader,
-  table: RouteTable | undefined,
-  service: ServiceName,
-): Milliseconds {
-  const described = table?.service(service);
-  if (described?.kind !== 'modelEngine') return 0;
-  const {profile} = described;
-  const tokens = header.expectedOutputTokens ?? header.mostOutputTokens ?? 0;
-  const step = profile.stepTime + profile.slots * profile.stepTimePerRequest;
-  return tokens * step * PROMPTS_SLOW_STEPS;
-}
-
 /** When to come back: spread, so that refused requests don't return at once. */
 export function spreadReturn(
   requestId: string | undefined,
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -12,6 +12,7 @@
     route,
     service: 'engines',
     access: {kind: 'anonymous'},
+    run: {promptTime: 0, writingTime: 0},
     body: Buffer.alloc(0),
     arrivedAt: 0,
     deadline: Math.min(timeout, patience),
@@ -30,7 +31,7 @@
   const timeliness = createTimeliness(answerTimes);
   const idle = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
   for (let count = 0; count < 50; count += 1) {
-    answerTimes.record('engines', 300);
+    answerTimes.record('engines', 300, 0);
   }
   const busy = timeliness.limits(accepted(20_000, 6_000)).waitUntil;
   expect(idle).toBeGreaterThan(busy);
