Weigh prompts that an engine has not read yet

Cause: a first event waits for all prompts before it, and an engine's slots in use say little of those: a slot more makes a step 0.4% slower, an unread prompt puts the first event off by 50 ms.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,4 +1,9 @@
-import type {ModelName, MonotonicInstant, ZoneName} from '../types';
+import type {
+  Milliseconds,
+  ModelName,
+  MonotonicInstant,
+  ZoneName,
+} from '../types';
 import {allowance, sharePlace, type SharePlace} from './allowance';
 import {isFormerLife, isSameLife} from './target_life';
 import type {
@@ -7,7 +12,9 @@
   ListedTarget,
   TargetPlace,
   PlaceNeed,
+  RequestInHand,
   SendingEntry,
+  SentRequest,
   TargetBook,
 } from './types';
 
@@ -39,6 +46,8 @@
   denied: string | undefined;
   deniedAt: MonotonicInstant;
   ownInFlight: number;
+  /** Time in which it reads the prompts of own requests without a first event. */
+  unreadPrompts: Milliseconds;
   /** Own sends less own ends since the last report. */
   ownChange: number;
   /** Slots that this entry may fill until the next report. */
@@ -55,6 +64,18 @@
  */
 const RUN_INTO_LOAD_COST = 0.5;
 
+/**
+ * Unread prompts, in milliseconds, that weigh as much as all slots of an engine
+ * in use: an answer's first event waits for all of them, while a slot in use
+ * makes steps 0.4% slower.
+ */
+const UNREAD_PROMPTS = 400;
+
+const NOT_IN_HAND: RequestInHand = {
+  begun: () => undefined,
+  end: () => undefined,
+};
+
 /** Creates the book of an entry. */
 export function createTargetBook(self: SendingEntry): TargetBook {
   const {zone} = self;
@@ -152,16 +173,29 @@
     places.clear();
   }
 
-  function begin(target: ListedTarget, onLifeEnded: () => void): () => void {
+  function begin(
+    target: ListedTarget,
+    {promptTime, onLifeEnded}: SentRequest,
+  ): RequestInHand {
     const entry = entries.get(target.instance);
-    if (entry === undefined) return () => undefined;
+    if (entry === undefined) return NOT_IN_HAND;
+    let unread = promptTime;
+    const begun = (): void => {
+      entry.unreadPrompts -= unread;
+      unread = 0;
+    };
     entry.ownInFlight += 1;
     entry.ownChange += 1;
+    entry.unreadPrompts += unread;
     entry.inHand.add(onLifeEnded);
-    return () => {
-      entry.inHand.delete(onLifeEnded);
-      entry.ownInFlight -= 1;
-      entry.ownChange -= 1;
+    return {
+      begun,
+      end: () => {
+        begun();
+        entry.inHand.delete(onLifeEnded);
+        entry.ownInFlight -= 1;
+        entry.ownChange -= 1;
+      },
     };
   }
 
@@ -204,6 +238,7 @@
       denied: undefined,
       deniedAt: -Infinity,
       ownInFlight: 0,
+      unreadPrompts: 0,
       ownChange: 0,
       allowed: early === undefined ? 0 : allowedAt(target, early.load),
       report: early?.load,
@@ -324,7 +359,8 @@
   const load = loadOf(entry, need.now) / Math.max(1, entry.target.slots);
   const far = entry.target.zone === zone ? 0 : OTHER_ZONE_LOAD;
   const pace = entry.report?.pace ?? 1;
-  return load * pace + far + loadCost(entry, need);
+  const unread = entry.unreadPrompts / UNREAD_PROMPTS;
+  return load * pace + unread + far + loadCost(entry, need);
 }
 
 function loadCost({report}: TargetEntry, {expectedRun}: PlaceNeed): number {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -62,6 +62,21 @@
   readonly now: MonotonicInstant;
 }
 
+/** A request that is sent to a target. */
+export interface SentRequest {
+  /** Time in which the target reads its prompt. */
+  readonly promptTime: Milliseconds;
+  /** Called if an engine's life ends with the request in hand. */
+  readonly onLifeEnded: () => void;
+}
+
+/** A request at a target. */
+export interface RequestInHand {
+  /** Notes its first event: its prompt has been read. */
+  readonly begun: () => void;
+  readonly end: () => void;
+}
+
 /** What an entry knows of the targets it may send to. */
 export interface TargetBook {
   /** Replaces the list. */
@@ -72,11 +87,8 @@
   /** Replaces the entries that send to the same targets, this one included. */
   readonly setEntries: (entries: readonly SendingEntry[]) => void;
   readonly report: (load: EngineLoad, now: MonotonicInstant) => void;
-  /**
-   * Notes a request sent; the returned function notes its end. `onLifeEnded` is
-   * called if an engine's life ends with the request in hand.
-   */
-  readonly begin: (target: ListedTarget, onLifeEnded: () => void) => () => void;
+  /** Notes a request sent. */
+  readonly begin: (target: ListedTarget, sent: SentRequest) => RequestInHand;
   /** Whether a target takes nothing new and waits for what runs, to load. */
   readonly isEmptying: (target: ListedTarget, now: MonotonicInstant) => boolean;
   /** Notes that a target denies to be, or to hold, what is believed of it. */
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -41,6 +41,8 @@
   readonly handOn: AbortSignal;
   /** Aborts at the deadline and when the caller has gone. */
   readonly signal: AbortSignal;
+  /** Is told of each event that this target has sent. */
+  readonly onEvent: () => void;
   /** Is told when the first event of all attempts has come. */
   readonly onFirstEvent: () => void;
   /** Takes a whole answer that may be passed on. */
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -3,6 +3,7 @@
   Milliseconds,
   MonotonicInstant,
   PlaceNeed,
+  RequestInHand,
   TargetBook,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
@@ -12,8 +13,7 @@
   | {
       readonly kind: 'place';
       readonly target: ListedTarget;
-      /** Notes the end of the request at the target. */
-      readonly end: () => void;
+      readonly inHand: RequestInHand;
       /** Aborts when the target's life ends, and with it the request there. */
       readonly lifeEnded: AbortSignal;
     }
@@ -25,6 +25,8 @@
 export interface PlaceRequest {
   /** The need as of now; read anew at each look. */
   readonly need: () => PlaceNeed;
+  /** Time in which a target reads its prompt. */
+  readonly promptTime: Milliseconds;
   /** Whether its caller already waits for the next event of a stream. */
   readonly isResumed: boolean;
   /** 0 goes first. */
@@ -90,8 +92,11 @@
     if (choice.kind === 'chosen') {
       const {target} = choice;
       const life = new AbortController();
-      const end = book.begin(target, () => life.abort());
-      return {kind: 'place', target, end, lifeEnded: life.signal};
+      const inHand = book.begin(target, {
+        promptTime: request.promptTime,
+        onLifeEnded: () => life.abort(),
+      });
+      return {kind: 'place', target, inHand, lifeEnded: life.signal};
     }
     return now >= request.waitUntil ? choice : undefined;
   }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -13,7 +13,7 @@
 import type {RequestProtocol} from '../ports';
 import {attempt, type WholeAnswer} from './attempt';
 import type {OperatorFollower} from './operator_follower';
-import type {PlaceQueue} from './place_queue';
+import type {PlaceOutcome, PlaceQueue} from './place_queue';
 import type {RepeatBudgets} from './repeat_budgets';
 import type {AcceptedRequest} from './request_acceptance';
 import {withLength} from './request_body';
@@ -71,8 +71,7 @@
   const {header, route, service, access, run} = accepted;
   const isModel = header.model !== undefined;
   let answer: WholeAnswer | undefined;
-  let endPlace = (): void => undefined;
-  let lifeEnded: AbortSignal | undefined;
+  let place: Extract<PlaceOutcome, {kind: 'place'}> | undefined;
   let sentTo: readonly ListedTarget[] = [];
 
   function needOf(tried: readonly ListedTarget[]): PlaceNeed {
@@ -95,6 +94,7 @@
       : options.timeliness.limits(accepted);
     const outcome = await options.places.take({
       need: () => needOf(tried),
+      promptTime: run.promptTime,
       isResumed: progress.begun,
       priority: priority(),
       onTimeUntil,
@@ -104,8 +104,7 @@
     const by = endedBy();
     switch (outcome.kind) {
       case 'place':
-        endPlace = outcome.end;
-        lifeEnded = outcome.lifeEnded;
+        place = outcome;
         return {
           kind: 'placed',
           place: {kind: 'place', target: outcome.target},
@@ -182,14 +181,15 @@
       ownLines: options.ownLines,
       longestSilence: longestSilence(route),
       handOn: handOn.signal,
-      signal: lifeEnded ? AbortSignal.any([signal, lifeEnded]) : signal,
+      signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
       onFirstEvent: recordTime,
+      onEvent: () => place?.inHand.begun(),
       keepAnswer: kept => (answer = kept),
       explain: story.explain,
     });
     stopOffering();
     if (outcome.kind === 'answered' && outcome.success) recordTime();
-    endPlace();
+    place?.inHand.end();
     options.places.pump();
     const by = endedBy();
     const final =
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -30,6 +30,8 @@
   readonly now: () => MonotonicInstant;
   /** Header lines of our own for the caller. */
   readonly ownLines: () => readonly string[];
+  /** Is told of each event that this target has sent. */
+  readonly onEvent: () => void;
   /** Is told when the first event of all attempts has come. */
   readonly onFirstEvent: () => void;
 }
@@ -89,6 +91,7 @@
           return;
         }
         begin();
+        options.onEvent();
         progress.lastEventId = event.id ?? progress.lastEventId;
         const roomLeft = response.write(event.bytes);
         if (!roomLeft && !response.destroyed) holdBack();
--- a/test/placement/target_book.test.ts
+++ b/test/placement/target_book.test.ts
@@ -70,7 +70,7 @@
   for (;;) {
     const choice = book.choose(need());
     if (choice.kind !== 'chosen') break;
-    book.begin(choice.target, () => undefined);
+    book.begin(choice.target, {promptTime: 0, onLifeEnded: () => undefined});
     sent += 1;
   }
   expect(sent).toBe(3);
@@ -126,6 +126,7 @@
   for (let count = 0; count < 4; count += 1) {
     const choice = book.choose(need({now: 100}));
     expect(choice).toMatchObject({target: {instance: 'two'}});
-    if (choice.kind === 'chosen') book.begin(choice.target, () => undefined);
+    if (choice.kind === 'chosen')
+      book.begin(choice.target, {promptTime: 0, onLifeEnded: () => undefined});
   }
 });
--- a/test/placement/target_lives.test.ts
+++ b/test/placement/target_lives.test.ts
@@ -101,9 +101,12 @@
   const book = createBook();
   book.list([line(100)], 0);
   let ended = 0;
-  book.begin(line(100), () => (ended += 1));
-  const end = book.begin(line(100), () => (ended += 10));
-  end();
+  book.begin(line(100), {promptTime: 0, onLifeEnded: () => (ended += 1)});
+  const inHand = book.begin(line(100), {
+    promptTime: 0,
+    onLifeEnded: () => (ended += 10),
+  });
+  inHand.end();
   book.report(word(200, []), 10);
   book.list([line(200, [])], 20);
   book.report(word(200, []), 30);
@@ -117,7 +120,7 @@
   const plain = (born: number) => ({...line(born), held: undefined});
   book.list([plain(100)], 0);
   let ended = 0;
-  book.begin(plain(100), () => (ended += 1));
+  book.begin(plain(100), {promptTime: 0, onLifeEnded: () => (ended += 1)});
   book.list([plain(200)], 10);
   expect(ended).toBe(0);
 });
