Give entries of a zone turns at its engines

Cause: all entries see the same least loaded engine in the same report and send to it; three prompts wait for one another there while other engines read none. Now each prefers another engine at each report. And turns of single slots were counted on by one a report: entries of other zones get each third report, and with three or six of them turns stood still.

--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -59,7 +59,8 @@
     );
     if (outcome.kind === 'handedOn') {
       noteStreamEnd(progress, outcome.lastEventId);
-      continue;
+      if (mayRunAgain(request, progress)) continue;
+      return {kind: 'cut', cause: 'connectionLost'};
     }
     const result = afterAttempt(request, progress, outcome);
     if (result.kind !== 'again') return result;
--- a/packages/core/src/placement/allowance.ts
+++ b/packages/core/src/placement/allowance.ts
@@ -1,3 +1,4 @@
+import {hash32} from '../utils/hash';
 import type {ZoneName} from '../types';
 import type {SendingEntry} from './types';
 
@@ -63,6 +64,13 @@
   if (shared <= 0) return 0;
   const each = Math.floor(shared / place.count);
   const rest = shared % place.count;
-  const turn = (place.index + sequence) % place.count;
-  return each + (turn < rest ? 1 : 0);
+  return each + (turnOf(place, sequence) < rest ? 1 : 0);
+}
+
+/**
+ * How many entries are before this one at a report, 0 if it is its turn. Entries
+ * of other zones get each third report only, so turns don't just count on.
+ */
+export function turnOf(place: SharePlace, sequence: number): number {
+  return (place.index + hash32(String(sequence))) % place.count;
 }
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -4,7 +4,7 @@
   MonotonicInstant,
   ZoneName,
 } from '../types';
-import {allowance, sharePlace, type SharePlace} from './allowance';
+import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
 import {isFormerLife, isSameLife} from './target_life';
 import type {
   EngineLoad,
@@ -52,6 +52,8 @@
   ownChange: number;
   /** Slots that this entry may fill until the next report. */
   allowed: number;
+  /** Share of the entries whose turn at this engine is before this one's. */
+  turn: number;
   report: EngineLoad | undefined;
   reportedAt: MonotonicInstant;
   failures: number;
@@ -71,6 +73,14 @@
  */
 const UNREAD_PROMPTS = 400;
 
+/**
+ * Weight of another entry's turn at an engine. Failure: all entries of a zone see
+ * the same least loaded engine and send to it within one report; three prompts
+ * wait for one another while other engines read none. With turns, each prefers
+ * another engine.
+ */
+const TURN_COST = 0.15;
+
 const NOT_IN_HAND: RequestInHand = {
   begun: () => undefined,
   end: () => undefined,
@@ -136,6 +146,7 @@
       entry.reportedAt = now;
       entry.ownChange = 0;
       entry.allowed = allowedAt(entry.target, load);
+      entry.turn = turnAt(entry.target, load);
     }
   }
 
@@ -160,6 +171,11 @@
     return allowance(target.slots - used, placeAt(target.zone), load.sequence);
   }
 
+  function turnAt(target: ListedTarget, load: EngineLoad): number {
+    const place = placeAt(target.zone);
+    return turnOf(place, load.sequence) / place.count;
+  }
+
   function placeAt(targetZone: ZoneName): SharePlace {
     const known = places.get(targetZone);
     if (known !== undefined) return known;
@@ -241,6 +257,7 @@
       unreadPrompts: 0,
       ownChange: 0,
       allowed: early === undefined ? 0 : allowedAt(target, early.load),
+      turn: early === undefined ? 0 : turnAt(target, early.load),
       report: early?.load,
       reportedAt: early?.at ?? -Infinity,
       failures: 0,
@@ -360,7 +377,8 @@
   const far = entry.target.zone === zone ? 0 : OTHER_ZONE_LOAD;
   const pace = entry.report?.pace ?? 1;
   const unread = entry.unreadPrompts / UNREAD_PROMPTS;
-  return load * pace + unread + far + loadCost(entry, need);
+  const turn = entry.turn * TURN_COST;
+  return load * pace + unread + far + turn + loadCost(entry, need);
 }
 
 function loadCost({report}: TargetEntry, {expectedRun}: PlaceNeed): number {
--- /dev/null
+++ b/test/fleet/stream_handover.test.ts
@@ -0,0 +1,149 @@
+import {
+  createTargetBook,
+  type EngineLoad,
+  type ListedTarget,
+} from '@hibiscusbeam/core';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {
+  createStreamHandover,
+  type MovableStream,
+} from '../../packages/fleet/src/entry/stream_handover';
+
+const SLOTS = 16;
+
+/** Streams at the engine that is to load: the rest of each in milliseconds. */
+const RESTS = [80, 150, 240, 350, 500, 700, 950, 1_300, 1_800, 2_300];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function engine(instance: string): ListedTarget {
+  return {
+    instance,
+    born: undefined,
+    service: 'engines',
+    address: `${instance}:1`,
+    zone: 'north',
+    slots: SLOTS,
+    leaving: false,
+    held: [{model: 'model', version: 1}],
+  };
+}
+
+function load(
+  instance: string,
+  ordering: boolean,
+  running: number,
+): EngineLoad {
+  return {
+    address: `${instance}:1`,
+    born: undefined,
+    held: [{model: 'model', version: 1}],
+    ordering,
+    running,
+    waiting: 0,
+    pace: 1,
+    sequence: 1,
+    loadsIn: undefined,
+  };
+}
+
+/** Two engines, one of which takes nothing new and waits for its streams. */
+function startSite(movesAllowed = Infinity) {
+  const clock = (): number => Date.now();
+  const book = createTargetBook({instance: 'entry', zone: 'north'});
+  const [loading, other] = [engine('loading'), engine('other')];
+  book.list([loading, other], clock());
+  const handover = createStreamHandover({book, clock});
+  const moved: number[] = [];
+  let movesLeft = movesAllowed;
+
+  function offer(rest: number, changes: Partial<MovableStream> = {}): void {
+    const need = () => ({
+      service: 'engines',
+      model: 'model',
+      leastVersion: undefined,
+      expectedRun: rest,
+      tried: new Set(['loading']),
+      now: clock(),
+    });
+    const begunAt = clock();
+    handover.offer(loading, {
+      need,
+      begunAt: () => begunAt,
+      mayMove: () => true,
+      takeMove: () => (movesLeft -= 1) >= 0,
+      handOn: () => {
+        moved.push(rest);
+        const sent = {promptTime: 50, onLifeEnded: () => undefined};
+        book.begin(other, sent);
+      },
+      ...changes,
+    });
+  }
+
+  /** Reports come ten times a second, as agents send them. */
+  function report(running = 0): void {
+    book.report(load('loading', true, RESTS.length), clock());
+    book.report(load('other', false, running), clock());
+    handover.look();
+  }
+
+  function run(duration: number, running = 0): void {
+    for (let passed = 0; passed < duration; passed += 100) {
+      report(running);
+      vi.advanceTimersByTime(100);
+    }
+  }
+
+  return {offer, run, moved};
+}
+
+// An engine is told to load a version and takes nothing new. It waits for its
+// longest stream, 2.3 s, while fifteen slots stand idle and callers are refused.
+// Handed on, all that is left after half a second are streams that are nearly
+// done: an engine is away for 0.8 s in place of 2.6.
+test('long streams leave an engine that is to load, the longest first', () => {
+  const {offer, run, moved} = startSite();
+  for (const rest of RESTS) offer(rest);
+  run(500);
+  expect(moved.slice(0, 3)).toEqual([2_300, 1_800, 1_300]);
+  const left = RESTS.filter(rest => !moved.includes(rest));
+  expect(Math.max(...left)).toBeLessThanOrEqual(500);
+});
+
+test('streams that end soon stay', () => {
+  const {offer, run, moved} = startSite();
+  offer(250);
+  run(300);
+  expect(moved).toEqual([]);
+});
+
+// The other engines are full. A stream that was broken off now would wait for a
+// place, and its caller would give it up.
+test('nothing is moved without a place elsewhere', () => {
+  const {offer, run, moved} = startSite();
+  offer(2_000);
+  run(500, SLOTS);
+  expect(moved).toEqual([]);
+});
+
+test('nothing is moved beyond what the site allows', () => {
+  const {offer, run, moved} = startSite(2);
+  for (const rest of RESTS) offer(rest);
+  run(500);
+  expect(moved).toHaveLength(2);
+});
+
+test('a stream that can’t go on from where it stands stays', () => {
+  const {offer, run, moved} = startSite();
+  offer(2_000, {mayMove: () => false});
+  offer(2_000, {begunAt: () => undefined});
+  run(500);
+  expect(moved).toEqual([]);
+});
--- a/test/forwarding/forward_request.test.ts
+++ b/test/forwarding/forward_request.test.ts
@@ -29,6 +29,10 @@
     cause: fc.constant('connectionLost' as const),
     lastEventId: fc.option(fc.constantFrom('1', '2'), {nil: undefined}),
   }),
+  fc.record({
+    kind: fc.constant('handedOn' as const),
+    lastEventId: fc.constantFrom('1', '2'),
+  }),
   fc.constant({kind: 'timedOut' as const}),
 );
 
