Offer streams for a handover, and tell since when a version is named

Cause of the first: the list of targets that a request has had is one array which grows; read after the choice it held the present target too, each stream seemed to have used up its attempts, and none was ever offered (no line says so in 5,715 logged requests). A test with two engines, an order and a long answer now shows the move from outside.

Also: agents tell entries since when a version is named, with the first report of each stream.

--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -6,6 +6,7 @@
   ForwardReply,
   ForwardResult,
   PlaceReply,
+  UnknownCause,
 } from './types';
 
 /**
@@ -21,6 +22,8 @@
   sends: number;
   /** Attempts that may have run. */
   runs: number;
+  /** Why nothing is known of the last of them. */
+  lastCause: UnknownCause;
   /** Set once events have reached the caller. */
   streamBegun: boolean;
   lastEventId: string | undefined;
@@ -44,6 +47,7 @@
     tried: [],
     sends: 0,
     runs: 0,
+    lastCause: 'connectionLost',
     streamBegun: false,
     lastEventId: undefined,
     answerAtHand: false,
@@ -91,8 +95,9 @@
     case 'notRun':
       return afterNotRun(request, progress, outcome.cause);
     case 'unknown': {
-      progress.runs += 1;
       const {cause} = outcome;
+      progress.runs += 1;
+      progress.lastCause = cause;
       const otherwise = giveUp(progress, {kind: 'unknown', cause});
       return mayRunAgain(request, progress)
         ? {kind: 'again', otherwise}
@@ -141,6 +146,7 @@
   outcome: Extract<AttemptOutcome, {kind: 'broken'}>,
 ): NextStep {
   noteStreamEnd(progress, outcome.lastEventId);
+  progress.lastCause = outcome.cause;
   const otherwise: ForwardResult = {kind: 'cut', cause: outcome.cause};
   return progress.lastEventId !== undefined && mayRunAgain(request, progress)
     ? {kind: 'again', otherwise}
@@ -201,10 +207,11 @@
   progress: Progress<Target>,
   ifNothingRan: ForwardResult,
 ): ForwardResult {
-  if (progress.streamBegun) return {kind: 'cut', cause: 'connectionLost'};
+  const {lastCause: cause} = progress;
+  if (progress.streamBegun) return {kind: 'cut', cause};
   if (progress.answerAtHand) return {kind: 'passOn'};
   if (progress.runs > 0 && ifNothingRan.kind === 'notRun') {
-    return {kind: 'unknown', cause: 'connectionLost'};
+    return {kind: 'unknown', cause};
   }
   return ifNothingRan;
 }
--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -1,4 +1,8 @@
-import {hash32, type Milliseconds} from '@hibiscusbeam/core';
+import {
+  createNamedVersions,
+  hash32,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
 import {
   answerFetchChunk,
   createSwarmDriver,
@@ -11,6 +15,7 @@
 } from '@hibiscusbeam/daemon';
 import {randomUUID} from 'node:crypto';
 import {createMemberFollower} from '../link/member_follower';
+import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
 import type {
   EngineControl,
@@ -78,7 +83,14 @@
     address: settings.peerAddress,
     life: `${settings.instance}-${randomUUID()}`,
   };
-  const operator = createOperatorWatch(ports.operator, logs('configuration'));
+  const versions = createNamedVersions(settings.bounds.version);
+  const namings = createNamingExchange(versions, monotonicClock);
+  const operator = createOperatorWatch(
+    ports.operator,
+    versions,
+    monotonicClock,
+    logs('configuration'),
+  );
   const staged = createStagedChunks(ports.engine);
   const peers = createPeerAgents({
     self,
@@ -136,15 +148,15 @@
   const reports = createEngineReports({
     engineAddress: settings.engine.address,
     zone: settings.zone,
-    onReply: ({named}) => {
-      for (const {model, version} of named) operator.learn(model, version);
-    },
+    namings: namings.tell,
+    onReply: reply => namings.take(reply.namings),
   });
   const keeper: EngineKeeper = createEngineKeeper({
     service: settings.engine.service,
     engine: ports.engine,
     origin: ports.origin,
     operator,
+    versions,
     staged,
     swarm,
     self: {instance: settings.instance, zone: settings.zone},
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -6,6 +6,7 @@
   type Digest,
   type IdentifiedManifest,
   type Milliseconds,
+  type NamedVersions,
   type OfLife,
   type PlannedVersion,
   type PlanStep,
@@ -46,6 +47,7 @@
   readonly engine: EngineControl;
   readonly origin: VersionOrigin;
   readonly operator: OperatorWatch;
+  readonly versions: NamedVersions;
   readonly staged: StagedChunks;
   readonly swarm: SwarmDriver;
   /** This agent and the others, as members of the swarm. */
@@ -136,7 +138,7 @@
     // Failure: an agent that joins asks the origin for what its neighbours
     // hold, since it has not met them yet.
     if (model === undefined || !options.areMembersKnown()) return;
-    const wanted = operator.namedVersion(model.name);
+    const wanted = options.versions.newest(model.name);
     const newest = plan.newest();
     const isNewest = newest > 0 && newest >= (wanted ?? 0);
     if (!isNewest && mayFetch(model)) void askContent(model, wanted);
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -1,6 +1,10 @@
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import type {Milliseconds} from '@hibiscusbeam/core';
-import type {EngineReport, EngineReportReply} from '@hibiscusbeam/wire';
+import type {
+  EngineReport,
+  EngineReportReply,
+  VersionNaming,
+} from '@hibiscusbeam/wire';
 import {createEntryChannels} from '../link/channels';
 import type {EngineStanding, MemberDescription} from '../ports';
 
@@ -32,6 +36,8 @@
   /** `IP:port` of the engine. */
   readonly engineAddress: string;
   readonly zone: string;
+  /** Versions that the operator has named lately. */
+  readonly namings: () => VersionNaming[];
   readonly onReply: (reply: EngineReportReply) => void;
 }
 
@@ -98,6 +104,7 @@
       waiting,
       pace,
       sequence,
+      namings: [],
       born,
       loadsInMilliseconds:
         loadsIn === undefined ? undefined : Math.max(0, Math.round(loadsIn)),
@@ -120,12 +127,15 @@
       lose(entry);
       channels.drop(entry.address);
     }
+    const isNew = entry.stream === undefined;
     entry.stream ??= open(entry);
     if (entry.stream === undefined) return;
     entry.sentAt = now;
     entry.sentState = state;
     // Old reports are of no use, so they don't queue behind a full window.
-    if (entry.stream.writableLength === 0) entry.stream.write(report);
+    if (entry.stream.writableLength > 0) return;
+    const namings = isNew ? options.namings() : [];
+    entry.stream.write({...report, namings});
   }
 
   function open(entry: ReportedEntry): ReportStream | undefined {
--- a/packages/fleet/src/agent/operator_watch.ts
+++ b/packages/fleet/src/agent/operator_watch.ts
@@ -1,9 +1,9 @@
 import type {
   Milliseconds,
-  ModelName,
+  NamedVersions,
   ServiceDescription,
 } from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
 import {runFeedLoop} from '../link/feed_loop';
 import type {OperatorFeed, OperatorReading} from '../ports';
 
@@ -24,28 +24,23 @@
   readonly start: (signal: AbortSignal) => void;
   /** The services of the newest configuration; none before the first. */
   readonly services: () => readonly ServiceDescription[];
-  readonly namedVersion: (model: ModelName) => number | undefined;
-  /** Takes a version that an entry tells of. */
-  readonly learn: (model: ModelName, version: number) => void;
 }
 
 /** Creates the watch. */
 export function createOperatorWatch(
   feed: OperatorFeed,
+  versions: NamedVersions,
+  clock: Clock,
   log: Log,
 ): OperatorWatch {
-  const named = new Map<ModelName, number>();
   let services: readonly ServiceDescription[] = [];
 
-  function learn(model: ModelName, version: number): void {
-    if (version <= (named.get(model) ?? 0)) return;
-    named.set(model, version);
-    log.info('version named', {model, version});
-  }
-
   function take({configuration, namedVersions}: OperatorReading): void {
     services = configuration?.services ?? services;
-    for (const {model, version} of namedVersions) learn(model, version);
+    for (const {model, version} of namedVersions) {
+      const isNew = versions.name(model, version, clock());
+      if (isNew) log.info('version named', {model, version});
+    }
   }
 
   return {
@@ -63,7 +58,5 @@
         signal,
       ),
     services: () => services,
-    namedVersion: model => named.get(model),
-    learn,
   };
 }
--- a/packages/fleet/src/entry/engine_report_stream.ts
+++ b/packages/fleet/src/entry/engine_report_stream.ts
@@ -1,7 +1,11 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import type {Milliseconds, ModelName} from '@hibiscusbeam/core';
+import type {Milliseconds} from '@hibiscusbeam/core';
 import {every} from '@hibiscusbeam/daemon';
-import type {EngineReport, EngineReportReply} from '@hibiscusbeam/wire';
+import type {
+  EngineReport,
+  EngineReportReply,
+  VersionNaming,
+} from '@hibiscusbeam/wire';
 
 /** Period of replies, which show the agent that its reports arrive. */
 const REPLY_PERIOD: Milliseconds = 1_000;
@@ -10,23 +14,19 @@
 export function answerReports(
   call: ServerDuplexStream<EngineReport, EngineReportReply>,
   take: (report: EngineReport) => void,
-  namedVersions: () => ReadonlyMap<ModelName, number>,
+  namings: () => VersionNaming[],
 ): void {
-  let told = '';
+  let hasTold = false;
 
   function tell(): void {
-    const named = [...namedVersions()].map(([model, version]) => ({
-      model,
-      version,
-    }));
-    told = JSON.stringify(named);
-    call.write({named});
+    hasTold = true;
+    call.write({namings: namings()});
   }
 
   const stopTelling = every(REPLY_PERIOD, tell);
   call.on('data', (report: EngineReport) => {
     take(report);
-    if (told === '') tell();
+    if (!hasTold) tell();
   });
   call.on('end', () => call.end());
   call.on('error', () => stopTelling());
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -15,6 +15,7 @@
 import {randomUUID} from 'node:crypto';
 import type {EngineReport, EntryGreeting} from '@hibiscusbeam/wire';
 import {createMemberFollower} from '../link/member_follower';
+import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
 import type {
   DirectoryProtocol,
@@ -103,6 +104,7 @@
     life,
   };
   const versions = createNamedVersions(bounds.version - VERSION_MARGIN);
+  const namings = createNamingExchange(versions, machineClock);
   const operator = createOperatorFollower({
     feed: ports.operator,
     clock: machineClock,
@@ -130,24 +132,12 @@
     instance: settings.instance,
     ready: isReady(),
     configurationVersion: operator.table()?.version ?? 0,
-    namings: versions.recent().map(({model, version, knownSince}) => ({
-      model,
-      version,
-      ageMilliseconds: Math.max(0, Math.round(machineClock() - knownSince)),
-    })),
+    namings: namings.tell(),
   });
-  // Failure: an entry that starts anew counts a version's bound from its own
-  // first look, and sends requests to engines with the older one for seconds
-  // after it. Guard: the others say since when they know of the name.
-  const takeNamings = ({namings}: EntryGreeting): void => {
-    for (const {model, version, ageMilliseconds} of namings) {
-      versions.name(model, version, machineClock() - ageMilliseconds);
-    }
-  };
   const circle = createEntryCircle({
     log: logs('membership'),
     self: greeting,
-    onGreeting: takeNamings,
+    onGreeting: greeting => namings.take(greeting.namings),
   });
   const members = createMemberFollower({
     self,
@@ -182,6 +172,7 @@
   };
 
   const takeReport = (report: EngineReport): void => {
+    namings.take(report.namings);
     book.setEntries([self, ...circle.usable()]);
     book.report(
       {
@@ -222,7 +213,7 @@
     openPeerServer(settings.peerAddress, {
       role: 'entry',
       handlers: {
-        reportEngine: call => answerReports(call, takeReport, versions.all),
+        reportEngine: call => answerReports(call, takeReport, namings.tell),
         greet: (call, done) => done(null, circle.take(call.request)),
       },
     }),
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -88,7 +88,7 @@
   async function choosePlace(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
-    sentTo = tried;
+    sentTo = [...tried];
     const {onTimeUntil, waitUntil} = progress.begun
       ? options.timeliness.resumeLimits(accepted, options.clock())
       : options.timeliness.limits(accepted);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,7 @@
   type EngineReport,
   type EngineReportReply,
   type EntryGreeting,
+  type VersionNaming,
   type FleetAgentServer,
   type FleetEntryServer,
 } from './generated/hibiscusbeam/v1/fleet';
--- /dev/null
+++ b/test/fleet/stream_moves.test.ts
@@ -0,0 +1,90 @@
+import {request} from 'undici';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  startHostEngine,
+  startHostOrigin,
+  type HostEngine,
+  type HostOrigin,
+} from './fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  KEY,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+
+const EVENTS = 100;
+
+let site: HostSite;
+let origin: HostOrigin;
+const engines: HostEngine[] = [];
+
+beforeEach(async () => {
+  origin = await startHostOrigin(6, () => 1);
+  site = await startHostSite(origin);
+  site.configure();
+});
+
+afterEach(async () => {
+  await site.close();
+  await origin.close();
+  await Promise.all(engines.splice(0).map(engine => engine.close()));
+});
+
+async function startEngine(instance: string): Promise<HostEngine> {
+  const engine = await startHostEngine({
+    instance,
+    version: 1,
+    events: EVENTS,
+    pause: 20,
+  });
+  engines.push(engine);
+  site.register(engine, {
+    Service: 'engines',
+    Models: [{Name: 'model', Version: 1}],
+  });
+  await site.startAgent(engine);
+  return engine;
+}
+
+async function stream(address: string): Promise<string> {
+  const reply = await request(`http://${address}/stream/a`, {
+    method: 'POST',
+    body: 'question',
+    headers: {
+      host: HOST,
+      authorization: `Token ${KEY}`,
+      'x-hibiscusbeam-request-id': 'request-1',
+      'x-hibiscusbeam-model': 'model',
+      'x-hibiscusbeam-length-hint': '2000',
+    },
+  });
+  return reply.body.text();
+}
+
+// An engine is ordered to load while it writes a long answer. The answer goes on
+// at the other engine: its caller gets each event once, and the engine is free
+// to load two seconds sooner.
+test('a long stream leaves an engine that is to load', async () => {
+  const both = [await startEngine('one'), await startEngine('two')];
+  const {settings} = await site.startEntry();
+  const isServed = async () =>
+    (await stream(settings.callerAddress)).includes(`id: ${EVENTS}\n`);
+  await eventually(isServed);
+  const before = both.map(engine => engine.runs.length);
+  const answer = stream(settings.callerAddress);
+  const begun = await eventually(() =>
+    both.find((engine, index) => engine.runs.length > before[index]!),
+  );
+  await new Promise(resolve => setTimeout(resolve, 200));
+  begun.setOrdering(true);
+  const text = await answer;
+  const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(match =>
+    Number(match[1]),
+  );
+  expect(ids).toEqual(Array.from({length: EVENTS}, (_, index) => index + 1));
+  const other = both.find(engine => engine !== begun)!;
+  expect(begun.runs.at(-1)?.isCut()).toBe(true);
+  expect(other.runs.at(-1)?.headers['last-event-id']).toBeDefined();
+});
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -4,6 +4,7 @@
   callOnce,
   createEntryChannels,
 } from '../../packages/fleet/src/link/channels';
+import {startHostEngine} from './fixtures/host_engine';
 import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
 
 /** How much later than the first entry the second one starts. */
@@ -51,3 +52,21 @@
   });
   expect(await ageAt(second.settings.peerAddress)).toBeGreaterThan(LATER);
 });
+
+// All entries start anew at the same time, two seconds after a version was
+// named. None of them can tell another since when it is; the agents can.
+test('agents tell entries that all start anew since when a version is named', async () => {
+  site = await startHostSite();
+  site.configure();
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  const engine = await startHostEngine({instance: 'one', version: 1});
+  await site.startAgent(engine);
+  await eventually(() =>
+    site.lines.some(({sentence}) => sentence === 'version named'),
+  );
+  await new Promise(resolve => setTimeout(resolve, LATER));
+  const {settings} = await site.startEntry();
+  const age = () => ageAt(settings.peerAddress);
+  await eventually(async () => ((await age()) ?? 0) >= LATER);
+  await engine.close();
+});
--- a/test/forwarding/forward_request.test.ts
+++ b/test/forwarding/forward_request.test.ts
@@ -126,6 +126,18 @@
   );
 });
 
+// The first target falls silent, the second one is full. The operator who looks
+// for the cause of the 502 must find the silence, not a lost connection.
+test('names the cause of the attempt that may have run', () => {
+  const {result} = play({
+    request: {kind: 'safe', resumable: false, attempts: 2},
+    outcomes: [{kind: 'unknown', cause: 'silence'}],
+    places: 1,
+    repeats: 1,
+  });
+  expect(result).toEqual({kind: 'unknown', cause: 'silence'});
+});
+
 test('a request runs at no more targets than its route allows', () => {
   fc.assert(
     fc.property(scripts, script => {
