Count a version's bound from its naming where its content comes late

Cause: the agent counted the bound from the moment at which it had read the content. So chunks got 0.7 of the link, and loads waited for their turns. The waits for the origin were not the cause (it was asked each 0.2 s).

Chunks still take 4.3 s where the link alone needs 2.9: not traced.

--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -6,6 +6,7 @@
   type Digest,
   type IdentifiedManifest,
   type Milliseconds,
+  type MonotonicInstant,
   type NamedVersions,
   type OfLife,
   type PlannedVersion,
@@ -21,6 +22,7 @@
 } from '@hibiscusbeam/daemon';
 import type {
   EngineControl,
+  EngineError,
   EngineStanding,
   VersionContent,
   VersionOrigin,
@@ -89,6 +91,7 @@
   });
   let contentAskedAt = -Infinity;
   let orderedAt = -Infinity;
+  let isContentLost = false;
   let asking = false;
   let ordering = false;
   let life: OfLife = {born: undefined};
@@ -173,15 +176,37 @@
       version,
     );
     asking = false;
-    if (reply.err) {
-      log.warn('content of a version not read', {
-        model: model.name,
-        version,
-        error: reply.val,
-      });
-      return;
-    }
-    adopt(reply.val, model);
+    noteContent(reply.ok ? undefined : reply.val, model, version);
+    if (reply.ok) adopt(reply.val, model);
+  }
+
+  /** One line when the content can't be read, and one when it can again. */
+  function noteContent(
+    error: EngineError | undefined,
+    model: WantedModel,
+    version: number | undefined,
+  ): void {
+    const isLost = error !== undefined;
+    if (isLost === isContentLost) return;
+    isContentLost = isLost;
+    const fields = {model: model.name, version, error};
+    if (isLost) log.warn('content of a version not read', fields);
+    else log.info('content of a version read again', fields);
+  }
+
+  /**
+   * Failure: the origin is away when a version is named, and its content is read
+   * six seconds later. With the bound counted from then, chunks get 0.7 of the
+   * link and loads wait for their turns, while no request may begin anywhere.
+   */
+  function namedSince({
+    model,
+    version,
+  }: VersionContent): MonotonicInstant | undefined {
+    return options.versions
+      .recent()
+      .find(naming => naming.model === model && naming.version === version)
+      ?.knownSince;
   }
 
   function adopt(content: VersionContent, model: WantedModel): void {
@@ -197,7 +222,8 @@
       return;
     }
     const {version} = content;
-    const next = {version, content, identified, knownSince: clock()};
+    const knownSince = namedSince(content) ?? clock();
+    const next = {version, content, identified, knownSince};
     const before = plan.inHand()?.version;
     const step = plan.take(next, clock());
     log.info('fetches a version', {
