Keep requests from beginning on an older version over a choked link

The entry's log shows both requests sent 1 ms after they came, 0.5 s before the last moment for the older version, and given up after 1.76 s of silence; they reached the engine 2.0 s after the send. `entry does not answer` between all pairs of regions at the same time: the links between regions were choked.

Cause of the choke, by arithmetic: the configuration has 249 and more routes, and each change sends all of it to each entry and each agent: 18 processes in other regions, some 200 KB each.

Now entries begin nothing on an older version at engines of other zones in the last 3.5 s before its bound (1 s in the own zone), and agents no longer follow the configuration: entries tell them of versions, and with a digest whether the services are still the same; only then, or when all entries are silent for 2.5 s, is the store asked.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -226,7 +226,9 @@
   }
 
   function choose(need: PlaceNeed): TargetPlace {
-    const usable = [...entries.values()].filter(entry => fits(entry, need));
+    const usable = [...entries.values()].filter(entry =>
+      fits(entry, need, zone),
+    );
     if (usable.length === 0) return {kind: 'none'};
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
@@ -290,7 +292,7 @@
     },
     mayStart: (target, need) => {
       const entry = entries.get(target.instance);
-      return entry !== undefined && fits(entry, need);
+      return entry !== undefined && fits(entry, need, zone);
     },
     choose,
     heldVersion: (target, model, now) => {
@@ -300,14 +302,16 @@
   };
 }
 
-function fits(entry: TargetEntry, need: PlaceNeed): boolean {
+function fits(entry: TargetEntry, need: PlaceNeed, zone: ZoneName): boolean {
   const {target} = entry;
   if (target.service !== need.service || target.leaving) return false;
   if (need.tried.has(target.instance)) return false;
   if (isDenied(entry, need.now)) return false;
   if (need.model === undefined) return true;
   const version = versionHeldBy(entry, need.model, need.now);
-  return version !== undefined && version >= (need.leastVersion ?? 0);
+  const least =
+    entry.target.zone === zone ? need.leastVersion : need.leastFarVersion;
+  return version !== undefined && version >= (least ?? 0);
 }
 
 function versionHeldBy(
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -55,6 +55,8 @@
   readonly model: ModelName | undefined;
   /** Oldest version that may start it; undefined if any may. */
   readonly leastVersion: number | undefined;
+  /** The same for targets in other zones, which a request reaches later. */
+  readonly leastFarVersion: number | undefined;
   /** How long the request will probably run, once begun. */
   readonly expectedRun: Milliseconds;
   /** Instances that have had the request. */
--- a/packages/core/src/placement/version_rule.ts
+++ b/packages/core/src/placement/version_rule.ts
@@ -7,6 +7,15 @@
  */
 export const VERSION_MARGIN = 1_000;
 
+/**
+ * Longest time that a request needs to a target in another zone, in
+ * milliseconds. Failure: a configuration of hundreds of kilobytes goes to each
+ * process of a region, the link between regions is choked, and requests that
+ * were sent in time begin on an older version 1.2 s after its bound; 2 s were
+ * seen between the send and the target.
+ */
+export const FAR_DELAY = 2_500;
+
 /** That a version was named, and since when that is known somewhere. */
 export interface VersionNaming {
   readonly model: ModelName;
@@ -27,10 +36,14 @@
     knownSince: MonotonicInstant,
   ) => boolean;
   readonly newest: (model: ModelName) => number | undefined;
-  /** The oldest version that may still start a request, if there is one. */
+  /**
+   * The oldest version that may start a request which takes `delay` to reach its
+   * target; undefined if any may.
+   */
   readonly least: (
     model: ModelName,
     now: MonotonicInstant,
+    delay: Milliseconds,
   ) => number | undefined;
   readonly all: () => ReadonlyMap<ModelName, number>;
   /** The last few names of each model, for other processes. */
@@ -65,8 +78,10 @@
       return isNew;
     },
     newest,
-    least: (model, now) =>
-      namings.get(model)?.findLast(({knownSince}) => now - knownSince >= bound)
+    least: (model, now, delay) =>
+      namings
+        .get(model)
+        ?.findLast(({knownSince}) => now + delay - knownSince >= bound)
         ?.version,
     all: () => {
       const versions = new Map<ModelName, number>();
--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -84,12 +84,17 @@
     life: `${settings.instance}-${randomUUID()}`,
   };
   const versions = createNamedVersions(settings.bounds.version);
-  const namings = createNamingExchange(versions, monotonicClock);
+  const configurationLog = logs('configuration');
+  const namings = createNamingExchange(
+    versions,
+    monotonicClock,
+    configurationLog,
+  );
   const operator = createOperatorWatch(
     ports.operator,
     versions,
     monotonicClock,
-    logs('configuration'),
+    configurationLog,
   );
   const staged = createStagedChunks(ports.engine);
   const peers = createPeerAgents({
@@ -149,7 +154,10 @@
     engineAddress: settings.engine.address,
     zone: settings.zone,
     namings: namings.tell,
-    onReply: reply => namings.take(reply.namings),
+    onReply: reply => {
+      namings.take(reply.namings);
+      operator.noteEntry(reply.servicesDigest);
+    },
   });
   const keeper: EngineKeeper = createEngineKeeper({
     service: settings.engine.service,
--- /dev/null
+++ b/packages/fleet/src/agent/content_reader.ts
@@ -0,0 +1,62 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import type {EngineError, VersionContent, VersionOrigin} from '../ports';
+import type {WantedModel} from './wanted_version';
+
+/** Pause before the origin is asked again for a version's content. */
+const CONTENT_RETRY: Milliseconds = 200;
+
+/** Reads from the origin what a version consists of. */
+export interface ContentReader {
+  /**
+   * The content of `version`, or of the newest one; undefined if it can't be
+   * read, or it is too soon to ask again.
+   */
+  readonly read: (
+    model: WantedModel,
+    version: number | undefined,
+  ) => Promise<VersionContent | undefined>;
+}
+
+/** What the reader needs. */
+export interface ContentReaderOptions {
+  readonly origin: VersionOrigin;
+  readonly clock: Clock;
+  readonly log: Log;
+}
+
+/** Creates the reader; it asks one question at a time. */
+export function createContentReader(
+  options: ContentReaderOptions,
+): ContentReader {
+  const {origin, clock, log} = options;
+  let askedAt = -Infinity;
+  let isAsking = false;
+  let isLost = false;
+
+  /** One line when the content can't be read, and one when it can again. */
+  function note(
+    error: EngineError | undefined,
+    model: WantedModel,
+    version: number | undefined,
+  ): void {
+    const isLostNow = error !== undefined;
+    if (isLostNow === isLost) return;
+    isLost = isLostNow;
+    const fields = {model: model.name, version, error};
+    if (isLost) log.warn('content of a version not read', fields);
+    else log.info('content of a version read again', fields);
+  }
+
+  return {
+    read: async (model, version) => {
+      if (isAsking || clock() - askedAt < CONTENT_RETRY) return undefined;
+      isAsking = true;
+      askedAt = clock();
+      const reply = await origin.content(model.origin, model.name, version);
+      isAsking = false;
+      note(reply.ok ? undefined : reply.val, model, version);
+      return reply.ok ? reply.val : undefined;
+    },
+  };
+}
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -22,11 +22,11 @@
 } from '@hibiscusbeam/daemon';
 import type {
   EngineControl,
-  EngineError,
   EngineStanding,
   VersionContent,
   VersionOrigin,
 } from '../ports';
+import {createContentReader} from './content_reader';
 import type {OperatorWatch} from './operator_watch';
 import {findWantedModel, identify, type WantedModel} from './wanted_version';
 import {LARGEST_KEPT, type StagedChunks} from './staged_chunks';
@@ -37,9 +37,6 @@
 /** Longest wait for the engine's word. */
 const LOOK_TIMEOUT: Milliseconds = 500;
 
-/** Pause before the origin is asked again for a version's content. */
-const CONTENT_RETRY: Milliseconds = 200;
-
 /** Pause before an order is given again. */
 const ORDER_RETRY: Milliseconds = 300;
 
@@ -85,14 +82,12 @@
 /** Creates the keeper of the engine beside this agent. */
 export function createEngineKeeper(options: EngineKeeperOptions): EngineKeeper {
   const {engine, operator, staged, swarm, clock, log} = options;
+  const contents = createContentReader(options);
   const plan = createVersionPlan<FetchedVersion>({
     bound: options.versionBound,
     place: () => loadPlace(options.self, options.members()),
   });
-  let contentAskedAt = -Infinity;
   let orderedAt = -Infinity;
-  let isContentLost = false;
-  let asking = false;
   let ordering = false;
   let life: OfLife = {born: undefined};
   let lastState = '';
@@ -167,31 +162,8 @@
     model: WantedModel,
     version: number | undefined,
   ): Promise<void> {
-    if (asking || clock() - contentAskedAt < CONTENT_RETRY) return;
-    asking = true;
-    contentAskedAt = clock();
-    const reply = await options.origin.content(
-      model.origin,
-      model.name,
-      version,
-    );
-    asking = false;
-    noteContent(reply.ok ? undefined : reply.val, model, version);
-    if (reply.ok) adopt(reply.val, model);
-  }
-
-  /** One line when the content can't be read, and one when it can again. */
-  function noteContent(
-    error: EngineError | undefined,
-    model: WantedModel,
-    version: number | undefined,
-  ): void {
-    const isLost = error !== undefined;
-    if (isLost === isContentLost) return;
-    isContentLost = isLost;
-    const fields = {model: model.name, version, error};
-    if (isLost) log.warn('content of a version not read', fields);
-    else log.info('content of a version read again', fields);
+    const content = await contents.read(model, version);
+    if (content !== undefined) adopt(content, model);
   }
 
   /**
--- a/packages/fleet/src/agent/operator_watch.ts
+++ b/packages/fleet/src/agent/operator_watch.ts
@@ -3,15 +3,26 @@
   NamedVersions,
   ServiceDescription,
 } from '@hibiscusbeam/core';
-import type {Clock, Log} from '@hibiscusbeam/daemon';
+import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import {runFeedLoop} from '../link/feed_loop';
+import {servicesDigest} from '../link/services_digest';
 import type {OperatorFeed, OperatorReading} from '../ports';
 
+/** How long one question waits for a change; each question costs a call. */
+const WAIT_FOR_CHANGE: Milliseconds = 6_000;
+
 /**
- * How long one question waits for a change. Entries tell agents of new versions
- * with each report, so this is a second way, and each question costs a call.
+ * Silence of all entries after which the store is asked. Entries tell agents
+ * each second of new versions, and whether the services are still the same.
+ *
+ * Failure: each change of a configuration of hundreds of kilobytes goes to each
+ * agent too. The links between regions are choked for seconds, and requests
+ * reach their targets two seconds late.
  */
-const WAIT_FOR_CHANGE: Milliseconds = 6_000;
+const ENTRIES_SILENT: Milliseconds = 2_500;
+
+/** Period of looks at whether the store has to be asked. */
+const LOOK_PERIOD: Milliseconds = 250;
 
 /** Time beyond the wait after which a question counts as lost. */
 const ANSWER_SLACK: Milliseconds = 800;
@@ -24,6 +35,8 @@
   readonly start: (signal: AbortSignal) => void;
   /** The services of the newest configuration; none before the first. */
   readonly services: () => readonly ServiceDescription[];
+  /** Notes a word of an entry, with the digest of the services it knows. */
+  readonly noteEntry: (digest: number) => void;
 }
 
 /** Creates the watch. */
@@ -34,15 +47,29 @@
   log: Log,
 ): OperatorWatch {
   let services: readonly ServiceDescription[] = [];
+  let digest = servicesDigest(services);
+  let entryDigest = digest;
+  let entrySpokeAt = -Infinity;
 
   function take({configuration, namedVersions}: OperatorReading): void {
-    services = configuration?.services ?? services;
+    if (configuration !== undefined) {
+      services = configuration.services;
+      digest = servicesDigest(services);
+    }
     for (const {model, version} of namedVersions) {
       const isNew = versions.name(model, version, clock());
       if (isNew) log.info('version named', {model, version});
     }
   }
 
+  function mustAsk(): boolean {
+    return clock() - entrySpokeAt >= ENTRIES_SILENT || entryDigest !== digest;
+  }
+
+  async function untilMustAsk(signal: AbortSignal): Promise<void> {
+    while (!mustAsk() && !signal.aborted) await sleep(LOOK_PERIOD, signal);
+  }
+
   return {
     start: signal =>
       void runFeedLoop(
@@ -50,13 +77,23 @@
           name: 'operator feed',
           log,
           readAll: () => feed.readAll(ANSWER_SLACK),
-          follow: after =>
-            feed.follow(after, WAIT_FOR_CHANGE, WAIT_FOR_CHANGE + ANSWER_SLACK),
+          follow: async after => {
+            await untilMustAsk(signal);
+            return feed.follow(
+              after,
+              WAIT_FOR_CHANGE,
+              WAIT_FOR_CHANGE + ANSWER_SLACK,
+            );
+          },
           take,
           pause: () => PAUSE_AFTER_FAILURE,
         },
         signal,
       ),
     services: () => services,
+    noteEntry: heard => {
+      entryDigest = heard;
+      entrySpokeAt = clock();
+    },
   };
 }
--- a/packages/fleet/src/entry/engine_report_stream.ts
+++ b/packages/fleet/src/entry/engine_report_stream.ts
@@ -1,11 +1,7 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Milliseconds} from '@hibiscusbeam/core';
 import {every} from '@hibiscusbeam/daemon';
-import type {
-  EngineReport,
-  EngineReportReply,
-  VersionNaming,
-} from '@hibiscusbeam/wire';
+import type {EngineReport, EngineReportReply} from '@hibiscusbeam/wire';
 
 /** Period of replies, which show the agent that its reports arrive. */
 const REPLY_PERIOD: Milliseconds = 1_000;
@@ -14,13 +10,13 @@
 export function answerReports(
   call: ServerDuplexStream<EngineReport, EngineReportReply>,
   take: (report: EngineReport) => void,
-  namings: () => VersionNaming[],
+  news: () => EngineReportReply,
 ): void {
   let hasTold = false;
 
   function tell(): void {
     hasTold = true;
-    call.write({namings: namings()});
+    call.write(news());
   }
 
   const stopTelling = every(REPLY_PERIOD, tell);
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -104,7 +104,11 @@
     life,
   };
   const versions = createNamedVersions(bounds.version - VERSION_MARGIN);
-  const namings = createNamingExchange(versions, machineClock);
+  const namings = createNamingExchange(
+    versions,
+    machineClock,
+    logs('configuration'),
+  );
   const operator = createOperatorFollower({
     feed: ports.operator,
     clock: machineClock,
@@ -213,7 +217,11 @@
     openPeerServer(settings.peerAddress, {
       role: 'entry',
       handlers: {
-        reportEngine: call => answerReports(call, takeReport, namings.tell),
+        reportEngine: call =>
+          answerReports(call, takeReport, () => ({
+            namings: namings.tell(),
+            servicesDigest: operator.servicesDigest(),
+          })),
         greet: (call, done) => done(null, circle.take(call.request)),
       },
     }),
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -8,6 +8,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import {runFeedLoop} from '../link/feed_loop';
+import {servicesDigest} from '../link/services_digest';
 import type {OperatorFeed, OperatorReading} from '../ports';
 
 /**
@@ -28,6 +29,8 @@
   readonly start: (signal: AbortSignal) => void;
   /** The newest configuration; undefined until one was read. */
   readonly table: () => RouteTable | undefined;
+  /** Digest of the configured services; of none before the first. */
+  readonly servicesDigest: () => number;
 }
 
 /** What a follower needs. */
@@ -46,6 +49,7 @@
 ): OperatorFollower {
   const {feed, clock, confirmation, log} = options;
   let table: RouteTable | undefined;
+  let digest = servicesDigest([]);
   let askedAt: MonotonicInstant = -Infinity;
   let isNewestLost = false;
 
@@ -75,6 +79,7 @@
     // request is handled by a route that was dropped. Versions only grow here.
     if (configuration.version <= (table?.version ?? -Infinity)) return;
     table = createRouteTable(configuration);
+    digest = servicesDigest(configuration.services);
     log.info('configuration in force', {
       version: configuration.version,
       routes: configuration.routes.length,
@@ -110,5 +115,6 @@
         signal,
       ),
     table: () => table,
+    servicesDigest: () => digest,
   };
 }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -1,12 +1,14 @@
-import type {
-  AnswerTimes,
-  ForwardAttemptOutcome,
-  ForwardEffect,
-  ForwardReply,
-  ListedTarget,
-  NamedVersions,
-  PlaceNeed,
-  TargetBook,
+import {
+  FAR_DELAY,
+  type AnswerTimes,
+  type ForwardAttemptOutcome,
+  type ForwardEffect,
+  type ForwardReply,
+  type ListedTarget,
+  type Milliseconds,
+  type NamedVersions,
+  type PlaceNeed,
+  type TargetBook,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -81,7 +83,8 @@
     return {
       service,
       model: header.model,
-      leastVersion: isModel ? leastVersion() : undefined,
+      leastVersion: leastVersion(0),
+      leastFarVersion: leastVersion(FAR_DELAY),
       expectedRun: run.writingTime,
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
@@ -123,8 +126,9 @@
     }
   }
 
-  function leastVersion(): number | undefined {
-    return options.versions.least(header.model ?? '', options.machineClock());
+  function leastVersion(delay: Milliseconds): number | undefined {
+    if (header.model === undefined) return undefined;
+    return options.versions.least(header.model, options.machineClock(), delay);
   }
 
   /**
@@ -133,7 +137,7 @@
    * would turn away a target that already holds a newer one.
    */
   function versionFor(target: ListedTarget): number | undefined {
-    if (header.model === undefined || leastVersion() === undefined) {
+    if (header.model === undefined || leastVersion(FAR_DELAY) === undefined) {
       return undefined;
     }
     return options.book.heldVersion(target, header.model, options.clock());
--- a/packages/fleet/src/link/naming_exchange.ts
+++ b/packages/fleet/src/link/naming_exchange.ts
@@ -1,5 +1,5 @@
 import type {NamedVersions} from '@hibiscusbeam/core';
-import type {Clock} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {VersionNaming} from '@hibiscusbeam/wire';
 
 /**
@@ -19,6 +19,7 @@
 export function createNamingExchange(
   versions: NamedVersions,
   clock: Clock,
+  log: Log,
 ): NamingExchange {
   return {
     tell: () =>
@@ -29,7 +30,9 @@
       })),
     take: namings => {
       for (const {model, version, ageMilliseconds} of namings) {
-        versions.name(model, version, clock() - ageMilliseconds);
+        const knownSince = clock() - ageMilliseconds;
+        const isNew = versions.name(model, version, knownSince);
+        if (isNew) log.info('version named', {model, version});
       }
     },
   };
--- /dev/null
+++ b/packages/fleet/src/link/services_digest.ts
@@ -0,0 +1,8 @@
+import {hash32, type ServiceDescription} from '@hibiscusbeam/core';
+
+/** Digest of configured services; the same in each process that has read them. */
+export function servicesDigest(
+  services: readonly ServiceDescription[],
+): number {
+  return hash32(JSON.stringify(services));
+}
--- /dev/null
+++ b/test/fleet/operator_watch.test.ts
@@ -0,0 +1,77 @@
+import {createNamedVersions, type ServiceDescription} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import type {OperatorFeed, OperatorReading} from '@hibiscusbeam/fleet';
+import {Ok} from 'ts-results';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {createOperatorWatch} from '../../packages/fleet/src/agent/operator_watch';
+import {servicesDigest} from '../../packages/fleet/src/link/services_digest';
+
+const SERVICES: readonly ServiceDescription[] = [
+  {kind: 'plain', name: 'plain'},
+];
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+let stopped: AbortController;
+
+beforeEach(() => {
+  stopped = new AbortController();
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  stopped.abort();
+  vi.useRealTimers();
+});
+
+function startWatch() {
+  let questions = 0;
+  const reading = {
+    revision: 1,
+    storeTime: 0,
+    unusable: [],
+    configuration: {version: 1, services: SERVICES},
+    isConfigurationLost: false,
+    namedVersions: [],
+  } as unknown as OperatorReading;
+  const feed: OperatorFeed = {
+    readAll: () => Promise.resolve(Ok(reading)),
+    follow: async (_after, wait) => {
+      questions += 1;
+      await new Promise(resolve => setTimeout(resolve, wait));
+      return Ok({...reading, configuration: undefined});
+    },
+  };
+  const versions = createNamedVersions(8_000);
+  const watch = createOperatorWatch(feed, versions, () => Date.now(), log);
+  watch.start(stopped.signal);
+  return {watch, questions: () => questions};
+}
+
+// Each change of a large configuration goes to each agent, chokes the links
+// between regions, and requests reach their targets seconds late.
+test('asks the store for nothing while entries speak', async () => {
+  const {watch, questions} = startWatch();
+  const digest = servicesDigest(SERVICES);
+  for (let second = 0; second < 10; second += 1) {
+    watch.noteEntry(digest);
+    await vi.advanceTimersByTimeAsync(1_000);
+  }
+  expect(questions()).toBe(0);
+  expect(watch.services()).toEqual(SERVICES);
+});
+
+test('asks once all entries have fallen silent', async () => {
+  const {watch, questions} = startWatch();
+  watch.noteEntry(servicesDigest(SERVICES));
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(questions()).toBe(1);
+});
+
+test('asks at once if an entry knows other services', async () => {
+  const {watch, questions} = startWatch();
+  await vi.advanceTimersByTimeAsync(10);
+  watch.noteEntry(servicesDigest([]));
+  await vi.advanceTimersByTimeAsync(300);
+  expect(questions()).toBe(1);
+});
--- a/test/fleet/stream_handover.test.ts
+++ b/test/fleet/stream_handover.test.ts
@@ -68,6 +68,7 @@
       service: 'engines',
       model: 'model',
       leastVersion: undefined,
+      leastFarVersion: undefined,
       expectedRun: rest,
       tried: new Set(['loading']),
       now: clock(),
--- a/test/placement/target_book.test.ts
+++ b/test/placement/target_book.test.ts
@@ -41,6 +41,7 @@
     service: 'engines',
     model: 'model',
     leastVersion: undefined,
+    leastFarVersion: undefined,
     expectedRun: 1_000,
     tried: new Set(),
     now: 0,
@@ -126,7 +127,17 @@
   for (let count = 0; count < 4; count += 1) {
     const choice = book.choose(need({now: 100}));
     expect(choice).toMatchObject({target: {instance: 'two'}});
-    if (choice.kind === 'chosen')
+    if (choice.kind === 'chosen') {
       book.begin(choice.target, {promptTime: 0, onLifeEnded: () => undefined});
+    }
   }
 });
+
+// The link between two regions is choked for seconds. A request that is sent in
+// time reaches an engine there after the bound of the version it holds.
+test('an engine in another zone starts nothing older before its bound', () => {
+  const book = bookOf(engine('one', 'south'));
+  book.report(load('one'), 0);
+  expect(book.choose(need({leastFarVersion: 2}))).toEqual({kind: 'none'});
+  expect(book.choose(need())).toMatchObject({kind: 'chosen'});
+});
--- a/test/placement/target_lives.test.ts
+++ b/test/placement/target_lives.test.ts
@@ -42,6 +42,7 @@
     service: 'engines',
     model: 'model',
     leastVersion: undefined,
+    leastFarVersion: undefined,
     expectedRun: 1_000,
     tried: new Set(),
     now,
