--- a/packages/fleet/src/entry/engine_report_stream.ts
+++ b/packages/fleet/src/entry/engine_report_stream.ts
@@ -6,26 +6,52 @@
 /** Period of replies, which show the agent that its reports arrive. */
 const REPLY_PERIOD: Milliseconds = 1_000;
 
-/** Takes an agent's reports, and tells it of versions that were named. */
-export function answerReports(
-  call: ServerDuplexStream<EngineReport, EngineReportReply>,
+/** A stream of reports, with replies in the other direction. */
+export type ReportCall = ServerDuplexStream<EngineReport, EngineReportReply>;
+
+/** Takes agents' reports, and tells agents what is new. */
+export interface EngineReportStreams {
+  readonly answer: (call: ReportCall) => void;
+  /** Tells all agents at once. */
+  readonly tellAll: () => void;
+}
+
+/**
+ * Creates the streams' other end, until the signal aborts; `news` is what agents
+ * are told.
+ */
+export function createEngineReportStreams(
   take: (report: EngineReport) => void,
   news: () => EngineReportReply,
-): void {
-  let hasTold = false;
+  signal: AbortSignal,
+): EngineReportStreams {
+  const calls = new Set<ReportCall>();
+  signal.addEventListener('abort', every(REPLY_PERIOD, tellAll));
+
+  function tell(call: ReportCall): void {
+    if (call.writable) call.write(news());
+  }
+
+  function tellAll(): void {
+    for (const call of calls) tell(call);
+  }
 
-  function tell(): void {
-    hasTold = true;
-    call.write(news());
+  function answer(call: ReportCall): void {
+    const forget = (): void => void calls.delete(call);
+    call.on('data', (report: EngineReport) => {
+      take(report);
+      if (calls.has(call)) return;
+      calls.add(call);
+      tell(call);
+    });
+    call.on('end', () => {
+      forget();
+      call.end();
+    });
+    call.on('error', forget);
+    call.on('cancelled', forget);
+    call.on('close', forget);
   }
 
-  const stopTelling = every(REPLY_PERIOD, tell);
-  call.on('data', (report: EngineReport) => {
-    take(report);
-    if (!hasTold) tell();
-  });
-  call.on('end', () => call.end());
-  call.on('error', () => stopTelling());
-  call.on('cancelled', () => stopTelling());
-  call.on('close', () => stopTelling());
+  return {answer, tellAll};
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -29,7 +29,7 @@
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
 import {createEntryCircle} from './entry_circle';
-import {answerReports} from './engine_report_stream';
+import {createEngineReportStreams} from './engine_report_stream';
 import {createFleetMetrics} from './fleet_metrics';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
@@ -115,6 +115,8 @@
     confirmation,
     versions,
     log: logs('configuration'),
+    // Agents hear of a new version from whichever entry hears of it first.
+    onNews: () => reportStreams.tellAll(),
     onChange: () => {
       const limits = operator.table()?.configuration.limits;
       if (limits !== undefined) callers.setIdleTimeout(limits.idleTimeout);
@@ -196,6 +198,15 @@
     handover.look();
   };
 
+  const reportStreams = createEngineReportStreams(
+    takeReport,
+    () => ({
+      namings: namings.tell(),
+      servicesDigest: operator.servicesDigest(),
+    }),
+    stopped.signal,
+  );
+
   operator.start(stopped.signal);
   startTargetFollower(
     {
@@ -217,11 +228,7 @@
     openPeerServer(settings.peerAddress, {
       role: 'entry',
       handlers: {
-        reportEngine: call =>
-          answerReports(call, takeReport, () => ({
-            namings: namings.tell(),
-            servicesDigest: operator.servicesDigest(),
-          })),
+        reportEngine: reportStreams.answer,
         greet: (call, done) => done(null, circle.take(call.request)),
       },
     }),
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -41,6 +41,8 @@
   readonly versions: NamedVersions;
   readonly log: Log;
   readonly onChange: () => void;
+  /** Told of a version that is new, and of other services. */
+  readonly onNews: () => void;
 }
 
 /** Creates the follower of the operator's writing. */
@@ -55,11 +57,15 @@
 
   function take(reading: OperatorReading): void {
     const answeredAt = clock();
+    const before = digest;
+    let isNews = false;
     adoptConfiguration(reading);
     for (const {model, version} of reading.namedVersions) {
       const isNew = options.versions.name(model, version, answeredAt);
       if (isNew) log.info('version named', {model, version});
+      isNews ||= isNew;
     }
+    if (isNews || digest !== before) options.onNews();
     const {storeTime} = reading;
     // Failure: the newest configuration can't be read and takes a key away,
     // and the one before it counts as confirmed: the key is served for good.
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -70,3 +70,25 @@
   await eventually(async () => ((await age()) ?? 0) >= LATER);
   await engine.close();
 });
+
+// Agents leave the store alone while entries speak. A version must reach them
+// at once all the same: each second is an eighth of its bound.
+test('entries tell agents of a new version at once', async () => {
+  site = await startHostSite();
+  site.configure();
+  await site.startEntry();
+  const engine = await startHostEngine({instance: 'one', version: 1});
+  await site.startAgent(engine);
+  const heard = () =>
+    site.lines.filter(({sentence}) => sentence === 'version named').length;
+  await eventually(() =>
+    site.lines.some(({sentence}) => sentence === 'members'),
+  );
+  await new Promise(resolve => setTimeout(resolve, LATER));
+  const asked = site.store.calls.get('/rows-feed');
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  await eventually(() => heard() === 2);
+  // The entry's question was answered and asked again; the agent asked none.
+  expect(site.store.calls.get('/rows-feed')! - asked!).toBeLessThanOrEqual(1);
+  await engine.close();
+});
