Part the book of targets, and blame no target for what was never sent

A request that may not begin any more once connected counted as a failure of its target: two of them made the entry avoid a sound engine for half a second and more. Found by reading; nothing was measured.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,14 +1,18 @@
-import type {
-  Milliseconds,
-  ModelName,
-  MonotonicInstant,
-  ZoneName,
-} from '../types';
+import type {MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
+import {costOf} from './target_cost';
+import {
+  fits,
+  hasRoom,
+  REPORT_LIFE,
+  isReported,
+  saidOf,
+  versionHeldBy,
+  type TargetEntry,
+} from './target_entry';
 import {isFormerLife, isSameLife} from './target_life';
 import type {
   EngineLoad,
-  HeldModel,
   ListedTarget,
   TargetPlace,
   PlaceNeed,
@@ -18,16 +22,6 @@
   TargetBook,
 } from './types';
 
-/** A report older than this says nothing of the load now, in milliseconds. */
-const REPORT_LIFE = 2_000;
-
-/**
- * Load that a target in another zone must be below a near one, as a share of
- * its slots. Bytes between zones cost about 2% of a request's worth, and an
- * eighth of an engine's slots costs its streams about as much in time.
- */
-const OTHER_ZONE_LOAD = 0.12;
-
 /** Failures in a row after which a target is avoided. */
 const FAILURES_TO_AVOID = 2;
 
@@ -35,52 +29,6 @@
 const FIRST_PAUSE = 500;
 const LONGEST_PAUSE = 4_000;
 
-/** Lines lapse after three heartbeats of 1.2 s without a sign of life. */
-const DENIAL_LIFE = 3_600;
-
-interface TargetEntry {
-  target: ListedTarget;
-  /** Told when this life ends with their request in hand. */
-  readonly inHand: Set<() => void>;
-  /** What the list said when the target denied it. */
-  denied: string | undefined;
-  deniedAt: MonotonicInstant;
-  ownInFlight: number;
-  /** Time in which it reads the prompts of own requests without a first event. */
-  unreadPrompts: Milliseconds;
-  /** Own sends less own ends since the last report. */
-  ownChange: number;
-  /** Slots that this entry may fill until the next report. */
-  allowed: number;
-  /** Share of the entries whose turn at this engine is before this one's. */
-  turn: number;
-  report: EngineLoad | undefined;
-  reportedAt: MonotonicInstant;
-  failures: number;
-  avoidUntil: MonotonicInstant;
-}
-
-/**
- * Cost of a request that would run on after its engine is to load weights: the
- * load waits for it while the other slots stand idle.
- */
-const RUN_INTO_LOAD_COST = 0.5;
-
-/**
- * Unread prompts, in milliseconds, that weigh as much as all slots of an engine
- * in use: an answer's first event waits for all of them, while a slot in use
- * makes steps 0.4% slower.
- */
-const UNREAD_PROMPTS = 400;
-
-/**
- * Weight of another entry's turn at an engine. Failure: all entries of a zone see
- * the same least loaded engine and send to it within one report; three prompts
- * wait for one another while other engines read none. With turns, each prefers
- * another engine.
- */
-const TURN_COST = 0.15;
-
 const NOT_IN_HAND: RequestInHand = {
   begun: () => undefined,
   end: () => undefined,
@@ -301,95 +249,3 @@
     },
   };
 }
-
-function fits(entry: TargetEntry, need: PlaceNeed, zone: ZoneName): boolean {
-  const {target} = entry;
-  if (target.service !== need.service || target.leaving) return false;
-  if (need.tried.has(target.instance)) return false;
-  if (isDenied(entry, need.now)) return false;
-  if (need.model === undefined) return true;
-  const version = versionHeldBy(entry, need.model, need.now);
-  const least =
-    entry.target.zone === zone ? need.leastVersion : need.leastFarVersion;
-  return version !== undefined && version >= (least ?? 0);
-}
-
-function versionHeldBy(
-  entry: TargetEntry,
-  model: ModelName,
-  now: MonotonicInstant,
-): number | undefined {
-  return heldBy(entry, now)?.find(held => held.model === model)?.version;
-}
-
-/** Whether this entry may send one more request to a target. */
-function hasRoom(
-  entry: TargetEntry,
-  now: MonotonicInstant,
-  senders: number,
-): boolean {
-  if (!isReported(entry, now) || entry.report === undefined) {
-    return hasRoomUnreported(entry, senders);
-  }
-  // An engine that loads weights refuses everything until it is done.
-  if (entry.report.ordering) return false;
-  return entry.ownChange < entry.allowed;
-}
-
-/** Without reports, each entry keeps to twice its part of the slots. */
-function hasRoomUnreported(entry: TargetEntry, senders: number): boolean {
-  const {slots, held} = entry.target;
-  if (held === undefined) return entry.ownInFlight < slots;
-  return entry.ownInFlight < Math.ceil((2 * slots) / Math.max(1, senders));
-}
-
-/**
- * Failure: engines have restarted, and the list still says what they held. Each
- * request that goes by it is turned away, until the first report comes. Guard:
- * what a target has denied once is believed no more, until it is reported on,
- * its line changes, or a line that nobody renews would have lapsed.
- */
-function isDenied(entry: TargetEntry, now: MonotonicInstant): boolean {
-  if (entry.denied === undefined || isReported(entry, now)) return false;
-  return now - entry.deniedAt < DENIAL_LIFE;
-}
-
-/** What a line of the list says that a target may deny. */
-function saidOf({address, born, held}: ListedTarget): string {
-  return JSON.stringify([address, born, held]);
-}
-
-/** The agent's word while it is fresh, the platform's list otherwise. */
-function heldBy(
-  entry: TargetEntry,
-  now: MonotonicInstant,
-): readonly HeldModel[] | undefined {
-  return isReported(entry, now) ? entry.report?.held : entry.target.held;
-}
-
-function isReported(entry: TargetEntry, now: MonotonicInstant): boolean {
-  return entry.report !== undefined && now - entry.reportedAt < REPORT_LIFE;
-}
-
-/** Requests that a target has now, as far as can be told from here. */
-function loadOf(entry: TargetEntry, now: MonotonicInstant): number {
-  if (!isReported(entry, now) || entry.report === undefined) {
-    return entry.ownInFlight;
-  }
-  const {running, waiting} = entry.report;
-  return Math.max(entry.ownInFlight, running + waiting + entry.ownChange);
-}
-
-function costOf(entry: TargetEntry, need: PlaceNeed, zone: ZoneName): number {
-  const load = loadOf(entry, need.now) / Math.max(1, entry.target.slots);
-  const far = entry.target.zone === zone ? 0 : OTHER_ZONE_LOAD;
-  const pace = entry.report?.pace ?? 1;
-  const unread = entry.unreadPrompts / UNREAD_PROMPTS;
-  const turn = entry.turn * TURN_COST;
-  return load * pace + unread + far + turn + loadCost(entry, need);
-}
-
-function loadCost({report}: TargetEntry, {expectedRun}: PlaceNeed): number {
-  if (report?.loadsIn === undefined) return 0;
-  return expectedRun > report.loadsIn ? RUN_INTO_LOAD_COST : 0;
-}
--- /dev/null
+++ b/packages/core/src/placement/target_entry.ts
@@ -0,0 +1,112 @@
+import type {
+  Milliseconds,
+  ModelName,
+  MonotonicInstant,
+  ZoneName,
+} from '../types';
+import type {EngineLoad, HeldModel, ListedTarget, PlaceNeed} from './types';
+
+/** A report older than this says nothing of the load now, in milliseconds. */
+export const REPORT_LIFE = 2_000;
+
+/** Lines lapse after three heartbeats of 1.2 s without a sign of life. */
+const DENIAL_LIFE = 3_600;
+
+/** What an entry knows of one life of a target. */
+export interface TargetEntry {
+  target: ListedTarget;
+  /** Told when this life ends with their request in hand. */
+  readonly inHand: Set<() => void>;
+  /** What the list said when the target denied it. */
+  denied: string | undefined;
+  deniedAt: MonotonicInstant;
+  ownInFlight: number;
+  /** Time in which it reads the prompts of own requests without a first event. */
+  unreadPrompts: Milliseconds;
+  /** Own sends less own ends since the last report. */
+  ownChange: number;
+  /** Slots that this entry may fill until the next report. */
+  allowed: number;
+  /** Share of the entries whose turn at this engine is before this one's. */
+  turn: number;
+  report: EngineLoad | undefined;
+  reportedAt: MonotonicInstant;
+  failures: number;
+  avoidUntil: MonotonicInstant;
+}
+
+/** Whether a target may start a request at all. */
+export function fits(
+  entry: TargetEntry,
+  need: PlaceNeed,
+  zone: ZoneName,
+): boolean {
+  const {target} = entry;
+  if (target.service !== need.service || target.leaving) return false;
+  if (need.tried.has(target.instance)) return false;
+  if (isDenied(entry, need.now)) return false;
+  if (need.model === undefined) return true;
+  const version = versionHeldBy(entry, need.model, need.now);
+  const least =
+    entry.target.zone === zone ? need.leastVersion : need.leastFarVersion;
+  return version !== undefined && version >= (least ?? 0);
+}
+
+/** The version of a model that a target holds, as far as is known here. */
+export function versionHeldBy(
+  entry: TargetEntry,
+  model: ModelName,
+  now: MonotonicInstant,
+): number | undefined {
+  return heldBy(entry, now)?.find(held => held.model === model)?.version;
+}
+
+/** Whether this entry may send one more request to a target. */
+export function hasRoom(
+  entry: TargetEntry,
+  now: MonotonicInstant,
+  senders: number,
+): boolean {
+  if (!isReported(entry, now) || entry.report === undefined) {
+    return hasRoomUnreported(entry, senders);
+  }
+  // An engine that loads weights refuses everything until it is done.
+  if (entry.report.ordering) return false;
+  return entry.ownChange < entry.allowed;
+}
+
+/** Without reports, each entry keeps to twice its part of the slots. */
+function hasRoomUnreported(entry: TargetEntry, senders: number): boolean {
+  const {slots, held} = entry.target;
+  if (held === undefined) return entry.ownInFlight < slots;
+  return entry.ownInFlight < Math.ceil((2 * slots) / Math.max(1, senders));
+}
+
+/**
+ * Failure: engines have restarted, and the list still says what they held. Each
+ * request that goes by it is turned away, until the first report comes. Guard:
+ * what a target has denied once is believed no more, until it is reported on,
+ * its line changes, or a line that nobody renews would have lapsed.
+ */
+function isDenied(entry: TargetEntry, now: MonotonicInstant): boolean {
+  if (entry.denied === undefined || isReported(entry, now)) return false;
+  return now - entry.deniedAt < DENIAL_LIFE;
+}
+
+/** What a line of the list says that a target may deny. */
+export function saidOf({address, born, held}: ListedTarget): string {
+  return JSON.stringify([address, born, held]);
+}
+
+/** The agent's word while it is fresh, the platform's list otherwise. */
+function heldBy(
+  entry: TargetEntry,
+  now: MonotonicInstant,
+): readonly HeldModel[] | undefined {
+  return isReported(entry, now) ? entry.report?.held : entry.target.held;
+}
+
+/** Whether what its agent said of a target still counts. */
+export function isReported(entry: TargetEntry, now: MonotonicInstant): boolean {
+  return entry.report !== undefined && now - entry.reportedAt < REPORT_LIFE;
+}
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -260,6 +260,8 @@
       case 'broken':
         return options.book.noteFailure(target, now);
       case 'notRun':
+        // Nothing was asked of the target.
+        if (outcome.cause === 'outdated') return;
         if (outcome.cause === 'misdirected') {
           options.book.noteMisdirected(target, now);
         }
