Let the handover of streams wait for the next report

Without a free place elsewhere it looked again each 5 ms, 200 times a second for as long as an engine waits to load. Reports come each 100 ms, and nothing changes before. Found by reading; nothing was measured.

--- a/packages/fleet/src/entry/stream_handover.ts
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -65,19 +65,23 @@
     candidates.sort(
       (one, other) => remaining(other, now) - remaining(one, now),
     );
-    for (const offer of candidates) {
-      if (book.choose(offer.stream.need()).kind !== 'chosen') continue;
-      if (!offer.stream.takeMove()) break;
-      offers.delete(offer);
-      offer.stream.handOn();
-      break;
-    }
+    // Without a place or a repeat the next report is waited for.
+    if (!candidates.some(tryToMove)) return;
     timer = setTimeout(() => {
       timer = undefined;
       look();
     }, NEXT_LOOK);
   }
 
+  function tryToMove(offer: Offer): boolean {
+    const {stream} = offer;
+    if (book.choose(stream.need()).kind !== 'chosen') return false;
+    if (!stream.takeMove()) return false;
+    offers.delete(offer);
+    stream.handOn();
+    return true;
+  }
+
   function isMovable(offer: Offer, now: MonotonicInstant): boolean {
     return offer.stream.mayMove() && isWorthMoving(remaining(offer, now));
   }
