Read the list of targets by the clock, and take answers that come late

Cause: a read was given up after 0.6 s and the next one began a period (1.35 s) later, so two answers in a row that took longer came to 3.3 s and more. Now reads begin by the clock and each may take half of the bound; what an older one brings after a newer one is dropped.

--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -4,9 +4,9 @@
   type ServiceName,
   type TargetBook,
 } from '@hibiscusbeam/core';
-import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
+import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
 import {createUnusableRowLog} from '../link/unusable_row_log';
-import type {TargetList, TargetReading, UnusableRow} from '../ports';
+import type {Revision, TargetList, TargetReading, UnusableRow} from '../ports';
 
 /**
  * Share of the draining bound after which the list is read again. Two reads fit
@@ -14,8 +14,17 @@
  */
 const READ_SHARE = 0.45;
 
-/** Longest time for one read. */
-const READ_TIMEOUT: Milliseconds = 600;
+/**
+ * Longest time for one read, as a share of the draining bound: what the period
+ * leaves of it, less a little for what follows.
+ *
+ * Failure: a configuration goes to all processes of a region, and answers of the
+ * store come a second late. Given up after 0.6 s and asked anew after a period,
+ * an entry learned of a target's leaving 3.3 s after the store had, and sent it
+ * requests after its bound of 3 s. Guard: reads begin by the clock, whether or
+ * not the one before has been answered, and each may take what is left.
+ */
+const TIMEOUT_SHARE = 0.5;
 
 /** How long after the store's return lapsed targets may come back. */
 const RETURN_TIME: Milliseconds = 2_000;
@@ -47,20 +56,23 @@
   const period = options.draining * READ_SHARE;
   let lines = new Map<string, string>();
   let lost = false;
+  let newest: Revision = -Infinity;
 
-  async function run(): Promise<void> {
-    while (!signal.aborted) {
-      const reply = await list.read(READ_TIMEOUT);
-      if (reply.ok) {
-        unusableRows.note([...reply.val.unusable, ...unconfigured(reply.val)]);
-        const targets = memory.take(reply.val.targets, clock());
-        book.list(targets, clock());
-        logChanges(targets);
-        options.onChange();
-      } else memory.noteFailure(clock());
-      logReach(!reply.ok, reply.ok ? undefined : reply.val);
-      await sleep(period, signal);
-    }
+  async function read(): Promise<void> {
+    const reply = await list.read(options.draining * TIMEOUT_SHARE);
+    if (signal.aborted) return;
+    if (reply.err) memory.noteFailure(clock());
+    else if (reply.val.revision >= newest) take(reply.val);
+    logReach(reply.err, reply.ok ? undefined : reply.val);
+  }
+
+  function take(reading: TargetReading): void {
+    newest = reading.revision;
+    unusableRows.note([...reading.unusable, ...unconfigured(reading)]);
+    const targets = memory.take(reading.targets, clock());
+    book.list(targets, clock());
+    logChanges(targets);
+    options.onChange();
   }
 
   /** Targets of services that no route can name, as rows that are of no use. */
@@ -98,5 +110,9 @@
     lines = next;
   }
 
-  void run();
+  void read();
+  signal.addEventListener(
+    'abort',
+    every(period, () => void read()),
+  );
 }
