--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -48,8 +48,9 @@
     const isLost = leaving && losesLeft;
     if (isLost) losesLeft = false;
     await new Promise(resolve => setTimeout(resolve, Math.min(delay, timeout)));
-    if (delay > timeout || isLost)
+    if (delay > timeout || isLost) {
       return Err({kind: 'noAnswer' as const, detail: ''});
+    }
     const reading: TargetReading = {
       revision: leaving ? 2 : 1,
       storeTime: 0,
