--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -10,8 +10,8 @@
 
 /**
  * Share of the draining bound after which the list is read again. Three reads fit
- * into the bound. With two, one lost and the next answered 0.2 s late were too
- * much: a request reached a target 2.1 s after it had left, with a bound of 2 s.
+ * into the bound: one may be lost and the next one late, and a target that was
+ * kept for a while after the store's return is dropped sooner.
  */
 const READ_SHARE = 0.3;
 
