Drop a line at once that came back after the store did and goes again

Cause: after an absence of the store, lines that are missing count for two seconds, also those that were listed since its return.

Change: only lines that were not listed since the return are kept.

Test first: list_memory.test.ts, 'a line that came back and goes again is gone at once'.

--- a/packages/core/src/placement/list_memory.ts
+++ b/packages/core/src/placement/list_memory.ts
@@ -1,4 +1,4 @@
-import type {Milliseconds, MonotonicInstant} from '../types';
+import type {InstanceName, Milliseconds, MonotonicInstant} from '../types';
 import type {ListedTarget} from './types';
 
 /** How long the list of targets may lag behind a store that was away. */
@@ -26,11 +26,15 @@
  * Just after its return the list is nearly empty, and requests are refused
  * though all targets live. Guard: after an absence of a heartbeat or more,
  * lines that are missing count until the targets have had time to come back.
+ * One that came back and goes again has really gone, and counts no longer:
+ * kept, the target would be sent requests seconds after it had left.
  */
 export function createListMemory(options: ListMemoryOptions): ListMemory {
   let known: readonly ListedTarget[] = [];
   let lostSince: MonotonicInstant | undefined;
   let keepUntil: MonotonicInstant = -Infinity;
+  /** Instances whose lines were listed since the store's return. */
+  let cameBack = new Set<InstanceName>();
 
   return {
     noteFailure: now => {
@@ -39,17 +43,18 @@
     take: (listed, now) => {
       if (lostSince !== undefined && now - lostSince >= options.heartbeat) {
         keepUntil = now + options.returnTime;
+        cameBack = new Set();
       }
       lostSince = undefined;
       if (now >= keepUntil) {
         known = listed;
         return known;
       }
-      const there = new Set(listed.map(target => target.instance));
+      for (const {instance} of listed) cameBack.add(instance);
       // Another life at the address means that the missing one has ended.
       const taken = new Set(listed.map(target => target.address));
       const missing = known.filter(
-        target => !there.has(target.instance) && !taken.has(target.address),
+        ({instance, address}) => !cameBack.has(instance) && !taken.has(address),
       );
       known = [...listed, ...missing];
       return known;
--- a/test/placement/list_memory.test.ts
+++ b/test/placement/list_memory.test.ts
@@ -37,6 +37,27 @@
   expect(memory.take([], 500)).toEqual([]);
 });
 
+// The store turns an entry away for a while. After its return the entry reads
+// an engine's line, and then the engine leaves. Kept like those that have not
+// come back, it was sent requests for two seconds after it had left.
+test('a line that came back and goes again is gone at once', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one'), target('two')], 0);
+  memory.noteFailure(500);
+  expect(memory.take([target('one')], 5_000)).toHaveLength(2);
+  expect(memory.take([], 5_400)).toEqual([target('two')]);
+  expect(memory.take([], 7_000)).toEqual([]);
+});
+
+test('what came back after one absence is kept again in the next', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one')], 0);
+  memory.noteFailure(500);
+  memory.take([target('one')], 5_000);
+  memory.noteFailure(5_400);
+  expect(memory.take([], 8_000)).toEqual([target('one')]);
+});
+
 test('a single lost read keeps no line', () => {
   const memory = createListMemory(options);
   memory.take([target('one')], 0);
