Play the moving of a version on a virtual clock, with links

The laboratory's first part: agents with the swarm node that serves, its pace and its policy, over links that carry pieces one after the other. The policy of an agent's transfers becomes one typed record in core, read by the agent and by the laboratory; the pace of a link becomes pure, and the daemon's pacer sleeps by it.

--- a/packages/core/src/distribution/queries/headroom.ts
+++ b/packages/core/src/distribution/queries/headroom.ts
@@ -1,6 +1,6 @@
 import type {SwarmState} from '../state';
 
-/** Share of a link that transfers leave to live requests at all times. */
+/** Share of a link that transfers leave to live requests unless told otherwise. */
 const HEADROOM = 0.1;
 
 /** Share that transfers keep however long the target's queue is. */
@@ -8,5 +8,6 @@
 
 /** Share of each link's rate that transfers may take now, from 0 to 1. */
 export function transferShare(state: SwarmState): number {
-  return Math.max(LEAST_SHARE, (1 - HEADROOM) * state.slotShare);
+  const headroom = state.options.headroom ?? HEADROOM;
+  return Math.max(LEAST_SHARE, (1 - headroom) * state.slotShare);
 }
--- a/packages/core/src/distribution/types.ts
+++ b/packages/core/src/distribution/types.ts
@@ -53,6 +53,11 @@
   readonly crossZoneRanks?: number;
   /** Wait for the first have-maps; default `SETTLE_TIME`. */
   readonly settleTime?: Milliseconds;
+  /**
+   * Share of a link, from 0 to 1, that transfers leave free at all times;
+   * default `HEADROOM`.
+   */
+  readonly headroom?: number;
   /** Longest wait before a lost origin is asked again; default `LONGEST_BACKOFF`. */
   readonly longestOriginWait?: Milliseconds;
 }
--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -1,8 +1,4 @@
-import {
-  createNamedVersions,
-  hash32,
-  type Milliseconds,
-} from '@hibiscusbeam/core';
+import {AGENT_TRANSFERS, createNamedVersions, hash32} from '@hibiscusbeam/core';
 import {
   answerFetchChunk,
   createSwarmDriver,
@@ -40,35 +36,6 @@
   readonly origin: VersionOrigin;
 }
 
-/** Chunk bytes that downloads may hold in memory at once. */
-const TRANSFER_BUFFER = 16 * 1024 * 1024;
-
-/**
- * Share of the machine's link that transfers use. The engine's answers pass the
- * same link, and an event that waits behind chunks is late for its caller.
- */
-const TRANSFER_SHARE = 0.7;
-
-/** Downloads and uploads at once; few, so that little queues on the link. */
-const DOWNLOAD_SLOTS = 4;
-const UPLOAD_SLOTS = 3;
-
-/**
- * Wait for the other agents' have-maps before the origin is asked. They learn
- * of a version within 100 ms of one another.
- */
-const SETTLE_TIME: Milliseconds = 120;
-
-/**
- * Longest wait before a lost origin is asked again. A version has 8 s in all and
- * needs 4.3 s of them: with waits of up to 5 s, engines had one 4.9 s after the
- * origin's return, and no request could begin anywhere for 3.4 s.
- */
-const LONGEST_ORIGIN_WAIT: Milliseconds = 400;
-
-/** Bytes between zones cost, so one member of a zone copies a chunk in. */
-const CROSS_ZONE_RANKS = 1;
-
 /** Starts the agent of an engine; resolves once it answers its peers. */
 export async function startFleetAgent(
   settings: FleetAgentSettings,
@@ -115,14 +82,10 @@
     seed: hash32(settings.instance),
     weights: originReader,
     store: staged.store,
-    transferBuffer: TRANSFER_BUFFER,
+    ...AGENT_TRANSFERS,
     linkBytesPerSecond: bytesPerSecond(settings.linkMegabits),
-    linkShare: () => (keeper.needsWholeLink() ? 1 : TRANSFER_SHARE),
-    downloadSlots: DOWNLOAD_SLOTS,
-    uploadSlots: UPLOAD_SLOTS,
-    crossZoneRanks: CROSS_ZONE_RANKS,
-    settleTime: SETTLE_TIME,
-    longestOriginWait: LONGEST_ORIGIN_WAIT,
+    linkShare: () =>
+      keeper.needsWholeLink() ? 1 : AGENT_TRANSFERS.shareBesideLive,
     fetchChunk: (address, digest, signal) =>
       fetchChunkOver(
         peers.channels.at(address),
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -1,4 +1,4 @@
-import type {Bytes, Digest} from '@hibiscusbeam/core';
+import {AGENT_TRANSFERS, type Bytes, type Digest} from '@hibiscusbeam/core';
 import {
   digestBytes,
   type ChunkStore,
@@ -37,12 +37,6 @@
   ) => Promise<Outcome | undefined>;
 }
 
-/**
- * Bytes that are sent to another agent at once. A whole chunk takes the link
- * for 60 ms, and an event of a live answer would wait behind it.
- */
-const SENT_AT_ONCE = 8 * 1024;
-
 /** Largest version whose chunks are kept in memory, in bytes. */
 export const LARGEST_KEPT: Bytes = 32 * 1024 * 1024;
 
@@ -228,8 +222,9 @@
 }
 
 function* inParts(bytes: Buffer): Generator<Result<Uint8Array, never>> {
-  for (let at = 0; at < bytes.length; at += SENT_AT_ONCE) {
-    yield Ok(bytes.subarray(at, at + SENT_AT_ONCE));
+  const {pieceSize} = AGENT_TRANSFERS;
+  for (let at = 0; at < bytes.length; at += pieceSize) {
+    yield Ok(bytes.subarray(at, at + pieceSize));
   }
 }
 
--- /dev/null
+++ b/test/laboratory/swarm_run.test.ts
@@ -0,0 +1,97 @@
+import {AGENT_TRANSFERS, type TransferPolicy} from '@hibiscusbeam/core';
+import {runSwarm, type SiteAgent} from '@hibiscusbeam/laboratory';
+import {expect, test} from 'vitest';
+
+/** Bytes a second of links of 6.58 and 15 Mbit/s. */
+const LINK = 822_500;
+const ORIGIN = 1_875_000;
+
+const CHUNKS = 48;
+const CHUNK_SIZE = 49_152;
+const VERSION_BYTES = CHUNKS * CHUNK_SIZE;
+
+/** What a link needs for a version. */
+const LINK_TIME = (VERSION_BYTES * 1000) / LINK;
+
+/** Until an agent knows the others, has heard of a version and has settled. */
+const START = 150 + 100 + AGENT_TRANSFERS.settleTime;
+
+function agents(
+  count: number,
+  changes: (place: number) => Partial<SiteAgent>,
+): readonly SiteAgent[] {
+  return Array.from({length: count}, (_, place) => ({
+    instance: `engine-${place}`,
+    zone: `zone-${place % 3}`,
+    joinsAt: 0,
+    holds: false,
+    linkRate: LINK,
+    linkShare: 1,
+    ...changes(place),
+  }));
+}
+
+function play(
+  members: readonly SiteAgent[],
+  changes: Partial<TransferPolicy> = {},
+  originFrom = 0,
+) {
+  return runSwarm({
+    agents: members,
+    originRate: ORIGIN,
+    originFrom,
+    chunks: CHUNKS,
+    chunkSize: CHUNK_SIZE,
+    latency: (from, to) => (from === to ? 0.2 : 2.8),
+    storeTime: 5,
+    seed: 1,
+    policy: {...AGENT_TRANSFERS, ...changes},
+  });
+}
+
+function lastReady(results: ReturnType<typeof runSwarm>): number {
+  return Math.max(...results.map(({readyAt}) => readyAt ?? Infinity));
+}
+
+test('one agent alone needs what its link needs', () => {
+  const [only] = play(agents(1, () => ({})));
+  const least = LINK_TIME / (1 - AGENT_TRANSFERS.headroom);
+  expect(only!.readyAt).toBeGreaterThan(least);
+  expect(only!.readyAt).toBeLessThan(least + START + 100);
+  expect(only!.originBytes).toBe(VERSION_BYTES);
+});
+
+// Engines join a site whose others hold the version. Until they have it the
+// site is short of them.
+test('an engine that joins waits for little but its own link', () => {
+  const members = agents(19, place =>
+    place < 11
+      ? {holds: true, linkShare: AGENT_TRANSFERS.shareBesideLive}
+      : {joinsAt: (place - 11) * 500},
+  );
+  const results = play(members);
+  const times = results
+    .map(({readyAt}, place) => readyAt! - members[place]!.joinsAt)
+    .slice(11);
+  const mean = times.reduce((sum, time) => sum + time, 0) / times.length;
+  expect(mean).toBeLessThan(3_400);
+  expect(results.every(({originBytes}) => originBytes === 0)).toBe(true);
+});
+
+// A version that was named while the origin was away is late when the origin
+// comes back, and no engine may begin anything before it has it.
+test('all engines have a late version soon after the origin is back', () => {
+  const results = play(agents(19, () => ({})));
+  expect(lastReady(results)).toBeLessThan(4_200);
+  const sent = results.reduce((sum, {originBytes}) => sum + originBytes, 0);
+  expect(sent).toBe(VERSION_BYTES);
+});
+
+test('a lost origin is asked again soon after it is back', () => {
+  const members = agents(3, () => ({}));
+  const before = lastReady(play(members));
+  const after = lastReady(play(members, {}, 5_000));
+  expect(after - 5_000).toBeLessThan(
+    before + AGENT_TRANSFERS.longestOriginWait,
+  );
+});
