Give transfers the whole link where an engine serves nothing

Hypothesis: chunks take 4.3 s where a link needs 2.9 s since a tenth of the link is left free for live requests that an engine without weights has not, and since senders queue while downloads wait.

Tried on the model and not taken: 2 or 3 downloads (last 5,230 to 5,783), 8 or more (within 30 ms), 1 upload (the same), 2, 3 or 9 members of a zone that copy a chunk in (3.2 to 4.9 copies between zones, 20 to 100 ms less), a settle time of 40 ms (30 to 90 ms less; agents hear of one another within 100 ms), pieces of 16 KB (20 to 60 ms more).

--- a/packages/core/src/distribution/transfer_policy.ts
+++ b/packages/core/src/distribution/transfer_policy.ts
@@ -24,7 +24,8 @@
 /**
  * The policy that agents serve with.
  *
- * - Few downloads and uploads at once, so that little queues on the link.
+ * - Six downloads keep a link busy while senders queue; two uploads, so that
+ *   little queues on the link.
  * - One member of a zone copies a chunk in, since bytes between zones cost.
  * - Agents learn of a version within 100 ms of one another, and settle a bit
  *   longer.
@@ -32,18 +33,19 @@
  *   of up to 5 s, engines had one 4.9 s after the origin's return, and no request
  *   could begin anywhere for 3.4 s.
  * - Beside live requests 0.7 of a link: an event that waits behind chunks is late
- *   for its caller.
+ *   for its caller. An engine that serves nothing has none, and its agent leaves
+ *   only what reports need.
  * - A whole chunk takes a link of 6.6 Mbit/s for 60 ms, and an event of a live
  *   answer would wait behind it.
  */
 export const AGENT_TRANSFERS: TransferPolicy = {
   transferBuffer: 16 * 1024 * 1024,
-  downloadSlots: 4,
-  uploadSlots: 3,
+  downloadSlots: 6,
+  uploadSlots: 2,
   crossZoneRanks: 1,
   settleTime: 120,
   longestOriginWait: 400,
-  headroom: 0.1,
+  headroom: 0.03,
   shareBesideLive: 0.7,
   pieceSize: 8 * 1024,
 };
--- a/test/laboratory/swarm_run.test.ts
+++ b/test/laboratory/swarm_run.test.ts
@@ -62,7 +62,8 @@
 });
 
 // Engines join a site whose others hold the version. Until they have it the
-// site is short of them.
+// site is short of them: 3,313 ms each with a tenth of the link left free,
+// 3,084 ms with what reports need.
 test('an engine that joins waits for little but its own link', () => {
   const members = agents(19, place =>
     place < 11
@@ -74,15 +75,17 @@
     .map(({readyAt}, place) => readyAt! - members[place]!.joinsAt)
     .slice(11);
   const mean = times.reduce((sum, time) => sum + time, 0) / times.length;
-  expect(mean).toBeLessThan(3_400);
+  expect(mean).toBeLessThan(3_150);
   expect(results.every(({originBytes}) => originBytes === 0)).toBe(true);
 });
 
 // A version that was named while the origin was away is late when the origin
-// comes back, and no engine may begin anything before it has it.
+// comes back, and no engine may begin anything before it has it. The last of 19
+// had it after 4,055 ms with four downloads, three uploads and a tenth of the
+// link left free.
 test('all engines have a late version soon after the origin is back', () => {
   const results = play(agents(19, () => ({})));
-  expect(lastReady(results)).toBeLessThan(4_200);
+  expect(lastReady(results)).toBeLessThan(3_900);
   const sent = results.reduce((sum, {originBytes}) => sum + originBytes, 0);
   expect(sent).toBe(VERSION_BYTES);
 });
