Keep what a neighbour has told across a line that comes late

All agents start at 35.24 to 35.36 s and meet by members' lines of their former lives; at 35.63 to 35.75 s the lines change, and each 'loses' 15 agents and forgets what they hold. Who has already turned to the new lives sees no reason to tell it again. Ruled out: the origin (0 bytes asked), the links, bad chunks.

Change: the life that a process speaks of counts for more than its line; an announcement asks for what the other holds if that is not known, and the answer says it.

Tests: peer_agents.test.ts.

--- a/packages/core/src/distribution/queries/progress.ts
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -25,6 +25,15 @@
   return state.versions.get(versionDigest)?.held.positions() ?? [];
 }
 
+/** Whether it is known what a neighbour holds of a wanted version. */
+export function isHaveKnown(
+  state: SwarmState,
+  neighbour: InstanceName,
+  versionDigest: VersionDigest,
+): boolean {
+  return state.versions.get(versionDigest)?.haves.has(neighbour) === true;
+}
+
 /** The node's state for an operator. */
 export function dumpOf(state: SwarmState): SwarmDump {
   return {
--- a/packages/core/src/distribution/swarm_node.ts
+++ b/packages/core/src/distribution/swarm_node.ts
@@ -27,6 +27,7 @@
 import {
   dumpOf,
   heldPositionsOf,
+  isHaveKnown,
   neighboursOf,
   progressOf,
 } from './queries/progress';
@@ -56,6 +57,8 @@
     progress: () => progressOf(state),
     neighbours: () => neighboursOf(state),
     heldPositions: versionDigest => heldPositionsOf(state, versionDigest),
+    isHaveKnown: (neighbour, versionDigest) =>
+      isHaveKnown(state, neighbour, versionDigest),
     transferShare: () => transferShare(state),
     dump: () => dumpOf(state),
   };
--- a/packages/core/src/distribution/types.ts
+++ b/packages/core/src/distribution/types.ts
@@ -201,6 +201,11 @@
   readonly neighbours: () => readonly InstanceName[];
   /** Positions held of a wanted version; none of any other. */
   readonly heldPositions: (versionDigest: VersionDigest) => readonly number[];
+  /** Whether it is known what a neighbour holds of a wanted version. */
+  readonly isHaveKnown: (
+    neighbour: InstanceName,
+    versionDigest: VersionDigest,
+  ) => boolean;
   /** Share of each link's rate that transfers may take now, from 0 to 1. */
   readonly transferShare: () => number;
   readonly dump: () => SwarmDump;
--- a/packages/daemon/src/swarm/swarm_driver.ts
+++ b/packages/daemon/src/swarm/swarm_driver.ts
@@ -164,6 +164,7 @@
     setPeers,
     neighbours: node.neighbours,
     heldPositions: node.heldPositions,
+    isHaveKnown: node.isHaveKnown,
     want(versionDigest, manifest, wanted) {
       tell({kind: 'versionWanted', versionDigest, manifest, ...wanted});
     },
--- a/packages/daemon/src/swarm/types.ts
+++ b/packages/daemon/src/swarm/types.ts
@@ -152,6 +152,11 @@
   ) => Promise<Result<AsyncIterable<Uint8Array>, RequestFailure>>;
   /** Positions held of a wanted version; none of any other. */
   readonly heldPositions: (versionDigest: VersionDigest) => readonly number[];
+  /** Whether it is known what a neighbour holds of a wanted version. */
+  readonly isHaveKnown: (
+    neighbour: InstanceName,
+    versionDigest: VersionDigest,
+  ) => boolean;
   readonly progress: () => readonly VersionProgress[];
   readonly dump: () => SwarmDump;
 }
--- a/packages/fleet/src/agent/peer_agents.ts
+++ b/packages/fleet/src/agent/peer_agents.ts
@@ -31,7 +31,9 @@
 }
 
 interface Peer {
-  readonly member: MemberDescription;
+  member: MemberDescription;
+  /** The life that last spoke to us; undefined before. */
+  spokenLife: string | undefined;
   connected: boolean;
 }
 
@@ -46,9 +48,7 @@
     const next = new Map<string, Peer>();
     for (const member of agents) {
       const known = peers.get(member.instance);
-      const same = known?.member.life === member.life ? known : undefined;
-      if (known !== undefined && same === undefined) disconnect(known);
-      next.set(member.instance, same ?? {member, connected: false});
+      next.set(member.instance, known ? renew(known, member) : meet(member));
     }
     for (const [instance, peer] of peers) {
       if (!next.has(instance)) disconnect(peer);
@@ -66,6 +66,36 @@
     signAll();
   }
 
+  function meet(member: MemberDescription): Peer {
+    return {member, spokenLife: undefined, connected: false};
+  }
+
+  /**
+   * Failure: all agents start again at the same moment, and meet by lines that
+   * tell of their former lives. When the lines change, each forgets what the
+   * others have told it since, and waits a second for it to be told again. Guard:
+   * what a process says of its own life counts for more than its line.
+   */
+  function renew(peer: Peer, member: MemberDescription): Peer {
+    const isSame =
+      peer.member.life === member.life || peer.spokenLife === member.life;
+    if (!isSame) {
+      disconnect(peer);
+      return meet(member);
+    }
+    peer.member = member;
+    return peer;
+  }
+
+  /** A life that speaks for the first time knows nothing of the one before. */
+  function noteLife(peer: Peer, life: string): void {
+    const hasStartedAnew =
+      peer.spokenLife !== undefined && peer.spokenLife !== life;
+    if (hasStartedAnew) disconnect(peer);
+    peer.spokenLife = life;
+    connect(peer);
+  }
+
   function signAll(): void {
     const neighbours = new Set(swarm().neighbours());
     for (const peer of peers.values()) {
@@ -85,13 +115,14 @@
       life: self.life,
       versionDigest,
       gained: [...gained],
+      asksHeld: !swarm().isHaveKnown(peer.member.instance, versionDigest),
     };
     const reply = await callOnce<AnnouncementReply>(ANNOUNCE_TIMEOUT, done =>
       channels.at(address).announce(announcement, done),
     );
     channels.note(address, reply.ok);
     if (reply.err) return disconnect(peer);
-    connect(peer);
+    noteLife(peer, reply.val.life);
     if (reply.val.held.length === 0) return;
     swarm().onHaveDelta(peer.member.instance, {
       versionDigest,
@@ -116,17 +147,17 @@
   /**
    * Failure: an agent joins and announces itself before the others have read
    * the members anew. What they would announce to it has no address to go to,
-   * and it asks the origin for a part of what they all hold. Guard: the answer
-   * itself says what is held, and needs no address.
+   * and it asks the origin for a part of what they all hold. Or it has forgotten
+   * what a neighbour holds that sees no reason to tell it again. Guard: it asks,
+   * and the answer itself says it.
    */
   function take(announcement: Announcement): AnnouncementReply {
-    const {instance, versionDigest, gained} = announcement;
+    const {instance, life, versionDigest, gained, asksHeld} = announcement;
     const peer = peers.get(instance);
-    if (peer !== undefined) connect(peer);
+    if (peer !== undefined) noteLife(peer, life);
     if (versionDigest === '') return {life: self.life, held: []};
     swarm().onHaveDelta(instance, {versionDigest, gained});
-    const held =
-      peer === undefined ? [...swarm().heldPositions(versionDigest)] : [];
+    const held = asksHeld ? [...swarm().heldPositions(versionDigest)] : [];
     return {life: self.life, held};
   }
 
--- a/test/fleet/peer_agents.test.ts
+++ b/test/fleet/peer_agents.test.ts
@@ -10,16 +10,23 @@
 afterEach(() => closers.splice(0).forEach(close => close()));
 
 /** One side of a link between agents, with what its swarm is told. */
-async function startSide(instance: string, held: readonly number[]) {
+async function startSide(
+  instance: string,
+  held: readonly number[],
+  isHaveKnown = false,
+) {
   const told: unknown[] = [];
+  const gone: string[] = [];
+  const asked: boolean[] = [];
   const swarm = {
     setPeers: () => undefined,
     neighbours: () => [],
     onPeerConnected: () => undefined,
-    onPeerGone: () => undefined,
+    onPeerGone: (peer: string) => void gone.push(peer),
     onHaveDelta: (peer: string, delta: object) =>
       void told.push({peer, ...delta}),
     heldPositions: (digest: string) => (digest === DIGEST ? held : []),
+    isHaveKnown: () => isHaveKnown,
   } as Partial<SwarmDriver> as SwarmDriver;
   const note = (): void => undefined;
   const self = {
@@ -37,12 +44,23 @@
   const server = await openPeerServer(self.address, {
     role: 'agent',
     handlers: {
-      announce: (call, done) => done(null, agents.take(call.request)),
+      announce: (call, done) => {
+        const {versionDigest, asksHeld} = call.request;
+        if (versionDigest !== '') asked.push(asksHeld);
+        done(null, agents.take(call.request));
+      },
       fetchChunk: call => call.end(),
     },
   });
   closers.push(server.close, () => agents.channels.keep(new Set()));
-  return {self, agents, told};
+  const announcement = (life = self.life) => ({
+    instance,
+    life,
+    versionDigest: DIGEST,
+    gained: [],
+    asksHeld: false,
+  });
+  return {self, agents, told, gone, asked, announcement};
 }
 
 // An engine joins while its neighbour has not read the members anew. The
@@ -59,15 +77,42 @@
   ]);
 });
 
-test('an agent that is known is told by an announcement only', async () => {
+test('an agent that knows what its neighbour holds does not ask', async () => {
   const holder = await startSide('holder', [0, 2]);
-  const joining = await startSide('joining', []);
-  holder.agents.setMembers([joining.self]);
-  const taken = holder.agents.take({
-    instance: 'joining',
-    life: joining.self.life,
-    versionDigest: DIGEST,
-    gained: [],
-  });
-  expect(taken.held).toEqual([]);
+  const knowing = await startSide('knowing', [], true);
+  knowing.agents.setMembers([holder.self]);
+  knowing.agents.announce('holder', DIGEST, [1]);
+  await eventually(() => holder.told.length > 0);
+  expect(holder.asked).toEqual([false]);
+  expect(holder.agents.take(knowing.announcement()).held).toEqual([]);
+});
+
+// All machines lose power and start again. The agents meet by lines that tell of
+// their former lives; when the lines changed, each forgot what the others had
+// told it since, and engines waited a second for the last of their chunks.
+test('a line that tells late of a life that has spoken changes nothing', async () => {
+  const side = await startSide('side', []);
+  const other = await startSide('other', []);
+  side.agents.setMembers([{...other.self, life: 'life before'}]);
+  side.agents.take(other.announcement());
+  side.agents.setMembers([other.self]);
+  expect(side.gone).toEqual([]);
+});
+
+test('what a former life has told is forgotten once the new one speaks', async () => {
+  const side = await startSide('side', []);
+  const other = await startSide('other', []);
+  side.agents.setMembers([other.self]);
+  side.agents.take(other.announcement());
+  side.agents.take(other.announcement('next life'));
+  expect(side.gone).toEqual(['other']);
+});
+
+test('what a former life has told is forgotten once a line tells of the next', async () => {
+  const side = await startSide('side', []);
+  const other = await startSide('other', []);
+  side.agents.setMembers([other.self]);
+  side.agents.take(other.announcement());
+  side.agents.setMembers([{...other.self, life: 'next life'}]);
+  expect(side.gone).toEqual(['other']);
 });
