Build the fleet's program in parts, one for each role

A process read the text of both roles (3.4 MB); and the allocator gives memory back only beyond twice the largest block that was freed, which was that text.

--- a/scripts/build_fleet.mjs
+++ b/scripts/build_fleet.mjs
@@ -1,4 +1,6 @@
-// Builds the program of the fleet as one file, target/hibiscusbeam.cjs.
-import {bundle} from './bundle.mjs';
+// Builds the program of the fleet, target/hibiscusbeam.mjs and its parts.
+import {rmSync} from 'node:fs';
+import {bundleInParts} from './bundle.mjs';
 
-await bundle('platform/main.ts', 'target/hibiscusbeam.cjs');
+rmSync('target', {recursive: true, force: true});
+await bundleInParts('platform/main.ts', 'target', 'hibiscusbeam');
