Move weights while their engine is not up yet

Change: the newest version is fetched whether the engine answers or not; its chunks are kept in memory, as those of a version that waits for another one's load, and staged once it answers. A version too large for that waits.

Tests: agent.test.ts (weights are there before the engine is up; never so on the code before), staged_chunks.test.ts.

--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -92,24 +92,38 @@
   let life: OfLife = {born: undefined};
   let lastState = '';
   let isServing = false;
+  let isReachable = true;
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const standing = await engine.standing(LOOK_TIMEOUT);
-      if (standing.ok) {
-        noteLife(standing.val);
-        isServing = standing.val.held.length > 0;
-        const {ordering: isLoading} = standing.val;
-        const served = servedVersion(standing.val);
-        carryOut(plan.observe({served, isLoading}, clock()));
-        options.onStanding(standing.val, plan.loadsIn(clock()));
-        logState(standing.val);
-        look();
-      } else logUnreachable(standing.val);
+      noteReachable(standing.ok);
+      if (standing.ok) take(standing.val);
+      else logUnreachable(standing.val);
+      fetchNewest();
+      if (standing.ok) loadIfDue();
       await sleep(LOOK_PERIOD, signal);
     }
   }
 
+  function take(standing: EngineStanding): void {
+    noteLife(standing);
+    isServing = standing.held.length > 0;
+    const {ordering: isLoading} = standing;
+    const served = servedVersion(standing);
+    carryOut(plan.observe({served, isLoading}, clock()));
+    options.onStanding(standing, plan.loadsIn(clock()));
+    logState(standing);
+  }
+
+  /** What lies staged is read once the engine answers. */
+  function noteReachable(isReachableNow: boolean): void {
+    if (isReachable === isReachableNow) return;
+    isReachable = isReachableNow;
+    staged.setReachable(isReachable);
+    if (isReachable) void swarm.refreshHeld();
+  }
+
   /**
    * Failure: an engine starts again under its id right after an order, and its
    * load waits for a pause that belongs to the former life. What lies staged is
@@ -130,7 +144,7 @@
       ?.version;
   }
 
-  function look(): void {
+  function fetchNewest(): void {
     const services = operator.services();
     const model = findWantedModel(services, options.service);
     // Failure: an agent that joins asks the origin for what its neighbours
@@ -140,6 +154,9 @@
     const newest = plan.newest();
     const isNewest = newest > 0 && newest >= (wanted ?? 0);
     if (!isNewest && mayFetch(model)) void askContent(model, wanted);
+  }
+
+  function loadIfDue(): void {
     const inHand = plan.inHand();
     if (inHand === undefined || plan.isServed()) return;
     if (!isReady(inHand.identified.versionDigest)) return;
@@ -147,9 +164,10 @@
     if (plan.mayLoad(clock())) void order(inHand);
   }
 
-  /** A version too large for the memory waits until the staging area is free. */
+  /** A version too large for the memory waits until it can be staged at once. */
   function mayFetch({chunkSize, chunks}: WantedModel): boolean {
-    return chunkSize * chunks <= LARGEST_KEPT || !plan.keepsStaging(clock());
+    if (chunkSize * chunks <= LARGEST_KEPT) return true;
+    return isReachable && !plan.keepsStaging(clock());
   }
 
   function isReady(versionDigest: Digest): boolean {
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -24,6 +24,14 @@
   readonly aim: (content: VersionContent) => void;
   /** Sets the version whose chunks are kept in memory until it is aimed at. */
   readonly prepare: (content: VersionContent) => void;
+  /**
+   * Sets whether the engine answers. While it does not, chunks are kept in
+   * memory only; then they are staged.
+   *
+   * Failure: an engine comes up a second after its machine, and its weights begin
+   * to move only then, while the site is short of engines.
+   */
+  readonly setReachable: (isReachable: boolean) => void;
   /** Drops what is kept in memory of a version that the engine has taken. */
   readonly forget: (content: VersionContent) => void;
   /**
@@ -51,6 +59,7 @@
   /** Digest that was last seen or put at each position. */
   const lying = new Map<number, Digest>();
   let isRead = false;
+  let isReachable = true;
   let frozen: Promise<unknown> = Promise.resolve();
 
   async function put(
@@ -62,6 +71,7 @@
     const position = aim?.digests.indexOf(digest) ?? -1;
     const isPrepared = prepared?.digests.includes(digest) === true;
     if (isPrepared || position !== -1) keep(digest, bytes);
+    if (!isReachable && kept.has(digest)) return Ok.EMPTY;
     if (aim !== undefined && position !== -1) {
       return stage(aim, position, digest, bytes);
     }
@@ -115,6 +125,13 @@
     }
   }
 
+  function setReachable(isReachableNow: boolean): void {
+    isReachable = isReachableNow;
+    if (!isReachable || aim === undefined || kept.size === 0) return;
+    const content = aim;
+    frozen = frozen.then(() => stageKept(content));
+  }
+
   function forget(content: VersionContent): void {
     for (const digest of content.digests) {
       if (prepared?.digests.includes(digest) !== true) kept.delete(digest);
@@ -134,7 +151,7 @@
   async function list() {
     if (aim === undefined) return Ok({life: LIFE, digests: []});
     // Reading all again takes 100 ms; it is done right before an order anyway.
-    if (!isRead) {
+    if (!isRead && isReachable) {
       const read = await readAll(aim);
       if (read.err) return read.mapErr(toStoreError);
     }
@@ -216,6 +233,7 @@
     store: {put, list, get},
     aim: aimAt,
     prepare,
+    setReachable,
     forget,
     withWhole,
   };
--- a/test/fleet/agent.test.ts
+++ b/test/fleet/agent.test.ts
@@ -115,3 +115,20 @@
   await site.startAgent(second);
   await eventually(() => second.held() === 1);
 });
+
+// An engine comes up a second after its machine. Its weights are there by then,
+// and it waits for its load alone.
+test('weights are moved while their engine is not up yet', async () => {
+  await startSite();
+  const engine = await startEngine('one');
+  engine.setFault({kind: 'down'});
+  await site.startAgent(engine);
+  await eventually(() =>
+    site.lines.some(({sentence}) => sentence === 'holds all'),
+  );
+  expect(engine.staged.size).toBe(0);
+  engine.setFault({kind: 'none'});
+  await eventually(() => engine.held() === 1);
+  expect(engine.staged.size).toBe(CHUNKS);
+  expect(origin.sent).toHaveLength(CHUNKS);
+});
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -123,3 +123,18 @@
   const stored = await staged.store.put(digest(bytes), [bytes]);
   expect(stored).toMatchObject({err: true, val: {kind: 'refused'}});
 });
+
+// An engine comes up after its agent has fetched its weights. Without a place to
+// stage them at, they are kept, and lie staged once the engine is up.
+test('keeps the chunks of an engine that is not up yet', async () => {
+  const {lying, staged} = startStaging();
+  staged.setReachable(false);
+  staged.aim(content(1));
+  await putAll(staged, 1);
+  expect(lying.size).toBe(0);
+  const held = (await staged.store.list()).unwrap();
+  expect(held.digests).toHaveLength(CHUNKS);
+  staged.setReachable(true);
+  expect(await isWhole(staged, 1)).toBe(true);
+  expect(lying.size).toBe(CHUNKS);
+});
