Give a version up only for one that no longer needs its origin

The origin is lost from 20.5 to 26.5 s with half of version 3 sent. No engine took version 2; from 24 to 30 s 411 of 682 requests were refused.

Change: a newer version is fetched at once and waits; it takes the other's place, or lets late engines skip it, only when each of its chunks is here or with a neighbour. Versions too large to wait in memory go as before.

--- a/packages/core/src/distribution/queries/progress.ts
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -25,6 +25,16 @@
   return state.versions.get(versionDigest)?.held.positions() ?? [];
 }
 
+/** Whether each chunk of a wanted version is here or with a neighbour. */
+export function isWithinReach(
+  state: SwarmState,
+  versionDigest: VersionDigest,
+): boolean {
+  const version = state.versions.get(versionDigest);
+  if (version === undefined) return false;
+  return version.missing.every(position => version.availability[position]! > 0);
+}
+
 /** Whether it is known what a neighbour holds of a wanted version. */
 export function isHaveKnown(
   state: SwarmState,
--- a/packages/core/src/distribution/swarm_node.ts
+++ b/packages/core/src/distribution/swarm_node.ts
@@ -28,6 +28,7 @@
   dumpOf,
   heldPositionsOf,
   isHaveKnown,
+  isWithinReach,
   neighboursOf,
   progressOf,
 } from './queries/progress';
@@ -59,6 +60,7 @@
     heldPositions: versionDigest => heldPositionsOf(state, versionDigest),
     isHaveKnown: (neighbour, versionDigest) =>
       isHaveKnown(state, neighbour, versionDigest),
+    isWithinReach: versionDigest => isWithinReach(state, versionDigest),
     transferShare: () => transferShare(state),
     dump: () => dumpOf(state),
   };
--- a/packages/core/src/distribution/types.ts
+++ b/packages/core/src/distribution/types.ts
@@ -206,6 +206,8 @@
     neighbour: InstanceName,
     versionDigest: VersionDigest,
   ) => boolean;
+  /** Whether each chunk of a wanted version is here or with a neighbour. */
+  readonly isWithinReach: (versionDigest: VersionDigest) => boolean;
   /** Share of each link's rate that transfers may take now, from 0 to 1. */
   readonly transferShare: () => number;
   readonly dump: () => SwarmDump;
--- a/packages/core/src/distribution/version_plan.ts
+++ b/packages/core/src/distribution/version_plan.ts
@@ -33,10 +33,14 @@
     };
 
 /** What the plan needs. */
-export interface VersionPlanOptions {
+export interface VersionPlanOptions<Version extends PlannedVersion> {
   /** Time after a version's naming in which all must have it. */
   readonly bound: Milliseconds;
   readonly place: () => LoadPlace;
+  /** Whether all chunks of a version can be had without its origin. */
+  readonly isSecured: (version: Version) => boolean;
+  /** Whether a version's chunks can wait outside the staging area. */
+  readonly canWait: (version: Version) => boolean;
 }
 
 /** Which versions an engine is given, one after the other. */
@@ -84,9 +88,14 @@
  * another takes its place; later than that the one in hand is loaded first, or
  * skipped by the engines whose turn is late, while the newer one is fetched
  * already.
+ *
+ * Failure: a version is given up for a newer one, and the origin is lost before
+ * it has sent that. Engines have neither, and may start nothing from the older
+ * one's bound until the origin's return: six seconds were seen. Guard: a version
+ * is given up, or skipped, only for one that no longer needs its origin.
  */
 export function createVersionPlan<Version extends PlannedVersion>(
-  options: VersionPlanOptions,
+  options: VersionPlanOptions<Version>,
 ): VersionPlan<Version> {
   const {bound} = options;
   let inHand: Version | undefined;
@@ -104,22 +113,29 @@
     return engine.served >= inHand.version;
   }
 
-  function isSkipped(): boolean {
+  /** Whether the one that follows was named at most so long after this one. */
+  function isFollowedWithin(limit: Milliseconds): boolean {
     if (inHand === undefined || following === undefined) return false;
-    const age = following.knownSince - inHand.knownSince;
-    return age < committedAge(options.place(), bound);
+    if (!options.isSecured(following)) return false;
+    return following.knownSince - inHand.knownSince < limit;
   }
 
+  const isReplaced = (): boolean => isFollowedWithin(committedAge(0, bound));
+
+  const isSkipped = (): boolean =>
+    isFollowedWithin(committedAge(options.place(), bound));
+
   /**
    * One that is skipped stays for the others to fetch, until what the engine
    * serves may start nothing more.
    */
   function keepsStaging(now: MonotonicInstant): boolean {
     if (inHand === undefined || isServed() || engine.isLoading) return false;
+    if (isReplaced()) return false;
     const age = now - inHand.knownSince;
-    const underWay = committedAge(0, bound);
+    const from = options.canWait(inHand) ? 0 : committedAge(0, bound);
     const end = isSkipped() ? bound - VERSION_MARGIN : bound;
-    return age >= underWay && age < end;
+    return age >= from && age < end;
   }
 
   function take(
--- a/packages/daemon/src/swarm/types.ts
+++ b/packages/daemon/src/swarm/types.ts
@@ -157,6 +157,8 @@
     neighbour: InstanceName,
     versionDigest: VersionDigest,
   ) => boolean;
+  /** Whether each chunk of a wanted version is here or with a neighbour. */
+  readonly isWithinReach: (versionDigest: VersionDigest) => boolean;
   readonly progress: () => readonly VersionProgress[];
   readonly dump: () => SwarmDump;
 }
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -29,7 +29,7 @@
 import {createContentReader} from './content_reader';
 import type {OperatorWatch} from './operator_watch';
 import {findWantedModel, identify, type WantedModel} from './wanted_version';
-import {LARGEST_KEPT, type StagedChunks} from './staged_chunks';
+import {canBeKept, type StagedChunks} from './staged_chunks';
 
 /** Period of looks at the own engine; they are free on its own machine. */
 const LOOK_PERIOD: Milliseconds = 100;
@@ -86,6 +86,9 @@
   const plan = createVersionPlan<FetchedVersion>({
     bound: options.versionBound,
     place: () => loadPlace(options.self, options.members()),
+    isSecured: ({identified}) => swarm.isWithinReach(identified.versionDigest),
+    canWait: ({identified: {manifest}}) =>
+      canBeKept(manifest.chunks.length, manifest.chunks[0]?.size ?? 0),
   });
   let orderedAt = -Infinity;
   let ordering = false;
@@ -166,7 +169,7 @@
 
   /** A version too large for the memory waits until it can be staged at once. */
   function mayFetch({chunkSize, chunks}: WantedModel): boolean {
-    if (chunkSize * chunks <= LARGEST_KEPT) return true;
+    if (canBeKept(chunks, chunkSize)) return true;
     return isReachable && !plan.keepsStaging(clock());
   }
 
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -45,8 +45,13 @@
   ) => Promise<Outcome | undefined>;
 }
 
-/** Largest version whose chunks are kept in memory, in bytes. */
-export const LARGEST_KEPT: Bytes = 32 * 1024 * 1024;
+/** Largest version whose chunks are kept in memory. */
+const LARGEST_KEPT: Bytes = 32 * 1024 * 1024;
+
+/** Whether the chunks of such a version can be kept in memory. */
+export function canBeKept(chunks: number, chunkSize: Bytes): boolean {
+  return chunks * chunkSize <= LARGEST_KEPT;
+}
 
 /** Name of the only life that the staging area has. */
 const LIFE = 'staged';
@@ -90,7 +95,7 @@
       aim?.digests.length ?? 0,
       prepared?.digests.length ?? 0,
     );
-    if (chunks * bytes.length <= LARGEST_KEPT) kept.set(digest, bytes);
+    if (canBeKept(chunks, bytes.length)) kept.set(digest, bytes);
   }
 
   async function stage(
--- a/test/distribution/version_plan.test.ts
+++ b/test/distribution/version_plan.test.ts
@@ -3,6 +3,7 @@
   VERSION_MARGIN,
   type LoadPlace,
   type PlannedVersion,
+  type VersionPlanOptions,
 } from '@hibiscusbeam/core';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
@@ -20,10 +21,16 @@
 /** The place of the last of many engines. */
 const LAST = 0.95;
 
-function planOf(place: LoadPlace) {
+function planOf(
+  place: LoadPlace,
+  changes: Partial<VersionPlanOptions<PlannedVersion>> = {},
+) {
   return createVersionPlan<PlannedVersion>({
     bound: BOUND,
     place: () => place,
+    isSecured: () => true,
+    canWait: () => true,
+    ...changes,
   });
 }
 
@@ -44,6 +51,42 @@
   const plan = planOf(0);
   plan.observe(serving(1), 0);
   plan.take(named(2, 0), 0);
+  plan.take(named(3, 2_000), 2_000);
+  const step = plan.observe(serving(1), 2_100);
+  expect(step).toMatchObject({kind: 'stage', givenUp: [{version: 2}]});
+});
+
+// Version 3 is named two seconds after version 2, and the origin is lost before
+// it has sent all of it. Given up for it, version 2 would be there, and engines
+// could begin nothing for six seconds.
+test('a version is given up only for one that can be had', () => {
+  let isSecured = false;
+  const plan = planOf(0, {isSecured: () => isSecured});
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
+  expect(plan.take(named(3, 2_000), 2_000)).toMatchObject({kind: 'prepare'});
+  expect(plan.observe(serving(1), 4_300)).toBeUndefined();
+  plan.noteMoved(4_400);
+  expect(plan.mayLoad(4_500)).toBe(true);
+  isSecured = true;
+  const step = plan.observe(serving(1), 4_500);
+  expect(step).toMatchObject({kind: 'stage', version: {version: 3}});
+});
+
+test('the last engine loads a version too if the next can’t be had', () => {
+  const plan = planOf(LAST, {isSecured: () => false});
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
+  plan.take(named(3, 2_000), 2_000);
+  plan.noteMoved(4_400);
+  expect(plan.mayLoad(4_500)).toBe(false);
+  expect(plan.mayLoad(BOUND - VERSION_MARGIN)).toBe(true);
+});
+
+test('a version too large to wait is staged in place of one just named', () => {
+  const plan = planOf(0, {canWait: () => false});
+  plan.observe(serving(1), 0);
+  plan.take(named(2, 0), 0);
   const step = plan.take(named(3, 2_000), 2_000);
   expect(step).toMatchObject({kind: 'stage', givenUp: [{version: 2}]});
 });
