--- a/test/distribution/version_plan.test.ts
+++ b/test/distribution/version_plan.test.ts
@@ -73,14 +73,16 @@
   expect(step).toMatchObject({kind: 'stage', version: {version: 3}});
 });
 
-test('the last engine loads a version too if the next can’t be had', () => {
-  const plan = planOf(LAST, {isSecured: () => false});
-  plan.observe(serving(1), 0);
-  plan.take(named(2, 0), 0);
-  plan.take(named(3, 2_000), 2_000);
-  plan.noteMoved(4_400);
-  expect(plan.mayLoad(4_500)).toBe(false);
-  expect(plan.mayLoad(BOUND - VERSION_MARGIN)).toBe(true);
+test('a version is skipped only for one that can be had', () => {
+  const mayLoad = [true, false].map(isSecured => {
+    const plan = planOf(0.5, {isSecured: () => isSecured});
+    plan.observe(serving(1), 0);
+    plan.take(named(2, 0), 0);
+    plan.take(named(3, 3_000), 3_000);
+    plan.noteMoved(4_400);
+    return plan.mayLoad(5_900);
+  });
+  expect(mayLoad).toEqual([false, true]);
 });
 
 test('a version too large to wait is staged in place of one just named', () => {
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {Ok} from 'ts-results';
+import {Err, Ok} from 'ts-results';
 import {expect, test} from 'vitest';
 import {createStagedChunks} from '../../packages/fleet/src/agent/staged_chunks';
 import type {
@@ -25,9 +25,15 @@
 
 function startStaging() {
   const lying = new Map<number, Buffer>();
+  let isUp = true;
   const engine: EngineControl = {
     standing: () => Promise.reject(new Error('not asked here')),
-    staged: () => Promise.resolve(Ok([...lying.keys()])),
+    staged: () =>
+      Promise.resolve(
+        isUp
+          ? Ok([...lying.keys()])
+          : Err({kind: 'unreachable', detail: 'not up'} as const),
+      ),
     readStaged: (_model, position) => Promise.resolve(Ok(lying.get(position)!)),
     stage: (_model, position, bytes) => {
       lying.set(position, bytes);
@@ -35,7 +41,12 @@
     },
     load: () => Promise.reject(new Error('not asked here')),
   };
-  return {lying, staged: createStagedChunks(engine)};
+  const staged = createStagedChunks(engine);
+  const setUp = (next: boolean): void => {
+    isUp = next;
+    staged.setReachable(isUp);
+  };
+  return {lying, staged, setUp};
 }
 
 type Staged = ReturnType<typeof startStaging>['staged'];
@@ -127,14 +138,14 @@
 // An engine comes up after its agent has fetched its weights. Without a place to
 // stage them at, they are kept, and lie staged once the engine is up.
 test('keeps the chunks of an engine that is not up yet', async () => {
-  const {lying, staged} = startStaging();
-  staged.setReachable(false);
+  const {lying, staged, setUp} = startStaging();
+  setUp(false);
   staged.aim(content(1));
   await putAll(staged, 1);
   expect(lying.size).toBe(0);
   const held = (await staged.store.list()).unwrap();
   expect(held.digests).toHaveLength(CHUNKS);
-  staged.setReachable(true);
+  setUp(true);
   expect(await isWhole(staged, 1)).toBe(true);
   expect(lying.size).toBe(CHUNKS);
 });
