Add an experiment on the moving of a version to the command line

hibiscusbeam experiment FILE plays a site in YAML (engines, links, cases, policies, seeds) on the laboratory and prints a table or JSON; wrong fields are named, and nothing is played then.

--- /dev/null
+++ b/packages/hibiscusbeam/src/commands/experiment.ts
@@ -0,0 +1,116 @@
+import {
+  readExperiment,
+  runExperiment,
+  type Experiment,
+  type ExperimentCase,
+  type ExperimentResult,
+} from '@hibiscusbeam/laboratory';
+import type {Command} from 'commander';
+import {readFileSync} from 'node:fs';
+import {EXIT_CODES, type ExitCode} from '../exit_codes';
+import type {ProgramIo} from '../io';
+import {cleanText, formatTable} from '../output/text';
+import type {FinishCommand, ProgramContext} from './context';
+import {exampleOf} from './intent';
+
+interface ExperimentOptions {
+  readonly json: boolean;
+}
+
+const HEADINGS = [
+  'case',
+  'policy',
+  'mean ms',
+  'last ms',
+  'worst ms',
+  'without',
+  'origin copies',
+  'between zones',
+];
+
+/** Adds `experiment`. */
+export function addExperimentCommand(
+  program: Command,
+  {io}: ProgramContext,
+  finish: FinishCommand,
+): void {
+  program
+    .command('experiment')
+    .argument('<file>', 'site, version, cases and policies, in YAML')
+    .description('play how long a version takes to all engines of a site')
+    .option('--json', 'print the results as JSON, for scripts', false)
+    .addHelpText('after', exampleOf('experiment moving_a_version.yaml'))
+    .action((file: string, options: ExperimentOptions) => {
+      finish(experimentWith(io, file, options));
+    });
+}
+
+function experimentWith(
+  io: ProgramIo,
+  file: string,
+  {json}: ExperimentOptions,
+): ExitCode {
+  const experiment = readFile(io, file);
+  if (experiment === undefined) return EXIT_CODES.usage;
+  const results = play(io, experiment);
+  if (json) io.out(`${JSON.stringify(results)}\n`);
+  else io.out(`${formatTable(HEADINGS, results.map(cellsOf))}\n`);
+  const isWhole = results.every(({without}) => without === 0);
+  return isWhole ? EXIT_CODES.ok : EXIT_CODES.refused;
+}
+
+function readFile(io: ProgramIo, file: string): Experiment | undefined {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : 'not readable';
+    io.error(`${cleanText(file)}: ${cleanText(detail)}\n`);
+    return undefined;
+  }
+  const experiment = readExperiment(text);
+  if (experiment.ok) return experiment.val;
+  for (const {field, message} of experiment.val) {
+    const place = [file, field].filter(part => part !== '').join(': ');
+    io.error(`${cleanText(place)}: ${cleanText(message)}\n`);
+  }
+  return undefined;
+}
+
+function play(
+  io: ProgramIo,
+  experiment: Experiment,
+): readonly ExperimentResult[] {
+  const count =
+    experiment.cases.length * Object.keys(experiment.policies).length;
+  const results: ExperimentResult[] = [];
+  for (const result of runExperiment(experiment)) {
+    results.push(result);
+    if (io.isTerminal) io.error(`\rplayed ${results.length} of ${count}`);
+  }
+  if (io.isTerminal) io.error('\n');
+  return results;
+}
+
+function cellsOf(result: ExperimentResult): readonly string[] {
+  return [
+    caseText(result.case),
+    result.policy,
+    ...[result.mean, result.last, result.worst].map(time => time.toFixed(0)),
+    String(result.without),
+    result.originCopies.toFixed(2),
+    result.crossZoneCopies.toFixed(2),
+  ];
+}
+
+function caseText(which: ExperimentCase): string {
+  switch (which.kind) {
+    case 'named':
+    case 'late':
+      return which.kind;
+    case 'joining':
+      return `joining ${which.engines}, one each ${which.gap} ms`;
+    case 'frozen':
+      return `one frozen at ${which.at} ms`;
+  }
+}
--- a/packages/hibiscusbeam/src/program.ts
+++ b/packages/hibiscusbeam/src/program.ts
@@ -1,6 +1,7 @@
 import {Command, CommanderError, InvalidArgumentError} from 'commander';
 import type {ProgramContext} from './commands/context';
 import {addDumpCommand} from './commands/dump';
+import {addExperimentCommand} from './commands/experiment';
 import {addExplainCommands} from './commands/explain';
 import {addIntentCommands} from './commands/intent';
 import {addKeysCommands} from './commands/keys_hash';
@@ -25,6 +26,7 @@
   addStatusCommand(program, context, finish);
   addDumpCommand(program, context, finish);
   addExplainCommands(program, context, finish);
+  addExperimentCommand(program, context, finish);
   addSettingsCommands(program, context, finish);
   addKeysCommands(program, context, finish);
   for (const command of commandsOf(program)) {
--- /dev/null
+++ b/packages/laboratory/src/experiment/experiment_file.ts
@@ -0,0 +1,97 @@
+import {AGENT_TRANSFERS, type TransferPolicy} from '@hibiscusbeam/core';
+import {Err, Ok, type Result} from 'ts-results';
+import {parseDocument} from 'yaml';
+import * as z from 'zod';
+
+const positive = z.number().positive();
+const whole = z.int().positive();
+const share = z.number().min(0).max(1);
+
+const caseSchema = z.discriminatedUnion('kind', [
+  /** A version is named while all engines serve. */
+  z.strictObject({kind: z.literal('named')}),
+  /** The same, and no engine may begin anything before it has it. */
+  z.strictObject({kind: z.literal('late')}),
+  /** Engines join that serve nothing, one each `gap` ms; the others hold it. */
+  z.strictObject({
+    kind: z.literal('joining'),
+    engines: whole,
+    gap: z.number().min(0),
+  }),
+  /** One engine's machine freezes for good so many ms after the naming. */
+  z.strictObject({kind: z.literal('frozen'), at: z.number().min(0)}),
+]);
+
+const policySchema = z
+  .strictObject({
+    transferBuffer: whole,
+    downloadSlots: whole,
+    uploadSlots: whole,
+    crossZoneRanks: whole,
+    settleTime: z.number().min(0),
+    longestOriginWait: z.number().min(0),
+    headroom: share,
+    shareBesideLive: share,
+    pieceSize: whole,
+  } satisfies {[field in keyof TransferPolicy]: z.ZodType<number>})
+  .partial()
+  .transform((changes): TransferPolicy => ({
+    ...AGENT_TRANSFERS,
+    ...defined(changes),
+  }));
+
+const experimentSchema = z.strictObject({
+  site: z.strictObject({
+    zones: whole,
+    engines: whole.max(2_000),
+    /** Each way, of one engine's machine. */
+    engineLinkMegabits: positive,
+    originMegabits: positive,
+    /** One way, in milliseconds. */
+    latency: z.strictObject({
+      withinZone: z.number().min(0),
+      betweenZones: z.number().min(0),
+    }),
+  }),
+  version: z.strictObject({chunks: whole.max(65_536), chunkBytes: whole}),
+  cases: z.array(caseSchema).min(1),
+  /** By name; each has the fields that differ from what agents serve with. */
+  policies: z.record(z.string(), policySchema),
+  seeds: z.array(z.int()).min(1),
+});
+
+/** A site, a version, and what is to be compared. */
+export type Experiment = z.infer<typeof experimentSchema>;
+
+/** One case of an experiment. */
+export type ExperimentCase = z.infer<typeof caseSchema>;
+
+/** A fault in an experiment's file. */
+export interface ExperimentFault {
+  /** Names of the fields that lead to it; empty for the file itself. */
+  readonly field: string;
+  readonly message: string;
+}
+
+/** Reads an experiment in YAML; all faults are listed. */
+export function readExperiment(
+  text: string,
+): Result<Experiment, readonly ExperimentFault[]> {
+  const document = parseDocument(text);
+  if (document.errors.length > 0) {
+    return Err(document.errors.map(({message}) => ({field: '', message})));
+  }
+  const parsed = experimentSchema.safeParse(document.toJS());
+  if (parsed.success) return Ok(parsed.data);
+  return Err(
+    parsed.error.issues.map(({path, message}) => ({
+      field: path.join('.'),
+      message,
+    })),
+  );
+}
+
+function defined(changes: Partial<TransferPolicy>): Partial<TransferPolicy> {
+  const entries = Object.entries(changes);
+  return Object.fromEntries(entries.filter(([, value]) => value !== undefined));
+}
--- /dev/null
+++ b/packages/laboratory/src/experiment/run_experiment.ts
@@ -0,0 +1,76 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {runSwarm} from '../swarm_run';
+import type {Experiment, ExperimentCase} from './experiment_file';
+import {siteOf} from './experiment_site';
+
+/** What one policy gave in one case, over all seeds. */
+export interface ExperimentResult {
+  readonly policy: string;
+  readonly case: ExperimentCase;
+  /** Until an engine had the version: all engines of all seeds. */
+  readonly mean: Milliseconds;
+  /** Until the last engine had it: mean over the seeds. */
+  readonly last: Milliseconds;
+  /** Until the last engine had it in the worst seed. */
+  readonly worst: Milliseconds;
+  /** Engines that never had it, over all seeds. */
+  readonly without: number;
+  /** Copies of the version that the origin sent, mean over the seeds. */
+  readonly originCopies: number;
+  /** Copies that went between zones, mean over the seeds. */
+  readonly crossZoneCopies: number;
+}
+
+/** Plays an experiment, one result after the other. */
+export function* runExperiment(
+  experiment: Experiment,
+): Generator<ExperimentResult> {
+  for (const which of experiment.cases) {
+    for (const policy of Object.keys(experiment.policies)) {
+      yield runCase(experiment, which, policy);
+    }
+  }
+}
+
+function runCase(
+  experiment: Experiment,
+  which: ExperimentCase,
+  policy: string,
+): ExperimentResult {
+  const times: Milliseconds[] = [];
+  const last: Milliseconds[] = [];
+  let without = 0;
+  let originBytes = 0;
+  let crossZoneBytes = 0;
+  for (const seed of experiment.seeds) {
+    const site = siteOf(experiment, which, experiment.policies[policy]!, seed);
+    const taken: Milliseconds[] = [];
+    for (const [place, result] of runSwarm(site).entries()) {
+      originBytes += result.originBytes;
+      crossZoneBytes += result.crossZoneBytes;
+      const {joinsAt, holds, frozenFrom} = site.agents[place]!;
+      if (holds || frozenFrom !== undefined) continue;
+      if (result.readyAt === undefined) without += 1;
+      else taken.push(result.readyAt - joinsAt);
+    }
+    times.push(...taken);
+    last.push(Math.max(0, ...taken));
+  }
+  const {chunks, chunkBytes} = experiment.version;
+  const bytes = chunks * chunkBytes * experiment.seeds.length;
+  return {
+    policy,
+    case: which,
+    mean: mean(times),
+    last: mean(last),
+    worst: Math.max(...last),
+    without,
+    originCopies: originBytes / bytes,
+    crossZoneCopies: crossZoneBytes / bytes,
+  };
+}
+
+function mean(values: readonly number[]): number {
+  const sum = values.reduce((total, value) => total + value, 0);
+  return values.length === 0 ? 0 : sum / values.length;
+}
