--- a/packages/laboratory/src/linked_agent.ts
+++ b/packages/laboratory/src/linked_agent.ts
@@ -2,6 +2,7 @@
   createPace,
   createSwarmNode,
   type Bytes,
+  type MonotonicInstant,
   type Pace,
   type SwarmNode,
   type TransferId,
@@ -27,6 +28,14 @@
   crossZoneBytes: Bytes;
 }
 
+/** Whether an agent's machine is frozen at `now`. */
+export function isFrozen(
+  {description}: LinkedAgent,
+  now: MonotonicInstant,
+): boolean {
+  return now >= (description.frozenFrom ?? Infinity);
+}
+
 /** Creates an agent as it stands before it takes part. */
 export function createLinkedAgent(
   description: SiteAgent,
