Tell entries of a load before the engine is told

A request reaches an engine at 22.679 s and is run there at 24.326 s on version 2, 8,257 ms after version 3 was acknowledged. Entries begin nothing older from a second before the bound on, so it waited 1.65 s at the engine: the times fit one that came right after the order to load version 2, and waited for what ran and for the load. Ruled out: a late send (passed on 3 ms after its arrival), the far margin (same zone).

Change: once a load is due, reports say that the engine takes nothing more; the order follows at the next look, 80 ms later at least. An engine that serves nothing is told at once.

Test first: load_orders.test.ts (order before any word on the code before, by its guard).

--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -37,6 +37,13 @@
 /** Longest wait for the engine's word. */
 const LOOK_TIMEOUT: Milliseconds = 500;
 
+/**
+ * Least time between the word to the entries that an engine takes nothing more
+ * and the order to load. Requests that were sent before it arrive meanwhile: one
+ * way takes some ms, and an entry under load some ten.
+ */
+const CLOSED_BEFORE_LOAD: Milliseconds = 80;
+
 /** Pause before an order is given again. */
 const ORDER_RETRY: Milliseconds = 300;
 
@@ -96,6 +103,8 @@
   let lastState = '';
   let isServing = false;
   let isReachable = true;
+  /** Since when the entries know of a load that is due; undefined if none is. */
+  let closedAt: MonotonicInstant | undefined;
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -104,7 +113,7 @@
       if (standing.ok) take(standing.val);
       else logUnreachable(standing.val);
       fetchNewest();
-      if (standing.ok) loadIfDue();
+      if (standing.ok) loadIfDue(standing.val);
       await sleep(LOOK_PERIOD, signal);
     }
   }
@@ -115,10 +124,15 @@
     const {ordering: isLoading} = standing;
     const served = servedVersion(standing);
     carryOut(plan.observe({served, isLoading}, clock()));
-    options.onStanding(standing, plan.loadsIn(clock()));
+    report(standing);
     logState(standing);
   }
 
+  function report(standing: EngineStanding): void {
+    const ordering = standing.ordering || closedAt !== undefined;
+    options.onStanding({...standing, ordering}, plan.loadsIn(clock()));
+  }
+
   /** What lies staged is read once the engine answers. */
   function noteReachable(isReachableNow: boolean): void {
     if (isReachable === isReachableNow) return;
@@ -159,12 +173,37 @@
     if (!isNewest && mayFetch(model)) void askContent(model, wanted);
   }
 
-  function loadIfDue(): void {
+  function loadIfDue(standing: EngineStanding): void {
+    const due = loadThatIsDue();
+    if (due === undefined) {
+      closedAt = undefined;
+      return;
+    }
+    if (!mayOrder(standing)) return;
+    void order(due);
+  }
+
+  function loadThatIsDue(): FetchedVersion | undefined {
     const inHand = plan.inHand();
-    if (inHand === undefined || plan.isServed()) return;
-    if (!isReady(inHand.identified.versionDigest)) return;
+    if (inHand === undefined || plan.isServed()) return undefined;
+    if (!isReady(inHand.identified.versionDigest)) return undefined;
     plan.noteMoved(clock());
-    if (plan.mayLoad(clock())) void order(inHand);
+    return plan.mayLoad(clock()) ? inHand : undefined;
+  }
+
+  /**
+   * Failure: a request reaches an engine right after the order to load. It waits
+   * there for all that runs and for the load, 1.6 s, and begins on the version
+   * just loaded after the bound of the next one. Guard: entries send nothing more
+   * before the order is given.
+   */
+  function mayOrder(standing: EngineStanding): boolean {
+    if (!isServing) return true;
+    if (closedAt === undefined) {
+      closedAt = clock();
+      report(standing);
+    }
+    return clock() - closedAt >= CLOSED_BEFORE_LOAD;
   }
 
   /** A version too large for the memory waits until it can be staged at once. */
--- /dev/null
+++ b/test/fleet/load_orders.test.ts
@@ -0,0 +1,86 @@
+import type {EngineReport} from '@hibiscusbeam/wire';
+import {afterEach, expect, test} from 'vitest';
+import {openPeerServer} from '../../packages/fleet/src/link/peer_server';
+import {createMemberTable} from '../../platform/member_table';
+import {createStoreClient} from '../../platform/store_client';
+import {
+  startHostEngine,
+  startHostOrigin,
+  type HostOrigin,
+} from './fixtures/host_engine';
+import {
+  eventually,
+  freeAddress,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+
+const closers: (() => void | Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+/** An entry of the site that only notes what engines report. */
+async function startListener(
+  site: HostSite,
+  onReport: (report: EngineReport) => void,
+): Promise<void> {
+  const address = await freeAddress();
+  const server = await openPeerServer(address, {
+    role: 'entry',
+    handlers: {
+      reportEngine: call => void call.on('data', onReport),
+      greet: (call, done) => done(null, call.request),
+    },
+  });
+  closers.push(server.close);
+  const table = createMemberTable(createStoreClient(site.store.address));
+  const written = await table.put(
+    {
+      instance: 'listener',
+      role: 'entry',
+      zone: 'north',
+      address,
+      callerAddress: address,
+      life: 'life of the listener',
+    },
+    1_000,
+  );
+  expect(written.ok).toBe(true);
+}
+
+async function startSite(origin: HostOrigin): Promise<HostSite> {
+  const site = await startHostSite(origin);
+  closers.push(site.close);
+  site.configure();
+  return site;
+}
+
+// An engine is told to load version 2. A request reaches it right after that,
+// waits there for all that runs and for the load, and begins on version 2 after
+// the bound of version 3. So the entries hear first that it takes nothing more.
+test('entries hear of a load before the engine is told to load', async () => {
+  let newest = 1;
+  const origin = await startHostOrigin(6, () => newest);
+  closers.push(origin.close);
+  const site = await startSite(origin);
+  const heard: string[] = [];
+  const engine = await startHostEngine({
+    instance: 'one',
+    version: 1,
+    onOrder: () => void heard.push('order'),
+  });
+  closers.push(engine.close);
+  let reports = 0;
+  await startListener(site, ({ordering}) => {
+    reports += 1;
+    if (ordering && !heard.includes('closed')) heard.push('closed');
+  });
+  await site.startAgent(engine);
+  await eventually(() => reports > 0);
+  newest = 2;
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  await eventually(() => engine.held() === 2);
+  expect(heard).toEqual(['closed', 'order']);
+});
