Give a version up at once while it still needs its origin

Agents begin to fetch version 2, and version 3 0.2 s later; keeps the older one until the newer needs its origin no more, so both are moved, one behind the other. The log does not show which part of the loss is this.

Change: a version is kept only if it no longer needs its origin itself.

--- a/packages/core/src/distribution/version_plan.ts
+++ b/packages/core/src/distribution/version_plan.ts
@@ -92,7 +92,9 @@
  * Failure: a version is given up for a newer one, and the origin is lost before
  * it has sent that. Engines have neither, and may start nothing from the older
  * one's bound until the origin's return: six seconds were seen. Guard: a version
- * is given up, or skipped, only for one that no longer needs its origin.
+ * that no longer needs its origin is given up, or skipped, only for one that
+ * doesn't either. One that still needs it is given up at once: two names that
+ * come together would have both versions moved, one behind the other.
  */
 export function createVersionPlan<Version extends PlannedVersion>(
   options: VersionPlanOptions<Version>,
@@ -133,7 +135,8 @@
     if (inHand === undefined || isServed() || engine.isLoading) return false;
     if (isReplaced()) return false;
     const age = now - inHand.knownSince;
-    const from = options.canWait(inHand) ? 0 : committedAge(0, bound);
+    const isWorthKeeping = options.canWait(inHand) && options.isSecured(inHand);
+    const from = isWorthKeeping ? 0 : committedAge(0, bound);
     const end = isSkipped() ? bound - VERSION_MARGIN : bound;
     return age >= from && age < end;
   }
