--- a/packages/core/src/freshness/confirmation.ts
+++ b/packages/core/src/freshness/confirmation.ts
@@ -1,18 +1,23 @@
 import type {Milliseconds, MonotonicInstant} from '../types';
+import {
+  createStoreClock,
+  type StoreClock,
+  type StoreExchange,
+} from './store_clock';
 
-/** One answered question about the configuration. */
-export interface ConfirmationReply {
-  /** When the question was sent. */
-  readonly askedAt: MonotonicInstant;
-  /** When the answer came. */
-  readonly answeredAt: MonotonicInstant;
+/** An answer that another process has got and passed on. */
+export interface RelayedReply {
+  /** When it came here. */
+  readonly heardAt: MonotonicInstant;
   /** The store's own steady clock when it answered. */
   readonly storeTime: Milliseconds;
 }
 
 /** Knows until when the held configuration is surely the newest. */
 export interface Confirmation {
-  readonly record: (reply: ConfirmationReply) => void;
+  readonly record: (exchange: StoreExchange) => void;
+  /** Takes an answer to another process; tells nothing before a first own one. */
+  readonly recordRelayed: (reply: RelayedReply) => void;
   /** Takes over what another process has confirmed at `at`. */
   readonly recordAt: (at: MonotonicInstant) => void;
   /** The latest moment at which the configuration was surely in force. */
@@ -20,34 +25,27 @@
   readonly isFresh: (now: MonotonicInstant, bound: Milliseconds) => boolean;
 }
 
-/**
- * Creates the memory of confirmations.
- *
- * A long poll is answered long after it was asked, and an answer may be held
- * up on its way, so neither moment says when the store looked. The store's
- * clock does: a past exchange whose question left here at `a` and was answered
- * at store time `s` shows that store time `s` was not before `a`. So an answer
- * with store time `t` was given at `a + (t - s)` here, or later.
- */
-export function createConfirmation(): Confirmation {
+/** Creates the memory of confirmations, by the store's clock. */
+export function createConfirmation(
+  storeClock: StoreClock = createStoreClock(),
+): Confirmation {
   let confirmedAt: MonotonicInstant | undefined;
-  let earliestStoreZero: MonotonicInstant | undefined;
-  let lastStoreTime = -Infinity;
 
   const raise = (at: MonotonicInstant): void => {
     confirmedAt = Math.max(confirmedAt ?? at, at);
   };
 
+  function raiseTo(storeTime: Milliseconds, heardAt: MonotonicInstant): void {
+    const lookedAt = storeClock.notAfter(storeTime);
+    if (lookedAt !== undefined) raise(Math.min(heardAt, lookedAt));
+  }
+
   return {
-    record: ({askedAt, answeredAt, storeTime}) => {
-      // Failure: a store that restarted its clock would make old anchors
-      // claim a moment that has not come. Such a clock goes back.
-      if (storeTime < lastStoreTime) earliestStoreZero = undefined;
-      lastStoreTime = storeTime;
-      const zero = askedAt - storeTime;
-      earliestStoreZero = Math.max(earliestStoreZero ?? zero, zero);
-      raise(Math.min(answeredAt, earliestStoreZero + storeTime));
+    record: exchange => {
+      storeClock.record(exchange);
+      raiseTo(exchange.storeTime, exchange.answeredAt);
     },
+    recordRelayed: ({heardAt, storeTime}) => raiseTo(storeTime, heardAt),
     recordAt: raise,
     confirmedAt: () => confirmedAt,
     isFresh: (now, bound) =>
--- a/packages/core/src/freshness/index.ts
+++ b/packages/core/src/freshness/index.ts
@@ -1,1 +1,2 @@
 export * from './confirmation';
+export * from './store_clock';
--- /dev/null
+++ b/packages/core/src/relays/index.ts
@@ -0,0 +1,3 @@
+export * from './entry_states';
+export * from './relay_choice';
+export * from './silent_peers';
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -1,5 +1,9 @@
 import type {ClientDuplexStream} from '@grpc/grpc-js';
-import type {Milliseconds} from '@hibiscusbeam/core';
+import {
+  createSilentPeers,
+  reportReceivers,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
 import type {
   EngineReport,
   EngineReportReply,
@@ -20,6 +24,12 @@
 /** Pause before a broken stream is opened again. */
 const REOPEN_PAUSE: Milliseconds = 300;
 
+/**
+ * Period in which the receivers are chosen anew: one that fell silent is replaced
+ * within it, of the 2 s that a report may be old.
+ */
+const CHOOSE_PERIOD: Milliseconds = 500;
+
 /** Sends the engine's standing to the entries. */
 export interface EngineReports {
   readonly setMembers: (members: readonly MemberDescription[]) => void;
@@ -44,6 +54,7 @@
 type ReportStream = ClientDuplexStream<EngineReport, EngineReportReply>;
 
 interface ReportedEntry {
+  readonly life: string;
   readonly address: string;
   readonly period: Milliseconds;
   stream: ReportStream | undefined;
@@ -58,25 +69,42 @@
   options: EngineReportsOptions,
 ): EngineReports {
   const channels = createEntryChannels();
+  const silent = createSilentPeers();
+  let members: readonly MemberDescription[] = [];
   let entries = new Map<string, ReportedEntry>();
   let now = 0;
   let sequence = 0;
+  let chosenAt = -Infinity;
+
+  function setMembers(next: readonly MemberDescription[]): void {
+    members = next.filter(({role}) => role === 'entry');
+    chooseReceivers();
+  }
 
-  function setMembers(members: readonly MemberDescription[]): void {
+  function chooseReceivers(): void {
+    chosenAt = now;
     const next = new Map<string, ReportedEntry>();
-    for (const {role, address, zone, life} of members) {
-      if (role !== 'entry') continue;
-      next.set(life, entries.get(life) ?? createReported(address, zone));
+    const receivers = reportReceivers(members, ({life}) =>
+      silent.isSilent(life, now),
+    );
+    for (const member of receivers) {
+      const {life} = member;
+      next.set(life, entries.get(life) ?? createReported(member));
     }
     for (const [life, entry] of entries) {
-      if (!next.has(life)) entry.stream?.cancel();
+      if (!next.has(life)) entry.stream?.end();
     }
     entries = next;
     channels.keep(new Set([...next.values()].map(({address}) => address)));
   }
 
-  function createReported(address: string, zone: string): ReportedEntry {
+  function createReported({
+    life,
+    address,
+    zone,
+  }: MemberDescription): ReportedEntry {
     return {
+      life,
       address,
       period: zone === options.zone ? NEAR_PERIOD : FAR_PERIOD,
       stream: undefined,
@@ -94,6 +122,7 @@
   ): void {
     now = at;
     sequence += 1;
+    if (now - chosenAt >= CHOOSE_PERIOD) chooseReceivers();
     const {held, ordering, running, waiting, pace, born} = standing;
     const state = JSON.stringify({held, ordering, born});
     const report: EngineReport = {
@@ -159,6 +188,7 @@
     entry.stream?.cancel();
     entry.stream = undefined;
     entry.brokenAt = now;
+    silent.note(entry.life, now);
   }
 
   return {setMembers, offer};
--- a/packages/fleet/src/agent/peer_agents.ts
+++ b/packages/fleet/src/agent/peer_agents.ts
@@ -96,11 +96,16 @@
     connect(peer);
   }
 
+  /**
+   * Failure: at the start of a site each agent opens a connection to each other
+   * one, 65 in each process, though chunks come from neighbours only. Guard: only
+   * neighbours give one another signs of life; others are met when they become
+   * neighbours by a version.
+   */
   function signAll(): void {
-    const neighbours = new Set(swarm().neighbours());
-    for (const peer of peers.values()) {
-      const isNeighbour = neighbours.has(peer.member.instance);
-      if (isNeighbour || !peer.connected) void send(peer, '', []);
+    for (const instance of swarm().neighbours()) {
+      const peer = peers.get(instance);
+      if (peer !== undefined) void send(peer, '', []);
     }
   }
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -1,8 +1,11 @@
 import {
   createConfirmation,
   createNamedVersions,
+  createStoreClock,
   createTargetBook,
+  hash32,
   VERSION_MARGIN,
+  type EngineLoad,
   type Milliseconds,
 } from '@hibiscusbeam/core';
 import {
@@ -13,7 +16,7 @@
   type RunningProcess,
 } from '@hibiscusbeam/daemon';
 import {randomUUID} from 'node:crypto';
-import type {EngineReport, EntryGreeting} from '@hibiscusbeam/wire';
+import type {EngineReport} from '@hibiscusbeam/wire';
 import {createMemberFollower} from '../link/member_follower';
 import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
@@ -33,6 +36,7 @@
 import {createFleetMetrics} from './fleet_metrics';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
+import {createRelayedTables} from './relayed_tables';
 import {createRepeatBudgets} from './repeat_budgets';
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
@@ -75,6 +79,20 @@
 /** Period of looks at what still runs while stopping. */
 const STOPPING_LOOK: Milliseconds = 50;
 
+function toEngineLoad(report: EngineReport): EngineLoad {
+  return {
+    address: report.engineAddress,
+    held: report.loaded,
+    ordering: report.ordering,
+    running: report.running,
+    waiting: report.waiting,
+    pace: report.pace,
+    sequence: report.sequence,
+    born: report.born,
+    loadsIn: report.loadsInMilliseconds,
+  };
+}
+
 /** Starts an entry; resolves once it listens. */
 export async function startFleetEntry(
   settings: FleetEntrySettings,
@@ -87,7 +105,9 @@
   const stopped = new AbortController();
   let phase: StoppingPhase = 'serving';
   const metrics = createFleetMetrics();
-  const confirmation = createConfirmation();
+  const storeClock = createStoreClock();
+  const confirmation = createConfirmation(storeClock);
+  const spread = hash32(settings.instance) / 2 ** 32;
   const book = createTargetBook({
     instance: settings.instance,
     zone: settings.zone,
@@ -115,8 +135,14 @@
     confirmation,
     versions,
     log: logs('configuration'),
-    // Agents hear of a new version from whichever entry hears of it first.
-    onNews: () => reportStreams.tellAll(),
+    // Agents and followers hear of a new version from whoever hears of it first.
+    onNews: () => {
+      reportStreams.tellAll();
+      circle.face.tellStates();
+    },
+    readsStore: () => circle.readsStore(),
+    onMoment: moment => circle.face.offerOperator(moment),
+    spread,
     onChange: () => {
       const limits = operator.table()?.configuration.limits;
       if (limits !== undefined) callers.setIdleTimeout(limits.idleTimeout);
@@ -134,16 +160,16 @@
       machineClock(),
       longestConfirmationAge * TURNED_AWAY_SHARE,
     );
-  const greeting = (): EntryGreeting => ({
-    instance: settings.instance,
-    ready: isReady(),
-    configurationVersion: operator.table()?.version ?? 0,
-    namings: namings.tell(),
-  });
   const circle = createEntryCircle({
+    self,
+    isReady,
+    clock,
     log: logs('membership'),
-    self: greeting,
-    onGreeting: greeting => namings.take(greeting.namings),
+    namings: namings.tell,
+    onNamings: namings.take,
+    onReports: takeReports,
+    onTables: (news, relay) => takeTables(news, relay),
+    onUsable: () => book.setEntries([self, ...circle.usable()]),
   });
   const members = createMemberFollower({
     self,
@@ -177,29 +203,8 @@
     return isReady() || others.length === 0 ? [self, ...others] : others;
   };
 
-  const takeReport = (report: EngineReport): void => {
-    namings.take(report.namings);
-    book.setEntries([self, ...circle.usable()]);
-    book.report(
-      {
-        address: report.engineAddress,
-        held: report.loaded,
-        ordering: report.ordering,
-        running: report.running,
-        waiting: report.waiting,
-        pace: report.pace,
-        sequence: report.sequence,
-        born: report.born,
-        loadsIn: report.loadsInMilliseconds,
-      },
-      clock(),
-    );
-    places.pump();
-    handover.look();
-  };
-
   const reportStreams = createEngineReportStreams(
-    takeReport,
+    circle.takeReport,
     () => ({
       namings: namings.tell(),
       servicesDigest: operator.servicesDigest(),
@@ -207,12 +212,26 @@
     stopped.signal,
   );
 
+  function takeReports(reports: readonly EngineReport[]): void {
+    for (const report of reports) {
+      namings.take(report.namings);
+      book.report(toEngineLoad(report), clock());
+    }
+    places.pump();
+    handover.look();
+  }
+
   operator.start(stopped.signal);
-  startTargetFollower(
+  const targets = startTargetFollower(
     {
       list: ports.targets,
       book,
       clock,
+      machineClock,
+      storeClock,
+      readsStore: circle.readsStore,
+      onListing: circle.face.offerTargets,
+      spread,
       log: logs('routing'),
       draining: bounds.draining,
       heartbeat: settings.store.heartbeat,
@@ -224,12 +243,16 @@
     },
     stopped.signal,
   );
+  const takeTables = createRelayedTables({
+    hearOperator: operator.hear,
+    hearTargets: targets.hear,
+  });
   const [peers, directory, readiness] = await Promise.all([
     openPeerServer(settings.peerAddress, {
       role: 'entry',
       handlers: {
         reportEngine: reportStreams.answer,
-        greet: (call, done) => done(null, circle.take(call.request)),
+        follow: circle.face.answer,
       },
     }),
     openDirectory({
@@ -246,7 +269,7 @@
       ? undefined
       : await openMetricsFace(settings.metricsAddress, metrics);
   members.start(stopped.signal);
-  const stopGreeting = circle.start();
+  const stopCircle = circle.start();
 
   let finish = (): void => undefined;
   const ended = new Promise<void>(resolve => (finish = resolve));
@@ -254,7 +277,7 @@
     if (phase !== 'serving') return ended;
     const signalledAt = clock();
     phase = 'leaving';
-    circle.greetAll();
+    circle.tellSelf();
     void members.leave();
     await sleep(bounds.grace * SERVING_SHARE);
     phase = 'closing';
@@ -265,7 +288,7 @@
       await sleep(STOPPING_LOOK);
     }
     stopped.abort();
-    stopGreeting();
+    stopCircle();
     callers.close();
     peers.close();
     await Promise.all([
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -1,108 +1,257 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
-import {every, type Log} from '@hibiscusbeam/daemon';
-import type {EntryGreeting} from '@hibiscusbeam/wire';
-import {callOnce, createEntryChannels} from '../link/channels';
+import {
+  chooseRelay,
+  createEntryStates,
+  createSilentPeers,
+  type Milliseconds,
+  type ZoneName,
+} from '@hibiscusbeam/core';
+import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
+import type {
+  EngineReport,
+  EntryState,
+  FollowerGreeting,
+  RelayNews,
+  VersionNaming,
+} from '@hibiscusbeam/wire';
+import {createEntryChannels} from '../link/channels';
 import type {MemberDescription} from '../ports';
+import {createRelayFace, type RelayFace} from './relay_face';
+import {openRelayLink, type RelayLink} from './relay_link';
 
-/** Period of greetings between two entries. */
-const GREETING_PERIOD: Milliseconds = 1_000;
+/**
+ * Period of looks at the relays; news come as often at least. A silent relay is
+ * given up after four looks: a second, of the 2 s that a report may be old.
+ */
+const LOOK_PERIOD: Milliseconds = 250;
 
-/** Longest wait for the answer to a greeting. */
-const GREETING_TIMEOUT: Milliseconds = 600;
+/** Looks between two greetings of a relay. */
+const LOOKS_BETWEEN_GREETINGS = 4;
 
-/** Greetings without an answer in a row after which an entry counts as gone. */
-const LOST_GREETINGS = 2;
+/** Age of the last report of an agent after which the relay's are wanted. */
+const REPORTS_MISSED: Milliseconds = 700;
 
 /** What an entry's circle needs. */
 export interface EntryCircleOptions {
+  readonly self: MemberDescription;
+  readonly isReady: () => boolean;
+  readonly clock: Clock;
   readonly log: Log;
-  /** What this entry says of itself. */
-  readonly self: () => EntryGreeting;
-  /** Takes what another entry says. */
-  readonly onGreeting: (greeting: EntryGreeting) => void;
+  readonly namings: () => VersionNaming[];
+  readonly onNamings: (namings: readonly VersionNaming[]) => void;
+  /** Takes reports, straight from agents or passed on by the relay. */
+  readonly onReports: (reports: readonly EngineReport[]) => void;
+  /** Takes what the relay has read of the store's tables. */
+  readonly onTables: (news: RelayNews, relay: MemberDescription) => void;
+  /** Told when the entries have changed that callers may be sent to. */
+  readonly onUsable: () => void;
 }
 
-/** The other entries, and which of them callers may be sent to. */
+/** The other entries: who passes news on to whom, and who serves callers. */
 export interface EntryCircle {
   readonly setMembers: (members: readonly MemberDescription[]) => void;
   readonly start: () => () => void;
-  /** Greets all at once, to spread news. */
-  readonly greetAll: () => void;
-  /** Takes a greeting; returns the answer. */
-  readonly take: (greeting: EntryGreeting) => EntryGreeting;
-  /** Entries that answer and are ready. */
+  /** Answers entries that follow this one. */
+  readonly face: RelayFace;
+  /** Takes a report that an agent has sent here. */
+  readonly takeReport: (report: EngineReport) => void;
+  /** Tells at once how this entry stands. */
+  readonly tellSelf: () => void;
+  /** Other entries that callers may be sent to. */
   readonly usable: () => readonly MemberDescription[];
+  /** Entries of the site, this one included. */
   readonly size: () => number;
+  /** Whether no relay reads the store for this entry. */
+  readonly readsStore: () => boolean;
 }
 
-interface Neighbour {
-  readonly member: MemberDescription;
-  ready: boolean;
-  lost: number;
-}
-
-/** Creates the circle of entries. */
+/**
+ * Creates the circle of entries.
+ *
+ * Failure: every entry greets every other one each second, and each agent reports
+ * to each entry. At 98 entries and 65 agents a start opens 260 connections in each
+ * process, and a day of 66 s takes more than 5 s of processor time a process.
+ * Guard: one entry of each zone is its relay, the first that answers in an order
+ * that all agree on. The others follow it alone, and it follows the relays of the
+ * other zones, so that connections grow with the zones and with a zone's size.
+ */
 export function createEntryCircle(options: EntryCircleOptions): EntryCircle {
+  const {self, clock, log} = options;
   const channels = createEntryChannels();
-  let neighbours = new Map<string, Neighbour>();
+  const states = createEntryStates();
+  const silent = createSilentPeers();
+  const face = createRelayFace({
+    clock,
+    states: allStates,
+    namings: options.namings,
+    onGreeting: takeGreeting,
+    onFollowerLost: instance => noteState(instance, false, clock()),
+  });
+  let entries: readonly MemberDescription[] = [];
+  let links: readonly RelayLink[] = [];
+  let reportedAt = -Infinity;
+  let looks = 0;
+  let toldReady: boolean | undefined;
+  let lastUsable = '';
 
   function setMembers(members: readonly MemberDescription[]): void {
-    const next = new Map<string, Neighbour>();
-    for (const member of members.filter(({role}) => role === 'entry')) {
-      const known = neighbours.get(member.instance);
-      const same = known?.member.life === member.life ? known : undefined;
-      next.set(member.instance, same ?? {member, ready: true, lost: 0});
-      if (same === undefined) void greet(next.get(member.instance));
-    }
-    neighbours = next;
-    channels.keep(new Set(members.map(member => member.address)));
+    entries = members.filter(({role}) => role === 'entry');
+    states.setMembers(entries, clock());
+    channels.keep(new Set(entries.map(({address}) => address)));
+    noteUsable();
   }
 
-  function greetAll(): void {
-    for (const neighbour of neighbours.values()) void greet(neighbour);
+  function relayOf(zone: ZoneName): MemberDescription | undefined {
+    return chooseRelay([self, ...entries], zone, ({life}) =>
+      silent.isSilent(life, clock()),
+    );
   }
 
-  async function greet(neighbour: Neighbour | undefined): Promise<void> {
-    if (neighbour === undefined) return;
-    const {address, instance} = neighbour.member;
-    const reply = await callOnce<EntryGreeting>(GREETING_TIMEOUT, done =>
-      channels.at(address).greet(options.self(), done),
-    );
-    channels.note(address, reply.ok);
-    if (reply.ok) {
-      if (neighbour.lost >= LOST_GREETINGS) {
-        options.log.info('entry answers again', {instance});
-      }
-      neighbour.lost = 0;
-      neighbour.ready = reply.val.ready;
-      options.onGreeting(reply.val);
-      return;
-    }
-    neighbour.lost += 1;
-    if (neighbour.lost === LOST_GREETINGS) {
-      options.log.warn('entry does not answer', {instance});
-    }
+  /** The own zone's relay; for itself, those of the other zones. */
+  function wantedRelays(): readonly MemberDescription[] {
+    const own = relayOf(self.zone);
+    if (own !== undefined && own !== self) return [own];
+    const zones = new Set(entries.map(({zone}) => zone));
+    zones.delete(self.zone);
+    return [...zones].map(relayOf).filter(relay => relay !== undefined);
+  }
+
+  function followRelays(): void {
+    const wanted = wantedRelays();
+    const lives = new Set(wanted.map(({life}) => life));
+    const kept = links.filter(link => lives.has(link.relay.life));
+    for (const link of links) if (!kept.includes(link)) link.end();
+    const followed = new Set(kept.map(link => link.relay.life));
+    links = [
+      ...kept,
+      ...wanted.filter(({life}) => !followed.has(life)).map(follow),
+    ];
+  }
+
+  function follow(relay: MemberDescription): RelayLink {
+    log.info('follows a relay', {relay: relay.instance, zone: relay.zone});
+    return openRelayLink({
+      relay,
+      channels,
+      greeting: () => greetingFor(relay),
+      onNews: takeNews,
+      onLost: loseRelay,
+    });
+  }
+
+  function greetingFor({zone}: MemberDescription): FollowerGreeting {
+    const isOwnZone = zone === self.zone;
+    return {
+      self: ownState(),
+      wantsReports: isOwnZone && clock() - reportedAt > REPORTS_MISSED,
+      wantsTables: isOwnZone,
+      namings: options.namings(),
+    };
+  }
+
+  function loseRelay(relay: MemberDescription): void {
+    log.warn('relay lost', {relay: relay.instance, zone: relay.zone});
+    silent.note(relay.life, clock());
+    links = links.filter(link => link.relay !== relay);
+    noteState(relay.instance, false, clock());
+    followRelays();
   }
 
-  function take(greeting: EntryGreeting): EntryGreeting {
-    const neighbour = neighbours.get(greeting.instance);
-    if (neighbour !== undefined) {
-      neighbour.ready = greeting.ready;
-      neighbour.lost = 0;
+  function takeNews(news: RelayNews, relay: MemberDescription): void {
+    options.onNamings(news.namings);
+    const now = clock();
+    for (const {instance, ready, ageMilliseconds} of news.entries) {
+      noteState(instance, ready, now - ageMilliseconds);
     }
-    options.onGreeting(greeting);
-    return options.self();
+    if (news.reports.length > 0) options.onReports(news.reports);
+    if (relay.zone === self.zone) options.onTables(news, relay);
+  }
+
+  function takeGreeting(greeting: FollowerGreeting): void {
+    options.onNamings(greeting.namings);
+    const {self: state} = greeting;
+    if (state !== undefined) noteState(state.instance, state.ready, clock());
+  }
+
+  function noteState(instance: string, ready: boolean, heardAt: number): void {
+    if (!states.note({instance, ready, heardAt})) return;
+    log.info(ready ? 'entry is ready' : 'entry is not ready', {instance});
+    noteUsable();
+    // What changes here is passed on; relays that know it already stay silent.
+    face.tellStates();
+  }
+
+  function noteUsable(): void {
+    const usableNow = usable()
+      .map(({life}) => life)
+      .join();
+    if (usableNow === lastUsable) return;
+    lastUsable = usableNow;
+    options.onUsable();
+  }
+
+  function usable(): readonly MemberDescription[] {
+    const now = clock();
+    return entries.filter(({instance}) => states.isUsable(instance, now));
+  }
+
+  function ownState(): EntryState {
+    return {
+      instance: self.instance,
+      ready: options.isReady(),
+      ageMilliseconds: 0,
+    };
+  }
+
+  function allStates(): EntryState[] {
+    const now = clock();
+    const heard = states.heard(now).map(({instance, ready, heardAt}) => ({
+      instance,
+      ready,
+      ageMilliseconds: Math.max(0, Math.round(now - heardAt)),
+    }));
+    return [ownState(), ...heard];
+  }
+
+  function look(): void {
+    looks += 1;
+    for (const link of [...links]) link.look();
+    followRelays();
+    noteUsable();
+    const isChanged = options.isReady() !== toldReady;
+    if (isChanged || looks % LOOKS_BETWEEN_GREETINGS === 0) greetRelays();
+    if (isChanged) face.tellStates();
+  }
+
+  function greetRelays(): void {
+    toldReady = options.isReady();
+    for (const link of links) link.greet();
   }
 
   return {
     setMembers,
-    start: () => every(GREETING_PERIOD, greetAll),
-    greetAll,
-    take,
-    usable: () =>
-      [...neighbours.values()]
-        .filter(({ready, lost}) => ready && lost < LOST_GREETINGS)
-        .map(({member}) => member),
-    size: () => neighbours.size + 1,
+    face,
+    start: () => {
+      const stopLooks = every(LOOK_PERIOD, look);
+      const stopPassing = face.start();
+      return () => {
+        stopLooks();
+        stopPassing();
+        for (const link of links) link.end();
+        channels.close();
+      };
+    },
+    takeReport: report => {
+      reportedAt = clock();
+      face.offerReport(report);
+      options.onReports([report]);
+    },
+    tellSelf: () => {
+      greetRelays();
+      face.tellStates();
+    },
+    usable,
+    size: () => entries.length + 1,
+    readsStore: () =>
+      !links.some(link => link.relay.zone === self.zone && link.isLive()),
   };
 }
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -6,10 +6,10 @@
   type NamedVersions,
   type RouteTable,
 } from '@hibiscusbeam/core';
-import type {Clock, Log} from '@hibiscusbeam/daemon';
+import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import {runFeedLoop} from '../link/feed_loop';
 import {servicesDigest} from '../link/services_digest';
-import type {OperatorFeed, OperatorReading} from '../ports';
+import type {OperatorFeed, OperatorReading, Revision} from '../ports';
 
 /**
  * How long one question waits for a change. Each question costs a call; at
@@ -17,6 +17,24 @@
  */
 const WAIT_FOR_CHANGE: Milliseconds = 2_000;
 
+/**
+ * Age of the last confirmation after which an entry with a relay asks the store
+ * itself. The relay's own questions take up to 2 s, and its word some ms more.
+ */
+const CONFIRMED_LATELY: Milliseconds = 2_600;
+
+/** Share of it that is added, by entry, so that not all ask at once. */
+const ASK_SPREAD = 0.1;
+
+/**
+ * Period in which an entry with a relay asks the store all the same: by the
+ * answers it knows what the store's clock, as its relay tells it, means here.
+ */
+const OWN_LOOK: Milliseconds = 20_000;
+
+/** Period of looks at whether the store has to be asked. */
+const LOOK_PERIOD: Milliseconds = 250;
+
 /** Time beyond the wait after which a question counts as lost. */
 const ANSWER_SLACK: Milliseconds = 800;
 
@@ -24,9 +42,21 @@
 const FIRST_PAUSE: Milliseconds = 100;
 const LONGEST_PAUSE: Milliseconds = 500;
 
+/** The operator's table at a reading, without its rows. */
+export interface OperatorMoment {
+  /** The store's revision. */
+  readonly revision: Revision;
+  /** Revision of the table's newest row. */
+  readonly newestChange: Revision;
+  /** The store's own steady clock. */
+  readonly storeTime: Milliseconds;
+}
+
 /** What the operator wants, as far as this process knows. */
 export interface OperatorFollower {
   readonly start: (signal: AbortSignal) => void;
+  /** Takes a reading of the relay. */
+  readonly hear: (moment: OperatorMoment) => void;
   /** The newest configuration; undefined until one was read. */
   readonly table: () => RouteTable | undefined;
   /** Digest of the configured services; of none before the first. */
@@ -41,6 +71,12 @@
   readonly versions: NamedVersions;
   readonly log: Log;
   readonly onChange: () => void;
+  /** Whether no relay of the zone reads the table for this entry. */
+  readonly readsStore: () => boolean;
+  /** Told of each reading, own or heard, that is newer than those before. */
+  readonly onMoment: (moment: OperatorMoment) => void;
+  /** Number in [0, 1) that differs by entry. */
+  readonly spread: number;
   /** Told of a version that is new, and of other services. */
   readonly onNews: () => void;
 }
@@ -54,6 +90,12 @@
   let digest = servicesDigest([]);
   let askedAt: MonotonicInstant = -Infinity;
   let isNewestLost = false;
+  let newestChange: Revision = 0;
+  let heardChange: Revision = 0;
+  /** Up to here the table is known. */
+  let knownUntil: Revision = 0;
+  const askAfter = CONFIRMED_LATELY * (1 + ASK_SPREAD * options.spread);
+  let wake = (): void => undefined;
 
   function take(reading: OperatorReading): void {
     const answeredAt = clock();
@@ -71,9 +113,69 @@
     // and the one before it counts as confirmed: the key is served for good.
     // Guard: nothing is confirmed until a newer one can be read.
     if (!isNewestLost) confirmation.record({askedAt, answeredAt, storeTime});
+    newestChange = Math.max(newestChange, reading.newestChange);
+    noteMoment({revision: reading.revision, newestChange, storeTime});
     options.onChange();
   }
 
+  function noteMoment(moment: OperatorMoment): void {
+    if (moment.revision < knownUntil) return;
+    knownUntil = moment.revision;
+    options.onMoment(moment);
+  }
+
+  /**
+   * Failure: an entry takes its relay's word for a configuration that it has not
+   * read, and serves a key that was taken away as confirmed. Guard: a moment
+   * confirms what is held here only if the table's newest row is not newer than
+   * the newest one read here, and by the store's clock, not by its arrival.
+   */
+  function hear(moment: OperatorMoment): void {
+    heardChange = Math.max(heardChange, moment.newestChange);
+    if (moment.newestChange > newestChange) return wake();
+    if (isNewestLost) return;
+    confirmation.recordRelayed({
+      heardAt: clock(),
+      storeTime: moment.storeTime,
+    });
+    noteMoment(moment);
+  }
+
+  function confirmationAge(): Milliseconds {
+    return clock() - (confirmation.confirmedAt() ?? -Infinity);
+  }
+
+  function mustAsk(): boolean {
+    if (options.readsStore() || heardChange > newestChange) return true;
+    return confirmationAge() >= askAfter || clock() - askedAt >= OWN_LOOK;
+  }
+
+  async function untilMustAsk(signal: AbortSignal): Promise<void> {
+    while (!mustAsk() && !signal.aborted) await untilHeardOrLooked(signal);
+  }
+
+  function untilHeardOrLooked(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      wake = resolve;
+      void sleep(LOOK_PERIOD, signal).then(resolve);
+    });
+  }
+
+  /** Who answers for the zone waits for news; others want to know at once. */
+  function waitForChange(): Milliseconds {
+    if (!options.readsStore()) return 0;
+    // The store answers at once if the wait is no whole number.
+    return Math.max(0, Math.floor(WAIT_FOR_CHANGE - confirmationAge()));
+  }
+
+  async function follow(after: Revision, signal: AbortSignal) {
+    await untilMustAsk(signal);
+    const wait = waitForChange();
+    return ask(() =>
+      feed.follow(Math.max(after, knownUntil), wait, wait + ANSWER_SLACK),
+    );
+  }
+
   function adoptConfiguration({
     configuration,
     isConfigurationLost,
@@ -106,20 +208,14 @@
           name: 'operator feed',
           log,
           readAll: () => ask(() => feed.readAll(ANSWER_SLACK)),
-          follow: after =>
-            ask(() =>
-              feed.follow(
-                after,
-                WAIT_FOR_CHANGE,
-                WAIT_FOR_CHANGE + ANSWER_SLACK,
-              ),
-            ),
+          follow: after => follow(after, signal),
           take,
           pause: failures =>
             Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** failures),
         },
         signal,
       ),
+    hear,
     table: () => table,
     servicesDigest: () => digest,
   };
--- /dev/null
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -0,0 +1,227 @@
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {ListedTarget, Milliseconds} from '@hibiscusbeam/core';
+import {every, type Clock} from '@hibiscusbeam/daemon';
+import type {
+  EngineReport,
+  EntryState,
+  FollowerGreeting,
+  RelayNews,
+  VersionNaming,
+} from '@hibiscusbeam/wire';
+import {writeTarget} from '../link/relay_messages';
+import type {OperatorMoment} from './operator_follower';
+import type {TargetListing} from './target_follower';
+
+/**
+ * Period of looks for what is to be passed on; agents report each 100 ms in the
+ * zone, so that a report waits for half of that in the mean.
+ */
+const PASS_PERIOD: Milliseconds = 100;
+
+/** Looks after which news go out though there are none: a sign of life. */
+const LOOKS_BETWEEN_SIGNS = 2;
+
+/** Period in which all entries' states are passed on. */
+const STATES_PERIOD: Milliseconds = 1_000;
+
+/** Time in which changes are collected before they are passed on at once. */
+const COLLECT_CHANGES: Milliseconds = 10;
+
+/** Silence of a follower after which it counts as lost; two of its greetings. */
+const LONGEST_SILENCE: Milliseconds = 2_200;
+
+/** A stream of a follower's greetings, with news in the other direction. */
+export type FollowCall = ServerDuplexStream<FollowerGreeting, RelayNews>;
+
+/** What passing news on needs. */
+export interface RelayFaceOptions {
+  readonly clock: Clock;
+  /** All entries that are known of here, this one included. */
+  readonly states: () => EntryState[];
+  readonly namings: () => VersionNaming[];
+  /** Told of each greeting of a follower. */
+  readonly onGreeting: (greeting: FollowerGreeting) => void;
+  /** Told when a follower has fallen silent or its connection has broken. */
+  readonly onFollowerLost: (instance: string) => void;
+}
+
+/** Passes on to other entries what this one knows. */
+export interface RelayFace {
+  readonly answer: (call: FollowCall) => void;
+  /** Takes a report that an agent has sent here. */
+  readonly offerReport: (report: EngineReport) => void;
+  readonly offerOperator: (moment: OperatorMoment) => void;
+  readonly offerTargets: (listing: TargetListing) => void;
+  /** Passes all states and namings on at once. */
+  readonly tellStates: () => void;
+  readonly start: () => () => void;
+}
+
+interface Follower {
+  readonly call: FollowCall;
+  greeting: FollowerGreeting;
+  heardAt: number;
+  looksSinceNews: number;
+  toldStatesAt: number;
+  toldOperator: number;
+  toldTargets: number;
+  toldEdition: number;
+}
+
+/** Creates the face for followers. */
+export function createRelayFace(options: RelayFaceOptions): RelayFace {
+  const {clock} = options;
+  const followers = new Set<Follower>();
+  const reports = new Map<string, EngineReport>();
+  let operator: OperatorMoment | undefined;
+  let listing: TargetListing | undefined;
+  let edition = 1;
+  let editionOf: readonly ListedTarget[] = [];
+  let soon: NodeJS.Timeout | undefined;
+
+  function answer(call: FollowCall): void {
+    let follower: Follower | undefined;
+    const lose = (): void => {
+      if (follower === undefined || !followers.delete(follower)) return;
+      options.onFollowerLost(follower.greeting.self?.instance ?? '');
+    };
+    call.on('data', (greeting: FollowerGreeting) => {
+      follower ??= welcome(call, greeting);
+      follower.greeting = greeting;
+      follower.heardAt = clock();
+      options.onGreeting(greeting);
+    });
+    call.on('end', () => {
+      // It follows another relay now, which tells how it stands.
+      if (follower !== undefined) followers.delete(follower);
+      call.end();
+    });
+    call.on('error', lose);
+    call.on('cancelled', lose);
+    call.on('close', lose);
+  }
+
+  function welcome(call: FollowCall, greeting: FollowerGreeting): Follower {
+    const follower: Follower = {
+      call,
+      greeting,
+      heardAt: clock(),
+      looksSinceNews: 0,
+      toldStatesAt: -Infinity,
+      toldOperator: -Infinity,
+      toldTargets: -Infinity,
+      toldEdition: 0,
+    };
+    followers.add(follower);
+    tellSoon();
+    return follower;
+  }
+
+  function tellSoon(): void {
+    soon ??= setTimeout(() => {
+      soon = undefined;
+      passOn([]);
+    }, COLLECT_CHANGES);
+  }
+
+  function passOn(fresh: readonly EngineReport[]): void {
+    for (const follower of [...followers]) {
+      // Old news are of no use, so they don't queue behind a full window.
+      if (follower.call.writableLength > 0) continue;
+      const news = newsFor(follower, fresh);
+      if (news === undefined) continue;
+      follower.looksSinceNews = 0;
+      follower.call.write(news);
+    }
+  }
+
+  /** Undefined if there is nothing that it does not know yet. */
+  function newsFor(
+    follower: Follower,
+    fresh: readonly EngineReport[],
+  ): RelayNews | undefined {
+    const {wantsReports, wantsTables} = follower.greeting;
+    const news: RelayNews = {
+      entries: [],
+      namings: [],
+      reports: wantsReports ? [...fresh] : [],
+      operator: undefined,
+      targets: undefined,
+    };
+    if (clock() - follower.toldStatesAt >= STATES_PERIOD - PASS_PERIOD / 2) {
+      follower.toldStatesAt = clock();
+      news.entries = options.states();
+      news.namings = options.namings();
+    }
+    if (wantsTables) addTables(news, follower);
+    const hasNews =
+      news.reports.length > 0 ||
+      news.entries.length > 0 ||
+      news.operator !== undefined ||
+      news.targets !== undefined;
+    const isSignDue = follower.looksSinceNews >= LOOKS_BETWEEN_SIGNS;
+    return hasNews || isSignDue ? news : undefined;
+  }
+
+  function addTables(news: RelayNews, follower: Follower): void {
+    if (operator && operator.revision > follower.toldOperator) {
+      follower.toldOperator = operator.revision;
+      news.operator = {...operator};
+    }
+    if (listing && listing.revision > follower.toldTargets) {
+      const {revision, storeTime} = listing;
+      const rows =
+        follower.toldEdition === edition
+          ? undefined
+          : {targets: editionOf.map(writeTarget)};
+      follower.toldTargets = revision;
+      follower.toldEdition = edition;
+      news.targets = {revision, storeTime, edition, rows};
+    }
+  }
+
+  function look(): void {
+    const fresh = [...reports.values()];
+    reports.clear();
+    for (const follower of [...followers]) {
+      follower.looksSinceNews += 1;
+      if (clock() - follower.heardAt < LONGEST_SILENCE) continue;
+      followers.delete(follower);
+      follower.call.end();
+      options.onFollowerLost(follower.greeting.self?.instance ?? '');
+    }
+    passOn(fresh);
+  }
+
+  function offerTargets(next: TargetListing): void {
+    if (listing !== undefined && next.revision <= listing.revision) return;
+    listing = next;
+    if (!isSameList(next.targets, editionOf)) {
+      editionOf = next.targets;
+      edition += 1;
+    }
+    tellSoon();
+  }
+
+  return {
+    answer,
+    offerReport: report => void reports.set(report.engineAddress, report),
+    offerOperator: moment => {
+      operator = moment;
+      tellSoon();
+    },
+    offerTargets,
+    tellStates: () => {
+      for (const follower of followers) follower.toldStatesAt = -Infinity;
+      tellSoon();
+    },
+    start: () => every(PASS_PERIOD, look),
+  };
+}
+
+function isSameList(
+  one: readonly ListedTarget[],
+  other: readonly ListedTarget[],
+): boolean {
+  return JSON.stringify(one) === JSON.stringify(other);
+}
--- /dev/null
+++ b/packages/fleet/src/entry/relay_link.ts
@@ -0,0 +1,95 @@
+import type {ClientDuplexStream} from '@grpc/grpc-js';
+import type {
+  FleetEntryClient,
+  FollowerGreeting,
+  RelayNews,
+} from '@hibiscusbeam/wire';
+import type {Channels} from '../link/channels';
+import type {MemberDescription} from '../ports';
+
+/** Looks in a row without news after which a relay counts as silent. */
+const SILENT_LOOKS = 3;
+
+/**
+ * The same before its first news: a process under way to its start, or a new
+ * connection under load, takes up to two seconds.
+ */
+const SILENT_LOOKS_AT_FIRST = 8;
+
+/** What following a relay needs. */
+export interface RelayLinkOptions {
+  readonly relay: MemberDescription;
+  readonly channels: Channels<FleetEntryClient>;
+  readonly greeting: () => FollowerGreeting;
+  readonly onNews: (news: RelayNews, relay: MemberDescription) => void;
+  /** Told once, when the relay is silent or the connection has broken. */
+  readonly onLost: (relay: MemberDescription) => void;
+}
+
+/** A connection to a relay, over which its news come. */
+export interface RelayLink {
+  readonly relay: MemberDescription;
+  /** Whether news have come, and come still. */
+  readonly isLive: () => boolean;
+  /** Tells the relay how this entry stands. */
+  readonly greet: () => void;
+  /** Counts a look; to be called at a steady pace. */
+  readonly look: () => void;
+  /** Ends the connection by plan: the relay goes on to trust this entry. */
+  readonly end: () => void;
+}
+
+type FollowCall = ClientDuplexStream<FollowerGreeting, RelayNews>;
+
+/**
+ * Follows a relay.
+ *
+ * Failure: a relay freezes, or the connection to it falls silent for good, and a
+ * whole zone goes by old news. Guard: news come at least each 250 ms, and without
+ * them the link is given up. Looks are counted, not time: after a freeze of this
+ * process itself, the news that have come meanwhile are read first.
+ */
+export function openRelayLink(options: RelayLinkOptions): RelayLink {
+  const {relay, channels} = options;
+  const call: FollowCall = channels.at(relay.address).follow();
+  let looksWithoutNews = 0;
+  let hasNews = false;
+  let isOpen = true;
+
+  function lose(): void {
+    if (!isOpen) return;
+    isOpen = false;
+    call.cancel();
+    channels.drop(relay.address);
+    options.onLost(relay);
+  }
+
+  function greet(): void {
+    if (isOpen && call.writableLength === 0) call.write(options.greeting());
+  }
+
+  call.on('data', (news: RelayNews) => {
+    looksWithoutNews = 0;
+    hasNews = true;
+    if (isOpen) options.onNews(news, relay);
+  });
+  call.on('error', lose);
+  call.on('end', lose);
+  greet();
+
+  return {
+    relay,
+    isLive: () => isOpen && hasNews,
+    greet,
+    look: () => {
+      looksWithoutNews += 1;
+      const most = hasNews ? SILENT_LOOKS : SILENT_LOOKS_AT_FIRST;
+      if (looksWithoutNews > most) lose();
+    },
+    end: () => {
+      if (!isOpen) return;
+      isOpen = false;
+      call.end();
+    },
+  };
+}
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -1,7 +1,10 @@
 import {
   createListMemory,
+  type ListedTarget,
   type Milliseconds,
+  type MonotonicInstant,
   type ServiceName,
+  type StoreClock,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
@@ -30,11 +33,42 @@
 /** How long after the store's return lapsed targets may come back. */
 const RETURN_TIME: Milliseconds = 2_000;
 
+/**
+ * Share of the draining bound by which the relay's last look at the store may lie
+ * back before an entry reads the list itself: its relay's period and a half. The
+ * read takes what is left of the bound, as above.
+ */
+const RELAYED_SHARE = 0.45;
+
+/** Share of that which is added, by entry, so that not all read at once. */
+const READ_SPREAD = 0.1;
+
+/** Looks in a reading period at whether a read is due. */
+const LOOKS_IN_PERIOD = 3;
+
+/** The targets at a reading of the list. */
+export interface TargetListing {
+  readonly revision: Revision;
+  /** The store's own steady clock. */
+  readonly storeTime: Milliseconds;
+  /** The targets to go by, those included that are given time to come back. */
+  readonly targets: readonly ListedTarget[];
+}
+
 /** What a follower of the list needs. */
 export interface TargetFollowerOptions {
   readonly list: TargetList;
   readonly book: TargetBook;
   readonly clock: Clock;
+  /** Counts suspensions, in which what a relay has told grows old too. */
+  readonly machineClock: Clock;
+  readonly storeClock: StoreClock;
+  /** Whether no relay of the zone reads the list for this entry. */
+  readonly readsStore: () => boolean;
+  /** Told of each listing, own or heard, that is newer than those before. */
+  readonly onListing: (listing: TargetListing) => void;
+  /** Number in [0, 1) that differs by entry. */
+  readonly spread: number;
   readonly log: Log;
   readonly draining: Milliseconds;
   readonly heartbeat: Milliseconds;
@@ -43,34 +77,85 @@
   readonly isConfigured: (service: ServiceName) => boolean | undefined;
 }
 
+/** Follows the platform's list of targets. */
+export interface TargetFollower {
+  /** Takes a listing of the relay. */
+  readonly hear: (listing: TargetListing) => void;
+}
+
 /** Keeps the book in step with the platform's list of targets. */
 export function startTargetFollower(
   options: TargetFollowerOptions,
   signal: AbortSignal,
-): void {
-  const {list, book, clock, log} = options;
+): TargetFollower {
+  const {list, book, clock, machineClock, log} = options;
   const memory = createListMemory({
     heartbeat: options.heartbeat,
     returnTime: RETURN_TIME,
   });
   const unusableRows = createUnusableRowLog('targets', log);
   const period = options.draining * READ_SHARE;
+  const lookPeriod = period / LOOKS_IN_PERIOD;
+  const relayedBound =
+    options.draining * RELAYED_SHARE * (1 + READ_SPREAD * options.spread);
   let lines = new Map<string, string>();
   let lost = false;
   let newest: Revision = -Infinity;
+  let askedAt: MonotonicInstant = -Infinity;
+  /** The list was surely so at this moment, by what a relay has told. */
+  let relayedAt: MonotonicInstant = -Infinity;
 
   async function read(): Promise<void> {
+    const sentAt = machineClock();
+    askedAt = sentAt;
     const reply = await list.read(options.draining * TIMEOUT_SHARE);
     if (signal.aborted) return;
     if (reply.err) memory.noteFailure(clock());
-    else if (reply.val.revision >= newest) take(reply.val);
+    else {
+      options.storeClock.record({
+        askedAt: sentAt,
+        answeredAt: machineClock(),
+        storeTime: reply.val.storeTime,
+      });
+      if (reply.val.revision >= newest) take(reply.val);
+    }
     logReach(reply.err, reply.ok ? undefined : reply.val);
   }
 
+  /** Reads begin by the clock, whether or not the one before is answered. */
+  function readIfDue(): void {
+    const now = machineClock();
+    // A look that comes a little early counts, so that reads don't slip.
+    if (now - askedAt < period - lookPeriod / 2) return;
+    if (options.readsStore() || now - relayedAt >= relayedBound) void read();
+  }
+
+  /**
+   * Failure: a relay is frozen, or its words are held up on their way, and an
+   * entry takes an old list for a new one: it sends requests to a target that has
+   * left. Guard: how old a list is goes by the store's clock at its reading, as
+   * the answers to this entry's own reads relate it to the clock here.
+   */
+  function hear(listing: TargetListing): void {
+    const lookedAt = options.storeClock.notAfter(listing.storeTime);
+    if (lookedAt === undefined || listing.revision < newest) return;
+    relayedAt = Math.max(relayedAt, Math.min(machineClock(), lookedAt));
+    newest = listing.revision;
+    memory.adopt(listing.targets);
+    goBy(listing);
+  }
+
   function take(reading: TargetReading): void {
     newest = reading.revision;
     unusableRows.note([...reading.unusable, ...unconfigured(reading)]);
+    const {revision, storeTime} = reading;
     const targets = memory.take(reading.targets, clock());
+    goBy({revision, storeTime, targets});
+  }
+
+  function goBy(listing: TargetListing): void {
+    const {targets} = listing;
+    options.onListing(listing);
     book.list(targets, clock());
     logChanges(targets);
     options.onChange();
@@ -112,8 +197,6 @@
   }
 
   void read();
-  signal.addEventListener(
-    'abort',
-    every(period, () => void read()),
-  );
+  signal.addEventListener('abort', every(lookPeriod, readIfDue));
+  return {hear};
 }
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -39,6 +39,8 @@
   /** Whether a configuration was written that can't be used. */
   readonly isConfigurationLost: boolean;
   readonly namedVersions: readonly NamedVersion[];
+  /** Revision of the newest row that was read, usable or not; 0 without rows. */
+  readonly newestChange: Revision;
 }
 
 /** The operator's writing in the host platform's store. */
--- a/test/fleet/agent.test.ts
+++ b/test/fleet/agent.test.ts
@@ -5,7 +5,12 @@
   type HostEngine,
   type HostOrigin,
 } from './fixtures/host_engine';
-import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
+import {
+  eventually,
+  startHostSite,
+  type LogLine,
+  type HostSite,
+} from './fixtures/host_site';
 
 const CHUNKS = 6;
 
@@ -44,6 +49,10 @@
   site.store.write('op', 'version/model', {Model: 'model', Version: version});
 }
 
+function namesAnAgent({sentence, fields}: LogLine): boolean {
+  return sentence === 'members' && JSON.stringify(fields).includes('agent-');
+}
+
 test('an engine that joins is given the newest version', async () => {
   await startSite();
   const engine = await startEngine('one');
@@ -57,9 +66,9 @@
   const both = [await startEngine('one'), await startEngine('two')];
   await Promise.all(both.map(site.startAgent));
   await eventually(() => both.every(engine => engine.held() === 1));
-  const met = () =>
-    site.lines.filter(line => line.sentence === 'agent reached').length >= 2;
-  await eventually(met);
+  // Agents meet over a version; before it, each has read of the other.
+  const known = () => site.lines.filter(namesAnAgent).length >= 2;
+  await eventually(known);
   const sentBefore = origin.sent.length;
   name(2);
   await eventually(() => both.every(engine => engine.held() === 2));
--- a/test/fleet/load_orders.test.ts
+++ b/test/fleet/load_orders.test.ts
@@ -31,7 +31,7 @@
     role: 'entry',
     handlers: {
       reportEngine: call => void call.on('data', onReport),
-      greet: (call, done) => done(null, call.request),
+      follow: call => call.end(),
     },
   });
   closers.push(server.close);
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -1,4 +1,8 @@
-import {createTargetBook, type ListedTarget} from '@hibiscusbeam/core';
+import {
+  createStoreClock,
+  createTargetBook,
+  type ListedTarget,
+} from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
 import type {TargetReading} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
@@ -64,6 +68,11 @@
       list: {read},
       book,
       clock: now,
+      machineClock: now,
+      storeClock: createStoreClock(),
+      readsStore: () => true,
+      onListing: () => undefined,
+      spread: 0,
       log,
       draining: DRAINING,
       heartbeat: 1_200,
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -1,9 +1,6 @@
-import type {EntryGreeting} from '@hibiscusbeam/wire';
+import type {RelayNews} from '@hibiscusbeam/wire';
 import {afterEach, expect, test} from 'vitest';
-import {
-  callOnce,
-  createEntryChannels,
-} from '../../packages/fleet/src/link/channels';
+import {createEntryChannels} from '../../packages/fleet/src/link/channels';
 import {startHostEngine} from './fixtures/host_engine';
 import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
 
@@ -20,16 +17,20 @@
 
 /** Age of the name of version 2, as an entry tells it to others. */
 async function ageAt(peerAddress: string): Promise<number | undefined> {
-  const greeting: EntryGreeting = {
-    instance: 'stranger',
-    ready: false,
-    configurationVersion: 0,
+  const call = channels.at(peerAddress).follow();
+  call.on('error', () => undefined);
+  call.write({
+    self: {instance: 'stranger', ready: false, ageMilliseconds: 0},
+    wantsReports: false,
+    wantsTables: false,
     namings: [],
-  };
-  const reply = await callOnce<EntryGreeting>(1_000, done =>
-    channels.at(peerAddress).greet(greeting, done),
-  );
-  return reply.ok ? reply.val.namings[0]?.ageMilliseconds : undefined;
+  });
+  const news = await new Promise<RelayNews | undefined>(resolve => {
+    call.once('data', resolve);
+    call.once('close', () => resolve(undefined));
+  });
+  call.end();
+  return news?.namings[0]?.ageMilliseconds;
 }
 
 // A version is named, and an entry starts anew before its bound. Counted from
--- /dev/null
+++ b/test/relays/entry_states.test.ts
@@ -0,0 +1,46 @@
+import {createEntryStates} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+
+const members = [
+  {instance: 'one', life: 'one-1'},
+  {instance: 'two', life: 'two-1'},
+];
+
+test('the newest word of an entry counts, whoever passes it on', () => {
+  const states = createEntryStates();
+  states.setMembers(members, 0);
+  expect(states.note({instance: 'one', ready: false, heardAt: 200})).toBe(true);
+  expect(states.note({instance: 'one', ready: true, heardAt: 100})).toBe(false);
+  expect(states.isUsable('one', 300)).toBe(false);
+  expect(states.note({instance: 'one', ready: true, heardAt: 300})).toBe(true);
+  expect(states.isUsable('one', 300)).toBe(true);
+});
+
+// A zone loses all of its relays at once. What the others last said of its
+// entries would be passed on for good, and callers sent to lost machines.
+test('an entry that nobody hears of any more is not usable', () => {
+  const states = createEntryStates();
+  states.setMembers(members, 0);
+  states.note({instance: 'one', ready: true, heardAt: 1_000});
+  expect(states.isUsable('one', 5_999)).toBe(true);
+  expect(states.isUsable('one', 6_000)).toBe(false);
+  expect(states.heard(6_000)).toEqual([]);
+});
+
+test('a new member counts as ready until its first word is due', () => {
+  const states = createEntryStates();
+  states.setMembers(members, 0);
+  expect(states.isUsable('two', 2_499)).toBe(true);
+  expect(states.isUsable('two', 2_500)).toBe(false);
+});
+
+// An entry is killed and starts again. What was heard of its former life says
+// nothing of the new one.
+test('a new life starts unheard', () => {
+  const states = createEntryStates();
+  states.setMembers(members, 0);
+  states.note({instance: 'one', ready: false, heardAt: 1_000});
+  states.setMembers([{instance: 'one', life: 'one-2'}], 2_000);
+  expect(states.isUsable('one', 2_100)).toBe(true);
+  expect(states.isUsable('two', 2_100)).toBe(false);
+});
--- /dev/null
+++ b/test/relays/relay_choice.test.ts
@@ -0,0 +1,84 @@
+import {
+  chooseRelay,
+  createSilentPeers,
+  relayOrder,
+  reportReceivers,
+} from '@hibiscusbeam/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+
+interface Entry {
+  readonly instance: string;
+  readonly zone: string;
+}
+
+/** As many entries in each of five zones. */
+function entriesOf(inZone: number): readonly Entry[] {
+  return ['north', 'south', 'east', 'west', 'middle'].flatMap(zone =>
+    Array.from({length: inZone}, (_, index) => ({
+      instance: `${zone}-${index}`,
+      zone,
+    })),
+  );
+}
+
+const none = () => false;
+
+test('processes that know the same entries agree on the relay', () => {
+  const shuffled = fc.shuffledSubarray([...entriesOf(8)], {minLength: 40});
+  const expected = chooseRelay(entriesOf(8), 'north', none);
+  fc.assert(
+    fc.property(shuffled, entries => {
+      expect(chooseRelay(entries, 'north', none)).toEqual(expected);
+    }),
+    {seed: 1},
+  );
+});
+
+// The relay of a zone loses power. Its line stays in the members' table, so it
+// must be passed over by those who hear nothing of it.
+test('the next entry in order takes the place of a silent relay', () => {
+  const entries = entriesOf(8);
+  const [first, second] = relayOrder(entries, 'north');
+  const relay = chooseRelay(entries, 'north', entry => entry === first);
+  expect(relay).toBe(second);
+});
+
+test('a zone whose entries are all silent has no relay', () => {
+  expect(chooseRelay(entriesOf(8), 'north', () => true)).toBeUndefined();
+});
+
+test('agents report to two entries of each large zone, however many it has', () => {
+  expect(reportReceivers(entriesOf(8), none)).toHaveLength(10);
+  expect(reportReceivers(entriesOf(78), none)).toHaveLength(10);
+});
+
+test('agents report to all entries of small zones', () => {
+  expect(reportReceivers(entriesOf(3), none)).toHaveLength(15);
+});
+
+test('the zone relay is among those that agents report to', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 30}),
+      fc.array(fc.nat({max: 29}), {maxLength: 10}),
+      (inZone, silentOnes) => {
+        const entries = entriesOf(inZone);
+        const isSilent = ({instance}: Entry) =>
+          silentOnes.some(index => instance.endsWith(`-${index}`));
+        const relay = chooseRelay(entries, 'east', isSilent);
+        if (relay === undefined) return;
+        expect(reportReceivers(entries, isSilent)).toContain(relay);
+      },
+    ),
+    {seed: 2},
+  );
+});
+
+test('a process that fell silent is asked again after five seconds', () => {
+  const silent = createSilentPeers();
+  silent.note('life', 1_000);
+  expect(silent.isSilent('life', 5_999)).toBe(true);
+  expect(silent.isSilent('life', 6_000)).toBe(false);
+  expect(silent.isSilent('other', 1_000)).toBe(false);
+});
