Let each entry judge for itself which lapsed targets may come back

Cause, found by reading: a relay passed on the targets that it goes by, among them lines that it keeps for two seconds after an absence of the store. If only the relay was cut off, its followers had read meanwhile that such a target is gone, took it back by the relay's word and would have sent it requests after its bound.

Change: listings go on as they were read, and each entry keeps lapsed lines by its own absences; those that it saw through a relay show as two heartbeats without a listing.

--- a/packages/core/src/placement/list_memory.ts
+++ b/packages/core/src/placement/list_memory.ts
@@ -17,8 +17,6 @@
     listed: readonly ListedTarget[],
     now: MonotonicInstant,
   ) => readonly ListedTarget[];
-  /** Takes over the targets that another process goes by just now. */
-  readonly adopt: (targets: readonly ListedTarget[]) => void;
 }
 
 /**
@@ -61,9 +59,5 @@
       known = [...listed, ...missing];
       return known;
     },
-    adopt: targets => {
-      known = targets;
-      lostSince = undefined;
-    },
   };
 }
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -43,6 +43,13 @@
 /** Share of that which is added, by entry, so that not all read at once. */
 const READ_SPREAD = 0.1;
 
+/**
+ * Heartbeats between two listings after which the store counts as having been
+ * away: a line lapses after three without one, and the last of a target came up
+ * to one before the store went.
+ */
+const LAPSED_HEARTBEATS = 2;
+
 /** Looks in a reading period at whether a read is due. */
 const LOOKS_IN_PERIOD = 3;
 
@@ -51,7 +58,7 @@
   readonly revision: Revision;
   /** The store's own steady clock. */
   readonly storeTime: Milliseconds;
-  /** The targets to go by, those included that are given time to come back. */
+  /** As they were listed; each process knows itself which may come back. */
   readonly targets: readonly ListedTarget[];
 }
 
@@ -95,6 +102,7 @@
   });
   const unusableRows = createUnusableRowLog('targets', log);
   const period = options.draining * READ_SHARE;
+  const absence = options.heartbeat * LAPSED_HEARTBEATS;
   const lookPeriod = period / LOOKS_IN_PERIOD;
   const relayedBound =
     options.draining * RELAYED_SHARE * (1 + READ_SPREAD * options.spread);
@@ -104,6 +112,8 @@
   let askedAt: MonotonicInstant = -Infinity;
   /** The list was surely so at this moment, by what a relay has told. */
   let relayedAt: MonotonicInstant = -Infinity;
+  /** The same by any reading; nothing is missing before the first. */
+  let listedAt: MonotonicInstant = machineClock();
 
   async function read(): Promise<void> {
     const sentAt = machineClock();
@@ -117,7 +127,7 @@
         answeredAt: machineClock(),
         storeTime: reply.val.storeTime,
       });
-      if (reply.val.revision >= newest) take(reply.val);
+      if (reply.val.revision >= newest) take(reply.val, sentAt);
     }
     logReach(reply.err, reply.ok ? undefined : reply.val);
   }
@@ -139,23 +149,23 @@
   function hear(listing: TargetListing): void {
     const lookedAt = options.storeClock.notAfter(listing.storeTime);
     if (lookedAt === undefined || listing.revision < newest) return;
-    relayedAt = Math.max(relayedAt, Math.min(machineClock(), lookedAt));
-    newest = listing.revision;
-    memory.adopt(listing.targets);
-    goBy(listing);
+    const provenAt = Math.min(machineClock(), lookedAt);
+    if (provenAt - listedAt >= absence) memory.noteFailure(clock() - absence);
+    relayedAt = Math.max(relayedAt, provenAt);
+    goBy(listing, provenAt);
   }
 
-  function take(reading: TargetReading): void {
-    newest = reading.revision;
+  function take(reading: TargetReading, sentAt: MonotonicInstant): void {
     unusableRows.note([...reading.unusable, ...unconfigured(reading)]);
-    const {revision, storeTime} = reading;
-    const targets = memory.take(reading.targets, clock());
-    goBy({revision, storeTime, targets});
+    const {revision, storeTime, targets} = reading;
+    goBy({revision, storeTime, targets}, sentAt);
   }
 
-  function goBy(listing: TargetListing): void {
-    const {targets} = listing;
+  function goBy(listing: TargetListing, provenAt: MonotonicInstant): void {
+    newest = listing.revision;
+    listedAt = Math.max(listedAt, provenAt);
     options.onListing(listing);
+    const targets = memory.take(listing.targets, clock());
     book.list(targets, clock());
     logChanges(targets);
     options.onChange();
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -52,7 +52,7 @@
   delay: number,
   leavesAt: number,
   losesNext = false,
-  readsStore = () => true,
+  {readsStore = () => true, isAway = () => false} = {},
 ) {
   const now = () => Date.now();
   const startedAt = now();
@@ -66,7 +66,7 @@
     const isLost = leaving && losesLeft;
     if (isLost) losesLeft = false;
     await new Promise(resolve => setTimeout(resolve, Math.min(delay, timeout)));
-    if (delay > timeout || isLost) {
+    if (delay > timeout || isLost || isAway()) {
       return Err({kind: 'noAnswer' as const, detail: ''});
     }
     const reading: TargetReading = {
@@ -114,7 +114,10 @@
       targets: [targetAt(leaving)],
     });
   };
-  return {isChosen, hearFromRelay, reads: () => reads};
+  /** What a relay tells that has read `targets` just now. */
+  const hear = (revision: number, targets: readonly ListedTarget[]): void =>
+    follower.hear({revision, storeTime: now() + STORE_OFFSET, targets});
+  return {isChosen, hearFromRelay, hear, reads: () => reads};
 }
 
 // The links to the store are choked, and its answers come more than a second
@@ -146,7 +149,9 @@
 });
 
 test('reads nothing while a relay tells what it reads', async () => {
-  const follower = startFollower(5, 20_100, false, () => false);
+  const follower = startFollower(5, 20_100, false, {
+    readsStore: () => false,
+  });
   await vi.advanceTimersByTimeAsync(100);
   for (let heard = 0; heard < 25; heard += 1) {
     follower.hearFromRelay(Date.now() - 10);
@@ -164,7 +169,9 @@
     for (const leavesAt of [5_100, 5_500, 6_000, 6_300, 7_100]) {
       for (const silentFrom of [0, 4_900, 5_300, Infinity]) {
         const startedAt = Date.now();
-        const follower = startFollower(400, leavesAt, false, () => false);
+        const follower = startFollower(400, leavesAt, false, {
+          readsStore: () => false,
+        });
         for (let now = 0; now < leavesAt + DRAINING; now += RELAY_PERIOD) {
           const readAt = startedAt + now - heldUp;
           if (now > 0 && now < silentFrom) follower.hearFromRelay(readAt);
@@ -178,3 +185,40 @@
     }
   }
 });
+
+// The store is away for four seconds and targets can't renew their lines. The
+// relay's first listing afterwards names none of them, though all live.
+test('keeps lapsed targets that a relay does not list after an absence', async () => {
+  let away = false;
+  const {isChosen, hear} = startFollower(5, Infinity, false, {
+    readsStore: () => false,
+    isAway: () => away,
+  });
+  await vi.advanceTimersByTimeAsync(500);
+  hear(2, [targetAt(false)]);
+  away = true;
+  await vi.advanceTimersByTimeAsync(4_000);
+  hear(3, []);
+  expect(isChosen()).toBe(true);
+  await vi.advanceTimersByTimeAsync(1_900);
+  hear(4, []);
+  expect(isChosen()).toBe(true);
+  await vi.advanceTimersByTimeAsync(200);
+  hear(5, []);
+  expect(isChosen()).toBe(false);
+});
+
+// The relay alone is cut off from the store, and a target leaves for good. The
+// relay keeps its lapsed line for a while; this entry knows better.
+test('a target that was seen to go does not come back by a relay', async () => {
+  const {isChosen, hear} = startFollower(5, Infinity, false, {
+    readsStore: () => false,
+  });
+  await vi.advanceTimersByTimeAsync(500);
+  hear(2, [targetAt(false)]);
+  await vi.advanceTimersByTimeAsync(500);
+  hear(3, []);
+  expect(isChosen()).toBe(false);
+  hear(2, [targetAt(false)]);
+  expect(isChosen()).toBe(false);
+});
