--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -44,6 +44,12 @@
   };
 }
 
+/** Whether the entry reads the store, and whether it is away. */
+interface StoreAccess {
+  readonly readsStore?: () => boolean;
+  readonly isAway?: () => boolean;
+}
+
 /**
  * A store whose answers take `delay`, with a target that leaves at `leavesAt`;
  * `losesNext` says whether the next answer after that is lost.
@@ -52,7 +58,7 @@
   delay: number,
   leavesAt: number,
   losesNext = false,
-  {readsStore = () => true, isAway = () => false} = {},
+  {readsStore = () => true, isAway = () => false}: StoreAccess = {},
 ) {
   const now = () => Date.now();
   const startedAt = now();
