Read the list of targets sooner when a relay falls silent

Cause, found by arithmetic: a follower began its own read at up to 0.6 of the draining bound after the relay's last look (0.45, spread, and a look's delay), and a read may take 0.5 of the bound: requests could reach a target 0.1 of the bound after its leaving.

--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -35,13 +35,13 @@
 
 /**
  * Share of the draining bound by which the relay's last look at the store may lie
- * back before an entry reads the list itself: its relay's period and a half. The
- * read takes what is left of the bound, as above.
+ * back before an entry reads the list itself: the relay's period and a quarter of
+ * it. With a look's delay (0.1) and the longest read it stays within the bound.
  */
-const RELAYED_SHARE = 0.45;
+const RELAYED_SHARE = 0.37;
 
 /** Share of that which is added, by entry, so that not all read at once. */
-const READ_SPREAD = 0.1;
+const READ_SPREAD = 0.05;
 
 /**
  * Heartbeats between two listings after which the store counts as having been
