Lint the launcher as the CommonJS file that it is

Cause: eslint refuses require() in the launcher, which loads CommonJS code with the runtime's script interface. The rule is off for .cjs files only, of which this is the one; all other rules hold there. eslint: no finding.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,6 +25,11 @@
     ],
   },
   ...tseslint.configs.recommended,
+  {
+    // The launcher of compiled code is CommonJS, as the code that it loads.
+    files: ['**/*.cjs'],
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
   {
     files: ['**/*.ts'],
     languageOptions: {parserOptions: {projectService: true}},
