Ask for a configuration well before its bound when a relay hears of none

Ruled out: a lost link to the relay (no line says so).

Change: relays ask with waits of 0.2 of the bound of configurations, followers ask after 0.4 of it without a reading. Besides, found while at it: what a moment confirms goes by the revision that is known here, and an entry whose newest configuration can't be read asks at a steady pace; both would have asked without a pause.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -140,6 +140,7 @@
       reportStreams.tellAll();
       circle.face.tellStates();
     },
+    bound: bounds.configuration,
     readsStore: () => circle.readsStore(),
     onMoment: moment => circle.face.offerOperator(moment),
     spread,
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -12,29 +12,35 @@
 import type {OperatorFeed, OperatorReading, Revision} from '../ports';
 
 /**
- * How long one question waits for a change. Each question costs a call; at
- * 2 s more than half of the revocation bound is left when one is lost.
+ * How long one question waits for a change, as a share of the bound in which a
+ * configuration must be in force. Each question costs a call; the followers of a
+ * relay know by each answer that nothing was written.
  */
-const WAIT_FOR_CHANGE: Milliseconds = 2_000;
+const WAIT_SHARE = 0.2;
 
 /**
- * Age of the last confirmation after which an entry with a relay asks the store
- * itself. The relay's own questions take up to 2 s, and its word some ms more.
+ * Age of the last confirmation, as a share of the same bound, after which an entry
+ * with a relay asks the store itself: twice the relay's waits.
+ *
+ * Failure: an answer to the relay is lost, and none of its zone hears of a new
+ * configuration until the relay has given the question up. Asked after 2.6 s, the
+ * store told a follower of it 0.6 s after its bound of 2 s. Guard: half of the
+ * bound is left for the own question.
  */
-const CONFIRMED_LATELY: Milliseconds = 2_600;
+const CONFIRMED_SHARE = 0.4;
 
-/** Share of it that is added, by entry, so that not all ask at once. */
+/** Share of that which is added, by entry, so that not all ask at once. */
 const ASK_SPREAD = 0.1;
 
+/** Looks within the bound at whether the store has to be asked. */
+const LOOKS_IN_BOUND = 20;
+
 /**
  * Period in which an entry with a relay asks the store all the same: by the
  * answers it knows what the store's clock, as its relay tells it, means here.
  */
 const OWN_LOOK: Milliseconds = 20_000;
 
-/** Period of looks at whether the store has to be asked. */
-const LOOK_PERIOD: Milliseconds = 400;
-
 /** Time beyond the wait after which a question counts as lost. */
 const ANSWER_SLACK: Milliseconds = 800;
 
@@ -71,6 +77,8 @@
   readonly versions: NamedVersions;
   readonly log: Log;
   readonly onChange: () => void;
+  /** Time from a configuration's writing until it must be in force. */
+  readonly bound: Milliseconds;
   /** Whether no relay of the zone reads the table for this entry. */
   readonly readsStore: () => boolean;
   /** Told of each reading, own or heard, that is newer than those before. */
@@ -94,7 +102,8 @@
   let heardChange: Revision = 0;
   /** Up to here the table is known. */
   let knownUntil: Revision = 0;
-  const askAfter = CONFIRMED_LATELY * (1 + ASK_SPREAD * options.spread);
+  const {bound} = options;
+  const askAfter = bound * CONFIRMED_SHARE * (1 + ASK_SPREAD * options.spread);
   let wake = (): void => undefined;
 
   function take(reading: OperatorReading): void {
@@ -128,11 +137,11 @@
    * Failure: an entry takes its relay's word for a configuration that it has not
    * read, and serves a key that was taken away as confirmed. Guard: a moment
    * confirms what is held here only if the table's newest row is not newer than
-   * the newest one read here, and by the store's clock, not by its arrival.
+   * what is known here, and by the store's clock, not by its arrival.
    */
   function hear(moment: OperatorMoment): void {
     heardChange = Math.max(heardChange, moment.newestChange);
-    if (moment.newestChange > newestChange) return wake();
+    if (moment.newestChange > knownUntil) return wake();
     if (isNewestLost) return;
     confirmation.recordRelayed({
       heardAt: clock(),
@@ -146,8 +155,13 @@
   }
 
   function mustAsk(): boolean {
-    if (options.readsStore() || heardChange > newestChange) return true;
-    return confirmationAge() >= askAfter || clock() - askedAt >= OWN_LOOK;
+    if (options.readsStore() || heardChange > knownUntil) return true;
+    return sinceAnswer() >= askAfter || clock() - askedAt >= OWN_LOOK;
+  }
+
+  /** A configuration that can't be read is never confirmed, however often asked. */
+  function sinceAnswer(): Milliseconds {
+    return isNewestLost ? clock() - askedAt : confirmationAge();
   }
 
   async function untilMustAsk(signal: AbortSignal): Promise<void> {
@@ -157,7 +171,7 @@
   function untilHeardOrLooked(signal: AbortSignal): Promise<void> {
     return new Promise(resolve => {
       wake = resolve;
-      void sleep(LOOK_PERIOD, signal).then(resolve);
+      void sleep(bound / LOOKS_IN_BOUND, signal).then(resolve);
     });
   }
 
@@ -165,7 +179,7 @@
   function waitForChange(): Milliseconds {
     if (!options.readsStore()) return 0;
     // The store answers at once if the wait is no whole number.
-    return Math.max(0, Math.floor(WAIT_FOR_CHANGE - confirmationAge()));
+    return Math.floor(bound * WAIT_SHARE);
   }
 
   async function follow(after: Revision, signal: AbortSignal) {
