--- a/test/freshness/store_clock.test.ts
+++ b/test/freshness/store_clock.test.ts
@@ -26,8 +26,12 @@
           storeTime: askedAt + there + offset,
         }))
         .sort((one, other) => one.answeredAt - other.answeredAt);
+      let known = -Infinity;
       for (const answer of answers) {
         clock.record(answer);
+        // What was known of the store's clock is not forgotten.
+        expect(clock.notAfter(0)).toBeGreaterThanOrEqual(known);
+        known = clock.notAfter(0)!;
         const lookedAt = answer.storeTime - offset;
         const claimed = clock.notAfter(answer.storeTime)!;
         expect(claimed).toBeLessThanOrEqual(lookedAt);
