Ask again for what has changed after a lost answer, not for the whole table

Cause: after any failed question a table was read whole again, "since changes may have been missed". A feed from the last reading misses nothing as long as the store knows its history.

Change: the revision of the last reading is kept after a failure; the table is read whole only if the store answers that the history is gone.

--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -28,8 +28,13 @@
 }
 
 /**
- * Reads a table whole, then what changes, until the signal aborts. After a
- * failure it is read whole again, since changes may have been missed.
+ * Reads a table whole, then what changes, until the signal aborts. It is read
+ * whole again only if the store no longer knows what has changed.
+ *
+ * Failure: a link is narrow, and a question is given up before its answer is
+ * through. A table of 0.4 MB that is then asked for whole, though nothing in it is
+ * new, fills the link for the others too, and none of them gets its answer. Guard:
+ * after a failure, the changes since the last reading are asked for again.
  */
 export async function runFeedLoop<Reading extends StoreMoment>(
   options: FeedLoopOptions<Reading>,
@@ -52,8 +57,8 @@
       await options.take(reply.val, scope);
       continue;
     }
-    revision = undefined;
     if (reply.val.kind === 'historyLost') {
+      revision = undefined;
       log.info(`${name} is read whole`, {reason: reply.val.kind});
       continue;
     }
