--- a/packages/fleet/src/link/configuration_copies.ts
+++ b/packages/fleet/src/link/configuration_copies.ts
@@ -17,9 +17,6 @@
  */
 const LARGEST_TEXT = 8 * 1024 * 1024;
 
-/** Differences are read without the library's own checksum. */
-const UNCHECKED = {verifyChecksum: false};
-
 /** Why a copy can't be read. */
 export type CopyError =
   /** The configuration that it differs from is not held here. */
@@ -126,9 +123,7 @@
   try {
     const inflated = inflateRawSync(content, {maxOutputLength: LARGEST_TEXT});
     if (base === undefined) return Ok(inflated);
-    // The digest is checked instead of the checksum, which takes 14 ms of 15.
-    const text = applyDelta<Uint8Array>(base.text, inflated, UNCHECKED);
-    return Ok(Buffer.from(text));
+    return Ok(Buffer.from(applyDelta<Uint8Array>(base.text, inflated)));
   } catch (error) {
     // Both libraries throw on bytes that are not theirs.
     const detail = error instanceof Error ? error.message : String(error);
