Announce chunks over one stream for each pair of neighbours

Change: announcements go over a stream that is opened on first use. An answer is asked for by signs of life, by questions for what the other holds, and by the first announcement 200 ms after the last answer; one that doesn't come within 600 ms ends the stream, and the neighbour counts as lost, so that a frozen one is found within 0.8 s while chunks are announced to it. Calls that were answered one by one and their count of silent ones go.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -67,6 +67,7 @@
   const peers = createPeerAgents({
     self,
     swarm: () => swarm,
+    clock: monotonicClock,
     log: logs('membership'),
   });
   const transferLog = logs('transfers');
@@ -146,7 +147,7 @@
   const server = await openPeerServer(settings.peerAddress, {
     role: 'agent',
     handlers: {
-      announce: (call, done) => done(null, peers.take(call.request)),
+      announce: peers.answer,
       fetchChunk: call => void answerFetchChunk(call, swarm),
     },
   });
--- a/packages/fleet/src/agent/peer_agents.ts
+++ b/packages/fleet/src/agent/peer_agents.ts
@@ -1,19 +1,30 @@
-import {every, type Log, type SwarmDriver} from '@hibiscusbeam/daemon';
+import {
+  every,
+  type Clock,
+  type Log,
+  type SwarmDriver,
+} from '@hibiscusbeam/daemon';
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {Announcement, AnnouncementReply} from '@hibiscusbeam/wire';
-import {callOnce, createAgentChannels} from '../link/channels';
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import {createAgentChannels} from '../link/channels';
 import type {MemberDescription} from '../ports';
+import {
+  createAnnouncementLink,
+  type AnnouncementLink,
+} from './announcement_link';
 
 /** Period of signs of life between neighbours. */
 const SIGN_PERIOD: Milliseconds = 1_000;
 
-/** Longest wait for the answer to an announcement. */
-const ANNOUNCE_TIMEOUT: Milliseconds = 600;
+/** A neighbour's stream of announcements, with answers in the other direction. */
+export type AnnounceCall = ServerDuplexStream<Announcement, AnnouncementReply>;
 
 /** What the link to the other agents needs. */
 export interface PeerAgentsOptions {
   readonly self: MemberDescription;
   readonly swarm: () => SwarmDriver;
+  readonly clock: Clock;
   readonly log: Log;
 }
 
@@ -27,11 +38,14 @@
     gained: readonly number[],
   ) => void;
   readonly take: (announcement: Announcement) => AnnouncementReply;
+  /** Takes a neighbour's stream of announcements. */
+  readonly answer: (call: AnnounceCall) => void;
   readonly start: () => () => void;
 }
 
 interface Peer {
   member: MemberDescription;
+  readonly link: AnnouncementLink;
   /** The life that last spoke to us; undefined before. */
   spokenLife: string | undefined;
   connected: boolean;
@@ -51,7 +65,9 @@
       next.set(member.instance, known ? renew(known, member) : meet(member));
     }
     for (const [instance, peer] of peers) {
-      if (!next.has(instance)) disconnect(peer);
+      if (next.get(instance) === peer) continue;
+      disconnect(peer);
+      peer.link.end();
     }
     peers = next;
     channels.keep(new Set(agents.map(({address}) => address)));
@@ -67,7 +83,19 @@
   }
 
   function meet(member: MemberDescription): Peer {
-    return {member, spokenLife: undefined, connected: false};
+    const peer: Peer = {
+      member,
+      link: createAnnouncementLink({
+        address: member.address,
+        channels,
+        clock: options.clock,
+        onAnswer: answer => takeAnswer(peer, answer),
+        onLost: () => disconnect(peer),
+      }),
+      spokenLife: undefined,
+      connected: false,
+    };
+    return peer;
   }
 
   /**
@@ -105,36 +133,33 @@
   function signAll(): void {
     for (const instance of swarm().neighbours()) {
       const peer = peers.get(instance);
-      if (peer !== undefined) void send(peer, '', []);
+      if (peer !== undefined) send(peer, '', []);
     }
   }
 
-  async function send(
+  function send(
     peer: Peer,
     versionDigest: string,
     gained: readonly number[],
-  ): Promise<void> {
-    const {address} = peer.member;
-    const announcement = {
+  ): void {
+    peer.link.send({
       instance: self.instance,
       life: self.life,
       versionDigest,
       gained: [...gained],
       asksHeld: !swarm().isHaveKnown(peer.member.instance, versionDigest),
-    };
-    const reply = await callOnce<AnnouncementReply>(ANNOUNCE_TIMEOUT, done =>
-      channels.at(address).announce(announcement, done),
-    );
-    channels.note(address, reply.ok);
-    if (reply.err) return disconnect(peer);
-    noteLife(peer, reply.val.life);
-    if (reply.val.held.length === 0) return;
-    swarm().onHaveDelta(peer.member.instance, {
-      versionDigest,
-      gained: reply.val.held,
     });
   }
 
+  function takeAnswer(
+    peer: Peer,
+    {life, held, versionDigest}: AnnouncementReply,
+  ): void {
+    noteLife(peer, life);
+    if (held.length === 0) return;
+    swarm().onHaveDelta(peer.member.instance, {versionDigest, gained: held});
+  }
+
   function connect(peer: Peer): void {
     if (peer.connected) return;
     peer.connected = true;
@@ -160,10 +185,20 @@
     const {instance, life, versionDigest, gained, asksHeld} = announcement;
     const peer = peers.get(instance);
     if (peer !== undefined) noteLife(peer, life);
-    if (versionDigest === '') return {life: self.life, held: []};
+    if (versionDigest === '') return {life: self.life, held: [], versionDigest};
     swarm().onHaveDelta(instance, {versionDigest, gained});
     const held = asksHeld ? [...swarm().heldPositions(versionDigest)] : [];
-    return {life: self.life, held};
+    return {life: self.life, held, versionDigest};
+  }
+
+  function answer(call: AnnounceCall): void {
+    call.on('data', (announcement: Announcement) => {
+      const reply = take(announcement);
+      if (announcement.wantsAnswer && call.writable) call.write(reply);
+    });
+    call.on('end', () => call.end());
+    // The neighbour opens a new stream for what it has to tell next.
+    call.on('error', error => log.debug('announcements broken', {error}));
   }
 
   return {
@@ -171,9 +206,10 @@
     setMembers,
     announce: (instance, versionDigest, gained) => {
       const peer = peers.get(instance);
-      if (peer !== undefined) void send(peer, versionDigest, gained);
+      if (peer !== undefined) send(peer, versionDigest, gained);
     },
     take,
+    answer,
     start: () => every(SIGN_PERIOD, signAll),
   };
 }
--- a/test/fleet/peer_agents.test.ts
+++ b/test/fleet/peer_agents.test.ts
@@ -14,6 +14,7 @@
   instance: string,
   held: readonly number[],
   isHaveKnown = false,
+  isFrozen = false,
 ) {
   const told: unknown[] = [];
   const gone: string[] = [];
@@ -39,15 +40,17 @@
   const agents = createPeerAgents({
     self,
     swarm: () => swarm,
+    clock: () => performance.now(),
     log: {debug: note, info: note, warn: note, error: note},
   });
   const server = await openPeerServer(self.address, {
     role: 'agent',
     handlers: {
-      announce: (call, done) => {
-        const {versionDigest, asksHeld} = call.request;
-        if (versionDigest !== '') asked.push(asksHeld);
-        done(null, agents.take(call.request));
+      announce: call => {
+        call.on('data', ({versionDigest, asksHeld}) => {
+          if (versionDigest !== '') asked.push(asksHeld);
+        });
+        if (!isFrozen) agents.answer(call);
       },
       fetchChunk: call => call.end(),
     },
@@ -59,6 +62,7 @@
     versionDigest: DIGEST,
     gained: [],
     asksHeld: false,
+    wantsAnswer: true,
   });
   return {self, agents, told, gone, asked, announcement};
 }
@@ -116,3 +120,28 @@
   side.agents.setMembers([{...other.self, life: 'next life'}]);
   expect(side.gone).toEqual(['other']);
 });
+
+// A neighbour's machine freezes while chunks are announced to it. It was to fetch
+// a part of the version, and the others must know soon that it will not.
+test('a neighbour that answers nothing counts as lost', async () => {
+  const frozen = await startSide('frozen', [], true, true);
+  const side = await startSide('side', [], true);
+  side.agents.setMembers([frozen.self]);
+  side.agents.take(frozen.announcement());
+  side.agents.announce('frozen', DIGEST, [1]);
+  side.agents.announce('frozen', DIGEST, [2]);
+  await eventually(() => side.gone.length > 0);
+  expect(side.gone).toEqual(['frozen']);
+});
+
+test('announcements that come together are answered once', async () => {
+  const holder = await startSide('holder', [], true);
+  const telling = await startSide('telling', [], true);
+  telling.agents.setMembers([holder.self]);
+  for (let chunk = 0; chunk < 20; chunk += 1) {
+    telling.agents.announce('holder', DIGEST, [chunk]);
+  }
+  await eventually(() => holder.told.length === 20);
+  await new Promise(resolve => setTimeout(resolve, 700));
+  expect(telling.gone).toEqual([]);
+});
