End a planned stop though a caller's question never comes whole

Cause, by a test that fails first: the stop waits for the directory's, readiness' and metrics' servers to close, and these wait for every connection on which a question has begun. One caller behind a cut link holds the whole process.

Change: closing ends their connections. All three answer at once, so that no whole question is cut.

--- a/packages/fleet/src/entry/service_faces.ts
+++ b/packages/fleet/src/entry/service_faces.ts
@@ -20,13 +20,20 @@
 /**
  * A server whose routes have no schemas. Without compilers of our own the library
  * loads its own for them, 45 ms of a start of 500.
+ *
+ * Failure: a caller behind a cut link has sent half of a question, and a planned
+ * stop waits for the rest until the platform kills the process. Guard: closing
+ * ends all connections; whole questions are answered at once, so none is cut.
  */
 function openServer(): FastifyInstance {
   const refuse = () => (): never => {
     throw new Error('routes of this server have no schemas');
   };
   const compilersFactory = {buildValidator: refuse, buildSerializer: refuse};
-  return fastify({schemaController: {compilersFactory}});
+  return fastify({
+    schemaController: {compilersFactory},
+    forceCloseConnections: true,
+  });
 }
 
 /** Opens the directory: which entries a caller may use. */
--- a/test/fleet/entry.test.ts
+++ b/test/fleet/entry.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {request} from 'undici';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {startHostEngine, type HostEngine} from './fixtures/host_engine';
@@ -305,6 +306,24 @@
   await stopped;
 });
 
+// A caller of the directory opens a connection, sends half of its question and
+// falls silent, as one behind a cut link does. The entry that is stopped waited for
+// the rest of it until the platform killed it, with all that it was answering.
+test('a planned stop waits for no question that does not come', async () => {
+  const {settings, running} = await startReadyEntry(0);
+  const [host, port] = settings.directoryAddress.split(':');
+  const caller = connect(Number(port), host);
+  caller.on('error', () => undefined);
+  caller.write('GET /resolve?Name=site.example HTTP/1.1\r\nHost: a');
+  await new Promise(resolve => setTimeout(resolve, 50));
+  let hasStopped = false;
+  void running.stop().then(() => (hasStopped = true));
+  // The whole grace period of the fixture.
+  await new Promise(resolve => setTimeout(resolve, 2_000));
+  expect(hasStopped).toBe(true);
+  caller.destroy();
+});
+
 test('the directory names the entries that are ready', async () => {
   const first = await startReadyEntry(0);
   const second = await site.startEntry();
