Try: finish a version that has come in part before a newer one

Change: a version of which a third is within reach stays in hand; chunks of a newer one are asked of the origin after it; the next in rank waits for what is overdue.

What it would take: agents that start anew fetch their part of an older version too, and chunks that wait are staged somewhere.

--- a/packages/core/src/distribution/queries/progress.ts
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -1,5 +1,5 @@
 import type {InstanceName, VersionDigest} from '../../types';
-import {patience} from './patience';
+import {learnedPatience} from './patience';
 import type {SwarmState, WantedVersion} from '../state';
 import type {SwarmDump, VersionProgress} from '../types';
 
@@ -25,14 +25,16 @@
   return state.versions.get(versionDigest)?.held.positions() ?? [];
 }
 
-/** Whether each chunk of a wanted version is here or with a neighbour. */
-export function isWithinReach(
+/** Share of a wanted version's chunks that are here or with a neighbour. */
+export function reachableShare(
   state: SwarmState,
   versionDigest: VersionDigest,
-): boolean {
+): number {
   const version = state.versions.get(versionDigest);
-  if (version === undefined) return false;
-  return version.missing.every(position => version.availability[position]! > 0);
+  if (version === undefined) return 0;
+  const {missing, availability, manifest} = version;
+  const unreached = missing.filter(position => availability[position] === 0);
+  return 1 - unreached.length / manifest.chunks.length;
 }
 
 /** Whether it is known what a neighbour holds of a wanted version. */
@@ -62,7 +64,7 @@
     suspended: [...state.neighbours.values()]
       .filter(neighbour => neighbour.suspendedUntil !== undefined)
       .map(neighbour => neighbour.instance),
-    patience: patience(state),
+    patience: learnedPatience(state),
   };
 }
 
--- a/packages/daemon/src/swarm/swarm_driver.ts
+++ b/packages/daemon/src/swarm/swarm_driver.ts
@@ -165,7 +165,7 @@
     neighbours: node.neighbours,
     heldPositions: node.heldPositions,
     isHaveKnown: node.isHaveKnown,
-    isWithinReach: node.isWithinReach,
+    reachableShare: node.reachableShare,
     want(versionDigest, manifest, wanted) {
       tell({kind: 'versionWanted', versionDigest, manifest, ...wanted});
     },
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -93,7 +93,8 @@
   const plan = createVersionPlan<FetchedVersion>({
     bound: options.versionBound,
     place: () => loadPlace(options.self, options.members()),
-    isSecured: ({identified}) => swarm.isWithinReach(identified.versionDigest),
+    reachableShare: ({identified}) =>
+      swarm.reachableShare(identified.versionDigest),
     canWait: ({identified: {manifest}}) =>
       canBeKept(manifest.chunks.length, manifest.chunks[0]?.size ?? 0),
   });
