--- a/packages/core/src/distribution/commands/schedule_origin.ts
+++ b/packages/core/src/distribution/commands/schedule_origin.ts
@@ -1,8 +1,8 @@
-import type {Digest, Milliseconds} from '../../types';
+import type {Digest} from '../../types';
 import * as bounds from '../bounds';
 import {slotsLeft, wakeAt, type SwarmState, type WantedVersion} from '../state';
 import {expectedAt, turnAt} from './availability';
-import {expectedStep, patience} from '../queries/patience';
+import {patience} from '../queries/patience';
 import {hasBuffer, isUnderWay} from './schedule_limits';
 import {startTransfer} from './transfers';
 
@@ -12,10 +12,7 @@
   version: WantedVersion,
 ): void {
   if (version.missing.length === 0) return;
-  const allowedAt = Math.max(
-    originAllowedAt(state, version),
-    olderFinishedAt(state, version),
-  );
+  const allowedAt = originAllowedAt(state, version);
   if (allowedAt > state.now) {
     wakeAt(state, allowedAt);
     return;
@@ -30,9 +27,8 @@
 
 function dueNow(state: SwarmState, version: WantedVersion): readonly number[] {
   const due: {readonly position: number; readonly at: number}[] = [];
-  const rankWait = patience(state, version);
   for (const position of version.missing) {
-    const at = dueAt(state, version, position, rankWait);
+    const at = dueAt(state, version, position);
     if (at === Infinity) continue;
     const chunk = version.manifest.chunks[position]!;
     if (isUnderWay(state, chunk.digest)) continue;
@@ -54,7 +50,6 @@
   state: SwarmState,
   version: WantedVersion,
   position: number,
-  rankWait: Milliseconds,
 ): number {
   const rank = version.ranks.ownRank[position]!;
   if (version.prefer === 'time' && rank === 1) {
@@ -67,7 +62,7 @@
     version.unreachableSince[position]!,
     state.originClock,
   );
-  return base + rank * rankWait;
+  return base + rank * patience(state);
 }
 
 /** Time that the origin needs for one copy; 0 if its rate is not known. */
@@ -90,33 +85,6 @@
   return Math.max(settledAt, state.originBackoffUntil);
 }
 
-/**
- * When the last chunk of the older versions that still have to come from the
- * origin should have come.
- *
- * Failure: a version is named while the one before it is fetched, and both share
- * the origin's link. The older one comes after its bound, or lacks an eighth when
- * the origin is lost. Guard: chunks of a newer version are asked for after those
- * of the older ones; not for longer than a step of each takes, since a fetcher
- * may be lost.
- */
-function olderFinishedAt(state: SwarmState, version: WantedVersion): number {
-  let finishedAt = -Infinity;
-  for (const older of state.versions.values()) {
-    if (older === version) break;
-    for (const position of older.missing) {
-      if (older.availability[position]! > 0) continue;
-      const from = Math.max(
-        expectedAt(state, older, position),
-        older.unreachableSince[position]!,
-        state.originClock,
-      );
-      finishedAt = Math.max(finishedAt, from + expectedStep(state));
-    }
-  }
-  return finishedAt;
-}
-
 /** One at a time after a failure, when many ask for what is overdue. */
 function originSlots(state: SwarmState): number {
   const isFailing = state.originFailures > 0 || state.originStalls > 0;
--- a/packages/core/src/distribution/queries/patience.ts
+++ b/packages/core/src/distribution/queries/patience.ts
@@ -1,7 +1,6 @@
-import type {Bytes, Milliseconds} from '../../types';
+import type {Milliseconds} from '../../types';
 import {LONGEST_PATIENCE} from '../bounds';
-import {expectedAt} from '../commands/availability';
-import type {SwarmState, WantedVersion} from '../state';
+import type {SwarmState} from '../state';
 
 /**
  * Times of a chunk after which the next in rank asks for it: one at the origin,
@@ -21,8 +20,8 @@
  */
 const ORIGIN_TIMES_PER_STEP = 8;
 
-/** How long a rank waits for the one before it, as far as times were learned. */
-export function learnedPatience(state: SwarmState): Milliseconds {
+/** How long a rank waits for the one before it, in milliseconds. */
+export function patience(state: SwarmState): Milliseconds {
   const step = Math.max(
     state.neighbourTime.mean() ?? 0,
     state.originTime.mean() ?? 0,
@@ -32,50 +31,7 @@
   return Math.min(LONGEST_PATIENCE, learned);
 }
 
-/** How long a rank waits for the one before it to fetch a chunk of `version`. */
-export function patience(
-  state: SwarmState,
-  version: WantedVersion,
-): Milliseconds {
-  const wait = Math.max(learnedPatience(state), overdueTime(state, version));
-  return Math.min(LONGEST_PATIENCE, wait);
-}
-
-/**
- * Time that the origin needs for what should have come of a version and of the
- * older ones, which go before it, and has not.
- *
- * Failure: the origin was away, and all chunks are overdue when it is back. It
- * sends them at the same time, so that each comes after seconds; meanwhile the
- * next in rank loses its patience and asks for the same ones. The origin sent 1.6
- * copies in place of one, and no engine had the version after 7 s.
- */
-function overdueTime(state: SwarmState, version: WantedVersion): Milliseconds {
-  const rate = state.originRate;
-  if (rate === undefined) return 0;
-  let bytes = 0;
-  for (const wanted of state.versions.values()) {
-    bytes += overdueBytes(state, wanted);
-    if (wanted === version) break;
-  }
-  return (bytes * 1_000) / rate;
-}
-
-function overdueBytes(state: SwarmState, version: WantedVersion): Bytes {
-  let bytes = 0;
-  for (const position of version.missing) {
-    if (version.availability[position]! > 0) continue;
-    if (expectedAt(state, version, position) > state.now) continue;
-    bytes += version.manifest.chunks[position]!.size;
-  }
-  return bytes;
-}
-
-/**
- * Time from a chunk's turn at the origin until neighbours have it, by the
- * origin's rate; 0 if that is not known.
- */
-export function expectedStep(state: SwarmState): Milliseconds {
+function expectedStep(state: SwarmState): Milliseconds {
   const rate = state.originRate;
   if (rate === undefined) return 0;
   let largest = 0;
--- a/packages/core/src/distribution/queries/progress.ts
+++ b/packages/core/src/distribution/queries/progress.ts
@@ -1,5 +1,5 @@
 import type {InstanceName, VersionDigest} from '../../types';
-import {learnedPatience} from './patience';
+import {patience} from './patience';
 import type {SwarmState, WantedVersion} from '../state';
 import type {SwarmDump, VersionProgress} from '../types';
 
@@ -25,16 +25,14 @@
   return state.versions.get(versionDigest)?.held.positions() ?? [];
 }
 
-/** Share of a wanted version's chunks that are here or with a neighbour. */
-export function reachableShare(
+/** Whether each chunk of a wanted version is here or with a neighbour. */
+export function isWithinReach(
   state: SwarmState,
   versionDigest: VersionDigest,
-): number {
+): boolean {
   const version = state.versions.get(versionDigest);
-  if (version === undefined) return 0;
-  const {missing, availability, manifest} = version;
-  const unreached = missing.filter(position => availability[position] === 0);
-  return 1 - unreached.length / manifest.chunks.length;
+  if (version === undefined) return false;
+  return version.missing.every(position => version.availability[position]! > 0);
 }
 
 /** Whether it is known what a neighbour holds of a wanted version. */
@@ -64,7 +62,7 @@
     suspended: [...state.neighbours.values()]
       .filter(neighbour => neighbour.suspendedUntil !== undefined)
       .map(neighbour => neighbour.instance),
-    patience: learnedPatience(state),
+    patience: patience(state),
   };
 }
 
--- a/packages/core/src/distribution/swarm_node.ts
+++ b/packages/core/src/distribution/swarm_node.ts
@@ -28,9 +28,9 @@
   dumpOf,
   heldPositionsOf,
   isHaveKnown,
+  isWithinReach,
   neighboursOf,
   progressOf,
-  reachableShare,
 } from './queries/progress';
 import {createSwarmState, wakeAt, type SwarmState} from './state';
 import type {
@@ -60,7 +60,7 @@
     heldPositions: versionDigest => heldPositionsOf(state, versionDigest),
     isHaveKnown: (neighbour, versionDigest) =>
       isHaveKnown(state, neighbour, versionDigest),
-    reachableShare: versionDigest => reachableShare(state, versionDigest),
+    isWithinReach: versionDigest => isWithinReach(state, versionDigest),
     transferShare: () => transferShare(state),
     dump: () => dumpOf(state),
   };
--- a/packages/core/src/distribution/types.ts
+++ b/packages/core/src/distribution/types.ts
@@ -206,8 +206,8 @@
     neighbour: InstanceName,
     versionDigest: VersionDigest,
   ) => boolean;
-  /** Share of a wanted version's chunks that are here or with a neighbour. */
-  readonly reachableShare: (versionDigest: VersionDigest) => number;
+  /** Whether each chunk of a wanted version is here or with a neighbour. */
+  readonly isWithinReach: (versionDigest: VersionDigest) => boolean;
   /** Share of each link's rate that transfers may take now, from 0 to 1. */
   readonly transferShare: () => number;
   readonly dump: () => SwarmDump;
--- a/packages/core/src/distribution/version_plan.ts
+++ b/packages/core/src/distribution/version_plan.ts
@@ -37,8 +37,8 @@
   /** Time after a version's naming in which all must have it. */
   readonly bound: Milliseconds;
   readonly place: () => LoadPlace;
-  /** Share of a version's chunks that can be had without its origin. */
-  readonly reachableShare: (version: Version) => number;
+  /** Whether all chunks of a version can be had without its origin. */
+  readonly isSecured: (version: Version) => boolean;
   /** Whether a version's chunks can wait outside the staging area. */
   readonly canWait: (version: Version) => boolean;
 }
@@ -81,14 +81,6 @@
  */
 const PRESSED_FROM = 0.5;
 
-/**
- * Share of a version's chunks within reach from which it is finished before a
- * newer one. A chunk is known in other zones half a second after it has come: who
- * knows of a third, two seconds after the naming, stands for a site that has half
- * to two thirds. Agents that judge apart leave chunks without a fetcher.
- */
-const FINISHED_FROM = 1 / 3;
-
 /**
  * Creates the plan of one engine.
  *
@@ -100,9 +92,9 @@
  * Failure: a version is given up for a newer one, and the origin is lost before
  * it has sent that. Engines have neither, and may start nothing from the older
  * one's bound until the origin's return: six seconds were seen. Guard: a version
- * of which a good part is within reach is given up, or skipped, only for one that needs
- * its origin no more. One that has only just begun is given up at once: two names
- * that come together would have both versions moved, one behind the other.
+ * that no longer needs its origin is given up, or skipped, only for one that
+ * doesn't either. One that still needs it is given up at once: two names that
+ * come together would have both versions moved, one behind the other.
  */
 export function createVersionPlan<Version extends PlannedVersion>(
   options: VersionPlanOptions<Version>,
@@ -123,14 +115,10 @@
     return engine.served >= inHand.version;
   }
 
-  function isSecured(version: Version): boolean {
-    return options.reachableShare(version) >= 1;
-  }
-
   /** Whether the one that follows was named at most so long after this one. */
   function isFollowedWithin(limit: Milliseconds): boolean {
     if (inHand === undefined || following === undefined) return false;
-    if (!isSecured(following)) return false;
+    if (!options.isSecured(following)) return false;
     return following.knownSince - inHand.knownSince < limit;
   }
 
@@ -147,9 +135,7 @@
     if (inHand === undefined || isServed() || engine.isLoading) return false;
     if (isReplaced()) return false;
     const age = now - inHand.knownSince;
-    const isWorthKeeping =
-      options.canWait(inHand) &&
-      options.reachableShare(inHand) >= FINISHED_FROM;
+    const isWorthKeeping = options.canWait(inHand) && options.isSecured(inHand);
     const from = isWorthKeeping ? 0 : committedAge(0, bound);
     const end = isSkipped() ? bound - VERSION_MARGIN : bound;
     return age >= from && age < end;
--- a/packages/daemon/src/swarm/swarm_driver.ts
+++ b/packages/daemon/src/swarm/swarm_driver.ts
@@ -165,7 +165,7 @@
     neighbours: node.neighbours,
     heldPositions: node.heldPositions,
     isHaveKnown: node.isHaveKnown,
-    reachableShare: node.reachableShare,
+    isWithinReach: node.isWithinReach,
     want(versionDigest, manifest, wanted) {
       tell({kind: 'versionWanted', versionDigest, manifest, ...wanted});
     },
--- a/packages/daemon/src/swarm/types.ts
+++ b/packages/daemon/src/swarm/types.ts
@@ -157,8 +157,8 @@
     neighbour: InstanceName,
     versionDigest: VersionDigest,
   ) => boolean;
-  /** Share of a wanted version's chunks that are here or with a neighbour. */
-  readonly reachableShare: (versionDigest: VersionDigest) => number;
+  /** Whether each chunk of a wanted version is here or with a neighbour. */
+  readonly isWithinReach: (versionDigest: VersionDigest) => boolean;
   readonly progress: () => readonly VersionProgress[];
   readonly dump: () => SwarmDump;
 }
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -93,8 +93,7 @@
   const plan = createVersionPlan<FetchedVersion>({
     bound: options.versionBound,
     place: () => loadPlace(options.self, options.members()),
-    reachableShare: ({identified}) =>
-      swarm.reachableShare(identified.versionDigest),
+    isSecured: ({identified}) => swarm.isWithinReach(identified.versionDigest),
     canWait: ({identified: {manifest}}) =>
       canBeKept(manifest.chunks.length, manifest.chunks[0]?.size ?? 0),
   });
