Let a workspace's first callers have one burst of its share

The bucket of an entry's share was filled from the moment of the first request on, so that 16 callers that came within some milliseconds found four tokens and 500 a second; on a busy machine they come apart and pass.

Change: a bucket that was never used counts as saved up to its one burst. Test first: fails before (4 of LIMIT pass). After: the test of whole answers passes four times of four.

--- a/packages/core/src/routing/workspace_limits.ts
+++ b/packages/core/src/routing/workspace_limits.ts
@@ -212,11 +212,18 @@
   return limit * LEAST_USE_SHARE;
 }
 
+/**
+ * Failure: the first requests of a workspace come at once, and all but four are
+ * refused though its share is hundreds a second. Guard: what was never used was
+ * saved up to one burst, as between requests that come later.
+ */
 function fill(state: LimitState, rate: number, now: MonotonicInstant): void {
   const most = Math.max(LEAST_LIMIT_BURST, rate * LIMIT_BURST_SECONDS);
-  const elapsed = state.filledAt === undefined ? 0 : now - state.filledAt;
+  const elapsed =
+    state.filledAt === undefined ? Infinity : now - state.filledAt;
   state.filledAt = now;
-  state.tokens = Math.min(most, state.tokens + (rate * elapsed) / 1_000);
+  const gained = rate === 0 ? 0 : (rate * elapsed) / 1_000;
+  state.tokens = Math.min(most, state.tokens + gained);
 }
 
 function timeToToken(state: LimitState, rate: number): Milliseconds {
--- a/test/routing/workspace_limits.test.ts
+++ b/test/routing/workspace_limits.test.ts
@@ -148,6 +148,17 @@
     }
   });
 
+  // The first callers of a workspace come at the same moment, on a quiet machine
+  // within a few milliseconds. All but four of them were refused, though the entry
+  // might let pass as many each second.
+  test('let the first second of a share pass at once', () => {
+    const [limits] = createEntries(1);
+    const decisions = Array.from({length: LIMIT}, () =>
+      limits!.take('workspace', 5_000),
+    );
+    expect(decisions.every(({kind}) => kind === 'passed')).toBe(true);
+  });
+
   test('let a workspace without a limit pass', () => {
     const [limits] = createEntries(1);
     expect(limits!.take('other', 0)).toEqual({kind: 'passed'});
