Count how old the readings are that requests are decided by

A histogram by table is served on the metrics address, observed at each request, and each request's line says listAge beside confirmationAge. No decision changes.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -207,6 +207,7 @@
     machineClock,
     log: logs('requests'),
     longestConfirmationAge,
+    listedAt: () => targets.listedAt(),
     stopping: () => phase,
   });
   const callers = createCallerFace(handler);
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -3,10 +3,18 @@
 /** Upper bounds of the duration histogram, in milliseconds. */
 const DURATION_BUCKETS = [25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
 
+/** Upper bounds of the histogram of readings' ages, in milliseconds. */
+const AGE_BUCKETS = [250, 500, 1_000, 1_500, 2_000, 2_500, 3_000, 4_000, 5_000];
+
+/** Tables of the store whose readings requests are decided by. */
+export type ReadTable = 'configuration' | 'targets';
+
 /** Counters and histograms of a process. */
 export interface FleetMetrics {
   readonly countRequest: (route: string, result: string) => void;
   readonly observeDuration: (route: string, milliseconds: number) => void;
+  /** Notes how old the reading is that a request is decided by. */
+  readonly observeReadingAge: (table: ReadTable, milliseconds: number) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -28,10 +36,19 @@
     buckets: DURATION_BUCKETS,
     registers: [registry],
   });
+  const readingAges = new Histogram({
+    name: 'hibiscusbeam_reading_age_milliseconds',
+    help: 'Age of the reading of the store that a request was decided by.',
+    labelNames: ['table'],
+    buckets: AGE_BUCKETS,
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
       durations.observe({route}, milliseconds),
+    observeReadingAge: (table, milliseconds) =>
+      readingAges.observe({table}, milliseconds),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -4,6 +4,7 @@
   type ForwardResult,
   type ListedTarget,
   type Milliseconds,
+  type MonotonicInstant,
 } from '@hibiscusbeam/core';
 import {drive, type Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -30,6 +31,8 @@
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
   readonly log: Log;
+  /** When the list of targets was surely as it is held here. */
+  readonly listedAt: () => MonotonicInstant | undefined;
 }
 
 /** Handles callers' requests. */
@@ -57,6 +60,7 @@
     const header = protocol.readCaller(request.rawHeaders);
     const body = await readBody(request, bodyLimit());
     if (body === 'gone') return;
+    observeReadingAges();
     const path = request.url ?? '/';
     const accepted =
       body === 'tooLarge'
@@ -176,16 +180,31 @@
       status: answer.status,
       reason: answer.reason,
       configuration: operator.table()?.version,
-      confirmationAge: confirmationAge(),
+      ...readingAges(),
     });
   }
 
-  function confirmationAge(): Milliseconds | undefined {
-    const at = options.confirmation.confirmedAt();
+  /** Ages of the readings of the store that requests are decided by. */
+  function readingAges() {
+    return {
+      confirmationAge: ageOf(options.confirmation.confirmedAt()),
+      listAge: ageOf(options.listedAt()),
+    };
+  }
+
+  function ageOf(at: MonotonicInstant | undefined): Milliseconds | undefined {
     if (at === undefined) return undefined;
     return Math.round(options.machineClock() - at);
   }
 
+  function observeReadingAges(): void {
+    const {confirmationAge, listAge} = readingAges();
+    if (confirmationAge !== undefined) {
+      metrics.observeReadingAge('configuration', confirmationAge);
+    }
+    if (listAge !== undefined) metrics.observeReadingAge('targets', listAge);
+  }
+
   function record(
     accepted: AcceptedRequest,
     result: ForwardResult,
@@ -215,7 +234,7 @@
       objective: accepted.route.objective,
       patience: accepted.header.patience,
       configuration: operator.table()?.version,
-      confirmationAge: confirmationAge(),
+      ...readingAges(),
       attempts: story.lines(),
     });
   }
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -90,6 +90,8 @@
 export interface TargetFollower {
   /** Takes a listing of the relay. */
   readonly hear: (listing: TargetListing) => void;
+  /** When the list was surely as it is held; undefined before the first one. */
+  readonly listedAt: () => MonotonicInstant | undefined;
 }
 
 /** Keeps the book in step with the platform's list of targets. */
@@ -212,5 +214,8 @@
 
   void read();
   signal.addEventListener('abort', every(lookPeriod, readIfDue));
-  return {hear};
+  return {
+    hear,
+    listedAt: () => (newest === -Infinity ? undefined : listedAt),
+  };
 }
--- /dev/null
+++ b/test/fleet/fleet_metrics.test.ts
@@ -0,0 +1,14 @@
+import {expect, test} from 'vitest';
+import {createFleetMetrics} from '../../packages/fleet/src/entry/fleet_metrics';
+
+test('counts how old the readings were that requests were decided by', async () => {
+  const metrics = createFleetMetrics();
+  metrics.observeReadingAge('targets', 2_700);
+  metrics.observeReadingAge('configuration', 90);
+  const lines = (await metrics.text()).split('\n');
+  const bucket = (table: string, most: number): string =>
+    `hibiscusbeam_reading_age_milliseconds_bucket{le="${most}",table="${table}"}`;
+  expect(lines).toContain(`${bucket('targets', 2_500)} 0`);
+  expect(lines).toContain(`${bucket('targets', 3_000)} 1`);
+  expect(lines).toContain(`${bucket('configuration', 250)} 1`);
+});
