Show that an entry denies and sends by readings of any age

The list of targets has no age at the moment of a send; it is only read often.

What callers see: while answers of the store take longer than they are waited for, a final 404 for a route that was acknowledged more than the bound before, and requests at targets that have left.

Evidence: three tests against the served parts and a store that begins its answers and takes long to end them.

--- a/test/fleet/entry.test.ts
+++ b/test/fleet/entry.test.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import {request} from 'undici';
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {isReady, send} from './fixtures/host_caller';
 import {startHostEngine, type HostEngine} from './fixtures/host_engine';
 import {
   eventually,
@@ -49,35 +50,6 @@
   return entry;
 }
 
-async function isReady(address: string): Promise<boolean> {
-  const reply = await request(`http://${address}/ready`);
-  await reply.body.dump();
-  return reply.statusCode === 200;
-}
-
-async function send(
-  address: string,
-  path: string,
-  headers: Record<string, string> = {},
-) {
-  const reply = await request(`http://${address}${path}`, {
-    method: 'POST',
-    body: 'question',
-    headers: {
-      host: HOST,
-      authorization: `Token ${KEY}`,
-      'x-hibiscusbeam-request-id': 'request-1',
-      'x-hibiscusbeam-deadline-ms': '2000',
-      ...headers,
-    },
-  });
-  return {
-    status: reply.statusCode,
-    headers: reply.headers,
-    text: await reply.body.text(),
-  };
-}
-
 const STREAM = {'x-hibiscusbeam-model': 'model'};
 
 test('passes a request on as it came and its answer back', async () => {
--- /dev/null
+++ b/test/fleet/stale_readings.test.ts
@@ -0,0 +1,114 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {isReady, send} from './fixtures/host_caller';
+import {startHostEngine, type HostEngine} from './fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+import type {StoreFault} from './fixtures/host_store';
+
+const CONFIGURATION_BOUND = 900;
+const DRAINING_BOUND = 1_000;
+const NO_BOUND = 60_000;
+
+let site: HostSite;
+let engine: HostEngine;
+
+beforeEach(async () => {
+  site = await startHostSite();
+  engine = await startHostEngine({instance: 'one'});
+  site.register(engine);
+  site.configure();
+});
+
+afterEach(async () => {
+  await site.close();
+  await engine.close();
+});
+
+/** An entry that serves; returns the address for its callers. */
+async function startServingEntry(bounds: {
+  readonly configuration: number;
+  readonly draining: number;
+}): Promise<string> {
+  const {settings} = await site.startEntry(bounds);
+  await eventually(() => isReady(settings.readinessAddress));
+  const address = settings.callerAddress;
+  await eventually(async () => (await send(address, '/safe/a')).status === 200);
+  return address;
+}
+
+function pass(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+test('a route that may have been added meanwhile gets no final 404', async () => {
+  const address = await startServingEntry({
+    configuration: CONFIGURATION_BOUND,
+    draining: NO_BOUND,
+  });
+  expect((await send(address, '/new/a')).status).toBe(404);
+  site.store.setFault('answersLate');
+  site.configure({Routes: [newRoute()]});
+  await pass(CONFIGURATION_BOUND);
+  expect((await send(address, '/new/a')).status).toBe(503);
+  site.store.setFault('none');
+  await eventually(async () => (await send(address, '/new/a')).status === 200);
+});
+
+test('nothing is sent by a configuration that may have been replaced', async () => {
+  const address = await startServingEntry({
+    configuration: CONFIGURATION_BOUND,
+    draining: NO_BOUND,
+  });
+  const before = engine.runs.length;
+  site.store.setFault('answersLate');
+  site.configure({Routes: [newRoute()]});
+  await pass(CONFIGURATION_BOUND);
+  expect((await send(address, '/safe/a')).status).toBe(503);
+  expect(engine.runs.length).toBe(before);
+});
+
+test('nothing is sent to a target that may have left', async () => {
+  const address = await startServingEntry({
+    configuration: NO_BOUND,
+    draining: DRAINING_BOUND,
+  });
+  const before = engine.runs.length;
+  site.store.setFault('answersLate');
+  site.register(engine, {State: 'draining'});
+  await pass(DRAINING_BOUND);
+  expect((await send(address, '/safe/a')).status).toBe(503);
+  expect(engine.runs.length).toBe(before);
+  site.register(engine);
+  site.store.setFault('none');
+  await eventually(async () => (await send(address, '/safe/a')).status === 200);
+});
+
+test.each<StoreFault>(['silent', 'busy', 'answerLost'])(
+  'serves by what it has read while the store is away: %s',
+  async fault => {
+    const address = await startServingEntry({
+      configuration: CONFIGURATION_BOUND,
+      draining: DRAINING_BOUND,
+    });
+    site.store.setFault(fault);
+    await pass(2 * DRAINING_BOUND);
+    expect((await send(address, '/safe/a')).status).toBe(200);
+  },
+);
+
+function newRoute() {
+  return {
+    Host: HOST,
+    Name: 'new',
+    Prefix: '/new/',
+    Kind: 'safe',
+    Service: 'plain',
+    TimeoutMs: 3_000,
+    TargetLatencyMs: 400,
+    MaxAttempts: 2,
+  };
+}
