Deny and choose a service only by a configuration younger than its bound

What callers saw: a final 404 for a route that had been acknowledged 3.05 and 3.11 s before (bound 3 s). Nobody asks again after a 404.

Cause: one age decided both whether a key still counts (bound 5 s, less 0.3) and whether a route or key is surely missing (bound 3 s). Between the two, an entry that knew it was late denied for good. What a route says was used at any age by callers without a key.

Class: a belief that is acted on without the bound that belongs to it, and a guard that holds while updates come in time.

Change: readings are judged by their age (judgeReading). Current ones may deny. Late ones are used only if the store was seen not to serve, since an operator's change can't have been accepted there; else the caller is told to come back, and the entry counts as unready. A long poll's holding time doesn't count. 413, 401 and 404 go the same way.

Ruled out: refusing whatever the reason. In a silent outage all entries would have refused from 3 s on (2 s on small sites), where keys allow 4.7 s.

Conclusion: no final answer rests on a configuration that may have been replaced.

--- /dev/null
+++ b/packages/core/src/freshness/reading_use.ts
@@ -0,0 +1,28 @@
+import type {Milliseconds} from '../types';
+
+/** What a reading of one of the store's tables is good for. */
+export type ReadingUse =
+  /** What it misses is not in force yet. */
+  | 'current'
+  /** Too old, but the store was seen not to serve, so nothing newer is known. */
+  | 'lastKnown'
+  /** Too old, and changes may be in force that it misses. */
+  | 'outdated';
+
+/** How old a reading is, and how old it may be. */
+export interface AgedReading {
+  /** Since the store surely looked. */
+  readonly age: Milliseconds;
+  /** Time after which a change must be in force. */
+  readonly bound: Milliseconds;
+  readonly isStoreAway: boolean;
+}
+
+/**
+ * Judges a reading. A reading that is late is no reason to go on as before: only
+ * a store that was seen not to serve is, since nothing is changed there then.
+ */
+export function judgeReading(reading: AgedReading): ReadingUse {
+  if (reading.age < reading.bound) return 'current';
+  return reading.isStoreAway ? 'lastKnown' : 'outdated';
+}
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -2,12 +2,14 @@
   createConfirmation,
   createNamedVersions,
   createStoreClock,
+  createStoreContact,
   createStoreDistance,
   createTargetBook,
   hash32,
   VERSION_MARGIN,
   type EngineLoad,
   type Milliseconds,
+  type ReadingUse,
 } from '@hibiscusbeam/core';
 import {
   monotonicClock,
@@ -36,6 +38,7 @@
 import {createEntryCircle} from './entry_circle';
 import {createEngineReportStreams} from './engine_report_stream';
 import {createFleetMetrics} from './fleet_metrics';
+import {createHeldReadings} from './held_readings';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
 import {createRepeatBudgets} from './repeat_budgets';
@@ -108,9 +111,17 @@
   const metrics = createFleetMetrics();
   const storeClock = createStoreClock();
   const storeDistance = createStoreDistance();
+  const storeContact = createStoreContact();
   const confirmation = createConfirmation(storeClock);
   const copies = createConfigurationCopies();
   const spread = hash32(settings.instance) / 2 ** 32;
+  const readings = createHeldReadings({
+    confirmation,
+    storeContact,
+    machineClock,
+    bounds,
+  });
+  const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
   const book = createTargetBook({
     instance: settings.instance,
     zone: settings.zone,
@@ -136,6 +147,7 @@
     feed: ports.operator,
     clock: machineClock,
     confirmation,
+    storeContact,
     versions,
     log: logs('configuration'),
     // Agents and followers hear of a new version from whoever hears of it first.
@@ -162,6 +174,7 @@
   const isReady = (): boolean =>
     phase === 'serving' &&
     operator.table() !== undefined &&
+    isReadable(readings.configuration()) &&
     confirmation.isFresh(
       machineClock(),
       longestConfirmationAge * TURNED_AWAY_SHARE,
@@ -192,6 +205,7 @@
   const handler = createRequestHandler({
     protocol: ports.requests,
     operator,
+    readings,
     confirmation,
     book,
     places,
@@ -243,6 +257,7 @@
       machineClock,
       storeClock,
       storeDistance,
+      storeContact,
       readsStore: circle.readsTargets,
       onListing: circle.face.offerTargets,
       spread,
--- /dev/null
+++ b/packages/fleet/src/entry/held_readings.ts
@@ -0,0 +1,50 @@
+import {
+  judgeReading,
+  type Confirmation,
+  type Milliseconds,
+  type MonotonicInstant,
+  type ReadingUse,
+  type StoreContact,
+} from '@hibiscusbeam/core';
+import type {Clock} from '@hibiscusbeam/daemon';
+
+/** Share of the bound of configurations that may pass; the rest is for clocks. */
+const CONFIGURATION_SHARE = 0.95;
+
+/** What judging the held readings needs. */
+export interface HeldReadingsOptions {
+  readonly confirmation: Confirmation;
+  readonly storeContact: StoreContact;
+  /** Counts suspensions of the machine. */
+  readonly machineClock: Clock;
+  readonly bounds: {readonly configuration: Milliseconds};
+}
+
+/** What the held readings of the store are good for now. */
+export interface HeldReadings {
+  readonly configuration: () => ReadingUse;
+}
+
+/** Creates the judge of what an entry holds. */
+export function createHeldReadings(options: HeldReadingsOptions): HeldReadings {
+  const {confirmation, storeContact, machineClock, bounds} = options;
+
+  function judge(
+    readAt: MonotonicInstant | undefined,
+    bound: Milliseconds,
+  ): ReadingUse {
+    return judgeReading({
+      age: machineClock() - (readAt ?? -Infinity),
+      bound,
+      isStoreAway: storeContact.isAway(),
+    });
+  }
+
+  return {
+    configuration: () =>
+      judge(
+        confirmation.confirmedAt(),
+        bounds.configuration * CONFIGURATION_SHARE,
+      ),
+  };
+}
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -4,12 +4,20 @@
   MonotonicInstant,
   NamedVersions,
   RouteTable,
+  StoreContact,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
+import type {Result} from 'ts-results';
 import type {ConfigurationCopies} from '../link/configuration_copies';
 import {runFeedLoop} from '../link/feed_loop';
-import type {OperatorFeed, OperatorReading, Revision} from '../ports';
+import {signOf} from '../link/store_sign';
+import type {
+  HostError,
+  OperatorFeed,
+  OperatorReading,
+  Revision,
+} from '../ports';
 import {createHeldConfiguration} from './held_configuration';
 
 /**
@@ -106,6 +114,7 @@
   readonly feed: OperatorFeed;
   readonly clock: Clock;
   readonly confirmation: Confirmation;
+  readonly storeContact: StoreContact;
   readonly versions: NamedVersions;
   readonly copies: ConfigurationCopies;
   readonly log: Log;
@@ -265,9 +274,14 @@
   }
 
   /** Notes when a question is asked, which is when the store looks or later. */
-  function ask<Answer>(question: () => Answer): Answer {
-    askedAt = clock();
-    return question();
+  async function ask<Answer>(
+    question: () => Promise<Result<Answer, HostError>>,
+  ): Promise<Result<Answer, HostError>> {
+    const sentAt = clock();
+    askedAt = sentAt;
+    const reply = await question();
+    options.storeContact.note(sentAt, signOf(reply));
+    return reply;
   }
 
   return {
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -4,12 +4,14 @@
   type Confirmation,
   type Milliseconds,
   type MonotonicInstant,
+  type ReadingUse,
   type Route,
   type ServiceName,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {CallerHeader} from '../ports';
 import {expectRun, type ExpectedRun} from './expected_run';
+import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
 import {notRun, type OwnAnswer} from './own_answers';
 
@@ -28,6 +30,7 @@
 /** What the acceptance of requests goes by. */
 export interface RequestAcceptanceOptions extends KeyConfirmation {
   readonly operator: OperatorFollower;
+  readonly readings: HeldReadings;
   readonly stopping: () => StoppingPhase;
 }
 
@@ -65,20 +68,19 @@
   }
   const table = options.operator.table();
   if (table === undefined) return notRun('noConfiguration', undefined);
+  const use = options.readings.configuration();
+  if (use === 'outdated') return notRun('staleConfiguration', undefined);
   const route = table.find(header.host, path);
-  const isFresh = isKeyConfirmed(options);
-  if (route === undefined) {
-    return isFresh
-      ? {status: 404, reason: 'no route'}
-      : notRun('staleConfiguration', undefined);
-  }
-  // Failure: a process that is cut off or was frozen serves a key that was
-  // taken away meanwhile. Guard: without a fresh confirmation no key counts.
+  if (route === undefined) return deny(use, {status: 404, reason: 'no route'});
   const access = table.access(route, header.key);
-  if (access.kind !== 'anonymous' && !isFresh) {
+  if (access.kind === 'denied') {
+    return deny(use, {status: 401, reason: 'unknown key'});
+  }
+  // A process that is cut off or was frozen must not serve a key that was taken
+  // away meanwhile.
+  if (access.kind === 'workspace' && !isKeyConfirmed(options)) {
     return notRun('staleConfiguration', undefined);
   }
-  if (access.kind === 'denied') return {status: 401, reason: 'unknown key'};
   const service = chooseService(route, header.requestId ?? '');
   if (service === undefined) return notRun('noTarget', undefined);
   const patience = Math.min(header.patience ?? Infinity, route.timeout);
@@ -87,6 +89,14 @@
   return {header, route, service, access, run, body, arrivedAt, deadline};
 }
 
+/**
+ * A denial is final for its caller, so it needs a configuration that can't have
+ * been replaced in force; otherwise the caller is told to come back.
+ */
+export function deny(use: ReadingUse, denial: OwnAnswer): OwnAnswer {
+  return use === 'current' ? denial : notRun('staleConfiguration', undefined);
+}
+
 /** Whether the configuration was confirmed lately enough to go by its keys. */
 export function isKeyConfirmed(options: KeyConfirmation): boolean {
   return options.confirmation.isFresh(
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -15,6 +15,7 @@
 import {ownAnswerFor, writeOwnAnswer, type OwnAnswer} from './own_answers';
 import {
   acceptRequest,
+  deny,
   type AcceptedRequest,
   type RequestAcceptanceOptions,
 } from './request_acceptance';
@@ -24,6 +25,11 @@
 import type {StreamProgress} from './stream_relay';
 import {createTimeliness} from './timeliness';
 
+const BODY_TOO_LARGE: OwnAnswer = {
+  status: 413,
+  reason: 'the body is too large',
+};
+
 /** What the handling of requests needs. */
 export interface RequestHandlerOptions
   extends
@@ -64,7 +70,7 @@
     const path = request.url ?? '/';
     const accepted =
       body === 'tooLarge'
-        ? {status: 413 as const, reason: 'the body is too large'}
+        ? deny(options.readings.configuration(), BODY_TOO_LARGE)
         : acceptRequest(options, {header, path, body, arrivedAt});
     if ('status' in accepted) {
       answerOurselves(request, response, header, accepted);
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -5,10 +5,12 @@
   type MonotonicInstant,
   type ServiceName,
   type StoreClock,
+  type StoreContact,
   type StoreDistance,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
+import {signOf} from '../link/store_sign';
 import {createUnusableRowLog} from '../link/unusable_row_log';
 import type {Revision, TargetList, TargetReading, UnusableRow} from '../ports';
 
@@ -72,6 +74,7 @@
   readonly machineClock: Clock;
   readonly storeClock: StoreClock;
   readonly storeDistance: StoreDistance;
+  readonly storeContact: StoreContact;
   /** Whether no relay of the zone reads the list for this entry. */
   readonly readsStore: () => boolean;
   /** Told of each listing, own or heard, that is newer than those before. */
@@ -124,6 +127,7 @@
     askedAt = sentAt;
     const reply = await list.read(options.draining * TIMEOUT_SHARE);
     if (signal.aborted) return;
+    options.storeContact.note(sentAt, signOf(reply));
     if (reply.err) memory.noteFailure(clock());
     else {
       const answeredAt = machineClock();
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -1,6 +1,7 @@
 import {unreachable, type Milliseconds} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {Agent, request, type Dispatcher} from 'undici';
+import {openSingleConnection, type SingleConnection} from './single_connection';
 
 /** An answer, read whole. */
 export interface HttpReply {
@@ -8,9 +9,21 @@
   readonly body: Buffer;
 }
 
+/** How far a call came that brought no answer. */
+export type CallProgress =
+  /** No connection in time: nobody is there, or the link is full. */
+  | 'notConnected'
+  /** The connection was refused, or ended by the other side. */
+  | 'broken'
+  /** Connected, and nothing came for many times what connecting took. */
+  | 'silent'
+  /** An answer has begun, or may be on its way. */
+  | 'underWay';
+
 /** Why there is none. */
 export interface NoReply {
   readonly detail: string;
+  readonly progress: CallProgress;
 }
 
 /** One call over HTTP. */
@@ -23,6 +36,8 @@
   readonly body?: Buffer | string;
   readonly contentType?: string;
   readonly timeout: Milliseconds;
+  /** How long the server may hold its answer back, as a long poll does. */
+  readonly heldFor?: Milliseconds;
   readonly signal?: AbortSignal;
   /** Default `single`. */
   readonly connection?: HttpConnection;
@@ -40,12 +55,6 @@
 /** Longest time to open a connection. */
 const CONNECT_TIMEOUT: Milliseconds = 500;
 
-/**
- * Connections that serve one call each: an open connection may fall silent for
- * good, which a kept one shows only by a time-out in a later call.
- */
-const singleUse = new Agent({connect: {timeout: CONNECT_TIMEOUT}});
-
 /**
  * Longest time to open a connection over a full link. After an outage of the
  * origin 41 agents ask it for a chunk each, which takes its link 1.8 s; given up
@@ -53,10 +62,6 @@
  */
 const FULL_LINK_CONNECT_TIMEOUT: Milliseconds = 2_000;
 
-const overFullLink = new Agent({
-  connect: {timeout: FULL_LINK_CONNECT_TIMEOUT},
-});
-
 /** Idle time of kept connections; below that of the engines. */
 const KEPT_FOR: Milliseconds = 1_000;
 
@@ -82,44 +87,70 @@
   );
   const abort = (): void => controller.abort();
   call.signal?.addEventListener('abort', abort, {once: true});
+  const connection = connectionOf(call);
+  let hasBegun = false;
   try {
-    const reply = await send(call, controller.signal);
+    const reply = await send(call, connection, controller.signal);
+    hasBegun = true;
     const body = Buffer.from(await reply.body.arrayBuffer());
     return Ok({status: reply.statusCode, body});
   } catch (error) {
-    return Err({detail: error instanceof Error ? error.message : 'no answer'});
+    return Err({
+      detail: error instanceof Error ? error.message : 'no answer',
+      progress: progressOf(call, controller.signal, connection, hasBegun),
+    });
   } finally {
     clearTimeout(timer);
     call.signal?.removeEventListener('abort', abort);
+    connection?.close();
+  }
+}
+
+/**
+ * A connection for this call alone: an open one may fall silent for good, which a
+ * kept one shows only by a time-out in a later call.
+ */
+function connectionOf(call: HttpCall): SingleConnection | undefined {
+  const kind = call.connection ?? 'single';
+  switch (kind) {
+    case 'single':
+      return openSingleConnection(call.address, CONNECT_TIMEOUT);
+    case 'singleOverFullLink':
+      return openSingleConnection(call.address, FULL_LINK_CONNECT_TIMEOUT);
+    case 'kept':
+      return undefined;
+    default:
+      return unreachable(kind);
   }
 }
 
 function send(
   call: HttpCall,
+  connection: SingleConnection | undefined,
   signal: AbortSignal,
 ): Promise<Dispatcher.ResponseData> {
   const contentType = call.contentType ?? 'application/json';
   return request(`http://${call.address}${call.path}`, {
-    dispatcher: dispatcherOf(call.connection ?? 'single'),
+    dispatcher: connection?.dispatcher ?? kept,
     method: call.method,
     body: call.body,
     headers: call.body === undefined ? {} : {'content-type': contentType},
-    reset: call.connection !== 'kept',
+    reset: connection !== undefined,
     signal,
   });
 }
 
-function dispatcherOf(connection: HttpConnection): Dispatcher {
-  switch (connection) {
-    case 'single':
-      return singleUse;
-    case 'singleOverFullLink':
-      return overFullLink;
-    case 'kept':
-      return kept;
-    default:
-      return unreachable(connection);
-  }
+function progressOf(
+  {heldFor = 0}: HttpCall,
+  timeout: AbortSignal,
+  connection: SingleConnection | undefined,
+  hasBegun: boolean,
+): CallProgress {
+  if (connection?.hasTimedOut() === true) return 'notConnected';
+  if (!timeout.aborted) return 'broken';
+  if (hasBegun || connection === undefined) return 'underWay';
+  if (!connection.isOpen()) return 'notConnected';
+  return connection.isSilent(heldFor) ? 'silent' : 'underWay';
 }
 
 /** Parses a body as JSON; undefined if it is none. */
--- /dev/null
+++ b/packages/fleet/src/link/single_connection.ts
@@ -0,0 +1,62 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {monotonicClock} from '@hibiscusbeam/daemon';
+import {buildConnector, Client, errors, type Dispatcher} from 'undici';
+
+/**
+ * Times that the opening of a connection took after which an open one counts as
+ * silent. On a full link an answer takes a few times that; a server that is there
+ * and answers nothing never does.
+ */
+const SILENT_OPENINGS = 10;
+
+/** A connection for one call. */
+export interface SingleConnection {
+  readonly dispatcher: Dispatcher;
+  readonly isOpen: () => boolean;
+  /** Whether it could not be opened in time. */
+  readonly hasTimedOut: () => boolean;
+  /**
+   * Whether an answer that the server held for `heldFor` would surely have come
+   * by now, as fast as the connection was opened.
+   */
+  readonly isSilent: (heldFor: Milliseconds) => boolean;
+  readonly close: () => void;
+}
+
+/** Opens a connection to `address` (`IP:port`) with the first call over it. */
+export function openSingleConnection(
+  address: string,
+  timeout: Milliseconds,
+): SingleConnection {
+  const connect = buildConnector({timeout});
+  let openingAt: Milliseconds | undefined;
+  let openedAt: Milliseconds | undefined;
+  let hasTimedOut = false;
+
+  const client = new Client(`http://${address}`, {
+    connect: (options, callback) => {
+      openingAt = monotonicClock();
+      connect(options, (...outcome) => {
+        const [error] = outcome;
+        if (error === null) openedAt = monotonicClock();
+        else hasTimedOut = error instanceof errors.ConnectTimeoutError;
+        callback(...outcome);
+      });
+    },
+  });
+
+  function isSilent(heldFor: Milliseconds): boolean {
+    if (openingAt === undefined || openedAt === undefined) return false;
+    const opening = openedAt - openingAt;
+    const waited = monotonicClock() - openedAt - heldFor;
+    return waited >= opening * SILENT_OPENINGS;
+  }
+
+  return {
+    dispatcher: client,
+    isOpen: () => openedAt !== undefined,
+    hasTimedOut: () => hasTimedOut,
+    isSilent,
+    close: () => void client.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/link/store_sign.ts
@@ -0,0 +1,37 @@
+import {unreachable, type StoreSign} from '@hibiscusbeam/core';
+import type {Result} from 'ts-results';
+import type {HostError} from '../ports';
+import type {CallProgress} from './http_calls';
+
+/** What the end of a question says of the store. */
+export function signOf(reply: Result<unknown, HostError>): StoreSign {
+  if (reply.ok) return 'answered';
+  const error = reply.val;
+  switch (error.kind) {
+    case 'unavailable':
+    case 'rateLimited':
+      return 'turnedAway';
+    case 'historyLost':
+    case 'refused':
+    case 'malformed':
+      return 'answered';
+    case 'noAnswer':
+      return signOfProgress(error.progress);
+    default:
+      return unreachable(error);
+  }
+}
+
+function signOfProgress(progress: CallProgress): StoreSign {
+  switch (progress) {
+    case 'notConnected':
+      return 'notReached';
+    case 'broken':
+      return 'turnedAway';
+    case 'silent':
+    case 'underWay':
+      return progress;
+    default:
+      return unreachable(progress);
+  }
+}
--- a/packages/fleet/src/ports/errors.ts
+++ b/packages/fleet/src/ports/errors.ts
@@ -1,3 +1,5 @@
+import type {CallProgress} from '../link/http_calls';
+
 /** Why the host platform's store gave no usable answer. */
 export type HostError =
   /** Nothing was done; the store is away or turns this machine away. */
@@ -5,7 +7,11 @@
   /** Nothing was done; too many calls. */
   | {readonly kind: 'rateLimited'; readonly detail: string}
   /** No answer: what was asked may have been done, or be done later. */
-  | {readonly kind: 'noAnswer'; readonly detail: string}
+  | {
+      readonly kind: 'noAnswer';
+      readonly progress: CallProgress;
+      readonly detail: string;
+    }
   /** Changes since the revision asked for are no longer known. */
   | {readonly kind: 'historyLost'; readonly detail: string}
   /** The store refuses the call for good. */
--- /dev/null
+++ b/test/fleet/call_progress.test.ts
@@ -0,0 +1,65 @@
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {
+  callHttp,
+  type CallProgress,
+} from '../../packages/fleet/src/link/http_calls';
+import {freeAddress} from './fixtures/host_site';
+
+const closing: (() => void)[] = [];
+
+afterEach(() => closing.splice(0).forEach(close => close()));
+
+/** A server that does `answer` with each connection. */
+async function serve(answer: (socket: Socket) => void): Promise<string> {
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    answer(socket);
+  });
+  closing.push(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  return `127.0.0.1:${port}`;
+}
+
+async function progressOf(
+  address: string,
+  heldFor?: number,
+): Promise<CallProgress | undefined> {
+  const path = '/';
+  const reply = await callHttp({
+    address,
+    method: 'GET',
+    path,
+    timeout: 400,
+    heldFor,
+  });
+  return reply.err ? reply.val.progress : undefined;
+}
+
+test('a server that takes a connection and sends nothing is silent', async () => {
+  expect(await progressOf(await serve(() => undefined))).toBe('silent');
+});
+
+test('a server that may hold its answer back is not silent yet', async () => {
+  const address = await serve(() => undefined);
+  expect(await progressOf(address, 5_000)).toBe('underWay');
+});
+
+test('an answer that has begun is under way', async () => {
+  const address = await serve(socket => {
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf');
+  });
+  expect(await progressOf(address)).toBe('underWay');
+});
+
+test('a connection that the server ends is broken', async () => {
+  const address = await serve(socket => socket.destroy());
+  expect(await progressOf(address)).toBe('broken');
+  expect(await progressOf(await freeAddress())).toBe('broken');
+});
--- a/test/fleet/feed_loop.test.ts
+++ b/test/fleet/feed_loop.test.ts
@@ -42,7 +42,11 @@
 // whole again each time, it filled the link for all who share it: three entries
 // had no configuration for eight seconds.
 test('a table is followed on from the last reading after a failure', async () => {
-  const asked = await questionsAround({kind: 'noAnswer', detail: ''});
+  const asked = await questionsAround({
+    kind: 'noAnswer',
+    progress: 'underWay',
+    detail: '',
+  });
   expect(asked).toEqual(['whole', 4, 4]);
 });
 
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -1,6 +1,7 @@
 import {
   createConfirmation,
   createNamedVersions,
+  createStoreContact,
   type RoutingConfiguration,
 } from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
@@ -78,6 +79,7 @@
     feed,
     clock: now,
     confirmation,
+    storeContact: createStoreContact(),
     versions: createNamedVersions(8_000),
     log,
     bound: CONFIGURATION_BOUND,
--- a/test/fleet/stale_readings.test.ts
+++ b/test/fleet/stale_readings.test.ts
@@ -100,6 +100,19 @@
   },
 );
 
+test('nobody is denied for good while the store is silent', async () => {
+  const address = await startServingEntry({
+    configuration: CONFIGURATION_BOUND,
+    draining: NO_BOUND,
+  });
+  site.store.setFault('silent');
+  await pass(2 * CONFIGURATION_BOUND);
+  expect((await send(address, '/new/a')).status).toBe(503);
+  const unknownKey = {authorization: 'Token unknown'};
+  expect((await send(address, '/safe/a', unknownKey)).status).toBe(503);
+  expect((await send(address, '/safe/a')).status).toBe(200);
+});
+
 function newRoute() {
   return {
     Host: HOST,
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -1,5 +1,6 @@
 import {
   createStoreClock,
+  createStoreContact,
   createStoreDistance,
   createTargetBook,
   type ListedTarget,
@@ -74,7 +75,11 @@
     if (isLost) losesLeft = false;
     await new Promise(resolve => setTimeout(resolve, Math.min(delay, timeout)));
     if (delay > timeout || isLost || isAway()) {
-      return Err({kind: 'noAnswer' as const, detail: ''});
+      return Err({
+        kind: 'noAnswer' as const,
+        progress: 'notConnected' as const,
+        detail: '',
+      });
     }
     const reading: TargetReading = {
       revision: leaving ? 2 : 1,
@@ -92,6 +97,7 @@
       machineClock: now,
       storeClock: createStoreClock(),
       storeDistance: createStoreDistance(),
+      storeContact: createStoreContact(),
       readsStore,
       onListing: () => undefined,
       spread: 0,
