Send nothing by a list of targets older than the draining bound

What callers saw: requests at engines 3,040 and 3,017 ms after these had said that they leave (bound 3,000 ms), both through one entry.

Cause: the list is read each 0.3 of the bound, and each read may take 0.5 of it. If reads time out one after the other, as behind a full link, the entry goes on by a list of any age; nothing looked at the age when a request was sent.

Class: as for the configuration, a guard that holds while updates come in time.

Change: the list counts for 0.9 of the bound (the rest is a request's way), and beyond it only while the store was seen not to serve. Past it nothing is chosen, a choice made before is not sent, callers are told to come back (outdatedTargets), and the entry counts as unready, so that directories name others.

Conclusion: what is sent rests on a list that is young enough, or on a store that cannot have taken a target's leaving.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -59,7 +59,8 @@
   | {readonly kind: 'callerGone'};
 
 /** Why no target takes a request. */
-export type NoPlaceReason = 'noTarget' | 'allFull' | 'leaving';
+export type NoPlaceReason =
+  'noTarget' | 'allFull' | 'leaving' | 'outdatedTargets';
 
 /** What the flow asks of its driver. */
 export type ForwardEffect<Target> =
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -34,8 +34,14 @@
   end: () => undefined,
 };
 
-/** Creates the book of an entry. */
-export function createTargetBook(self: SendingEntry): TargetBook {
+/**
+ * Creates the book of an entry. Nothing is chosen while `isListUsable` says that
+ * the list is too old to go by.
+ */
+export function createTargetBook(
+  self: SendingEntry,
+  isListUsable: () => boolean = () => true,
+): TargetBook {
   const {zone} = self;
   let senders: readonly SendingEntry[] = [self];
   const places = new Map<ZoneName, SharePlace>();
@@ -174,6 +180,7 @@
   }
 
   function choose(need: PlaceNeed): TargetPlace {
+    if (!isListUsable()) return {kind: 'outdated'};
     const usable = [...entries.values()].filter(entry =>
       fits(entry, need, zone),
     );
@@ -240,7 +247,7 @@
     },
     mayStart: (target, need) => {
       const entry = entries.get(target.instance);
-      return entry !== undefined && fits(entry, need, zone);
+      return entry !== undefined && isListUsable() && fits(entry, need, zone);
     },
     choose,
     heldVersion: (target, model, now) => {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -117,4 +117,6 @@
   | {readonly kind: 'chosen'; readonly target: ListedTarget}
   /** Targets are there, all of them full. */
   | {readonly kind: 'full'}
-  | {readonly kind: 'none'};
+  | {readonly kind: 'none'}
+  /** The list is too old: targets may have left. */
+  | {readonly kind: 'outdated'};
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -117,15 +117,16 @@
   const spread = hash32(settings.instance) / 2 ** 32;
   const readings = createHeldReadings({
     confirmation,
+    listedAt: () => targets.listedAt(),
     storeContact,
     machineClock,
     bounds,
   });
   const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
-  const book = createTargetBook({
-    instance: settings.instance,
-    zone: settings.zone,
-  });
+  const book = createTargetBook(
+    {instance: settings.instance, zone: settings.zone},
+    () => isReadable(readings.targets()),
+  );
   const places = createPlaceQueue(book, clock);
   const handover = createStreamHandover({book, clock});
   const life = `${settings.instance}-${randomUUID()}`;
@@ -175,6 +176,7 @@
     phase === 'serving' &&
     operator.table() !== undefined &&
     isReadable(readings.configuration()) &&
+    isReadable(readings.targets()) &&
     confirmation.isFresh(
       machineClock(),
       longestConfirmationAge * TURNED_AWAY_SHARE,
--- a/packages/fleet/src/entry/held_readings.ts
+++ b/packages/fleet/src/entry/held_readings.ts
@@ -11,18 +11,27 @@
 /** Share of the bound of configurations that may pass; the rest is for clocks. */
 const CONFIGURATION_SHARE = 0.95;
 
+/** Share of the draining bound that may pass; the rest is a request's way. */
+const TARGETS_SHARE = 0.9;
+
 /** What judging the held readings needs. */
 export interface HeldReadingsOptions {
   readonly confirmation: Confirmation;
+  /** When the list of targets was surely as it is held. */
+  readonly listedAt: () => MonotonicInstant | undefined;
   readonly storeContact: StoreContact;
   /** Counts suspensions of the machine. */
   readonly machineClock: Clock;
-  readonly bounds: {readonly configuration: Milliseconds};
+  readonly bounds: {
+    readonly configuration: Milliseconds;
+    readonly draining: Milliseconds;
+  };
 }
 
 /** What the held readings of the store are good for now. */
 export interface HeldReadings {
   readonly configuration: () => ReadingUse;
+  readonly targets: () => ReadingUse;
 }
 
 /** Creates the judge of what an entry holds. */
@@ -46,5 +55,6 @@
         confirmation.confirmedAt(),
         bounds.configuration * CONFIGURATION_SHARE,
       ),
+    targets: () => judge(options.listedAt(), bounds.draining * TARGETS_SHARE),
   };
 }
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -19,6 +19,7 @@
     }
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
+  | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
 
 /** A request that asks for a place. */
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -28,6 +28,12 @@
 import type {StreamHandover} from './stream_handover';
 import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
 
+const NO_PLACE_REASONS = {
+  full: 'allFull',
+  none: 'noTarget',
+  outdated: 'outdatedTargets',
+} as const;
+
 /** What carrying out a request's flow needs. */
 export interface RequestRunOptions extends KeyConfirmation {
   readonly protocol: RequestProtocol;
@@ -118,8 +124,9 @@
       case 'abandoned':
         return {kind: 'placed', place: {kind: by ?? 'callerGone'}};
       case 'full':
-      case 'none': {
-        const reason = outcome.kind === 'full' ? 'allFull' : 'noTarget';
+      case 'none':
+      case 'outdated': {
+        const reason = NO_PLACE_REASONS[outcome.kind];
         const retryAfter = spreadReturn(header.requestId, route);
         return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
       }
--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -20,7 +20,7 @@
 function answeredText({status, reason, confirmationAge}: AnsweredHere): string {
   switch (reason) {
     case 'staleConfiguration':
-      return `Not run: the entry had no word from the store for ${confirmationAge ?? 'an unknown number of'} ms, and may not go by keys and routes that old.`;
+      return `Not run: the entry had no word from the store for ${confirmationAge ?? 'an unknown number of'} ms, and may not go by routes and keys that old.`;
     case 'noConfiguration':
       return 'Not run: the entry had read no configuration yet.';
     case 'leaving':
@@ -65,6 +65,8 @@
       return `Not run: no target had room within ${took} ms${before}; the caller was told when to come back.`;
     case 'noTarget':
       return `Not run${before}: no listed target of the service may take it (leaving, tried already, or with an older version than may start).`;
+    case 'outdatedTargets':
+      return `Not run${before}: the entry's list of targets was older than the draining bound, so that any of them may have left.`;
     default:
       return `Not run${before}: ${reason ?? 'no reason logged'}.`;
   }
