Count a late version name's bound from its naming, by the store's clock

What callers could see: requests that begin on an older version after its bound.

Cause: an entry counted a version's bound from the arrival of the answer that named it, or by an age that another entry told, without the time on the way.

Change: names go on with the store's time at which they were read first; each entry knows what that time means here. An age that differs by more than 10 s is not believed (a store whose clock started anew).

Ruled out: counting from the last reading without the name. It needs no message, but after a partition each entry that was cut off would stop the older version everywhere, seconds too soon, since the earliest word counts.

Evidence: two tests that fail without the change (both guards seen caught).

Conclusion: what is left is a name that no entry of the site reads in time.

--- a/packages/core/src/freshness/store_clock.ts
+++ b/packages/core/src/freshness/store_clock.ts
@@ -18,6 +18,8 @@
    * `storeTime`; undefined before anything was recorded.
    */
   readonly notAfter: (storeTime: Milliseconds) => MonotonicInstant | undefined;
+  /** The store time of which `notAfter` gives `at`. */
+  readonly storeTimeAt: (at: MonotonicInstant) => Milliseconds | undefined;
 }
 
 /**
@@ -56,5 +58,6 @@
       zero = Math.max(zero ?? -Infinity, askedAt - storeTime);
     },
     notAfter: storeTime => (zero === undefined ? undefined : zero + storeTime),
+    storeTimeAt: at => (zero === undefined ? undefined : at - zero),
   };
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -143,11 +143,13 @@
     versions,
     machineClock,
     logs('configuration'),
+    storeClock,
   );
   const operator = createOperatorFollower({
     feed: ports.operator,
     clock: machineClock,
     confirmation,
+    storeClock,
     storeContact,
     versions,
     log: logs('configuration'),
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -4,6 +4,7 @@
   MonotonicInstant,
   NamedVersions,
   RouteTable,
+  StoreClock,
   StoreContact,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
@@ -114,6 +115,7 @@
   readonly feed: OperatorFeed;
   readonly clock: Clock;
   readonly confirmation: Confirmation;
+  readonly storeClock: StoreClock;
   readonly storeContact: StoreContact;
   readonly versions: NamedVersions;
   readonly copies: ConfigurationCopies;
@@ -159,8 +161,11 @@
     const before = held.servicesDigest();
     let isNews = false;
     held.takeReading(reading);
+    // An answer may be late, and a version's bound counts from its naming.
+    const lookedAt = options.storeClock.notAfter(reading.storeTime);
+    const knownSince = Math.min(answeredAt, lookedAt ?? answeredAt);
     for (const {model, version} of reading.namedVersions) {
-      const isNew = options.versions.name(model, version, answeredAt);
+      const isNew = options.versions.name(model, version, knownSince);
       if (isNew) log.info('version named', {model, version});
       isNews ||= isNew;
     }
--- a/packages/fleet/src/link/naming_exchange.ts
+++ b/packages/fleet/src/link/naming_exchange.ts
@@ -1,4 +1,9 @@
-import type {NamedVersions} from '@hibiscusbeam/core';
+import type {
+  Milliseconds,
+  MonotonicInstant,
+  NamedVersions,
+  StoreClock,
+} from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {VersionNaming} from '@hibiscusbeam/wire';
 
@@ -15,23 +20,43 @@
   readonly take: (namings: readonly VersionNaming[]) => void;
 }
 
-/** Creates the exchange; ages are told, since clocks of machines differ. */
+/** Longest time that a message may be under way before its stream is given up. */
+const LONGEST_DELAY: Milliseconds = 10_000;
+
+/**
+ * Creates the exchange; ages are told, since clocks of machines differ, and with
+ * `storeClock` the store's time too.
+ *
+ * Failure: a full link holds a naming up, its age doesn't count that, and the
+ * older version is sent requests after its bound. Guard: by the store's clock a
+ * name is as old as it was where it was read first.
+ */
 export function createNamingExchange(
   versions: NamedVersions,
   clock: Clock,
   log: Log,
+  storeClock?: StoreClock,
 ): NamingExchange {
+  function knownSince(naming: VersionNaming): MonotonicInstant {
+    const byAge = clock() - naming.ageMilliseconds;
+    if (naming.storeTime === undefined) return byAge;
+    const byStore = storeClock?.notAfter(naming.storeTime);
+    if (byStore === undefined || byAge - byStore > LONGEST_DELAY) return byAge;
+    return Math.min(byAge, byStore);
+  }
+
   return {
     tell: () =>
       versions.recent().map(({model, version, knownSince}) => ({
         model,
         version,
         ageMilliseconds: Math.max(0, Math.round(clock() - knownSince)),
+        storeTime: storeClock?.storeTimeAt(knownSince),
       })),
     take: namings => {
-      for (const {model, version, ageMilliseconds} of namings) {
-        const knownSince = clock() - ageMilliseconds;
-        const isNew = versions.name(model, version, knownSince);
+      for (const naming of namings) {
+        const {model, version} = naming;
+        const isNew = versions.name(model, version, knownSince(naming));
         if (isNew) log.info('version named', {model, version});
       }
     },
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -1,11 +1,16 @@
 import {
   createConfirmation,
   createNamedVersions,
+  createStoreClock,
   createStoreContact,
   type RoutingConfiguration,
 } from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
-import type {OperatorFeed, OperatorReading} from '@hibiscusbeam/fleet';
+import type {
+  NamedVersion,
+  OperatorFeed,
+  OperatorReading,
+} from '@hibiscusbeam/fleet';
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
@@ -21,6 +26,9 @@
 /** From a configuration's writing until it must be in force. */
 const CONFIGURATION_BOUND = 2_000;
 
+/** Time from a version's naming after which older ones start nothing. */
+const VERSION_BOUND = 8_000;
+
 /** Age at which keys are not served any more. */
 const BOUND = 4_700;
 
@@ -45,6 +53,8 @@
   let questions = 0;
   let isCut = false;
   let isUnusable = false;
+  let lateBy = 0;
+  let named: readonly NamedVersion[] = [];
   const readingOf = (isNew: boolean) =>
     ({
       revision: version,
@@ -54,7 +64,7 @@
         isNew && !isUnusable ? configurationOf(version) : undefined,
       document: isNew && !isUnusable ? documentOf(version) : undefined,
       isConfigurationLost: isNew && isUnusable,
-      namedVersions: [],
+      namedVersions: isNew ? named : [],
       newestChange: isNew ? version : 0,
     }) satisfies OperatorReading;
   const feed: OperatorFeed = {
@@ -66,7 +76,9 @@
       while (isCut || (version <= after && now() < until)) {
         await new Promise(resolve => setTimeout(resolve, 10));
       }
-      return Ok(readingOf(version > after));
+      const reading = readingOf(version > after);
+      if (lateBy > 0) await new Promise(later => setTimeout(later, lateBy));
+      return Ok(reading);
     },
     decode: ({text}) => {
       const written = Number(text.toString());
@@ -74,13 +86,16 @@
     },
   };
   const copies = createConfigurationCopies();
-  const confirmation = createConfirmation();
+  const storeClock = createStoreClock();
+  const confirmation = createConfirmation(storeClock);
+  const versions = createNamedVersions(VERSION_BOUND);
   const follower = createOperatorFollower({
     feed,
     clock: now,
     confirmation,
     storeContact: createStoreContact(),
-    versions: createNamedVersions(8_000),
+    versions,
+    storeClock,
     log,
     bound: CONFIGURATION_BOUND,
     copies,
@@ -97,6 +112,12 @@
     questions: () => questions,
     write: () => (version += 1),
     cut: () => (isCut = true),
+    holdUpAnswers: (by: number) => (lateBy = by),
+    name: () => {
+      named = [{model: 'model', version: 2}];
+      version += 1;
+    },
+    leastVersion: () => versions.least('model', now(), 0),
     writeUnusable: () => {
       isUnusable = true;
       version += 1;
@@ -282,3 +303,14 @@
     expect(site.questions()).toBeLessThanOrEqual(30);
   }
 });
+
+test('a name whose answer is late has its bound from its naming', async () => {
+  const site = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(1_000);
+  site.holdUpAnswers(1_300);
+  site.name();
+  await vi.advanceTimersByTimeAsync(VERSION_BOUND - 20);
+  expect(site.leastVersion()).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(40);
+  expect(site.leastVersion()).toBe(2);
+});
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -1,12 +1,17 @@
+import {createNamedVersions, createStoreClock} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
 import type {RelayNews} from '@hibiscusbeam/wire';
 import {afterEach, expect, test} from 'vitest';
 import {createEntryChannels} from '../../packages/fleet/src/link/channels';
+import {createNamingExchange} from '../../packages/fleet/src/link/naming_exchange';
 import {startHostEngine} from './fixtures/host_engine';
 import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
 
 /** How much later than the first entry the second one starts. */
 const LATER = 1_500;
 
+const VERSION_BOUND = 8_000;
+
 let site: HostSite;
 const channels = createEntryChannels();
 
@@ -99,3 +104,18 @@
   expect(site.store.calls.get('/rows-feed')! - asked!).toBeLessThanOrEqual(1);
   await engine.close();
 });
+
+test('a name that a full link has held up has its bound from its naming', () => {
+  const versions = createNamedVersions(VERSION_BOUND);
+  const log = {info: () => undefined} as unknown as Log;
+  const storeClock = createStoreClock();
+  storeClock.record({askedAt: 0, answeredAt: 4, storeTime: 700_000});
+  const exchange = createNamingExchange(versions, () => 6_000, log, storeClock);
+  const naming = {model: 'model', version: 2, ageMilliseconds: 100};
+  exchange.take([{...naming, storeTime: 701_000}]);
+  expect(versions.least('model', 999 + VERSION_BOUND, 0)).toBeUndefined();
+  expect(versions.least('model', 1_000 + VERSION_BOUND, 0)).toBe(2);
+  expect(exchange.tell()).toEqual([
+    {...naming, ageMilliseconds: 5_000, storeTime: 701_000},
+  ]);
+});
