Shrink an entry's part of the site's repeats as entries join

What callers could see: none directly; the site's bound on repeats (BUDGET) is exceeded after machines are added.

Cause: each entry worked out its part of the slack at its first request of a service and kept it for life. 46 entries that become 92 could together repeat twice the 0.6 of the slack that is used.

Change: the part follows the entries that are known; what is left beyond a smaller part lapses.

Evidence: a test that fails without the change (the guard is seen caught).

Conclusion: what is left is an entry that hears of new ones late; 0.4 of the slack is kept for that.

--- a/packages/core/src/routing/retry_budget.ts
+++ b/packages/core/src/routing/retry_budget.ts
@@ -9,6 +9,8 @@
   readonly takeMove: () => boolean;
   /** Retries that may be taken now. */
   readonly available: () => number;
+  /** Changes the reserve; what is left beyond a smaller one lapses. */
+  readonly setReserve: (reserve: number) => void;
 }
 
 /** Bounds of a budget; the defaults are those of the design note. */
@@ -28,7 +30,7 @@
   options: RetryBudgetOptions = {},
 ): RetryBudget {
   const share = options.share ?? RETRY_SHARE;
-  const reserve = options.reserve ?? RETRY_RESERVE;
+  let reserve = options.reserve ?? RETRY_RESERVE;
   let available = reserve;
 
   const takeIfLeft = (left: number): boolean => {
@@ -44,5 +46,9 @@
     takeRetry: () => takeIfLeft(1),
     takeMove: () => takeIfLeft(MOVE_RESERVE),
     available: () => Math.floor(available),
+    setReserve: next => {
+      reserve = next;
+      available = Math.min(available, reserve);
+    },
   };
 }
--- a/packages/fleet/src/entry/repeat_budgets.ts
+++ b/packages/fleet/src/entry/repeat_budgets.ts
@@ -38,14 +38,17 @@
   /**
    * Failure: an entry that has just started knows no other one, takes the whole
    * slack for its own, and all of them together exceed the site's bound. Until
-   * the others are known it repeats nothing.
+   * the others are known it repeats nothing, and its part shrinks as others join.
    */
   function budgetOf(service: ServiceName): RetryBudget | undefined {
-    const known = budgets.get(service);
-    if (known !== undefined) return known;
     const entries = options.entries();
     if (entries === undefined) return undefined;
     const reserve = (options.slack * USED_PART) / entries;
+    const known = budgets.get(service);
+    if (known !== undefined) {
+      known.setReserve(reserve);
+      return known;
+    }
     const share = options.share * USED_PART;
     const budget = createRetryBudget({share, reserve});
     budgets.set(service, budget);
--- a/test/placement/repeat_budgets.test.ts
+++ b/test/placement/repeat_budgets.test.ts
@@ -19,3 +19,17 @@
   expect(taken).toBeGreaterThan(0);
   expect(taken * 8).toBeLessThanOrEqual(104);
 });
+
+test('the part of the slack shrinks as entries join', () => {
+  let entries = 2;
+  const budgets = createRepeatBudgets({
+    share: 0.2,
+    slack: 100,
+    entries: () => entries,
+  });
+  budgets.recordFirst('model');
+  entries = 20;
+  let taken = 0;
+  while (budgets.takeRepeat('model')) taken += 1;
+  expect(taken * entries).toBeLessThanOrEqual(100);
+});
