Let the members of now decide who fetches a chunk from the origin

The origin was back at 26.7 s and had sent a first chunk to 30 agents by 28.3 s, one each 44 ms, which is its rate; the last chunks came only at 34 s.

Cause: each agent took the members of the moment at which it learned of the version for those among whom chunks are dealt out. 28 learned of it before the origin went, seven after its return, and five had left between. Where the lists differ, each takes another one for a chunk's fetcher; nobody asks until the patience of a rank has passed, which the outage has made long.

Change: the holders of a version are the members of now, which all agents agree on within a change of the table; a chunk's new fetcher has its time before the next in rank asks. An explicit list stays possible, for the product's own interface.

Ruled out: copies sent twice (survivors had 49 chunks of 48 from the origin).

A test that fails without the change (the guard is seen caught). The laboratory knows agents that leave or learn late now.

Conclusion: the long hole after an outage of the origin was a matter of views, not of links.

--- a/packages/core/src/distribution/commands/neighbours.ts
+++ b/packages/core/src/distribution/commands/neighbours.ts
@@ -32,6 +32,7 @@
   state: SwarmState,
   version: WantedVersion,
 ): void {
+  refreshHolders(state, version);
   const live = liveHolders(state, version);
   rank(state, version, live);
   const chosen = new Set(
@@ -60,6 +61,40 @@
   }
 }
 
+/**
+ * Failure: agents learn of a version at different times, and each goes by the
+ * members of that time. Where they differ, each takes another one for a chunk's
+ * fetcher, and nobody asks for it until the patience of a rank has passed. Guard:
+ * the holders are the members of now, which all agents agree on soon.
+ */
+function refreshHolders(state: SwarmState, version: WantedVersion): void {
+  const {wantedHolders} = version;
+  const next =
+    wantedHolders === 'members'
+      ? [...state.zones.keys(), state.options.instance].sort()
+      : wantedHolders;
+  if (isSameList(next, version.holders)) return;
+  const signs = new Map(
+    version.holders.map((name, place) => [name, version.lastSign[place]!]),
+  );
+  version.holders = next;
+  version.lastSign = Float64Array.from(next, name => signs.get(name) ?? 0);
+  // A chunk's new fetcher has its time before the next in rank asks.
+  version.availability.forEach((holders, position) => {
+    if (holders === 0) version.unreachableSince[position] = state.now;
+  });
+}
+
+function isSameList(
+  one: readonly InstanceName[],
+  other: readonly InstanceName[],
+): boolean {
+  return (
+    one.length === other.length &&
+    one.every((name, place) => name === other[place])
+  );
+}
+
 /** Takes in chunks that a neighbour gained. */
 export function takeHave(
   state: SwarmState,
--- a/packages/core/src/distribution/commands/versions.ts
+++ b/packages/core/src/distribution/commands/versions.ts
@@ -1,13 +1,9 @@
-import type {
-  InstanceName,
-  Manifest,
-  RolloutPreference,
-  VersionDigest,
-} from '../../types';
+import type {Manifest, RolloutPreference, VersionDigest} from '../../types';
 import {hash32} from '../../utils/hash';
 import {createBitSet} from '../bit_set';
 import {mixHashes, rankFetchers} from '../ranks';
 import type {SwarmState, WantedVersion} from '../state';
+import type {VersionHolders} from '../types';
 import {announceAll} from './announce';
 import {fillHeld} from './chunks';
 import {refreshNeighbours, takeHave} from './neighbours';
@@ -19,13 +15,12 @@
   versionDigest: VersionDigest,
   manifest: Manifest,
   prefer: RolloutPreference,
-  holders: readonly InstanceName[],
+  holders: VersionHolders,
 ): void {
   const known = state.versions.get(versionDigest);
   if (known !== undefined) {
     known.prefer = prefer;
-    known.holders = holders;
-    known.lastSign = new Float64Array(holders.length);
+    known.wantedHolders = holders;
     refreshNeighbours(state, known);
     return;
   }
@@ -75,14 +70,15 @@
   versionDigest: VersionDigest,
   manifest: Manifest,
   prefer: RolloutPreference,
-  holders: readonly InstanceName[],
+  wantedHolders: VersionHolders,
 ): WantedVersion {
   const count = manifest.chunks.length;
   return {
     versionDigest,
     manifest,
     prefer,
-    holders,
+    wantedHolders,
+    holders: [],
     wantedAt: state.now,
     positions: new Map(
       manifest.chunks.map((chunk, position) => [chunk.digest, position]),
@@ -98,7 +94,7 @@
     availability: new Uint16Array(count),
     unreachableSince: new Float64Array(count).fill(state.now),
     firstSeen: new Float64Array(count).fill(-1),
-    lastSign: new Float64Array(holders.length),
+    lastSign: new Float64Array(),
     tieBreak: Uint32Array.from(manifest.chunks, chunk =>
       mixHashes(state.options.seed, hash32(chunk.digest)),
     ),
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -19,6 +19,7 @@
   SwarmNodeOptions,
   TransferId,
   UploadId,
+  VersionHolders,
 } from './types';
 
 /** Where a chunk is fetched from. */
@@ -59,6 +60,7 @@
   readonly versionDigest: VersionDigest;
   readonly manifest: Manifest;
   prefer: RolloutPreference;
+  wantedHolders: VersionHolders;
   /** All that should hold the version; the candidates for asking the origin. */
   holders: readonly InstanceName[];
   readonly wantedAt: number;
--- a/packages/core/src/distribution/types.ts
+++ b/packages/core/src/distribution/types.ts
@@ -25,6 +25,13 @@
   readonly zone: ZoneName;
 }
 
+/** Who should hold a version. */
+export type VersionHolders =
+  /** All members, this node among them, also those that join later. */
+  | 'members'
+  /** These instances, live or not. */
+  | readonly InstanceName[];
+
 /** Bounds and preferences of one swarm node. */
 export interface SwarmNodeOptions {
   readonly instance: InstanceName;
@@ -80,8 +87,7 @@
       readonly versionDigest: VersionDigest;
       readonly manifest: Manifest;
       readonly prefer: RolloutPreference;
-      /** All instances that should hold the version, live or not. */
-      readonly holders: readonly InstanceName[];
+      readonly holders: VersionHolders;
       /** Replaces the rate of the options, where it is learned later. */
       readonly originBytesPerSecond?: BytesPerSecond;
     }
--- a/packages/daemon/src/swarm/types.ts
+++ b/packages/daemon/src/swarm/types.ts
@@ -11,6 +11,7 @@
   StoreLife,
   SwarmDump,
   VersionDigest,
+  VersionHolders,
   VersionProgress,
   ZoneName,
 } from '@hibiscusbeam/core';
@@ -105,8 +106,7 @@
 /** How to fetch a wanted version. */
 export interface WantOptions {
   readonly prefer: RolloutPreference;
-  /** Every instance that should hold the version, this one among them. */
-  readonly holders: readonly InstanceName[];
+  readonly holders: VersionHolders;
   /** The site's share of the origin's link, where it is learned later. */
   readonly originBytesPerSecond?: BytesPerSecond;
 }
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -295,7 +295,7 @@
     void swarm.refreshHeld().then(() =>
       swarm.want(versionDigest, manifest, {
         prefer: 'origin-bytes',
-        holders: options.members().map(({instance}) => instance),
+        holders: 'members',
         originBytesPerSecond: model.originRate,
       }),
     );
--- a/packages/laboratory/src/linked_agent.ts
+++ b/packages/laboratory/src/linked_agent.ts
@@ -28,12 +28,12 @@
   crossZoneBytes: Bytes;
 }
 
-/** Whether an agent's machine is frozen at `now`. */
+/** Whether an agent has left, or its machine is frozen, at `now`. */
 export function isFrozen(
-  {description}: LinkedAgent,
+  {description: {frozenFrom = Infinity, leavesAt = Infinity}}: LinkedAgent,
   now: MonotonicInstant,
 ): boolean {
-  return now >= (description.frozenFrom ?? Infinity);
+  return now >= Math.min(frozenFrom, leavesAt);
 }
 
 /** Creates an agent as it stands before it takes part. */
--- a/packages/laboratory/src/swarm_run.ts
+++ b/packages/laboratory/src/swarm_run.ts
@@ -43,7 +43,7 @@
   const byName = new Map<InstanceName, LinkedAgent>(
     agents.map(agent => [agent.description.instance, agent]),
   );
-  const joined: LinkedAgent[] = [];
+  let joined: readonly LinkedAgent[] = [];
   const transfers = createChunkTransfers({site, clock, tell});
 
   function tell(agent: LinkedAgent, event: SwarmEvent): void {
@@ -120,8 +120,8 @@
     });
   }
 
-  function join(agent: LinkedAgent): void {
-    joined.push(agent);
+  function setMembers(next: readonly LinkedAgent[]): void {
+    joined = next;
     for (const other of joined) {
       const members = joined
         .filter(member => member !== other)
@@ -141,16 +141,20 @@
       versionDigest: VERSION,
       manifest,
       prefer: 'origin-bytes',
-      holders: joined.map(({description}) => description.instance),
+      holders: 'members',
       originBytesPerSecond: site.originRate,
     });
   }
 
   for (const [place, agent] of agents.entries()) {
-    const {joinsAt} = agent.description;
-    const news = hash32(`${site.seed}:${place}`) % NEWS_SPREAD;
-    clock.later(joinsAt, () => join(agent));
-    clock.later(joinsAt + MEMBERS_TIME + news, () => want(agent));
+    const {joinsAt, wantsAt = joinsAt, leavesAt} = agent.description;
+    const delay = hash32(`${site.seed}:${place}`) % NEWS_SPREAD;
+    clock.later(joinsAt, () => setMembers([...joined, agent]));
+    clock.later(wantsAt + MEMBERS_TIME + delay, () => want(agent));
+    if (leavesAt === undefined) continue;
+    clock.later(leavesAt, () =>
+      setMembers(joined.filter(member => member !== agent)),
+    );
   }
   const isDone = (): boolean =>
     agents.every(
--- a/packages/laboratory/src/swarm_site.ts
+++ b/packages/laboratory/src/swarm_site.ts
@@ -14,6 +14,10 @@
   readonly zone: ZoneName;
   /** When it takes part; the version is named at 0. */
   readonly joinsAt: MonotonicInstant;
+  /** When it learns of the version, if that is later than it takes part. */
+  readonly wantsAt?: MonotonicInstant;
+  /** When it leaves by plan; undefined if it stays. */
+  readonly leavesAt?: MonotonicInstant;
   /** When it freezes, for good; undefined if it never does. */
   readonly frozenFrom?: MonotonicInstant;
   /** Whether it holds the version from the start. */
--- a/test/laboratory/swarm_run.test.ts
+++ b/test/laboratory/swarm_run.test.ts
@@ -171,3 +171,16 @@
   // One into each of the two zones that the origin's fetcher is not in.
   expect(copies('crossZoneBytes')).toBeLessThanOrEqual(2.1);
 });
+
+test('agents that learn of a version late wait for no fetcher that others expect', () => {
+  const originFrom = 6_500;
+  const members = agents(19, place => {
+    if (place < 3) return {leavesAt: 4_000};
+    return place < 8 ? {wantsAt: originFrom + 100} : {};
+  });
+  for (const seed of [1, 2, 3, 4, 5]) {
+    const results = play(members, {}, originFrom, seed).slice(3);
+    const taken = lastReady(results) - originFrom;
+    expect(taken).toBeLessThan(1.5 * LINK_TIME + START);
+  }
+});
