Take a silent store for a reason only if it was silent after the reading

What callers could see: the fault of the incident once more, for parts of a second, on an entry whose last own question to the store had met a silence long ago. It follows its relay and asks seldom; when its relay's word gets late, the old sign still counted until its next own question ended.

Cause: a sign was kept without an age, the class of the incident again.

Change: a sign counts for a reading only if its question was asked after the reading.

Evidence: a test and the property fail without it (the guard is seen caught); the tests of silent, busy and lossy stores still pass.

--- a/packages/core/src/freshness/store_contact.ts
+++ b/packages/core/src/freshness/store_contact.ts
@@ -17,10 +17,11 @@
   /** Notes how a question ended that left at `askedAt`. */
   readonly note: (askedAt: MonotonicInstant, sign: StoreSign) => void;
   /**
-   * Whether the store was seen not to serve. Answers that are merely late, or a
-   * store that is not reached, show nothing of the kind: others may be served.
+   * Whether the store was seen not to serve after `readAt`, and not to answer
+   * since. Answers that are merely late, or a store that is not reached, show
+   * nothing of the kind: others may be served.
    */
-  readonly isAway: () => boolean;
+  readonly isAwaySince: (readAt: MonotonicInstant) => boolean;
 }
 
 /** Creates the memory of the newest question. */
@@ -34,6 +35,6 @@
       newest = askedAt;
       isAway = sign === 'turnedAway' || sign === 'silent';
     },
-    isAway: () => isAway,
+    isAwaySince: readAt => isAway && newest >= readAt,
   };
 }
--- a/packages/fleet/src/entry/held_readings.ts
+++ b/packages/fleet/src/entry/held_readings.ts
@@ -39,22 +39,22 @@
   const {confirmation, storeContact, machineClock, bounds} = options;
 
   function judge(
-    readAt: MonotonicInstant | undefined,
     bound: Milliseconds,
+    readAt: MonotonicInstant = -Infinity,
   ): ReadingUse {
     return judgeReading({
-      age: machineClock() - (readAt ?? -Infinity),
+      age: machineClock() - readAt,
       bound,
-      isStoreAway: storeContact.isAway(),
+      isStoreAway: storeContact.isAwaySince(readAt),
     });
   }
 
   return {
     configuration: () =>
       judge(
-        confirmation.confirmedAt(),
         bounds.configuration * CONFIGURATION_SHARE,
+        confirmation.confirmedAt(),
       ),
-    targets: () => judge(options.listedAt(), bounds.draining * TARGETS_SHARE),
+    targets: () => judge(bounds.draining * TARGETS_SHARE, options.listedAt()),
   };
 }
