Take a first list that a relay tells late for as old as its reading

What callers could see: for up to some seconds after an entry's start, requests to a target that has left, if the first list came from a relay over a full link.

Cause: the list's age began at the start of the process, for a check of the store's absence, and the guard of the draining bound went by the same moment.

Change: the check has a moment of its own; the list's age is that of its reading.

Evidence: a test that fails without it (undefined, and the start for the reading's moment); the tests of the follower and of late readings pass.

--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -119,8 +119,9 @@
   let askedAt: MonotonicInstant = -Infinity;
   /** The list was surely so at this moment, by what a relay has told. */
   let relayedAt: MonotonicInstant = -Infinity;
-  /** The same by any reading; nothing is missing before the first. */
-  let listedAt: MonotonicInstant = machineClock();
+  const startedAt = machineClock();
+  /** The same by any reading. */
+  let listedAt: MonotonicInstant | undefined;
 
   async function read(): Promise<void> {
     const sentAt = machineClock();
@@ -160,7 +161,8 @@
     const lookedAt = options.storeClock.notAfter(listing.storeTime);
     if (lookedAt === undefined || listing.revision < newest) return;
     const provenAt = Math.min(machineClock(), lookedAt);
-    if (provenAt - listedAt >= absence) memory.noteFailure(clock() - absence);
+    if (provenAt - (listedAt ?? startedAt) >= absence)
+      {memory.noteFailure(clock() - absence);}
     relayedAt = Math.max(relayedAt, provenAt);
     goBy(listing, provenAt);
   }
@@ -173,7 +175,7 @@
 
   function goBy(listing: TargetListing, provenAt: MonotonicInstant): void {
     newest = listing.revision;
-    listedAt = Math.max(listedAt, provenAt);
+    listedAt = Math.max(listedAt ?? provenAt, provenAt);
     options.onListing(listing);
     const targets = memory.take(listing.targets, clock());
     book.list(targets, clock());
@@ -218,8 +220,5 @@
 
   void read();
   signal.addEventListener('abort', every(lookPeriod, readIfDue));
-  return {
-    hear,
-    listedAt: () => (newest === -Infinity ? undefined : listedAt),
-  };
+  return {hear, listedAt: () => listedAt};
 }
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -4,6 +4,7 @@
   createStoreDistance,
   createTargetBook,
   type ListedTarget,
+  type StoreClock,
 } from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
 import type {TargetReading} from '@hibiscusbeam/fleet';
@@ -50,6 +51,7 @@
 interface StoreAccess {
   readonly readsStore?: () => boolean;
   readonly isAway?: () => boolean;
+  readonly storeClock?: StoreClock;
 }
 
 /**
@@ -60,7 +62,11 @@
   delay: number,
   leavesAt: number,
   losesNext = false,
-  {readsStore = () => true, isAway = () => false}: StoreAccess = {},
+  {
+    readsStore = () => true,
+    isAway = () => false,
+    storeClock = createStoreClock(),
+  }: StoreAccess = {},
 ) {
   const now = () => Date.now();
   const startedAt = now();
@@ -95,7 +101,7 @@
       book,
       clock: now,
       machineClock: now,
-      storeClock: createStoreClock(),
+      storeClock,
       storeDistance: createStoreDistance(),
       storeContact: createStoreContact(),
       readsStore,
@@ -131,7 +137,13 @@
   /** What a relay tells that has read `targets` just now. */
   const hear = (revision: number, targets: readonly ListedTarget[]): void =>
     follower.hear({revision, storeTime: now() + STORE_OFFSET, targets});
-  return {isChosen, hearFromRelay, hear, reads: () => reads};
+  return {
+    isChosen,
+    hearFromRelay,
+    hear,
+    reads: () => reads,
+    listedAt: follower.listedAt,
+  };
 }
 
 // The links to the store are choked, and its answers come more than a second
@@ -241,3 +253,19 @@
   hear(2, [targetAt(false)]);
   expect(isChosen()).toBe(false);
 });
+
+test('a first list that a relay tells late is as old as its reading', async () => {
+  const startedAt = Date.now();
+  const storeClock = createStoreClock();
+  storeClock.record({
+    askedAt: startedAt,
+    answeredAt: startedAt,
+    storeTime: startedAt + STORE_OFFSET,
+  });
+  const {hearFromRelay, listedAt} = startFollower(5_000, Infinity, false, {
+    storeClock,
+  });
+  expect(listedAt()).toBeUndefined();
+  hearFromRelay(startedAt - 2_000);
+  expect(listedAt()).toBe(startedAt - 2_000);
+});
