--- a/packages/core/src/distribution/commands/neighbours.ts
+++ b/packages/core/src/distribution/commands/neighbours.ts
@@ -62,10 +62,8 @@
 }
 
 /**
- * Failure: agents learn of a version at different times, and each goes by the
- * members of that time. Where they differ, each takes another one for a chunk's
- * fetcher, and nobody asks for it until the patience of a rank has passed. Guard:
- * the holders are the members of now, which all agents agree on soon.
+ * Brings the holders up to date. Agents that learn of a version at different times
+ * must agree on who fetches each chunk, or nobody does.
  */
 function refreshHolders(state: SwarmState, version: WantedVersion): void {
   const {wantedHolders} = version;
--- a/packages/core/src/distribution/state.ts
+++ b/packages/core/src/distribution/state.ts
@@ -60,6 +60,7 @@
   readonly versionDigest: VersionDigest;
   readonly manifest: Manifest;
   prefer: RolloutPreference;
+  /** As asked for; `holders` are worked out from it. */
   wantedHolders: VersionHolders;
   /** All that should hold the version; the candidates for asking the origin. */
   holders: readonly InstanceName[];
--- a/packages/core/src/freshness/reading_use.ts
+++ b/packages/core/src/freshness/reading_use.ts
@@ -18,10 +18,7 @@
   readonly isStoreAway: boolean;
 }
 
-/**
- * Judges a reading. A reading that is late is no reason to go on as before: only
- * a store that was seen not to serve is, since nothing is changed there then.
- */
+/** Judges a reading; what has passed its bound may be used in an outage only. */
 export function judgeReading(reading: AgedReading): ReadingUse {
   if (reading.age < reading.bound) return 'current';
   return reading.isStoreAway ? 'lastKnown' : 'outdated';
--- a/packages/core/src/freshness/store_contact.ts
+++ b/packages/core/src/freshness/store_contact.ts
@@ -17,9 +17,8 @@
   /** Notes how a question ended that left at `askedAt`. */
   readonly note: (askedAt: MonotonicInstant, sign: StoreSign) => void;
   /**
-   * Whether the store was seen not to serve after `readAt`, and not to answer
-   * since. Answers that are merely late, or a store that is not reached, show
-   * nothing of the kind: others may be served.
+   * Whether the newest question, asked after `readAt`, showed that the store does
+   * not serve. A late answer or a full link doesn't show that.
    */
   readonly isAwaySince: (readAt: MonotonicInstant) => boolean;
 }
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -161,8 +161,9 @@
     const lookedAt = options.storeClock.notAfter(listing.storeTime);
     if (lookedAt === undefined || listing.revision < newest) return;
     const provenAt = Math.min(machineClock(), lookedAt);
-    if (provenAt - (listedAt ?? startedAt) >= absence)
-      {memory.noteFailure(clock() - absence);}
+    if (provenAt - (listedAt ?? startedAt) >= absence) {
+      memory.noteFailure(clock() - absence);
+    }
     relayedAt = Math.max(relayedAt, provenAt);
     goBy(listing, provenAt);
   }
--- a/packages/fleet/src/link/naming_exchange.ts
+++ b/packages/fleet/src/link/naming_exchange.ts
@@ -20,16 +20,12 @@
   readonly take: (namings: readonly VersionNaming[]) => void;
 }
 
-/** Longest time that a message may be under way before its stream is given up. */
+/** Longest time under way that is believed; the store may have restarted its clock. */
 const LONGEST_DELAY: Milliseconds = 10_000;
 
 /**
- * Creates the exchange; ages are told, since clocks of machines differ, and with
- * `storeClock` the store's time too.
- *
- * Failure: a full link holds a naming up, its age doesn't count that, and the
- * older version is sent requests after its bound. Guard: by the store's clock a
- * name is as old as it was where it was read first.
+ * Creates the exchange. Ages are told, since clocks of machines differ; the store's
+ * time shows how long a naming was under way.
  */
 export function createNamingExchange(
   versions: NamedVersions,
--- a/packages/fleet/src/link/single_connection.ts
+++ b/packages/fleet/src/link/single_connection.ts
@@ -2,11 +2,7 @@
 import {monotonicClock} from '@hibiscusbeam/daemon';
 import {buildConnector, Client, errors, type Dispatcher} from 'undici';
 
-/**
- * Times that the opening of a connection took after which an open one counts as
- * silent. On a full link an answer takes a few times that; a server that is there
- * and answers nothing never does.
- */
+/** Times that opening took after which silence is not due to a full link. */
 const SILENT_OPENINGS = 10;
 
 /** A connection for one call. */
@@ -15,10 +11,7 @@
   readonly isOpen: () => boolean;
   /** Whether it could not be opened in time. */
   readonly hasTimedOut: () => boolean;
-  /**
-   * Whether an answer that the server held for `heldFor` would surely have come
-   * by now, as fast as the connection was opened.
-   */
+  /** Whether an answer that was held for `heldFor` should have come by now. */
   readonly isSilent: (heldFor: Milliseconds) => boolean;
   readonly close: () => void;
 }
