Name a request in its log line by what its caller sends again

Lines have the caller's id of the attempt, which is new each time, the route and the workspace. Nor does a metric count sends whose connection was lost; results by route count their outcome only, and a stream that goes on elsewhere leaves no trace there.

Each request's line says a fingerprint of workspace, path and body, and hibiscusbeam_lost_sends_total counts lost sends by route. No decision changes.

--- a/packages/core/src/types/names.ts
+++ b/packages/core/src/types/names.ts
@@ -28,6 +28,9 @@
 /** Identifies one attempt to run one request. Unique for ever. */
 export type AttemptId = string;
 
+/** Names a request by its caller and content, the same at each attempt. */
+export type RequestFingerprint = string;
+
 /** Number of an agent's life; raised in the table at each start. */
 export type Incarnation = number;
 
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -15,6 +15,8 @@
   readonly observeDuration: (route: string, milliseconds: number) => void;
   /** Notes how old the reading is that a request is decided by. */
   readonly observeReadingAge: (table: ReadTable, milliseconds: number) => void;
+  /** Counts a send whose connection ended before the target's answer did. */
+  readonly countLostSend: (route: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -43,12 +45,19 @@
     buckets: AGE_BUCKETS,
     registers: [registry],
   });
+  const lostSends = new Counter({
+    name: 'hibiscusbeam_lost_sends_total',
+    help: 'Sends whose connection ended before the answer of the target.',
+    labelNames: ['route'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
       durations.observe({route}, milliseconds),
     observeReadingAge: (table, milliseconds) =>
       readingAges.observe({table}, milliseconds),
+    countLostSend: route => lostSends.inc({route}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -5,6 +5,7 @@
   type Milliseconds,
   type MonotonicInstant,
   type ReadingUse,
+  type RequestFingerprint,
   type Route,
   type ServiceName,
 } from '@hibiscusbeam/core';
@@ -14,6 +15,7 @@
 import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
 import {notRun, type OwnAnswer} from './own_answers';
+import {fingerprintOf} from './request_fingerprint';
 
 /** How far a planned stop has come. */
 export type StoppingPhase = 'serving' | 'leaving' | 'closing';
@@ -46,6 +48,7 @@
   /** What it will probably ask of its target. */
   readonly run: ExpectedRun;
   readonly body: Buffer;
+  readonly fingerprint: RequestFingerprint;
   readonly arrivedAt: MonotonicInstant;
   readonly deadline: MonotonicInstant;
 }
@@ -86,7 +89,11 @@
   const patience = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + patience;
   const run = expectRun(header, table, service);
-  return {header, route, service, access, run, body, arrivedAt, deadline};
+  const workspace =
+    access.kind === 'workspace' ? access.workspace.name : undefined;
+  const fingerprint = fingerprintOf({workspace, path, body});
+  const content = {header, body, fingerprint, arrivedAt, deadline};
+  return {...content, route, service, access, run};
 }
 
 /**
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -228,6 +228,7 @@
         accepted.access.kind === 'workspace'
           ? accepted.access.workspace.name
           : undefined,
+      fingerprint: accepted.fingerprint,
       result: result.kind,
       reason: 'reason' in result ? result.reason : undefined,
       cause: 'cause' in result ? result.cause : undefined,
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -14,6 +14,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import {attempt, type WholeAnswer} from './attempt';
+import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
 import type {RepeatBudgets} from './repeat_budgets';
@@ -45,6 +46,7 @@
   readonly versions: NamedVersions;
   readonly timeliness: Timeliness;
   readonly answerTimes: AnswerTimes;
+  readonly metrics: FleetMetrics;
   readonly clock: Clock;
   /** Header lines of our own for the caller. */
   readonly ownLines: () => readonly string[];
@@ -72,6 +74,11 @@
   readonly answer: () => WholeAnswer | undefined;
 }
 
+/** Whether the connection to a target ended before its answer did. */
+function isConnectionLost(outcome: ForwardAttemptOutcome): boolean {
+  return 'cause' in outcome && outcome.cause === 'connectionLost';
+}
+
 /** Creates what carries out the flow of one request. */
 export function createRequestRun(
   options: RequestRunOptions,
@@ -210,6 +217,7 @@
     const final =
       by !== undefined && outcome.kind !== 'streamed' ? {kind: by} : outcome;
     if (final === outcome) noteTarget(target, outcome);
+    if (isConnectionLost(final)) options.metrics.countLostSend(route.name);
     story.end(final.kind, 'cause' in final ? final.cause : undefined);
     return {kind: 'sent', outcome: final};
   }
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -1,6 +1,13 @@
 import {expect, test} from 'vitest';
 import {createFleetMetrics} from '../../packages/fleet/src/entry/fleet_metrics';
 
+test('counts sends whose connection was lost, by route', async () => {
+  const metrics = createFleetMetrics();
+  metrics.countLostSend('notes');
+  const lines = (await metrics.text()).split('\n');
+  expect(lines).toContain('hibiscusbeam_lost_sends_total{route="notes"} 1');
+});
+
 test('counts how old the readings were that requests were decided by', async () => {
   const metrics = createFleetMetrics();
   metrics.observeReadingAge('targets', 2_700);
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -13,6 +13,7 @@
     service: 'engines',
     access: {kind: 'anonymous'},
     run: {promptTime: 0, writingTime: 0},
+    fingerprint: 'content',
     body: Buffer.alloc(0),
     arrivedAt: 0,
     deadline: Math.min(timeout, patience),
