Send a request to no other target once three have ended under it

Cause: an entry knew a request by the id of its caller's attempt and forgot it with the answer. A request that ends each target that runs it was chosen a place for like any other, at every entry, and our own repeats took it to a second target at once.

Ruled out: engines that end for another reason (no order or planned work in these seconds; each end follows one of these requests) and our repeats as the whole cause.

The fix: an ended target is evidence against the request. Entries pass it on with what relays pass on; three endings quarantine the request at all of them, and a row in the store keeps that for entries that start anew. A lost connection counts only if nothing listens at the target's address any more, or its new life is known. A whole answer resets it, and a request that was only beside a worse one goes on.

Conclusion: three endings and what is under way at that time is all that it can do.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -60,7 +60,12 @@
 
 /** Why no target takes a request. */
 export type NoPlaceReason =
-  'noTarget' | 'allFull' | 'leaving' | 'outdatedTargets';
+  | 'noTarget'
+  | 'allFull'
+  | 'leaving'
+  | 'outdatedTargets'
+  /** Targets have ended under it, here or at other entries. */
+  | 'quarantined';
 
 /** What the flow asks of its driver. */
 export type ForwardEffect<Target> =
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from './routing';
 export * from './ownership';
 export * from './placement';
+export * from './quarantine';
 export * from './relays';
 export * from './routes';
 export * from './types';
--- /dev/null
+++ b/packages/core/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './quarantine';
+export type * from './types';
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -1,6 +1,7 @@
 import {
   createConfirmation,
   createNamedVersions,
+  createQuarantine,
   createStoreClock,
   createStoreContact,
   createStoreDistance,
@@ -29,18 +30,21 @@
   MemberDescription,
   MemberTable,
   OperatorFeed,
+  QuarantineTable,
   RequestProtocol,
   TargetList,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
+import {createCrashWatch} from './crash_watch';
 import {createEntryCircle} from './entry_circle';
 import {createEngineReportStreams} from './engine_report_stream';
 import {createFleetMetrics} from './fleet_metrics';
 import {createHeldReadings} from './held_readings';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
+import {createQuarantineStore} from './quarantine_store';
 import {createRepeatBudgets} from './repeat_budgets';
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
@@ -53,6 +57,7 @@
   readonly operator: OperatorFeed;
   readonly targets: TargetList;
   readonly members: MemberTable;
+  readonly quarantine: QuarantineTable;
   readonly requests: RequestProtocol;
   readonly directory: DirectoryProtocol;
 }
@@ -123,6 +128,21 @@
     bounds,
   });
   const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
+  const quarantine = createQuarantine();
+  const quarantineStore = createQuarantineStore({
+    table: ports.quarantine,
+    quarantine,
+    log: logs('requests'),
+  });
+  const crashWatch = createCrashWatch({
+    quarantine,
+    clock,
+    log: logs('requests'),
+    onChange: fingerprint => {
+      circle.offerCrashRecords();
+      quarantineStore.update(fingerprint);
+    },
+  });
   const book = createTargetBook(
     {instance: settings.instance, zone: settings.zone},
     () => isReadable(readings.targets()),
@@ -177,6 +197,7 @@
   const isReady = (): boolean =>
     phase === 'serving' &&
     operator.table() !== undefined &&
+    quarantineStore.isKnown() &&
     isReadable(readings.configuration()) &&
     isReadable(readings.targets()) &&
     confirmation.isFresh(
@@ -189,6 +210,7 @@
     clock,
     log: logs('membership'),
     copies,
+    quarantine,
     storeDistance: storeDistance.shortest,
     namings: namings.tell,
     onNamings: namings.take,
@@ -220,6 +242,9 @@
       entries: () => (members.isKnown() ? circle.size() : undefined),
     }),
     versions,
+    quarantine,
+    crashWatch,
+    isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
     machineClock,
@@ -253,6 +278,7 @@
   }
 
   operator.start(stopped.signal);
+  quarantineStore.start(stopped.signal);
   const targets = startTargetFollower(
     {
       list: ports.targets,
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -3,10 +3,12 @@
   createEntryStates,
   createSilentPeers,
   type Milliseconds,
+  type Quarantine,
   type ZoneName,
 } from '@hibiscusbeam/core';
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {
+  CrashRecord,
   EngineReport,
   EntryState,
   FollowerGreeting,
@@ -14,6 +16,7 @@
 } from '@hibiscusbeam/wire';
 import {createEntryChannels} from '../link/channels';
 import type {ConfigurationCopies} from '../link/configuration_copies';
+import {createCrashRecordWriter, readCrashRecord} from '../link/crash_records';
 import type {MemberDescription} from '../ports';
 import type {TableSource} from './operator_follower';
 import {createRelayFace, type RelayFace} from './relay_face';
@@ -30,6 +33,9 @@
 /** Looks between two greetings of a relay. */
 const LOOKS_BETWEEN_GREETINGS = 4;
 
+/** Time in which records of ended targets are collected before they go out. */
+const COLLECT_CRASH_RECORDS: Milliseconds = 10;
+
 /** Age of the last report of an agent after which the relay's are wanted. */
 const REPORTS_MISSED: Milliseconds = 700;
 
@@ -40,6 +46,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly copies: ConfigurationCopies;
+  readonly quarantine: Quarantine;
   /** Time to the store and back; undefined if it is not known yet. */
   readonly storeDistance: () => Milliseconds | undefined;
   readonly namings: () => VersionNaming[];
@@ -62,6 +69,8 @@
   readonly takeReport: (report: EngineReport) => void;
   /** Tells at once how this entry stands. */
   readonly tellSelf: () => void;
+  /** Passes on soon what has changed in the quarantine. */
+  readonly offerCrashRecords: () => void;
   /** Tells the relays what is held here. */
   readonly greetRelays: () => void;
   /** Other entries that callers may be sent to. */
@@ -99,6 +108,7 @@
     states: allStates,
     namings: options.namings,
     copies: options.copies,
+    quarantine: options.quarantine,
     readingDistance: () =>
       operatorSource() === 'store' ? options.storeDistance() : undefined,
     onGreeting: takeGreeting,
@@ -110,6 +120,7 @@
   let looks = 0;
   let toldReady: boolean | undefined;
   let lastUsable = '';
+  let greetingSoon: NodeJS.Timeout | undefined;
 
   function setMembers(members: readonly MemberDescription[]): void {
     entries = members.filter(({role}) => role === 'entry');
@@ -147,17 +158,23 @@
 
   function follow(relay: MemberDescription): RelayLink {
     log.info('follows a relay', {relay: relay.instance, zone: relay.zone});
+    const writeCrashRecords = createCrashRecordWriter(options.quarantine);
     return openRelayLink({
       relay,
       clock,
       channels,
-      greeting: () => greetingFor(relay),
+      greeting: () => ({
+        ...greetingFor(relay),
+        crashRecords: writeCrashRecords(clock()),
+      }),
       onNews: takeNews,
       onLost: loseRelay,
     });
   }
 
-  function greetingFor({zone}: MemberDescription): FollowerGreeting {
+  function greetingFor({
+    zone,
+  }: MemberDescription): Omit<FollowerGreeting, 'crashRecords'> {
     const isOwnZone = zone === self.zone;
     return {
       self: ownState(),
@@ -185,6 +202,7 @@
       noteState(instance, ready, now - ageMilliseconds);
     }
     if (news.reports.length > 0) options.onReports(news.reports);
+    takeCrashRecords(news.crashRecords);
     siteReader.note(news.operator, relay);
     options.onTables(news);
   }
@@ -200,10 +218,28 @@
 
   function takeGreeting(greeting: FollowerGreeting): void {
     options.onNamings(greeting.namings);
+    takeCrashRecords(greeting.crashRecords);
     const {self: state} = greeting;
     if (state !== undefined) noteState(state.instance, state.ready, clock());
   }
 
+  function takeCrashRecords(records: readonly CrashRecord[]): void {
+    const now = clock();
+    const isNew = records.map(record =>
+      options.quarantine.merge(readCrashRecord(record, now)),
+    );
+    if (isNew.includes(true)) offerCrashRecords();
+  }
+
+  /** A target that ends brings a record for each request that it ran. */
+  function offerCrashRecords(): void {
+    face.offerCrashRecords();
+    greetingSoon ??= setTimeout(() => {
+      greetingSoon = undefined;
+      greetRelays();
+    }, COLLECT_CRASH_RECORDS);
+  }
+
   function noteState(instance: string, ready: boolean, heardAt: number): void {
     if (!states.note({instance, ready, heardAt})) return;
     log.info(ready ? 'entry is ready' : 'entry is not ready', {instance});
@@ -266,6 +302,7 @@
       const stopLooks = every(LOOK_PERIOD, look);
       return () => {
         stopLooks();
+        clearTimeout(greetingSoon);
         face.close();
         for (const link of links) link.end();
         channels.close();
@@ -280,6 +317,7 @@
       greetRelays();
       face.tellStates();
     },
+    offerCrashRecords,
     greetRelays,
     usable,
     size: () => entries.length + 1,
--- a/packages/fleet/src/entry/relay_face.ts
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -1,4 +1,4 @@
-import type {ListedTarget, Milliseconds} from '@hibiscusbeam/core';
+import type {ListedTarget, Milliseconds, Quarantine} from '@hibiscusbeam/core';
 import {every, type Clock} from '@hibiscusbeam/daemon';
 import type {
   EngineReport,
@@ -35,6 +35,7 @@
   readonly states: () => readonly EntryState[];
   readonly namings: () => VersionNaming[];
   readonly copies: ConfigurationCopies;
+  readonly quarantine: Quarantine;
   /** This entry's distance from the store if it reads the operator's table. */
   readonly readingDistance: () => Milliseconds | undefined;
   /** Told of each greeting of a follower. */
@@ -52,6 +53,8 @@
   readonly offerTargets: (listing: TargetListing) => void;
   /** Passes all states and namings on at once. */
   readonly tellStates: () => void;
+  /** Passes on soon what has changed in the quarantine. */
+  readonly offerCrashRecords: () => void;
   /** Stops passing on. */
   readonly close: () => void;
 }
@@ -96,6 +99,7 @@
       states: () => options.states().map(numberState),
       namings: options.namings,
       copies: options.copies,
+      quarantine: options.quarantine,
       readingDistance: options.readingDistance,
       operator: () => operator,
       targets: () => listing,
@@ -162,6 +166,7 @@
       tellSoon();
     },
     offerTargets,
+    offerCrashRecords: tellSoon,
     tellStates: () => {
       for (const follower of followers) follower.wantStates();
       tellSoon();
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -1,5 +1,9 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import type {
+  Milliseconds,
+  MonotonicInstant,
+  Quarantine,
+} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
   FollowerGreeting,
@@ -7,6 +11,7 @@
   VersionNaming,
 } from '@hibiscusbeam/wire';
 import type {ConfigurationCopies} from '../link/configuration_copies';
+import {createCrashRecordWriter} from '../link/crash_records';
 import {createToldRows} from '../link/numbered_rows';
 import {writeReports, type PassedReport} from '../link/report_batches';
 import {writeStates, type PassedState} from '../link/state_batches';
@@ -48,6 +53,7 @@
   readonly readingDistance: () => Milliseconds | undefined;
   readonly operator: () => OperatorMoment | undefined;
   readonly targets: () => PassedListing | undefined;
+  readonly quarantine: Quarantine;
 }
 
 /** An entry that follows this one. */
@@ -76,6 +82,7 @@
   const toldStates = createToldRows();
   const toldReports = createToldRows();
   const toldTargets = createToldRows();
+  const writeCrashRecords = createCrashRecordWriter(knowledge.quarantine);
   let greeting: FollowerGreeting | undefined;
   let heardAt: MonotonicInstant = -Infinity;
   let looksSinceNews = 0;
@@ -90,9 +97,10 @@
     // Old news are of no use, so they don't queue behind a full window.
     if (greeting === undefined || call.writableLength > 0) return;
     const news = collectNews(greeting, reports, now);
-    const hasNews = news.entries || news.reports || news.operator;
+    const hasRows = news.targets || news.crashRecords.length > 0;
+    const hasNews = news.entries || news.reports || news.operator || hasRows;
     const isSignDue = looksSinceNews >= LOOKS_BETWEEN_SIGNS;
-    if (!hasNews && !news.targets && !isSignDue) return;
+    if (!hasNews && !isSignDue) return;
     looksSinceNews = 0;
     call.write(news);
   }
@@ -121,6 +129,7 @@
       operator,
       configuration: operator && takeConfiguration(now),
       targets: wantsTables ? takeTargets() : undefined,
+      crashRecords: writeCrashRecords(now),
     };
   }
 
--- a/packages/fleet/src/entry/relay_news.ts
+++ b/packages/fleet/src/entry/relay_news.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
+  CrashRecord,
   EngineReport,
   EntryState,
   RelayNews,
@@ -26,6 +27,7 @@
   readonly operator: RelayedMoment | undefined;
   readonly configuration: ConfigurationCopy | undefined;
   readonly targets: TargetListing | undefined;
+  readonly crashRecords: readonly CrashRecord[];
 }
 
 /** Creates the reader of one stream of news. */
@@ -51,5 +53,6 @@
     operator: news.operator,
     configuration: news.configuration,
     targets: news.targets && readListing(news.targets),
+    crashRecords: news.crashRecords,
   });
 }
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -33,6 +33,8 @@
 export interface RequestAcceptanceOptions extends KeyConfirmation {
   readonly operator: OperatorFollower;
   readonly readings: HeldReadings;
+  /** Whether the site's quarantined requests have been read. */
+  readonly isQuarantineKnown: () => boolean;
   readonly stopping: () => StoppingPhase;
 }
 
@@ -70,6 +72,7 @@
     return notRun('leaving', RETRY_ELSEWHERE);
   }
   const table = options.operator.table();
+  if (!options.isQuarantineKnown()) return notRun('starting', undefined);
   if (table === undefined) return notRun('noConfiguration', undefined);
   const use = options.readings.configuration();
   if (use === 'outdated') return notRun('staleConfiguration', undefined);
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -8,12 +8,15 @@
   type Milliseconds,
   type NamedVersions,
   type PlaceNeed,
+  type PlaceReply,
+  type Quarantine,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import {attempt, type WholeAnswer} from './attempt';
+import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
@@ -29,12 +32,21 @@
 import type {StreamHandover} from './stream_handover';
 import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
 
+/** Pause named to callers of a quarantined request. */
+const QUARANTINED_RETURN: Milliseconds = 30_000;
+
 const NO_PLACE_REASONS = {
   full: 'allFull',
   none: 'noTarget',
   outdated: 'outdatedTargets',
 } as const;
 
+const QUARANTINED: PlaceReply<ListedTarget> = {
+  kind: 'noPlace',
+  reason: 'quarantined',
+  retryAfter: QUARANTINED_RETURN,
+};
+
 /** What carrying out a request's flow needs. */
 export interface RequestRunOptions extends KeyConfirmation {
   readonly protocol: RequestProtocol;
@@ -46,6 +58,8 @@
   readonly versions: NamedVersions;
   readonly timeliness: Timeliness;
   readonly answerTimes: AnswerTimes;
+  readonly quarantine: Quarantine;
+  readonly crashWatch: CrashWatch;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
   /** Header lines of our own for the caller. */
@@ -86,7 +100,7 @@
 ): RequestRun {
   const {request, response, accepted} = context;
   const {story, progress, signal, endedBy} = context;
-  const {header, route, service, access, run} = accepted;
+  const {header, route, service, access, run, fingerprint} = accepted;
   const isModel = header.model !== undefined;
   let answer: WholeAnswer | undefined;
   let place: Extract<PlaceOutcome, {kind: 'place'}> | undefined;
@@ -107,6 +121,9 @@
   async function choosePlace(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
+    if (options.quarantine.isQuarantined(fingerprint)) {
+      return {kind: 'placed', place: QUARANTINED};
+    }
     sentTo = [...tried];
     const {onTimeUntil, waitUntil} = progress.begun
       ? options.timeliness.resumeLimits(accepted, options.clock())
@@ -218,6 +235,7 @@
       by !== undefined && outcome.kind !== 'streamed' ? {kind: by} : outcome;
     if (final === outcome) noteTarget(target, outcome);
     if (isConnectionLost(final)) options.metrics.countLostSend(route.name);
+    noteCrash(target, final);
     story.end(final.kind, 'cause' in final ? final.cause : undefined);
     return {kind: 'sent', outcome: final};
   }
@@ -225,6 +243,7 @@
   /** Whether what led to the choice of the target still holds. */
   function mayBegin(target: ListedTarget): boolean {
     if (signal.aborted) return false;
+    if (options.quarantine.isQuarantined(fingerprint)) return false;
     if (access.kind === 'workspace' && !isKeyConfirmed(options)) return false;
     return options.book.mayStart(target, needOf(sentTo));
   }
@@ -265,6 +284,28 @@
 
   return {perform, answer: () => answer};
 
+  function noteCrash(
+    target: ListedTarget,
+    outcome: ForwardAttemptOutcome,
+  ): void {
+    switch (outcome.kind) {
+      case 'unknown':
+      case 'broken':
+        if (place?.lifeEnded.aborted === true) {
+          return options.crashWatch.noteEnded(fingerprint, target);
+        }
+        return void options.crashWatch.noteLost(fingerprint, target);
+      case 'answered':
+      case 'streamed':
+        return options.crashWatch.noteCompleted(fingerprint);
+      case 'notRun':
+      case 'handedOn':
+      case 'timedOut':
+      case 'callerGone':
+        return;
+    }
+  }
+
   function noteTarget(
     target: ListedTarget,
     outcome: ForwardAttemptOutcome,
--- /dev/null
+++ b/packages/fleet/src/link/crash_records.ts
@@ -0,0 +1,63 @@
+import type {
+  CrashRecord,
+  Milliseconds,
+  MonotonicInstant,
+  Quarantine,
+} from '@hibiscusbeam/core';
+import type {CrashRecord as CrashRecordMessage} from '@hibiscusbeam/wire';
+
+/** Records in one message; the others follow in the next ones. */
+const MOST_IN_MESSAGE = 100;
+
+/** Largest age that the wire's field holds, in milliseconds. */
+const LARGEST_AGE: Milliseconds = 2 ** 32 - 1;
+
+/** Writes to one stream what was not written to it yet. */
+export function createCrashRecordWriter(
+  quarantine: Quarantine,
+): (now: MonotonicInstant) => CrashRecordMessage[] {
+  let written = 0;
+  return now => {
+    const {records, revision} = quarantine.changedSince(
+      written,
+      MOST_IN_MESSAGE,
+    );
+    written = revision;
+    return records.map(record => writeCrashRecord(record, now));
+  };
+}
+
+function writeCrashRecord(
+  {fingerprint, endings, completedAt}: CrashRecord,
+  now: MonotonicInstant,
+): CrashRecordMessage {
+  return {
+    fingerprint: Buffer.from(fingerprint, 'hex'),
+    endings: endings.map(({life, endedAt}) => ({
+      life,
+      ageMilliseconds: ageOf(endedAt, now),
+    })),
+    completedMillisecondsAgo:
+      completedAt === undefined ? undefined : ageOf(completedAt, now),
+  };
+}
+
+/** Reads a record; ages count from its arrival. */
+export function readCrashRecord(
+  message: CrashRecordMessage,
+  now: MonotonicInstant,
+): CrashRecord {
+  const {completedMillisecondsAgo: completed} = message;
+  return {
+    fingerprint: Buffer.from(message.fingerprint).toString('hex'),
+    endings: message.endings.map(({life, ageMilliseconds}) => ({
+      life,
+      endedAt: now - ageMilliseconds,
+    })),
+    completedAt: completed === undefined ? undefined : now - completed,
+  };
+}
+
+function ageOf(at: MonotonicInstant, now: MonotonicInstant): Milliseconds {
+  return Math.min(LARGEST_AGE, Math.max(0, Math.round(now - at)));
+}
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -2,6 +2,7 @@
   ListedTarget,
   Milliseconds,
   ModelName,
+  RequestFingerprint,
   RoutingConfiguration,
 } from '@hibiscusbeam/core';
 import type {Result} from 'ts-results';
@@ -126,3 +127,35 @@
     timeout: Milliseconds,
   ) => Promise<Result<MemberReading, HostError>>;
 }
+
+/** A quarantined request's row that was written, or removed. */
+export interface QuarantineChange {
+  readonly fingerprint: RequestFingerprint;
+  readonly isStored: boolean;
+}
+
+/** Rows of quarantined requests: all of them, or those that have changed. */
+export interface QuarantineReading extends StoreMoment {
+  readonly changes: readonly QuarantineChange[];
+}
+
+/** Quarantined requests in the host platform's store. */
+export interface QuarantineTable {
+  readonly put: (
+    fingerprint: RequestFingerprint,
+    timeout: Milliseconds,
+  ) => Promise<Result<void, HostError>>;
+  readonly remove: (
+    fingerprint: RequestFingerprint,
+    timeout: Milliseconds,
+  ) => Promise<Result<void, HostError>>;
+  readonly readAll: (
+    timeout: Milliseconds,
+  ) => Promise<Result<QuarantineReading, HostError>>;
+  /** Waits up to `wait` for rows that change after the revision. */
+  readonly follow: (
+    after: Revision,
+    wait: Milliseconds,
+    timeout: Milliseconds,
+  ) => Promise<Result<QuarantineReading, HostError>>;
+}
--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -23,6 +23,8 @@
       return `Not run: the entry had no word from the store for ${confirmationAge ?? 'an unknown number of'} ms, and may not go by routes and keys that old.`;
     case 'noConfiguration':
       return 'Not run: the entry had read no configuration yet.';
+    case 'starting':
+      return 'Not run: the entry had not read the quarantined requests yet.';
     case 'leaving':
       return 'Not run: the entry was about to stop.';
     case 'unknown key':
@@ -67,6 +69,8 @@
       return `Not run${before}: no listed target of the service may take it (leaving, tried already, or with an older version than may start).`;
     case 'outdatedTargets':
       return `Not run${before}: the entry's list of targets was older than the draining bound, so that any of them may have left.`;
+    case 'quarantined':
+      return `Not run${before}: three targets or more have ended while they ran this request, so that it is sent to no other one.`;
     default:
       return `Not run${before}: ${reason ?? 'no reason logged'}.`;
   }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,6 +6,7 @@
   FleetEntryService,
   type Announcement,
   type ConfigurationCopy,
+  type CrashRecord,
   type AnnouncementReply,
   type EngineModelVersion,
   type EngineReport,
--- /dev/null
+++ b/test/fleet/crash_watch.test.ts
@@ -0,0 +1,60 @@
+import {createQuarantine, type ListedTarget} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import {expect, test} from 'vitest';
+import {
+  createCrashWatch,
+  type AddressState,
+} from '../../packages/fleet/src/entry/crash_watch';
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+function target(instance: string, born?: number): ListedTarget {
+  return {instance, born, address: '10.0.0.1:80'} as ListedTarget;
+}
+
+function startWatch(state: AddressState) {
+  const quarantine = createQuarantine();
+  let looks = 0;
+  const watch = createCrashWatch({
+    quarantine,
+    clock: () => 1,
+    log,
+    look: () => {
+      looks += 1;
+      return Promise.resolve(state);
+    },
+    onChange: () => undefined,
+  });
+  const endings = (): number =>
+    quarantine.changedSince(0, 100).records.flatMap(({endings}) => endings)
+      .length;
+  return {quarantine, watch, looks: () => looks, endings};
+}
+
+test('a target at whose address nothing listens has ended', async () => {
+  const {watch, endings} = startWatch('closed');
+  await watch.noteLost('request', target('one'));
+  expect(endings()).toBe(1);
+});
+
+test('a connection reset by the network accuses no request', async () => {
+  const {watch, endings} = startWatch('listening');
+  await watch.noteLost('request', target('one'));
+  expect(endings()).toBe(0);
+});
+
+test('one look serves all requests that were lost with a target', async () => {
+  const {watch, looks, endings} = startWatch('closed');
+  const requests = ['a', 'b', 'c'];
+  await Promise.all(
+    requests.map(request => watch.noteLost(request, target('one'))),
+  );
+  expect(looks()).toBe(1);
+  expect(endings()).toBe(3);
+});
+
+test('lives under one id are told apart by their births', () => {
+  const {watch, quarantine} = startWatch('closed');
+  for (const born of [1, 2, 3]) watch.noteEnded('request', target('one', born));
+  expect(quarantine.isQuarantined('request')).toBe(true);
+});
--- a/test/fleet/entry_circle.test.ts
+++ b/test/fleet/entry_circle.test.ts
@@ -1,3 +1,4 @@
+import {createQuarantine} from '@hibiscusbeam/core';
 import type {EngineReport} from '@hibiscusbeam/wire';
 import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, expect, test} from 'vitest';
@@ -40,6 +41,7 @@
   const reports: EngineReport[] = [];
   const news: ToldNews[] = [];
   const copies = createConfigurationCopies();
+  const quarantine = createQuarantine();
   const circle = createEntryCircle({
     self,
     isReady: () => ready,
@@ -49,6 +51,7 @@
     onNamings: () => undefined,
     onReports: taken => reports.push(...taken),
     copies,
+    quarantine,
     storeDistance: () => distance,
     onTables: told => void news.push(told),
     onUsable: () => undefined,
@@ -75,6 +78,7 @@
     reports,
     news,
     copies,
+    quarantine,
     close,
     follows: () => follows,
     setReady: (next: boolean) => (ready = next),
@@ -210,3 +214,45 @@
     );
   }
 });
+
+function endTarget(entry: Entry, life: string): void {
+  const ending = {life, endedAt: performance.now()};
+  entry.quarantine.noteEnding('c0ffee', ending);
+  entry.circle.offerCrashRecords();
+}
+
+const isQuarantined = ({quarantine}: Entry): boolean =>
+  quarantine.isQuarantined('c0ffee');
+
+test('endings at three entries of two zones quarantine a request at all', async () => {
+  const entries = await startSite(3);
+  await untilSettled(entries);
+  [0, 2, 5].forEach(index => endTarget(entries[index]!, `life-${index}`));
+  await eventually(() => entries.every(isQuarantined));
+});
+
+test('an entry that follows late learns of all endings before', async () => {
+  const entries = await startSite(2);
+  await untilSettled(entries);
+  const relay = relayOf(entries, 'north');
+  const late = entries.find(
+    entry => entry !== relay && entry.self.zone === 'north',
+  )!;
+  late.circle.setMembers([]);
+  for (const life of ['one', 'two', 'three']) endTarget(relay, life);
+  late.circle.setMembers(
+    entries.filter(entry => entry !== late).map(({self}) => self),
+  );
+  await eventually(() => isQuarantined(late));
+});
+
+test('a whole answer releases a request at all entries', async () => {
+  const entries = await startSite(3);
+  await untilSettled(entries);
+  for (const life of ['one', 'two', 'three']) endTarget(entries[0]!, life);
+  await eventually(() => entries.every(isQuarantined));
+  const last = entries.at(-1)!;
+  last.quarantine.noteCompletion('c0ffee', performance.now());
+  last.circle.offerCrashRecords();
+  await eventually(() => !entries.some(isQuarantined));
+});
--- a/test/fleet/passed_on_rows.test.ts
+++ b/test/fleet/passed_on_rows.test.ts
@@ -47,6 +47,7 @@
     operator: undefined,
     targets: undefined,
     configuration: undefined,
+    crashRecords: [],
     ...news,
   };
   return FleetEntryService.follow.responseSerialize(whole).length;
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -31,6 +31,7 @@
     wantsSiteReading: false,
     heldConfiguration: 0,
     namings: [],
+    crashRecords: [],
   });
   const news = await new Promise<RelayNews | undefined>(resolve => {
     call.once('data', resolve);
--- /dev/null
+++ b/test/quarantine/quarantine.test.ts
@@ -0,0 +1,120 @@
+import {createQuarantine, type Quarantine} from '@hibiscusbeam/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+
+const EVERYTHING = 1_000;
+
+function endAll(
+  quarantine: Quarantine,
+  fingerprint: string,
+  lives: readonly string[],
+): void {
+  for (const life of lives) {
+    quarantine.noteEnding(fingerprint, {life, endedAt: 1});
+  }
+}
+
+test('a request is sent on until three targets have ended under it', () => {
+  const quarantine = createQuarantine();
+  endAll(quarantine, 'request', ['one', 'two']);
+  expect(quarantine.isQuarantined('request')).toBe(false);
+  endAll(quarantine, 'request', ['three']);
+  expect(quarantine.isQuarantined('request')).toBe(true);
+});
+
+test('a target that ended once counts once, whoever saw it', () => {
+  const quarantine = createQuarantine();
+  endAll(quarantine, 'request', ['one', 'one', 'two', 'one']);
+  expect(quarantine.isQuarantined('request')).toBe(false);
+});
+
+test('a whole answer resets the endings before it', () => {
+  const quarantine = createQuarantine();
+  endAll(quarantine, 'request', ['one', 'two', 'three']);
+  expect(quarantine.noteCompletion('request', 2)).toBe(true);
+  expect(quarantine.isQuarantined('request')).toBe(false);
+  endAll(quarantine, 'request', ['late word of four']);
+  quarantine.noteEnding('request', {life: 'five', endedAt: 3});
+  quarantine.noteEnding('request', {life: 'six', endedAt: 3});
+  expect(quarantine.isQuarantined('request')).toBe(false);
+});
+
+test('a request that only shared its targets with a worse one goes on', () => {
+  const quarantine = createQuarantine();
+  endAll(quarantine, 'crashing', ['one', 'two', 'three', 'four']);
+  endAll(quarantine, 'beside it', ['one', 'three', 'four']);
+  expect(quarantine.isQuarantined('crashing')).toBe(true);
+  expect(quarantine.isQuarantined('beside it')).toBe(false);
+});
+
+test('the share of a worse request does not excuse targets of its own', () => {
+  const quarantine = createQuarantine();
+  endAll(quarantine, 'one', ['one', 'two', 'three', 'four']);
+  endAll(quarantine, 'other', ['one', 'two', 'five']);
+  expect(quarantine.isQuarantined('other')).toBe(true);
+});
+
+test('many requests that lost a target push out none that is quarantined', () => {
+  const quarantine = createQuarantine(10);
+  endAll(quarantine, 'crashing', ['one', 'two', 'three']);
+  for (let index = 0; index < 100; index += 1) {
+    endAll(quarantine, `request-${index}`, ['four']);
+  }
+  expect(quarantine.isQuarantined('crashing')).toBe(true);
+  expect(quarantine.changedSince(0, EVERYTHING).records).toHaveLength(10);
+});
+
+test('what the site has stored counts without endings seen here', () => {
+  const quarantine = createQuarantine();
+  quarantine.noteStored('request', true);
+  expect(quarantine.isQuarantined('request')).toBe(true);
+  quarantine.noteStored('request', false);
+  expect(quarantine.isQuarantined('request')).toBe(false);
+});
+
+test('records of any entries, in any order and repeated, come to the same', () => {
+  const ending = fc.record({
+    entry: fc.nat({max: 3}),
+    fingerprint: fc.constantFrom('a', 'b'),
+    life: fc.constantFrom('one', 'two', 'three', 'four'),
+  });
+  fc.assert(
+    fc.property(fc.array(ending), fc.nat({max: 23}), (endings, seed) => {
+      const entries = Array.from({length: 4}, () => createQuarantine());
+      for (const {entry, fingerprint, life} of endings) {
+        endAll(entries[entry]!, fingerprint, [life]);
+      }
+      const order = [0, 1, 2, 3, 2, 1].map(index => (index + seed) % 4);
+      const all = order.map(index => entries[index]!);
+      const merged = [createQuarantine(), createQuarantine()];
+      for (const record of recordsOf(all)) merged[0]!.merge(record);
+      for (const record of recordsOf(all).reverse()) merged[1]!.merge(record);
+      for (const fingerprint of ['a', 'b']) {
+        expect(merged[0]!.isQuarantined(fingerprint)).toBe(
+          merged[1]!.isQuarantined(fingerprint),
+        );
+      }
+    }),
+    {seed: 41, numRuns: 200},
+  );
+});
+
+function recordsOf(entries: readonly Quarantine[]) {
+  return entries.flatMap(entry => entry.changedSince(0, EVERYTHING).records);
+}
+
+test('changes are passed on in parts, each of them once', () => {
+  const quarantine = createQuarantine();
+  for (let index = 0; index < 7; index += 1) {
+    endAll(quarantine, `request-${index}`, ['one']);
+  }
+  const passed: string[] = [];
+  let revision = 0;
+  for (let messages = 0; messages < 4; messages += 1) {
+    const changes = quarantine.changedSince(revision, 3);
+    revision = changes.revision;
+    passed.push(...changes.records.map(({fingerprint}) => fingerprint));
+  }
+  expect(passed).toHaveLength(7);
+  expect(new Set(passed).size).toBe(7);
+});
