Try a quarantined request once, 10 s after it was quarantined

Cause: only a whole answer releases a request, and a quarantined one can't get any. Three targets that are lost together (an outage of a plain service, a loss of power) quarantine each request that was at all three, above all the same short one that a caller sends again and again; it would be refused for good after the service's return.

What callers would see: 503 for one path of one workspace, long after the outage.

The fix: whoever writes a row for it in the store first may send it once, 10 s after it learned of the quarantine. The row stands for the whole site and for its lifetime, so that one more target is the most that a crashing request costs. A trial that was not used is given back; one whose claim got no answer is not made.

Conclusion: four sends at most after the third ending are not reached: one trial and what is under way. What is left: an entry that dies with the trial in hand leaves the row, and the request refused until it is removed by hand (docs/OPERATIONS.md).

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -45,6 +45,7 @@
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
 import {createQuarantineStore} from './quarantine_store';
+import {createQuarantineTrials} from './quarantine_trials';
 import {createRepeatBudgets} from './repeat_budgets';
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
@@ -141,6 +142,7 @@
     onChange: fingerprint => {
       circle.offerCrashRecords();
       quarantineStore.update(fingerprint);
+      if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
     },
   });
   const book = createTargetBook(
@@ -150,6 +152,12 @@
   const places = createPlaceQueue(book, clock);
   const handover = createStreamHandover({book, clock});
   const life = `${settings.instance}-${randomUUID()}`;
+  const trials = createQuarantineTrials({
+    table: ports.quarantine,
+    holder: life,
+    clock,
+    log: logs('requests'),
+  });
   const self: MemberDescription = {
     instance: settings.instance,
     role: 'entry',
@@ -244,6 +252,7 @@
     versions,
     quarantine,
     crashWatch,
+    trials,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -114,6 +114,7 @@
       run.perform,
     );
     ending.stop();
+    run.end();
     finish(response, result, run.answer());
     record(accepted, result, story, progress);
     options.places.pump();
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -8,7 +8,6 @@
   type Milliseconds,
   type NamedVersions,
   type PlaceNeed,
-  type PlaceReply,
   type Quarantine,
   type TargetBook,
 } from '@hibiscusbeam/core';
@@ -20,6 +19,7 @@
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
+import type {QuarantineTrials} from './quarantine_trials';
 import type {RepeatBudgets} from './repeat_budgets';
 import {
   isKeyConfirmed,
@@ -32,21 +32,12 @@
 import type {StreamHandover} from './stream_handover';
 import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
 
-/** Pause named to callers of a quarantined request. */
-const QUARANTINED_RETURN: Milliseconds = 30_000;
-
 const NO_PLACE_REASONS = {
   full: 'allFull',
   none: 'noTarget',
   outdated: 'outdatedTargets',
 } as const;
 
-const QUARANTINED: PlaceReply<ListedTarget> = {
-  kind: 'noPlace',
-  reason: 'quarantined',
-  retryAfter: QUARANTINED_RETURN,
-};
-
 /** What carrying out a request's flow needs. */
 export interface RequestRunOptions extends KeyConfirmation {
   readonly protocol: RequestProtocol;
@@ -59,6 +50,7 @@
   readonly timeliness: Timeliness;
   readonly answerTimes: AnswerTimes;
   readonly quarantine: Quarantine;
+  readonly trials: QuarantineTrials;
   readonly crashWatch: CrashWatch;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
@@ -86,6 +78,8 @@
   ) => ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>>;
   /** The last whole answer of a target. */
   readonly answer: () => WholeAnswer | undefined;
+  /** Gives back what the request has taken and not used. */
+  readonly end: () => void;
 }
 
 /** Whether the connection to a target ended before its answer did. */
@@ -105,6 +99,7 @@
   let answer: WholeAnswer | undefined;
   let place: Extract<PlaceOutcome, {kind: 'place'}> | undefined;
   let sentTo: readonly ListedTarget[] = [];
+  let trial: 'none' | 'held' | 'used' = 'none';
 
   function needOf(tried: readonly ListedTarget[]): PlaceNeed {
     return {
@@ -118,11 +113,24 @@
     };
   }
 
+  function isQuarantined(): boolean {
+    return options.quarantine.isQuarantined(fingerprint);
+  }
+
+  async function takeTrial(): Promise<boolean> {
+    if (trial === 'none' && (await options.trials.claim(fingerprint))) {
+      trial = 'held';
+    }
+    return trial === 'held';
+  }
+
   async function choosePlace(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
-    if (options.quarantine.isQuarantined(fingerprint)) {
-      return {kind: 'placed', place: QUARANTINED};
+    if (isQuarantined() && !(await takeTrial())) {
+      const retryAfter = options.trials.retryAfter(fingerprint);
+      const reason = 'quarantined';
+      return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
     }
     sentTo = [...tried];
     const {onTimeUntil, waitUntil} = progress.begun
@@ -236,6 +244,7 @@
     if (final === outcome) noteTarget(target, outcome);
     if (isConnectionLost(final)) options.metrics.countLostSend(route.name);
     noteCrash(target, final);
+    if (final.kind !== 'notRun' && trial === 'held') trial = 'used';
     story.end(final.kind, 'cause' in final ? final.cause : undefined);
     return {kind: 'sent', outcome: final};
   }
@@ -243,7 +252,7 @@
   /** Whether what led to the choice of the target still holds. */
   function mayBegin(target: ListedTarget): boolean {
     if (signal.aborted) return false;
-    if (options.quarantine.isQuarantined(fingerprint)) return false;
+    if (isQuarantined() && trial !== 'held') return false;
     if (access.kind === 'workspace' && !isKeyConfirmed(options)) return false;
     return options.book.mayStart(target, needOf(sentTo));
   }
@@ -282,7 +291,13 @@
     }
   }
 
-  return {perform, answer: () => answer};
+  return {
+    perform,
+    answer: () => answer,
+    end: () => {
+      if (trial === 'held') options.trials.giveBack(fingerprint);
+    },
+  };
 
   function noteCrash(
     target: ListedTarget,
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -149,6 +149,16 @@
     fingerprint: RequestFingerprint,
     timeout: Milliseconds,
   ) => Promise<Result<void, HostError>>;
+  /** Writes that `holder` tries the request; false if another one has. */
+  readonly claimTrial: (
+    fingerprint: RequestFingerprint,
+    holder: string,
+    timeout: Milliseconds,
+  ) => Promise<Result<boolean, HostError>>;
+  readonly removeTrial: (
+    fingerprint: RequestFingerprint,
+    timeout: Milliseconds,
+  ) => Promise<Result<void, HostError>>;
   readonly readAll: (
     timeout: Milliseconds,
   ) => Promise<Result<QuarantineReading, HostError>>;
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -65,6 +65,7 @@
   return {
     rows: () => Promise.resolve(reading),
     feed: () => Promise.resolve(reading),
+    create: () => Promise.resolve(new Ok(true)),
     put: () => Promise.resolve(Ok.EMPTY),
     remove: () => Promise.resolve(Ok.EMPTY),
   };
