Let relays pass on what all entries are to know as one set of records

Cause: the circle of entries, the face for followers and each follower named the quarantine and its records, so that whatever else all entries are to know would have to be threaded through four modules once more. The name of a target's life stood in the watch for ended targets, though it belongs to placement.

link/site_records.ts writes and takes the records of one message; the circle knows that there are some. No behaviour changes, nor does the wire.

Conclusion: a second kind of record is one module's matter.

--- a/packages/core/src/placement/target_life.ts
+++ b/packages/core/src/placement/target_life.ts
@@ -1,4 +1,4 @@
-import type {EpochMilliseconds} from '../types';
+import type {EpochMilliseconds, InstanceName, TargetLife} from '../types';
 
 /** Something that one life of a target says, or that is said of it. */
 export interface OfLife {
@@ -23,3 +23,12 @@
 export function isSameLife(one: OfLife, other: OfLife): boolean {
   return !isFormerLife(one, other) && !isFormerLife(other, one);
 }
+
+/** Names a life; lives without a date are named alike under one id. */
+export function nameOfLife(target: {
+  readonly instance: InstanceName;
+  readonly born: EpochMilliseconds | undefined;
+}): TargetLife {
+  const {instance, born} = target;
+  return born === undefined ? instance : `${instance}/${born}`;
+}
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,10 +1,9 @@
-import type {MonotonicInstant, RequestFingerprint} from '../types';
+import type {MonotonicInstant, RequestFingerprint, TargetLife} from '../types';
 import type {
   CrashRecord,
   CrashRecordChanges,
   EndedLife,
   Quarantine,
-  TargetLife,
 } from './types';
 
 /** Targets that end under a request before it is sent to no other one. */
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -1,7 +1,4 @@
-import type {MonotonicInstant, RequestFingerprint} from '../types';
-
-/** Names one life of a target. */
-export type TargetLife = string;
+import type {MonotonicInstant, RequestFingerprint, TargetLife} from '../types';
 
 /** The end of a target's life while it ran a request. */
 export interface EndedLife {
--- a/packages/core/src/types/names.ts
+++ b/packages/core/src/types/names.ts
@@ -28,6 +28,9 @@
 /** Identifies one attempt to run one request. Unique for ever. */
 export type AttemptId = string;
 
+/** Names one life of a target, as its instance and its birth. */
+export type TargetLife = string;
+
 /** Names a request by its caller and content, the same at each attempt. */
 export type RequestFingerprint = string;
 
--- a/packages/fleet/src/entry/crash_watch.ts
+++ b/packages/fleet/src/entry/crash_watch.ts
@@ -1,9 +1,10 @@
-import type {
-  ListedTarget,
-  Milliseconds,
-  Quarantine,
-  RequestFingerprint,
-  TargetLife,
+import {
+  nameOfLife,
+  type ListedTarget,
+  type Milliseconds,
+  type Quarantine,
+  type RequestFingerprint,
+  type TargetLife,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import {connect} from 'node:net';
@@ -54,7 +55,7 @@
 
   /** One look serves all requests that were lost with the target. */
   function lookOnce(target: ListedTarget): Promise<AddressState> {
-    const life = lifeOf(target);
+    const life = nameOfLife(target);
     const running = looks.get(life);
     if (running !== undefined) return running;
     const started = lookUntilAnswered(target.address).finally(() =>
@@ -86,7 +87,7 @@
     target: ListedTarget,
     endedAt: number,
   ): void {
-    const ending = {life: lifeOf(target), endedAt};
+    const ending = {life: nameOfLife(target), endedAt};
     const wasQuarantined = quarantine.isQuarantined(fingerprint);
     if (!quarantine.noteEnding(fingerprint, ending)) return;
     const isQuarantined = quarantine.isQuarantined(fingerprint);
@@ -109,10 +110,6 @@
   };
 }
 
-function lifeOf({instance, born}: ListedTarget): TargetLife {
-  return born === undefined ? instance : `${instance}/${born}`;
-}
-
 function lookAt(address: string): Promise<AddressState> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -25,6 +25,7 @@
 import {createMemberFollower} from '../link/member_follower';
 import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
+import {createSiteRecords} from '../link/site_records';
 import type {
   DirectoryProtocol,
   MemberDescription,
@@ -140,7 +141,7 @@
     clock,
     log: logs('requests'),
     onChange: fingerprint => {
-      circle.offerCrashRecords();
+      circle.offerRecords();
       quarantineStore.update(fingerprint);
       if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
     },
@@ -218,7 +219,7 @@
     clock,
     log: logs('membership'),
     copies,
-    quarantine,
+    records: createSiteRecords(quarantine),
     storeDistance: storeDistance.shortest,
     namings: namings.tell,
     onNamings: namings.take,
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -3,12 +3,10 @@
   createEntryStates,
   createSilentPeers,
   type Milliseconds,
-  type Quarantine,
   type ZoneName,
 } from '@hibiscusbeam/core';
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {
-  CrashRecord,
   EngineReport,
   EntryState,
   FollowerGreeting,
@@ -16,7 +14,7 @@
 } from '@hibiscusbeam/wire';
 import {createEntryChannels} from '../link/channels';
 import type {ConfigurationCopies} from '../link/configuration_copies';
-import {createCrashRecordWriter, readCrashRecord} from '../link/crash_records';
+import type {SiteRecords, SiteRecordsMessage} from '../link/site_records';
 import type {MemberDescription} from '../ports';
 import type {TableSource} from './operator_follower';
 import {createRelayFace, type RelayFace} from './relay_face';
@@ -33,8 +31,8 @@
 /** Looks between two greetings of a relay. */
 const LOOKS_BETWEEN_GREETINGS = 4;
 
-/** Time in which records of ended targets are collected before they go out. */
-const COLLECT_CRASH_RECORDS: Milliseconds = 10;
+/** Time in which the site's records are collected before they go out. */
+const COLLECT_RECORDS: Milliseconds = 10;
 
 /** Age of the last report of an agent after which the relay's are wanted. */
 const REPORTS_MISSED: Milliseconds = 700;
@@ -46,7 +44,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly copies: ConfigurationCopies;
-  readonly quarantine: Quarantine;
+  /** What all entries are to know. */
+  readonly records: SiteRecords;
   /** Time to the store and back; undefined if it is not known yet. */
   readonly storeDistance: () => Milliseconds | undefined;
   readonly namings: () => VersionNaming[];
@@ -69,8 +68,8 @@
   readonly takeReport: (report: EngineReport) => void;
   /** Tells at once how this entry stands. */
   readonly tellSelf: () => void;
-  /** Passes on soon what has changed in the quarantine. */
-  readonly offerCrashRecords: () => void;
+  /** Passes on soon what has changed in the site's records. */
+  readonly offerRecords: () => void;
   /** Tells the relays what is held here. */
   readonly greetRelays: () => void;
   /** Other entries that callers may be sent to. */
@@ -108,7 +107,7 @@
     states: allStates,
     namings: options.namings,
     copies: options.copies,
-    quarantine: options.quarantine,
+    records: options.records,
     readingDistance: () =>
       operatorSource() === 'store' ? options.storeDistance() : undefined,
     onGreeting: takeGreeting,
@@ -158,14 +157,14 @@
 
   function follow(relay: MemberDescription): RelayLink {
     log.info('follows a relay', {relay: relay.instance, zone: relay.zone});
-    const writeCrashRecords = createCrashRecordWriter(options.quarantine);
+    const writeRecords = options.records.createWriter();
     return openRelayLink({
       relay,
       clock,
       channels,
       greeting: () => ({
         ...greetingFor(relay),
-        crashRecords: writeCrashRecords(clock()),
+        ...writeRecords(clock()),
       }),
       onNews: takeNews,
       onLost: loseRelay,
@@ -174,7 +173,7 @@
 
   function greetingFor({
     zone,
-  }: MemberDescription): Omit<FollowerGreeting, 'crashRecords'> {
+  }: MemberDescription): Omit<FollowerGreeting, keyof SiteRecordsMessage> {
     const isOwnZone = zone === self.zone;
     return {
       self: ownState(),
@@ -202,7 +201,7 @@
       noteState(instance, ready, now - ageMilliseconds);
     }
     if (news.reports.length > 0) options.onReports(news.reports);
-    takeCrashRecords(news.crashRecords);
+    takeRecords(news.records);
     siteReader.note(news.operator, relay);
     options.onTables(news);
   }
@@ -218,26 +217,22 @@
 
   function takeGreeting(greeting: FollowerGreeting): void {
     options.onNamings(greeting.namings);
-    takeCrashRecords(greeting.crashRecords);
+    takeRecords(greeting);
     const {self: state} = greeting;
     if (state !== undefined) noteState(state.instance, state.ready, clock());
   }
 
-  function takeCrashRecords(records: readonly CrashRecord[]): void {
-    const now = clock();
-    const isNew = records.map(record =>
-      options.quarantine.merge(readCrashRecord(record, now)),
-    );
-    if (isNew.includes(true)) offerCrashRecords();
+  function takeRecords(message: SiteRecordsMessage): void {
+    if (options.records.take(message, clock())) offerRecords();
   }
 
   /** A target that ends brings a record for each request that it ran. */
-  function offerCrashRecords(): void {
-    face.offerCrashRecords();
+  function offerRecords(): void {
+    face.offerRecords();
     greetingSoon ??= setTimeout(() => {
       greetingSoon = undefined;
       greetRelays();
-    }, COLLECT_CRASH_RECORDS);
+    }, COLLECT_RECORDS);
   }
 
   function noteState(instance: string, ready: boolean, heardAt: number): void {
@@ -317,7 +312,7 @@
       greetRelays();
       face.tellStates();
     },
-    offerCrashRecords,
+    offerRecords,
     greetRelays,
     usable,
     size: () => entries.length + 1,
--- a/packages/fleet/src/entry/relay_face.ts
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -1,4 +1,4 @@
-import type {ListedTarget, Milliseconds, Quarantine} from '@hibiscusbeam/core';
+import type {ListedTarget, Milliseconds} from '@hibiscusbeam/core';
 import {every, type Clock} from '@hibiscusbeam/daemon';
 import type {
   EngineReport,
@@ -8,6 +8,7 @@
 } from '@hibiscusbeam/wire';
 import type {ConfigurationCopies} from '../link/configuration_copies';
 import {createReportNumbers, type PassedReport} from '../link/report_batches';
+import type {SiteRecords} from '../link/site_records';
 import {createStateNumbers} from '../link/state_batches';
 import {createTargetNumbers} from '../link/target_changes';
 import type {OperatorMoment} from './operator_follower';
@@ -35,7 +36,7 @@
   readonly states: () => readonly EntryState[];
   readonly namings: () => VersionNaming[];
   readonly copies: ConfigurationCopies;
-  readonly quarantine: Quarantine;
+  readonly records: SiteRecords;
   /** This entry's distance from the store if it reads the operator's table. */
   readonly readingDistance: () => Milliseconds | undefined;
   /** Told of each greeting of a follower. */
@@ -53,8 +54,8 @@
   readonly offerTargets: (listing: TargetListing) => void;
   /** Passes all states and namings on at once. */
   readonly tellStates: () => void;
-  /** Passes on soon what has changed in the quarantine. */
-  readonly offerCrashRecords: () => void;
+  /** Passes on soon what has changed in the site's records. */
+  readonly offerRecords: () => void;
   /** Stops passing on. */
   readonly close: () => void;
 }
@@ -99,7 +100,7 @@
       states: () => options.states().map(numberState),
       namings: options.namings,
       copies: options.copies,
-      quarantine: options.quarantine,
+      records: options.records,
       readingDistance: options.readingDistance,
       operator: () => operator,
       targets: () => listing,
@@ -166,7 +167,7 @@
       tellSoon();
     },
     offerTargets,
-    offerCrashRecords: tellSoon,
+    offerRecords: tellSoon,
     tellStates: () => {
       for (const follower of followers) follower.wantStates();
       tellSoon();
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -1,9 +1,5 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import type {
-  Milliseconds,
-  MonotonicInstant,
-  Quarantine,
-} from '@hibiscusbeam/core';
+import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
   FollowerGreeting,
@@ -11,9 +7,9 @@
   VersionNaming,
 } from '@hibiscusbeam/wire';
 import type {ConfigurationCopies} from '../link/configuration_copies';
-import {createCrashRecordWriter} from '../link/crash_records';
 import {createToldRows} from '../link/numbered_rows';
 import {writeReports, type PassedReport} from '../link/report_batches';
+import {hasNoRecords, type SiteRecords} from '../link/site_records';
 import {writeStates, type PassedState} from '../link/state_batches';
 import {writeTargetChanges, type NumberedTargets} from '../link/target_changes';
 import type {Revision} from '../ports';
@@ -53,7 +49,7 @@
   readonly readingDistance: () => Milliseconds | undefined;
   readonly operator: () => OperatorMoment | undefined;
   readonly targets: () => PassedListing | undefined;
-  readonly quarantine: Quarantine;
+  readonly records: SiteRecords;
 }
 
 /** An entry that follows this one. */
@@ -82,7 +78,7 @@
   const toldStates = createToldRows();
   const toldReports = createToldRows();
   const toldTargets = createToldRows();
-  const writeCrashRecords = createCrashRecordWriter(knowledge.quarantine);
+  const writeRecords = knowledge.records.createWriter();
   let greeting: FollowerGreeting | undefined;
   let heardAt: MonotonicInstant = -Infinity;
   let looksSinceNews = 0;
@@ -97,7 +93,7 @@
     // Old news are of no use, so they don't queue behind a full window.
     if (greeting === undefined || call.writableLength > 0) return;
     const news = collectNews(greeting, reports, now);
-    const hasRows = news.targets || news.crashRecords.length > 0;
+    const hasRows = news.targets || !hasNoRecords(news);
     const hasNews = news.entries || news.reports || news.operator || hasRows;
     const isSignDue = looksSinceNews >= LOOKS_BETWEEN_SIGNS;
     if (!hasNews && !isSignDue) return;
@@ -129,7 +125,7 @@
       operator,
       configuration: operator && takeConfiguration(now),
       targets: wantsTables ? takeTargets() : undefined,
-      crashRecords: writeCrashRecords(now),
+      ...writeRecords(now),
     };
   }
 
--- a/packages/fleet/src/entry/relay_news.ts
+++ b/packages/fleet/src/entry/relay_news.ts
@@ -1,7 +1,6 @@
 import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
-  CrashRecord,
   EngineReport,
   EntryState,
   RelayNews,
@@ -10,6 +9,7 @@
 import {createReportReader} from '../link/report_batches';
 import {createStateReader} from '../link/state_batches';
 import {createTargetReader} from '../link/target_changes';
+import type {SiteRecordsMessage} from '../link/site_records';
 import type {OperatorMoment} from './operator_follower';
 import type {TargetListing} from './target_follower';
 
@@ -27,7 +27,7 @@
   readonly operator: RelayedMoment | undefined;
   readonly configuration: ConfigurationCopy | undefined;
   readonly targets: TargetListing | undefined;
-  readonly crashRecords: readonly CrashRecord[];
+  readonly records: SiteRecordsMessage;
 }
 
 /** Creates the reader of one stream of news. */
@@ -53,6 +53,6 @@
     operator: news.operator,
     configuration: news.configuration,
     targets: news.targets && readListing(news.targets),
-    crashRecords: news.crashRecords,
+    records: news,
   });
 }
--- a/test/fleet/entry_circle.test.ts
+++ b/test/fleet/entry_circle.test.ts
@@ -6,6 +6,7 @@
 import type {ToldNews} from '../../packages/fleet/src/entry/relay_news';
 import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
 import {openPeerServer} from '../../packages/fleet/src/link/peer_server';
+import {createSiteRecords} from '../../packages/fleet/src/link/site_records';
 import type {MemberDescription} from '../../packages/fleet/src/ports';
 import {eventually, freeAddress} from './fixtures/host_site';
 
@@ -51,7 +52,7 @@
     onNamings: () => undefined,
     onReports: taken => reports.push(...taken),
     copies,
-    quarantine,
+    records: createSiteRecords(quarantine),
     storeDistance: () => distance,
     onTables: told => void news.push(told),
     onUsable: () => undefined,
@@ -218,7 +219,7 @@
 function endTarget(entry: Entry, life: string): void {
   const ending = {life, endedAt: performance.now()};
   entry.quarantine.noteEnding('c0ffee', ending);
-  entry.circle.offerCrashRecords();
+  entry.circle.offerRecords();
 }
 
 const isQuarantined = ({quarantine}: Entry): boolean =>
@@ -253,6 +254,6 @@
   await eventually(() => entries.every(isQuarantined));
   const last = entries.at(-1)!;
   last.quarantine.noteCompletion('c0ffee', performance.now());
-  last.circle.offerCrashRecords();
+  last.circle.offerRecords();
   await eventually(() => !entries.some(isQuarantined));
 });
