--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -6,7 +6,7 @@
   Route,
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
-import type {HeaderLines, RequestProtocol} from '../ports';
+import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
 import {openExchange, type IncomingAnswer} from './exchange';
 import {relayStream, type StreamProgress} from './stream_relay';
 
@@ -43,6 +43,8 @@
   readonly handOn: AbortSignal;
   /** Aborts at the deadline and when the caller has gone. */
   readonly signal: AbortSignal;
+  /** Is told of the header of an answer to this request. */
+  readonly onHeader: (header: AnswerHeader) => void;
   /** Is told of each event that this target has sent. */
   readonly onEvent: () => void;
   /** Is told when the first event of all attempts has come. */
@@ -101,6 +103,7 @@
     options.explain(`answer to ${header.requestId ?? 'no request'}`);
     return {kind: 'unknown', cause: 'foreignAnswer'};
   }
+  options.onHeader(header);
   if (header.misdirected) return {kind: 'notRun', cause: 'misdirected'};
   if (header.notRun) return {kind: 'notRun', cause: 'refusedByTarget'};
   const success = status >= 200 && status < 300;
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -17,6 +17,8 @@
   readonly observeReadingAge: (table: ReadTable, milliseconds: number) => void;
   /** Counts a send whose connection ended before the target's answer did. */
   readonly countLostSend: (route: string) => void;
+  /** Counts an answer in which a target named a limit of its own. */
+  readonly countLimitedAnswer: (service: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -51,6 +53,12 @@
     labelNames: ['route'],
     registers: [registry],
   });
+  const limitedAnswers = new Counter({
+    name: 'hibiscusbeam_limited_answers_total',
+    help: 'Answers in which a target named a limit of its own, by service.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -58,6 +66,7 @@
     observeReadingAge: (table, milliseconds) =>
       readingAges.observe({table}, milliseconds),
     countLostSend: route => lostSends.inc({route}),
+    countLimitedAnswer: service => limitedAnswers.inc({service}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -13,7 +13,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {RequestProtocol} from '../ports';
+import type {AnswerHeader, RequestProtocol} from '../ports';
 import {attempt, type WholeAnswer} from './attempt';
 import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
@@ -229,6 +229,7 @@
       mayBegin: () => mayBegin(target),
       handOn: handOn.signal,
       signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
+      onHeader: header => noteHeader(header),
       onFirstEvent: recordTime,
       onEvent: () => place?.inHand.begun(),
       keepAnswer: kept => (answer = kept),
@@ -249,6 +250,12 @@
     return {kind: 'sent', outcome: final};
   }
 
+  function noteHeader({rateLimit}: AnswerHeader): void {
+    if (rateLimit === undefined) return;
+    options.metrics.countLimitedAnswer(service);
+    story.explain(`names a limit of ${rateLimit} a second`);
+  }
+
   /** Whether what led to the choice of the target still holds. */
   function mayBegin(target: ListedTarget): boolean {
     if (signal.aborted) return false;
--- a/packages/fleet/src/ports/protocol.ts
+++ b/packages/fleet/src/ports/protocol.ts
@@ -40,6 +40,11 @@
   readonly notRun: boolean;
   /** Whether another instance, or another version, has the address. */
   readonly misdirected: boolean;
+  /**
+   * Requests a second that the target takes from all entries together;
+   * undefined if it names no limit.
+   */
+  readonly rateLimit: number | undefined;
 }
 
 /** The header names of the host platform. */
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -8,6 +8,15 @@
   expect(lines).toContain('hibiscusbeam_lost_sends_total{route="notes"} 1');
 });
 
+test('counts answers in which a target named a limit, by service', async () => {
+  const metrics = createFleetMetrics();
+  metrics.countLimitedAnswer('engines');
+  const lines = (await metrics.text()).split('\n');
+  expect(lines).toContain(
+    'hibiscusbeam_limited_answers_total{service="engines"} 1',
+  );
+});
+
 test('counts how old the readings were that requests were decided by', async () => {
   const metrics = createFleetMetrics();
   metrics.observeReadingAge('targets', 2_700);
