Keep all entries together to the limit that a target names

Cause: a target's own word on what it takes, the limit in its answers, was no part of deciding where to send. An engine in need got as much as its sisters.

Ruled out: a header that comes too late in streams (dozens of answers came before), and entries that keep to it each for itself (none did; as a fix it would send eight times as much on that site, and 390 times on the largest).

The fix: a limit that any entry is told goes to all of them with what relays pass on, under an edition, so that all come to the same. The first few entries in an order that all agree on share it; each saves up one send. An entry that is cut off from others takes its part of the site, one that knows no other yet takes none. A limit ends when a request sent after it was known is answered without one.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,5 +1,6 @@
 import type {MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
+import type {PacedSends} from './paced_sends';
 import {costOf} from './target_cost';
 import {
   fits,
@@ -36,11 +37,12 @@
 
 /**
  * Creates the book of an entry. Nothing is chosen while `isListUsable` says that
- * the list is too old to go by.
+ * the list is too old to go by, nor any target to which `maySend` allows no more.
  */
 export function createTargetBook(
   self: SendingEntry,
   isListUsable: () => boolean = () => true,
+  maySend: PacedSends['maySend'] = () => true,
 ): TargetBook {
   const {zone} = self;
   let senders: readonly SendingEntry[] = [self];
@@ -189,9 +191,10 @@
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
       hasRoom(entry, need.now, senders.length),
     );
+    const allowed = withRoom.filter(({target}) => maySend(target, need.now));
     let best: TargetEntry | undefined;
     let bestCost = Infinity;
-    for (const entry of withRoom) {
+    for (const entry of allowed) {
       const cost = costOf(entry, need, zone);
       if (cost >= bestCost) continue;
       best = entry;
--- a/packages/core/src/placement/target_life.ts
+++ b/packages/core/src/placement/target_life.ts
@@ -24,11 +24,12 @@
   return !isFormerLife(one, other) && !isFormerLife(other, one);
 }
 
-/** Names a life; lives without a date are named alike under one id. */
-export function nameOfLife(target: {
+/** A target, as far as its lives are told apart. */
+export interface LivingTarget extends OfLife {
   readonly instance: InstanceName;
-  readonly born: EpochMilliseconds | undefined;
-}): TargetLife {
-  const {instance, born} = target;
+}
+
+/** Names a life; lives without a date are named alike under one id. */
+export function nameOfLife({instance, born}: LivingTarget): TargetLife {
   return born === undefined ? instance : `${instance}/${born}`;
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -1,7 +1,9 @@
 import {
   createConfirmation,
   createNamedVersions,
+  createPacedSends,
   createQuarantine,
+  createRateLimits,
   createStoreClock,
   createStoreContact,
   createStoreDistance,
@@ -43,6 +45,7 @@
 import {createEngineReportStreams} from './engine_report_stream';
 import {createFleetMetrics} from './fleet_metrics';
 import {createHeldReadings} from './held_readings';
+import {createLimitWatch} from './limit_watch';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
 import {createQuarantineStore} from './quarantine_store';
@@ -146,11 +149,24 @@
       if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
     },
   });
+  const limits = createRateLimits(clock);
+  const limitWatch = createLimitWatch({
+    limits,
+    log: logs('routing'),
+    onChange: () => circle.offerRecords(),
+  });
+  const paced = createPacedSends({
+    self: {instance: settings.instance, zone: settings.zone},
+    rateOf: limits.rateOf,
+    knownPart: () =>
+      members.isKnown() ? (circle.usable().length + 1) / circle.size() : 0,
+  });
   const book = createTargetBook(
     {instance: settings.instance, zone: settings.zone},
     () => isReadable(readings.targets()),
+    paced.maySend,
   );
-  const places = createPlaceQueue(book, clock);
+  const places = createPlaceQueue(book, clock, paced.noteSend);
   const handover = createStreamHandover({book, clock});
   const life = `${settings.instance}-${randomUUID()}`;
   const trials = createQuarantineTrials({
@@ -219,7 +235,7 @@
     clock,
     log: logs('membership'),
     copies,
-    records: createSiteRecords(quarantine),
+    records: createSiteRecords(quarantine, limits),
     storeDistance: storeDistance.shortest,
     namings: namings.tell,
     onNamings: namings.take,
@@ -229,7 +245,11 @@
       if (moment !== undefined) operator.hear(moment, configuration);
       if (listing !== undefined) targets.hear(listing);
     },
-    onUsable: () => book.setEntries([self, ...circle.usable()]),
+    onUsable: () => {
+      const senders = [self, ...circle.usable()];
+      book.setEntries(senders);
+      paced.setSenders(senders);
+    },
   });
   const members = createMemberFollower({
     self,
@@ -253,6 +273,7 @@
     versions,
     quarantine,
     crashWatch,
+    limitWatch,
     trials,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -2,6 +2,7 @@
   ListedTarget,
   Milliseconds,
   MonotonicInstant,
+  PacedSends,
   PlaceNeed,
   RequestInHand,
   TargetBook,
@@ -56,8 +57,12 @@
   readonly resolve: (outcome: PlaceOutcome) => void;
 }
 
-/** Creates the queue over the places of `book`. */
-export function createPlaceQueue(book: TargetBook, clock: Clock): PlaceQueue {
+/** Creates the queue over the places of `book`; `onPlaced` is told of each taken. */
+export function createPlaceQueue(
+  book: TargetBook,
+  clock: Clock,
+  onPlaced: PacedSends['noteSend'] = () => undefined,
+): PlaceQueue {
   let waiters: Waiter[] = [];
   let timer: NodeJS.Timeout | undefined;
 
@@ -92,6 +97,7 @@
     const choice = book.choose(request.need());
     if (choice.kind === 'chosen') {
       const {target} = choice;
+      onPlaced(target, now);
       const life = new AbortController();
       const inHand = book.begin(target, {
         promptTime: request.promptTime,
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -6,6 +6,7 @@
   type ForwardReply,
   type ListedTarget,
   type Milliseconds,
+  type MonotonicInstant,
   type NamedVersions,
   type PlaceNeed,
   type Quarantine,
@@ -17,6 +18,7 @@
 import {attempt, type WholeAnswer} from './attempt';
 import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
+import type {LimitWatch} from './limit_watch';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
 import type {QuarantineTrials} from './quarantine_trials';
@@ -52,6 +54,7 @@
   readonly quarantine: Quarantine;
   readonly trials: QuarantineTrials;
   readonly crashWatch: CrashWatch;
+  readonly limitWatch: LimitWatch;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
   /** Header lines of our own for the caller. */
@@ -229,7 +232,7 @@
       mayBegin: () => mayBegin(target),
       handOn: handOn.signal,
       signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
-      onHeader: header => noteHeader(header),
+      onHeader: header => noteHeader(target, header, sentAt),
       onFirstEvent: recordTime,
       onEvent: () => place?.inHand.begun(),
       keepAnswer: kept => (answer = kept),
@@ -250,7 +253,16 @@
     return {kind: 'sent', outcome: final};
   }
 
-  function noteHeader({rateLimit}: AnswerHeader): void {
+  function noteHeader(
+    target: ListedTarget,
+    {rateLimit, misdirected, sealed}: AnswerHeader,
+    sentAt: MonotonicInstant,
+  ): void {
+    // Another target, or another life of it, has answered.
+    if (misdirected) return;
+    // A refusal need not name the limit that is still in force.
+    if (rateLimit === undefined && !sealed) return;
+    options.limitWatch.noteAnswer(target, rateLimit, sentAt);
     if (rateLimit === undefined) return;
     options.metrics.countLimitedAnswer(service);
     story.explain(`names a limit of ${rateLimit} a second`);
--- a/packages/fleet/src/link/site_records.ts
+++ b/packages/fleet/src/link/site_records.ts
@@ -1,10 +1,18 @@
-import type {MonotonicInstant, Quarantine} from '@hibiscusbeam/core';
-import type {CrashRecord} from '@hibiscusbeam/wire';
+import type {
+  MonotonicInstant,
+  Quarantine,
+  RateLimits,
+} from '@hibiscusbeam/core';
+import type {CrashRecord, RateLimitRecord} from '@hibiscusbeam/wire';
 import {createCrashRecordWriter, readCrashRecord} from './crash_records';
 
+/** Limits in one message; the others follow in the next ones. */
+const MOST_LIMITS_IN_MESSAGE = 100;
+
 /** Records in one message. */
 export interface SiteRecordsMessage {
   readonly crashRecords: CrashRecord[];
+  readonly rateLimits: RateLimitRecord[];
 }
 
 /** Writes to one stream what was not written to it yet. */
@@ -21,20 +29,46 @@
 }
 
 /** Creates the exchange of what an entry knows. */
-export function createSiteRecords(quarantine: Quarantine): SiteRecords {
+export function createSiteRecords(
+  quarantine: Quarantine,
+  limits: RateLimits,
+): SiteRecords {
   return {
     createWriter: () => {
       const writeCrashRecords = createCrashRecordWriter(quarantine);
-      return now => ({crashRecords: writeCrashRecords(now)});
+      const writeRateLimits = createRateLimitWriter(limits);
+      return now => ({
+        crashRecords: writeCrashRecords(now),
+        rateLimits: writeRateLimits(),
+      });
+    },
+    take: ({crashRecords, rateLimits}, now) => {
+      const isNew = [
+        ...crashRecords.map(record =>
+          quarantine.merge(readCrashRecord(record, now)),
+        ),
+        ...rateLimits.map(({life, rate, edition}) =>
+          limits.merge({life, rate, edition}),
+        ),
+      ];
+      return isNew.includes(true);
     },
-    take: ({crashRecords}, now) =>
-      crashRecords
-        .map(record => quarantine.merge(readCrashRecord(record, now)))
-        .includes(true),
   };
 }
 
 /** Whether a message has nothing to say. */
-export function hasNoRecords({crashRecords}: SiteRecordsMessage): boolean {
-  return crashRecords.length === 0;
+export function hasNoRecords(message: SiteRecordsMessage): boolean {
+  return message.crashRecords.length + message.rateLimits.length === 0;
+}
+
+function createRateLimitWriter(limits: RateLimits): () => RateLimitRecord[] {
+  let written = 0;
+  return () => {
+    const {records, revision} = limits.changedSince(
+      written,
+      MOST_LIMITS_IN_MESSAGE,
+    );
+    written = revision;
+    return [...records];
+  };
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -15,6 +15,7 @@
   type FollowerGreeting,
   type ListedTarget as ListedTargetMessage,
   type OperatorMoment,
+  type RateLimitRecord,
   type RelayNews,
   type ReportBatch,
   type StateBatch,
--- a/test/fleet/entry_circle.test.ts
+++ b/test/fleet/entry_circle.test.ts
@@ -1,4 +1,4 @@
-import {createQuarantine} from '@hibiscusbeam/core';
+import {createQuarantine, createRateLimits} from '@hibiscusbeam/core';
 import type {EngineReport} from '@hibiscusbeam/wire';
 import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, expect, test} from 'vitest';
@@ -43,6 +43,7 @@
   const news: ToldNews[] = [];
   const copies = createConfigurationCopies();
   const quarantine = createQuarantine();
+  const limits = createRateLimits(() => performance.now());
   const circle = createEntryCircle({
     self,
     isReady: () => ready,
@@ -52,7 +53,7 @@
     onNamings: () => undefined,
     onReports: taken => reports.push(...taken),
     copies,
-    records: createSiteRecords(quarantine),
+    records: createSiteRecords(quarantine, limits),
     storeDistance: () => distance,
     onTables: told => void news.push(told),
     onUsable: () => undefined,
@@ -80,6 +81,7 @@
     news,
     copies,
     quarantine,
+    limits,
     close,
     follows: () => follows,
     setReady: (next: boolean) => (ready = next),
@@ -257,3 +259,17 @@
   last.circle.offerRecords();
   await eventually(() => !entries.some(isQuarantined));
 });
+
+test('a limit that one entry was told is known to all, also to one that follows late', async () => {
+  const entries = await startSite(2);
+  await untilSettled(entries);
+  const [first, late] = entries;
+  late!.circle.setMembers([]);
+  first!.limits.noteAnswer({life: 'engine', rate: 2, sentAt: 0});
+  first!.circle.offerRecords();
+  const others = entries.filter(entry => entry !== late);
+  const knows = ({limits}: Entry): boolean => limits.rateOf('engine') === 2;
+  await eventually(() => others.every(knows));
+  late!.circle.setMembers(others.map(({self}) => self));
+  await eventually(() => knows(late!));
+});
--- a/test/fleet/passed_on_rows.test.ts
+++ b/test/fleet/passed_on_rows.test.ts
@@ -48,6 +48,7 @@
     targets: undefined,
     configuration: undefined,
     crashRecords: [],
+    rateLimits: [],
     ...news,
   };
   return FleetEntryService.follow.responseSerialize(whole).length;
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -32,6 +32,7 @@
     heldConfiguration: 0,
     namings: [],
     crashRecords: [],
+    rateLimits: [],
   });
   const news = await new Promise<RelayNews | undefined>(resolve => {
     call.once('data', resolve);
