--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -142,23 +142,27 @@
     );
   }
 
+  function noteStored(
+    fingerprint: RequestFingerprint,
+    isStored: boolean,
+  ): void {
+    if (isStored) {
+      stored.add(fingerprint);
+      return;
+    }
+    // Whoever took the row out has seen the request answered whole.
+    if (stored.delete(fingerprint)) records.get(fingerprint)?.endings.clear();
+  }
+
   return {
     noteEnding,
     noteCompletion,
     merge,
     changedSince,
     isQuarantined,
-    noteStored: (fingerprint, isStored) => {
-      if (isStored) stored.add(fingerprint);
-      else if (stored.delete(fingerprint)) forgetEndings(fingerprint);
-    },
+    noteStored,
     forgetStored: () => stored.clear(),
   };
-
-  /** Whoever took the row out has seen the request answered whole. */
-  function forgetEndings(fingerprint: RequestFingerprint): void {
-    records.get(fingerprint)?.endings.clear();
-  }
 }
 
 function toRecord(
