--- a/packages/core/src/placement/paced_sends.ts
+++ b/packages/core/src/placement/paced_sends.ts
@@ -11,6 +11,9 @@
 /** Sends that an entry may save up, in seconds of its part; one at least. */
 const MOST_SAVED_SECONDS = 0.25;
 
+/** Targets whose sends are counted; an entry sends to fewer at a time. */
+const MOST_TARGETS = 1_000;
+
 /** What pacing the sends of one entry needs. */
 export interface PacedSendsOptions {
   readonly self: SendingEntry;
@@ -33,9 +36,6 @@
   readonly noteSend: (target: LivingTarget, now: MonotonicInstant) => void;
 }
 
-/** Targets whose sends are counted; an entry sends to fewer at a time. */
-const MOST_TARGETS = 1_000;
-
 interface Bucket {
   sends: number;
   filledAt: MonotonicInstant;
