--- /dev/null
+++ b/test/soak/plan.ts
@@ -0,0 +1,94 @@
+import {hash32} from '@hibiscusbeam/core';
+import type {StoreFault} from '../fleet/fixtures/host_store';
+
+/** Something that happens in a soak. */
+export type Trouble =
+  | {readonly kind: 'signal'; readonly entry: number; readonly signal: Signal}
+  | {readonly kind: 'store'; readonly fault: StoreFault}
+  | {
+      readonly kind: 'limit';
+      readonly engine: number;
+      readonly rate: number | undefined;
+    };
+
+type Signal = 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT';
+
+/** A trouble and when it comes, in milliseconds from the start. */
+export interface PlannedTrouble {
+  readonly at: number;
+  readonly trouble: Trouble;
+}
+
+/** Size of a soak. */
+export interface SoakSize {
+  readonly entries: number;
+  readonly engines: number;
+  /** Time in which troubles begin, in milliseconds. */
+  readonly duration: number;
+}
+
+const LONGEST_PAUSE = 1_500;
+const LONGEST_FREEZE = 2_500;
+const LONGEST_STORE_FAULT = 2_000;
+const LIMITED_FOR = 12_000;
+const MOST_LIMIT = 4;
+
+const STORE_FAULTS: readonly StoreFault[] = [
+  'busy',
+  'silent',
+  'answerLost',
+  'historyLost',
+];
+
+/** Plans the troubles of a seed; they overlap and come in series. */
+export function planTroubles(
+  seed: number,
+  {entries, engines, duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(seed);
+  const planned: PlannedTrouble[] = [];
+  const add = (at: number, trouble: Trouble): void =>
+    void planned.push({at, trouble});
+  for (let at = 0; at < duration; at += random(LONGEST_PAUSE)) {
+    const entry = random(entries);
+    switch (random(5)) {
+      case 0:
+        add(at, {kind: 'signal', entry, signal: 'SIGKILL'});
+        break;
+      case 1:
+        add(at, {kind: 'signal', entry, signal: 'SIGTERM'});
+        break;
+      case 2:
+        add(at, {kind: 'signal', entry, signal: 'SIGSTOP'});
+        add(at + random(LONGEST_FREEZE), {
+          kind: 'signal',
+          entry,
+          signal: 'SIGCONT',
+        });
+        break;
+      case 3: {
+        const fault = STORE_FAULTS[random(STORE_FAULTS.length)] ?? 'busy';
+        add(at, {kind: 'store', fault});
+        add(at + random(LONGEST_STORE_FAULT), {kind: 'store', fault: 'none'});
+        break;
+      }
+      default: {
+        const engine = random(engines);
+        const rate = 1 + random(MOST_LIMIT);
+        add(at, {kind: 'limit', engine, rate});
+        const until = Math.min(at + LIMITED_FOR, duration);
+        add(until, {kind: 'limit', engine, rate: undefined});
+      }
+    }
+  }
+  return planned.sort((one, other) => one.at - other.at);
+}
+
+/** Whole numbers from 0 to below a bound, the same for a seed. */
+function createRandom(seed: number): (bound: number) => number {
+  let drawn = 0;
+  return bound => {
+    drawn += 1;
+    return hash32(`${seed} ${drawn}`) % bound;
+  };
+}
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,266 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {startHostEngine, type HostEngine} from '../fleet/fixtures/host_engine';
+import {
+  eventually,
+  freeAddress,
+  HOST,
+  KEY,
+  startHostSite,
+} from '../fleet/fixtures/host_site';
+import {startEntryProcess, type EntryProcess} from './entry_process';
+import {
+  brokenPromises,
+  type CallerRecord,
+  type LimitSpan,
+  type SoakRecords,
+} from './oracles';
+import {planTroubles, type SoakSize, type Trouble} from './plan';
+
+const CRASHING = 'ends its target';
+const ENGINE_BACK = 1_200;
+const LAPSE = 2_000;
+const PAUSE_BETWEEN_REQUESTS = 30;
+const CRASHING_EACH = 25;
+const LAST_CALM = 6_000;
+const PATIENCE = 2_000;
+
+const BOUNDS = {
+  configuration: 2_000,
+  revocation: 5_000,
+  draining: 2_000,
+  version: 8_000,
+  grace: 3_000,
+  directoryAnswer: 5_000,
+  repeats: {share: 0.2, slack: 104, window: 10_000},
+};
+
+/** A span in which an entry is stopped, killed or frozen. */
+interface Disturbance {
+  readonly entry: number;
+  readonly from: number;
+  readonly until: number;
+}
+
+/** How a soak ended. */
+export interface SoakOutcome {
+  readonly broken: readonly string[];
+  /** Attempts by status; `none` without a whole answer. */
+  readonly statuses: Readonly<Record<string, number>>;
+  readonly troubles: number;
+  readonly enginesEnded: number;
+  /** Share of the requests answered whole once all troubles were over. */
+  readonly servedAfterwards: number;
+}
+
+/** Plays the troubles of one seed against real entries. */
+export async function playSoak(
+  seed: number,
+  size: SoakSize,
+  folder: string,
+): Promise<SoakOutcome> {
+  const site = await startHostSite();
+  const engines: HostEngine[] = [];
+  const running: HostEngine[] = [];
+  const callers: CallerRecord[] = [];
+  const limits: LimitSpan[] = [];
+  const openLimits = new Map<HostEngine, {rate: number; from: number}>();
+  const disturbances: Disturbance[] = [];
+  let enginesEnded = 0;
+  let isOver = false;
+
+  async function startEngine(place: number): Promise<void> {
+    if (isOver) return;
+    const isModel = place % 2 === 1;
+    const instance = `engine-${place}-${engines.length}`;
+    const engine = await startHostEngine({
+      instance,
+      version: isModel ? 1 : undefined,
+      onEnded: () => void replaceEngine(engine, place),
+    });
+    engine.setFault({kind: 'crashes', under: CRASHING});
+    engines.push(engine);
+    running[place] = engine;
+    const models = {
+      Service: 'engines',
+      Models: [{Name: 'model', Version: 1, Adapters: []}],
+    };
+    site.register(engine, isModel ? models : {});
+  }
+
+  async function replaceEngine(ended: HostEngine, place: number) {
+    enginesEnded += 1;
+    setTimeout(() => site.store.remove('servers', ended.instance), LAPSE);
+    endLimit(ended);
+    await sleep(ENGINE_BACK);
+    await startEngine(place);
+  }
+
+  function endLimit(engine: HostEngine): void {
+    const open = openLimits.get(engine);
+    openLimits.delete(engine);
+    if (open === undefined) return;
+    limits.push({engine, ...open, until: performance.now()});
+  }
+
+  async function startEntry(index: number): Promise<EntryProcess> {
+    const zone = index % 3 === 2 ? 'south' : 'north';
+    return startEntryProcess({
+      folder,
+      pause: 300,
+      settings: {
+        role: 'entry',
+        instance: `entry-${index}`,
+        zone,
+        region: zone,
+        logLevel: 'info',
+        peerAddress: await freeAddress(),
+        callerAddress: await freeAddress(),
+        readinessAddress: await freeAddress(),
+        directoryAddress: await freeAddress(),
+        store: {address: site.store.address, heartbeat: 1_200},
+        bounds: BOUNDS,
+      },
+    });
+  }
+
+  function apply(trouble: Trouble, entries: readonly EntryProcess[]): void {
+    switch (trouble.kind) {
+      case 'signal':
+        disturb(trouble.entry, trouble.signal);
+        return entries[trouble.entry]?.signal(trouble.signal);
+      case 'store':
+        return site.store.setFault(trouble.fault);
+      case 'limit': {
+        const engine = running[trouble.engine];
+        if (engine === undefined) return;
+        const {rate} = trouble;
+        endLimit(engine);
+        engine.setRateLimit(rate);
+        if (rate === undefined) return;
+        openLimits.set(engine, {rate, from: performance.now()});
+      }
+    }
+  }
+
+  function disturb(entry: number, signal: NodeJS.Signals): void {
+    const from = performance.now();
+    const lasting = signal === 'SIGTERM' ? BOUNDS.grace : 0;
+    disturbances.push({entry, from, until: from + lasting});
+  }
+
+  async function send(
+    id: number,
+    entry: number,
+    address: string,
+  ): Promise<void> {
+    const kinds = ['safe', 'unsafe', 'stream'];
+    const isCrashing = id % CRASHING_EACH === 0;
+    const kind = isCrashing ? 'safe' : kinds[id % kinds.length];
+    const path = `/${kind}/${isCrashing ? 'crashing' : id}`;
+    const requestId = `request-${id}`;
+    const headers: Record<string, string> = {
+      host: HOST,
+      authorization: `Token ${KEY}`,
+      'x-hibiscusbeam-request-id': requestId,
+      'x-hibiscusbeam-deadline-ms': String(PATIENCE),
+    };
+    if (kind === 'stream') headers['x-hibiscusbeam-model'] = 'model';
+    const body = isCrashing ? CRASHING : `question ${id}`;
+    try {
+      const reply = await request(`http://${address}${path}`, {
+        method: 'POST',
+        body,
+        headers,
+        signal: AbortSignal.timeout(2 * PATIENCE),
+      });
+      const text = await reply.body.text();
+      const status = reply.statusCode;
+      callers.push({requestId, entry, path, status, text});
+    } catch {
+      // An entry that was killed, or a stream that was cut.
+      callers.push({requestId, entry, path, status: undefined, text: ''});
+    }
+  }
+
+  const places = Array.from({length: size.engines}, (_, place) => place);
+  await Promise.all(places.map(startEngine));
+  site.configure();
+  const entries = await Promise.all(
+    Array.from({length: size.entries}, (_, index) => startEntry(index)),
+  );
+  await eventually(async () => {
+    const ready = await Promise.all(entries.map(isReady));
+    return ready.every(isUp => isUp);
+  });
+  const startedAt = performance.now();
+  const planned = planTroubles(seed, size);
+  const end = startedAt + size.duration + LAST_CALM;
+  const sending: Promise<void>[] = [];
+  let next = 0;
+  let id = 0;
+  let idAfterwards = Infinity;
+  while (performance.now() < end) {
+    const elapsed = performance.now() - startedAt;
+    while ((planned[next]?.at ?? Infinity) <= elapsed) {
+      apply(planned[next]!.trouble, entries);
+      next += 1;
+    }
+    id += 1;
+    if (elapsed > size.duration + LAST_CALM / 2) {
+      idAfterwards = Math.min(idAfterwards, id);
+    }
+    const entry = id % entries.length;
+    sending.push(send(id, entry, entries[entry]!.callerAddress));
+    await sleep(PAUSE_BETWEEN_REQUESTS);
+  }
+  await Promise.all(sending);
+  isOver = true;
+  for (const engine of [...openLimits.keys()]) endLimit(engine);
+  const records: SoakRecords = {
+    callers,
+    engines,
+    limits,
+    crashing: CRASHING,
+    isCalm: (entry, from, until) =>
+      disturbances.every(
+        span => span.entry !== entry || span.until < from || span.from > until,
+      ),
+  };
+  const broken = brokenPromises(records);
+  await Promise.all(entries.map(entry => entry.close()));
+  await site.close();
+  await Promise.all(engines.map(engine => engine.close()));
+  const afterwards = callers.filter(
+    ({requestId, path}) =>
+      Number(requestId.split('-')[1]) >= idAfterwards &&
+      path !== '/safe/crashing',
+  );
+  const served = afterwards.filter(({status}) => status === 200).length;
+  return {
+    broken,
+    statuses: countStatuses(callers),
+    troubles: next,
+    enginesEnded,
+    servedAfterwards: served / Math.max(1, afterwards.length),
+  };
+}
+
+async function isReady({readinessAddress}: EntryProcess): Promise<boolean> {
+  try {
+    const reply = await request(`http://${readinessAddress}/ready`);
+    await reply.body.dump();
+    return reply.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+function countStatuses(callers: readonly CallerRecord[]) {
+  const counts: Record<string, number> = {};
+  for (const {status} of callers) {
+    const name = String(status ?? 'none');
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -49,7 +49,7 @@
           ...TIMEOUTS,
           name: 'parts',
           include: ['test/**/*.test.ts'],
-          exclude: ['test/processes/**'],
+          exclude: ['test/processes/**', 'test/soak/**'],
           sequence: {groupOrder: 0},
         },
       },
@@ -57,7 +57,7 @@
         test: {
           ...TIMEOUTS,
           name: 'processes',
-          include: ['test/processes/**/*.test.ts'],
+          include: ['test/processes/**/*.test.ts', 'test/soak/*.test.ts'],
           // Each file starts a site of up to a dozen processes; several sites
           // beside property tests would starve one another's heartbeats.
           fileParallelism: false,
