--- a/packages/core/src/placement/rate_limits.ts
+++ b/packages/core/src/placement/rate_limits.ts
@@ -1,4 +1,5 @@
 import type {MonotonicInstant, TargetLife} from '../types';
+import {createChangingRows, type ChangedRows} from '../utils/changing_rows';
 
 /** Targets whose limits are remembered. */
 const MOST_TARGETS = 1_000;
@@ -20,29 +21,22 @@
   readonly sentAt: MonotonicInstant;
 }
 
-/** Limits that have changed since a revision. */
-export interface RateLimitChanges {
-  readonly records: readonly RateLimitRecord[];
-  /** What to ask from next time. */
-  readonly revision: number;
-}
-
 /** The limits that targets have named. */
 export interface RateLimits {
   /** Takes an answer seen here; returns whether it changes the limit. */
   readonly noteAnswer: (answer: LimitedAnswer) => boolean;
   /** Takes what another entry knows; returns whether it is newer. */
   readonly merge: (record: RateLimitRecord) => boolean;
-  /** Records that changed after `revision`, oldest change first. */
-  readonly changedSince: (revision: number, most: number) => RateLimitChanges;
+  /** Records that changed after `revision`, no more than `most`. */
+  readonly changedSince: (
+    revision: number,
+    most: number,
+  ) => ChangedRows<RateLimitRecord>;
   /** The limit in force; undefined if there is none. */
   readonly rateOf: (life: TargetLife) => number | undefined;
 }
 
-interface HeldLimit {
-  readonly rate: number | undefined;
-  readonly edition: number;
-  readonly revision: number;
+interface HeldLimit extends RateLimitRecord {
   /** When the target was last known here to say so. */
   notedAt: MonotonicInstant;
 }
@@ -52,8 +46,7 @@
  * edition counts, and of one edition the stricter, so that all come to the same.
  */
 export function createRateLimits(clock: () => MonotonicInstant): RateLimits {
-  const limits = new Map<TargetLife, HeldLimit>();
-  let revision = 0;
+  const limits = createChangingRows<HeldLimit>(MOST_TARGETS);
 
   function noteAnswer({life, rate, sentAt}: LimitedAnswer): boolean {
     const held = limits.get(life);
@@ -76,37 +69,19 @@
     return true;
   }
 
-  /** Moves a changed limit to the end, and makes room for it. */
   function set({life, rate, edition}: RateLimitRecord): void {
-    revision += 1;
-    limits.delete(life);
-    limits.set(life, {rate, edition, revision, notedAt: clock()});
-    const [oldest] = limits.keys();
-    if (limits.size > MOST_TARGETS && oldest !== undefined) {
-      limits.delete(oldest);
-    }
-  }
-
-  function changedSince(after: number, most: number): RateLimitChanges {
-    if (after >= revision) return {records: [], revision};
-    const changed = [...limits].filter(([, held]) => held.revision > after);
-    const taken = changed.slice(0, most);
-    const isAll = taken.length === changed.length;
-    return {
-      records: taken.map(([life, {rate, edition}]) => ({life, rate, edition})),
-      revision: isAll ? revision : (taken.at(-1)?.[1].revision ?? after),
-    };
+    limits.set(life, {life, rate, edition, notedAt: clock()});
   }
 
   return {
     noteAnswer,
     merge,
-    changedSince,
+    changedSince: limits.changedSince,
     rateOf: life => limits.get(life)?.rate,
   };
 }
 
-function isNewer(record: RateLimitRecord, held: HeldLimit): boolean {
+function isNewer(record: RateLimitRecord, held: RateLimitRecord): boolean {
   if (record.edition !== held.edition) return record.edition > held.edition;
   return (record.rate ?? Infinity) < (held.rate ?? Infinity);
 }
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,10 +1,6 @@
 import type {MonotonicInstant, RequestFingerprint, TargetLife} from '../types';
-import type {
-  CrashRecord,
-  CrashRecordChanges,
-  EndedLife,
-  Quarantine,
-} from './types';
+import {createChangingRows, type ChangedRows} from '../utils/changing_rows';
+import type {CrashRecord, EndedLife, Quarantine} from './types';
 
 /** Targets that end under a request before it is sent to no other one. */
 export const ENDINGS_TO_QUARANTINE = 3;
@@ -16,9 +12,9 @@
 const MOST_RECORDS = 2_000;
 
 interface HeldRecord {
+  readonly fingerprint: RequestFingerprint;
   readonly endings: Map<TargetLife, MonotonicInstant>;
   completedAt: MonotonicInstant | undefined;
-  revision: number;
 }
 
 /**
@@ -26,20 +22,19 @@
  * them, so entries may pass them on in any order and more than once.
  */
 export function createQuarantine(mostRecords = MOST_RECORDS): Quarantine {
-  const records = new Map<RequestFingerprint, HeldRecord>();
+  const records = createChangingRows(mostRecords, leastTelling);
   const stored = new Set<RequestFingerprint>();
-  let revision = 0;
 
   function noteEnding(
     fingerprint: RequestFingerprint,
     {life, endedAt}: EndedLife,
   ): boolean {
-    const record = records.get(fingerprint) ?? createRecord();
+    const record = records.get(fingerprint) ?? createRecord(fingerprint);
     if (record.endings.has(life)) return false;
     if (endedAt <= (record.completedAt ?? -Infinity)) return false;
     if (record.endings.size >= MOST_ENDINGS) return false;
     record.endings.set(life, endedAt);
-    keep(fingerprint, record);
+    records.set(fingerprint, record);
     return true;
   }
 
@@ -50,11 +45,10 @@
     const wasStored = stored.delete(fingerprint);
     const record = records.get(fingerprint);
     if (record === undefined && !wasStored) return false;
-    return complete(fingerprint, record ?? createRecord(), completedAt);
+    return complete(record ?? createRecord(fingerprint), completedAt);
   }
 
   function complete(
-    fingerprint: RequestFingerprint,
     record: HeldRecord,
     completedAt: MonotonicInstant,
   ): boolean {
@@ -64,7 +58,7 @@
     for (const [life, endedAt] of [...record.endings]) {
       if (endedAt <= completedAt) record.endings.delete(life);
     }
-    if (isNew) keep(fingerprint, record);
+    if (isNew) records.set(record.fingerprint, record);
     return isNew;
   }
 
@@ -85,40 +79,12 @@
     return stored.has(fingerprint) || (record?.endings.size ?? 0) > 0;
   }
 
-  function createRecord(): HeldRecord {
-    return {endings: new Map(), completedAt: undefined, revision: 0};
-  }
-
-  /** Moves a changed record to the end, and makes room for it. */
-  function keep(fingerprint: RequestFingerprint, record: HeldRecord): void {
-    revision += 1;
-    record.revision = revision;
-    records.delete(fingerprint);
-    records.set(fingerprint, record);
-    if (records.size > mostRecords) records.delete(leastTelling());
-  }
-
-  /** The oldest record with the fewest endings. */
-  function leastTelling(): RequestFingerprint {
-    let least = '';
-    let fewest = Infinity;
-    for (const [fingerprint, {endings}] of records) {
-      if (endings.size >= fewest) continue;
-      least = fingerprint;
-      fewest = endings.size;
-    }
-    return least;
-  }
-
-  function changedSince(after: number, most: number): CrashRecordChanges {
-    if (after >= revision) return {records: [], revision};
-    const changed = [...records].filter(([, held]) => held.revision > after);
-    const taken = changed.slice(0, most);
-    const isAll = taken.length === changed.length;
-    return {
-      records: taken.map(([fingerprint, held]) => toRecord(fingerprint, held)),
-      revision: isAll ? revision : (taken.at(-1)?.[1].revision ?? after),
-    };
+  function changedSince(
+    revision: number,
+    most: number,
+  ): ChangedRows<CrashRecord> {
+    const changed = records.changedSince(revision, most);
+    return {rows: changed.rows.map(toRecord), revision: changed.revision};
   }
 
   function isQuarantined(fingerprint: RequestFingerprint): boolean {
@@ -165,10 +131,29 @@
   };
 }
 
-function toRecord(
-  fingerprint: RequestFingerprint,
-  {endings, completedAt}: HeldRecord,
-): CrashRecord {
+function createRecord(fingerprint: RequestFingerprint): HeldRecord {
+  return {fingerprint, endings: new Map(), completedAt: undefined};
+}
+
+/** The oldest record with the fewest endings. */
+function leastTelling(
+  records: ReadonlyMap<RequestFingerprint, HeldRecord>,
+): RequestFingerprint {
+  let least = '';
+  let fewest = Infinity;
+  for (const [fingerprint, {endings}] of records) {
+    if (endings.size >= fewest) continue;
+    least = fingerprint;
+    fewest = endings.size;
+  }
+  return least;
+}
+
+function toRecord({
+  fingerprint,
+  endings,
+  completedAt,
+}: HeldRecord): CrashRecord {
   return {
     fingerprint,
     endings: [...endings].map(([life, endedAt]) => ({life, endedAt})),
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -1,4 +1,5 @@
 import type {MonotonicInstant, RequestFingerprint, TargetLife} from '../types';
+import type {ChangedRows} from '../utils/changing_rows';
 
 /** The end of a target's life while it ran a request. */
 export interface EndedLife {
@@ -14,13 +15,6 @@
   readonly completedAt: MonotonicInstant | undefined;
 }
 
-/** Records that have changed since a revision. */
-export interface CrashRecordChanges {
-  readonly records: readonly CrashRecord[];
-  /** What to ask from next time. */
-  readonly revision: number;
-}
-
 /** Requests under which targets have ended, and those that are quarantined. */
 export interface Quarantine {
   /** Takes an ending seen here; returns whether it was not known. */
@@ -35,8 +29,11 @@
   ) => boolean;
   /** Takes what another entry knows; returns whether it is new. */
   readonly merge: (record: CrashRecord) => boolean;
-  /** Records that changed after `revision`, oldest change first. */
-  readonly changedSince: (revision: number, most: number) => CrashRecordChanges;
+  /** Records that changed after `revision`, no more than `most`. */
+  readonly changedSince: (
+    revision: number,
+    most: number,
+  ) => ChangedRows<CrashRecord>;
   /** Whether so many targets have ended under it that it is sent to no other. */
   readonly isQuarantined: (fingerprint: RequestFingerprint) => boolean;
   /** Takes what the site has stored; all of it, or what has changed. */
--- /dev/null
+++ b/packages/core/src/utils/changing_rows.ts
@@ -0,0 +1,69 @@
+/** Rows that have changed since a revision. */
+export interface ChangedRows<Row> {
+  /** Oldest change first. */
+  readonly rows: readonly Row[];
+  /** What to ask from next time. */
+  readonly revision: number;
+}
+
+/** Rows by key, in the order of their last change. */
+export interface ChangingRows<Row> {
+  readonly get: (key: string) => Row | undefined;
+  /** Keeps a row as the newest change. */
+  readonly set: (key: string, row: Row) => void;
+  readonly values: () => Iterable<Row>;
+  /** Rows that changed after `revision`, no more than `most`. */
+  readonly changedSince: (revision: number, most: number) => ChangedRows<Row>;
+}
+
+/**
+ * Creates the rows; `mostRows` are held, and the one that `leastOf` names is
+ * dropped for one more. The oldest change is the first of its rows.
+ */
+export function createChangingRows<Row>(
+  mostRows: number,
+  leastOf: (rows: ReadonlyMap<string, Row>) => string = firstKey,
+): ChangingRows<Row> {
+  const rows = new Map<string, Row>();
+  const revisions = new Map<string, number>();
+  let revision = 0;
+
+  function set(key: string, row: Row): void {
+    revision += 1;
+    revisions.set(key, revision);
+    rows.delete(key);
+    rows.set(key, row);
+    if (rows.size > mostRows) drop(leastOf(rows));
+  }
+
+  function drop(key: string): void {
+    rows.delete(key);
+    revisions.delete(key);
+  }
+
+  function changedSince(after: number, most: number): ChangedRows<Row> {
+    if (after >= revision) return {rows: [], revision};
+    const changed = [...rows].filter(
+      ([key]) => (revisions.get(key) ?? 0) > after,
+    );
+    const taken = changed.slice(0, most);
+    const last = taken.at(-1)?.[0] ?? '';
+    const isAll = taken.length === changed.length;
+    return {
+      rows: taken.map(([, row]) => row),
+      revision: isAll ? revision : (revisions.get(last) ?? after),
+    };
+  }
+
+  return {
+    get: key => rows.get(key),
+    set,
+    values: () => rows.values(),
+    changedSince,
+  };
+}
+
+function firstKey(rows: ReadonlyMap<string, unknown>): string {
+  const [first = ''] = rows.keys();
+  return first;
+}
--- a/packages/fleet/src/link/crash_records.ts
+++ b/packages/fleet/src/link/crash_records.ts
@@ -18,12 +18,9 @@
 ): (now: MonotonicInstant) => CrashRecordMessage[] {
   let written = 0;
   return now => {
-    const {records, revision} = quarantine.changedSince(
-      written,
-      MOST_IN_MESSAGE,
-    );
+    const {rows, revision} = quarantine.changedSince(written, MOST_IN_MESSAGE);
     written = revision;
-    return records.map(record => writeCrashRecord(record, now));
+    return rows.map(record => writeCrashRecord(record, now));
   };
 }
 
--- a/packages/fleet/src/link/site_records.ts
+++ b/packages/fleet/src/link/site_records.ts
@@ -64,11 +64,11 @@
 function createRateLimitWriter(limits: RateLimits): () => RateLimitRecord[] {
   let written = 0;
   return () => {
-    const {records, revision} = limits.changedSince(
+    const {rows, revision} = limits.changedSince(
       written,
       MOST_LIMITS_IN_MESSAGE,
     );
     written = revision;
-    return [...records];
+    return [...rows];
   };
 }
--- a/test/fleet/crash_watch.test.ts
+++ b/test/fleet/crash_watch.test.ts
@@ -26,8 +26,7 @@
     onChange: () => undefined,
   });
   const endings = (): number =>
-    quarantine.changedSince(0, 100).records.flatMap(({endings}) => endings)
-      .length;
+    quarantine.changedSince(0, 100).rows.flatMap(({endings}) => endings).length;
   return {quarantine, watch, looks: () => looks, endings};
 }
 
--- a/test/placement/rate_limits.test.ts
+++ b/test/placement/rate_limits.test.ts
@@ -38,7 +38,7 @@
   const here = startLimits();
   const there = startLimits();
   there.answer(3, 0);
-  for (const record of there.limits.changedSince(0, 10).records) {
+  for (const record of there.limits.changedSince(0, 10).rows) {
     expect(here.limits.merge(record)).toBe(true);
     expect(here.limits.merge(record)).toBe(false);
   }
@@ -68,7 +68,7 @@
 });
 
 function exchange(from: RateLimits, to: RateLimits): boolean {
-  return from.changedSince(0, 10).records.map(to.merge).includes(true);
+  return from.changedSince(0, 10).rows.map(to.merge).includes(true);
 }
 
 function exchangeAll(entries: readonly {readonly limits: RateLimits}[]) {
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -61,7 +61,7 @@
     endAll(quarantine, `request-${index}`, ['four']);
   }
   expect(quarantine.isQuarantined('crashing')).toBe(true);
-  expect(quarantine.changedSince(0, EVERYTHING).records).toHaveLength(10);
+  expect(quarantine.changedSince(0, EVERYTHING).rows).toHaveLength(10);
 });
 
 test('what the site has stored counts without endings seen here', () => {
@@ -100,7 +100,7 @@
 });
 
 function recordsOf(entries: readonly Quarantine[]) {
-  return entries.flatMap(entry => entry.changedSince(0, EVERYTHING).records);
+  return entries.flatMap(entry => entry.changedSince(0, EVERYTHING).rows);
 }
 
 test('changes are passed on in parts, each of them once', () => {
@@ -113,7 +113,7 @@
   for (let messages = 0; messages < 4; messages += 1) {
     const changes = quarantine.changedSince(revision, 3);
     revision = changes.revision;
-    passed.push(...changes.records.map(({fingerprint}) => fingerprint));
+    passed.push(...changes.rows.map(({fingerprint}) => fingerprint));
   }
   expect(passed).toHaveLength(7);
   expect(new Set(passed).size).toBe(7);
