Hold what one message says of lost requests and limits against a node's budget

Cause: an outage of many targets makes a record for each request in hand, and nothing showed what their passing on costs beside the 26 KB a second that a node may spend on control.

Evidence: a message of 100 records of each kind, the most that one carries, is below 26,000 bytes as the wire has it; a thousand records take ten messages.

Conclusion: the bound on a message holds; what an outage at full size costs a second was not measured.

--- a/test/fleet/passed_on_rows.test.ts
+++ b/test/fleet/passed_on_rows.test.ts
@@ -1,12 +1,18 @@
-import type {ListedTarget} from '@hibiscusbeam/core';
+import {
+  createQuarantine,
+  createRateLimits,
+  type ListedTarget,
+} from '@hibiscusbeam/core';
 import {
   FleetEntryService,
   type EngineReport,
   type RelayNews,
 } from '@hibiscusbeam/wire';
 import fc from 'fast-check';
+import {createHash} from 'node:crypto';
 import {expect, test} from 'vitest';
 import {createToldRows} from '../../packages/fleet/src/link/numbered_rows';
+import {createSiteRecords} from '../../packages/fleet/src/link/site_records';
 import {
   createReportNumbers,
   createReportReader,
@@ -38,6 +44,9 @@
   ...changes,
 });
 
+/** What a node may spend on control in a second. */
+const CONTROL_BYTES_A_SECOND = 26_000;
+
 /** What the wire carries of news, in bytes. */
 function bytesOf(news: Partial<RelayNews>): number {
   const whole: RelayNews = {
@@ -190,3 +199,19 @@
   // Of 28 Mbit/s of the narrowest link, a tenth for 54 followers.
   expect(bytes).toBeLessThan((28_000_000 / 8 / 54) * 0.1);
 });
+
+test('what one message says of lost requests and limits fits into a second of control', () => {
+  const quarantine = createQuarantine();
+  const limits = createRateLimits(() => 0);
+  for (let index = 0; index < 1_000; index += 1) {
+    const life = `i-${String(index).padStart(10, '0')}/1790000000000`;
+    const fingerprint = createHash('md5').update(life).digest('hex');
+    quarantine.noteEnding(fingerprint, {life, endedAt: -1_000});
+    limits.noteAnswer({life, rate: 2.5, sentAt: 0});
+  }
+  const write = createSiteRecords(quarantine, limits).createWriter();
+  const message = write(0);
+  expect(message.crashRecords).toHaveLength(100);
+  expect(message.rateLimits).toHaveLength(100);
+  expect(bytesOf(message)).toBeLessThan(CONTROL_BYTES_A_SECOND);
+});
