Take what targets say of themselves in one place

What an answer's header says of its target was handled within the run of a request, beside the choice of a place and the send. It has a module of its own now, since more is to be read there. No decision changes; the tests of limits and of entries pass (test/fleet/rate_limit.test.ts, test/fleet/entry.test.ts).

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -56,6 +56,7 @@
 import {openDirectory, openMetricsFace, openReadiness} from './service_faces';
 import {createStreamHandover} from './stream_handover';
 import {startTargetFollower} from './target_follower';
+import {createTargetStatements} from './target_statements';
 
 /** What an entry uses of the host platform. */
 export interface EntryPorts {
@@ -273,7 +274,7 @@
     versions,
     quarantine,
     crashWatch,
-    limitWatch,
+    statements: createTargetStatements({limitWatch, metrics}),
     trials,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -6,7 +6,6 @@
   type ForwardReply,
   type ListedTarget,
   type Milliseconds,
-  type MonotonicInstant,
   type NamedVersions,
   type PlaceNeed,
   type Quarantine,
@@ -14,11 +13,10 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AnswerHeader, RequestProtocol} from '../ports';
+import type {RequestProtocol} from '../ports';
 import {attempt, type WholeAnswer} from './attempt';
 import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
-import type {LimitWatch} from './limit_watch';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
 import type {QuarantineTrials} from './quarantine_trials';
@@ -32,6 +30,7 @@
 import type {RequestStory} from './request_story';
 import type {StreamProgress} from './stream_relay';
 import type {StreamHandover} from './stream_handover';
+import type {TargetStatements} from './target_statements';
 import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
 
 const NO_PLACE_REASONS = {
@@ -54,7 +53,7 @@
   readonly quarantine: Quarantine;
   readonly trials: QuarantineTrials;
   readonly crashWatch: CrashWatch;
-  readonly limitWatch: LimitWatch;
+  readonly statements: TargetStatements;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
   /** Header lines of our own for the caller. */
@@ -232,7 +231,10 @@
       mayBegin: () => mayBegin(target),
       handOn: handOn.signal,
       signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
-      onHeader: header => noteHeader(target, header, sentAt),
+      onHeader: header => {
+        const stated = options.statements.note({target, header, sentAt});
+        stated.forEach(story.explain);
+      },
       onFirstEvent: recordTime,
       onEvent: () => place?.inHand.begun(),
       keepAnswer: kept => (answer = kept),
@@ -253,21 +255,6 @@
     return {kind: 'sent', outcome: final};
   }
 
-  function noteHeader(
-    target: ListedTarget,
-    {rateLimit, misdirected, sealed}: AnswerHeader,
-    sentAt: MonotonicInstant,
-  ): void {
-    // Another target, or another life of it, has answered.
-    if (misdirected) return;
-    // A refusal need not name the limit that is still in force.
-    if (rateLimit === undefined && !sealed) return;
-    options.limitWatch.noteAnswer(target, rateLimit, sentAt);
-    if (rateLimit === undefined) return;
-    options.metrics.countLimitedAnswer(service);
-    story.explain(`names a limit of ${rateLimit} a second`);
-  }
-
   /** Whether what led to the choice of the target still holds. */
   function mayBegin(target: ListedTarget): boolean {
     if (signal.aborted) return false;
--- /dev/null
+++ b/packages/fleet/src/entry/target_statements.ts
@@ -0,0 +1,49 @@
+import type {ListedTarget, MonotonicInstant} from '@hibiscusbeam/core';
+import type {AnswerHeader} from '../ports';
+import type {FleetMetrics} from './fleet_metrics';
+import type {LimitWatch} from './limit_watch';
+
+/** The header of an answer, and the request that it answers. */
+export interface StatedAnswer {
+  readonly target: ListedTarget;
+  readonly header: AnswerHeader;
+  /** When the request was sent. */
+  readonly sentAt: MonotonicInstant;
+}
+
+/** What taking targets' statements needs. */
+export interface TargetStatementsOptions {
+  readonly limitWatch: LimitWatch;
+  readonly metrics: FleetMetrics;
+}
+
+/** Takes what targets say of themselves in the headers of their answers. */
+export interface TargetStatements {
+  /** Returns what the header says, for the story of its request. */
+  readonly note: (answer: StatedAnswer) => readonly string[];
+}
+
+/** Creates the taker of statements. */
+export function createTargetStatements(
+  options: TargetStatementsOptions,
+): TargetStatements {
+  const {limitWatch, metrics} = options;
+
+  function noteLimit({target, header, sentAt}: StatedAnswer): string[] {
+    const {rateLimit, sealed} = header;
+    // A refusal need not name the limit that is still in force.
+    if (rateLimit === undefined && !sealed) return [];
+    limitWatch.noteAnswer(target, rateLimit, sentAt);
+    if (rateLimit === undefined) return [];
+    metrics.countLimitedAnswer(target.service);
+    return [`names a limit of ${rateLimit} a second`];
+  }
+
+  return {
+    note: answer => {
+      // Another target, or another life of it, has answered.
+      if (answer.header.misdirected) return [];
+      return noteLimit(answer);
+    },
+  };
+}
