Read whether a target says that it leaves, and count such answers

The line is read nowhere.

It is decoded in the adapter, stands in the story of its request, and is counted by service on the metrics address. No decision changes.

Conclusion: the statement and the sends after it stand in the same lines now, which tells a statement that isn't read from one that is read too late.

--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -19,6 +19,8 @@
   readonly countLostSend: (route: string) => void;
   /** Counts an answer in which a target named a limit of its own. */
   readonly countLimitedAnswer: (service: string) => void;
+  /** Counts an answer in which a target said that it leaves. */
+  readonly countLeavingAnswer: (service: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -59,6 +61,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const leavingAnswers = new Counter({
+    name: 'hibiscusbeam_leaving_answers_total',
+    help: 'Answers in which a target said that it leaves, by service.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -67,6 +75,7 @@
       readingAges.observe({table}, milliseconds),
     countLostSend: route => lostSends.inc({route}),
     countLimitedAnswer: service => limitedAnswers.inc({service}),
+    countLeavingAnswer: service => leavingAnswers.inc({service}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/target_statements.ts
+++ b/packages/fleet/src/entry/target_statements.ts
@@ -39,11 +39,17 @@
     return [`names a limit of ${rateLimit} a second`];
   }
 
+  function noteLeaving({target, header}: StatedAnswer): string[] {
+    if (!header.leaving) return [];
+    metrics.countLeavingAnswer(target.service);
+    return ['says that it leaves'];
+  }
+
   return {
     note: answer => {
       // Another target, or another life of it, has answered.
       if (answer.header.misdirected) return [];
-      return noteLimit(answer);
+      return [...noteLimit(answer), ...noteLeaving(answer)];
     },
   };
 }
--- a/packages/fleet/src/ports/protocol.ts
+++ b/packages/fleet/src/ports/protocol.ts
@@ -40,6 +40,8 @@
   readonly notRun: boolean;
   /** Whether another instance, or another version, has the address. */
   readonly misdirected: boolean;
+  /** Whether the target says that it leaves. */
+  readonly leaving: boolean;
   /**
    * Requests a second that the target takes from all entries together;
    * undefined if it names no limit.
--- a/test/platform/request_protocol.test.ts
+++ b/test/platform/request_protocol.test.ts
@@ -25,3 +25,23 @@
 test('an answer without the line names no limit', () => {
   expect(rateLimitIn('Content-Length', '3')).toBeUndefined();
 });
+
+test.each([
+  'server-leaving',
+  'Server-Leaving',
+  'X-Hibiscusbeam-Server-Leaving',
+])('a target leaves by the line %s', name => {
+  expect(requestProtocol.readAnswer(200, [name, '1']).leaving).toBe(true);
+});
+
+test.each(['', '0', 'no', '11', 'true'])(
+  'a target does not leave by the value %j',
+  value => {
+    const lines = ['Server-Leaving', value];
+    expect(requestProtocol.readAnswer(200, lines).leaving).toBe(false);
+  },
+);
+
+test('a target does not leave by an answer without the line', () => {
+  expect(requestProtocol.readAnswer(200, []).leaving).toBe(false);
+});
