Read how long a target asks an entry to back off, and count such answers

Retry-After is read nowhere.

It is decoded in the adapter for answers with 503, stands in the story of its request, and is counted by service on the metrics address. No decision changes.

Conclusion: refusals with a duration and the sends after them stand in the lines of the same entry now.

--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -21,6 +21,8 @@
   readonly countLimitedAnswer: (service: string) => void;
   /** Counts an answer in which a target said that it leaves. */
   readonly countLeavingAnswer: (service: string) => void;
+  /** Counts an answer in which a target asked to back off. */
+  readonly countBackoffAnswer: (service: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -67,6 +69,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const backoffAnswers = new Counter({
+    name: 'hibiscusbeam_backoff_answers_total',
+    help: 'Answers in which a target asked this entry to back off, by service.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -76,6 +84,7 @@
     countLostSend: route => lostSends.inc({route}),
     countLimitedAnswer: service => limitedAnswers.inc({service}),
     countLeavingAnswer: service => leavingAnswers.inc({service}),
+    countBackoffAnswer: service => backoffAnswers.inc({service}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/target_statements.ts
+++ b/packages/fleet/src/entry/target_statements.ts
@@ -45,11 +45,22 @@
     return ['says that it leaves'];
   }
 
+  function noteBackoff({target, header}: StatedAnswer): string[] {
+    const {backoff} = header;
+    if (backoff === undefined) return [];
+    metrics.countBackoffAnswer(target.service);
+    return [`asks to back off for ${Math.round(backoff)} ms`];
+  }
+
   return {
     note: answer => {
       // Another target, or another life of it, has answered.
       if (answer.header.misdirected) return [];
-      return [...noteLimit(answer), ...noteLeaving(answer)];
+      return [
+        ...noteLimit(answer),
+        ...noteLeaving(answer),
+        ...noteBackoff(answer),
+      ];
     },
   };
 }
--- a/packages/fleet/src/ports/protocol.ts
+++ b/packages/fleet/src/ports/protocol.ts
@@ -40,6 +40,11 @@
   readonly notRun: boolean;
   /** Whether another instance, or another version, has the address. */
   readonly misdirected: boolean;
+  /**
+   * How long the target wants no more requests of this entry; undefined if it
+   * doesn't say, or has not turned the request away.
+   */
+  readonly backoff: Milliseconds | undefined;
   /** Whether the target says that it leaves. */
   readonly leaving: boolean;
   /**
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -26,6 +26,15 @@
   );
 });
 
+test('counts answers in which a target asked to back off, by service', async () => {
+  const metrics = createFleetMetrics();
+  metrics.countBackoffAnswer('engines');
+  const lines = (await metrics.text()).split('\n');
+  expect(lines).toContain(
+    'hibiscusbeam_backoff_answers_total{service="engines"} 1',
+  );
+});
+
 test('counts how old the readings were that requests were decided by', async () => {
   const metrics = createFleetMetrics();
   metrics.observeReadingAge('targets', 2_700);
--- a/test/platform/request_protocol.test.ts
+++ b/test/platform/request_protocol.test.ts
@@ -45,3 +45,31 @@
 test('a target does not leave by an answer without the line', () => {
   expect(requestProtocol.readAnswer(200, []).leaving).toBe(false);
 });
+
+test.each([
+  ['3', 3_000],
+  ['0.5', 500],
+  ['0', 0],
+])(
+  'a refusal with Retry-After %j asks to back off for %d ms',
+  (value, backoff) => {
+    const {backoff: asked} = requestProtocol.readAnswer(503, [
+      'Retry-After',
+      value,
+    ]);
+    expect(asked).toBe(backoff);
+  },
+);
+
+test.each(['', 'soon', '-1', '1e3', 'Wed, 21 Oct 2026 07:28:00 GMT'])(
+  'a refusal with Retry-After %j asks for no backoff',
+  value => {
+    const header = requestProtocol.readAnswer(503, ['Retry-After', value]);
+    expect(header.backoff).toBeUndefined();
+  },
+);
+
+test('an answer that is no refusal asks for no backoff', () => {
+  const header = requestProtocol.readAnswer(200, ['Retry-After', '3']);
+  expect(header.backoff).toBeUndefined();
+});
