Send nothing more to a target that says in an answer that it leaves

Cause: whether a target leaves was known by the store's list alone. While the store was away the list was used as it last was, and what the target said in each of its answers was no part of deciding where to send.

Ruled out: a statement that comes too late (2.2 s lie between), and the use of an old list during an outage, which is wanted.

The fix: what a life of a target has said is kept apart from the list. It counts for the choice, for requests that wait, and again right before the first byte; a new life under the same id ends it. A service whose targets all leave refuses at once, 503 targetsLeaving with a time to come back.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -62,6 +62,8 @@
 export type NoPlaceReason =
   | 'noTarget'
   | 'allFull'
+  /** All targets of the service leave. */
+  | 'targetsLeaving'
   | 'leaving'
   | 'outdatedTargets'
   /** Targets have ended under it, here or at other entries. */
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -2,6 +2,7 @@
 export * from './target_life';
 export * from './handover';
 export * from './paced_sends';
+export * from './life_memory';
 export * from './rate_limits';
 export * from './engine_times';
 export * from './types';
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,5 +1,6 @@
 import type {MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
+import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
 import {costOf} from './target_cost';
 import {
@@ -30,6 +31,9 @@
 const FIRST_PAUSE = 500;
 const LONGEST_PAUSE = 4_000;
 
+/** Targets of which is remembered what they said of themselves. */
+const MOST_STATEMENTS = 1_000;
+
 const NOT_IN_HAND: RequestInHand = {
   begun: () => undefined,
   end: () => undefined,
@@ -48,6 +52,7 @@
   let senders: readonly SendingEntry[] = [self];
   const places = new Map<ZoneName, SharePlace>();
   let entries = new Map<string, TargetEntry>();
+  const saidLeaving = createLifeMemory<true>(MOST_STATEMENTS);
   const reports = new Map<string, {load: EngineLoad; at: MonotonicInstant}>();
 
   function list(targets: readonly ListedTarget[], now: MonotonicInstant): void {
@@ -181,11 +186,31 @@
     entry.avoidUntil = now + pause;
   }
 
+  /** By the list, or by what its own answers have said since. */
+  function isLeaving(target: ListedTarget): boolean {
+    return target.leaving || saidLeaving.get(target) === true;
+  }
+
+  function noteLeaving(target: ListedTarget): boolean {
+    if (saidLeaving.get(target) === true) return false;
+    saidLeaving.set(target, true);
+    return true;
+  }
+
+  function mayStart(target: ListedTarget, need: PlaceNeed): boolean {
+    const entry = entries.get(target.instance);
+    if (entry === undefined || !isListUsable()) return false;
+    return !isLeaving(entry.target) && fits(entry, need, zone);
+  }
+
   function choose(need: PlaceNeed): TargetPlace {
     if (!isListUsable()) return {kind: 'outdated'};
-    const usable = [...entries.values()].filter(entry =>
-      fits(entry, need, zone),
+    const ofService = [...entries.values()].filter(
+      ({target}) => target.service === need.service,
     );
+    const staying = ofService.filter(({target}) => !isLeaving(target));
+    if (ofService.length > 0 && staying.length === 0) return {kind: 'leaving'};
+    const usable = staying.filter(entry => fits(entry, need, zone));
     if (usable.length === 0) return {kind: 'none'};
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
@@ -248,10 +273,8 @@
       entry.failures = 0;
       entry.avoidUntil = -Infinity;
     },
-    mayStart: (target, need) => {
-      const entry = entries.get(target.instance);
-      return entry !== undefined && isListUsable() && fits(entry, need, zone);
-    },
+    noteLeaving,
+    mayStart,
     choose,
     heldVersion: (target, model, now) => {
       const entry = entries.get(target.instance);
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -35,14 +35,14 @@
   avoidUntil: MonotonicInstant;
 }
 
-/** Whether a target may start a request at all. */
+/** Whether a target that stays may start a request at all. */
 export function fits(
   entry: TargetEntry,
   need: PlaceNeed,
   zone: ZoneName,
 ): boolean {
   const {target} = entry;
-  if (target.service !== need.service || target.leaving) return false;
+  if (target.service !== need.service) return false;
   if (need.tried.has(target.instance)) return false;
   if (isDenied(entry, need.now)) return false;
   if (need.model === undefined) return true;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -100,6 +100,8 @@
   ) => void;
   readonly noteFailure: (target: ListedTarget, now: MonotonicInstant) => void;
   readonly noteSuccess: (target: ListedTarget) => void;
+  /** Notes that a target says it leaves; returns whether that is new. */
+  readonly noteLeaving: (target: ListedTarget) => boolean;
   /** Whether a target, chosen before, may still start such a request. */
   readonly mayStart: (target: ListedTarget, need: PlaceNeed) => boolean;
   /** The best place with room, or why there is none. */
@@ -118,5 +120,7 @@
   /** Targets are there, all of them full. */
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
+  /** All targets of the service leave. */
+  | {readonly kind: 'leaving'}
   /** The list is too old: targets may have left. */
   | {readonly kind: 'outdated'};
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -274,7 +274,12 @@
     versions,
     quarantine,
     crashWatch,
-    statements: createTargetStatements({limitWatch, metrics}),
+    statements: createTargetStatements({
+      book,
+      limitWatch,
+      log: logs('routing'),
+      metrics,
+    }),
     trials,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -20,6 +20,7 @@
     }
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
+  | {readonly kind: 'leaving'}
   | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
 
@@ -105,7 +106,8 @@
       });
       return {kind: 'place', target, inHand, lifeEnded: life.signal};
     }
-    return now >= request.waitUntil ? choice : undefined;
+    const mustWait = choice.kind !== 'leaving' && now < request.waitUntil;
+    return mustWait ? undefined : choice;
   }
 
   function take(request: PlaceRequest): Promise<PlaceOutcome> {
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -36,6 +36,7 @@
 const NO_PLACE_REASONS = {
   full: 'allFull',
   none: 'noTarget',
+  leaving: 'targetsLeaving',
   outdated: 'outdatedTargets',
 } as const;
 
@@ -159,6 +160,7 @@
         return {kind: 'placed', place: {kind: by ?? 'callerGone'}};
       case 'full':
       case 'none':
+      case 'leaving':
       case 'outdated': {
         const reason = NO_PLACE_REASONS[outcome.kind];
         const retryAfter = spreadReturn(header.requestId, route);
--- a/packages/fleet/src/entry/target_statements.ts
+++ b/packages/fleet/src/entry/target_statements.ts
@@ -1,4 +1,9 @@
-import type {ListedTarget, MonotonicInstant} from '@hibiscusbeam/core';
+import type {
+  ListedTarget,
+  MonotonicInstant,
+  TargetBook,
+} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
 import type {AnswerHeader} from '../ports';
 import type {FleetMetrics} from './fleet_metrics';
 import type {LimitWatch} from './limit_watch';
@@ -13,7 +18,9 @@
 
 /** What taking targets' statements needs. */
 export interface TargetStatementsOptions {
+  readonly book: Pick<TargetBook, 'noteLeaving'>;
   readonly limitWatch: LimitWatch;
+  readonly log: Log;
   readonly metrics: FleetMetrics;
 }
 
@@ -27,7 +34,7 @@
 export function createTargetStatements(
   options: TargetStatementsOptions,
 ): TargetStatements {
-  const {limitWatch, metrics} = options;
+  const {book, limitWatch, log, metrics} = options;
 
   function noteLimit({target, header, sentAt}: StatedAnswer): string[] {
     const {rateLimit, sealed} = header;
@@ -42,6 +49,10 @@
   function noteLeaving({target, header}: StatedAnswer): string[] {
     if (!header.leaving) return [];
     metrics.countLeavingAnswer(target.service);
+    if (book.noteLeaving(target)) {
+      const {instance, service} = target;
+      log.info('target says that it leaves', {instance, service});
+    }
     return ['says that it leaves'];
   }
 
--- /dev/null
+++ b/test/placement/leaving_targets.test.ts
@@ -0,0 +1,90 @@
+import {
+  createTargetBook,
+  type ListedTarget,
+  type PlaceNeed,
+  type TargetBook,
+} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+
+function target(
+  instance: string,
+  changes: Partial<ListedTarget> = {},
+): ListedTarget {
+  return {
+    instance,
+    born: 100,
+    service: 'plain',
+    address: `${instance}:1`,
+    zone: 'north',
+    slots: 4,
+    leaving: false,
+    held: undefined,
+    ...changes,
+  };
+}
+
+const NEED: PlaceNeed = {
+  service: 'plain',
+  model: undefined,
+  leastVersion: undefined,
+  leastFarVersion: undefined,
+  expectedRun: 1_000,
+  tried: new Set(),
+  now: 0,
+};
+
+function bookOf(...targets: ListedTarget[]): TargetBook {
+  const book = createTargetBook({instance: 'entry', zone: 'north'});
+  book.list(targets, 0);
+  return book;
+}
+
+function chosen(book: TargetBook): string | undefined {
+  const choice = book.choose(NEED);
+  return choice.kind === 'chosen' ? choice.target.instance : undefined;
+}
+
+test('a target that says it leaves is chosen no more, and others are', () => {
+  const book = bookOf(target('one'), target('two'));
+  const first = chosen(book) === 'one' ? target('one') : target('two');
+  expect(book.noteLeaving(first)).toBe(true);
+  expect(book.noteLeaving(first)).toBe(false);
+  expect(chosen(book)).toBe(first.instance === 'one' ? 'two' : 'one');
+});
+
+test('a request chosen before its target says that it leaves does not begin', () => {
+  const book = bookOf(target('one'));
+  expect(book.mayStart(target('one'), NEED)).toBe(true);
+  book.noteLeaving(target('one'));
+  expect(book.mayStart(target('one'), NEED)).toBe(false);
+});
+
+test('a leaving target stays so when its line lapses and comes back', () => {
+  const book = bookOf(target('one'));
+  book.noteLeaving(target('one'));
+  book.list([], 0);
+  book.list([target('one')], 0);
+  expect(book.choose(NEED)).toEqual({kind: 'leaving'});
+});
+
+test('a new life under the same id is chosen, and the former one is not again', () => {
+  const book = bookOf(target('one'));
+  book.noteLeaving(target('one'));
+  book.list([target('one', {born: 200})], 0);
+  expect(chosen(book)).toBe('one');
+  book.list([target('one', {born: 100})], 0);
+  expect(book.choose(NEED)).toEqual({kind: 'leaving'});
+});
+
+test('what a former life said does not end the new one', () => {
+  const book = bookOf(target('one', {born: 200}));
+  book.noteLeaving(target('one', {born: 100}));
+  expect(chosen(book)).toBe('one');
+});
+
+test('targets that all leave, by the list or by their answers, are told from none', () => {
+  const book = bookOf(target('one', {leaving: true}), target('two'));
+  book.noteLeaving(target('two'));
+  expect(book.choose(NEED)).toEqual({kind: 'leaving'});
+  expect(bookOf().choose(NEED)).toEqual({kind: 'none'});
+});
