Leave a target alone for as long as it asks an entry to

Cause: for how long a target was avoided went by its failures in a row and by pauses of our own, 0.5 s to 4 s, which any success reset. What the target asked for with its refusal was no part of it.

Ruled out: requests that were chosen before the refusal (1.2 to 1.7 s lie between), and something shared between entries (nothing was kept at all).

The fix: the end of the time is kept for the life of the target, apart from the list. It counts for the choice, for requests that wait, and again right before the first byte. If all targets that stay back off for longer than a request may wait, its caller is told at once, 503 targetsBackingOff with the end of the first one's time and a spread after it.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -64,6 +64,8 @@
   | 'allFull'
   /** All targets of the service leave. */
   | 'targetsLeaving'
+  /** All that stay want no request of this entry for a while. */
+  | 'targetsBackingOff'
   | 'leaving'
   | 'outdatedTargets'
   /** Targets have ended under it, here or at other entries. */
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -53,6 +53,7 @@
   const places = new Map<ZoneName, SharePlace>();
   let entries = new Map<string, TargetEntry>();
   const saidLeaving = createLifeMemory<true>(MOST_STATEMENTS);
+  const backoffEnds = createLifeMemory<MonotonicInstant>(MOST_STATEMENTS);
   const reports = new Map<string, {load: EngineLoad; at: MonotonicInstant}>();
 
   function list(targets: readonly ListedTarget[], now: MonotonicInstant): void {
@@ -197,10 +198,19 @@
     return true;
   }
 
+  /** When a target takes requests of this entry again; the past if it does. */
+  function backoffEnd(target: ListedTarget): MonotonicInstant {
+    return backoffEnds.get(target) ?? -Infinity;
+  }
+
+  function mayTake(entry: TargetEntry, need: PlaceNeed): boolean {
+    return backoffEnd(entry.target) <= need.now && fits(entry, need, zone);
+  }
+
   function mayStart(target: ListedTarget, need: PlaceNeed): boolean {
     const entry = entries.get(target.instance);
     if (entry === undefined || !isListUsable()) return false;
-    return !isLeaving(entry.target) && fits(entry, need, zone);
+    return !isLeaving(entry.target) && mayTake(entry, need);
   }
 
   function choose(need: PlaceNeed): TargetPlace {
@@ -210,7 +220,12 @@
     );
     const staying = ofService.filter(({target}) => !isLeaving(target));
     if (ofService.length > 0 && staying.length === 0) return {kind: 'leaving'};
-    const usable = staying.filter(entry => fits(entry, need, zone));
+    const ends = staying.map(({target}) => backoffEnd(target));
+    const firstEnd = Math.min(...ends);
+    if (staying.length > 0 && firstEnd > need.now) {
+      return {kind: 'backingOff', until: firstEnd};
+    }
+    const usable = staying.filter(entry => mayTake(entry, need));
     if (usable.length === 0) return {kind: 'none'};
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
@@ -274,6 +289,9 @@
       entry.avoidUntil = -Infinity;
     },
     noteLeaving,
+    noteBackoff: (target, until) => {
+      backoffEnds.set(target, Math.max(until, backoffEnd(target)));
+    },
     mayStart,
     choose,
     heldVersion: (target, model, now) => {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -102,6 +102,8 @@
   readonly noteSuccess: (target: ListedTarget) => void;
   /** Notes that a target says it leaves; returns whether that is new. */
   readonly noteLeaving: (target: ListedTarget) => boolean;
+  /** Notes that a target wants no request of this entry before `until`. */
+  readonly noteBackoff: (target: ListedTarget, until: MonotonicInstant) => void;
   /** Whether a target, chosen before, may still start such a request. */
   readonly mayStart: (target: ListedTarget, need: PlaceNeed) => boolean;
   /** The best place with room, or why there is none. */
@@ -122,5 +124,7 @@
   | {readonly kind: 'none'}
   /** All targets of the service leave. */
   | {readonly kind: 'leaving'}
+  /** All that stay want no request of this entry before `until`. */
+  | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   /** The list is too old: targets may have left. */
   | {readonly kind: 'outdated'};
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -276,6 +276,7 @@
     crashWatch,
     statements: createTargetStatements({
       book,
+      clock,
       limitWatch,
       log: logs('routing'),
       metrics,
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -6,6 +6,7 @@
   PlaceNeed,
   RequestInHand,
   TargetBook,
+  TargetPlace,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 
@@ -21,6 +22,7 @@
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
   | {readonly kind: 'leaving'}
+  | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
 
@@ -106,8 +108,7 @@
       });
       return {kind: 'place', target, inHand, lifeEnded: life.signal};
     }
-    const mustWait = choice.kind !== 'leaving' && now < request.waitUntil;
-    return mustWait ? undefined : choice;
+    return isWorthWaiting(choice, request, now) ? undefined : choice;
   }
 
   function take(request: PlaceRequest): Promise<PlaceOutcome> {
@@ -130,6 +131,24 @@
   return {take, pump, waiting: () => waiters.length};
 }
 
+/** Whether a place may come up while the request may wait. */
+function isWorthWaiting(
+  choice: Exclude<TargetPlace, {kind: 'chosen'}>,
+  {waitUntil}: PlaceRequest,
+  now: MonotonicInstant,
+): boolean {
+  switch (choice.kind) {
+    case 'leaving':
+      return false;
+    case 'backingOff':
+      return choice.until < waitUntil;
+    case 'full':
+    case 'none':
+    case 'outdated':
+      return now < waitUntil;
+  }
+}
+
 /**
  * Who goes first: streams that go on, since their callers count each pause and
  * their work so far would be lost; then requests that can still be answered on time, by priority and
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -37,6 +37,7 @@
   full: 'allFull',
   none: 'noTarget',
   leaving: 'targetsLeaving',
+  backingOff: 'targetsBackingOff',
   outdated: 'outdatedTargets',
 } as const;
 
@@ -161,9 +162,12 @@
       case 'full':
       case 'none':
       case 'leaving':
+      case 'backingOff':
       case 'outdated': {
         const reason = NO_PLACE_REASONS[outcome.kind];
-        const retryAfter = spreadReturn(header.requestId, route);
+        const least =
+          outcome.kind === 'backingOff' ? outcome.until - options.clock() : 0;
+        const retryAfter = spreadReturn(header.requestId, route, least);
         return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
       }
     }
--- a/packages/fleet/src/entry/target_statements.ts
+++ b/packages/fleet/src/entry/target_statements.ts
@@ -3,7 +3,7 @@
   MonotonicInstant,
   TargetBook,
 } from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {AnswerHeader} from '../ports';
 import type {FleetMetrics} from './fleet_metrics';
 import type {LimitWatch} from './limit_watch';
@@ -18,7 +18,8 @@
 
 /** What taking targets' statements needs. */
 export interface TargetStatementsOptions {
-  readonly book: Pick<TargetBook, 'noteLeaving'>;
+  readonly book: Pick<TargetBook, 'noteLeaving' | 'noteBackoff'>;
+  readonly clock: Clock;
   readonly limitWatch: LimitWatch;
   readonly log: Log;
   readonly metrics: FleetMetrics;
@@ -34,7 +35,7 @@
 export function createTargetStatements(
   options: TargetStatementsOptions,
 ): TargetStatements {
-  const {book, limitWatch, log, metrics} = options;
+  const {book, clock, limitWatch, log, metrics} = options;
 
   function noteLimit({target, header, sentAt}: StatedAnswer): string[] {
     const {rateLimit, sealed} = header;
@@ -60,6 +61,9 @@
     const {backoff} = header;
     if (backoff === undefined) return [];
     metrics.countBackoffAnswer(target.service);
+    book.noteBackoff(target, clock() + backoff);
+    const {instance, service} = target;
+    log.info('target asks to back off', {instance, service, backoff});
     return [`asks to back off for ${Math.round(backoff)} ms`];
   }
 
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -109,13 +109,18 @@
   };
 }
 
-/** When to come back: spread, so that refused requests don't return at once. */
+/**
+ * When to come back, not before `least`: spread, so that refused requests don't
+ * return at once.
+ */
 export function spreadReturn(
   requestId: string | undefined,
-  route: Route,
+  {objective}: Route,
+  least: Milliseconds,
 ): Milliseconds {
   const share = hash32(requestId ?? '') / 2 ** 32;
-  return route.objective * (LEAST_RETURN + share * RETURN_SPREAD);
+  const first = Math.max(least, objective * LEAST_RETURN);
+  return first + objective * share * RETURN_SPREAD;
 }
 
 /** Longest silence of a target before its answer is given up. */
--- a/test/fleet/place_queue.test.ts
+++ b/test/fleet/place_queue.test.ts
@@ -20,26 +20,34 @@
   held: undefined,
 };
 
-const NEED: PlaceNeed = {
-  service: 'plain',
-  model: undefined,
-  leastVersion: undefined,
-  leastFarVersion: undefined,
-  expectedRun: 1_000,
-  tried: new Set(),
-  now: 0,
-};
+function need(now: number): PlaceNeed {
+  return {
+    service: 'plain',
+    model: undefined,
+    leastVersion: undefined,
+    leastFarVersion: undefined,
+    expectedRun: 1_000,
+    tried: new Set(),
+    now,
+  };
+}
 
-/** A queue on a clock that stands still, so that no wait runs out. */
+/** A queue on a clock that only `at` moves, so that no wait runs out by itself. */
 function createQueue() {
+  let now = 0;
   const book = createTargetBook({instance: 'entry', zone: 'north'});
   book.list([TARGET], 0);
-  return {book, queue: createPlaceQueue(book, () => 0)};
+  return {
+    book,
+    queue: createPlaceQueue(book, () => now),
+    at: (time: number) => (now = time),
+    placeRequest: () => placeRequest(() => now),
+  };
 }
 
-function placeRequest(): PlaceRequest {
+function placeRequest(clock: () => number): PlaceRequest {
   return {
-    need: () => NEED,
+    need: () => need(clock()),
     promptTime: 0,
     isResumed: false,
     priority: 0,
@@ -50,13 +58,13 @@
 }
 
 test('a request for a service whose targets all leave is refused at once', async () => {
-  const {book, queue} = createQueue();
+  const {book, queue, placeRequest} = createQueue();
   book.noteLeaving(TARGET);
   expect(await queue.take(placeRequest())).toEqual({kind: 'leaving'});
 });
 
 test('a request that waits is refused once its last target leaves', async () => {
-  const {book, queue} = createQueue();
+  const {book, queue, placeRequest} = createQueue();
   expect(await queue.take(placeRequest())).toMatchObject({kind: 'place'});
   const waiting = queue.take(placeRequest());
   expect(queue.waiting()).toBe(1);
@@ -64,3 +72,20 @@
   queue.pump();
   expect(await waiting).toEqual({kind: 'leaving'});
 });
+
+test('a request whose targets all back off for longer than it may wait is refused at once', async () => {
+  const {book, queue, placeRequest} = createQueue();
+  book.noteBackoff(TARGET, 3_000);
+  const refused = {kind: 'backingOff', until: 3_000};
+  expect(await queue.take(placeRequest())).toEqual(refused);
+});
+
+test('a request waits for a target that takes requests again soon', async () => {
+  const {book, queue, at, placeRequest} = createQueue();
+  book.noteBackoff(TARGET, 500);
+  const waiting = queue.take(placeRequest());
+  expect(queue.waiting()).toBe(1);
+  at(500);
+  queue.pump();
+  expect(await waiting).toMatchObject({kind: 'place'});
+});
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -1,7 +1,10 @@
 import {createAnswerTimes, type Route} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
-import {createTimeliness} from '../../packages/fleet/src/entry/timeliness';
+import {
+  createTimeliness,
+  spreadReturn,
+} from '../../packages/fleet/src/entry/timeliness';
 
 const OBJECTIVE = 400;
 
@@ -47,3 +50,12 @@
   const after = timeliness.limits(accepted(3_000, 6_000));
   expect(after.onTimeUntil).toBe(before.onTimeUntil);
 });
+
+test('who is told to come back after a pause comes after it, not all at once', () => {
+  const route = {objective: OBJECTIVE} as Route;
+  const returns = Array.from({length: 50}, (_, index) =>
+    spreadReturn(`request-${index}`, route, 3_000),
+  );
+  expect(Math.min(...returns)).toBeGreaterThanOrEqual(3_000);
+  expect(new Set(returns).size).toBe(returns.length);
+});
--- /dev/null
+++ b/test/placement/backing_off.test.ts
@@ -0,0 +1,92 @@
+import {
+  createTargetBook,
+  type ListedTarget,
+  type PlaceNeed,
+  type TargetBook,
+} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+
+function target(
+  instance: string,
+  changes: Partial<ListedTarget> = {},
+): ListedTarget {
+  return {
+    instance,
+    born: 100,
+    service: 'plain',
+    address: `${instance}:1`,
+    zone: 'north',
+    slots: 4,
+    leaving: false,
+    held: undefined,
+    ...changes,
+  };
+}
+
+function need(now: number): PlaceNeed {
+  return {
+    service: 'plain',
+    model: undefined,
+    leastVersion: undefined,
+    leastFarVersion: undefined,
+    expectedRun: 1_000,
+    tried: new Set(),
+    now,
+  };
+}
+
+function bookOf(...targets: ListedTarget[]): TargetBook {
+  const book = createTargetBook({instance: 'entry', zone: 'north'});
+  book.list(targets, 0);
+  return book;
+}
+
+function chosen(book: TargetBook, now: number): string | undefined {
+  const choice = book.choose(need(now));
+  return choice.kind === 'chosen' ? choice.target.instance : undefined;
+}
+
+test('a target that asks to back off is chosen again only once the time is over', () => {
+  const book = bookOf(target('one'));
+  book.noteBackoff(target('one'), 3_000);
+  expect(chosen(book, 2_999)).toBeUndefined();
+  expect(chosen(book, 3_000)).toBe('one');
+});
+
+test('a shorter time that is asked for later does not end a longer one', () => {
+  const book = bookOf(target('one'));
+  book.noteBackoff(target('one'), 3_000);
+  book.noteBackoff(target('one'), 1_000);
+  expect(chosen(book, 2_000)).toBeUndefined();
+});
+
+test('a request chosen before its target asks to back off does not begin', () => {
+  const book = bookOf(target('one'));
+  book.noteBackoff(target('one'), 3_000);
+  expect(book.mayStart(target('one'), need(10))).toBe(false);
+  expect(book.mayStart(target('one'), need(3_000))).toBe(true);
+});
+
+test('the time is kept while the line of its target lapses and comes back', () => {
+  const book = bookOf(target('one'));
+  book.noteBackoff(target('one'), 3_000);
+  book.list([], 10);
+  book.list([target('one')], 20);
+  expect(chosen(book, 2_000)).toBeUndefined();
+});
+
+test('a new life under the same id is not bound by what the former one asked', () => {
+  const book = bookOf(target('one'));
+  book.noteBackoff(target('one'), 3_000);
+  book.list([target('one', {born: 200})], 10);
+  expect(chosen(book, 20)).toBe('one');
+});
+
+test('targets that all back off name the first end, leaving ones apart', () => {
+  const book = bookOf(target('one'), target('two'), target('three'));
+  book.noteBackoff(target('one'), 3_000);
+  book.noteBackoff(target('two'), 2_000);
+  book.noteBackoff(target('three'), 1_000);
+  book.noteLeaving(target('three'));
+  expect(book.choose(need(10))).toEqual({kind: 'backingOff', until: 2_000});
+});
