Let the soak play targets that leave, or ask to back off, by their answers

Its stand-ins say both in their answers now while the list calls the target ready; the plans of the seeds so far stay as they were, and a second test of each seed adds the statements from a stream of its own. Two oracles: no request of a caller reaches a target 2 s after the same entry passed on that it leaves; no more than two reach it from 0.5 s after it asked that entry to back off.

--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -6,6 +6,13 @@
 /** Sends of a request that ends its targets, allowed after that. */
 const MOST_LATE_SENDS = 3;
 
+/** Bound of the draining of targets. */
+const DRAINING = 2_000;
+
+/** After this an entry knows what it was asked. */
+const BACKOFF_KNOWN = 500;
+const MOST_SENDS_WHILE_BACKING_OFF = 2;
+
 const LIMIT_WINDOW = 4_000;
 const SECOND = 1_000;
 
@@ -18,6 +25,11 @@
   /** Undefined if no whole answer came. */
   readonly status: number | undefined;
   readonly text: string;
+  /** Of the target that answered, if the answer has one. */
+  readonly seal: string | undefined;
+  /** In milliseconds of a steady clock. */
+  readonly sentAt: number;
+  readonly endedAt: number;
 }
 
 /** A span in which a target named a limit. */
@@ -47,6 +59,8 @@
     ...notWhole(records),
     ...crashingSends(records),
     ...exceededLimits(records),
+    ...sendsToLeaving(records),
+    ...sendsWhileBackingOff(records),
   ];
 }
 
@@ -123,10 +137,51 @@
 
 /** Whether the entry that sent a run was left alone long enough before it. */
 function isByCalmEntry(
-  {callers, isCalm}: SoakRecords,
+  records: SoakRecords,
   {requestId, begunAt}: EngineRun,
 ): boolean {
-  const caller = callers.find(record => record.requestId === requestId);
+  const caller = callerOf(records, requestId);
   if (caller === undefined) return false;
-  return isCalm(caller.entry, begunAt - CONTACT, begunAt);
+  return records.isCalm(caller.entry, begunAt - CONTACT, begunAt);
+}
+
+/** Requests sent to a target long after their entry passed on that it leaves. */
+function sendsToLeaving(records: SoakRecords): readonly string[] {
+  return records.engines.flatMap(engine =>
+    engine.arrivals.flatMap(({requestId, at}) => {
+      const caller = callerOf(records, requestId);
+      if (caller === undefined) return [];
+      const isTold = engine.arrivals.some(earlier => {
+        if (!earlier.saidLeaving) return false;
+        const told = callerOf(records, earlier.requestId);
+        if (told?.entry !== caller.entry) return false;
+        if (told.seal !== `seal-of-${engine.instance}`) return false;
+        if (told.endedAt + DRAINING >= caller.sentAt) return false;
+        return records.isCalm(caller.entry, told.endedAt, at);
+      });
+      return isTold ? [`${requestId} sent to ${engine.instance}, leaving`] : [];
+    }),
+  );
+}
+
+function sendsWhileBackingOff(records: SoakRecords): readonly string[] {
+  return records.engines.flatMap(({instance, arrivals}) =>
+    arrivals.flatMap(({requestId, at: askedAt, backoff}) => {
+      const asked = callerOf(records, requestId);
+      if (backoff === undefined || asked === undefined) return [];
+      const until = askedAt + backoff * SECOND;
+      const late = arrivals
+        .filter(({at}) => at > askedAt + BACKOFF_KNOWN && at < until)
+        .filter(({requestId: id, at}) => {
+          const entry = callerOf(records, id)?.entry;
+          return entry === asked.entry && records.isCalm(entry, askedAt, at);
+        });
+      if (late.length <= MOST_SENDS_WHILE_BACKING_OFF) return [];
+      return [`${instance} asked to back off and got ${late.length} requests`];
+    }),
+  );
+}
+
+function callerOf({callers}: SoakRecords, requestId: string) {
+  return callers.find(record => record.requestId === requestId);
 }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -9,6 +9,15 @@
       readonly kind: 'limit';
       readonly engine: number;
       readonly rate: number | undefined;
+    }
+  /** The engine says in its answers that it leaves, and ends later. */
+  | {readonly kind: 'leave'; readonly engine: number}
+  | {readonly kind: 'end'; readonly engine: number}
+  /** The engine turns all requests away; undefined ends that. */
+  | {
+      readonly kind: 'shed';
+      readonly engine: number;
+      readonly retryAfter: number | undefined;
     };
 
 type Signal = 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT';
@@ -32,6 +41,8 @@
 const LONGEST_STORE_FAULT = 2_000;
 const LIMITED_FOR = 12_000;
 const MOST_LIMIT = 4;
+const LONGEST_STATEMENT = 6_000;
+const MOST_RETRY_AFTER = 2;
 
 const STORE_FAULTS: readonly StoreFault[] = [
   'busy',
@@ -84,8 +95,31 @@
   return planned.sort((one, other) => one.at - other.at);
 }
 
+/** Plans what targets say of themselves, apart from the other troubles. */
+export function planStatements(
+  seed: number,
+  {engines, duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(`${seed} statements`);
+  const planned: PlannedTrouble[] = [];
+  for (let at = 0; at < duration; at += random(LONGEST_PAUSE)) {
+    const engine = random(engines);
+    const until = Math.min(duration, at + random(LONGEST_STATEMENT));
+    if (random(2) === 0) {
+      planned.push({at, trouble: {kind: 'leave', engine}});
+      planned.push({at: until, trouble: {kind: 'end', engine}});
+    } else {
+      const retryAfter = 1 + random(MOST_RETRY_AFTER);
+      planned.push({at, trouble: {kind: 'shed', engine, retryAfter}});
+      const over: Trouble = {kind: 'shed', engine, retryAfter: undefined};
+      planned.push({at: until, trouble: over});
+    }
+  }
+  return planned;
+}
+
 /** Whole numbers from 0 to below a bound, the same for a seed. */
-function createRandom(seed: number): (bound: number) => number {
+function createRandom(seed: number | string): (bound: number) => number {
   let drawn = 0;
   return bound => {
     drawn += 1;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,7 +1,7 @@
 import {rmSync} from 'node:fs';
 import {join} from 'node:path';
 import {expect, test} from 'vitest';
-import {playSoak} from './soak';
+import {playSoak, type SoakTroubles} from './soak';
 
 const SIZE = {entries: 4, engines: 6, duration: 14_000};
 
@@ -9,12 +9,26 @@
 const SEEDS = (process.env.SOAK_SEEDS ?? '1').split(',').map(Number);
 const ENTRIES = Number(process.env.SOAK_ENTRIES ?? SIZE.entries);
 
-test.each(SEEDS)('seed %i breaks no promise', async seed => {
-  const folder = join('dist', 'soak', String(seed));
+async function expectKeptPromises(
+  seed: number,
+  troubles: SoakTroubles,
+): Promise<void> {
+  const folder = join('dist', 'soak', `${seed}-${troubles}`);
   const size = {...SIZE, entries: ENTRIES};
-  const outcome = await playSoak(seed, size, folder);
-  console.log(`seed ${seed}: ${JSON.stringify(outcome)}`);
+  const outcome = await playSoak(seed, size, troubles, folder);
+  console.log(`seed ${seed}, ${troubles}: ${JSON.stringify(outcome)}`);
   expect(outcome.broken).toEqual([]);
   expect(outcome.servedAfterwards).toBeGreaterThan(0.9);
   rmSync(folder, {recursive: true});
+}
+
+test.each(SEEDS)('seed %i breaks no promise', async seed => {
+  await expectKeptPromises(seed, 'basic');
 });
+
+test.each(SEEDS)(
+  'seed %i breaks no promise to targets that leave or ask to back off',
+  async seed => {
+    await expectKeptPromises(seed, 'statements');
+  },
+);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -15,7 +15,13 @@
   type LimitSpan,
   type SoakRecords,
 } from './oracles';
-import {planTroubles, type SoakSize, type Trouble} from './plan';
+import {
+  planStatements,
+  planTroubles,
+  type PlannedTrouble,
+  type SoakSize,
+  type Trouble,
+} from './plan';
 
 const CRASHING = 'ends its target';
 const ENGINE_BACK = 1_200;
@@ -35,6 +41,9 @@
   repeats: {share: 0.2, slack: 104, window: 10_000},
 };
 
+/** What a caller got. */
+type CallerAnswer = Pick<CallerRecord, 'status' | 'text' | 'seal'>;
+
 /** A span in which an entry is stopped, killed or frozen. */
 interface Disturbance {
   readonly entry: number;
@@ -53,10 +62,28 @@
   readonly servedAfterwards: number;
 }
 
+/** Which troubles a soak has. */
+export type SoakTroubles =
+  | 'basic'
+  /** Also targets that leave, or ask to back off, by their own answers. */
+  | 'statements';
+
+function planOf(
+  seed: number,
+  size: SoakSize,
+  troubles: SoakTroubles,
+): readonly PlannedTrouble[] {
+  const basic = planTroubles(seed, size);
+  if (troubles === 'basic') return basic;
+  const planned = [...basic, ...planStatements(seed, size)];
+  return planned.sort((one, other) => one.at - other.at);
+}
+
 /** Plays the troubles of one seed against real entries. */
 export async function playSoak(
   seed: number,
   size: SoakSize,
+  troubles: SoakTroubles,
   folder: string,
 ): Promise<SoakOutcome> {
   const site = await startHostSite();
@@ -96,6 +123,15 @@
     await startEngine(place);
   }
 
+  async function endEngine(place: number): Promise<void> {
+    const engine = running[place];
+    if (engine === undefined) return;
+    site.store.remove('servers', engine.instance);
+    endLimit(engine);
+    await startEngine(place);
+    await engine.close();
+  }
+
   function endLimit(engine: HostEngine): void {
     const open = openLimits.get(engine);
     openLimits.delete(engine);
@@ -139,6 +175,19 @@
         engine.setRateLimit(rate);
         if (rate === undefined) return;
         openLimits.set(engine, {rate, from: performance.now()});
+        return;
+      }
+      case 'leave':
+        return running[trouble.engine]?.setLeaving(true);
+      case 'end':
+        return void endEngine(trouble.engine);
+      case 'shed': {
+        const {retryAfter} = trouble;
+        running[trouble.engine]?.setFault(
+          retryAfter === undefined
+            ? {kind: 'crashes', under: CRASHING}
+            : {kind: 'shedding', retryAfter},
+        );
       }
     }
   }
@@ -167,6 +216,11 @@
     };
     if (kind === 'stream') headers['x-hibiscusbeam-model'] = 'model';
     const body = isCrashing ? CRASHING : `question ${id}`;
+    const sentAt = performance.now();
+    const record = (answer: CallerAnswer): void => {
+      const endedAt = performance.now();
+      callers.push({requestId, entry, path, ...answer, sentAt, endedAt});
+    };
     try {
       const reply = await request(`http://${address}${path}`, {
         method: 'POST',
@@ -175,11 +229,11 @@
         signal: AbortSignal.timeout(2 * PATIENCE),
       });
       const text = await reply.body.text();
-      const status = reply.statusCode;
-      callers.push({requestId, entry, path, status, text});
+      const seal = reply.headers['x-hibiscusbeam-server-seal']?.toString();
+      record({status: reply.statusCode, text, seal});
     } catch {
       // An entry that was killed, or a stream that was cut.
-      callers.push({requestId, entry, path, status: undefined, text: ''});
+      record({status: undefined, text: '', seal: undefined});
     }
   }
 
@@ -194,7 +248,7 @@
     return ready.every(isUp => isUp);
   });
   const startedAt = performance.now();
-  const planned = planTroubles(seed, size);
+  const planned = planOf(seed, size, troubles);
   const end = startedAt + size.duration + LAST_CALM;
   const sending: Promise<void>[] = [];
   let next = 0;
