Log that the store came back from a copy, with the revisions around it

The era that the store names in its answers is decoded in the adapter; each follower of a table logs when a reading shows a later one. No decision changes.

Conclusion: a restore and the revisions before and after it stand in the logs now, which tells a reading that is dropped from one that is old.

--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -10,6 +10,7 @@
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
+import {createEraLog} from '../link/era_log';
 import {signOf} from '../link/store_sign';
 import {createUnusableRowLog} from '../link/unusable_row_log';
 import type {Revision, TargetList, TargetReading, UnusableRow} from '../ports';
@@ -108,6 +109,7 @@
     returnTime: RETURN_TIME,
   });
   const unusableRows = createUnusableRowLog('targets', log);
+  const noteEra = createEraLog('targets', log);
   const period = options.draining * READ_SHARE;
   const absence = options.heartbeat * LAPSED_HEARTBEATS;
   const lookPeriod = period / LOOKS_IN_PERIOD;
@@ -131,6 +133,7 @@
     options.storeContact.note(sentAt, signOf(reply));
     if (reply.err) memory.noteFailure(clock());
     else {
+      noteEra(reply.val);
       const answeredAt = machineClock();
       options.storeClock.record({
         askedAt: sentAt,
--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -2,6 +2,7 @@
 import {sleep, type Log} from '@hibiscusbeam/daemon';
 import type {Result} from 'ts-results';
 import type {HostError, Revision, StoreMoment} from '../ports';
+import {createEraLog} from './era_log';
 import {createUnusableRowLog} from './unusable_row_log';
 
 /** What a reading covers. */
@@ -43,6 +44,7 @@
   const {name, log} = options;
   const unusableRows = createUnusableRowLog(name, log);
   let revision: Revision | undefined;
+  const noteEra = createEraLog(name, log);
   let failures = 0;
   while (!signal.aborted) {
     const scope = revision === undefined ? 'all' : 'changes';
@@ -52,6 +54,7 @@
     if (reply.ok) {
       if (failures > 0) log.info(`${name} regained`, {failures});
       failures = 0;
+      noteEra(reply.val);
       revision = reply.val.revision;
       unusableRows.note(reply.val.unusable);
       await options.take(reply.val, scope);
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -6,6 +6,8 @@
 /** An answer, read whole. */
 export interface HttpReply {
   readonly status: number;
+  /** The first value of a header line, by its lower-case name. */
+  readonly header: (name: string) => string | undefined;
   readonly body: Buffer;
 }
 
@@ -93,7 +95,8 @@
     const reply = await send(call, connection, controller.signal);
     hasBegun = true;
     const body = Buffer.from(await reply.body.arrayBuffer());
-    return Ok({status: reply.statusCode, body});
+    const {statusCode: status, headers} = reply;
+    return Ok({status, header: name => first(headers[name]), body});
   } catch (error) {
     return Err({
       detail: error instanceof Error ? error.message : 'no answer',
@@ -153,6 +156,10 @@
   return connection.isSilent(heldFor) ? 'silent' : 'underWay';
 }
 
+function first(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
 /** Parses a body as JSON; undefined if it is none. */
 export function parseJson(body: Buffer): unknown {
   try {
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -22,6 +22,11 @@
 /** When the store answered, and what of its answer can't be used. */
 export interface StoreMoment {
   readonly revision: Revision;
+  /**
+   * Counts how often the store has come back from a copy, which loses its last
+   * transactions.
+   */
+  readonly era: number;
   /** The store's own steady clock. */
   readonly storeTime: Milliseconds;
   readonly unusable: readonly UnusableRow[];
--- a/test/fleet/feed_loop.test.ts
+++ b/test/fleet/feed_loop.test.ts
@@ -12,6 +12,7 @@
   const asked: unknown[] = [];
   const reading = (revision: number): StoreMoment => ({
     revision,
+    era: 0,
     storeTime: 0,
     unusable: [],
   });
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -58,6 +58,7 @@
   const readingOf = (isNew: boolean) =>
     ({
       revision: version,
+      era: 0,
       storeTime: now() + STORE_OFFSET,
       unusable: [],
       configuration:
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -89,6 +89,7 @@
     }
     const reading: TargetReading = {
       revision: leaving ? 2 : 1,
+      era: 0,
       storeTime: askedAt + STORE_OFFSET,
       unusable: [],
       targets: [targetAt(leaving)],
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -59,6 +59,7 @@
 function storeOf(rows: readonly StoreRow[]): StoreClient {
   const reading: Result<RowsReading, HostError> = Ok({
     revision: 9,
+    era: 0,
     storeTime: 0,
     rows,
   });
