--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -8,7 +8,10 @@
 import type {Result} from 'ts-results';
 import type {HostError} from './errors';
 
-/** A point in the store's history; grows with every transaction. */
+/**
+ * A point in the store's history; grows with every transaction, and with each
+ * restore from a copy, though the store then gives its versions out again.
+ */
 export type Revision = number;
 
 /** A row that names nothing to use, such as one of another writer. */
