Go on with targets whose lines a restore of the store has taken

Cause: lines that targets wrote after the copy are missing until they write them again, and only an absence of the store longer than a heartbeat kept missing lines. A drill may be shorter.

What callers would see: fewer targets for up to two seconds after a restore, none if the service was replaced just before.

The fix: listings name the era of their reading, also those that relays pass on; the first one of a later era keeps missing lines for as long as an absence does.

--- a/packages/core/src/placement/list_memory.ts
+++ b/packages/core/src/placement/list_memory.ts
@@ -12,6 +12,8 @@
 /** Knows the targets across an absence of the store. */
 export interface ListMemory {
   readonly noteFailure: (now: MonotonicInstant) => void;
+  /** Notes that the store came back from a copy, without its last changes. */
+  readonly noteRestore: (now: MonotonicInstant) => void;
   /** Takes a fresh list; returns the targets to go by. */
   readonly take: (
     listed: readonly ListedTarget[],
@@ -36,14 +38,20 @@
   /** Instances whose lines were listed since the store's return. */
   let cameBack = new Set<InstanceName>();
 
+  /** Counts missing lines until their targets have had time to write them. */
+  function keepMissing(now: MonotonicInstant): void {
+    keepUntil = now + options.returnTime;
+    cameBack = new Set();
+  }
+
   return {
     noteFailure: now => {
       lostSince ??= now;
     },
+    noteRestore: keepMissing,
     take: (listed, now) => {
       if (lostSince !== undefined && now - lostSince >= options.heartbeat) {
-        keepUntil = now + options.returnTime;
-        cameBack = new Set();
+        keepMissing(now);
       }
       lostSince = undefined;
       if (now >= keepUntil) {
--- a/packages/fleet/src/entry/relay_face.ts
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -145,11 +145,12 @@
 
   function offerTargets(next: TargetListing): void {
     if (listing !== undefined && !isNewer(next, listing)) return;
-    const {revision, storeTime, targets} = next;
+    const {revision, era, storeTime, targets} = next;
     const isSame = targets === listed;
     listed = targets;
     listing = {
       revision,
+      era,
       storeTime,
       targets: listing && isSame ? listing.targets : numberTargets(targets),
     };
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -36,6 +36,7 @@
 /** The list of targets at a reading, to be passed on. */
 export interface PassedListing {
   readonly revision: Revision;
+  readonly era: number;
   readonly storeTime: Milliseconds;
   readonly targets: NumberedTargets;
 }
@@ -153,9 +154,10 @@
   function takeTargets(): RelayNews['targets'] {
     const listing = knowledge.targets();
     if (!listing || listing.storeTime === targetsTold) return undefined;
-    const {revision, storeTime, targets} = listing;
+    const {revision, era, storeTime, targets} = listing;
     targetsTold = storeTime;
-    return {revision, storeTime, ...writeTargetChanges(targets, toldTargets)};
+    const changes = writeTargetChanges(targets, toldTargets);
+    return {revision, era, storeTime, ...changes};
   }
 
   return {
--- a/packages/fleet/src/entry/relay_news.ts
+++ b/packages/fleet/src/entry/relay_news.ts
@@ -42,8 +42,8 @@
   function readListing(
     listing: NonNullable<RelayNews['targets']>,
   ): TargetListing {
-    const {revision, storeTime} = listing;
-    return {revision, storeTime, targets: readTargets(listing)};
+    const {revision, era, storeTime} = listing;
+    return {revision, era, storeTime, targets: readTargets(listing)};
   }
 
   return (news, now) => ({
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -60,6 +60,8 @@
 /** The targets at a reading of the list. */
 export interface TargetListing {
   readonly revision: Revision;
+  /** How often the store had come back from a copy. */
+  readonly era: number;
   /** The store's own steady clock. */
   readonly storeTime: Milliseconds;
   /** As they were listed; each process knows itself which may come back. */
@@ -118,6 +120,7 @@
   let lines = new Map<string, string>();
   let lost = false;
   let newest: Revision = -Infinity;
+  let era: number | undefined;
   let askedAt: MonotonicInstant = -Infinity;
   /** The list was surely so at this moment, by what a relay has told. */
   let relayedAt: MonotonicInstant = -Infinity;
@@ -173,12 +176,14 @@
 
   function take(reading: TargetReading, sentAt: MonotonicInstant): void {
     unusableRows.note([...reading.unusable, ...unconfigured(reading)]);
-    const {revision, storeTime, targets} = reading;
-    goBy({revision, storeTime, targets}, sentAt);
+    const {revision, era, storeTime, targets} = reading;
+    goBy({revision, era, storeTime, targets}, sentAt);
   }
 
   function goBy(listing: TargetListing, provenAt: MonotonicInstant): void {
     newest = listing.revision;
+    if (era !== undefined && listing.era > era) memory.noteRestore(clock());
+    era = listing.era;
     listedAt = Math.max(listedAt ?? provenAt, provenAt);
     options.onListing(listing);
     const targets = memory.take(listing.targets, clock());
--- a/test/fleet/restored_store.test.ts
+++ b/test/fleet/restored_store.test.ts
@@ -107,6 +107,20 @@
   expect(left!.arrivals.length).toBe(before);
 });
 
+test('a target that the restored store has lost is sent requests meanwhile', async () => {
+  const [lost] = engines;
+  site.store.remove('servers', lost!.instance);
+  await pass(DRAINING);
+  const copy = site.store.copy();
+  site.register(lost!);
+  await pass(DRAINING);
+  site.store.restore(copy);
+  await pass(DRAINING);
+  const before = lost!.arrivals.length;
+  expect(await sendPairs()).toEqual(new Set([200]));
+  expect(lost!.arrivals.length).toBeGreaterThan(before);
+});
+
 test('a configuration written after the store was restored is in force', async () => {
   await loseLastWrites();
   site.configure({
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -131,13 +131,19 @@
     const leaving = readAt - startedAt >= leavesAt;
     follower.hear({
       revision: leaving ? 2 : 1,
+      era: 0,
       storeTime: readAt + STORE_OFFSET,
       targets: [targetAt(leaving)],
     });
   };
   /** What a relay tells that has read `targets` just now. */
   const hear = (revision: number, targets: readonly ListedTarget[]): void =>
-    follower.hear({revision, storeTime: now() + STORE_OFFSET, targets});
+    follower.hear({
+      revision,
+      era: 0,
+      storeTime: now() + STORE_OFFSET,
+      targets,
+    });
   return {
     isChosen,
     hearFromRelay,
--- a/test/placement/list_memory.test.ts
+++ b/test/placement/list_memory.test.ts
@@ -79,3 +79,12 @@
   const next = target('next', {address: 'one:1'});
   expect(memory.take([next], 5_000)).toEqual([next]);
 });
+
+test('lines that a restored store has lost count until their targets are back', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one'), target('two')], 0);
+  memory.noteRestore(100);
+  expect(memory.take([target('one')], 100)).toHaveLength(2);
+  expect(memory.take([target('one')], 2_099)).toHaveLength(2);
+  expect(memory.take([target('one')], 2_100)).toEqual([target('one')]);
+});
