Keep in mind that a target leaves when an older list comes back

Cause: whether a target leaves was what the newest list says. A store that comes back from a copy may call it ready once more, until the target has written its state again.

What callers would see: requests to a target that had left for its callers seconds ago, and that may exit under them.

The fix: a list that calls a life leaving is remembered like its own answers are, until a new life of it is known.

Evidence: a test of the decision failed before (the target was chosen) and passes; 116 tests of these parts pass.

Conclusion: found by asking what must not come back after a restore; not seen in a play.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -59,6 +59,8 @@
   function list(targets: readonly ListedTarget[], now: MonotonicInstant): void {
     const next = new Map<string, TargetEntry>();
     for (const target of targets) {
+      // A restored store may call it ready once more, until it says so again.
+      if (target.leaving) noteLeaving(target);
       next.set(target.instance, entryOf(target, now));
     }
     entries = next;
@@ -187,9 +189,9 @@
     entry.avoidUntil = now + pause;
   }
 
-  /** By the list, or by what its own answers have said since. */
+  /** Whether this life has said that it leaves, in the list or in an answer. */
   function isLeaving(target: ListedTarget): boolean {
-    return target.leaving || saidLeaving.get(target) === true;
+    return saidLeaving.get(target) === true;
   }
 
   function noteLeaving(target: ListedTarget): boolean {
--- a/test/placement/leaving_targets.test.ts
+++ b/test/placement/leaving_targets.test.ts
@@ -88,3 +88,11 @@
   expect(book.choose(NEED)).toEqual({kind: 'leaving'});
   expect(bookOf().choose(NEED)).toEqual({kind: 'none'});
 });
+
+test('a target that the list called leaving stays so when an older list comes back', () => {
+  const book = bookOf(target('one', {leaving: true}));
+  book.list([target('one')], 0);
+  expect(book.choose(NEED)).toEqual({kind: 'leaving'});
+  book.list([target('one', {born: 200})], 0);
+  expect(chosen(book)).toBe('one');
+});
