Leave out a target that had gone when a restore brings its line back

Cause: a line that is listed was taken for a target that is there. A store that comes back from a copy lists targets that had gone since, until it removes silent ones.

What callers would see: requests sent to targets that left or ended seconds ago, lost or repeated.

The fix: the memory of the list knows which lives' lines had gone. After a restore it takes them again only once the store would have removed a silent one (three heartbeats), or with a new life.

Evidence: a test of the memory failed before and passes, with three beside it (a new life, no restore, a line that had come back before).

--- a/packages/core/src/placement/list_memory.ts
+++ b/packages/core/src/placement/list_memory.ts
@@ -1,6 +1,13 @@
 import type {InstanceName, Milliseconds, MonotonicInstant} from '../types';
+import {createLifeMemory} from './life_memory';
 import type {ListedTarget} from './types';
 
+/** Targets of which is remembered that their lines went. */
+const MOST_GONE = 1_000;
+
+/** Heartbeats without which the store removes a target's line. */
+const LAPSED_HEARTBEATS = 3;
+
 /** How long the list of targets may lag behind a store that was away. */
 export interface ListMemoryOptions {
   /** Period in which targets renew their lines. */
@@ -38,6 +45,29 @@
   /** Instances whose lines were listed since the store's return. */
   let cameBack = new Set<InstanceName>();
 
+  const gone = createLifeMemory<boolean>(MOST_GONE);
+  /** Until when a line that had gone may be there by an old copy alone. */
+  let doubtUntil: MonotonicInstant = -Infinity;
+
+  function withoutGone(
+    listed: readonly ListedTarget[],
+    now: MonotonicInstant,
+  ): readonly ListedTarget[] {
+    if (now >= doubtUntil) return listed;
+    return listed.filter(target => gone.get(target) !== true);
+  }
+
+  function replaceKnown(next: readonly ListedTarget[]): void {
+    const left = new Set(next.map(({instance}) => instance));
+    for (const target of known) {
+      if (!left.has(target.instance)) gone.set(target, true);
+    }
+    for (const target of next) {
+      if (gone.get(target) === true) gone.set(target, false);
+    }
+    known = next;
+  }
+
   /** Counts missing lines until their targets have had time to write them. */
   function keepMissing(now: MonotonicInstant): void {
     keepUntil = now + options.returnTime;
@@ -48,14 +78,18 @@
     noteFailure: now => {
       lostSince ??= now;
     },
-    noteRestore: keepMissing,
-    take: (listed, now) => {
+    noteRestore: now => {
+      keepMissing(now);
+      doubtUntil = now + LAPSED_HEARTBEATS * options.heartbeat;
+    },
+    take: (read, now) => {
+      const listed = withoutGone(read, now);
       if (lostSince !== undefined && now - lostSince >= options.heartbeat) {
         keepMissing(now);
       }
       lostSince = undefined;
       if (now >= keepUntil) {
-        known = listed;
+        replaceKnown(listed);
         return known;
       }
       for (const {instance} of listed) cameBack.add(instance);
@@ -64,7 +98,7 @@
       const missing = known.filter(
         ({instance, address}) => !cameBack.has(instance) && !taken.has(address),
       );
-      known = [...listed, ...missing];
+      replaceKnown([...listed, ...missing]);
       return known;
     },
   };
--- a/test/placement/list_memory.test.ts
+++ b/test/placement/list_memory.test.ts
@@ -88,3 +88,39 @@
   expect(memory.take([target('one')], 2_099)).toHaveLength(2);
   expect(memory.take([target('one')], 2_100)).toEqual([target('one')]);
 });
+
+test('a target that had gone is not back by the line of a restored store alone', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one'), target('two')], 0);
+  memory.take([target('two')], 500);
+  memory.noteRestore(1_000);
+  const restored = [target('one'), target('two')];
+  expect(memory.take(restored, 1_000)).toEqual([target('two')]);
+  expect(memory.take(restored, 4_599)).toEqual([target('two')]);
+  expect(memory.take(restored, 4_600)).toEqual(restored);
+});
+
+test('a new life of a target that had gone is taken from a restored store', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one', {born: 100})], 0);
+  memory.take([], 500);
+  memory.noteRestore(1_000);
+  const next = [target('one', {born: 200})];
+  expect(memory.take(next, 1_000)).toEqual(next);
+});
+
+test('a line that goes and comes back without a restore is taken at once', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one')], 0);
+  memory.take([], 500);
+  expect(memory.take([target('one')], 1_000)).toEqual([target('one')]);
+});
+
+test('a line that had come back before a restore is not doubted', () => {
+  const memory = createListMemory(options);
+  memory.take([target('one')], 0);
+  memory.take([], 500);
+  memory.take([target('one')], 1_000);
+  memory.noteRestore(1_500);
+  expect(memory.take([target('one')], 1_500)).toEqual([target('one')]);
+});
