Pass on the configuration in force when a restored store has an older one

Cause: an entry kept the text of whatever configuration the store had last, though it went by the newest version. After a restore it passed the older one on, under the newest revision, to entries that had started since.

What callers would see: routes and keys of an older version at entries that start between a restore and the operator's next writing.

The fix: an older configuration of a later reading is not kept; the one in force is, as that of the reading's revision, so that whoever holds the older row takes it.

Evidence: a test of two holders failed before (34 in place of 38) and passes, with two beside it; 27 tests of copies, followers and relays pass.

--- a/packages/fleet/src/entry/held_configuration.ts
+++ b/packages/fleet/src/entry/held_configuration.ts
@@ -47,7 +47,10 @@
     if (isConfigurationLost) isNewestLost = true;
     if (configuration === undefined) return;
     if (!isConfigurationLost) isNewestLost = false;
-    if (document !== undefined) copies.keep(document);
+    // A store that was restored may have lost the one in force; entries that
+    // have started since must not go by the older one.
+    if (isOlder(configuration)) copies.keepAs(reading.revision);
+    else if (document !== undefined) copies.keep(document);
     adopt(configuration);
   }
 
@@ -70,6 +73,10 @@
     adopt(configuration.val);
   }
 
+  function isOlder({version}: RoutingConfiguration): boolean {
+    return version < (table?.version ?? -Infinity);
+  }
+
   function adopt(configuration: RoutingConfiguration): void {
     // Failure: an answer that was held up brings an older configuration, and a
     // request is handled by a route that was dropped. Versions only grow here.
--- a/packages/fleet/src/link/configuration_copies.ts
+++ b/packages/fleet/src/link/configuration_copies.ts
@@ -27,6 +27,8 @@
 /** The newest configurations, and their copies for other entries. */
 export interface ConfigurationCopies {
   readonly keep: (document: ConfigurationDocument) => void;
+  /** Keeps the newest one as that of a later revision. */
+  readonly keepAs: (revision: Revision) => void;
   /** Revision of the newest configuration that is held; 0 for none. */
   readonly newestRevision: () => Revision;
   /** The newest configuration for an entry that holds that of `base`. */
@@ -64,6 +66,11 @@
     copies = new Map();
   }
 
+  function keepAs(revision: Revision): void {
+    const document = newest();
+    if (document !== undefined) keep({...document, revision});
+  }
+
   function write(base: Revision): ConfigurationCopy | undefined {
     const document = newest();
     if (document === undefined) return undefined;
@@ -94,6 +101,7 @@
 
   return {
     keep,
+    keepAs,
     newestRevision: () => newest()?.revision ?? 0,
     write,
     read,
--- /dev/null
+++ b/test/fleet/held_configuration.test.ts
@@ -0,0 +1,77 @@
+import type {RoutingConfiguration} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import {Ok} from 'ts-results';
+import {expect, test} from 'vitest';
+import {createHeldConfiguration} from '../../packages/fleet/src/entry/held_configuration';
+import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
+import type {OperatorReading} from '../../packages/fleet/src/ports';
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+function configurationOf(version: number): RoutingConfiguration {
+  return {
+    version,
+    routes: [],
+    services: [],
+    workspaces: [],
+    limits: {headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1},
+  };
+}
+
+/** A reading of the store at `revision`, which has the row of `written`. */
+function readingOf(
+  version: number,
+  written: number,
+  revision: number,
+): OperatorReading {
+  const text = Buffer.from(String(version));
+  return {
+    revision,
+    era: 0,
+    storeTime: 0,
+    unusable: [],
+    configuration: configurationOf(version),
+    document: {revision: written, text},
+    isConfigurationLost: false,
+    namedVersions: [],
+    newestChange: written,
+  };
+}
+
+function startHolder() {
+  const copies = createConfigurationCopies();
+  const held = createHeldConfiguration({
+    copies,
+    decode: ({text}) => Ok(configurationOf(Number(text.toString()))),
+    log,
+    onAdopted: () => undefined,
+  });
+  return {copies, held, version: () => held.table()?.version};
+}
+
+test('an older configuration of a restored store is not in force again', () => {
+  const {held, version} = startHolder();
+  held.takeReading(readingOf(38, 60, 60));
+  held.takeReading(readingOf(34, 205, 270));
+  expect(version()).toBe(38);
+});
+
+test('an entry that started after a restore is given the configuration that it lost', () => {
+  const before = startHolder();
+  before.held.takeReading(readingOf(38, 60, 60));
+  before.held.takeReading(readingOf(34, 205, 270));
+  const started = startHolder();
+  started.held.takeReading(readingOf(34, 205, 270));
+  const copy = before.copies.write(started.copies.newestRevision());
+  started.held.takeCopy(copy!);
+  expect(started.version()).toBe(38);
+});
+
+test('what the operator writes again counts as newer for all', () => {
+  const before = startHolder();
+  before.held.takeReading(readingOf(38, 60, 60));
+  before.held.takeReading(readingOf(34, 205, 270));
+  before.held.takeReading(readingOf(40, 271, 271));
+  expect(before.held.revision()).toBe(271);
+  expect(before.version()).toBe(40);
+});
