Keep an agent's services when a restored store has an older configuration

Cause: an agent took its services from whatever configuration it read, also one that is older than the one it had.

What callers would see: engines kept by an older profile until the operator writes the newer configuration again.

The fix: a configuration counts for an agent only if its version is newer.

--- a/packages/fleet/src/agent/operator_watch.ts
+++ b/packages/fleet/src/agent/operator_watch.ts
@@ -48,11 +48,15 @@
 ): OperatorWatch {
   let services: readonly ServiceDescription[] = [];
   let digest = servicesDigest(services);
+  /** Version of the configuration that the services are of. */
+  let held = -Infinity;
   let entryDigest = digest;
   let entrySpokeAt = -Infinity;
 
   function take({configuration, namedVersions}: OperatorReading): void {
-    if (configuration !== undefined) {
+    // A restored store may have an older one than entries go by.
+    if (configuration !== undefined && configuration.version > held) {
+      held = configuration.version;
       services = configuration.services;
       digest = servicesDigest(services);
     }
--- a/test/fleet/operator_watch.test.ts
+++ b/test/fleet/operator_watch.test.ts
@@ -1,4 +1,8 @@
-import {createNamedVersions, type ServiceDescription} from '@hibiscusbeam/core';
+import {
+  createNamedVersions,
+  type RoutingConfiguration,
+  type ServiceDescription,
+} from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
 import type {OperatorFeed, OperatorReading} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
@@ -24,13 +28,14 @@
   vi.useRealTimers();
 });
 
-function startWatch() {
+/** A watch whose store has `later` at each question after the first. */
+function startWatch(later?: OperatorReading['configuration']) {
   let questions = 0;
   const reading = {
     revision: 1,
     storeTime: 0,
     unusable: [],
-    configuration: {version: 1, services: SERVICES},
+    configuration: {version: 2, services: SERVICES},
     isConfigurationLost: false,
     namedVersions: [],
   } as unknown as OperatorReading;
@@ -39,7 +44,7 @@
     follow: async (_after, wait) => {
       questions += 1;
       await new Promise(resolve => setTimeout(resolve, wait));
-      return Ok({...reading, configuration: undefined});
+      return Ok({...reading, configuration: later});
     },
     decode: () => Err('not asked'),
   };
@@ -76,3 +81,11 @@
   await vi.advanceTimersByTimeAsync(300);
   expect(questions()).toBe(1);
 });
+
+test('keeps its services when a restored store has an older configuration', async () => {
+  const older = {version: 1, services: []} as unknown as RoutingConfiguration;
+  const {watch, questions} = startWatch(older);
+  await vi.advanceTimersByTimeAsync(20_000);
+  expect(questions()).toBeGreaterThan(0);
+  expect(watch.services()).toEqual(SERVICES);
+});
