Register processes again after a restore, and keep the others meanwhile

Cause: a process wrote its own line when it read the table without it, once, and gave up if the write failed; the others forgot all whose lines were missing. A restore takes the lines of all that started after the copy, and a drill makes writes fail.

What callers would see: the directory without those entries, limits and budgets dealt out among fewer, and agents without neighbours, for up to 16 s.

Evidence: two tests of the follower failed before and pass; 30 tests of entries, agents and restores pass.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -108,6 +108,7 @@
   const members = createMemberFollower({
     self,
     table: ports.members,
+    clock: monotonicClock,
     log: logs('membership'),
     onChange: others => {
       peers.setMembers(others);
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -255,6 +255,7 @@
   const members = createMemberFollower({
     self,
     table: ports.members,
+    clock,
     log: logs('membership'),
     onChange: circle.setMembers,
   });
--- a/packages/fleet/src/link/member_follower.ts
+++ b/packages/fleet/src/link/member_follower.ts
@@ -1,5 +1,5 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
-import {sleep, type Log} from '@hibiscusbeam/daemon';
+import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {MemberDescription, MemberReading, MemberTable} from '../ports';
 import {runFeedLoop, type ReadingScope} from './feed_loop';
 
@@ -24,6 +24,12 @@
 /** Pause after a question without an answer. */
 const PAUSE_AFTER_FAILURE: Milliseconds = 400;
 
+/**
+ * How long members count whose lines a restored store has lost: until each has
+ * had an answer that shows the restore, and has written its line again.
+ */
+const RETURN_TIME: Milliseconds = WAIT_FOR_CHANGE + 2 * ANSWER_SLACK;
+
 /** Longest time for writing the own line. */
 const WRITE_TIMEOUT: Milliseconds = 800;
 
@@ -36,6 +42,7 @@
 export interface MemberFollowerOptions {
   readonly self: MemberDescription;
   readonly table: MemberTable;
+  readonly clock: Clock;
   readonly log: Log;
   /** Told of all members but this process. */
   readonly onChange: (members: readonly MemberDescription[]) => void;
@@ -56,36 +63,71 @@
 export function createMemberFollower(
   options: MemberFollowerOptions,
 ): MemberFollower {
-  const {self, table, log} = options;
+  const {self, table, clock, log} = options;
   const known = new Map<string, MemberDescription>();
+  /** Members whose lines a restored store has lost. */
+  const lost = new Set<string>();
+  let lostUntil: MonotonicInstant = -Infinity;
+  let era: number | undefined;
   let isKnown = false;
+  let isRegistering = false;
   let leaving = false;
 
   const others = (): readonly MemberDescription[] =>
     [...known.values()].filter(member => member.instance !== self.instance);
 
   async function take(
-    {changes}: MemberReading,
+    reading: MemberReading,
     scope: ReadingScope,
     signal: AbortSignal,
   ): Promise<void> {
-    if (scope === 'all') known.clear();
+    const {changes} = reading;
+    if (scope === 'all') startAnew(reading);
+    const isAnyDropped = dropLost();
     for (const {instance, member} of changes) {
+      lost.delete(instance);
       if (member === undefined) known.delete(instance);
       else known.set(instance, member);
     }
-    if (scope === 'changes' && changes.length === 0) return;
+    if (scope === 'changes' && changes.length === 0 && !isAnyDropped) return;
     options.onChange(others());
     isKnown = true;
     log.info('members', {others: others().map(member => member.instance)});
     const own = known.get(self.instance);
-    if (own?.life !== self.life && !leaving) await register();
+    if (own?.life !== self.life) void register(signal);
     await sleep(pauseAfterChange(known.size), signal);
   }
 
-  async function register(): Promise<void> {
-    const written = await table.put(self, WRITE_TIMEOUT);
-    if (written.err) log.warn('not registered yet', {error: written.val});
+  /** Forgets all members, unless it is a restore that has lost their lines. */
+  function startAnew(reading: MemberReading): void {
+    const isRestored = era !== undefined && reading.era > era;
+    era = reading.era;
+    lost.clear();
+    if (!isRestored) return known.clear();
+    for (const instance of known.keys()) lost.add(instance);
+    lost.delete(self.instance);
+    known.delete(self.instance);
+    lostUntil = clock() + RETURN_TIME;
+  }
+
+  /** Drops members that have not written their lines again in time. */
+  function dropLost(): boolean {
+    if (lost.size === 0 || clock() < lostUntil) return false;
+    for (const instance of lost) known.delete(instance);
+    lost.clear();
+    return true;
+  }
+
+  async function register(signal: AbortSignal): Promise<void> {
+    if (isRegistering) return;
+    isRegistering = true;
+    while (!leaving && !signal.aborted) {
+      const written = await table.put(self, WRITE_TIMEOUT);
+      if (written.ok) break;
+      log.warn('not registered yet', {error: written.val});
+      await sleep(PAUSE_AFTER_FAILURE, signal);
+    }
+    isRegistering = false;
   }
 
   return {
--- /dev/null
+++ b/test/fleet/member_follower.test.ts
@@ -0,0 +1,116 @@
+import type {Log} from '@hibiscusbeam/daemon';
+import {Err, Ok} from 'ts-results';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {createMemberFollower} from '../../packages/fleet/src/link/member_follower';
+import type {
+  HostError,
+  MemberDescription,
+  MemberReading,
+  MemberTable,
+} from '../../packages/fleet/src/ports';
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+/** Longer than members have to write their lines again. */
+const LONG = 60_000;
+
+const LOST: HostError = {kind: 'historyLost', detail: ''};
+
+let stopped: AbortController;
+
+beforeEach(() => {
+  stopped = new AbortController();
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  stopped.abort();
+  vi.useRealTimers();
+});
+
+function member(instance: string): MemberDescription {
+  return {
+    instance,
+    role: 'entry',
+    zone: 'north',
+    address: `${instance}:1`,
+    life: `${instance}-life`,
+  };
+}
+
+/** A follower of a table that the test restores without some lines. */
+function startFollower(instances: readonly string[]) {
+  let rows = new Map(instances.map(name => [name, member(name)]));
+  let era = 1;
+  let told = era;
+  let puts = 0;
+  let refusals = 0;
+  const reading = (changes: MemberReading['changes']): MemberReading => ({
+    revision: era,
+    era,
+    storeTime: 0,
+    unusable: [],
+    changes,
+  });
+  const table: MemberTable = {
+    put: row => {
+      puts += 1;
+      if (refusals > 0) {
+        refusals -= 1;
+        return Promise.resolve(Err({kind: 'unavailable', detail: ''}));
+      }
+      rows.set(row.instance, row);
+      return Promise.resolve(Ok.EMPTY);
+    },
+    remove: () => Promise.resolve(Ok.EMPTY),
+    readAll: () => {
+      told = era;
+      const all = [...rows.values()];
+      const changes = all.map(row => ({instance: row.instance, member: row}));
+      return Promise.resolve(Ok(reading(changes)));
+    },
+    follow: async () => {
+      await new Promise(resolve => setTimeout(resolve, 1_000));
+      return told === era ? Ok(reading([])) : Err(LOST);
+    },
+  };
+  const follower = createMemberFollower({
+    self: member('self'),
+    table,
+    clock: () => Date.now(),
+    log,
+    onChange: () => undefined,
+  });
+  follower.start(stopped.signal);
+  return {
+    others: () => follower.others().map(({instance}) => instance),
+    puts: () => puts,
+    isListed: () => rows.has('self'),
+    refuse: (times: number) => (refusals = times),
+    restore: (kept: readonly string[]) => {
+      rows = new Map(kept.map(name => [name, member(name)]));
+      era += 1;
+    },
+  };
+}
+
+test('members whose lines a restored store has lost count until they are back', async () => {
+  const {others, restore} = startFollower(['one', 'two']);
+  await vi.advanceTimersByTimeAsync(3_000);
+  restore(['one']);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(others().sort()).toEqual(['one', 'two']);
+  await vi.advanceTimersByTimeAsync(LONG);
+  expect(others()).toEqual(['one']);
+});
+
+test('a process writes its own line again after a restore, until it is taken', async () => {
+  const {puts, isListed, refuse, restore} = startFollower([]);
+  await vi.advanceTimersByTimeAsync(3_000);
+  expect(puts()).toBe(1);
+  restore([]);
+  refuse(3);
+  await vi.advanceTimersByTimeAsync(LONG);
+  expect(isListed()).toBe(true);
+  expect(puts()).toBe(5);
+});
