Store quarantines and claims of trials again after a restore

Cause: the table of quarantined requests was taken as it was read. A restore takes rows back that were written since the copy, brings removed ones back, and takes the claim of a request's one trial.

What callers would see: a request that ends its targets is sent to them once more by entries that start then; one that was released is refused for good; a second trial.

The fix: on the first reading of a later era an entry writes again what was stored, removes again what it saw removed, and claims its own trials again.

Between the restore and the holder's claim another entry may still claim the trial.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -138,6 +138,7 @@
   const quarantineStore = createQuarantineStore({
     table: ports.quarantine,
     quarantine,
+    onRestore: () => trials.claimAgain(),
     log: logs('requests'),
   });
   const crashWatch = createCrashWatch({
--- a/packages/fleet/src/entry/quarantine_store.ts
+++ b/packages/fleet/src/entry/quarantine_store.ts
@@ -26,6 +26,8 @@
 export interface QuarantineStoreOptions {
   readonly table: QuarantineTable;
   readonly quarantine: Quarantine;
+  /** Told when the store has come back from a copy. */
+  readonly onRestore: () => void;
   readonly log: Log;
 }
 
@@ -44,22 +46,66 @@
 ): QuarantineStore {
   const {table, quarantine, log} = options;
   const rows = new Set<RequestFingerprint>();
+  /** Requests whose rows were removed, oldest first. */
+  const removed = new Set<RequestFingerprint>();
+  let era: number | undefined;
   const changed = new Set<RequestFingerprint>();
   let isKnown = false;
   let isWriting = false;
   let stopped: AbortSignal | undefined;
 
-  function take({changes}: QuarantineReading, scope: ReadingScope): void {
+  function take(reading: QuarantineReading, scope: ReadingScope): void {
+    const isRestored = era !== undefined && reading.era > era;
+    era = reading.era;
+    if (isRestored) {
+      takeRestored(reading);
+      options.onRestore();
+    } else takeChanges(reading, scope);
+    isKnown = true;
+  }
+
+  function takeChanges(
+    {changes}: QuarantineReading,
+    scope: ReadingScope,
+  ): void {
     if (scope === 'all') {
       rows.clear();
       quarantine.forgetStored();
     }
     for (const {fingerprint, isStored} of changes) {
-      if (isStored) rows.add(fingerprint);
-      else rows.delete(fingerprint);
+      noteRow(fingerprint, isStored);
       quarantine.noteStored(fingerprint, isStored);
     }
-    isKnown = true;
+  }
+
+  function noteRow(fingerprint: RequestFingerprint, isStored: boolean): void {
+    if (isStored) {
+      rows.add(fingerprint);
+      removed.delete(fingerprint);
+      return;
+    }
+    if (!rows.delete(fingerprint)) return;
+    removed.add(fingerprint);
+    const [oldest] = removed;
+    if (removed.size > MOST_ROWS && oldest !== undefined) {
+      removed.delete(oldest);
+    }
+  }
+
+  /** Writes again what a restore has lost, and removes what it has brought back. */
+  function takeRestored({changes}: QuarantineReading): void {
+    const listed = changes
+      .filter(({isStored}) => isStored)
+      .map(({fingerprint}) => fingerprint);
+    const lost = [...rows].filter(row => !listed.includes(row));
+    rows.clear();
+    for (const fingerprint of listed) {
+      rows.add(fingerprint);
+      if (removed.has(fingerprint)) changed.add(fingerprint);
+      else quarantine.noteStored(fingerprint, true);
+    }
+    for (const fingerprint of lost) changed.add(fingerprint);
+    void writeChanges();
   }
 
   async function writeChanges(): Promise<void> {
@@ -82,8 +128,7 @@
       ? await table.put(fingerprint, WRITE_TIMEOUT)
       : await table.remove(fingerprint, WRITE_TIMEOUT);
     if (written.ok) {
-      if (isQuarantined) rows.add(fingerprint);
-      else rows.delete(fingerprint);
+      noteRow(fingerprint, isQuarantined);
       return;
     }
     const {val: error} = written;
--- a/packages/fleet/src/entry/quarantine_trials.ts
+++ b/packages/fleet/src/entry/quarantine_trials.ts
@@ -35,6 +35,8 @@
   readonly giveBack: (fingerprint: RequestFingerprint) => void;
   /** When the caller of a refused request may come back. */
   readonly retryAfter: (fingerprint: RequestFingerprint) => Milliseconds;
+  /** Claims anew what this entry holds, after a restore of the store. */
+  readonly claimAgain: () => void;
   /** Forgets a request that is released. */
   readonly forget: (fingerprint: RequestFingerprint) => void;
 }
@@ -42,6 +44,8 @@
 interface KnownTrial {
   readonly dueAt: MonotonicInstant;
   isTaken: boolean;
+  /** Whether this entry has taken it. */
+  isOwn: boolean;
 }
 
 /**
@@ -58,7 +62,7 @@
   function trialOf(fingerprint: RequestFingerprint): KnownTrial {
     const known = trials.get(fingerprint);
     if (known !== undefined) return known;
-    const trial = {dueAt: clock() + TRIAL_AFTER, isTaken: false};
+    const trial = {dueAt: clock() + TRIAL_AFTER, isTaken: false, isOwn: false};
     trials.set(fingerprint, trial);
     const [oldest] = trials.keys();
     if (trials.size > MOST_REMEMBERED && oldest !== undefined) {
@@ -73,6 +77,7 @@
     trial.isTaken = true;
     const claimed = await table.claimTrial(fingerprint, holder, CLAIM_TIMEOUT);
     if (claimed.ok) {
+      trial.isOwn = claimed.val;
       log.info('trial of a quarantined request', {
         fingerprint,
         isClaimed: claimed.val,
@@ -85,6 +90,12 @@
     return false;
   }
 
+  async function claimAgain(fingerprint: RequestFingerprint): Promise<void> {
+    const claimed = await table.claimTrial(fingerprint, holder, CLAIM_TIMEOUT);
+    if (claimed.ok) return;
+    log.warn('trial not claimed again', {fingerprint, error: claimed.val});
+  }
+
   async function giveBack(fingerprint: RequestFingerprint): Promise<void> {
     const removed = await table.removeTrial(fingerprint, CLAIM_TIMEOUT);
     if (removed.ok) trials.delete(fingerprint);
@@ -93,6 +104,11 @@
 
   return {
     claim,
+    claimAgain: () => {
+      for (const [fingerprint, {isOwn}] of trials) {
+        if (isOwn) void claimAgain(fingerprint);
+      }
+    },
     giveBack: fingerprint => void giveBack(fingerprint),
     retryAfter: fingerprint => {
       const {dueAt, isTaken} = trialOf(fingerprint);
--- /dev/null
+++ b/test/fleet/quarantine_restore.test.ts
@@ -0,0 +1,91 @@
+import {createQuarantine} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {createQuarantineStore} from '../../packages/fleet/src/entry/quarantine_store';
+import {createQuarantineTrials} from '../../packages/fleet/src/entry/quarantine_trials';
+import {createQuarantineTable} from '../../platform/quarantine_table';
+import {createStoreClient} from '../../platform/store_client';
+import {eventually} from './fixtures/host_site';
+import {startHostStore, type HostStore} from './fixtures/host_store';
+
+const TABLE = 'quarantine';
+const TRIALS = 'quarantine_trials';
+const TIMEOUT = 2_000;
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+let store: HostStore;
+let stopped: AbortController;
+
+beforeEach(async () => {
+  store = await startHostStore();
+  stopped = new AbortController();
+});
+
+afterEach(async () => {
+  stopped.abort();
+  await store.close();
+});
+
+/** An entry's keeping of the quarantine; `look` shows it a restore. */
+async function startKeeping() {
+  const client = createStoreClient(store.address);
+  const table = createQuarantineTable(client);
+  const quarantine = createQuarantine();
+  let now = 0;
+  const trials = createQuarantineTrials({
+    table,
+    holder: 'entry',
+    clock: () => now,
+    log,
+  });
+  const keeping = createQuarantineStore({
+    table,
+    quarantine,
+    onRestore: trials.claimAgain,
+    log,
+  });
+  keeping.start(stopped.signal);
+  await eventually(keeping.isKnown);
+  return {
+    quarantine,
+    trials,
+    at: (time: number) => (now = time),
+    look: () => client.rows('op', TIMEOUT),
+  };
+}
+
+test('a quarantine that a restore has lost holds, and is stored again', async () => {
+  const {quarantine, look} = await startKeeping();
+  const copy = store.copy();
+  store.write(TABLE, 'request', {quarantined: true});
+  await eventually(() => quarantine.isQuarantined('request'));
+  store.restore(copy);
+  await look();
+  await eventually(() => store.read(TABLE, 'request') !== undefined);
+  expect(quarantine.isQuarantined('request')).toBe(true);
+});
+
+test('a quarantine that was over does not come back with a restore', async () => {
+  store.write(TABLE, 'request', {quarantined: true});
+  const {quarantine, look} = await startKeeping();
+  await eventually(() => quarantine.isQuarantined('request'));
+  const copy = store.copy();
+  store.remove(TABLE, 'request');
+  await eventually(() => !quarantine.isQuarantined('request'));
+  store.restore(copy);
+  await look();
+  await eventually(() => store.read(TABLE, 'request') === undefined);
+  expect(quarantine.isQuarantined('request')).toBe(false);
+});
+
+test('a trial whose claim a restore has lost is not given out again', async () => {
+  const {trials, at, look} = await startKeeping();
+  const copy = store.copy();
+  await trials.claim('request');
+  at(10_000);
+  expect(await trials.claim('request')).toBe(true);
+  store.restore(copy);
+  await look();
+  await eventually(() => store.read(TRIALS, 'request') !== undefined);
+});
