Pause between whole readings of a table whose changes are not known

Cause: lost history was answered by a whole reading at once, however often in a row.

What callers would see: a store at its rate, and links between regions full of one table.

The fix: the first loss is answered at once; the next ones in a row wait like failures.

Evidence: a test of the loop failed before (no pause) and passes.

Conclusion: what led there is mended; a store that loses its history again and again could still do it.

--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -46,6 +46,8 @@
   let revision: Revision | undefined;
   const noteEra = createEraLog(name, log);
   let failures = 0;
+  /** Questions for changes in a row that the store no longer knows. */
+  let losses = 0;
   while (!signal.aborted) {
     const scope = revision === undefined ? 'all' : 'changes';
     const reply = await (revision === undefined
@@ -54,6 +56,7 @@
     if (reply.ok) {
       if (failures > 0) log.info(`${name} regained`, {failures});
       failures = 0;
+      if (scope === 'changes') losses = 0;
       noteEra(reply.val);
       revision = reply.val.revision;
       unusableRows.note(reply.val.unusable);
@@ -63,6 +66,9 @@
     if (reply.val.kind === 'historyLost') {
       revision = undefined;
       log.info(`${name} is read whole`, {reason: reply.val.kind});
+      // A store that knows no changes at all would be asked without a pause.
+      if (losses > 0) await sleep(options.pause(losses), signal);
+      losses += 1;
       continue;
     }
     failures += 1;
--- a/test/fleet/feed_loop.test.ts
+++ b/test/fleet/feed_loop.test.ts
@@ -55,3 +55,29 @@
   const asked = await questionsAround({kind: 'historyLost', detail: ''});
   expect(asked).toEqual(['whole', 4, 'whole']);
 });
+
+test('a store that knows no changes is asked after pauses, but for the first loss', async () => {
+  const stopped = new AbortController();
+  const pauses: number[] = [];
+  let reads = 0;
+  await runFeedLoop<StoreMoment>(
+    {
+      name: 'table',
+      log,
+      readAll: () => {
+        reads += 1;
+        if (reads === 5) stopped.abort();
+        const moment = {revision: 4, era: 0, storeTime: 0, unusable: []};
+        return Promise.resolve(Ok(moment));
+      },
+      follow: () => Promise.resolve(Err({kind: 'historyLost', detail: ''})),
+      take: () => undefined,
+      pause: failures => {
+        pauses.push(failures);
+        return 0;
+      },
+    },
+    stopped.signal,
+  );
+  expect(pauses).toEqual([1, 2, 3]);
+});
