Let the soak play a store that comes back from copies

Oracle: who is in touch answers by no configuration that was replaced longer ago than the bound. Plans of the seeds so far stay as they were; the third test of each seed adds restores from a stream of its own.

--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -13,6 +13,9 @@
 const BACKOFF_KNOWN = 500;
 const MOST_SENDS_WHILE_BACKING_OFF = 2;
 
+/** Bound of configurations. */
+const CONFIGURATION = 2_000;
+
 const LIMIT_WINDOW = 4_000;
 const SECOND = 1_000;
 
@@ -40,11 +43,20 @@
   readonly until: number;
 }
 
+/** From when on the operator's configuration has the route that comes and goes. */
+export interface RouteSpan {
+  readonly at: number;
+  readonly isServed: boolean;
+}
+
 /** What a soak has recorded. */
 export interface SoakRecords {
   readonly callers: readonly CallerRecord[];
   readonly engines: readonly HostEngine[];
   readonly limits: readonly LimitSpan[];
+  readonly routes: readonly RouteSpan[];
+  /** Whether the store neither began nor ended to misbehave in a span. */
+  readonly isStoreStable: (from: number, until: number) => boolean;
   /** Body of the request under which targets end. */
   readonly crashing: string;
   /** Whether an entry was not stopped, killed or frozen in a span. */
@@ -61,6 +73,7 @@
     ...exceededLimits(records),
     ...sendsToLeaving(records),
     ...sendsWhileBackingOff(records),
+    ...olderConfigurations(records),
   ];
 }
 
@@ -182,6 +195,28 @@
   );
 }
 
+/** Answers by a configuration that had been replaced longer ago than its bound. */
+function olderConfigurations(records: SoakRecords): readonly string[] {
+  const {callers, routes, isCalm, isStoreStable} = records;
+  return callers.flatMap(
+    ({path, requestId, entry, status, sentAt, endedAt}) => {
+      if (!path.startsWith('/added/')) return [];
+      const inForce = routes.findLast(({at}) => at + CONFIGURATION < sentAt);
+      if (inForce === undefined) return [];
+      const isAmbiguous = routes.some(
+        ({at, isServed}) =>
+          at > inForce.at && at < endedAt && isServed !== inForce.isServed,
+      );
+      if (isAmbiguous || !isStoreStable(sentAt - CONTACT, sentAt)) return [];
+      if (!isCalm(entry, sentAt - CONTACT, endedAt)) return [];
+      const older = inForce.isServed ? 404 : 200;
+      return status === older
+        ? [`${requestId} got ${status} by an older configuration`]
+        : [];
+    },
+  );
+}
+
 function callerOf({callers}: SoakRecords, requestId: string) {
   return callers.find(record => record.requestId === requestId);
 }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -18,7 +18,12 @@
       readonly kind: 'shed';
       readonly engine: number;
       readonly retryAfter: number | undefined;
-    };
+    }
+  /** The store is copied; a restore brings that copy back. */
+  | {readonly kind: 'copy'}
+  | {readonly kind: 'restore'}
+  /** The operator adds a route, or takes it away. */
+  | {readonly kind: 'route'; readonly isServed: boolean};
 
 type Signal = 'SIGKILL' | 'SIGTERM' | 'SIGSTOP' | 'SIGCONT';
 
@@ -43,6 +48,8 @@
 const MOST_LIMIT = 4;
 const LONGEST_STATEMENT = 6_000;
 const MOST_RETRY_AFTER = 2;
+const LONGEST_COPY_AGE = 3_000;
+const LONGEST_CALM = 6_000;
 
 const STORE_FAULTS: readonly StoreFault[] = [
   'busy',
@@ -118,6 +125,28 @@
   return planned;
 }
 
+/** Plans restores of the store, and configurations between them. */
+export function planRestores(
+  seed: number,
+  {duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(`${seed} restores`);
+  const planned: PlannedTrouble[] = [];
+  let at = 0;
+  while (at < duration) {
+    planned.push({at, trouble: {kind: 'copy'}});
+    at += random(LONGEST_COPY_AGE);
+    planned.push({at, trouble: {kind: 'restore'}});
+    at += random(LONGEST_CALM);
+  }
+  let isServed = false;
+  for (at = 0; at < duration; at += random(LONGEST_CALM)) {
+    isServed = !isServed;
+    planned.push({at, trouble: {kind: 'route', isServed}});
+  }
+  return planned;
+}
+
 /** Whole numbers from 0 to below a bound, the same for a seed. */
 function createRandom(seed: number | string): (bound: number) => number {
   let drawn = 0;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -32,3 +32,10 @@
     await expectKeptPromises(seed, 'statements');
   },
 );
+
+test.each(SEEDS)(
+  'seed %i breaks no promise while its store comes back from copies',
+  async seed => {
+    await expectKeptPromises(seed, 'restores');
+  },
+);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
 import {startHostEngine, type HostEngine} from '../fleet/fixtures/host_engine';
+import type {StoreCopy} from '../fleet/fixtures/host_store';
 import {
   eventually,
   freeAddress,
@@ -13,9 +14,11 @@
   brokenPromises,
   type CallerRecord,
   type LimitSpan,
+  type RouteSpan,
   type SoakRecords,
 } from './oracles';
 import {
+  planRestores,
   planStatements,
   planTroubles,
   type PlannedTrouble,
@@ -28,6 +31,8 @@
 const LAPSE = 2_000;
 const PAUSE_BETWEEN_REQUESTS = 30;
 const CRASHING_EACH = 25;
+const PROBE_EACH = 7;
+const WRITTEN_AGAIN = 300;
 const LAST_CALM = 6_000;
 const PATIENCE = 2_000;
 
@@ -44,6 +49,20 @@
 /** What a caller got. */
 type CallerAnswer = Pick<CallerRecord, 'status' | 'text' | 'seal'>;
 
+/** Name of the route that comes and goes. */
+const ADDED = 'added';
+
+const ADDED_ROUTE = {
+  Host: HOST,
+  Name: ADDED,
+  Prefix: `/${ADDED}/`,
+  Kind: 'safe',
+  Service: 'plain',
+  TimeoutMs: 3_000,
+  TargetLatencyMs: 400,
+  MaxAttempts: 2,
+};
+
 /** A span in which an entry is stopped, killed or frozen. */
 interface Disturbance {
   readonly entry: number;
@@ -66,19 +85,37 @@
 export type SoakTroubles =
   | 'basic'
   /** Also targets that leave, or ask to back off, by their own answers. */
-  | 'statements';
+  | 'statements'
+  /** Also a store that comes back from copies, and configurations. */
+  | 'restores';
 
 function planOf(
   seed: number,
   size: SoakSize,
   troubles: SoakTroubles,
 ): readonly PlannedTrouble[] {
-  const basic = planTroubles(seed, size);
-  if (troubles === 'basic') return basic;
-  const planned = [...basic, ...planStatements(seed, size)];
+  const planned = [
+    ...planTroubles(seed, size),
+    ...moreOf(seed, size, troubles),
+  ];
   return planned.sort((one, other) => one.at - other.at);
 }
 
+function moreOf(
+  seed: number,
+  size: SoakSize,
+  troubles: SoakTroubles,
+): readonly PlannedTrouble[] {
+  switch (troubles) {
+    case 'basic':
+      return [];
+    case 'statements':
+      return planStatements(seed, size);
+    case 'restores':
+      return planRestores(seed, size);
+  }
+}
+
 /** Plays the troubles of one seed against real entries. */
 export async function playSoak(
   seed: number,
@@ -93,6 +130,11 @@
   const limits: LimitSpan[] = [];
   const openLimits = new Map<HostEngine, {rate: number; from: number}>();
   const disturbances: Disturbance[] = [];
+  const routes: RouteSpan[] = [];
+  /** When the store began or ended to misbehave. */
+  const storeFaults: number[] = [];
+  let copy: StoreCopy | undefined;
+  let isRouteServed = false;
   let enginesEnded = 0;
   let isOver = false;
 
@@ -108,11 +150,15 @@
     engine.setFault({kind: 'crashes', under: CRASHING});
     engines.push(engine);
     running[place] = engine;
+    register(engine, place);
+  }
+
+  function register(engine: HostEngine, place: number): void {
     const models = {
       Service: 'engines',
       Models: [{Name: 'model', Version: 1, Adapters: []}],
     };
-    site.register(engine, isModel ? models : {});
+    site.register(engine, place % 2 === 1 ? models : {});
   }
 
   async function replaceEngine(ended: HostEngine, place: number) {
@@ -123,6 +169,29 @@
     await startEngine(place);
   }
 
+  function configure(): void {
+    routes.push({at: performance.now(), isServed: isRouteServed});
+    site.configure({}, isRouteServed ? [ADDED_ROUTE] : []);
+  }
+
+  /** What the operator and the engines wrote is written again a little later. */
+  function restore(): void {
+    if (copy === undefined) return;
+    storeFaults.push(performance.now());
+    site.store.restore(copy);
+    setTimeout(() => {
+      if (isOver) return;
+      storeFaults.push(performance.now());
+      for (const engine of engines) {
+        if (!running.includes(engine)) {
+          site.store.remove('servers', engine.instance);
+        }
+      }
+      running.forEach(register);
+      configure();
+    }, WRITTEN_AGAIN).unref();
+  }
+
   async function endEngine(place: number): Promise<void> {
     const engine = running[place];
     if (engine === undefined) return;
@@ -166,7 +235,16 @@
         disturb(trouble.entry, trouble.signal);
         return entries[trouble.entry]?.signal(trouble.signal);
       case 'store':
+        storeFaults.push(performance.now());
         return site.store.setFault(trouble.fault);
+      case 'copy':
+        copy = site.store.copy();
+        return;
+      case 'restore':
+        return restore();
+      case 'route':
+        isRouteServed = trouble.isServed;
+        return configure();
       case 'limit': {
         const engine = running[trouble.engine];
         if (engine === undefined) return;
@@ -205,7 +283,9 @@
   ): Promise<void> {
     const kinds = ['safe', 'unsafe', 'stream'];
     const isCrashing = id % CRASHING_EACH === 0;
-    const kind = isCrashing ? 'safe' : kinds[id % kinds.length];
+    const isProbe = troubles === 'restores' && id % PROBE_EACH === 0;
+    const usual = isProbe ? ADDED : kinds[id % kinds.length];
+    const kind = isCrashing ? 'safe' : usual;
     const path = `/${kind}/${isCrashing ? 'crashing' : id}`;
     const requestId = `request-${id}`;
     const headers: Record<string, string> = {
@@ -275,6 +355,9 @@
     callers,
     engines,
     limits,
+    routes,
+    isStoreStable: (from, until) =>
+      storeFaults.every(at => at < from || at > until),
     crashing: CRASHING,
     isCalm: (entry, from, until) =>
       disturbances.every(
@@ -288,7 +371,8 @@
   const afterwards = callers.filter(
     ({requestId, path}) =>
       Number(requestId.split('-')[1]) >= idAfterwards &&
-      path !== '/safe/crashing',
+      path !== '/safe/crashing' &&
+      !path.startsWith(`/${ADDED}/`),
   );
   const served = afterwards.filter(({status}) => status === 200).length;
   return {
