Let a restore in the soak take enough versions back to be missed

As first written the third set of troubles found nothing on the code before the fix: copies were up to 3 s old, and versions hardly grew, since the stand-ins for engines write no heartbeats. Copies are 4 to 6.5 s old now and versions grow 40 a second; other faults of the store are left out there, so that seconds are left to judge by. One more oracle for all sets: nobody in touch is refused by a reading that is too old.

--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -16,6 +16,9 @@
 /** Bound of configurations. */
 const CONFIGURATION = 2_000;
 
+/** Why requests are refused when a reading of the store is too old. */
+const OUTDATED_REASONS = ['outdatedTargets', 'staleConfiguration'];
+
 const LIMIT_WINDOW = 4_000;
 const SECOND = 1_000;
 
@@ -74,6 +77,7 @@
     ...sendsToLeaving(records),
     ...sendsWhileBackingOff(records),
     ...olderConfigurations(records),
+    ...outdatedReadings(records),
   ];
 }
 
@@ -217,6 +221,18 @@
   );
 }
 
+/** Refusals by an old reading though entry and store were in touch. */
+function outdatedReadings(records: SoakRecords): readonly string[] {
+  return records.callers
+    .filter(({text}) => OUTDATED_REASONS.includes(text.trim()))
+    .filter(({entry, sentAt, endedAt}) => {
+      const from = sentAt - CONTACT;
+      if (!records.isStoreStable(from, endedAt)) return false;
+      return records.isCalm(entry, from, endedAt);
+    })
+    .map(({requestId, text}) => `${requestId} was refused: ${text.trim()}`);
+}
+
 function callerOf({callers}: SoakRecords, requestId: string) {
   return callers.find(record => record.requestId === requestId);
 }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -48,8 +48,15 @@
 const MOST_LIMIT = 4;
 const LONGEST_STATEMENT = 6_000;
 const MOST_RETRY_AFTER = 2;
-const LONGEST_COPY_AGE = 3_000;
-const LONGEST_CALM = 6_000;
+
+/** Versions take so long to be where they were before a restore. */
+const LEAST_COPY_AGE = 4_000;
+const COPY_AGE_SPREAD = 2_500;
+const LONGEST_ROUTE = 4_000;
+
+/** Long enough that entries are in touch with the store again. */
+const LEAST_CALM = 4_000;
+const CALM_SPREAD = 2_000;
 
 const STORE_FAULTS: readonly StoreFault[] = [
   'busy',
@@ -135,12 +142,12 @@
   let at = 0;
   while (at < duration) {
     planned.push({at, trouble: {kind: 'copy'}});
-    at += random(LONGEST_COPY_AGE);
+    at += LEAST_COPY_AGE + random(COPY_AGE_SPREAD);
     planned.push({at, trouble: {kind: 'restore'}});
-    at += random(LONGEST_CALM);
+    at += LEAST_CALM + random(CALM_SPREAD);
   }
   let isServed = false;
-  for (at = 0; at < duration; at += random(LONGEST_CALM)) {
+  for (at = 0; at < duration; at += random(LONGEST_ROUTE)) {
     isServed = !isServed;
     planned.push({at, trouble: {kind: 'route', isServed}});
   }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -33,6 +33,7 @@
 const CRASHING_EACH = 25;
 const PROBE_EACH = 7;
 const WRITTEN_AGAIN = 300;
+const HEARTBEAT = 25;
 const LAST_CALM = 6_000;
 const PATIENCE = 2_000;
 
@@ -94,11 +95,14 @@
   size: SoakSize,
   troubles: SoakTroubles,
 ): readonly PlannedTrouble[] {
-  const planned = [
-    ...planTroubles(seed, size),
-    ...moreOf(seed, size, troubles),
-  ];
+  const basic = planTroubles(seed, size);
+  const planned = [...basic.filter(keeps), ...moreOf(seed, size, troubles)];
   return planned.sort((one, other) => one.at - other.at);
+
+  /** Other faults of the store would leave few seconds to judge a restore by. */
+  function keeps({trouble}: PlannedTrouble): boolean {
+    return troubles !== 'restores' || trouble.kind !== 'store';
+  }
 }
 
 function moreOf(
@@ -174,6 +178,11 @@
     site.configure({}, isRouteServed ? [ADDED_ROUTE] : []);
   }
 
+  /** Writes what no entry reads, so that the store's versions grow. */
+  function writeOthers(): void {
+    site.store.write('others', 'row', performance.now());
+  }
+
   /** What the operator and the engines wrote is written again a little later. */
   function restore(): void {
     if (copy === undefined) return;
@@ -327,6 +336,7 @@
     const ready = await Promise.all(entries.map(isReady));
     return ready.every(isUp => isUp);
   });
+  const heartbeats = setInterval(writeOthers, HEARTBEAT);
   const startedAt = performance.now();
   const planned = planOf(seed, size, troubles);
   const end = startedAt + size.duration + LAST_CALM;
@@ -350,6 +360,7 @@
   }
   await Promise.all(sending);
   isOver = true;
+  clearInterval(heartbeats);
   for (const engine of [...openLimits.keys()]) endLimit(engine);
   const records: SoakRecords = {
     callers,
