Put an entry's parts of the quarantine together in one place

The quarantine, its rows, its trials and the watch for endings are composed in a module of their own.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -2,7 +2,6 @@
   createConfirmation,
   createNamedVersions,
   createPacedSends,
-  createQuarantine,
   createRateLimits,
   createStoreClock,
   createStoreContact,
@@ -40,16 +39,14 @@
 import {startMachineClock} from '../runtime/clock';
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
-import {createCrashWatch} from './crash_watch';
 import {createEntryCircle} from './entry_circle';
+import {createEntryQuarantine} from './entry_quarantine';
 import {createEngineReportStreams} from './engine_report_stream';
 import {createFleetMetrics} from './fleet_metrics';
 import {createHeldReadings} from './held_readings';
 import {createLimitWatch} from './limit_watch';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
-import {createQuarantineStore} from './quarantine_store';
-import {createQuarantineTrials} from './quarantine_trials';
 import {createRepeatBudgets} from './repeat_budgets';
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
@@ -134,23 +131,15 @@
     bounds,
   });
   const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
-  const quarantine = createQuarantine();
-  const quarantineStore = createQuarantineStore({
-    table: ports.quarantine,
-    quarantine,
-    onRestore: () => trials.claimAgain(),
-    log: logs('requests'),
-  });
-  const crashWatch = createCrashWatch({
-    quarantine,
-    clock,
-    log: logs('requests'),
-    onChange: fingerprint => {
-      circle.offerRecords();
-      quarantineStore.update(fingerprint);
-      if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
-    },
-  });
+  const life = `${settings.instance}-${randomUUID()}`;
+  const {quarantine, quarantineStore, trials, crashWatch} =
+    createEntryQuarantine({
+      table: ports.quarantine,
+      holder: life,
+      clock,
+      log: logs('requests'),
+      onChange: () => circle.offerRecords(),
+    });
   const limits = createRateLimits(clock);
   const limitWatch = createLimitWatch({
     limits,
@@ -170,13 +159,6 @@
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
   const handover = createStreamHandover({book, clock});
-  const life = `${settings.instance}-${randomUUID()}`;
-  const trials = createQuarantineTrials({
-    table: ports.quarantine,
-    holder: life,
-    clock,
-    log: logs('requests'),
-  });
   const self: MemberDescription = {
     instance: settings.instance,
     role: 'entry',
--- /dev/null
+++ b/packages/fleet/src/entry/entry_quarantine.ts
@@ -0,0 +1,54 @@
+import {createQuarantine, type Quarantine} from '@hibiscusbeam/core';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import type {QuarantineTable} from '../ports';
+import {createCrashWatch, type CrashWatch} from './crash_watch';
+import {createQuarantineStore, type QuarantineStore} from './quarantine_store';
+import {
+  createQuarantineTrials,
+  type QuarantineTrials,
+} from './quarantine_trials';
+
+/** What an entry's part in the quarantine needs. */
+export interface EntryQuarantineOptions {
+  readonly table: QuarantineTable;
+  /** Names the life of this process. */
+  readonly holder: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Told when this entry has seen what others are to know. */
+  readonly onChange: () => void;
+}
+
+/** What one entry knows and does of requests that end their targets. */
+export interface EntryQuarantine {
+  readonly quarantine: Quarantine;
+  readonly quarantineStore: QuarantineStore;
+  readonly trials: QuarantineTrials;
+  readonly crashWatch: CrashWatch;
+}
+
+/** Puts the parts together that act on one quarantine. */
+export function createEntryQuarantine(
+  options: EntryQuarantineOptions,
+): EntryQuarantine {
+  const {table, holder, clock, log} = options;
+  const quarantine = createQuarantine();
+  const trials = createQuarantineTrials({table, holder, clock, log});
+  const quarantineStore = createQuarantineStore({
+    table,
+    quarantine,
+    onRestore: trials.claimAgain,
+    log,
+  });
+  const crashWatch = createCrashWatch({
+    quarantine,
+    clock,
+    log,
+    onChange: fingerprint => {
+      options.onChange();
+      quarantineStore.update(fingerprint);
+      if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
+    },
+  });
+  return {quarantine, quarantineStore, trials, crashWatch};
+}
