Count silences of targets, and how late the loop runs

Cause: a send that was given up for a silence shows in its request's line only if it was the last one, and nothing says whether the target or the entry itself stood still.

Evidence: hibiscusbeam_silences_total by route, hibiscusbeam_loop_delay_milliseconds, and in the line of a request how late its silence was noticed. With them a silent target, a loop that stood still and an idle connection that was closed are told apart.

Conclusion: no decision changes.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -37,6 +37,8 @@
   readonly ownLines: () => readonly string[];
   /** Longest wait for the beginning of an answer, and between its events. */
   readonly longestSilence: Milliseconds;
+  /** Is told of a silence, and how late the loop of this process noticed it. */
+  readonly onSilence: (noticedLateBy: Milliseconds) => void;
   /** Whether the target may still be sent the request. */
   readonly mayBegin: () => boolean;
   /** Aborts when the stream is to go on at another target. */
@@ -66,8 +68,10 @@
   const abort = (): void => exchange.abort();
   options.signal.addEventListener('abort', abort, {once: true});
   let silent = false;
+  const silentAt = options.now() + options.longestSilence;
   const silence = setTimeout(() => {
     silent = true;
+    options.onSilence(options.now() - silentAt);
     exchange.abort();
   }, options.longestSilence);
   try {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -112,11 +112,11 @@
   logs: (part: LogPart) => Log,
 ): Promise<RunningProcess> {
   const clock = monotonicClock;
-  const machineClock = startMachineClock();
+  const metrics = createFleetMetrics();
+  const machineClock = startMachineClock(metrics.observeLoopDelay);
   const {bounds} = settings;
   const stopped = new AbortController();
   let phase: StoppingPhase = 'serving';
-  const metrics = createFleetMetrics();
   const storeClock = createStoreClock();
   const storeDistance = createStoreDistance();
   const storeContact = createStoreContact();
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -6,6 +6,9 @@
 /** Upper bounds of the histogram of readings' ages, in milliseconds. */
 const AGE_BUCKETS = [250, 500, 1_000, 1_500, 2_000, 2_500, 3_000, 4_000, 5_000];
 
+/** Upper bounds of the histogram of the loop's delays, in milliseconds. */
+const DELAY_BUCKETS = [5, 20, 50, 100, 200, 500, 1_000, 2_000];
+
 /** Tables of the store whose readings requests are decided by. */
 export type ReadTable = 'configuration' | 'targets';
 
@@ -17,6 +20,10 @@
   readonly observeReadingAge: (table: ReadTable, milliseconds: number) => void;
   /** Counts a send whose connection ended before the target's answer did. */
   readonly countLostSend: (route: string) => void;
+  /** Counts a silence of a target that has a request. */
+  readonly countSilence: (route: string) => void;
+  /** Notes how late a periodic timer of this process ran. */
+  readonly observeLoopDelay: (milliseconds: number) => void;
   /** Counts an answer in which a target named a limit of its own. */
   readonly countLimitedAnswer: (service: string) => void;
   /** Counts an answer in which a target said that it leaves. */
@@ -57,6 +64,18 @@
     labelNames: ['route'],
     registers: [registry],
   });
+  const silences = new Counter({
+    name: 'hibiscusbeam_silences_total',
+    help: 'Silences of targets that had a request, by route.',
+    labelNames: ['route'],
+    registers: [registry],
+  });
+  const loopDelays = new Histogram({
+    name: 'hibiscusbeam_loop_delay_milliseconds',
+    help: 'How late the loop of the process ran a timer.',
+    buckets: DELAY_BUCKETS,
+    registers: [registry],
+  });
   const limitedAnswers = new Counter({
     name: 'hibiscusbeam_limited_answers_total',
     help: 'Answers in which a target named a limit of its own, by service.',
@@ -82,6 +101,8 @@
     observeReadingAge: (table, milliseconds) =>
       readingAges.observe({table}, milliseconds),
     countLostSend: route => lostSends.inc({route}),
+    countSilence: route => silences.inc({route}),
+    observeLoopDelay: milliseconds => loopDelays.observe(milliseconds),
     countLimitedAnswer: service => limitedAnswers.inc({service}),
     countLeavingAnswer: service => leavingAnswers.inc({service}),
     countBackoffAnswer: service => backoffAnswers.inc({service}),
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -234,6 +234,10 @@
       now: options.clock,
       ownLines: options.ownLines,
       longestSilence: longestSilence(route),
+      onSilence: noticedLateBy => {
+        options.metrics.countSilence(route.name);
+        story.explain(`silent; noticed ${Math.round(noticedLateBy)} ms late`);
+      },
       mayBegin: () => mayBegin(target),
       handOn: handOn.signal,
       signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -27,6 +27,8 @@
   readonly handOn: AbortSignal;
   /** Longest silence of the target before it counts as lost. */
   readonly longestSilence: Milliseconds;
+  /** Is told of a silence, and how late the loop of this process noticed it. */
+  readonly onSilence: (noticedLateBy: Milliseconds) => void;
   readonly now: () => MonotonicInstant;
   /** Header lines of our own for the caller. */
   readonly ownLines: () => readonly string[];
@@ -82,9 +84,17 @@
       body.destroy();
     };
     options.handOn.addEventListener('abort', handOn, {once: true});
-    const silence = setTimeout(() => broken('silence'), options.longestSilence);
-    body.on('data', (bytes: Buffer) => {
+    let silentAt = options.now() + options.longestSilence;
+    const silence = setTimeout(() => {
+      options.onSilence(options.now() - silentAt);
+      broken('silence');
+    }, options.longestSilence);
+    const refreshSilence = (): void => {
+      silentAt = options.now() + options.longestSilence;
       silence.refresh();
+    };
+    body.on('data', (bytes: Buffer) => {
+      refreshSilence();
       for (const event of splitter.push(bytes)) {
         if (!follows(progress.lastEventId, event.id)) {
           broken('foreignAnswer');
@@ -101,7 +111,7 @@
       body.pause();
       clearTimeout(silence);
       response.once('drain', () => {
-        silence.refresh();
+        refreshSilence();
         body.resume();
       });
     };
--- a/packages/fleet/src/runtime/clock.ts
+++ b/packages/fleet/src/runtime/clock.ts
@@ -38,14 +38,25 @@
   };
 }
 
-/** The clock of the machine on which this process runs. */
-export function startMachineClock(): Clock {
+/**
+ * The clock of the machine on which this process runs; `onDelay` is told how late
+ * the loop of the process runs.
+ */
+export function startMachineClock(
+  onDelay: (delay: Milliseconds) => void = () => undefined,
+): Clock {
   const clock = createMachineClock({
     steady: monotonicClock,
     timeOfDay: () => Date.now(),
   });
   // Without regular looks, a clock set back and a suspension that follows
   // within the same gap would hide each other.
-  setInterval(clock, COMPARE_PERIOD).unref();
+  let dueAt = monotonicClock() + COMPARE_PERIOD;
+  setInterval(() => {
+    clock();
+    const now = monotonicClock();
+    onDelay(Math.max(0, now - dueAt));
+    dueAt = now + COMPARE_PERIOD;
+  }, COMPARE_PERIOD).unref();
   return clock;
 }
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -8,6 +8,22 @@
   expect(lines).toContain('hibiscusbeam_lost_sends_total{route="notes"} 1');
 });
 
+test('counts silences of targets that had a request, by route', async () => {
+  const metrics = createFleetMetrics();
+  metrics.countSilence('notes');
+  const lines = (await metrics.text()).split('\n');
+  expect(lines).toContain('hibiscusbeam_silences_total{route="notes"} 1');
+});
+
+test('counts how late the loop ran its timers', async () => {
+  const metrics = createFleetMetrics();
+  metrics.observeLoopDelay(30);
+  const lines = (await metrics.text()).split('\n');
+  const bucket = 'hibiscusbeam_loop_delay_milliseconds_bucket';
+  expect(lines).toContain(`${bucket}{le="20"} 0`);
+  expect(lines).toContain(`${bucket}{le="50"} 1`);
+});
+
 test('counts answers in which a target named a limit, by service', async () => {
   const metrics = createFleetMetrics();
   metrics.countLimitedAnswer('engines');
