Keep idle connections of callers for the longer of two idle times

Cause: the timer of an idle connection is set when its last answer ends, with the idle time that is in force then. A longer one that comes into force later doesn't move it, and an answer whose request came before a shorter one names the older time and gets the newer timer.

Callers would see: a request on a connection that was idle for less than the time they go by meets a close, with neither an answer nor a refusal; beside changes of the idle time only.

Evidence: two tests over real sockets failed before in two runs of two ("closed" in place of 200): 100 ms replaced by 60 s while idle, and 60 s replaced by 100 ms while a request is answered whose answer still says timeout=60. Both pass now; two guards are caught without their code.

Conclusion: a connection is kept for the longer of the time its caller was told and the time in force, and a second more. Node 20.20 itself adds that second to its timer and says nothing of it; the margin no longer rests on that.

--- a/packages/fleet/src/entry/caller_face.ts
+++ b/packages/fleet/src/entry/caller_face.ts
@@ -1,5 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
+import type {Clock} from '@hibiscusbeam/daemon';
 import {createServer, type Server} from 'node:http';
+import {createIdleConnections} from './idle_connections';
 import type {RequestHandler} from './request_handler';
 
 /** Idle time of callers' connections until a configuration names one. */
@@ -16,11 +18,17 @@
 }
 
 /** Creates the face that passes requests to `handler`. */
-export function createCallerFace(handler: RequestHandler): CallerFace {
-  const server: Server = createServer(
-    {keepAliveTimeout: FIRST_IDLE_TIMEOUT},
-    handler.handle,
-  );
+export function createCallerFace(
+  handler: RequestHandler,
+  clock: Clock,
+): CallerFace {
+  const server: Server = createServer({keepAliveTimeout: FIRST_IDLE_TIMEOUT});
+  const idle = createIdleConnections(() => server.keepAliveTimeout, clock);
+  server.on('request', (request, response) => {
+    idle.noteRequest(request, response);
+    handler.handle(request, response);
+  });
+  server.on('timeout', idle.noteTimeout);
   // Deadlines of requests are kept by their handler.
   server.requestTimeout = 0;
   return {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -275,7 +275,7 @@
     listedAt: () => targets.listedAt(),
     stopping: () => phase,
   });
-  const callers = createCallerFace(handler);
+  const callers = createCallerFace(handler, clock);
   const usable = (): readonly MemberDescription[] => {
     const others = circle.usable();
     return isReady() || others.length === 0 ? [self, ...others] : others;
--- /dev/null
+++ b/test/fleet/caller_face.test.ts
@@ -0,0 +1,94 @@
+import {monotonicClock} from '@hibiscusbeam/daemon';
+import type {ServerResponse} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  createCallerFace,
+  type CallerFace,
+} from '../../packages/fleet/src/entry/caller_face';
+import {freeAddress} from './fixtures/host_site';
+
+const REQUEST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
+
+const SHORT_TIME = 100;
+const LONG_TIME = 60_000;
+
+/** Longer than a connection with the short time is kept. */
+const OVER_SHORT_TIME = 1_600;
+
+let face: CallerFace;
+let caller: Socket;
+let onRequest: (response: ServerResponse) => void;
+
+beforeEach(async () => {
+  onRequest = response => response.end('yes');
+  face = createCallerFace(
+    {
+      handle: (request, response) => {
+        request.resume().once('end', () => onRequest(response));
+      },
+      running: () => 0,
+    },
+    monotonicClock,
+  );
+  const address = await freeAddress();
+  await face.listen(address);
+  caller = connect(Number(address.split(':')[1]), '127.0.0.1');
+  caller.on('error', () => undefined);
+});
+
+afterEach(() => {
+  caller.destroy();
+  face.close();
+});
+
+/** The next bytes of the entry, or that it closed the connection. */
+function nextAnswer(): Promise<string> {
+  if (caller.closed) return Promise.resolve('closed');
+  return new Promise(resolve => {
+    caller.once('data', bytes => resolve(bytes.toString()));
+    caller.once('close', () => resolve('closed'));
+  });
+}
+
+function ask(text = REQUEST): Promise<string> {
+  caller.write(text);
+  return nextAnswer();
+}
+
+function sleep(duration: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, duration));
+}
+
+test('a connection that stays idle is closed', async () => {
+  face.setIdleTimeout(SHORT_TIME);
+  expect(await ask()).toContain('200 OK');
+  expect(await nextAnswer()).toBe('closed');
+});
+
+test('an idle connection is kept as long as a longer idle time says that comes into force', async () => {
+  face.setIdleTimeout(SHORT_TIME);
+  expect(await ask()).toContain('200 OK');
+  face.setIdleTimeout(LONG_TIME);
+  await sleep(OVER_SHORT_TIME);
+  expect(await ask()).toContain('200 OK');
+});
+
+test('an idle connection is kept as long as its caller was told though a shorter idle time is in force', async () => {
+  face.setIdleTimeout(LONG_TIME);
+  onRequest = response => {
+    face.setIdleTimeout(SHORT_TIME);
+    response.end('yes');
+  };
+  expect(await ask()).toContain(`timeout=${LONG_TIME / 1_000}`);
+  await sleep(OVER_SHORT_TIME);
+  expect(await ask()).toContain('200 OK');
+});
+
+test('a request that lasts longer than the idle time is answered', async () => {
+  face.setIdleTimeout(SHORT_TIME);
+  expect(await ask()).toContain('200 OK');
+  onRequest = response =>
+    void setTimeout(() => response.end('late'), OVER_SHORT_TIME);
+  expect(await ask()).toContain('late');
+});
