Answer 502 for a request whose handling fails in the entry

Cause: an exception in the handling of a request ended in a destroyed response, whatever had been written. A configuration whose tenant has a name that no header line can carry makes each request with that tenant's key fail so.

Callers saw, in the test: a whole request and a closed connection, neither an answer nor a refusal, from the moment the configuration is in force. An answer that had been handed over whole was destroyed too if only its log line failed.

Conclusion: 502, which promises nothing, where no header was sent; a stream that had begun is cut as before; what was written whole stays. The deadline's timer and a trial that was taken are given back on this way too.

--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -30,6 +30,9 @@
   reason: 'the body is too large',
 };
 
+/** The answer if the handling fails; whether the request has run isn't known. */
+const FAILED: OwnAnswer = {status: 502, reason: 'failed'};
+
 /** What the handling of requests needs. */
 export interface RequestHandlerOptions
   extends
@@ -109,12 +112,11 @@
       ...ending,
     });
     options.budgets.recordFirst(accepted.service);
-    const result = await drive(
-      forwardRequest<ListedTarget>(accepted.route),
-      run.perform,
-    );
-    ending.stop();
-    run.end();
+    const flow = forwardRequest<ListedTarget>(accepted.route);
+    const result = await drive(flow, run.perform).finally(() => {
+      ending.stop();
+      run.end();
+    });
     finish(response, result, run.answer());
     record(accepted, result, story, progress);
     options.places.pump();
@@ -247,12 +249,27 @@
     });
   }
 
+  /**
+   * Failure: a configuration brings a value that no header line can carry, the
+   * handling of each request that meets it fails, and its caller gets neither an
+   * answer nor a refusal.
+   */
+  function answerFailure(response: ServerResponse, error: unknown): void {
+    log.error('request failed in this process', {error});
+    if (response.writableEnded) return;
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    writeOwnAnswer(response, FAILED, ownLines());
+    metrics.countRequest('none', String(FAILED.status));
+  }
+
   return {
     handle: (request, response) => {
-      handle(request, response).catch((error: unknown) => {
-        log.error('request failed in this process', {error});
-        response.destroy();
-      });
+      handle(request, response).catch((error: unknown) =>
+        answerFailure(response, error),
+      );
     },
     running: () => running,
   };
