Keep what is known of staged chunks when a reading of them breaks off

Cause: a reading of what lies staged began by forgetting all, and counted as done before its first chunk. An engine that gives no answer for a second in the middle of it left the agent with the chunks that had been read so far, and it was not read again.

Callers would see: chunks that lie staged are fetched once more, from the origin if no other member holds them, and a load whose turn has come waits for them: the engine serves the older version to its bound and then nothing. Versions whose chunks are kept in memory lose this only at an agent's start; larger ones at any order.

Evidence: two tests, both failed before, "expected [ …(2) ] to deeply equal [ …(4) ]": of 4 staged chunks 2 were known after a silence at an agent's start, and 2 after a silence before an order. An engine that has lost a chunk (404), or lists it no more, is noticed at the same reading as before; nothing is ordered after a reading that broke off, as before.

Conclusion: what is not read stays as it was known, and is read again.

--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -163,22 +163,29 @@
     return Ok({life: LIFE, digests: [...lying.values(), ...kept.keys()]});
   }
 
-  /** Reads what lies staged, and remembers the digest at each position. */
+  /**
+   * Reads what lies staged, and remembers the digest at each position.
+   *
+   * Failure: the engine doesn't answer for a second while it is read. Taken as
+   * gone, the chunks that were not read yet are fetched again, at worst from the
+   * origin. Guard: what is not read stays as it was known, and is read again.
+   */
   async function readAll(
     content: VersionContent,
   ): Promise<Result<void, EngineError>> {
     const staged = await engine.staged(content.model);
     if (staged.err) return staged;
-    isRead = true;
-    lying.clear();
-    for (const position of staged.val) {
+    const positions = new Set(staged.val);
+    for (const position of [...lying.keys()]) {
+      if (!positions.has(position)) lying.delete(position);
+    }
+    for (const position of positions) {
       const read = await engine.readStaged(content.model, position);
-      if (read.err) {
-        if (read.val.kind === 'notHeld') continue;
-        return read;
-      }
-      lying.set(position, digestBytes(read.val));
+      if (read.ok) lying.set(position, digestBytes(read.val));
+      else if (read.val.kind === 'notHeld') lying.delete(position);
+      else return read;
     }
+    isRead = true;
     return Ok.EMPTY;
   }
 
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -26,6 +26,13 @@
 function startStaging() {
   const lying = new Map<number, Buffer>();
   let isUp = true;
+  /** Calls that are answered before the engine falls silent. */
+  let answersLeft = Infinity;
+  const silence = Err({kind: 'unreachable', detail: 'no answer'} as const);
+  const answers = (): boolean => {
+    answersLeft -= 1;
+    return answersLeft >= 0;
+  };
   const engine: EngineControl = {
     standing: () => Promise.reject(new Error('not asked here')),
     staged: () =>
@@ -34,8 +41,10 @@
           ? Ok([...lying.keys()])
           : Err({kind: 'unreachable', detail: 'not up'} as const),
       ),
-    readStaged: (_model, position) => Promise.resolve(Ok(lying.get(position)!)),
+    readStaged: (_model, position) =>
+      Promise.resolve(answers() ? Ok(lying.get(position)!) : silence),
     stage: (_model, position, bytes) => {
+      if (!answers()) return Promise.resolve(silence);
       lying.set(position, bytes);
       return Promise.resolve(Ok.EMPTY);
     },
@@ -46,7 +55,10 @@
     isUp = next;
     staged.setReachable(isUp);
   };
-  return {lying, staged, setUp};
+  const silenceAfter = (calls: number): void => void (answersLeft = calls);
+  /** Another agent's staging area at the same engine, after a start. */
+  const startAnew = () => createStagedChunks(engine);
+  return {lying, staged, setUp, silenceAfter, startAnew};
 }
 
 type Staged = ReturnType<typeof startStaging>['staged'];
@@ -149,3 +161,31 @@
   expect(await isWhole(staged, 1)).toBe(true);
   expect(lying.size).toBe(CHUNKS);
 });
+
+test('an engine that falls silent while it is read has lost nothing', async () => {
+  const {lying, startAnew, silenceAfter} = startStaging();
+  for (let position = 0; position < CHUNKS; position += 1) {
+    lying.set(position, chunk(2, position));
+  }
+  const staged = startAnew();
+  staged.aim(content(2));
+  silenceAfter(2);
+  expect((await staged.store.list()).err).toBe(true);
+  silenceAfter(Infinity);
+  const listed = (await staged.store.list()).unwrap();
+  expect([...listed.digests].sort()).toEqual([...content(2).digests].sort());
+});
+
+test('an engine that falls silent before an order has lost nothing', async () => {
+  const {lying, startAnew, silenceAfter} = startStaging();
+  for (let position = 0; position < CHUNKS; position += 1) {
+    lying.set(position, chunk(2, position));
+  }
+  const staged = startAnew();
+  staged.aim(content(2));
+  (await staged.store.list()).unwrap();
+  silenceAfter(2);
+  expect(await isWhole(staged, 2)).toBe(false);
+  const listed = (await staged.store.list()).unwrap();
+  expect([...listed.digests].sort()).toEqual([...content(2).digests].sort());
+});
