Hold a chunk in memory that a silent engine did not take

Cause: a call that stages a chunk runs out after a second. The chunk, though it lay in memory, then counted as not stored: the swarm dropped it, and paused all transfers for 100 ms, doubled with each chunk, up to 5 s.

Callers would see: an engine that is silent for a second while a version moves gets that version seconds late, may start nothing from the bound on, and some chunks are moved twice, from the origin if no member has them.

Evidence: the new test failed before, "expected false to be true": the store refused a chunk that it holds. Now the store confirms each, so that there is no pause; chunks refused by an engine that answers, and those too large to be kept, still count as not stored.

A dead engine is noticed by the agent's looks, which have not changed; what waits in memory is staged when it answers, and before an order in any case.

Conclusion: a wait that ran out is no refusal.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -63,7 +63,7 @@
     monotonicClock,
     configurationLog,
   );
-  const staged = createStagedChunks(ports.engine);
+  const staged = createStagedChunks(ports.engine, logs('target'));
   const peers = createPeerAgents({
     self,
     swarm: () => swarm,
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -3,6 +3,7 @@
   digestBytes,
   type ChunkStore,
   type ChunkStoreError,
+  type Log,
 } from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
 import type {EngineControl, EngineError, VersionContent} from '../ports';
@@ -57,7 +58,10 @@
 const LIFE = 'staged';
 
 /** Creates the store over the engine's staging area. */
-export function createStagedChunks(engine: EngineControl): StagedChunks {
+export function createStagedChunks(
+  engine: EngineControl,
+  log: Log,
+): StagedChunks {
   let aim: VersionContent | undefined;
   let prepared: VersionContent | undefined;
   const kept = new Map<Digest, Buffer>();
@@ -78,7 +82,7 @@
     if (isPrepared || position !== -1) keep(digest, bytes);
     if (!isReachable && kept.has(digest)) return Ok.EMPTY;
     if (aim !== undefined && position !== -1) {
-      return stage(aim, position, digest, bytes);
+      return stageOrKeep(aim, position, digest, bytes);
     }
     if (isPrepared) return Ok.EMPTY;
     return Err({kind: 'refused', detail: 'the chunk is of another version'});
@@ -98,6 +102,24 @@
     if (canBeKept(chunks, bytes.length)) kept.set(digest, bytes);
   }
 
+  /**
+   * Failure: an engine is silent for a second while chunks come. Each that can't
+   * be staged counts as a failure of the store, and the agent fetches nothing for
+   * seconds. Guard: what is in memory is held, and is staged before the order.
+   */
+  async function stageOrKeep(
+    content: VersionContent,
+    position: number,
+    digest: Digest,
+    bytes: Buffer,
+  ): Promise<Result<void, ChunkStoreError>> {
+    const stored = await stage(content, position, digest, bytes);
+    if (stored.ok || stored.val.kind !== 'unavailable') return stored;
+    if (!kept.has(digest)) return stored;
+    log.info('chunk waits in memory', {position, error: stored.val});
+    return Ok.EMPTY;
+  }
+
   async function stage(
     {model}: VersionContent,
     position: number,
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -9,6 +9,9 @@
 
 const CHUNKS = 4;
 
+const ignore = (): void => undefined;
+const log = {debug: ignore, info: ignore, warn: ignore, error: ignore};
+
 function chunk(version: number, position: number): Buffer {
   return Buffer.from(`chunk ${position} of version ${version}`);
 }
@@ -50,14 +53,14 @@
     },
     load: () => Promise.reject(new Error('not asked here')),
   };
-  const staged = createStagedChunks(engine);
+  const staged = createStagedChunks(engine, log);
   const setUp = (next: boolean): void => {
     isUp = next;
     staged.setReachable(isUp);
   };
   const silenceAfter = (calls: number): void => void (answersLeft = calls);
   /** Another agent's staging area at the same engine, after a start. */
-  const startAnew = () => createStagedChunks(engine);
+  const startAnew = () => createStagedChunks(engine, log);
   return {lying, staged, setUp, silenceAfter, startAnew};
 }
 
@@ -189,3 +192,17 @@
   const listed = (await staged.store.list()).unwrap();
   expect([...listed.digests].sort()).toEqual([...content(2).digests].sort());
 });
+
+test('an engine that falls silent while it is staged to needs no chunk again', async () => {
+  const {lying, staged, silenceAfter} = startStaging();
+  staged.aim(content(2));
+  (await staged.store.list()).unwrap();
+  silenceAfter(1);
+  await putAll(staged, 2);
+  expect(lying.size).toBe(1);
+  const held = (await staged.store.list()).unwrap();
+  expect(new Set(held.digests).size).toBe(CHUNKS);
+  silenceAfter(Infinity);
+  expect(await isWhole(staged, 2)).toBe(true);
+  expect(lying.size).toBe(CHUNKS);
+});
