Count an entry's silence by the clock, not by the engine's last report

Cause: an agent dated replies of entries by its last report, and reports stop while its engine gives no answer. After 2.2 s of that, an agent took every entry for silent.

Callers would see: when an engine goes on, or has started again, its agent closes its streams to all entries, pauses for 300 ms, and passes them over for 5 s. Entries whose last report has just run out go by the platform's list for that much longer.

Evidence: the new test (virtual clock; an entry that answers at 1,000 and 2,000 ms, the next report at 2,400 ms) failed before, "expected [ …(2) ] to have a length of 1 but got 2"; now the stream stays. A second test, which passed before too: an entry that answers nothing is given up at the first report after 2,200 ms, and its stream is opened again 300 ms later, before and after.

Conclusion: what was not asked for is no silence.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -119,6 +119,7 @@
     engineAddress: settings.engine.address,
     zone: settings.zone,
     namings: namings.tell,
+    clock: monotonicClock,
     onReply: reply => {
       namings.take(reply.namings);
       operator.noteEntry(reply.servicesDigest);
@@ -141,8 +142,7 @@
     versionBound: settings.bounds.version,
     clock: monotonicClock,
     log: logs('target'),
-    onStanding: (standing, loadsIn) =>
-      reports.offer(standing, monotonicClock(), loadsIn),
+    onStanding: reports.offer,
   });
 
   const server = await openPeerServer(settings.peerAddress, {
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -3,7 +3,9 @@
   createSilentPeers,
   reportReceivers,
   type Milliseconds,
+  type MonotonicInstant,
 } from '@hibiscusbeam/core';
+import type {Clock} from '@hibiscusbeam/daemon';
 import type {
   EngineReport,
   EngineReportReply,
@@ -36,7 +38,6 @@
   /** Takes the newest standing; sends it where it is time or it matters. */
   readonly offer: (
     standing: EngineStanding,
-    now: number,
     loadsIn: Milliseconds | undefined,
   ) => void;
 }
@@ -48,6 +49,7 @@
   readonly zone: string;
   /** Versions that the operator has named lately. */
   readonly namings: () => VersionNaming[];
+  readonly clock: Clock;
   readonly onReply: (reply: EngineReportReply) => void;
 }
 
@@ -68,11 +70,11 @@
 export function createEngineReports(
   options: EngineReportsOptions,
 ): EngineReports {
+  const {clock} = options;
   const channels = createEntryChannels();
   const silent = createSilentPeers();
   let members: readonly MemberDescription[] = [];
   let entries = new Map<string, ReportedEntry>();
-  let now = 0;
   let sequence = 0;
   let chosenAt = -Infinity;
 
@@ -82,6 +84,7 @@
   }
 
   function chooseReceivers(): void {
+    const now = clock();
     chosenAt = now;
     const next = new Map<string, ReportedEntry>();
     const receivers = reportReceivers(members, ({life}) =>
@@ -117,10 +120,9 @@
 
   function offer(
     standing: EngineStanding,
-    at: number,
     loadsIn: Milliseconds | undefined,
   ): void {
-    now = at;
+    const now = clock();
     sequence += 1;
     if (now - chosenAt >= CHOOSE_PERIOD) chooseReceivers();
     const {held, ordering, running, waiting, pace, born} = standing;
@@ -141,7 +143,7 @@
     for (const entry of entries.values()) {
       const isDue = now - entry.sentAt >= entry.period - 5;
       if (state === entry.sentState && !isDue) continue;
-      send(entry, report, state);
+      send(entry, report, state, now);
     }
   }
 
@@ -149,6 +151,7 @@
     entry: ReportedEntry,
     report: EngineReport,
     state: string,
+    now: MonotonicInstant,
   ): void {
     // Failure: an open connection falls silent for good, and entries go by an
     // old standing. Replies come every second; without them it is opened anew.
@@ -168,11 +171,14 @@
   }
 
   function open(entry: ReportedEntry): ReportStream | undefined {
-    if (now - entry.brokenAt < REOPEN_PAUSE) return undefined;
+    if (clock() - entry.brokenAt < REOPEN_PAUSE) return undefined;
     const stream = channels.at(entry.address).reportEngine();
-    entry.repliedAt = now;
+    entry.repliedAt = clock();
     stream.on('data', (reply: EngineReportReply) => {
-      entry.repliedAt = now;
+      // Failure: an engine is silent for seconds, in which nothing is reported.
+      // Counted from the last report, all entries seem to be silent too, and
+      // their streams are closed just when there is something to report again.
+      entry.repliedAt = clock();
       options.onReply(reply);
     });
     stream.on('error', () => {
@@ -187,8 +193,8 @@
   function lose(entry: ReportedEntry): void {
     entry.stream?.cancel();
     entry.stream = undefined;
-    entry.brokenAt = now;
-    silent.note(entry.life, now);
+    entry.brokenAt = clock();
+    silent.note(entry.life, entry.brokenAt);
   }
 
   return {setMembers, offer};
--- /dev/null
+++ b/test/fleet/engine_reports.test.ts
@@ -0,0 +1,118 @@
+import {afterEach, expect, test} from 'vitest';
+import {
+  createEngineReports,
+  type EngineReports,
+} from '../../packages/fleet/src/agent/engine_reports';
+import {
+  createEngineReportStreams,
+  type ReportCall,
+} from '../../packages/fleet/src/entry/engine_report_stream';
+import {openPeerServer} from '../../packages/fleet/src/link/peer_server';
+import type {EngineStanding} from '../../packages/fleet/src/ports';
+import {eventually, freeAddress} from './fixtures/host_site';
+
+const STANDING: EngineStanding = {
+  held: [{model: 'model', version: 1}],
+  ordering: false,
+  running: 0,
+  waiting: 0,
+  pace: 1,
+  born: 1,
+};
+
+const closers: (() => void)[] = [];
+afterEach(() => closers.splice(0).forEach(close => close()));
+
+/** An agent's reports to one entry; time passes only as told. */
+async function startReports() {
+  let now = 10_000;
+  let replies = 0;
+  let reported = 0;
+  let isAnswering = true;
+  const calls: ReportCall[] = [];
+  const stopped = new AbortController();
+  const streams = createEngineReportStreams(
+    () => void (reported += 1),
+    () => ({namings: [], servicesDigest: 0}),
+    stopped.signal,
+  );
+  const address = await freeAddress();
+  const server = await openPeerServer(address, {
+    role: 'entry',
+    handlers: {
+      reportEngine: call => {
+        calls.push(call);
+        if (isAnswering) streams.answer(call);
+        else call.on('data', () => void (reported += 1));
+      },
+      follow: call => call.end(),
+    },
+  });
+  closers.push(() => stopped.abort(), server.close);
+  const reports: EngineReports = createEngineReports({
+    engineAddress: '127.0.0.1:1',
+    zone: 'north',
+    namings: () => [],
+    clock: () => now,
+    onReply: () => void (replies += 1),
+  });
+  reports.setMembers([
+    {
+      instance: 'entry',
+      role: 'entry',
+      zone: 'north',
+      address,
+      life: 'life of the entry',
+    },
+  ]);
+  closers.push(() => reports.setMembers([]));
+
+  async function report(): Promise<void> {
+    const before = reported;
+    reports.offer(STANDING, undefined);
+    await eventually(() => reported > before);
+  }
+
+  /** Lets the entry answer after so much time in which nothing is reported. */
+  async function answerAfter(time: number): Promise<void> {
+    now += time;
+    const before = replies;
+    streams.tellAll();
+    await eventually(() => replies > before);
+  }
+
+  return {
+    calls,
+    report,
+    answerAfter,
+    pass: (time: number) => void (now += time),
+    offer: () => reports.offer(STANDING, undefined),
+    replies: () => replies,
+    silence: () => void (isAnswering = false),
+  };
+}
+
+test('a silent engine does not make its agent close what entries answer on', async () => {
+  const {calls, report, answerAfter, pass, offer, replies} =
+    await startReports();
+  await report();
+  await eventually(() => replies() > 0);
+  await answerAfter(1_000);
+  await answerAfter(1_000);
+  pass(400);
+  offer();
+  pass(300);
+  await report();
+  expect(calls).toHaveLength(1);
+});
+
+test('an entry that answers no report is given up after 2.2 seconds', async () => {
+  const {calls, report, pass, offer, silence} = await startReports();
+  silence();
+  await report();
+  pass(2_201);
+  offer();
+  pass(300);
+  await report();
+  expect(calls).toHaveLength(2);
+});
