Read what has come before a neighbour counts as lost

Cause: the wait for a neighbour's answer is one timer of 600 ms. Timers run before sockets are read: after a standstill of the agent itself, each neighbour that was asked counts as lost although its answer lies in the socket.

Callers would see: on a machine that is short of its processor while a version moves, downloads under way from all those neighbours are given up and begun again, what they hold is forgotten and asked for over new connections, and the version comes later.

Evidence: a neighbour whose answer comes while the agent stands still for 700 ms. Before, in three runs of three: "expected { answers: +0, losses: 1 } to deeply equal { answers: 1, losses: +0 }"; now one answer and no loss, three of three. A neighbour that answers nothing is lost at 600 ms and not at 599 ms, before and after (virtual clock).

The guard "a neighbour that answers nothing is lost" names the new line; it takes out the same loss, and the same test must fail.

Conclusion: a wait passes in two steps, so that a standstill costs one of them.

--- a/packages/fleet/src/agent/announcement_link.ts
+++ b/packages/fleet/src/agent/announcement_link.ts
@@ -6,6 +6,7 @@
   AnnouncementReply,
   FleetAgentClient,
 } from '@hibiscusbeam/wire';
+import {startAnswerTimer, type AnswerTimer} from '../link/answer_timer';
 import type {Channels} from '../link/channels';
 
 /** Longest wait for an answer that was asked for. */
@@ -51,7 +52,7 @@
   const {address, channels, clock} = options;
   let call: ClientDuplexStream<Announcement, AnnouncementReply> | undefined;
   let answeredAt: MonotonicInstant = -Infinity;
-  let waiting: NodeJS.Timeout | undefined;
+  let waiting: AnswerTimer | undefined;
 
   function open(): NonNullable<typeof call> {
     const opened = channels.at(address).announce();
@@ -76,11 +77,11 @@
   }
 
   function waitFor(asked: NonNullable<typeof call>): void {
-    waiting ??= setTimeout(() => lose(asked), ANSWER_TIMEOUT);
+    waiting ??= startAnswerTimer(ANSWER_TIMEOUT, () => lose(asked));
   }
 
   function stopWaiting(): void {
-    clearTimeout(waiting);
+    waiting?.stop();
     waiting = undefined;
   }
 
