Read what has come before a call counts as unanswered

Cause: the time of a call over HTTP is one timer, and timers run before sockets are read. After a standstill of the process itself that outlasts it, the call ends although its answer lies in the socket. So end looks of agents at their engine (500 ms), staging and orders (1 s), the list of targets (half of the draining bound) and questions to the store.

Callers would see: an engine that answers counts as unreachable for a look; an order that was answered counts as unanswered and is given again; an entry goes without a reading of the list or of the configuration, or takes a store that has answered for one that is silent and goes by an older reading.

Evidence: a server on a thread of its own answers after 200 ms while this process stands still from 50 to 750 ms; the call may take 600 ms.

Conclusion: the last 100 ms of a wait begin after a standstill, not within it.

--- a/packages/fleet/src/link/answer_timer.ts
+++ b/packages/fleet/src/link/answer_timer.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 
-/** Steps in which the time for an answer passes. */
-const STEPS = 2;
+/** The end of the time, in which what has come is surely read. */
+const LAST_STEP: Milliseconds = 100;
 
 /** The time that an answer may take. */
 export interface AnswerTimer {
@@ -13,22 +13,16 @@
  *
  * Failure: this process stands still, and timers run before what has come
  * meanwhile is read. An answer that is there counts as missing, and what goes with
- * it is given up. Guard: a standstill costs one step; answers are read before the
- * next.
+ * it is given up. Guard: a standstill costs the first step only; answers are read
+ * before the last one has passed.
  */
 export function startAnswerTimer(
   time: Milliseconds,
   onExpired: () => void,
 ): AnswerTimer {
-  let stepsLeft = STEPS;
-
-  function step(): void {
-    if (stepsLeft === 0) return onExpired();
-    stepsLeft -= 1;
-    timer = setTimeout(step, time / STEPS);
-  }
-
-  let timer: NodeJS.Timeout | undefined;
-  step();
+  const lastStep = Math.min(LAST_STEP, time / 2);
+  let timer = setTimeout(() => {
+    timer = setTimeout(onExpired, lastStep);
+  }, time - lastStep);
   return {stop: () => clearTimeout(timer)};
 }
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -1,6 +1,7 @@
 import {unreachable, type Milliseconds} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {Agent, request, type Dispatcher} from 'undici';
+import {startAnswerTimer} from './answer_timer';
 import {openSingleConnection, type SingleConnection} from './single_connection';
 
 /** An answer, read whole. */
@@ -83,9 +84,8 @@
   call: HttpCall,
 ): Promise<Result<HttpReply, NoReply>> {
   const controller = new AbortController();
-  const timer = setTimeout(
-    () => controller.abort(new Error(`no answer in ${call.timeout} ms`)),
-    call.timeout,
+  const timer = startAnswerTimer(call.timeout, () =>
+    controller.abort(new Error(`no answer in ${call.timeout} ms`)),
   );
   const abort = (): void => controller.abort();
   call.signal?.addEventListener('abort', abort, {once: true});
@@ -103,7 +103,7 @@
       progress: progressOf(call, controller.signal, connection, hasBegun),
     });
   } finally {
-    clearTimeout(timer);
+    timer.stop();
     call.signal?.removeEventListener('abort', abort);
     connection?.close();
   }
--- a/test/fleet/call_progress.test.ts
+++ b/test/fleet/call_progress.test.ts
@@ -1,4 +1,5 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import {afterEach, expect, test} from 'vitest';
 import {
   callHttp,
@@ -63,3 +64,43 @@
   expect(await progressOf(address)).toBe('broken');
   expect(await progressOf(await freeAddress())).toBe('broken');
 });
+
+/** A server on a thread of its own that answers after a while. */
+async function startServerApart(delay: number): Promise<string> {
+  const worker = new Worker(
+    `const {createServer} = require('node:http');
+     const {parentPort} = require('node:worker_threads');
+     const server = createServer((request, response) =>
+       setTimeout(() => response.end('late'), ${delay}));
+     server.listen(0, '127.0.0.1', () =>
+       parentPort.postMessage(server.address().port));`,
+    {eval: true},
+  );
+  closing.push(() => void worker.terminate());
+  const port = await new Promise(resolve => worker.once('message', resolve));
+  return `127.0.0.1:${String(port)}`;
+}
+
+test('an answer that came while this process stood still counts', async () => {
+  const address = await startServerApart(200);
+  const ask = () =>
+    callHttp({
+      address,
+      method: 'GET',
+      path: '/',
+      timeout: 600,
+      connection: 'kept',
+    });
+  (await ask()).unwrap();
+  const reply = ask();
+  await new Promise(resolve => setTimeout(resolve, 50));
+  await new Promise<void>(resolve =>
+    // What comes during it is read after the timers that have expired.
+    setImmediate(() => {
+      const until = performance.now() + 700;
+      while (performance.now() < until);
+      resolve();
+    }),
+  );
+  expect((await reply).unwrap().body.toString()).toBe('late');
+});
