--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -5,8 +5,8 @@
   ForwardedRequest,
   ForwardReply,
   ForwardResult,
-  NotRunCause,
   PlaceReply,
+  SendReport,
   UnknownCause,
 } from './types';
 
@@ -21,20 +21,33 @@
 interface Progress<Target> {
   tried: Target[];
   sends: number;
-  /** Attempts that may have run. */
+  /** Sends that may have run, those under way included. */
   runs: number;
-  /** Why nothing is known of the last of them. */
+  /** Sends under way, as of the last report. */
+  underWay: number;
+  /** Why nothing is known of the last send that may have run. */
   lastCause: UnknownCause;
   /** Set once events have reached the caller. */
   streamBegun: boolean;
   lastEventId: string | undefined;
-  /** Whether a whole answer of an earlier attempt is at hand. */
+  /** Whether a whole answer of an earlier send is at hand. */
   answerAtHand: boolean;
+  /** Whether a repeat has been taken that no send has used. */
+  repeatTaken: boolean;
 }
 
+/** What the flow does next. */
+type Step =
+  | {readonly kind: 'search'}
+  | {readonly kind: 'wait'}
+  | {readonly kind: 'end'; readonly result: ForwardResult};
+
+type Steps<Target> = Flow<ForwardEffect<Target>, ForwardReply<Target>, Step>;
+
 /**
  * Decides what happens to one request, from the first target to the final
- * answer.
+ * answer. A send that is silent is not given up: another one may be begun
+ * beside it, and the first that has something for the caller wins.
  *
  * Failure: a request that may not run twice is sent again after a reset, and a
  * doubled charge shows at the caller. Guard: only evidence that nothing ran
@@ -48,64 +61,132 @@
     tried: [],
     sends: 0,
     runs: 0,
+    underWay: 0,
     lastCause: 'connectionLost',
     streamBegun: false,
     lastEventId: undefined,
     answerAtHand: false,
+    repeatTaken: false,
   };
+  let step: Step = {kind: 'search'};
   for (;;) {
-    const place = placeOf(yield {kind: 'choosePlace', tried: progress.tried});
-    if (place.kind !== 'place') return withoutPlace(progress, place);
-    const {target} = place;
-    progress.tried.push(target);
-    progress.sends += 1;
-    const outcome = outcomeOf(
-      yield {kind: 'send', target, resumeAfter: progress.lastEventId},
-    );
-    if (outcome.kind === 'handedOn') {
-      noteStreamEnd(progress, outcome.lastEventId);
-      if (mayRunAgain(request, progress)) continue;
-      return {kind: 'cut', cause: 'connectionLost'};
+    switch (step.kind) {
+      case 'search':
+        step = yield* searchPlace(request, progress);
+        break;
+      case 'wait': {
+        const report = reportOf(yield {kind: 'wait'});
+        step = yield* afterReport(request, progress, report);
+        break;
+      }
+      case 'end':
+        return step.result;
+      default:
+        return unreachable(step);
     }
-    const result = afterAttempt(request, progress, outcome);
-    if (result.kind !== 'again') return result;
-    const reply: ForwardReply<Target> = yield {kind: 'takeRepeat'};
-    if (reply.kind === 'repeat' && reply.allowed) continue;
-    return result.otherwise;
   }
 }
 
-/** A final answer, or another try with the answer if it is not allowed. */
-type NextStep =
-  ForwardResult | {readonly kind: 'again'; readonly otherwise: ForwardResult};
+/** Looks for a target and sends the request there. */
+function* searchPlace<Target>(
+  request: ForwardedRequest,
+  progress: Progress<Target>,
+): Steps<Target> {
+  const reply = yield {kind: 'choosePlace', tried: progress.tried};
+  if (reply.kind === 'sent') {
+    return yield* afterReport(request, progress, reply);
+  }
+  const place = placeOf(reply);
+  if (place.kind !== 'place') return withoutPlace(progress, place);
+  const {target} = place;
+  progress.tried.push(target);
+  progress.sends += 1;
+  progress.runs += 1;
+  progress.underWay += 1;
+  progress.repeatTaken = false;
+  const report = reportOf(
+    yield {kind: 'send', target, resumeAfter: progress.lastEventId},
+  );
+  return yield* afterReport(request, progress, report);
+}
 
-function afterAttempt<Target>(
+/** Goes on after a report: with another send, by waiting, or with an answer. */
+function* afterReport<Target>(
   request: ForwardedRequest,
   progress: Progress<Target>,
-  outcome: Exclude<AttemptOutcome, {kind: 'handedOn'}>,
-): NextStep {
+  {outcome, underWay, silent}: SendReport,
+): Steps<Target> {
+  progress.underWay = underWay;
+  const consequence = consequenceOf(request, progress, outcome);
+  if (consequence.kind === 'end') return consequence;
+  const {mayRepeat, otherwise} = consequence;
+  const isAnyAnswering = silent < underWay && outcome.kind !== 'handedOn';
+  if (mayRepeat && !isAnyAnswering && (yield* takeRepeat(progress))) {
+    return {kind: 'search'};
+  }
+  if (underWay > 0) return {kind: 'wait'};
+  return {kind: 'end', result: otherwise};
+}
+
+function* takeRepeat<Target>(
+  progress: Progress<Target>,
+): Flow<ForwardEffect<Target>, ForwardReply<Target>, boolean> {
+  if (progress.repeatTaken) return true;
+  const reply = yield {kind: 'takeRepeat'};
+  progress.repeatTaken = reply.kind === 'repeat' && reply.allowed;
+  return progress.repeatTaken;
+}
+
+/** What follows from a report. */
+type Consequence =
+  | {readonly kind: 'end'; readonly result: ForwardResult}
+  | {
+      readonly kind: 'open';
+      /** Whether the request may be sent once more. */
+      readonly mayRepeat: boolean;
+      /** The answer if it isn't, and no send is under way. */
+      readonly otherwise: ForwardResult;
+    };
+
+function consequenceOf<Target>(
+  request: ForwardedRequest,
+  progress: Progress<Target>,
+  outcome: AttemptOutcome,
+): Consequence {
   switch (outcome.kind) {
     case 'streamed':
     case 'callerGone':
-      return outcome;
+      return {kind: 'end', result: outcome};
     case 'timedOut':
-      if (progress.streamBegun) return {kind: 'cut', cause: 'timedOut'};
-      return {kind: 'timedOut', mayHaveRun: true};
+      return {kind: 'end', result: atDeadline(progress, true)};
     case 'answered':
       return afterAnswer(request, progress, outcome.success);
-    case 'notRun':
-      return afterNotRun(request, progress, outcome.cause);
-    case 'unknown': {
-      const {cause} = outcome;
-      progress.runs += 1;
-      progress.lastCause = cause;
-      const otherwise = giveUp(progress, {kind: 'unknown', cause});
-      return mayRunAgain(request, progress)
-        ? {kind: 'again', otherwise}
-        : otherwise;
+    case 'notRun': {
+      progress.runs -= 1;
+      const {cause: reason} = outcome;
+      const notRun = {kind: 'notRun', reason, retryAfter: undefined} as const;
+      return {
+        kind: 'open',
+        mayRepeat: maySendAgain(request, progress),
+        otherwise: giveUp(progress, notRun),
+      };
     }
+    case 'unknown':
+      progress.lastCause = outcome.cause;
+      return unanswered(request, progress);
     case 'broken':
-      return afterBreak(request, progress, outcome);
+      progress.lastCause = outcome.cause;
+      noteEvents(progress, outcome.lastEventId);
+      return unanswered(request, progress);
+    case 'silent':
+      if (outcome.streamBegun) noteEvents(progress, outcome.lastEventId);
+      return unanswered(request, progress);
+    case 'goesOn':
+      return {...unanswered(request, progress), mayRepeat: false};
+    case 'handedOn':
+      progress.repeatTaken = true;
+      noteEvents(progress, outcome.lastEventId);
+      return unanswered(request, progress);
     default:
       return unreachable(outcome);
   }
@@ -115,61 +196,54 @@
   request: ForwardedRequest,
   progress: Progress<Target>,
   success: boolean,
-): NextStep {
-  progress.runs += 1;
-  progress.answerAtHand = true;
+): Consequence {
   // A stream that has begun keeps its headers: another status cannot follow.
-  if (progress.streamBegun) return {kind: 'cut', cause: 'malformedAnswer'};
-  if (success) return {kind: 'passOn'};
-  return mayRunAgain(request, progress)
-    ? {kind: 'again', otherwise: {kind: 'passOn'}}
-    : {kind: 'passOn'};
+  if (progress.streamBegun) {
+    progress.lastCause = 'malformedAnswer';
+    return {...unanswered(request, progress), mayRepeat: false};
+  }
+  progress.answerAtHand = true;
+  if (success) return {kind: 'end', result: {kind: 'passOn'}};
+  return unanswered(request, progress);
 }
 
-function afterNotRun<Target>(
-  request: ForwardedRequest,
-  progress: Progress<Target>,
-  cause: NotRunCause,
-): NextStep {
-  const otherwise = giveUp(progress, {
-    kind: 'notRun',
-    reason: cause,
-    retryAfter: undefined,
-  });
-  return progress.sends < request.attempts + EXTRA_SENDS
-    ? {kind: 'again', otherwise}
-    : otherwise;
-}
-
-function afterBreak<Target>(
+/** What follows if a send that may have run has nothing for the caller. */
+function unanswered<Target>(
   request: ForwardedRequest,
   progress: Progress<Target>,
-  outcome: Extract<AttemptOutcome, {kind: 'broken'}>,
-): NextStep {
-  noteStreamEnd(progress, outcome.lastEventId);
-  progress.lastCause = outcome.cause;
-  const otherwise: ForwardResult = {kind: 'cut', cause: outcome.cause};
-  return progress.lastEventId !== undefined && mayRunAgain(request, progress)
-    ? {kind: 'again', otherwise}
-    : otherwise;
-}
-
-/** Notes that a run has ended after events that reached the caller. */
-function noteStreamEnd<Target>(
+): Extract<Consequence, {kind: 'open'}> {
+  return {
+    kind: 'open',
+    mayRepeat: mayRunAgain(request, progress),
+    otherwise: giveUp(progress, {kind: 'unknown', cause: progress.lastCause}),
+  };
+}
+
+/** Notes that events have reached the caller. */
+function noteEvents<Target>(
   progress: Progress<Target>,
   lastEventId: string | undefined,
 ): void {
-  progress.runs += 1;
   progress.streamBegun = true;
   progress.lastEventId = lastEventId ?? progress.lastEventId;
 }
 
+/** Whether a request may be sent once more if its last send has not run. */
+function maySendAgain<Target>(
+  request: ForwardedRequest,
+  progress: Progress<Target>,
+): boolean {
+  if (progress.sends >= request.attempts + EXTRA_SENDS) return false;
+  return !progress.streamBegun || progress.lastEventId !== undefined;
+}
+
 /** Whether a request that may have run may be sent once more. */
 function mayRunAgain<Target>(
   request: ForwardedRequest,
   progress: Progress<Target>,
 ): boolean {
   if (progress.runs >= request.attempts) return false;
+  if (!maySendAgain(request, progress)) return false;
   switch (request.kind) {
     case 'safe':
       return true;
@@ -185,24 +259,32 @@
 function withoutPlace<Target>(
   progress: Progress<Target>,
   place: Exclude<PlaceReply<Target>, {kind: 'place'}>,
-): ForwardResult {
+): Step {
   switch (place.kind) {
     case 'callerGone':
-      return {kind: 'callerGone'};
+      return {kind: 'end', result: {kind: 'callerGone'}};
     case 'timedOut':
-      if (progress.streamBegun) return {kind: 'cut', cause: 'timedOut'};
-      return {kind: 'timedOut', mayHaveRun: progress.runs > 0};
-    case 'noPlace':
-      return giveUp(progress, {
-        kind: 'notRun',
-        reason: place.reason,
-        retryAfter: place.retryAfter,
-      });
+      return {kind: 'end', result: atDeadline(progress, progress.runs > 0)};
+    case 'noPlace': {
+      if (progress.underWay > 0) return {kind: 'wait'};
+      const {reason, retryAfter} = place;
+      const notRun = {kind: 'notRun', reason, retryAfter} as const;
+      return {kind: 'end', result: giveUp(progress, notRun)};
+    }
     default:
       return unreachable(place);
   }
 }
 
+function atDeadline<Target>(
+  progress: Progress<Target>,
+  mayHaveRun: boolean,
+): ForwardResult {
+  if (progress.streamBegun) return {kind: 'cut', cause: 'timedOut'};
+  if (progress.answerAtHand) return {kind: 'passOn'};
+  return {kind: 'timedOut', mayHaveRun};
+}
+
 /** The answer when nothing more is tried; "not run" only if nothing ran. */
 function giveUp<Target>(
   progress: Progress<Target>,
@@ -222,7 +304,7 @@
   return reply.place;
 }
 
-function outcomeOf<Target>(reply: ForwardReply<Target>): AttemptOutcome {
-  if (reply.kind !== 'sent') throw new Error('expected an attempt outcome');
-  return reply.outcome;
+function reportOf<Target>(reply: ForwardReply<Target>): SendReport {
+  if (reply.kind !== 'sent') throw new Error('expected the report of a send');
+  return reply;
 }
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 export * from './forward_request';
 export type {
+  AttemptEnd as ForwardAttemptEnd,
   AttemptOutcome as ForwardAttemptOutcome,
   ForwardEffect,
   ForwardedRequest,
@@ -8,5 +9,6 @@
   NoPlaceReason,
   NotRunCause,
   PlaceReply,
+  SendReport,
   UnknownCause,
 } from './types';
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -22,10 +22,13 @@
 
 /** Why nothing is known of a request that was sent. */
 export type UnknownCause =
-  'connectionLost' | 'malformedAnswer' | 'foreignAnswer' | 'silence';
+  'connectionLost' | 'malformedAnswer' | 'foreignAnswer';
 
-/** How one attempt at a target ended. */
-export type AttemptOutcome =
+/** What became of one send to a target. */
+export type AttemptOutcome = AttemptEnd | AttemptState;
+
+/** How one send to a target ended. */
+export type AttemptEnd =
   /** A whole answer is at hand, not yet passed on. */
   | {readonly kind: 'answered'; readonly success: boolean}
   /** A stream was passed on to its end. */
@@ -38,14 +41,26 @@
       readonly cause: UnknownCause;
       readonly lastEventId: string | undefined;
     }
-  /**
-   * Events were passed on, then this process left the target, which is to load
-   * weights. The repeat that it takes is already paid.
-   */
-  | {readonly kind: 'handedOn'; readonly lastEventId: string}
   | {readonly kind: 'timedOut'}
   | {readonly kind: 'callerGone'};
 
+/** What is seen of a send that is still under way. */
+export type AttemptState =
+  /** Nothing has come for a while; its target is suspected to have ended. */
+  | {
+      readonly kind: 'silent';
+      /** Whether events have reached the caller, and the last one's id. */
+      readonly streamBegun: boolean;
+      readonly lastEventId: string | undefined;
+    }
+  /** Bytes come again. */
+  | {readonly kind: 'goesOn'}
+  /**
+   * Its target is to load weights, so that the stream should go on elsewhere.
+   * The repeat that this takes is already paid.
+   */
+  | {readonly kind: 'handedOn'; readonly lastEventId: string};
+
 /** What choosing a target came to. */
 export type PlaceReply<Target> =
   | {readonly kind: 'place'; readonly target: Target}
@@ -77,21 +92,39 @@
   | {
       readonly kind: 'send';
       readonly target: Target;
-      /** Go on after this event; undefined for a run from the start. */
+      /**
+       * Go on after this event, or a later one that has reached the caller
+       * since; undefined for a run from the start.
+       */
       readonly resumeAfter: string | undefined;
     }
+  /** Waits for the next report of the sends under way. */
+  | {readonly kind: 'wait'}
   /** Asks whether the site's budget allows one more send. */
   | {readonly kind: 'takeRepeat'};
 
-/** Answers to the flow's effects. */
+/** A report of one of the request's sends. */
+export interface SendReport {
+  readonly kind: 'sent';
+  readonly outcome: AttemptOutcome;
+  /** Sends of the request that are still under way. */
+  readonly underWay: number;
+  /** How many of these are silent. */
+  readonly silent: number;
+}
+
+/**
+ * Answers to the flow's effects. A report may also answer `choosePlace`; the
+ * wait for a place is then withdrawn.
+ */
 export type ForwardReply<Target> =
   | {readonly kind: 'placed'; readonly place: PlaceReply<Target>}
-  | {readonly kind: 'sent'; readonly outcome: AttemptOutcome}
+  | SendReport
   | {readonly kind: 'repeat'; readonly allowed: boolean};
 
 /** The final answer of a request. */
 export type ForwardResult =
-  /** Pass on the whole answer of the last attempt. */
+  /** Pass on the last whole answer. */
   | {readonly kind: 'passOn'}
   | {readonly kind: 'streamed'}
   | {
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -1,5 +1,5 @@
 import type {
-  ForwardAttemptOutcome,
+  ForwardAttemptEnd,
   ListedTarget,
   Milliseconds,
   MonotonicInstant,
@@ -7,7 +7,13 @@
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
-import {openExchange, type IncomingAnswer} from './exchange';
+import {
+  openExchange,
+  type ExchangeFailure,
+  type IncomingAnswer,
+} from './exchange';
+import type {HeldStream} from './sends_under_way';
+import {startSilenceWatch, type SilenceWatch} from './silence_watch';
 import {relayStream, type StreamProgress} from './stream_relay';
 
 /** Largest answer that is held whole before it is passed on, in bytes. */
@@ -35,15 +41,19 @@
   readonly progress: StreamProgress;
   readonly now: () => MonotonicInstant;
   readonly ownLines: () => readonly string[];
-  /** Longest wait for the beginning of an answer, and between its events. */
+  /** Longest time without a byte before the target is suspected. */
   readonly longestSilence: Milliseconds;
   /** Is told of a silence, and how late the loop of this process noticed it. */
   readonly onSilence: (noticedLateBy: Milliseconds) => void;
+  /** Is told when bytes come again after a silence. */
+  readonly onGoesOn: () => void;
   /** Whether the target may still be sent the request. */
   readonly mayBegin: () => boolean;
-  /** Aborts when the stream is to go on at another target. */
-  readonly handOn: AbortSignal;
-  /** Aborts at the deadline and when the caller has gone. */
+  /** Takes the stream once it is passed on. */
+  readonly onStream: (stream: HeldStream) => void;
+  /** Is told before anything of this send goes to the caller. */
+  readonly onPassOn: () => void;
+  /** Aborts when nothing more is wanted or to be had of this send. */
   readonly signal: AbortSignal;
   /** Is told of the header of an answer to this request. */
   readonly onHeader: (header: AnswerHeader) => void;
@@ -60,46 +70,45 @@
 /** Sends a request to a target once; says how that ended. */
 export async function attempt(
   options: AttemptOptions,
-): Promise<ForwardAttemptOutcome> {
+): Promise<ForwardAttemptEnd> {
   const exchange = openExchange(
     {...options, address: options.target.address},
     options.protocol,
   );
   const abort = (): void => exchange.abort();
   options.signal.addEventListener('abort', abort, {once: true});
-  let silent = false;
-  const silentAt = options.now() + options.longestSilence;
-  const silence = setTimeout(() => {
-    silent = true;
-    options.onSilence(options.now() - silentAt);
-    exchange.abort();
-  }, options.longestSilence);
+  if (options.signal.aborted) abort();
+  const silence = startSilenceWatch(options);
   try {
     const received = await exchange.answer;
-    clearTimeout(silence);
-    if (received.err) {
-      const failure = received.val;
-      options.explain(failure.detail);
-      switch (failure.kind) {
-        case 'notConnected':
-        case 'outdated':
-          return {kind: 'notRun', cause: failure.kind};
-        case 'unknown':
-          return {kind: 'unknown', cause: silent ? 'silence' : failure.cause};
-      }
-    }
-    return await takeAnswer(received.val, options);
+    if (received.err) return failed(received.val, options);
+    silence.noteBytes();
+    return await takeAnswer(received.val, {...options, silence});
   } finally {
-    clearTimeout(silence);
+    silence.stop();
     options.signal.removeEventListener('abort', abort);
     exchange.abort();
   }
 }
 
+function failed(
+  failure: ExchangeFailure,
+  options: AttemptOptions,
+): ForwardAttemptEnd {
+  options.explain(failure.detail);
+  switch (failure.kind) {
+    case 'notConnected':
+    case 'outdated':
+      return {kind: 'notRun', cause: failure.kind};
+    case 'unknown':
+      return {kind: 'unknown', cause: failure.cause};
+  }
+}
+
 async function takeAnswer(
   answer: IncomingAnswer,
-  options: AttemptOptions,
-): Promise<ForwardAttemptOutcome> {
+  options: AttemptOptions & {readonly silence: SilenceWatch},
+): Promise<ForwardAttemptEnd> {
   const {header, status} = answer;
   // Failure: a target sends an answer that belongs to another request, and the
   // caller is given a stranger's data. The id that the target repeats tells.
@@ -118,7 +127,7 @@
   if (success && options.route.kind === 'stream') {
     return relayStream({...options, answer});
   }
-  const body = await readWhole(answer);
+  const body = await readWhole(answer, options.silence.noteBytes);
   if (body === undefined) {
     options.explain('answer was cut');
     return {kind: 'unknown', cause: 'connectionLost'};
@@ -129,14 +138,15 @@
 }
 
 /** The whole body; undefined if it was cut or is too large. */
-function readWhole({
-  body,
-  isWhole,
-}: IncomingAnswer): Promise<Buffer | undefined> {
+function readWhole(
+  {body, isWhole}: IncomingAnswer,
+  noteBytes: () => void,
+): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const parts: Buffer[] = [];
     let size = 0;
     body.on('data', (part: Buffer) => {
+      noteBytes();
       size += part.length;
       parts.push(part);
       if (size > LARGEST_WHOLE_ANSWER) body.destroy();
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -151,7 +151,8 @@
       response.end();
       return;
     }
-    if (result.kind === 'passOn' && answer !== undefined) {
+    const isBegun = response.headersSent;
+    if (result.kind === 'passOn' && answer !== undefined && !isBegun) {
       if (!answer.isFramed) endWithConnection(response);
       const length = ['Content-Length', String(answer.body.length)];
       response.writeHead(answer.status, [
@@ -165,7 +166,7 @@
     const own = ownAnswerFor(result);
     // A stream that was begun can only be cut: closing without the end of its
     // framing is what tells the caller.
-    if (own === undefined || response.headersSent) response.destroy();
+    if (own === undefined || isBegun) response.destroy();
     else writeOwnAnswer(response, own, ownLines());
   }
 
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -1,20 +1,21 @@
 import {
   FAR_DELAY,
+  unreachable,
   type AnswerTimes,
-  type ForwardAttemptOutcome,
   type ForwardEffect,
   type ForwardReply,
   type ListedTarget,
   type Milliseconds,
   type NamedVersions,
   type PlaceNeed,
+  type PlaceReply,
   type Quarantine,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
-import {attempt, type WholeAnswer} from './attempt';
+import type {WholeAnswer} from './attempt';
 import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
@@ -26,12 +27,17 @@
   type AcceptedRequest,
   type KeyConfirmation,
 } from './request_acceptance';
-import {withLength} from './request_body';
 import type {RequestStory} from './request_story';
-import type {StreamProgress} from './stream_relay';
+import {createSendsUnderWay} from './sends_under_way';
 import type {StreamHandover} from './stream_handover';
+import type {StreamProgress} from './stream_relay';
+import {
+  createTargetSender,
+  type PlannedSend,
+  type TakenPlace,
+} from './target_send';
 import type {TargetStatements} from './target_statements';
-import {longestSilence, spreadReturn, type Timeliness} from './timeliness';
+import {spreadReturn, type Timeliness} from './timeliness';
 
 const NO_PLACE_REASONS = {
   full: 'allFull',
@@ -82,27 +88,30 @@
   ) => ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>>;
   /** The last whole answer of a target. */
   readonly answer: () => WholeAnswer | undefined;
-  /** Gives back what the request has taken and not used. */
+  /** Ends all sends; gives back what the request has taken and not used. */
   readonly end: () => void;
 }
 
-/** Whether the connection to a target ended before its answer did. */
-function isConnectionLost(outcome: ForwardAttemptOutcome): boolean {
-  return 'cause' in outcome && outcome.cause === 'connectionLost';
-}
-
 /** Creates what carries out the flow of one request. */
 export function createRequestRun(
   options: RequestRunOptions,
   context: RequestRunContext,
 ): RequestRun {
-  const {request, response, accepted} = context;
-  const {story, progress, signal, endedBy} = context;
+  const {accepted, story, progress, signal, endedBy} = context;
   const {header, route, service, access, run, fingerprint} = accepted;
-  const isModel = header.model !== undefined;
+  const sends = createSendsUnderWay();
+  const sendTo = createTargetSender(options, context, {
+    sends,
+    needOf,
+    mayBegin,
+    keepAnswer: kept => (answer = kept),
+    onRun: () => {
+      if (trial === 'held') trial = 'used';
+    },
+  });
   let answer: WholeAnswer | undefined;
-  let place: Extract<PlaceOutcome, {kind: 'place'}> | undefined;
-  let sentTo: readonly ListedTarget[] = [];
+  let place: TakenPlace | undefined;
+  let triedBefore: readonly ListedTarget[] = [];
   let trial: 'none' | 'held' | 'used' = 'none';
 
   function needOf(tried: readonly ListedTarget[]): PlaceNeed {
@@ -121,7 +130,9 @@
     return options.quarantine.isQuarantined(fingerprint);
   }
 
+  /** A trial is one send: nothing is begun beside it. */
   async function takeTrial(): Promise<boolean> {
+    if (sends.count() > 0) return false;
     if (trial === 'none' && (await options.trials.claim(fingerprint))) {
       trial = 'held';
     }
@@ -136,8 +147,23 @@
       const reason = 'quarantined';
       return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
     }
-    sentTo = [...tried];
-    const {onTimeUntil, waitUntil} = progress.begun
+    triedBefore = [...tried];
+    const outcome = await takePlace(triedBefore);
+    if (outcome === 'withdrawn') return sends.next();
+    if (outcome.kind === 'place') place = outcome;
+    return {kind: 'placed', place: placeReply(outcome)};
+  }
+
+  /** Waits for a place, but for no longer than until a send reports. */
+  async function takePlace(
+    tried: readonly ListedTarget[],
+  ): Promise<PlaceOutcome | 'withdrawn'> {
+    if (sends.hasReport()) return 'withdrawn';
+    const withdrawal = new AbortController();
+    if (sends.count() > 0) {
+      void sends.reported().then(() => withdrawal.abort());
+    }
+    const limits = progress.begun
       ? options.timeliness.resumeLimits(accepted, options.clock())
       : options.timeliness.limits(accepted);
     const outcome = await options.places.take({
@@ -145,20 +171,26 @@
       promptTime: run.promptTime,
       isResumed: progress.begun,
       priority: priority(),
-      onTimeUntil,
-      waitUntil,
-      signal,
+      ...limits,
+      signal: AbortSignal.any([signal, withdrawal.signal]),
     });
-    const by = endedBy();
+    const isReported = withdrawal.signal.aborted || sends.hasReport();
+    if (endedBy() !== undefined || !isReported) return outcome;
+    if (outcome.kind === 'place') giveBack(outcome);
+    return 'withdrawn';
+  }
+
+  function giveBack({inHand}: TakenPlace): void {
+    inHand.end();
+    options.places.pump();
+  }
+
+  function placeReply(outcome: PlaceOutcome): PlaceReply<ListedTarget> {
     switch (outcome.kind) {
       case 'place':
-        place = outcome;
-        return {
-          kind: 'placed',
-          place: {kind: 'place', target: outcome.target},
-        };
+        return {kind: 'place', target: outcome.target};
       case 'abandoned':
-        return {kind: 'placed', place: {kind: by ?? 'callerGone'}};
+        return {kind: endedBy() ?? 'callerGone'};
       case 'full':
       case 'none':
       case 'leaving':
@@ -168,7 +200,7 @@
         const least =
           outcome.kind === 'backingOff' ? outcome.until - options.clock() : 0;
         const retryAfter = spreadReturn(header.requestId, route, least);
-        return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
+        return {kind: 'noPlace', reason, retryAfter};
       }
     }
   }
@@ -196,99 +228,19 @@
     return ofWorkspace ?? route.priority;
   }
 
-  async function send(
-    target: ListedTarget,
-    resumeAfter: string | undefined,
-  ): Promise<ForwardReply<ListedTarget>> {
-    const patience = accepted.deadline - options.clock();
-    const lines = options.protocol.writeTarget(request.rawHeaders, {
-      target,
-      workspace:
-        access.kind === 'workspace' ? access.workspace.name : undefined,
-      patience: Math.max(1, Math.floor(patience)),
-      priority: undefined,
-      version: versionFor(target),
-      resumeAfter: resumeAfter ?? header.resumeAfter,
-    });
-    story.send(target);
-    const sentAt = options.clock();
-    const handOn = new AbortController();
-    const stopOffering = offerToMove(target, handOn);
-    const recordTime = (): void =>
-      options.answerTimes.record(
-        service,
-        options.clock() - sentAt,
-        run.promptTime,
-      );
-    const outcome = await attempt({
-      route,
-      requestId: header.requestId,
-      target,
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      lines: withLength(lines, request.method, accepted.body),
-      body: accepted.body,
-      protocol: options.protocol,
-      response,
-      progress,
-      now: options.clock,
-      ownLines: options.ownLines,
-      longestSilence: longestSilence(route),
-      onSilence: noticedLateBy => {
-        options.metrics.countSilence(route.name);
-        story.explain(`silent; noticed ${Math.round(noticedLateBy)} ms late`);
-      },
-      mayBegin: () => mayBegin(target),
-      handOn: handOn.signal,
-      signal: place ? AbortSignal.any([signal, place.lifeEnded]) : signal,
-      onHeader: header => {
-        const stated = options.statements.note({target, header, sentAt});
-        stated.forEach(story.explain);
-      },
-      onFirstEvent: recordTime,
-      onEvent: () => place?.inHand.begun(),
-      keepAnswer: kept => (answer = kept),
-      explain: story.explain,
-    });
-    stopOffering();
-    if (outcome.kind === 'answered' && outcome.success) recordTime();
-    place?.inHand.end();
-    options.places.pump();
-    const by = endedBy();
-    const final =
-      by !== undefined && outcome.kind !== 'streamed' ? {kind: by} : outcome;
-    if (final === outcome) noteTarget(target, outcome);
-    if (isConnectionLost(final)) options.metrics.countLostSend(route.name);
-    noteCrash(target, final);
-    if (final.kind !== 'notRun' && trial === 'held') trial = 'used';
-    story.end(final.kind, 'cause' in final ? final.cause : undefined);
-    return {kind: 'sent', outcome: final};
-  }
-
-  /** Whether what led to the choice of the target still holds. */
-  function mayBegin(target: ListedTarget): boolean {
+  function mayBegin({place: {target}, tried}: PlannedSend): boolean {
     if (signal.aborted) return false;
     if (isQuarantined() && trial !== 'held') return false;
     if (access.kind === 'workspace' && !isKeyConfirmed(options)) return false;
-    return options.book.mayStart(target, needOf(sentTo));
+    return options.book.mayStart(target, needOf(tried));
   }
 
-  /** Lets the stream go on elsewhere once its target is to load weights. */
-  function offerToMove(
-    target: ListedTarget,
-    handOn: AbortController,
-  ): () => void {
-    const sends = sentTo.length + 1;
-    if (!isModel || !route.resumable || sends >= route.attempts) {
-      return () => undefined;
-    }
-    return options.handover.offer(target, {
-      need: () => needOf([...sentTo, target]),
-      begunAt: () => progress.begunAt,
-      mayMove: () => progress.lastEventId !== undefined,
-      takeMove: () => options.budgets.takeMove(service),
-      handOn: () => handOn.abort(),
-    });
+  function send(): Promise<ForwardReply<ListedTarget>> {
+    if (place === undefined) throw new Error('a send without a place');
+    const version = versionFor(place.target);
+    sendTo({place, tried: triedBefore, version});
+    place = undefined;
+    return sends.next();
   }
 
   function perform(
@@ -298,12 +250,16 @@
       case 'choosePlace':
         return choosePlace(effect.tried);
       case 'send':
-        return send(effect.target, effect.resumeAfter);
+        return send();
+      case 'wait':
+        return sends.next();
       case 'takeRepeat': {
         const allowed = options.budgets.takeRepeat(service);
         story.repeat(allowed);
         return {kind: 'repeat', allowed};
       }
+      default:
+        return unreachable(effect);
     }
   }
 
@@ -311,50 +267,8 @@
     perform,
     answer: () => answer,
     end: () => {
+      sends.abort();
       if (trial === 'held') options.trials.giveBack(fingerprint);
     },
   };
-
-  function noteCrash(
-    target: ListedTarget,
-    outcome: ForwardAttemptOutcome,
-  ): void {
-    switch (outcome.kind) {
-      case 'unknown':
-      case 'broken':
-        if (place?.lifeEnded.aborted === true) {
-          return options.crashWatch.noteEnded(fingerprint, target);
-        }
-        return void options.crashWatch.noteLost(fingerprint, target);
-      case 'answered':
-      case 'streamed':
-        return options.crashWatch.noteCompleted(fingerprint);
-      case 'notRun':
-      case 'handedOn':
-      case 'timedOut':
-      case 'callerGone':
-        return;
-    }
-  }
-
-  function noteTarget(
-    target: ListedTarget,
-    outcome: ForwardAttemptOutcome,
-  ): void {
-    const now = options.clock();
-    switch (outcome.kind) {
-      case 'unknown':
-      case 'broken':
-        return options.book.noteFailure(target, now);
-      case 'notRun':
-        // Nothing was asked of the target.
-        if (outcome.cause === 'outdated') return;
-        if (outcome.cause === 'misdirected') {
-          options.book.noteMisdirected(target, now);
-        }
-        return options.book.noteFailure(target, now);
-      default:
-        return options.book.noteSuccess(target);
-    }
-  }
 }
--- a/packages/fleet/src/entry/stream_handover.ts
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -18,7 +18,7 @@
   readonly mayMove: () => boolean;
   /** Takes one of the repeats that the site allows, if one is left. */
   readonly takeMove: () => boolean;
-  /** Leaves the target; the stream goes on at its next place. */
+  /** Lets the stream go on at its next place, once that has begun. */
   readonly handOn: () => void;
 }
 
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -1,13 +1,14 @@
 import {
   createEventSplitter,
-  type ForwardAttemptOutcome,
-  type Milliseconds,
+  type ForwardAttemptEnd,
   type MonotonicInstant,
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import {endWithConnection} from './answer_framing';
 import type {IncomingAnswer} from './exchange';
+import type {HeldStream} from './sends_under_way';
+import type {SilenceWatch} from './silence_watch';
 
 /** What reached the caller of one stream, over all of its attempts. */
 export interface StreamProgress {
@@ -23,12 +24,14 @@
   readonly response: ServerResponse;
   readonly protocol: RequestProtocol;
   readonly progress: StreamProgress;
-  /** Aborts when the stream is to go on at another target. */
-  readonly handOn: AbortSignal;
-  /** Longest silence of the target before it counts as lost. */
-  readonly longestSilence: Milliseconds;
-  /** Is told of a silence, and how late the loop of this process noticed it. */
-  readonly onSilence: (noticedLateBy: Milliseconds) => void;
+  /** Is told of the target's bytes; doesn't count while none are read. */
+  readonly silence: SilenceWatch;
+  /** Aborts when nothing more may be passed on. */
+  readonly signal: AbortSignal;
+  /** Takes the stream, so that it can be held. */
+  readonly onStream: (stream: HeldStream) => void;
+  /** Is told before anything is passed on. */
+  readonly onPassOn: () => void;
   readonly now: () => MonotonicInstant;
   /** Header lines of our own for the caller. */
   readonly ownLines: () => readonly string[];
@@ -47,7 +50,7 @@
  */
 export function relayStream(
   options: StreamRelayOptions,
-): Promise<ForwardAttemptOutcome> {
+): Promise<ForwardAttemptEnd> {
   const {answer, response, progress} = options;
   const {body} = answer;
   const splitter = createEventSplitter();
@@ -66,8 +69,7 @@
   }
 
   return new Promise(resolve => {
-    const broken = (cause: 'connectionLost' | 'silence' | 'foreignAnswer') => {
-      clearTimeout(silence);
+    const broken = (cause: 'connectionLost' | 'foreignAnswer') => {
       body.destroy();
       const {lastEventId} = progress;
       resolve(
@@ -76,48 +78,28 @@
           : {kind: 'unknown', cause},
       );
     };
-    const handOn = (): void => {
-      const {lastEventId} = progress;
-      if (lastEventId === undefined) return;
-      clearTimeout(silence);
-      resolve({kind: 'handedOn', lastEventId});
-      body.destroy();
-    };
-    options.handOn.addEventListener('abort', handOn, {once: true});
-    let silentAt = options.now() + options.longestSilence;
-    const silence = setTimeout(() => {
-      options.onSilence(options.now() - silentAt);
-      broken('silence');
-    }, options.longestSilence);
-    const refreshSilence = (): void => {
-      silentAt = options.now() + options.longestSilence;
-      silence.refresh();
-    };
+    const reading = createReading(options);
+    options.onStream(reading);
     body.on('data', (bytes: Buffer) => {
-      refreshSilence();
+      if (options.signal.aborted) return;
+      options.silence.noteBytes();
       for (const event of splitter.push(bytes)) {
         if (!follows(progress.lastEventId, event.id)) {
           broken('foreignAnswer');
           return;
         }
+        options.onPassOn();
         begin();
         options.onEvent();
         progress.lastEventId = event.id ?? progress.lastEventId;
-        const roomLeft = response.write(event.bytes);
-        if (!roomLeft && !response.destroyed) holdBack();
+        if (!response.write(event.bytes)) reading.awaitCaller();
       }
     });
-    const holdBack = (): void => {
-      body.pause();
-      clearTimeout(silence);
-      response.once('drain', () => {
-        refreshSilence();
-        body.resume();
-      });
-    };
     body.on('end', () => {
-      clearTimeout(silence);
-      if (!answer.isWhole()) return broken('connectionLost');
+      if (options.signal.aborted || !answer.isWhole()) {
+        return broken('connectionLost');
+      }
+      options.onPassOn();
       begin();
       // Whether events passed on by length may end here is not for a body to
       // say that has none.
@@ -132,6 +114,44 @@
   });
 }
 
+/** Reads the target's body while the stream is not held and its caller takes it. */
+function createReading({answer, response, silence}: StreamRelayOptions) {
+  let isHeld = false;
+  let isCallerFull = false;
+
+  function update(): void {
+    if (isHeld || isCallerFull) {
+      answer.body.pause();
+      silence.pause();
+    } else {
+      silence.resume();
+      answer.body.resume();
+    }
+  }
+
+  function setHeld(next: boolean): void {
+    if (isHeld === next) return;
+    isHeld = next;
+    update();
+  }
+
+  function setCallerFull(next: boolean): void {
+    isCallerFull = next;
+    update();
+  }
+
+  return {
+    hold: () => setHeld(true),
+    release: () => setHeld(false),
+    /** Reads on once the caller has taken what was passed on. */
+    awaitCaller: () => {
+      if (isCallerFull || response.destroyed) return;
+      setCallerFull(true);
+      response.once('drain', () => setCallerFull(false));
+    },
+  };
+}
+
 /** Whether an event may follow: ids only grow, one by one where they count. */
 function follows(last: string | undefined, next: string | undefined): boolean {
   if (last === undefined || next === undefined) return true;
--- /dev/null
+++ b/packages/fleet/src/entry/target_send.ts
@@ -0,0 +1,211 @@
+import type {
+  ForwardAttemptEnd,
+  ListedTarget,
+  Milliseconds,
+  MonotonicInstant,
+  PlaceNeed,
+} from '@hibiscusbeam/core';
+import {attempt, type AttemptOptions, type WholeAnswer} from './attempt';
+import type {PlaceOutcome} from './place_queue';
+import {withLength} from './request_body';
+import type {RequestRunContext, RequestRunOptions} from './request_run';
+import type {SendLine} from './request_story';
+import type {SendsUnderWay, SendUnderWay} from './sends_under_way';
+import {createTargetNotes, type TargetNotes} from './target_notes';
+import {longestSilence} from './timeliness';
+
+/** A place that a request has taken. */
+export type TakenPlace = Extract<PlaceOutcome, {readonly kind: 'place'}>;
+
+/** A send that is to be made. */
+export interface PlannedSend {
+  readonly place: TakenPlace;
+  /** Targets that have had the request before. */
+  readonly tried: readonly ListedTarget[];
+  /** The version that the target must have; undefined if any may do. */
+  readonly version: number | undefined;
+}
+
+/** What the sends of one request need from its run. */
+export interface TargetSenderHooks {
+  readonly sends: SendsUnderWay;
+  readonly needOf: (tried: readonly ListedTarget[]) => PlaceNeed;
+  /** Whether what led to the choice of the target still holds. */
+  readonly mayBegin: (planned: PlannedSend) => boolean;
+  /** Takes a whole answer that may be passed on. */
+  readonly keepAnswer: (answer: WholeAnswer) => void;
+  /** Is told that a send has ended and may have run. */
+  readonly onRun: () => void;
+}
+
+/** A send under way, and what it has taken. */
+interface BegunSend {
+  readonly planned: PlannedSend;
+  readonly send: SendUnderWay;
+  readonly sentAt: MonotonicInstant;
+  readonly line: SendLine;
+  readonly notes: TargetNotes;
+  /** Gives back what the send has taken. */
+  readonly leave: () => void;
+  /** The whole answer, once it is there. */
+  answer: WholeAnswer | undefined;
+}
+
+/** Creates what sends one request to targets; reports go to `sends`. */
+export function createTargetSender(
+  options: RequestRunOptions,
+  context: RequestRunContext,
+  hooks: TargetSenderHooks,
+): (planned: PlannedSend) => void {
+  const {request, response, accepted, progress} = context;
+  const {header, route, service, access, run} = accepted;
+  const {sends} = hooks;
+
+  function headerLines({place, version}: PlannedSend): readonly string[] {
+    const patience = accepted.deadline - options.clock();
+    const lines = options.protocol.writeTarget(request.rawHeaders, {
+      target: place.target,
+      workspace:
+        access.kind === 'workspace' ? access.workspace.name : undefined,
+      patience: Math.max(1, Math.floor(patience)),
+      priority: undefined,
+      version,
+      resumeAfter: progress.lastEventId,
+    });
+    return withLength(lines, request.method, accepted.body);
+  }
+
+  async function carryOut(planned: PlannedSend): Promise<void> {
+    const begun = begin(planned);
+    const outcome = await attempt(attemptOptions(begun));
+    if (!begun.send.signal.aborted) finish(begun, endOf(outcome));
+  }
+
+  function begin(planned: PlannedSend): BegunSend {
+    const {place} = planned;
+    const send = sends.begin();
+    const line = context.story.send(place.target);
+    const notes = createTargetNotes(options, {accepted, place});
+    const stopOffering = offerToMove(planned, send);
+    const leave = (): void => {
+      stopOffering();
+      place.inHand.end();
+      options.places.pump();
+    };
+    const leaveUnanswered = (): void => {
+      line.end('aborted', undefined);
+      leave();
+    };
+    send.signal.addEventListener('abort', leaveUnanswered, {once: true});
+    return {
+      ...{planned, send, line, notes},
+      sentAt: options.clock(),
+      leave: () => {
+        send.signal.removeEventListener('abort', leaveUnanswered);
+        leave();
+      },
+      answer: undefined,
+    };
+  }
+
+  function attemptOptions(begun: BegunSend): AttemptOptions {
+    const {planned, send, line, sentAt} = begun;
+    const {target, inHand} = planned.place;
+    return {
+      route,
+      requestId: header.requestId,
+      target,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      lines: headerLines(planned),
+      body: accepted.body,
+      protocol: options.protocol,
+      response,
+      progress,
+      now: options.clock,
+      ownLines: options.ownLines,
+      longestSilence: longestSilence(route),
+      onSilence: noticedLateBy => noteSilence(begun, noticedLateBy),
+      onGoesOn: () => send.report({kind: 'goesOn'}),
+      mayBegin: () => hooks.mayBegin(planned),
+      onStream: send.setStream,
+      onPassOn: send.win,
+      signal: AbortSignal.any([
+        context.signal,
+        planned.place.lifeEnded,
+        send.signal,
+      ]),
+      onHeader: header => {
+        const stated = options.statements.note({target, header, sentAt});
+        stated.forEach(line.explain);
+      },
+      onFirstEvent: () => recordTime(begun),
+      onEvent: inHand.begun,
+      keepAnswer: kept => (begun.answer = kept),
+      explain: line.explain,
+    };
+  }
+
+  function finish(begun: BegunSend, end: ForwardAttemptEnd): void {
+    const {send, line, notes, answer, leave} = begun;
+    leave();
+    if (end.kind === 'answered' && end.success) recordTime(begun);
+    if (answer !== undefined) hooks.keepAnswer(answer);
+    notes.noteEnd(end, send.isSilent());
+    if (end.kind !== 'notRun') hooks.onRun();
+    line.end(end.kind, 'cause' in end ? end.cause : undefined);
+    send.end(end);
+  }
+
+  function recordTime({sentAt}: BegunSend): void {
+    const took = options.clock() - sentAt;
+    options.answerTimes.record(service, took, run.promptTime);
+  }
+
+  /** What ended the request has ended the send, too. */
+  function endOf(outcome: ForwardAttemptEnd): ForwardAttemptEnd {
+    const by = context.endedBy();
+    if (by === undefined || outcome.kind === 'streamed') return outcome;
+    return {kind: by};
+  }
+
+  function noteSilence(begun: BegunSend, noticedLateBy: Milliseconds): void {
+    options.metrics.countSilence(route.name);
+    begun.line.explain(`silent; noticed ${Math.round(noticedLateBy)} ms late`);
+    begun.notes.noteSilence();
+    const {begun: streamBegun} = progress;
+    const lastEventId = streamBegun ? progress.lastEventId : undefined;
+    begun.send.report({kind: 'silent', streamBegun, lastEventId});
+  }
+
+  /** Lets the stream go on elsewhere once its target is to load weights. */
+  function offerToMove(
+    {place: {target}, tried}: PlannedSend,
+    send: SendUnderWay,
+  ): () => void {
+    const mostSends = tried.length + 1;
+    const isModel = header.model !== undefined;
+    if (!isModel || !route.resumable || mostSends >= route.attempts) {
+      return () => undefined;
+    }
+    return options.handover.offer(target, {
+      need: () => hooks.needOf([...tried, target]),
+      begunAt: () => progress.begunAt,
+      mayMove: () =>
+        progress.lastEventId !== undefined &&
+        send.isAlone() &&
+        !send.isSilent(),
+      takeMove: () => options.budgets.takeMove(service),
+      handOn: () => {
+        const {lastEventId} = progress;
+        if (lastEventId !== undefined) {
+          send.report({kind: 'handedOn', lastEventId});
+        }
+      },
+    });
+  }
+
+  return planned => {
+    carryOut(planned).catch(sends.fail);
+  };
+}
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -28,10 +28,10 @@
 const LEAST_RETURN = 2.5;
 const RETURN_SPREAD = 2.5;
 
-/** Silence of a target, in objectives, after which an answer is given up. */
+/** Silence, in objectives, after which a target is suspected to have ended. */
 const SILENCE_IN_OBJECTIVES = 3.5;
 
-/** Least silence after which a target counts as lost. */
+/** Least silence after which a target is suspected to have ended. */
 const LEAST_SILENCE: Milliseconds = 500;
 
 /**
@@ -123,7 +123,7 @@
   return first + objective * share * RETURN_SPREAD;
 }
 
-/** Longest silence of a target before its answer is given up. */
+/** Longest silence of a target before it is suspected to have ended. */
 export function longestSilence(route: Route): Milliseconds {
   return Math.max(LEAST_SILENCE, route.objective * SILENCE_IN_OBJECTIVES);
 }
--- /dev/null
+++ b/test/fleet/second_send.test.ts
@@ -0,0 +1,221 @@
+import {request} from 'undici';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {isReady, send} from './fixtures/host_caller';
+import {
+  startHostEngine,
+  type EngineFault,
+  type HostEngine,
+  type HostEngineOptions,
+} from './fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  KEY,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+
+const PATIENCE = 6_000;
+
+/** Longer than a target may be silent before it is suspected. */
+const SILENCE = 900;
+
+/** Longer than callers wait. */
+const FOR_GOOD = 8_000;
+
+const EVENTS = 3;
+const WHOLE_STREAM = 'id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3';
+
+const ROUTE = {
+  Host: HOST,
+  Service: 'plain',
+  TimeoutMs: 6_000,
+  TargetLatencyMs: 100,
+  MaxAttempts: 2,
+};
+
+const ROUTES = [
+  {...ROUTE, Name: 'quick', Prefix: '/quick/', Kind: 'safe'},
+  {...ROUTE, Name: 'once', Prefix: '/once/', Kind: 'unsafe'},
+  {
+    ...ROUTE,
+    Name: 'going',
+    Prefix: '/going/',
+    Kind: 'stream',
+    Service: 'engines',
+    GapTargetMs: 300,
+    Resumable: true,
+  },
+];
+
+const AS_ENGINE = {
+  Service: 'engines',
+  Models: [{Name: 'model', Version: 1, Adapters: []}],
+};
+
+let site: HostSite;
+let address: string;
+let engines: HostEngine[];
+let onRun: (engine: HostEngine) => void;
+
+beforeEach(async () => {
+  site = await startHostSite();
+  engines = [];
+  onRun = () => undefined;
+});
+
+afterEach(async () => {
+  await site.close();
+  await Promise.all(engines.map(engine => engine.close()));
+});
+
+async function startTarget(
+  instance: string,
+  changes: object = {},
+  options: Partial<HostEngineOptions> = {},
+): Promise<HostEngine> {
+  const engine = await startHostEngine({
+    instance,
+    version: 1,
+    events: EVENTS,
+    onRun: () => onRun(engine),
+    ...options,
+  });
+  engines.push(engine);
+  site.register(engine, changes);
+  return engine;
+}
+
+async function serve(): Promise<void> {
+  site.configure({}, ROUTES);
+  const {settings} = await site.startEntry();
+  address = settings.callerAddress;
+  await eventually(() => isReady(settings.readinessAddress));
+  await eventually(async () => (await ask('quick')).status === 200);
+  await eventually(async () => (await ask('going')).status === 200);
+}
+
+async function serveByTwo(): Promise<void> {
+  await Promise.all([
+    ...['one', 'two'].map(name => startTarget(name)),
+    ...['three', 'four'].map(name => startTarget(name, AS_ENGINE)),
+  ]);
+  await serve();
+  await eventually(() => {
+    const lines = JSON.stringify(site.lines);
+    return engines.every(({instance}) => lines.includes(instance));
+  });
+}
+
+let asked = 0;
+
+function headersOf(route: string): Record<string, string> {
+  asked += 1;
+  return {
+    'x-hibiscusbeam-request-id': `request-${asked}`,
+    'x-hibiscusbeam-deadline-ms': String(PATIENCE),
+    ...(route === 'going' && {'x-hibiscusbeam-model': 'model'}),
+  };
+}
+
+async function ask(route: string) {
+  const reply = await send(address, `/${route}/a`, headersOf(route));
+  return {status: reply.status, text: reply.text.trim()};
+}
+
+/** Has the first and the second target that runs a request fail like this. */
+function failInTurn(...faults: readonly EngineFault[]): HostEngine[] {
+  const begun: HostEngine[] = [];
+  onRun = engine => {
+    engine.setFault(faults[begun.length] ?? {kind: 'none'});
+    begun.push(engine);
+  };
+  return begun;
+}
+
+function silentFor(duration: number, after: number): EngineFault {
+  return {kind: 'silent', duration, after};
+}
+
+const lastRun = (engine: HostEngine | undefined) => engine?.runs.at(-1);
+
+/** How the last request's sends went, by its line in the log. */
+function lastAttempts(): string {
+  const lines = site.lines.filter(({sentence}) => sentence === 'request');
+  return JSON.stringify(lines.at(-1)?.fields);
+}
+
+test('the second target answers in place of one that stays silent', async () => {
+  await serveByTwo();
+  for (const route of ['quick', 'going']) {
+    const begun = failInTurn({kind: 'mute'});
+    expect((await ask(route)).status).toBe(200);
+    expect(begun).toHaveLength(2);
+    await eventually(() => lastRun(begun[0])?.isCut());
+    expect(lastRun(begun[1])?.isCut()).toBe(false);
+  }
+});
+
+test('a silent target that goes on answers before a second one that is silent', async () => {
+  await serveByTwo();
+  for (const route of ['quick', 'going']) {
+    const begun = failInTurn(silentFor(SILENCE, 0), {kind: 'mute'});
+    expect((await ask(route)).status).toBe(200);
+    expect(begun).toHaveLength(2);
+    await eventually(() => lastRun(begun[1])?.isCut());
+    expect(lastRun(begun[0])?.isCut()).toBe(false);
+  }
+});
+
+test('a stream whose target stays silent midway goes on at the second one', async () => {
+  await serveByTwo();
+  const begun = failInTurn(silentFor(FOR_GOOD, 1));
+  expect((await ask('going')).text).toBe(`${WHOLE_STREAM}\ndata: token 3`);
+  expect(lastRun(begun[1])?.headers['last-event-id']).toBe('1');
+  await eventually(() => lastRun(begun[0])?.isCut());
+});
+
+test('a stream whose silent target goes on leaves a second one that is silent', async () => {
+  await serveByTwo();
+  const begun = failInTurn(silentFor(SILENCE, 1), {kind: 'mute'});
+  expect((await ask('going')).text).toBe(`${WHOLE_STREAM}\ndata: token 3`);
+  expect(lastRun(begun[1])?.headers['last-event-id']).toBe('1');
+  await eventually(() => lastRun(begun[1])?.isCut());
+});
+
+test('a plain answer that stops midway is asked for elsewhere', async () => {
+  await serveByTwo();
+  const begun = failInTurn(silentFor(FOR_GOOD, 1));
+  expect(await ask('quick')).toMatchObject({status: 200});
+  expect(begun).toHaveLength(2);
+});
+
+test('a second target that fails leaves the silent one to answer', async () => {
+  await serveByTwo();
+  const begun = failInTurn(silentFor(SILENCE, 0), {kind: 'answerLost'});
+  const answer = await ask('quick');
+  expect(answer).toEqual({
+    status: 200,
+    text: `done by ${begun[0]?.instance}`,
+  });
+  expect(begun).toHaveLength(2);
+});
+
+test('a caller that takes nothing makes no silent target', async () => {
+  await startTarget('plain');
+  const options = {events: 40, eventSize: 500_000, pause: 1};
+  await startTarget('model', AS_ENGINE, options);
+  await serve();
+  const reply = await request(`http://${address}/going/a`, {
+    method: 'POST',
+    body: 'question',
+    headers: {
+      host: HOST,
+      authorization: `Token ${KEY}`,
+      ...headersOf('going'),
+    },
+  });
+  await new Promise(resolve => setTimeout(resolve, SILENCE));
+  expect(await reply.body.text()).toContain('id: 40\n');
+  expect(lastAttempts()).not.toContain('silent');
+});
--- a/test/fleet/stream_moves.test.ts
+++ b/test/fleet/stream_moves.test.ts
@@ -3,6 +3,7 @@
 import {
   startHostEngine,
   startHostOrigin,
+  type EngineFault,
   type HostEngine,
   type HostOrigin,
 } from './fixtures/host_engine';
@@ -15,6 +16,7 @@
 } from './fixtures/host_site';
 
 const EVENTS = 100;
+const ALL_EVENTS = Array.from({length: EVENTS}, (_, index) => index + 1);
 
 let site: HostSite;
 let origin: HostOrigin;
@@ -63,11 +65,11 @@
   return reply.body.text();
 }
 
-// An engine is ordered to load while it writes a long answer. The answer goes on
-// at the other engine: its caller gets each event once, and the engine is free
-// to load two seconds sooner.
-test('a long stream leaves an engine that is to load', async () => {
-  const both = [await startEngine('one'), await startEngine('two')];
+/** Begins a stream, and then tells its engine to load. */
+async function streamFromLoading(
+  both: readonly HostEngine[],
+  otherFault: EngineFault,
+) {
   const {settings} = await site.startEntry();
   const isServed = async () =>
     (await stream(settings.callerAddress)).includes(`id: ${EVENTS}\n`);
@@ -77,14 +79,43 @@
   const begun = await eventually(() =>
     both.find((engine, index) => engine.runs.length > before[index]!),
   );
+  const other = both.find(engine => engine !== begun)!;
+  const arrivals = other.arrivals.length;
+  other.setFault(otherFault);
   await new Promise(resolve => setTimeout(resolve, 200));
   begun.setOrdering(true);
-  const text = await answer;
-  const ids = [...text.matchAll(/^id: (\d+)$/gm)].map(match =>
-    Number(match[1]),
-  );
-  expect(ids).toEqual(Array.from({length: EVENTS}, (_, index) => index + 1));
-  const other = both.find(engine => engine !== begun)!;
+  const ids = idsOf(await answer);
+  return {begun, other, ids, offers: other.arrivals.length - arrivals};
+}
+
+function idsOf(text: string): readonly number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+// An engine is ordered to load while it writes a long answer. The answer goes on
+// at the other engine: its caller gets each event once, and the engine is free
+// to load two seconds sooner.
+test('a long stream leaves an engine that is to load', async () => {
+  const both = [await startEngine('one'), await startEngine('two')];
+  const {begun, other, ids} = await streamFromLoading(both, {kind: 'none'});
+  expect(ids).toEqual(ALL_EVENTS);
   expect(begun.runs.at(-1)?.isCut()).toBe(true);
   expect(other.runs.at(-1)?.headers['last-event-id']).toBeDefined();
 });
+
+// No target takes the stream after all. It must not be worse off than before.
+test('a stream whose next engine refuses it stays where it is', async () => {
+  const both = [await startEngine('one'), await startEngine('two')];
+  const {begun, ids, offers} = await streamFromLoading(both, {kind: 'full'});
+  expect(offers).toBeGreaterThan(0);
+  expect(ids).toEqual(ALL_EVENTS);
+  expect(begun.runs.at(-1)?.isCut()).toBe(false);
+});
+
+test('a stream whose next engine is silent stays where it is', async () => {
+  const both = [await startEngine('one'), await startEngine('two')];
+  const {begun, other, ids} = await streamFromLoading(both, {kind: 'mute'});
+  expect(ids).toEqual(ALL_EVENTS);
+  expect(begun.runs.at(-1)?.isCut()).toBe(false);
+  await eventually(() => other.runs.at(-1)?.isCut());
+});
--- /dev/null
+++ b/test/fleet/target_notes.test.ts
@@ -0,0 +1,100 @@
+import {createTargetBook, type ListedTarget} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
+import type {RequestRunOptions} from '../../packages/fleet/src/entry/request_run';
+import {createTargetNotes} from '../../packages/fleet/src/entry/target_notes';
+import type {TakenPlace} from '../../packages/fleet/src/entry/target_send';
+
+const accepted = {
+  fingerprint: 'content',
+  route: {name: 'route'},
+} as AcceptedRequest;
+
+function target(instance: string): ListedTarget {
+  return {
+    instance,
+    born: undefined,
+    service: 'plain',
+    address: `${instance}:1`,
+    zone: 'north',
+    slots: 100,
+    leaving: false,
+    held: undefined,
+  };
+}
+
+/** Two targets, the first of which is in doubt; the clock stands still. */
+function startSite() {
+  const book = createTargetBook({instance: 'entry', zone: 'north'});
+  const [doubted, other] = [target('doubted'), target('other')];
+  book.list([doubted, other], 0);
+  const options = {
+    book,
+    clock: () => 0,
+    metrics: {countLostSend: () => undefined},
+    crashWatch: {
+      noteLost: () => undefined,
+      noteCompleted: () => undefined,
+    },
+  } as unknown as RequestRunOptions;
+
+  function send() {
+    const never = new AbortController().signal;
+    const place = {target: doubted, lifeEnded: never} as TakenPlace;
+    return createTargetNotes(options, {accepted, place});
+  }
+
+  function isAvoided(): boolean {
+    const taken = Array.from({length: 50}, () => {
+      const choice = book.choose({
+        service: 'plain',
+        model: undefined,
+        leastVersion: undefined,
+        leastFarVersion: undefined,
+        expectedRun: 1,
+        tried: new Set(),
+        now: 0,
+      });
+      if (choice.kind !== 'chosen') throw new Error('no target has room');
+      const sent = {promptTime: 0, onLifeEnded: () => undefined};
+      book.begin(choice.target, sent);
+      return choice.target.instance;
+    });
+    return !taken.includes('doubted');
+  }
+
+  return {send, isAvoided};
+}
+
+const LOST = {kind: 'unknown', cause: 'connectionLost'} as const;
+
+test('a target is avoided after two silent sends', () => {
+  const {send, isAvoided} = startSite();
+  send().noteSilence();
+  send().noteSilence();
+  expect(isAvoided()).toBe(true);
+});
+
+test('a send that was silent and then failed counts once', () => {
+  const {send, isAvoided} = startSite();
+  const notes = send();
+  notes.noteSilence();
+  notes.noteEnd(LOST, true);
+  expect(isAvoided()).toBe(false);
+});
+
+test('a silent target that answers in the end is in no doubt', () => {
+  const {send, isAvoided} = startSite();
+  const both = [send(), send()];
+  for (const notes of both) notes.noteSilence();
+  both[0]!.noteEnd({kind: 'answered', success: true}, false);
+  expect(isAvoided()).toBe(false);
+});
+
+test('the deadline of a silent send is no success of its target', () => {
+  const {send, isAvoided} = startSite();
+  const both = [send(), send()];
+  for (const notes of both) notes.noteSilence();
+  for (const notes of both) notes.noteEnd({kind: 'timedOut'}, true);
+  expect(isAvoided()).toBe(true);
+});
