Let the soak judge attempts without an answer, and play silent targets

Cause: the soak counted attempts without a whole answer and judged none of them, and no target of its plans fell silent, so that requests that were given up went unseen.

Change: an attempt whose entry was not stopped, killed or frozen gets a whole answer or a refusal, unless a target ended meanwhile; none is given up for a silence. A fourth set of troubles has sound targets that fall silent for 0.5 to 2 s and go on. The plans of the sets before are as they were.

So the oracle leaves out attempts sent within the 300 ms before a killed entry is started again, and those in whose time a target ended; a 502 that names a silence is never left out.

--- /dev/null
+++ b/test/soak/caller.ts
@@ -0,0 +1,61 @@
+import {request} from 'undici';
+import {HOST, KEY} from '../fleet/fixtures/host_site';
+import type {CallerFailure, CallerRecord} from './oracles';
+
+/** Time that callers give, in milliseconds. */
+const PATIENCE = 2_000;
+
+/** One attempt of a caller. */
+export interface CallerAttempt {
+  readonly id: number;
+  /** The entry that is asked, by number. */
+  readonly entry: number;
+  readonly address: string;
+  readonly path: string;
+  readonly body: string;
+}
+
+/** Sends an attempt and records what came of it. */
+export async function sendAttempt({
+  id,
+  entry,
+  address,
+  path,
+  body,
+}: CallerAttempt): Promise<CallerRecord> {
+  const requestId = `request-${id}`;
+  const sentAt = performance.now();
+  const attempt = {requestId, entry, path, sentAt};
+  try {
+    const reply = await request(`http://${address}${path}`, {
+      method: 'POST',
+      body,
+      headers: headersOf(requestId, path),
+      signal: AbortSignal.timeout(2 * PATIENCE),
+    });
+    const text = await reply.body.text();
+    const seal = reply.headers['x-hibiscusbeam-server-seal']?.toString();
+    const status = reply.statusCode;
+    const endedAt = performance.now();
+    return {...attempt, status, failure: undefined, text, seal, endedAt};
+  } catch (error) {
+    const failure = failureOf(error);
+    const none = {status: undefined, text: '', seal: undefined};
+    return {...attempt, ...none, failure, endedAt: performance.now()};
+  }
+}
+
+function headersOf(requestId: string, path: string): Record<string, string> {
+  return {
+    host: HOST,
+    authorization: `Token ${KEY}`,
+    'x-hibiscusbeam-request-id': requestId,
+    'x-hibiscusbeam-deadline-ms': String(PATIENCE),
+    ...(path.startsWith('/stream/') && {'x-hibiscusbeam-model': 'model'}),
+  };
+}
+
+function failureOf(error: unknown): CallerFailure {
+  const {code} = error as NodeJS.ErrnoException;
+  return code === 'ECONNREFUSED' ? 'notConnected' : 'noAnswer';
+}
--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -19,9 +19,19 @@
 /** Why requests are refused when a reading of the store is too old. */
 const OUTDATED_REASONS = ['outdatedTargets', 'staleConfiguration'];
 
+/** Why an entry gives up a target that sends nothing. */
+const SILENCE = 'silence';
+
 const LIMIT_WINDOW = 4_000;
 const SECOND = 1_000;
 
+/** Why a caller has no whole answer. */
+export type CallerFailure =
+  /** Its entry took no connection. */
+  | 'notConnected'
+  /** Its connection ended, or nothing came for long. */
+  | 'noAnswer';
+
 /** What a caller saw of one attempt. */
 export interface CallerRecord {
   readonly requestId: string;
@@ -30,6 +40,8 @@
   readonly path: string;
   /** Undefined if no whole answer came. */
   readonly status: number | undefined;
+  /** Why none came. */
+  readonly failure: CallerFailure | undefined;
   readonly text: string;
   /** Of the target that answered, if the answer has one. */
   readonly seal: string | undefined;
@@ -64,6 +76,8 @@
   readonly crashing: string;
   /** Whether an entry was not stopped, killed or frozen in a span. */
   readonly isCalm: (entry: number, from: number, until: number) => boolean;
+  /** Whether no process of an entry ran at a time, since it was killed. */
+  readonly isKilled: (entry: number, at: number) => boolean;
 }
 
 /** Checks all promises; returns what is broken. */
@@ -78,6 +92,8 @@
     ...sendsWhileBackingOff(records),
     ...olderConfigurations(records),
     ...outdatedReadings(records),
+    ...unanswered(records),
+    ...givenUp(records),
   ];
 }
 
@@ -233,6 +249,40 @@
     .map(({requestId, text}) => `${requestId} was refused: ${text.trim()}`);
 }
 
+/** Attempts without an answer though neither entry nor target broke off. */
+function unanswered(records: SoakRecords): readonly string[] {
+  return records.callers
+    .filter(({failure}) => failure === 'noAnswer')
+    .filter(({entry, sentAt, endedAt}) =>
+      records.isCalm(entry, sentAt, endedAt),
+    )
+    .filter(({entry, sentAt}) => !records.isKilled(entry, sentAt))
+    .filter(caller => !hasTargetEnded(records, caller))
+    .map(({requestId, path}) => `${requestId} on ${path} got no answer`);
+}
+
+/** Attempts that were given up though no target broke off. */
+function givenUp(records: SoakRecords): readonly string[] {
+  return records.callers
+    .filter(({status}) => status === 502)
+    .filter(
+      caller =>
+        caller.text.trim() === SILENCE || !hasTargetEnded(records, caller),
+    )
+    .map(({requestId, text}) => `${requestId} was given up: ${text.trim()}`);
+}
+
+/** Whether a target ended meanwhile; it may not have read the request yet. */
+function hasTargetEnded(
+  {engines}: SoakRecords,
+  {sentAt, endedAt}: CallerRecord,
+): boolean {
+  return engines.some(engine => {
+    const at = engine.endedAt() ?? Infinity;
+    return at >= sentAt && at <= endedAt;
+  });
+}
+
 function callerOf({callers}: SoakRecords, requestId: string) {
   return callers.find(record => record.requestId === requestId);
 }
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -19,6 +19,12 @@
       readonly engine: number;
       readonly retryAfter: number | undefined;
     }
+  /** The engine neither answers nor writes for so many milliseconds. */
+  | {
+      readonly kind: 'silence';
+      readonly engine: number;
+      readonly duration: number;
+    }
   /** The store is copied; a restore brings that copy back. */
   | {readonly kind: 'copy'}
   | {readonly kind: 'restore'}
@@ -54,6 +60,10 @@
 const COPY_AGE_SPREAD = 2_500;
 const LONGEST_ROUTE = 4_000;
 
+const LEAST_SILENCE = 500;
+const SILENCE_SPREAD = 1_500;
+const LONGEST_AUDIBLE = 700;
+
 /** Long enough that entries are in touch with the store again. */
 const LEAST_CALM = 4_000;
 const CALM_SPREAD = 2_000;
@@ -154,6 +164,22 @@
   return planned;
 }
 
+/** Plans sound targets that fall silent and go on. */
+export function planSilences(
+  seed: number,
+  {engines, duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(`${seed} silences`);
+  const planned: PlannedTrouble[] = [];
+  for (let at = 0; at < duration; at += random(LONGEST_AUDIBLE)) {
+    const silence = LEAST_SILENCE + random(SILENCE_SPREAD);
+    const engine = random(engines);
+    const trouble = {kind: 'silence', engine, duration: silence} as const;
+    planned.push({at, trouble});
+  }
+  return planned;
+}
+
 /** Whole numbers from 0 to below a bound, the same for a seed. */
 function createRandom(seed: number | string): (bound: number) => number {
   let drawn = 0;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -39,3 +39,10 @@
     await expectKeptPromises(seed, 'restores');
   },
 );
+
+test.each(SEEDS)(
+  'seed %i breaks no promise while sound targets fall silent and go on',
+  async seed => {
+    await expectKeptPromises(seed, 'silences');
+  },
+);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,9 +6,9 @@
   eventually,
   freeAddress,
   HOST,
-  KEY,
   startHostSite,
 } from '../fleet/fixtures/host_site';
+import {sendAttempt} from './caller';
 import {startEntryProcess, type EntryProcess} from './entry_process';
 import {
   brokenPromises,
@@ -19,6 +19,7 @@
 } from './oracles';
 import {
   planRestores,
+  planSilences,
   planStatements,
   planTroubles,
   type PlannedTrouble,
@@ -35,7 +36,7 @@
 const WRITTEN_AGAIN = 300;
 const HEARTBEAT = 25;
 const LAST_CALM = 6_000;
-const PATIENCE = 2_000;
+const RESTART_PAUSE = 300;
 
 const BOUNDS = {
   configuration: 2_000,
@@ -47,12 +48,12 @@
   repeats: {share: 0.2, slack: 104, window: 10_000},
 };
 
-/** What a caller got. */
-type CallerAnswer = Pick<CallerRecord, 'status' | 'text' | 'seal'>;
-
 /** Name of the route that comes and goes. */
 const ADDED = 'added';
 
+const CRASHING_PATH = '/safe/crashing';
+const KINDS = ['safe', 'unsafe', 'stream'];
+
 const ADDED_ROUTE = {
   Host: HOST,
   Name: ADDED,
@@ -74,7 +75,7 @@
 /** How a soak ended. */
 export interface SoakOutcome {
   readonly broken: readonly string[];
-  /** Attempts by status; `none` without a whole answer. */
+  /** Attempts by status, or by why there was none. */
   readonly statuses: Readonly<Record<string, number>>;
   readonly troubles: number;
   readonly enginesEnded: number;
@@ -88,7 +89,9 @@
   /** Also targets that leave, or ask to back off, by their own answers. */
   | 'statements'
   /** Also a store that comes back from copies, and configurations. */
-  | 'restores';
+  | 'restores'
+  /** Also sound targets that fall silent and go on. */
+  | 'silences';
 
 function planOf(
   seed: number,
@@ -105,6 +108,11 @@
   }
 }
 
+/** Whether the route that comes and goes is asked for. */
+function hasProbes(troubles: SoakTroubles): boolean {
+  return troubles === 'restores';
+}
+
 function moreOf(
   seed: number,
   size: SoakSize,
@@ -117,6 +125,8 @@
       return planStatements(seed, size);
     case 'restores':
       return planRestores(seed, size);
+    case 'silences':
+      return planSilences(seed, size);
   }
 }
 
@@ -134,6 +144,8 @@
   const limits: LimitSpan[] = [];
   const openLimits = new Map<HostEngine, {rate: number; from: number}>();
   const disturbances: Disturbance[] = [];
+  /** Spans in which the process of an entry was gone for sure. */
+  const kills: Disturbance[] = [];
   const routes: RouteSpan[] = [];
   /** When the store began or ended to misbehave. */
   const storeFaults: number[] = [];
@@ -221,7 +233,7 @@
     const zone = index % 3 === 2 ? 'south' : 'north';
     return startEntryProcess({
       folder,
-      pause: 300,
+      pause: RESTART_PAUSE,
       settings: {
         role: 'entry',
         instance: `entry-${index}`,
@@ -264,6 +276,8 @@
         openLimits.set(engine, {rate, from: performance.now()});
         return;
       }
+      case 'silence':
+        return running[trouble.engine]?.fallSilent(trouble.duration);
       case 'leave':
         return running[trouble.engine]?.setLeaving(true);
       case 'end':
@@ -281,49 +295,21 @@
 
   function disturb(entry: number, signal: NodeJS.Signals): void {
     const from = performance.now();
+    if (signal === 'SIGKILL') {
+      kills.push({entry, from, until: from + RESTART_PAUSE});
+    }
     const lasting = signal === 'SIGTERM' ? BOUNDS.grace : 0;
     disturbances.push({entry, from, until: from + lasting});
   }
 
-  async function send(
-    id: number,
-    entry: number,
-    address: string,
-  ): Promise<void> {
-    const kinds = ['safe', 'unsafe', 'stream'];
+  async function send(id: number, entry: number): Promise<void> {
+    const address = entries[entry]!.callerAddress;
     const isCrashing = id % CRASHING_EACH === 0;
-    const isProbe = troubles === 'restores' && id % PROBE_EACH === 0;
-    const usual = isProbe ? ADDED : kinds[id % kinds.length];
-    const kind = isCrashing ? 'safe' : usual;
-    const path = `/${kind}/${isCrashing ? 'crashing' : id}`;
-    const requestId = `request-${id}`;
-    const headers: Record<string, string> = {
-      host: HOST,
-      authorization: `Token ${KEY}`,
-      'x-hibiscusbeam-request-id': requestId,
-      'x-hibiscusbeam-deadline-ms': String(PATIENCE),
-    };
-    if (kind === 'stream') headers['x-hibiscusbeam-model'] = 'model';
+    const isProbe = hasProbes(troubles) && id % PROBE_EACH === 0;
+    const usual = isProbe ? ADDED : KINDS[id % KINDS.length];
+    const path = isCrashing ? CRASHING_PATH : `/${usual}/${id}`;
     const body = isCrashing ? CRASHING : `question ${id}`;
-    const sentAt = performance.now();
-    const record = (answer: CallerAnswer): void => {
-      const endedAt = performance.now();
-      callers.push({requestId, entry, path, ...answer, sentAt, endedAt});
-    };
-    try {
-      const reply = await request(`http://${address}${path}`, {
-        method: 'POST',
-        body,
-        headers,
-        signal: AbortSignal.timeout(2 * PATIENCE),
-      });
-      const text = await reply.body.text();
-      const seal = reply.headers['x-hibiscusbeam-server-seal']?.toString();
-      record({status: reply.statusCode, text, seal});
-    } catch {
-      // An entry that was killed, or a stream that was cut.
-      record({status: undefined, text: '', seal: undefined});
-    }
+    callers.push(await sendAttempt({id, entry, address, path, body}));
   }
 
   const places = Array.from({length: size.engines}, (_, place) => place);
@@ -355,7 +341,7 @@
       idAfterwards = Math.min(idAfterwards, id);
     }
     const entry = id % entries.length;
-    sending.push(send(id, entry, entries[entry]!.callerAddress));
+    sending.push(send(id, entry));
     await sleep(PAUSE_BETWEEN_REQUESTS);
   }
   await Promise.all(sending);
@@ -374,6 +360,10 @@
       disturbances.every(
         span => span.entry !== entry || span.until < from || span.from > until,
       ),
+    isKilled: (entry, at) =>
+      kills.some(
+        span => span.entry === entry && span.from <= at && at <= span.until,
+      ),
   };
   const broken = brokenPromises(records);
   await Promise.all(entries.map(entry => entry.close()));
@@ -382,7 +372,7 @@
   const afterwards = callers.filter(
     ({requestId, path}) =>
       Number(requestId.split('-')[1]) >= idAfterwards &&
-      path !== '/safe/crashing' &&
+      path !== CRASHING_PATH &&
       !path.startsWith(`/${ADDED}/`),
   );
   const served = afterwards.filter(({status}) => status === 200).length;
@@ -407,8 +397,8 @@
 
 function countStatuses(callers: readonly CallerRecord[]) {
   const counts: Record<string, number> = {};
-  for (const {status} of callers) {
-    const name = String(status ?? 'none');
+  for (const {status, failure} of callers) {
+    const name = String(status ?? failure);
     counts[name] = (counts[name] ?? 0) + 1;
   }
   return counts;
