Let the soak take the power of all entries right after a configuration

Change: a fifth set of troubles: a change is written, all entries are killed within 50 ms, and the store is back up to 2.5 s later, before or after them, at times from a copy that is older than the change.

--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -60,6 +60,13 @@
 const COPY_AGE_SPREAD = 2_500;
 const LONGEST_ROUTE = 4_000;
 
+const FIRST_POWER_LOSS = 2_500;
+const LEAST_POWERED = 6_000;
+const POWERED_SPREAD = 2_000;
+const COPY_BEFORE_LOSS = 1_500;
+const POWER_LOSS_SPREAD = 50;
+const LONGEST_STORE_OUTAGE = 2_500;
+
 const LEAST_SILENCE = 500;
 const SILENCE_SPREAD = 1_500;
 const LONGEST_AUDIBLE = 700;
@@ -180,6 +187,40 @@
   return planned;
 }
 
+/**
+ * Plans losses of power right after a configuration was acknowledged; the store
+ * is back before the entries, after them, or from a copy.
+ */
+export function planPowerLosses(
+  seed: number,
+  {entries, duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(`${seed} power`);
+  const planned: PlannedTrouble[] = [];
+  let isServed = false;
+  for (
+    let at = FIRST_POWER_LOSS;
+    at < duration;
+    at += LEAST_POWERED + random(POWERED_SPREAD)
+  ) {
+    isServed = !isServed;
+    planned.push({at: at - COPY_BEFORE_LOSS, trouble: {kind: 'copy'}});
+    planned.push({at, trouble: {kind: 'route', isServed}});
+    const lostAt = at + 1;
+    for (let entry = 0; entry < entries; entry += 1) {
+      planned.push({
+        at: lostAt + random(POWER_LOSS_SPREAD),
+        trouble: {kind: 'signal', entry, signal: 'SIGKILL'},
+      });
+    }
+    const backAt = lostAt + random(LONGEST_STORE_OUTAGE);
+    planned.push({at: lostAt, trouble: {kind: 'store', fault: 'silent'}});
+    planned.push({at: backAt, trouble: {kind: 'store', fault: 'none'}});
+    if (random(3) === 0) planned.push({at: backAt, trouble: {kind: 'restore'}});
+  }
+  return planned;
+}
+
 /** Whole numbers from 0 to below a bound, the same for a seed. */
 function createRandom(seed: number | string): (bound: number) => number {
   let drawn = 0;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -46,3 +46,10 @@
     await expectKeptPromises(seed, 'silences');
   },
 );
+
+test.each(SEEDS)(
+  'seed %i breaks no promise when all entries lose power after a configuration',
+  async seed => {
+    await expectKeptPromises(seed, 'powerLosses');
+  },
+);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -18,6 +18,7 @@
   type SoakRecords,
 } from './oracles';
 import {
+  planPowerLosses,
   planRestores,
   planSilences,
   planStatements,
@@ -91,7 +92,9 @@
   /** Also a store that comes back from copies, and configurations. */
   | 'restores'
   /** Also sound targets that fall silent and go on. */
-  | 'silences';
+  | 'silences'
+  /** Losses of power in place of others, right after configurations. */
+  | 'powerLosses';
 
 function planOf(
   seed: number,
@@ -104,13 +107,14 @@
 
   /** Other faults of the store would leave few seconds to judge a restore by. */
   function keeps({trouble}: PlannedTrouble): boolean {
+    if (troubles === 'powerLosses') return false;
     return troubles !== 'restores' || trouble.kind !== 'store';
   }
 }
 
 /** Whether the route that comes and goes is asked for. */
 function hasProbes(troubles: SoakTroubles): boolean {
-  return troubles === 'restores';
+  return troubles === 'restores' || troubles === 'powerLosses';
 }
 
 function moreOf(
@@ -127,6 +131,8 @@
       return planRestores(seed, size);
     case 'silences':
       return planSilences(seed, size);
+    case 'powerLosses':
+      return planPowerLosses(seed, size);
   }
 }
 
