Read waiting sockets before a silence is noticed

Cause: timers run before sockets are read. After the loop of an entry stood still, the timer for a silence fired although the answer already lay in the socket.

Callers saw: nothing any more, since a silence ends no send; but sound targets were suspected, and requests repeated, for a stall of our own.

The guard is caught.

Conclusion: a silence is looked at again once the sockets have been read.

--- a/packages/fleet/src/entry/silence_watch.ts
+++ b/packages/fleet/src/entry/silence_watch.ts
@@ -34,8 +34,16 @@
     timer = setTimeout(onTimer, longestSilence);
   }
 
+  /**
+   * Failure: the loop stands still while an answer waits in its socket. Timers
+   * run before sockets are read, so the target is blamed. Guard: the silence is
+   * looked at again once they have been read.
+   */
   function onTimer(): void {
-    if (state === 'counting') noteSilence();
+    const expected = silentAt;
+    setImmediate(() => {
+      if (state === 'counting' && silentAt === expected) noteSilence();
+    });
   }
 
   function noteSilence(): void {
--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -201,6 +201,22 @@
   expect(begun).toHaveLength(2);
 });
 
+test('an answer that waits while the loop stands still is no silence of its target', async () => {
+  const onAnswered = (): void => standStill(300);
+  let isStanding = false;
+  const plain = await startTarget(
+    'plain',
+    {},
+    {onAnswered: () => isStanding && onAnswered()},
+  );
+  await startTarget('model', AS_ENGINE);
+  await serve();
+  plain.setFault(silentFor(400, 0));
+  isStanding = true;
+  expect((await ask('once')).status).toBe(200);
+  expect(lastAttempts()).not.toContain('silent');
+});
+
 test('a caller that takes nothing makes no silent target', async () => {
   await startTarget('plain');
   const options = {events: 40, eventSize: 500_000, pause: 1};
@@ -219,3 +235,8 @@
   expect(await reply.body.text()).toContain('id: 40\n');
   expect(lastAttempts()).not.toContain('silent');
 });
+
+function standStill(duration: number): void {
+  const until = performance.now() + duration;
+  while (performance.now() < until);
+}
