Look whether a silent target's address still listens

Cause: a silence ends no send, so a request that may not be repeated waits until its deadline also if the process of its target is gone and nobody closes the connection.

Callers saw: 504 at the deadline.

Now each silence leads to a look at the target's address, shared by all requests that want one at that time. If nothing listens there and the send is still silent, its target's life has ended: the send ends as `connectionLost`. A target that listens, or that can't be reached, proves nothing.

The test of it fails without the look; the guard is caught.

Conclusion: such requests get their final answer at the first silence. A machine that has lost its power and gives no answer at all is not found out in this way.

--- a/packages/fleet/src/entry/crash_watch.ts
+++ b/packages/fleet/src/entry/crash_watch.ts
@@ -31,6 +31,8 @@
 
 /** Finds out whether targets have ended under requests. */
 export interface CrashWatch {
+  /** Looks whether anything listens at the target's address. */
+  readonly look: (target: ListedTarget) => Promise<AddressState>;
   /** Notes that a request lost its connection to a target that ran it. */
   readonly noteLost: (
     fingerprint: RequestFingerprint,
@@ -53,7 +55,7 @@
   const {quarantine, clock, log, look = lookAt} = options;
   const looks = new Map<TargetLife, Promise<AddressState>>();
 
-  /** One look serves all requests that were lost with the target. */
+  /** One look serves all requests of a target that want one at that time. */
   function lookOnce(target: ListedTarget): Promise<AddressState> {
     const life = nameOfLife(target);
     const running = looks.get(life);
@@ -100,6 +102,7 @@
   }
 
   return {
+    look: lookOnce,
     noteLost,
     noteEnded: (fingerprint, target) => note(fingerprint, target, clock()),
     noteCompleted: fingerprint => {
--- a/packages/fleet/src/entry/target_notes.ts
+++ b/packages/fleet/src/entry/target_notes.ts
@@ -7,6 +7,8 @@
 export interface NotedSend {
   readonly accepted: AcceptedRequest;
   readonly place: TakenPlace;
+  /** Aborted once nothing listens at the target's address any more. */
+  readonly lifeEnded: AbortController;
 }
 
 /** Notes what one send says of its target. */
@@ -18,7 +20,7 @@
 /** Creates the notes of one send; it counts as one failure at most. */
 export function createTargetNotes(
   options: RequestRunOptions,
-  {accepted, place}: NotedSend,
+  {accepted, place, lifeEnded}: NotedSend,
 ): TargetNotes {
   const {book, clock, crashWatch, metrics} = options;
   const {fingerprint, route} = accepted;
@@ -56,7 +58,7 @@
     switch (end.kind) {
       case 'unknown':
       case 'broken':
-        if (place.lifeEnded.aborted) {
+        if (place.lifeEnded.aborted || lifeEnded.signal.aborted) {
           return crashWatch.noteEnded(fingerprint, target);
         }
         return void crashWatch.noteLost(fingerprint, target);
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -45,6 +45,8 @@
   readonly sentAt: MonotonicInstant;
   readonly line: SendLine;
   readonly notes: TargetNotes;
+  /** Aborted once nothing listens at the target's address any more. */
+  readonly lifeEnded: AbortController;
   /** Gives back what the send has taken. */
   readonly leave: () => void;
   /** The whole answer, once it is there. */
@@ -85,7 +87,8 @@
     const {place} = planned;
     const send = sends.begin();
     const line = context.story.send(place.target);
-    const notes = createTargetNotes(options, {accepted, place});
+    const lifeEnded = new AbortController();
+    const notes = createTargetNotes(options, {accepted, place, lifeEnded});
     const stopOffering = offerToMove(planned, send);
     const leave = (): void => {
       stopOffering();
@@ -98,7 +101,7 @@
     };
     send.signal.addEventListener('abort', leaveUnanswered, {once: true});
     return {
-      ...{planned, send, line, notes},
+      ...{planned, send, line, lifeEnded, notes},
       sentAt: options.clock(),
       leave: () => {
         send.signal.removeEventListener('abort', leaveUnanswered);
@@ -109,7 +112,7 @@
   }
 
   function attemptOptions(begun: BegunSend): AttemptOptions {
-    const {planned, send, line, sentAt} = begun;
+    const {planned, send, line, lifeEnded, sentAt} = begun;
     const {target, inHand} = planned.place;
     return {
       route,
@@ -131,9 +134,8 @@
       onStream: send.setStream,
       onPassOn: send.win,
       signal: AbortSignal.any([
-        context.signal,
-        planned.place.lifeEnded,
-        send.signal,
+        ...[context.signal, planned.place.lifeEnded],
+        ...[lifeEnded.signal, send.signal],
       ]),
       onHeader: header => {
         const stated = options.statements.note({target, header, sentAt});
@@ -176,6 +178,17 @@
     const {begun: streamBegun} = progress;
     const lastEventId = streamBegun ? progress.lastEventId : undefined;
     begun.send.report({kind: 'silent', streamBegun, lastEventId});
+    lookAtTarget(begun).catch(sends.fail);
+  }
+
+  /** A silent target at whose address nothing listens has ended. */
+  async function lookAtTarget({
+    planned,
+    send,
+    lifeEnded,
+  }: BegunSend): Promise<void> {
+    const state = await options.crashWatch.look(planned.place.target);
+    if (state === 'closed' && send.isSilent()) lifeEnded.abort();
   }
 
   /** Lets the stream go on elsewhere once its target is to load weights. */
--- a/test/fleet/crash_watch.test.ts
+++ b/test/fleet/crash_watch.test.ts
@@ -57,3 +57,14 @@
   for (const born of [1, 2, 3]) watch.noteEnded('request', target('one', born));
   expect(quarantine.isQuarantined('request')).toBe(true);
 });
+
+test('a look at a target serves those who ask while it runs', async () => {
+  const {watch, looks} = startWatch('closed');
+  const [one] = await Promise.all([
+    watch.look(target('one')),
+    watch.look(target('one')),
+    watch.noteLost('request', target('one')),
+  ]);
+  expect(one).toBe('closed');
+  expect(looks()).toBe(1);
+});
--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -201,6 +201,15 @@
   expect(begun).toHaveLength(2);
 });
 
+test('a silent target at whose address nothing listens ends its request before the deadline', async () => {
+  const plain = await startTarget('plain');
+  await startTarget('model', AS_ENGINE);
+  await serve();
+  plain.setFault({kind: 'mute'});
+  onRun = engine => engine.stopListening();
+  expect(await ask('once')).toEqual({status: 502, text: 'connectionLost'});
+});
+
 test('an answer that waits while the loop stands still is no silence of its target', async () => {
   const onAnswered = (): void => standStill(300);
   let isStanding = false;
--- a/test/fleet/target_notes.test.ts
+++ b/test/fleet/target_notes.test.ts
@@ -28,20 +28,22 @@
   const book = createTargetBook({instance: 'entry', zone: 'north'});
   const [doubted, other] = [target('doubted'), target('other')];
   book.list([doubted, other], 0);
+  const endings: string[] = [];
   const options = {
     book,
     clock: () => 0,
     metrics: {countLostSend: () => undefined},
     crashWatch: {
-      noteLost: () => undefined,
+      noteLost: () => endings.push('lost'),
+      noteEnded: () => endings.push('ended'),
       noteCompleted: () => undefined,
     },
   } as unknown as RequestRunOptions;
 
-  function send() {
+  function send(lifeEnded = new AbortController()) {
     const never = new AbortController().signal;
     const place = {target: doubted, lifeEnded: never} as TakenPlace;
-    return createTargetNotes(options, {accepted, place});
+    return createTargetNotes(options, {accepted, place, lifeEnded});
   }
 
   function isAvoided(): boolean {
@@ -63,7 +65,7 @@
     return !taken.includes('doubted');
   }
 
-  return {send, isAvoided};
+  return {send, isAvoided, endings};
 }
 
 const LOST = {kind: 'unknown', cause: 'connectionLost'} as const;
@@ -98,3 +100,12 @@
   for (const notes of both) notes.noteEnd({kind: 'timedOut'}, true);
   expect(isAvoided()).toBe(true);
 });
+
+test('a target at whose address nothing listens has ended under its request', () => {
+  const {send, endings} = startSite();
+  const lifeEnded = new AbortController();
+  lifeEnded.abort();
+  send(lifeEnded).noteEnd(LOST, true);
+  send().noteEnd(LOST, false);
+  expect(endings).toEqual(['ended', 'lost']);
+});
