Hold the staging area for an order that had no answer

Cause: an order that gets no answer within a second counted as not given. Its engine, once it goes on, may accept it, and loads what then lies staged. Meanwhile the agent went on to stage the next version's chunks over it, and could give the order again by a look that the engine answered before it had read the first one.

Callers would see: tokens made with chunks of two versions, if a next version takes the place of the ordered one in that second; or a second order for the same load.

Evidence: a trial with the code before: version 2 staged, its order without an answer, version 3 aimed at and put: version 3 lies staged while the order may yet be accepted. Now version 2 does until the engine has answered a question that was asked after the order ran out, then version 3.

Not reproduced with a real engine.

Conclusion: a wait that ran out says nothing of what the engine does.

--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -4,12 +4,10 @@
   loadPlace,
   unreachable,
   type Digest,
-  type IdentifiedManifest,
   type Milliseconds,
   type MonotonicInstant,
   type NamedVersions,
   type OfLife,
-  type PlannedVersion,
   type PlanStep,
   type SwarmMember,
 } from '@hibiscusbeam/core';
@@ -27,8 +25,14 @@
   VersionOrigin,
 } from '../ports';
 import {createContentReader} from './content_reader';
+import {createEngineOrders} from './engine_orders';
 import type {OperatorWatch} from './operator_watch';
-import {findWantedModel, identify, type WantedModel} from './wanted_version';
+import {
+  findWantedModel,
+  identify,
+  type FetchedVersion,
+  type WantedModel,
+} from './wanted_version';
 import {canBeKept, type StagedChunks} from './staged_chunks';
 
 /** Period of looks at the own engine; they are free on its own machine. */
@@ -44,9 +48,6 @@
  */
 const CLOSED_BEFORE_LOAD: Milliseconds = 80;
 
-/** Pause before an order is given again. */
-const ORDER_RETRY: Milliseconds = 300;
-
 /** What keeping an engine needs. */
 export interface EngineKeeperOptions {
   readonly service: string;
@@ -80,16 +81,11 @@
   readonly needsWholeLink: () => boolean;
 }
 
-/** A version that is being fetched or is there. */
-export interface FetchedVersion extends PlannedVersion {
-  readonly content: VersionContent;
-  readonly identified: IdentifiedManifest;
-}
-
 /** Creates the keeper of the engine beside this agent. */
 export function createEngineKeeper(options: EngineKeeperOptions): EngineKeeper {
   const {engine, operator, staged, swarm, clock, log} = options;
   const contents = createContentReader(options);
+  const orders = createEngineOrders(options);
   const plan = createVersionPlan<FetchedVersion>({
     bound: options.versionBound,
     place: () => loadPlace(options.self, options.members()),
@@ -97,8 +93,6 @@
     canWait: ({identified: {manifest}}) =>
       canBeKept(manifest.chunks.length, manifest.chunks[0]?.size ?? 0),
   });
-  let orderedAt = -Infinity;
-  let ordering = false;
   let life: OfLife = {born: undefined};
   let lastState = '';
   let isServing = false;
@@ -108,8 +102,10 @@
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const askedAt = clock();
       const standing = await engine.standing(LOOK_TIMEOUT);
       noteReachable(standing.ok);
+      if (standing.ok) orders.noteAnswer(askedAt);
       if (standing.ok) take(standing.val);
       else logUnreachable(standing.val);
       fetchNewest();
@@ -152,7 +148,7 @@
     life = {born: standing.born};
     if (isFirst) return;
     log.info('engine has started anew', {born: standing.born});
-    orderedAt = -Infinity;
+    orders.startAnew();
   }
 
   function servedVersion({held}: EngineStanding): number | undefined {
@@ -180,7 +176,7 @@
       return;
     }
     if (!mayOrder(standing)) return;
-    void order(due);
+    void orders.give(due);
   }
 
   function loadThatIsDue(): FetchedVersion | undefined {
@@ -301,34 +297,6 @@
     );
   }
 
-  async function order({content, identified}: FetchedVersion): Promise<void> {
-    if (ordering || clock() - orderedAt < ORDER_RETRY) return;
-    ordering = true;
-    // Failure: staged bytes turn bad between their arrival and the order, and
-    // the engine makes tokens with them. So they are read right before it.
-    const reply = await staged.withWhole(content, () =>
-      engine.load(content.model, content.version),
-    );
-    ordering = false;
-    orderedAt = clock();
-    const {model, version} = content;
-    if (reply === undefined) {
-      log.warn('staged chunks are not whole; fetches them again', {
-        model,
-        version,
-      });
-      await swarm.refreshHeld();
-      return;
-    }
-    if (reply.ok) staged.forget(content);
-    log.info('ordered to load', {
-      model,
-      version,
-      versionDigest: identified.versionDigest,
-      reply: reply.ok ? reply.val : reply.val,
-    });
-  }
-
   function logState({held, ordering: busy}: EngineStanding): void {
     const state = JSON.stringify({held, busy});
     if (state === lastState) return;
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -33,6 +33,10 @@
    * to move only then, while the site is short of engines.
    */
   readonly setReachable: (isReachable: boolean) => void;
+  /** Stages nothing of other versions until the engine is known to answer. */
+  readonly hold: (content: VersionContent) => void;
+  /** Ends a hold, if there is one. */
+  readonly release: () => void;
   /** Drops what is kept in memory of a version that the engine has taken. */
   readonly forget: (content: VersionContent) => void;
   /**
@@ -69,6 +73,8 @@
   const lying = new Map<number, Digest>();
   let isRead = false;
   let isReachable = true;
+  /** The version whose order has had no answer. */
+  let unanswered: VersionContent | undefined;
   let frozen: Promise<unknown> = Promise.resolve();
 
   async function put(
@@ -82,6 +88,7 @@
     if (isPrepared || position !== -1) keep(digest, bytes);
     if (!isReachable && kept.has(digest)) return Ok.EMPTY;
     if (aim !== undefined && position !== -1) {
+      if (isHeldBack(aim)) return heldBack(digest);
       return stageOrKeep(aim, position, digest, bytes);
     }
     if (isPrepared) return Ok.EMPTY;
@@ -102,6 +109,32 @@
     if (canBeKept(chunks, bytes.length)) kept.set(digest, bytes);
   }
 
+  /**
+   * Failure: an order has no answer, since its engine is silent. The engine goes
+   * on, accepts it, and loads what then lies staged: chunks of two versions, if
+   * those of the next one came meanwhile. Guard: they wait in memory.
+   */
+  function isHeldBack({version}: VersionContent): boolean {
+    return unanswered !== undefined && unanswered.version !== version;
+  }
+
+  function heldBack(digest: Digest): Result<void, ChunkStoreError> {
+    if (kept.has(digest)) return Ok.EMPTY;
+    return Err({kind: 'unavailable', detail: 'an order has no answer yet'});
+  }
+
+  function release(): void {
+    if (unanswered === undefined) return;
+    unanswered = undefined;
+    stageKeptLater();
+  }
+
+  function stageKeptLater(): void {
+    if (aim === undefined || kept.size === 0) return;
+    const content = aim;
+    frozen = frozen.then(() => stageKept(content));
+  }
+
   /**
    * Failure: an engine is silent for a second while chunks come. Each that can't
    * be staged counts as a failure of the store, and the agent fetches nothing for
@@ -137,7 +170,7 @@
     aim = content;
     prepared = undefined;
     dropUnwanted();
-    if (kept.size > 0) frozen = frozen.then(() => stageKept(content));
+    stageKeptLater();
   }
 
   function prepare(content: VersionContent): void {
@@ -154,9 +187,7 @@
 
   function setReachable(isReachableNow: boolean): void {
     isReachable = isReachableNow;
-    if (!isReachable || aim === undefined || kept.size === 0) return;
-    const content = aim;
-    frozen = frozen.then(() => stageKept(content));
+    if (isReachable) stageKeptLater();
   }
 
   function forget(content: VersionContent): void {
@@ -170,7 +201,7 @@
     for (const [position, digest] of content.digests.entries()) {
       const bytes = kept.get(digest);
       if (bytes === undefined || lying.get(position) === digest) continue;
-      if (aim?.version !== content.version) return;
+      if (aim?.version !== content.version || isHeldBack(content)) return;
       await stage(content, position, digest, bytes);
     }
   }
@@ -268,6 +299,8 @@
     aim: aimAt,
     prepare,
     setReachable,
+    hold: content => void (unanswered = content),
+    release,
     forget,
     withWhole,
   };
--- a/packages/fleet/src/agent/wanted_version.ts
+++ b/packages/fleet/src/agent/wanted_version.ts
@@ -3,6 +3,7 @@
   type Bytes,
   type BytesPerSecond,
   type IdentifiedManifest,
+  type PlannedVersion,
   type ServiceDescription,
   type ServiceName,
 } from '@hibiscusbeam/core';
@@ -56,3 +57,9 @@
 ): service is Extract<ServiceDescription, {kind: 'weightOrigin'}> {
   return service.kind === 'weightOrigin';
 }
+
+/** A version that is being fetched or is there. */
+export interface FetchedVersion extends PlannedVersion {
+  readonly content: VersionContent;
+  readonly identified: IdentifiedManifest;
+}
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -206,3 +206,17 @@
   expect(await isWhole(staged, 2)).toBe(true);
   expect(lying.size).toBe(CHUNKS);
 });
+
+test('nothing of the next version is staged while an order has no answer', async () => {
+  const {lying, staged} = startStaging();
+  staged.aim(content(2));
+  await putAll(staged, 2);
+  staged.hold(content(2));
+  staged.aim(content(3));
+  await putAll(staged, 3);
+  expect(await isWhole(staged, 3)).toBe(false);
+  expect(lying.get(1)).toEqual(chunk(2, 1));
+  staged.release();
+  expect(await isWhole(staged, 3)).toBe(true);
+  expect(lying.get(1)).toEqual(chunk(3, 1));
+});
