Take the signal to read the settings again while a process starts

Cause: the handler of SIGHUP was registered once the process served. Before, the signal's usual action ends a process, and callers are listened to some time before.

Callers would see: a closed connection where the settings change just as an entry begins to listen; operators an entry that ends by itself.

Conclusion: the handler stands before the first log line. While the program's modules are loaded, 0.4 to 0.5 s here and before it listens, the signal still ends the process.

--- a/packages/fleet/src/runtime/fleet_process.ts
+++ b/packages/fleet/src/runtime/fleet_process.ts
@@ -47,6 +47,11 @@
   const writer = createLogWriter(() => performance.now());
   const logs = createProcessLogs(settings, writer);
   const log = logs('process');
+  // Failure: the settings change while a process starts, and the signal that
+  // says so ends it.
+  process.on('SIGHUP', () =>
+    checkSettingsAgain(() => readFileSync(path, 'utf8'), settings, log),
+  );
   const {instance, zone} = settings;
   log.info('starts', {instance, role, zone, pid: process.pid});
   const running = await start(settings, logs);
@@ -55,9 +60,6 @@
     log.info('stops', {signal: 'SIGTERM'});
     void running.stop();
   });
-  process.on('SIGHUP', () =>
-    checkSettingsAgain(() => readFileSync(path, 'utf8'), settings, log),
-  );
   await running.stopped;
   log.info('stopped', {linesDropped: writer.dropped()});
 }
