Fetch a staged chunk anew that its engine refuses to give

Cause: since a reading that breaks off is begun again, an engine that answers, but refuses to give one staged chunk each time, would keep its agent from ever knowing what lies staged.

Callers would see: an engine that is given no version any more.

Evidence: the new test failed before, "Tried to unwrap Error: {"kind":"refused","detail": "status 500"}"; now the other three of four chunks are known, and the refused one is missing.

Conclusion: only a call without an answer breaks a reading off.

--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -235,8 +235,8 @@
     for (const position of positions) {
       const read = await engine.readStaged(content.model, position);
       if (read.ok) lying.set(position, digestBytes(read.val));
-      else if (read.val.kind === 'notHeld') lying.delete(position);
-      else return read;
+      else if (read.val.kind === 'unreachable') return read;
+      else lying.delete(position);
     }
     isRead = true;
     return Ok.EMPTY;
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -32,6 +32,8 @@
   /** Calls that are answered before the engine falls silent. */
   let answersLeft = Infinity;
   const silence = Err({kind: 'unreachable', detail: 'no answer'} as const);
+  const refused = new Set<number>();
+  const refusal = Err({kind: 'refused', detail: 'status 500'} as const);
   const answers = (): boolean => {
     answersLeft -= 1;
     return answersLeft >= 0;
@@ -44,8 +46,11 @@
           ? Ok([...lying.keys()])
           : Err({kind: 'unreachable', detail: 'not up'} as const),
       ),
-    readStaged: (_model, position) =>
-      Promise.resolve(answers() ? Ok(lying.get(position)!) : silence),
+    readStaged: (_model, position) => {
+      if (!answers()) return Promise.resolve(silence);
+      const bytes = lying.get(position)!;
+      return Promise.resolve(refused.has(position) ? refusal : Ok(bytes));
+    },
     stage: (_model, position, bytes) => {
       if (!answers()) return Promise.resolve(silence);
       lying.set(position, bytes);
@@ -61,7 +66,7 @@
   const silenceAfter = (calls: number): void => void (answersLeft = calls);
   /** Another agent's staging area at the same engine, after a start. */
   const startAnew = () => createStagedChunks(engine, log);
-  return {lying, staged, setUp, silenceAfter, startAnew};
+  return {lying, refused, staged, setUp, silenceAfter, startAnew};
 }
 
 type Staged = ReturnType<typeof startStaging>['staged'];
@@ -179,6 +184,20 @@
   expect([...listed.digests].sort()).toEqual([...content(2).digests].sort());
 });
 
+test('a staged chunk that an engine refuses to give is fetched anew', async () => {
+  const {lying, refused, startAnew} = startStaging();
+  for (let position = 0; position < CHUNKS; position += 1) {
+    lying.set(position, chunk(2, position));
+  }
+  refused.add(1);
+  const staged = startAnew();
+  staged.aim(content(2));
+  const listed = (await staged.store.list()).unwrap();
+  const {digests} = content(2);
+  const others = digests.filter((_digest, position) => position !== 1);
+  expect([...listed.digests].sort()).toEqual(others.sort());
+});
+
 test('an engine that falls silent before an order has lost nothing', async () => {
   const {lying, startAnew, silenceAfter} = startStaging();
   for (let position = 0; position < CHUNKS; position += 1) {
