Test a load whose order is met by a silence

Cause: orders, staging and looks meet in one silence of the engine; the tests of the parts don't show that they end well together.

Evidence: an engine that answers nothing for 1.5 s from the order on, and goes on.

--- a/test/fleet/load_orders.test.ts
+++ b/test/fleet/load_orders.test.ts
@@ -6,6 +6,7 @@
 import {
   startHostEngine,
   startHostOrigin,
+  type HostEngine,
   type HostOrigin,
 } from './fixtures/host_engine';
 import {
@@ -84,3 +85,34 @@
   await eventually(() => engine.held() === 2);
   expect(heard).toEqual(['closed', 'order']);
 });
+
+test('an engine that is silent when it is ordered to load is ordered once', async () => {
+  let newest = 1;
+  const origin = await startHostOrigin(6, () => newest);
+  closers.push(origin.close);
+  const site = await startSite(origin);
+  let orders = 0;
+  let isSilentYet = false;
+  const engine: HostEngine = await startHostEngine({
+    instance: 'one',
+    version: 1,
+    onOrder: () => void (orders += 1),
+    onOrderCall: () => {
+      if (!isSilentYet) engine.fallSilent(1_500);
+      isSilentYet = true;
+    },
+  });
+  closers.push(engine.close);
+  await site.startAgent(engine);
+  newest = 2;
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  await eventually(() => engine.held() === 2);
+  const sent = origin.sent.length;
+  newest = 3;
+  site.store.write('op', 'version/model', {Model: 'model', Version: 3});
+  await eventually(() => engine.held() === 3);
+  expect({orders, sent: origin.sent.length - sent}).toEqual({
+    orders: 2,
+    sent: 6,
+  });
+});
