Tell a configuration whole that shares little with its base

Cause: a relay works out, for each configuration that a follower holds, what differs from it. Where a change touches every route, that takes long, and the loop stands still meanwhile.

Callers would see: everything that a relay does, later by that time: requests that lie unread in their sockets, timers that run out before sockets are read.

Evidence: the test of all 1,650 routes fails without the choice, which its guard shows; 350 routes added in front and behind are told by what differs.

The followers' part, to apply what differs, remains.

--- a/packages/fleet/src/link/configuration_copies.ts
+++ b/packages/fleet/src/link/configuration_copies.ts
@@ -4,6 +4,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Err, Ok, type Result} from 'ts-results';
 import type {ConfigurationDocument, Revision} from '../ports';
+import {isSimilar} from './text_similarity';
 
 /**
  * Configurations that are kept as bases of differences. A follower tells within a
@@ -17,6 +18,9 @@
  */
 const LARGEST_TEXT = 8 * 1024 * 1024;
 
+/** Texts below this size, in bytes, are told by what differs in any case. */
+const LEAST_COMPARED = 64 * 1024;
+
 /** Why a copy can't be read. */
 export type CopyError =
   /** The configuration that it differs from is not held here. */
@@ -71,10 +75,25 @@
     if (document !== undefined) keep({...document, revision});
   }
 
+  /**
+   * Failure: a change touches every route, and a relay's loop stands still while
+   * it works out what differs, for each configuration that a follower holds. Guard:
+   * a text that shares little with its base is told whole, which costs a fraction
+   * of the time and about as many bytes.
+   */
+  function baseFor(
+    {text}: ConfigurationDocument,
+    revision: Revision,
+  ): ConfigurationDocument | undefined {
+    const base = held(revision);
+    if (base === undefined || text.length < LEAST_COMPARED) return base;
+    return isSimilar(text, base.text) ? base : undefined;
+  }
+
   function write(base: Revision): ConfigurationCopy | undefined {
     const document = newest();
     if (document === undefined) return undefined;
-    const baseDocument = held(base);
+    const baseDocument = baseFor(document, base);
     const baseRevision = baseDocument?.revision ?? 0;
     const known = copies.get(baseRevision);
     if (known !== undefined) return known;
--- a/test/fleet/configuration_copies.test.ts
+++ b/test/fleet/configuration_copies.test.ts
@@ -37,6 +37,36 @@
   expect(text.equals(largeText(13, 800))).toBe(true);
 });
 
+test('a change of all 1,650 routes is told whole, in about as many bytes', () => {
+  const sender = createConfigurationCopies();
+  sender.keep({revision: 5, text: largeText(10)});
+  const before = sender.write(0)!;
+  const timeouts = Array.from({length: 1_650}, () => 7_000);
+  sender.keep({revision: 9, text: textOf(13, timeouts)});
+  const change = sender.write(5)!;
+  expect(change.baseRevision).toBe(0);
+  expect(change.content.length).toBeLessThan(before.content.length * 1.1);
+});
+
+test.each(['before', 'behind'])(
+  'routes that are added %s 1,650 are told by what differs',
+  place => {
+    const sender = createConfigurationCopies();
+    sender.keep({revision: 5, text: largeText(10)});
+    const {Routes} = JSON.parse(largeText(10).toString()) as {Routes: object[]};
+    const added = Routes.slice(0, 350).map((route, index) => ({
+      ...route,
+      Name: `added-${index}`,
+      Prefix: `/added/${index}/`,
+    }));
+    const all =
+      place === 'before' ? [...added, ...Routes] : [...Routes, ...added];
+    const text = Buffer.from(JSON.stringify({Version: 13, Routes: all}));
+    sender.keep({revision: 9, text});
+    expect(sender.write(5)?.baseRevision).toBe(5);
+  },
+);
+
 test('a receiver that holds an old configuration is told the whole one', () => {
   const sender = createConfigurationCopies();
   for (let revision = 1; revision <= 12; revision += 1) {
