Don't end a request at once whose time is longer than a timer counts

Cause: Node's timers count 2^31 - 1 ms; one that is set to more runs out after 1 ms. A configuration whose route has a longer timeout makes it the deadline's timer of requests that name as long a time, or none.

Conclusion: the timer counts no longer than it can, the deadline that targets are told stays.

--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -33,6 +33,9 @@
 /** The answer if the handling fails; whether the request has run isn't known. */
 const FAILED: OwnAnswer = {status: 502, reason: 'failed'};
 
+/** Longest time that a timer counts; it runs out at once if set to more. */
+const LONGEST_TIMER: Milliseconds = 2 ** 31 - 1;
+
 /** What the handling of requests needs. */
 export interface RequestHandlerOptions
   extends
@@ -130,7 +133,8 @@
       by ??= cause;
       ended.abort();
     };
-    const timer = setTimeout(end, accepted.deadline - clock(), 'timedOut');
+    const left = Math.min(accepted.deadline - clock(), LONGEST_TIMER);
+    const timer = setTimeout(end, left, 'timedOut');
     response.once('close', () => {
       if (!response.writableFinished) end('callerGone');
     });
