Test requests beside many changes of the configuration over real sockets

Cause: nothing tested that a request which an entry has read gets an answer or a refusal while configurations change around it.

Evidence: twelve callers on kept connections with requests of each kind (bodies by length, in chunks, in parts, with Expect), an operator that changes idle time, timeouts, attempts, routes, splits, services, keys, priorities, limits, writes 1,650 routes and more, one that can't be read, and lets the loop stand still; targets that are full, late, and silent for up to 1.5 s.

--- /dev/null
+++ b/test/fleet/configuration_changes.test.ts
@@ -0,0 +1,297 @@
+import {hash32} from '@hibiscusbeam/core';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {isReady, send} from './fixtures/host_caller';
+import {
+  startHostEngine,
+  type EngineFault,
+  type HostEngine,
+} from './fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  KEY,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+import {
+  createKeptCaller,
+  type KeptCaller,
+  type KeptOutcome,
+  type RequestParts,
+} from './fixtures/kept_caller';
+
+const SEED = Number(process.env.PROPERTY_SEED ?? 20_261_203);
+const CALLERS = 12;
+const REQUESTS = 20;
+const LARGE = 1_650;
+const STREAM_TIME = 10_000;
+const STREAM_OBJECTIVE = 2_000;
+const LONGEST_CHANGE_PAUSE = 250;
+const LONGEST_FAULT = 600;
+const LONGEST_STALL = 400;
+const SHARE_OF_IDLE_TIME = 0.8;
+
+const ENGINE_ROW = {
+  Service: 'engines',
+  Models: [{Name: 'model', Version: 1, Adapters: []}],
+};
+
+/** What the operator changes from one configuration to the next. */
+interface Wanted {
+  idle: number;
+  timeout: number;
+  attempts: number;
+  hasSecond: boolean;
+  isSplit: boolean;
+  extraRoutes: number;
+  bodyBytes: number;
+  keys: readonly string[];
+  priority: number;
+}
+
+let site: HostSite;
+let engines: HostEngine[];
+let callers: KeptCaller[];
+let address: string;
+let wanted: Wanted;
+let isOver: boolean;
+
+/** The idle times of all configurations so far. */
+let idleTimes: number[];
+
+beforeEach(async () => {
+  site = await startHostSite();
+  engines = [];
+  isOver = false;
+  idleTimes = [];
+  wanted = {
+    idle: 600,
+    timeout: 3_000,
+    attempts: 2,
+    hasSecond: true,
+    isSplit: false,
+    extraRoutes: 0,
+    bodyBytes: 100_000,
+    keys: [KEY],
+    priority: 1,
+  };
+  for (const [instance, row] of [
+    ['one', {}],
+    ['two', {}],
+    ['other', {Service: 'other'}],
+    ['model-one', ENGINE_ROW],
+    ['model-two', ENGINE_ROW],
+  ] as const) {
+    const engine = await startHostEngine({instance, version: 1});
+    engines.push(engine);
+    site.register(engine, row);
+  }
+  configure();
+  const {settings} = await site.startEntry();
+  address = settings.callerAddress;
+  await eventually(() => isReady(settings.readinessAddress));
+  await eventually(async () => (await send(address, '/safe/a')).status === 200);
+  callers = Array.from({length: CALLERS}, () => createKeptCaller(address));
+});
+
+afterEach(async () => {
+  for (const caller of callers) caller.close();
+  await site.close();
+  await Promise.all(engines.map(engine => engine.close()));
+});
+
+function configure(): void {
+  idleTimes.push(wanted.idle);
+  const {timeout, attempts, isSplit, hasSecond, extraRoutes} = wanted;
+  const route = {
+    Host: HOST,
+    TimeoutMs: timeout,
+    TargetLatencyMs: 400,
+    MaxAttempts: attempts,
+  };
+  const shares = [
+    {Service: 'plain', Weight: 1},
+    {Service: 'other', Weight: 1},
+  ];
+  const service = isSplit ? {Split: shares} : {Service: 'plain'};
+  // Streams that have begun can only be cut at the end of their time.
+  const stream = {
+    ...route,
+    Kind: 'stream',
+    Service: 'engines',
+    TimeoutMs: STREAM_TIME,
+    TargetLatencyMs: STREAM_OBJECTIVE,
+  };
+  const second = {...route, Name: 'second', Prefix: '/second/', Kind: 'safe'};
+  const extra = Array.from({length: extraRoutes}, (_, index) => ({
+    ...route,
+    Name: `extra-${index}`,
+    Prefix: `/extra/${index}/`,
+    Kind: 'safe',
+    Service: 'plain',
+  }));
+  site.configure({
+    Routes: [
+      {...route, ...service, Name: 'safe', Prefix: '/safe/', Kind: 'safe'},
+      {...route, ...service, Name: 'once', Prefix: '/once/', Kind: 'unsafe'},
+      {...stream, Name: 'going', Prefix: '/going/', Resumable: true},
+      {...stream, Name: 'fixed', Prefix: '/fixed/', Resumable: false},
+      ...(hasSecond ? [{...second, Service: 'other'}] : []),
+      ...extra,
+    ],
+    Services: [
+      {Name: 'plain', HealthPath: '/health'},
+      ...(hasSecond || isSplit ? [{Name: 'other'}] : []),
+      {Name: 'engines', Engine: {Slots: 4, Models: [{Name: 'model'}]}},
+    ],
+    Limits: {IdleTimeoutMs: wanted.idle, BodyBytes: wanted.bodyBytes},
+    Tenants: [{Name: 'shop', ApiKeys: wanted.keys, Priority: wanted.priority}],
+  });
+}
+
+type Draw = (range: number) => number;
+
+/** Draws that depend on the seed and on who draws alone. */
+function createDraw(who: string): Draw {
+  let draws = 0;
+  return range => hash32(`${SEED} ${who} ${(draws += 1)}`) % range;
+}
+
+function change(draw: Draw): void {
+  wanted = {...wanted, keys: [KEY], bodyBytes: 100_000};
+  const changes: readonly (() => void)[] = [
+    () => (wanted.idle = 200 + draw(2_000)),
+    () => (wanted.timeout = 800 + draw(3_000)),
+    () => (wanted.attempts = 1 + draw(3)),
+    () => (wanted.hasSecond = !wanted.hasSecond),
+    () => (wanted.isSplit = !wanted.isSplit),
+    () => (wanted.extraRoutes = draw(2) * (LARGE + draw(LARGE))),
+    () => (wanted.bodyBytes = 2_000),
+    () => (wanted.keys = []),
+    () => (wanted.priority = draw(3)),
+    configure,
+    () => standStill(50 + draw(LONGEST_STALL)),
+    () => site.store.writeBytes('op', 'config', Buffer.from('{')),
+  ];
+  changes[draw(changes.length)]?.();
+  configure();
+}
+
+function nextFault(draw: Draw): EngineFault {
+  switch (draw(5)) {
+    case 0:
+      return {kind: 'silent', after: 0, duration: 20 + draw(300)};
+    case 1:
+      return {kind: 'silent', after: 0, duration: 500 + draw(1_000)};
+    case 2:
+      return {kind: 'silent', after: 1, duration: 20 + draw(1_500)};
+    case 3:
+      return {kind: 'full'};
+    default:
+      return {kind: 'none'};
+  }
+}
+
+function partsOf(draw: Draw, requestId: string): RequestParts {
+  const routes = ['safe', 'once', 'going', 'fixed', 'second', 'extra/7'];
+  const route = routes[draw(routes.length)] ?? 'safe';
+  const isStream = route === 'going' || route === 'fixed';
+  const head = [
+    `POST /${route}/a HTTP/1.1`,
+    `Host: ${HOST}`,
+    `Authorization: Token ${KEY}`,
+    `X-Hibiscusbeam-Request-Id: ${requestId}`,
+    `X-Hibiscusbeam-Deadline-Ms: ${isStream ? STREAM_TIME : 1_000 + draw(3_000)}`,
+    ...(isStream ? ['X-Hibiscusbeam-Model: model'] : []),
+  ].join('\r\n');
+  const body = 'b'.repeat(10 + draw(6_000));
+  const half = Math.floor(body.length / 2);
+  const length = `Content-Length: ${body.length}`;
+  switch (draw(4)) {
+    case 0:
+      return [`${head}\r\n${length}\r\n\r\n${body}`];
+    case 1:
+      return [
+        `${head}\r\n${length}\r\nExpect: 100-continue\r\n\r\n`,
+        draw(50),
+        body,
+      ];
+    case 2:
+      return [
+        head.slice(0, 30),
+        draw(80),
+        `${head.slice(30)}\r\n${length}\r\n\r\n${body.slice(0, half)}`,
+        draw(80),
+        body.slice(half),
+      ];
+    default:
+      return [
+        `${head}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+        `${half.toString(16)}\r\n${body.slice(0, half)}\r\n`,
+        draw(80),
+        '0\r\n\r\n',
+      ];
+  }
+}
+
+/** The idle time that holds for callers: a shorter one as soon as it is written. */
+function idleTime(): number {
+  const inForce = site.lines.findLast(
+    ({sentence}) => sentence === 'configuration in force',
+  );
+  const {version} = inForce?.fields as {readonly version: number};
+  return Math.min(wanted.idle, idleTimes[version - 1] ?? 0);
+}
+
+async function call(caller: KeptCaller, who: string) {
+  const draw = createDraw(who);
+  const ended: {readonly request: string; readonly outcome: KeptOutcome}[] = [];
+  for (let sent = 0; sent < REQUESTS; sent += 1) {
+    await sleep(draw(10) === 0 ? SHARE_OF_IDLE_TIME * idleTime() : draw(60));
+    const request = `${who}-${sent}`;
+    const outcome = await caller.ask(partsOf(draw, request));
+    ended.push({request, outcome});
+  }
+  return ended;
+}
+
+async function changeUntilOver(): Promise<void> {
+  const draw = createDraw('operator');
+  while (!isOver) {
+    await sleep(20 + draw(LONGEST_CHANGE_PAUSE));
+    change(draw);
+  }
+}
+
+async function disturbUntilOver(engine: HostEngine): Promise<void> {
+  const draw = createDraw(engine.instance);
+  while (!isOver) {
+    engine.setFault(nextFault(draw));
+    await sleep(20 + draw(LONGEST_FAULT));
+  }
+}
+
+/** As a configuration does that is large for its machine. */
+function standStill(duration: number): void {
+  const until = performance.now() + duration;
+  while (performance.now() < until);
+}
+
+function sleep(duration: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, duration));
+}
+
+test('each request beside changes of the configuration gets a whole answer or a refusal', async () => {
+  const troubles = [changeUntilOver(), ...engines.map(disturbUntilOver)];
+  const calls = callers.map((caller, index) => call(caller, `caller-${index}`));
+  const ended = (await Promise.all(calls)).flat();
+  isOver = true;
+  await Promise.all(troubles);
+  const lost = ended.filter(({outcome}) => outcome.kind !== 'answered');
+  expect(lost).toEqual([]);
+  expect(ended.some(({outcome}) => isServed(outcome))).toBe(true);
+});
+
+function isServed(outcome: KeptOutcome): boolean {
+  return outcome.kind === 'answered' && outcome.status === 200;
+}
