Log the failure of a send whose request has ended

Cause: sends run beside the flow of their request. One that fails in this process after another has won would leave no trace.

Callers saw: nothing.

Evidence: read in the code; no such failure was seen in a run.

Conclusion: it has a log line now.

--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -12,7 +12,7 @@
   type Quarantine,
   type TargetBook,
 } from '@hibiscusbeam/core';
-import type {Clock} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import type {WholeAnswer} from './attempt';
@@ -64,6 +64,7 @@
   readonly statements: TargetStatements;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
+  readonly log: Log;
   /** Header lines of our own for the caller. */
   readonly ownLines: () => readonly string[];
 }
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -178,7 +178,7 @@
     const {begun: streamBegun} = progress;
     const lastEventId = streamBegun ? progress.lastEventId : undefined;
     begun.send.report({kind: 'silent', streamBegun, lastEventId});
-    lookAtTarget(begun).catch(sends.fail);
+    lookAtTarget(begun).catch(fail);
   }
 
   /** A silent target at whose address nothing listens has ended. */
@@ -218,7 +218,13 @@
     });
   }
 
+  /** The request may have ended before the failure of its send is known. */
+  function fail(error: unknown): void {
+    options.log.error('send failed in this process', {error});
+    sends.fail(error);
+  }
+
   return planned => {
-    carryOut(planned).catch(sends.fail);
+    carryOut(planned).catch(fail);
   };
 }
