Prove that nothing is sent beside the trial of a quarantined request

Cause: with second sends beside silent ones, the one trial of a quarantined request could have been sent to two targets at once. The check for it came with the second sends; no test would have failed without it.

Callers saw: nothing.

Evidence: a run with a trial at a target that never answers finds no second place; without the check it does, and the test fails. The guard is caught.

Conclusion: one trial is one send.

--- /dev/null
+++ b/test/fleet/request_run.test.ts
@@ -0,0 +1,127 @@
+import {
+  createAnswerTimes,
+  createTargetBook,
+  type ListedTarget,
+  type Route,
+} from '@hibiscusbeam/core';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {createPlaceQueue} from '../../packages/fleet/src/entry/place_queue';
+import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
+import {
+  createRequestRun,
+  type RequestRunOptions,
+} from '../../packages/fleet/src/entry/request_run';
+import {createRequestStory} from '../../packages/fleet/src/entry/request_story';
+import {createTimeliness} from '../../packages/fleet/src/entry/timeliness';
+import {requestProtocol} from '../../platform/request_protocol';
+import {eventually} from './fixtures/host_site';
+
+const TIMEOUT = 60_000;
+
+/** Takes connections and never answers. */
+let server: Server;
+let connections: number;
+
+beforeEach(async () => {
+  connections = 0;
+  server = createServer(socket => {
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.resume();
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+});
+
+afterEach(async () => {
+  await new Promise(resolve => server.close(resolve));
+});
+
+function target(instance: string): ListedTarget {
+  return {
+    instance,
+    born: undefined,
+    service: 'plain',
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    zone: 'north',
+    slots: 4,
+    leaving: false,
+    held: undefined,
+  };
+}
+
+/** A run of a request that is quarantined and has been given its one trial. */
+function startTrial() {
+  const book = createTargetBook({instance: 'entry', zone: 'north'});
+  book.list([target('one'), target('two')], 0);
+  const clock = (): number => performance.now();
+  const answerTimes = createAnswerTimes();
+  const options = {
+    protocol: requestProtocol,
+    book,
+    places: createPlaceQueue(book, clock),
+    timeliness: createTimeliness(answerTimes),
+    answerTimes,
+    quarantine: {isQuarantined: () => true},
+    trials: {
+      claim: () => Promise.resolve(true),
+      retryAfter: () => 1,
+      giveBack: () => undefined,
+    },
+    clock,
+    machineClock: clock,
+    ownLines: () => [],
+  } as unknown as RequestRunOptions;
+  const route = {
+    name: 'route',
+    kind: 'safe',
+    timeout: TIMEOUT,
+    objective: TIMEOUT,
+    attempts: 2,
+  } as Route;
+  const now = clock();
+  const accepted: AcceptedRequest = {
+    header: {patience: TIMEOUT} as AcceptedRequest['header'],
+    route,
+    service: 'plain',
+    access: {kind: 'anonymous'},
+    run: {promptTime: 0, writingTime: 0},
+    fingerprint: 'content',
+    body: Buffer.alloc(0),
+    arrivedAt: now,
+    deadline: now + TIMEOUT,
+  };
+  return createRequestRun(options, {
+    request: {
+      rawHeaders: [],
+      method: 'GET',
+      url: '/',
+    } as unknown as IncomingMessage,
+    response: {} as ServerResponse,
+    accepted,
+    story: createRequestStory(clock),
+    progress: {begun: false, lastEventId: undefined, begunAt: undefined},
+    signal: new AbortController().signal,
+    endedBy: () => undefined,
+  });
+}
+
+// A quarantined request has its one trial and its target is silent. Sent a
+// second time beside it, the one trial would end two targets.
+test('nothing is sent beside the trial of a quarantined request', async () => {
+  const run = startTrial();
+  const first = await run.perform({kind: 'choosePlace', tried: []});
+  if (first.kind !== 'placed' || first.place.kind !== 'place') {
+    throw new Error('the trial found no place');
+  }
+  const {target} = first.place;
+  void run.perform({kind: 'send', target, resumeAfter: undefined});
+  await eventually(() => connections === 1);
+  const second = await run.perform({kind: 'choosePlace', tried: [target]});
+  run.end();
+  expect(second).toMatchObject({
+    kind: 'placed',
+    place: {kind: 'noPlace', reason: 'quarantined'},
+  });
+});
