Use a connection that is up after the loop stood still

Cause: the timer of 200 ms for opening a connection to a target runs before sockets are read. If the loop stands still for longer, the connection is dropped though it is up.

Callers saw, in the test: nothing was sent, so a repeat from the budget, or 503 notConnected; a refusal, never a closed connection. The target counted as having failed.

A target that can't be reached is given up after 200 ms as before.

--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import type {Milliseconds, UnknownCause} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
+import {startAnswerTimer} from '../link/answer_timer';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
 
 /** A request as it goes to a target. */
@@ -96,7 +97,7 @@
     let outdated = false;
     let hasFailed = false;
     const fail = (detail: string, cause: UnknownCause): void => {
-      clearTimeout(timer);
+      timer.stop();
       resolve(
         Err(
           sent
@@ -123,12 +124,12 @@
       sent = true;
       request.end(outgoing.body);
     };
-    const timer = setTimeout(() => {
+    const timer = startAnswerTimer(CONNECT_TIMEOUT, () => {
       request.destroy(new Error('no connection in time'));
-    }, CONNECT_TIMEOUT);
+    });
     request.once('socket', socket =>
       socket.once('connect', () => {
-        clearTimeout(timer);
+        timer.stop();
         setImmediate(send);
       }),
     );
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -1,4 +1,5 @@
 import {openExchange} from '../../packages/fleet/src/entry/exchange';
+import {readFile} from 'node:fs/promises';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {requestProtocol} from '../../platform/request_protocol';
@@ -91,3 +92,19 @@
   await new Promise(resolve => setTimeout(resolve, 50));
   expect(received).toBe(0);
 });
+
+test('a connection that is up when the loop has stood still past the time to open one is used', async () => {
+  const address = await startTarget(socket =>
+    socket.end('HTTP/1.1 200 OK\r\n\r\nall of it'),
+  );
+  // In a turn that reads sockets, after which timers run before any is read.
+  await readFile('package.json');
+  const answer = readAnswer(address);
+  process.nextTick(() => standStill(300));
+  expect(await answer).toEqual({text: 'all of it', isWhole: true});
+});
+
+function standStill(duration: number): void {
+  const until = performance.now() + duration;
+  while (performance.now() < until);
+}
