Test that requests whose handling failed keep no places

Cause: the place at a target was given back after the send, and not if the send failed with an exception.

Callers saw, in the test: five requests of a tenant whose name no header line can carry take the four places of the only target; after the next configuration, without that name, each request was refused with 503.

--- a/test/fleet/request_failure.test.ts
+++ b/test/fleet/request_failure.test.ts
@@ -51,3 +51,12 @@
   await eventually(() => isInForce(2));
   expect(await statusOf('/unsafe/a')).toBe(502);
 });
+
+test('requests whose handling failed in the entry keep no places', async () => {
+  site.configure({Tenants: [{Name: UNWRITABLE_NAME, ApiKeys: [KEY]}]});
+  await eventually(() => isInForce(2));
+  for (let sent = 0; sent < 5; sent += 1) await statusOf('/unsafe/a');
+  site.configure();
+  await eventually(() => isInForce(3));
+  expect(await statusOf('/unsafe/a')).toBe(200);
+});
