Note nothing of a target whose request ended by its deadline or its caller

Cause: a send that was not silent and ended by the deadline, or since its caller had left, counted as a success of its target.

Callers would see: a dead target whose callers leave, or whose deadlines come, before its silence counts stays in use; each such end forgets the failures before it.

Conclusion: only an answer of a target is a success.

--- a/packages/fleet/src/entry/target_notes.ts
+++ b/packages/fleet/src/entry/target_notes.ts
@@ -14,7 +14,7 @@
 /** Notes what one send says of its target. */
 export interface TargetNotes {
   readonly noteSilence: () => void;
-  readonly noteEnd: (end: ForwardAttemptEnd, isSilent: boolean) => void;
+  readonly noteEnd: (end: ForwardAttemptEnd) => void;
 }
 
 /** Creates the notes of one send; it counts as one failure at most. */
@@ -32,7 +32,7 @@
     hasFailed = true;
   }
 
-  function noteTarget(end: ForwardAttemptEnd, isSilent: boolean): void {
+  function noteTarget(end: ForwardAttemptEnd): void {
     switch (end.kind) {
       case 'unknown':
       case 'broken':
@@ -44,7 +44,6 @@
         return noteFailure();
       case 'timedOut':
       case 'callerGone':
-        if (!isSilent) book.noteSuccess(target);
         return;
       case 'answered':
       case 'streamed':
@@ -76,8 +75,8 @@
 
   return {
     noteSilence: noteFailure,
-    noteEnd: (end, isSilent) => {
-      noteTarget(end, isSilent);
+    noteEnd: end => {
+      noteTarget(end);
       if (isConnectionLost(end)) metrics.countLostSend(route.name);
       noteCrash(end);
     },
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -153,7 +153,7 @@
     leave();
     if (end.kind === 'answered' && end.success) recordTime(begun);
     if (answer !== undefined) hooks.keepAnswer(answer);
-    notes.noteEnd(end, send.isSilent());
+    notes.noteEnd(end);
     if (end.kind !== 'notRun') hooks.onRun();
     line.end(end.kind, 'cause' in end ? end.cause : undefined);
     send.end(end);
--- a/test/fleet/target_notes.test.ts
+++ b/test/fleet/target_notes.test.ts
@@ -81,7 +81,7 @@
   const {send, isAvoided} = startSite();
   const notes = send();
   notes.noteSilence();
-  notes.noteEnd(LOST, true);
+  notes.noteEnd(LOST);
   expect(isAvoided()).toBe(false);
 });
 
@@ -89,7 +89,7 @@
   const {send, isAvoided} = startSite();
   const both = [send(), send()];
   for (const notes of both) notes.noteSilence();
-  both[0]!.noteEnd({kind: 'answered', success: true}, false);
+  both[0]!.noteEnd({kind: 'answered', success: true});
   expect(isAvoided()).toBe(false);
 });
 
@@ -97,7 +97,7 @@
   const {send, isAvoided} = startSite();
   const both = [send(), send()];
   for (const notes of both) notes.noteSilence();
-  for (const notes of both) notes.noteEnd({kind: 'timedOut'}, true);
+  for (const notes of both) notes.noteEnd({kind: 'timedOut'});
   expect(isAvoided()).toBe(true);
 });
 
@@ -105,7 +105,7 @@
   const {send, endings} = startSite();
   const lifeEnded = new AbortController();
   lifeEnded.abort();
-  send(lifeEnded).noteEnd(LOST, true);
-  send().noteEnd(LOST, false);
+  send(lifeEnded).noteEnd(LOST);
+  send().noteEnd(LOST);
   expect(endings).toEqual(['ended', 'lost']);
 });
