Say in a request's line when it found no place

Evidence: the reason for which no target takes the request stands among its attempts now.

Conclusion: no decision changes.

--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -152,6 +152,7 @@
     const outcome = await takePlace(triedBefore);
     if (outcome === 'withdrawn') return sends.next();
     if (outcome.kind === 'place') place = outcome;
+    else story.noPlace(outcome.kind);
     return {kind: 'placed', place: placeReply(outcome)};
   }
 
--- a/packages/fleet/src/entry/request_story.ts
+++ b/packages/fleet/src/entry/request_story.ts
@@ -5,6 +5,8 @@
 export interface RequestStory {
   readonly send: (target: ListedTarget) => SendLine;
   readonly repeat: (allowed: boolean) => void;
+  /** Notes that no target takes the request now. */
+  readonly noPlace: (reason: string) => void;
   readonly lines: () => readonly string[];
 }
 
@@ -32,6 +34,7 @@
     repeat: allowed => {
       if (!allowed) lines.push('no repeat left in the budget');
     },
+    noPlace: reason => lines.push(`${since()} ms no place: ${reason}`),
     lines: () => lines,
   };
 }
