Charge no repeat for a target that was not reached

Cause: a connection that is refused, or doesn't come about, was followed by a repeat from the site's budget and counted among the sends of the request. Nothing had arrived anywhere; the bound on repeats is one on arrivals beyond the first of each request.

Callers saw: 503 after some milliseconds, "no repeat left in the budget", or after four dead targets, though other targets live.

Ruled out: leaving requests that may not begin any more uncounted as well; their connections are made, and all targets might be tried. They are not charged, but counted.

Conclusion: what bounds tries that reach nobody is the targets left and the request's time.

--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -5,6 +5,7 @@
   ForwardedRequest,
   ForwardReply,
   ForwardResult,
+  NotRunCause,
   PlaceReply,
   SendReport,
   UnknownCause,
@@ -20,7 +21,8 @@
 /** How far a request has come. */
 interface Progress<Target> {
   tried: Target[];
-  sends: number;
+  /** Sends, but for those whose targets were not reached. */
+  tries: number;
   /** Sends that may have run, those under way included. */
   runs: number;
   /** Sends under way, as of the last report. */
@@ -59,7 +61,7 @@
 ): Flow<ForwardEffect<Target>, ForwardReply<Target>, ForwardResult> {
   const progress: Progress<Target> = {
     tried: [],
-    sends: 0,
+    tries: 0,
     runs: 0,
     underWay: 0,
     lastCause: 'connectionLost',
@@ -100,7 +102,7 @@
   if (place.kind !== 'place') return withoutPlace(progress, place);
   const {target} = place;
   progress.tried.push(target);
-  progress.sends += 1;
+  progress.tries += 1;
   progress.runs += 1;
   progress.underWay += 1;
   progress.repeatTaken = false;
@@ -121,13 +123,35 @@
   if (consequence.kind === 'end') return consequence;
   const {mayRepeat, otherwise} = consequence;
   const isAnyAnswering = silent < underWay && outcome.kind !== 'handedOn';
-  if (mayRepeat && !isAnyAnswering && (yield* takeRepeat(progress))) {
-    return {kind: 'search'};
+  if (mayRepeat && !isAnyAnswering) {
+    const isRepeat = hasArrived(outcome);
+    if (!isRepeat || (yield* takeRepeat(progress))) return {kind: 'search'};
   }
   if (underWay > 0) return {kind: 'wait'};
   return {kind: 'end', result: otherwise};
 }
 
+/** Whether anything of the request may have reached the target of a send. */
+function hasArrived(outcome: AttemptOutcome): boolean {
+  if (outcome.kind !== 'notRun') return true;
+  return outcome.cause !== 'outdated' && !isUnreached(outcome.cause);
+}
+
+/** Whether there was no connection to the target of a send. */
+function isUnreached(cause: NotRunCause): boolean {
+  switch (cause) {
+    case 'notConnected':
+    case 'connectionRefused':
+      return true;
+    case 'outdated':
+    case 'refusedByTarget':
+    case 'misdirected':
+      return false;
+    default:
+      return unreachable(cause);
+  }
+}
+
 function* takeRepeat<Target>(
   progress: Progress<Target>,
 ): Flow<ForwardEffect<Target>, ForwardReply<Target>, boolean> {
@@ -163,6 +187,7 @@
       return afterAnswer(request, progress, outcome.success);
     case 'notRun': {
       progress.runs -= 1;
+      if (isUnreached(outcome.cause)) progress.tries -= 1;
       const {cause: reason} = outcome;
       const notRun = {kind: 'notRun', reason, retryAfter: undefined} as const;
       return {
@@ -233,7 +258,7 @@
   request: ForwardedRequest,
   progress: Progress<Target>,
 ): boolean {
-  if (progress.sends >= request.attempts + EXTRA_SENDS) return false;
+  if (progress.tries >= request.attempts + EXTRA_SENDS) return false;
   return !progress.streamBegun || progress.lastEventId !== undefined;
 }
 
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -13,6 +13,8 @@
 export type NotRunCause =
   /** No byte of the request left this process. */
   | 'notConnected'
+  /** The same, since nothing listens at the target's address. */
+  | 'connectionRefused'
   /** By the time it could be sent, it might not begin there any more. */
   | 'outdated'
   /** The target says so and is full or leaving. */
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -98,6 +98,7 @@
   options.explain(failure.detail);
   switch (failure.kind) {
     case 'notConnected':
+    case 'connectionRefused':
     case 'outdated':
       return {kind: 'notRun', cause: failure.kind};
     case 'unknown':
