--- a/test/fleet/request_quarantine.test.ts
+++ b/test/fleet/request_quarantine.test.ts
@@ -81,3 +81,34 @@
   expect(before).toBeGreaterThanOrEqual(3);
   expect(crashingSends() - before).toBeLessThanOrEqual(MOST_LATE_SENDS);
 });
+
+/** How many requests that end targets come, and the pause between them. */
+const SHARES = [
+  {requests: 1, pause: 0},
+  {requests: 2, pause: 0},
+  {requests: 3, pause: 150},
+];
+
+test.each(SHARES)(
+  '$requests requests that end targets, $pause ms apart, leave targets for all others',
+  async ({requests, pause}) => {
+    const {address} = await startServingEntry();
+    const paths = Array.from(
+      {length: requests},
+      (_, index) => `/safe/crashing-${index}`,
+    );
+    for (let round = 0; round < 2; round += 1) {
+      for (const path of paths) {
+        void send(address, path, {}, CRASHING);
+        await pass(pause);
+      }
+      await pass(CONTACT / 2);
+    }
+    await pass(CONTACT / 2);
+    const before = crashingSends();
+    for (const path of paths) await send(address, path, {}, CRASHING);
+    expect(crashingSends() - before).toBeLessThanOrEqual(MOST_LATE_SENDS);
+    expect(before).toBeLessThanOrEqual(3 * requests);
+    expect((await send(address, '/safe/a')).status).toBe(200);
+  },
+);
