Avoid a target after one refused connection

Cause: a target was avoided after two failures in a row, also where the first showed that nothing listens at its address.

Callers saw: requests that went to a dead address first, again and again at each entry.

Evidence: the new test failed before (one refused connection, the target chosen again); its guard is caught. The pause is that of two failures, and doubles as before; a new life of the target is used at once.

Conclusion: each entry asks a dead address once, and then once a pause. That one entry's evidence reaches the others is not part of this.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -183,6 +183,20 @@
     const entry = entries.get(target.instance);
     if (entry === undefined) return;
     entry.failures += 1;
+    avoidAfterFailures(entry, now);
+  }
+
+  function noteRefusedConnection(
+    target: ListedTarget,
+    now: MonotonicInstant,
+  ): void {
+    const entry = entries.get(target.instance);
+    if (entry === undefined) return;
+    entry.failures = Math.max(entry.failures + 1, FAILURES_TO_AVOID);
+    avoidAfterFailures(entry, now);
+  }
+
+  function avoidAfterFailures(entry: TargetEntry, now: MonotonicInstant): void {
     if (entry.failures < FAILURES_TO_AVOID) return;
     const doublings = entry.failures - FAILURES_TO_AVOID;
     const pause = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** doublings);
@@ -278,6 +292,7 @@
       return entry.report?.ordering === true;
     },
     noteFailure,
+    noteRefusedConnection,
     noteMisdirected(target, now) {
       const entry = entries.get(target.instance);
       if (entry === undefined) return;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -99,6 +99,11 @@
     now: MonotonicInstant,
   ) => void;
   readonly noteFailure: (target: ListedTarget, now: MonotonicInstant) => void;
+  /** Notes that nothing listens at a target's address: it is avoided at once. */
+  readonly noteRefusedConnection: (
+    target: ListedTarget,
+    now: MonotonicInstant,
+  ) => void;
   readonly noteSuccess: (target: ListedTarget) => void;
   /** Notes that a target says it leaves; returns whether that is new. */
   readonly noteLeaving: (target: ListedTarget) => boolean;
--- a/packages/fleet/src/entry/target_notes.ts
+++ b/packages/fleet/src/entry/target_notes.ts
@@ -40,6 +40,9 @@
       case 'notRun':
         // Nothing was asked of the target.
         if (end.cause === 'outdated') return;
+        if (end.cause === 'connectionRefused') {
+          return book.noteRefusedConnection(target, clock());
+        }
         if (end.cause === 'misdirected') book.noteMisdirected(target, clock());
         return noteFailure();
       case 'timedOut':
--- a/test/fleet/target_notes.test.ts
+++ b/test/fleet/target_notes.test.ts
@@ -77,6 +77,12 @@
   expect(isAvoided()).toBe(true);
 });
 
+test('a target is avoided after one refused connection', () => {
+  const {send, isAvoided} = startSite();
+  send().noteEnd({kind: 'notRun', cause: 'connectionRefused'});
+  expect(isAvoided()).toBe(true);
+});
+
 test('a send that was silent and then failed counts once', () => {
   const {send, isAvoided} = startSite();
   const notes = send();
