Answer what still runs before a planned stop ends

Cause: since a silence ends no send, a request at a target that never answers runs until its deadline. A stopping entry waited for it to 0.95 of its grace period and then ended.

Callers saw, in the test: an unsafe request, read and sent, whose connection closed without an answer. Found in review.

Evidence: the test (patience 6 s, grace 2 s) had no answer before, and has 504 now; its guard is caught. At 0.9 of the grace period whatever still runs is answered as at its deadline: 504, 503 if it has not run, a stream that has begun is cut.

Conclusion: a stop leaves no request without an answer, whatever its target does.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -85,6 +85,9 @@
  */
 const SERVING_SHARE = 0.45;
 
+/** Share of the grace period after which what still runs is answered. */
+const LAST_ANSWERS_SHARE = 0.9;
+
 /** Share of the grace period after which the process ends at the latest. */
 const ENDING_SHARE = 0.95;
 
@@ -353,15 +356,15 @@
   const stop = async (): Promise<void> => {
     if (phase !== 'serving') return ended;
     const signalledAt = clock();
+    const isPast = (share: number): boolean =>
+      clock() - signalledAt >= bounds.grace * share;
     phase = 'leaving';
     circle.tellSelf();
     void members.leave();
     await sleep(bounds.grace * SERVING_SHARE);
     phase = 'closing';
-    while (
-      handler.running() > 0 &&
-      clock() - signalledAt < bounds.grace * ENDING_SHARE
-    ) {
+    while (handler.running() > 0 && !isPast(ENDING_SHARE)) {
+      if (isPast(LAST_ANSWERS_SHARE)) handler.endAll();
       await sleep(STOPPING_LOOK);
     }
     stopped.abort();
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -52,6 +52,8 @@
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
   /** Requests in progress. */
   readonly running: () => number;
+  /** Gives all requests in progress their final answers, as at their deadlines. */
+  readonly endAll: () => void;
 }
 
 /** Creates the handler of callers' requests. */
@@ -63,6 +65,7 @@
   const timeliness = createTimeliness(answerTimes);
   const runOptions = {...options, timeliness, answerTimes, ownLines};
   let running = 0;
+  const deadlines = new Set<() => void>();
 
   async function handle(
     request: IncomingMessage,
@@ -134,14 +137,19 @@
       ended.abort();
     };
     const left = Math.min(accepted.deadline - clock(), LONGEST_TIMER);
-    const timer = setTimeout(end, left, 'timedOut');
+    const endAtDeadline = (): void => end('timedOut');
+    const timer = setTimeout(endAtDeadline, left);
+    deadlines.add(endAtDeadline);
     response.once('close', () => {
       if (!response.writableFinished) end('callerGone');
     });
     return {
       signal: ended.signal,
       endedBy: () => by,
-      stop: () => clearTimeout(timer),
+      stop: () => {
+        clearTimeout(timer);
+        deadlines.delete(endAtDeadline);
+      },
     };
   }
 
@@ -277,5 +285,8 @@
       );
     },
     running: () => running,
+    endAll: () => {
+      for (const endAtDeadline of [...deadlines]) endAtDeadline();
+    },
   };
 }
--- a/test/fleet/caller_face.test.ts
+++ b/test/fleet/caller_face.test.ts
@@ -29,6 +29,7 @@
         request.resume().once('end', () => onRequest(response));
       },
       running: () => 0,
+      endAll: () => undefined,
     },
     monotonicClock,
   );
--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -57,6 +57,7 @@
 let address: string;
 let engines: HostEngine[];
 let onRun: (engine: HostEngine) => void;
+let stopEntry: () => Promise<void>;
 
 beforeEach(async () => {
   site = await startHostSite();
@@ -88,7 +89,8 @@
 
 async function serve(): Promise<void> {
   site.configure({}, ROUTES);
-  const {settings} = await site.startEntry();
+  const {settings, running} = await site.startEntry();
+  stopEntry = running.stop;
   address = settings.callerAddress;
   await eventually(() => isReady(settings.readinessAddress));
   await eventually(async () => (await ask('quick')).status === 200);
@@ -249,3 +251,16 @@
   const until = performance.now() + duration;
   while (performance.now() < until);
 }
+
+test('a request at a target that stays silent is answered before its entry ends', async () => {
+  const plain = await startTarget('plain');
+  await startTarget('model', AS_ENGINE);
+  await serve();
+  plain.setFault({kind: 'mute'});
+  let status: number | undefined;
+  const asking = ask('once').then(reply => (status = reply.status));
+  await eventually(() => lastRun(plain)?.requestId === `request-${asked}`);
+  await stopEntry();
+  expect(status).toBe(504);
+  await asking;
+});
