Go on looking for a target while the one that has a request is silent

Cause: a search for a second target beside a silent one ended as a search of a request that is late, after some 60 ms, and only a new report of a send led to another; a dead target reports nothing more.

Callers saw, in the test: 504 at the deadline, with a place free for 4.5 s before it.

Evidence: the test (one mute target, a second one 1.5 s later, patience 6 s) had 504 before and has 200 now; its guard is caught.

Conclusion: the wait ends with a report of the silent target, a place or the deadline. A repeat that the budget denies is not asked for again; open.

--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -37,7 +37,7 @@
   type TakenPlace,
 } from './target_send';
 import type {TargetStatements} from './target_statements';
-import {spreadReturn, type Timeliness} from './timeliness';
+import {spreadReturn, type PlaceLimits, type Timeliness} from './timeliness';
 
 const NO_PLACE_REASONS = {
   full: 'allFull',
@@ -165,15 +165,12 @@
     if (sends.count() > 0) {
       void sends.reported().then(() => withdrawal.abort());
     }
-    const limits = progress.begun
-      ? options.timeliness.resumeLimits(accepted, options.clock())
-      : options.timeliness.limits(accepted);
     const outcome = await options.places.take({
       need: () => needOf(tried),
       promptTime: run.promptTime,
       isResumed: progress.begun,
       priority: priority(),
-      ...limits,
+      ...placeLimits(),
       signal: AbortSignal.any([signal, withdrawal.signal]),
     });
     const isReported = withdrawal.signal.aborted || sends.hasReport();
@@ -182,6 +179,17 @@
     return 'withdrawn';
   }
 
+  function placeLimits(): PlaceLimits {
+    const {timeliness} = options;
+    const limits = progress.begun
+      ? timeliness.resumeLimits(accepted, options.clock())
+      : timeliness.limits(accepted);
+    // Its caller waits in any case.
+    return sends.areSilent()
+      ? {...limits, waitUntil: accepted.deadline}
+      : limits;
+  }
+
   function giveBack({inHand}: TakenPlace): void {
     inHand.end();
     options.places.pump();
--- a/packages/fleet/src/entry/sends_under_way.ts
+++ b/packages/fleet/src/entry/sends_under_way.ts
@@ -31,6 +31,8 @@
   /** Begins a send; streams that still go on are held until it ends. */
   readonly begin: () => SendUnderWay;
   readonly count: () => number;
+  /** Whether sends are under way and nothing comes from any of them. */
+  readonly areSilent: () => boolean;
   readonly hasReport: () => boolean;
   /** Resolves once there is a report. */
   readonly reported: () => Promise<void>;
@@ -149,6 +151,8 @@
   return {
     begin,
     count: () => underWay.size,
+    areSilent: () =>
+      underWay.size > 0 && [...underWay].every(({isSilent}) => isSilent),
     hasReport: () => reports.length > 0 || failure !== undefined,
     reported,
     next,
--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -264,3 +264,14 @@
   expect(status).toBe(504);
   await asking;
 });
+
+test('a place that comes up while the only target stays silent is used', async () => {
+  await Promise.all([startTarget('one'), startTarget('model', AS_ENGINE)]);
+  await serve();
+  const begun = failInTurn({kind: 'mute'});
+  const answer = ask('quick');
+  await eventually(() => begun.length === 1);
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  await startTarget('late');
+  expect((await answer).status).toBe(200);
+});
