Keep an idle connection for the longest idle time its caller may have been told

Cause: the time told was noted when a request came; Node names the one in force when the answer begins, which may be longer.

Evidence: read in review; the tests of idle connections and their guards hold.

Conclusion: the longer of both counts.

--- a/packages/fleet/src/entry/idle_connections.ts
+++ b/packages/fleet/src/entry/idle_connections.ts
@@ -59,9 +59,11 @@
     noteRequest: ({socket}, response) => {
       const toldTimeout = idleTimeout();
       idle.delete(socket);
-      response.once('finish', () =>
-        idle.set(socket, {at: clock(), toldTimeout}),
-      );
+      response.once('finish', () => {
+        // Node names the idle time in force when the answer begins.
+        const longest = Math.max(toldTimeout, idleTimeout());
+        idle.set(socket, {at: clock(), toldTimeout: longest});
+      });
     },
     noteTimeout: socket => {
       const since = idle.get(socket);
