Read sockets once more when the time for an answer is over

Cause: a standstill that begins in the last step of a wait still ran its timer before sockets were read: a fifth of a look at an engine, a sixth of a wait for a neighbour, half of a connection.

Callers would see: an agent that takes its engine or a neighbour for silent after a standstill of its own. Found in review.

A neighbour that answers nothing is lost at 600 ms and not at 599, as before; its test lets the loop turn once, since the end comes after a reading of sockets.

Conclusion: the time ends after a reading of sockets, wherever the standstill begins.

--- a/packages/fleet/src/link/answer_timer.ts
+++ b/packages/fleet/src/link/answer_timer.ts
@@ -9,20 +9,29 @@
 }
 
 /**
- * Starts the time for an answer.
- *
- * Failure: this process stands still, and timers run before what has come
- * meanwhile is read. An answer that is there counts as missing, and what goes with
- * it is given up. Guard: a standstill costs the first step only; answers are read
- * before the last one has passed.
+ * Starts the time for an answer. Timers run before sockets are read, so that an
+ * answer which came while this process stood still would count as missing.
  */
 export function startAnswerTimer(
   time: Milliseconds,
   onExpired: () => void,
 ): AnswerTimer {
   const lastStep = Math.min(LAST_STEP, time / 2);
+  let isStopped = false;
   let timer = setTimeout(() => {
-    timer = setTimeout(onExpired, lastStep);
+    timer = setTimeout(expireOnceRead, lastStep);
   }, time - lastStep);
-  return {stop: () => clearTimeout(timer)};
+
+  function expireOnceRead(): void {
+    setImmediate(() => {
+      if (!isStopped) onExpired();
+    });
+  }
+
+  return {
+    stop: () => {
+      isStopped = true;
+      clearTimeout(timer);
+    },
+  };
 }
--- a/test/fleet/announcement_link.test.ts
+++ b/test/fleet/announcement_link.test.ts
@@ -69,14 +69,16 @@
   link.end();
 });
 
-test('a neighbour that does not answer is lost after 600 ms', () => {
-  vi.useFakeTimers();
+test('a neighbour that does not answer is lost after 600 ms', async () => {
+  vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
   try {
     const {link, losses} = startLink(() => undefined);
     link.send(ANNOUNCEMENT);
     vi.advanceTimersByTime(599);
+    await nextTurn();
     expect(losses()).toBe(0);
     vi.advanceTimersByTime(1);
+    await nextTurn();
     expect(losses()).toBe(1);
   } finally {
     vi.useRealTimers();
