Wait for a leaving target that takes no more connections

Cause: a silent target at whose address nothing listens counted as ended. A target that leaves may stop listening first and finish what it runs.

Callers saw, in the test: 502 `connectionLost` for an unsafe request whose target answered later; and the request was counted among those under which targets end. Found in review.

Evidence: the test fails without the condition, which its guard shows. A target that is listed as staying, silent, and listens no more still ends its sends at the first silence.

Conclusion: one that stops listening before it says that it leaves is still taken for ended.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -208,6 +208,11 @@
     return saidLeaving.get(target) === true;
   }
 
+  function isStaying(target: ListedTarget): boolean {
+    const entry = entries.get(target.instance);
+    return entry !== undefined && !isLeaving(entry.target);
+  }
+
   function noteLeaving(target: ListedTarget): boolean {
     if (saidLeaving.get(target) === true) return false;
     saidLeaving.set(target, true);
@@ -291,6 +296,7 @@
       if (entry === undefined || !isReported(entry, now)) return false;
       return entry.report?.ordering === true;
     },
+    isStaying,
     noteFailure,
     noteRefusedConnection,
     noteMisdirected(target, now) {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -99,6 +99,8 @@
     now: MonotonicInstant,
   ) => void;
   readonly noteFailure: (target: ListedTarget, now: MonotonicInstant) => void;
+  /** Whether the target is listed and has not said that it leaves. */
+  readonly isStaying: (target: ListedTarget) => boolean;
   /** Notes that nothing listens at a target's address: it is avoided at once. */
   readonly noteRefusedConnection: (
     target: ListedTarget,
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -181,14 +181,19 @@
     lookAtTarget(begun).catch(fail);
   }
 
-  /** A silent target at whose address nothing listens has ended. */
+  /**
+   * A silent target at whose address nothing listens has ended, unless it leaves:
+   * then it may finish what it runs.
+   */
   async function lookAtTarget({
     planned,
     send,
     lifeEnded,
   }: BegunSend): Promise<void> {
-    const state = await options.crashWatch.look(planned.place.target);
-    if (state === 'closed' && send.isSilent()) lifeEnded.abort();
+    const {target} = planned.place;
+    const state = await options.crashWatch.look(target);
+    if (state !== 'closed' || !send.isSilent()) return;
+    if (options.book.isStaying(target)) lifeEnded.abort();
   }
 
   /** Lets the stream go on elsewhere once its target is to load weights. */
--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -20,6 +20,9 @@
 /** Longer than a target may be silent before it is suspected. */
 const SILENCE = 900;
 
+/** The same with the longer objective. */
+const LONG_SILENCE = 2_000;
+
 /** Longer than callers wait. */
 const FOR_GOOD = 8_000;
 
@@ -37,6 +40,13 @@
 const ROUTES = [
   {...ROUTE, Name: 'quick', Prefix: '/quick/', Kind: 'safe'},
   {...ROUTE, Name: 'once', Prefix: '/once/', Kind: 'unsafe'},
+  {
+    ...ROUTE,
+    Name: 'slow',
+    Prefix: '/slow/',
+    Kind: 'unsafe',
+    TargetLatencyMs: 400,
+  },
   {
     ...ROUTE,
     Name: 'going',
@@ -275,3 +285,18 @@
   await startTarget('late');
   expect((await answer).status).toBe(200);
 });
+
+test('a leaving target that takes no more connections finishes the request it runs', async () => {
+  const plain = await startTarget('plain');
+  await startTarget('model', AS_ENGINE);
+  await serve();
+  plain.setFault(silentFor(LONG_SILENCE, 0));
+  onRun = engine => {
+    engine.stopListening();
+    site.register(engine, {State: 'draining'});
+  };
+  expect(await ask('slow')).toEqual({status: 200, text: 'done by plain'});
+  expect(site.lines.map(({sentence}) => sentence)).not.toContain(
+    'target ended under a request',
+  );
+});
