Name the idle time at a request apart from the one a caller was told

Cause: the same expression stood twice, so that two guards named no single place.

Evidence: the test of the guards failed and passes.

Conclusion: names only.

--- a/packages/fleet/src/entry/idle_connections.ts
+++ b/packages/fleet/src/entry/idle_connections.ts
@@ -57,12 +57,12 @@
 
   return {
     noteRequest: ({socket}, response) => {
-      const toldTimeout = idleTimeout();
+      const timeoutAtRequest = idleTimeout();
       idle.delete(socket);
       response.once('finish', () => {
         // Node names the idle time in force when the answer begins.
-        const longest = Math.max(toldTimeout, idleTimeout());
-        idle.set(socket, {at: clock(), toldTimeout: longest});
+        const toldTimeout = Math.max(timeoutAtRequest, idleTimeout());
+        idle.set(socket, {at: clock(), toldTimeout});
       });
     },
     noteTimeout: socket => {
