Let the soak judge attempts at entries that are told to stop

Cause: an attempt whose entry had a planned stop in its time was left out, though a stop must cut nobody; the request that a stop closed was found by review, not by the soak.

Change: an attempt without an answer is explained by a kill or a freeze of its entry, by an end of its target, or by having been sent once its entry took no more, 0.45 of the grace period after the signal; not by the stop itself.

Conclusion: stricter than before; no plan has changed.

--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -76,8 +76,10 @@
   readonly crashing: string;
   /** Whether an entry was not stopped, killed or frozen in a span. */
   readonly isCalm: (entry: number, from: number, until: number) => boolean;
-  /** Whether no process of an entry ran at a time, since it was killed. */
-  readonly isKilled: (entry: number, at: number) => boolean;
+  /** Whether an entry was neither killed nor frozen in a span. */
+  readonly isRunning: (entry: number, from: number, until: number) => boolean;
+  /** Whether an entry that was told to stop takes no more requests at a time. */
+  readonly isClosing: (entry: number, at: number) => boolean;
 }
 
 /** Checks all promises; returns what is broken. */
@@ -249,14 +251,14 @@
     .map(({requestId, text}) => `${requestId} was refused: ${text.trim()}`);
 }
 
-/** Attempts without an answer though neither entry nor target broke off. */
+/** Attempts without an answer that no kill, freeze or end of a target explains. */
 function unanswered(records: SoakRecords): readonly string[] {
   return records.callers
     .filter(({failure}) => failure === 'noAnswer')
     .filter(({entry, sentAt, endedAt}) =>
-      records.isCalm(entry, sentAt, endedAt),
+      records.isRunning(entry, sentAt, endedAt),
     )
-    .filter(({entry, sentAt}) => !records.isKilled(entry, sentAt))
+    .filter(({entry, sentAt}) => !records.isClosing(entry, sentAt))
     .filter(caller => !hasTargetEnded(records, caller))
     .map(({requestId, path}) => `${requestId} on ${path} got no answer`);
 }
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -39,6 +39,12 @@
 const LAST_CALM = 6_000;
 const RESTART_PAUSE = 300;
 
+/** Share of the grace period after which a stopping entry takes no more. */
+const CLOSING_SHARE = 0.45;
+
+/** A stopping entry is surely gone, and started again, after this. */
+const STOPPED_AFTER = 3_500;
+
 const BOUNDS = {
   configuration: 2_000,
   revocation: 5_000,
@@ -150,8 +156,10 @@
   const limits: LimitSpan[] = [];
   const openLimits = new Map<HostEngine, {rate: number; from: number}>();
   const disturbances: Disturbance[] = [];
-  /** Spans in which the process of an entry was gone for sure. */
-  const kills: Disturbance[] = [];
+  /** Spans in which an entry was killed or frozen, or gone for that. */
+  const breaks: Disturbance[] = [];
+  /** Spans in which an entry that is to stop answers "not run", or is gone. */
+  const closings: Disturbance[] = [];
   const routes: RouteSpan[] = [];
   /** When the store began or ended to misbehave. */
   const storeFaults: number[] = [];
@@ -301,8 +309,12 @@
 
   function disturb(entry: number, signal: NodeJS.Signals): void {
     const from = performance.now();
-    if (signal === 'SIGKILL') {
-      kills.push({entry, from, until: from + RESTART_PAUSE});
+    if (signal === 'SIGTERM') {
+      const closesAt = from + BOUNDS.grace * CLOSING_SHARE;
+      closings.push({entry, from: closesAt, until: from + STOPPED_AFTER});
+    } else {
+      const gone = signal === 'SIGKILL' ? RESTART_PAUSE : 0;
+      breaks.push({entry, from, until: from + gone});
     }
     const lasting = signal === 'SIGTERM' ? BOUNDS.grace : 0;
     disturbances.push({entry, from, until: from + lasting});
@@ -362,14 +374,9 @@
     isStoreStable: (from, until) =>
       storeFaults.every(at => at < from || at > until),
     crashing: CRASHING,
-    isCalm: (entry, from, until) =>
-      disturbances.every(
-        span => span.entry !== entry || span.until < from || span.from > until,
-      ),
-    isKilled: (entry, at) =>
-      kills.some(
-        span => span.entry === entry && span.from <= at && at <= span.until,
-      ),
+    isCalm: (entry, from, until) => !isWithin(disturbances, entry, from, until),
+    isRunning: (entry, from, until) => !isWithin(breaks, entry, from, until),
+    isClosing: (entry, at) => isWithin(closings, entry, at, at),
   };
   const broken = brokenPromises(records);
   await Promise.all(entries.map(entry => entry.close()));
@@ -391,6 +398,18 @@
   };
 }
 
+/** Whether one of the spans of an entry touches a span of time. */
+function isWithin(
+  spans: readonly Disturbance[],
+  entry: number,
+  from: number,
+  until: number,
+): boolean {
+  return spans.some(
+    span => span.entry === entry && span.until >= from && span.from <= until,
+  );
+}
+
 async function isReady({readinessAddress}: EntryProcess): Promise<boolean> {
   try {
     const reply = await request(`http://${readinessAddress}/ready`);
