--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -50,11 +50,8 @@
  * Decides what happens to one request, from the first target to the final
  * answer. A send that is silent is not given up: another one may be begun
  * beside it, and the first that has something for the caller wins.
- *
- * Failure: a request that may not run twice is sent again after a reset, and a
- * doubled charge shows at the caller. Guard: only evidence that nothing ran
- * (`notRun`) leads to a second send of such a request, and only it leads to the
- * answer "not run".
+ * Only evidence that nothing ran leads to a second send of a request that may not
+ * be repeated, and only it leads to the answer "not run".
  */
 export function* forwardRequest<Target>(
   request: ForwardedRequest,
@@ -74,7 +71,7 @@
   for (;;) {
     switch (step.kind) {
       case 'search':
-        step = yield* searchPlace(request, progress);
+        step = yield* searchAndSend(request, progress);
         break;
       case 'wait': {
         const report = reportOf(yield {kind: 'wait'});
@@ -90,7 +87,7 @@
 }
 
 /** Looks for a target and sends the request there. */
-function* searchPlace<Target>(
+function* searchAndSend<Target>(
   request: ForwardedRequest,
   progress: Progress<Target>,
 ): Steps<Target> {
@@ -122,8 +119,8 @@
   const consequence = consequenceOf(request, progress, outcome);
   if (consequence.kind === 'end') return consequence;
   const {mayRepeat, otherwise} = consequence;
-  const isAnyAnswering = silent < underWay && outcome.kind !== 'handedOn';
-  if (mayRepeat && !isAnyAnswering) {
+  const isAnyNotSilent = silent < underWay && outcome.kind !== 'handedOn';
+  if (mayRepeat && !isAnyNotSilent) {
     const isRepeat = hasArrived(outcome);
     if (!isRepeat || (yield* takeRepeat(progress))) return {kind: 'search'};
   }
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -175,9 +175,7 @@
     const stream = channels.at(entry.address).reportEngine();
     entry.repliedAt = clock();
     stream.on('data', (reply: EngineReportReply) => {
-      // Failure: an engine is silent for seconds, in which nothing is reported.
-      // Counted from the last report, all entries seem to be silent too, and
-      // their streams are closed just when there is something to report again.
+      // Not the time of the last report: a silent engine has none.
       entry.repliedAt = clock();
       options.onReply(reply);
     });
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -109,11 +109,7 @@
     if (canBeKept(chunks, bytes.length)) kept.set(digest, bytes);
   }
 
-  /**
-   * Failure: an order has no answer, since its engine is silent. The engine goes
-   * on, accepts it, and loads what then lies staged: chunks of two versions, if
-   * those of the next one came meanwhile. Guard: they wait in memory.
-   */
+  /** An engine may yet accept the order, and load whatever lies staged then. */
   function isHeldBack({version}: VersionContent): boolean {
     return unanswered !== undefined && unanswered.version !== version;
   }
@@ -135,11 +131,7 @@
     frozen = frozen.then(() => stageKept(content));
   }
 
-  /**
-   * Failure: an engine is silent for a second while chunks come. Each that can't
-   * be staged counts as a failure of the store, and the agent fetches nothing for
-   * seconds. Guard: what is in memory is held, and is staged before the order.
-   */
+  /** What a silent engine doesn't take is staged from memory before the order. */
   async function stageOrKeep(
     content: VersionContent,
     position: number,
@@ -217,11 +209,8 @@
   }
 
   /**
-   * Reads what lies staged, and remembers the digest at each position.
-   *
-   * Failure: the engine doesn't answer for a second while it is read. Taken as
-   * gone, the chunks that were not read yet are fetched again, at worst from the
-   * origin. Guard: what is not read stays as it was known, and is read again.
+   * Reads what lies staged, and remembers the digest at each position. What a
+   * silent engine doesn't give stays as it was known, and is read again.
    */
   async function readAll(
     content: VersionContent,
--- a/packages/fleet/src/entry/idle_connections.ts
+++ b/packages/fleet/src/entry/idle_connections.ts
@@ -19,17 +19,13 @@
 
 interface IdleSince {
   readonly at: MonotonicInstant;
-  /** The idle time that the caller was told with its last answer. */
-  readonly toldTimeout: Milliseconds;
+  /** The idle time that the caller's last answer named. */
+  readonly announcedTimeout: Milliseconds;
 }
 
 /**
- * Creates the keeper of idle connections; `idleTimeout` gives the time in force.
- *
- * Failure: a configuration brings another idle time. A connection has the timer
- * of the older one, its caller goes by the newer one, or the other way round, and
- * a request meets the close. Guard: a connection is kept for the longer one of
- * the time that its caller was told and the time that is in force.
+ * Creates the closing of idle connections; `idleTimeout` gives the time in force.
+ * Callers may go by it or by the one announced to them, so the longer one counts.
  */
 export function createIdleConnections(
   idleTimeout: () => Milliseconds,
@@ -37,15 +33,11 @@
 ): IdleConnections {
   const idle = new WeakMap<Socket, IdleSince>();
 
-  function keptUntil({at, toldTimeout}: IdleSince): MonotonicInstant {
-    return at + Math.max(toldTimeout, idleTimeout()) + MARGIN;
+  function keptUntil({at, announcedTimeout}: IdleSince): MonotonicInstant {
+    return at + Math.max(announcedTimeout, idleTimeout()) + MARGIN;
   }
 
-  /**
-   * Failure: the loop stands still past the idle time. Timers run before sockets
-   * are read, and a request that lies in the socket is closed upon. Guard: the
-   * connection is closed after the next reading of sockets if nothing came.
-   */
+  /** Timers run before sockets are read: a request may lie in the socket. */
   function closeAfterReading(socket: Socket, since: IdleSince): void {
     const {bytesRead} = socket;
     setImmediate(() => {
@@ -61,8 +53,8 @@
       idle.delete(socket);
       response.once('finish', () => {
         // Node names the idle time in force when the answer begins.
-        const toldTimeout = Math.max(timeoutAtRequest, idleTimeout());
-        idle.set(socket, {at: clock(), toldTimeout});
+        const announcedTimeout = Math.max(timeoutAtRequest, idleTimeout());
+        idle.set(socket, {at: clock(), announcedTimeout});
       });
     },
     noteTimeout: socket => {
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -262,11 +262,7 @@
     });
   }
 
-  /**
-   * Failure: a configuration brings a value that no header line can carry, the
-   * handling of each request that meets it fails, and its caller gets neither an
-   * answer nor a refusal.
-   */
+  /** A request whose handling fails still gets a final answer. */
   function answerFailure(response: ServerResponse, error: unknown): void {
     log.error('request failed in this process', {error});
     if (response.writableEnded) return;
--- a/packages/fleet/src/entry/silence_watch.ts
+++ b/packages/fleet/src/entry/silence_watch.ts
@@ -34,11 +34,7 @@
     timer = setTimeout(onTimer, longestSilence);
   }
 
-  /**
-   * Failure: the loop stands still while an answer waits in its socket. Timers
-   * run before sockets are read, so the target is blamed. Guard: the silence is
-   * looked at again once they have been read.
-   */
+  /** Timers run before sockets are read: bytes may wait in the socket. */
   function onTimer(): void {
     const expected = silentAt;
     setImmediate(() => {
--- a/packages/fleet/src/entry/target_notes.ts
+++ b/packages/fleet/src/entry/target_notes.ts
@@ -8,7 +8,7 @@
   readonly accepted: AcceptedRequest;
   readonly place: TakenPlace;
   /** Aborted once nothing listens at the target's address any more. */
-  readonly lifeEnded: AbortController;
+  readonly foundClosed: AbortController;
 }
 
 /** Notes what one send says of its target. */
@@ -20,7 +20,7 @@
 /** Creates the notes of one send; it counts as one failure at most. */
 export function createTargetNotes(
   options: RequestRunOptions,
-  {accepted, place, lifeEnded}: NotedSend,
+  {accepted, place, foundClosed}: NotedSend,
 ): TargetNotes {
   const {book, clock, crashWatch, metrics} = options;
   const {fingerprint, route} = accepted;
@@ -60,7 +60,7 @@
     switch (end.kind) {
       case 'unknown':
       case 'broken':
-        if (place.lifeEnded.aborted || lifeEnded.signal.aborted) {
+        if (place.lifeEnded.aborted || foundClosed.signal.aborted) {
           return crashWatch.noteEnded(fingerprint, target);
         }
         return void crashWatch.noteLost(fingerprint, target);
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -46,7 +46,7 @@
   readonly line: SendLine;
   readonly notes: TargetNotes;
   /** Aborted once nothing listens at the target's address any more. */
-  readonly lifeEnded: AbortController;
+  readonly foundClosed: AbortController;
   /** Gives back what the send has taken. */
   readonly leave: () => void;
   /** The whole answer, once it is there. */
@@ -87,8 +87,8 @@
     const {place} = planned;
     const send = sends.begin();
     const line = context.story.send(place.target);
-    const lifeEnded = new AbortController();
-    const notes = createTargetNotes(options, {accepted, place, lifeEnded});
+    const foundClosed = new AbortController();
+    const notes = createTargetNotes(options, {accepted, place, foundClosed});
     const stopOffering = offerToMove(planned, send);
     const leave = (): void => {
       stopOffering();
@@ -101,7 +101,11 @@
     };
     send.signal.addEventListener('abort', leaveUnanswered, {once: true});
     return {
-      ...{planned, send, line, lifeEnded, notes},
+      planned,
+      send,
+      line,
+      foundClosed,
+      notes,
       sentAt: options.clock(),
       leave: () => {
         send.signal.removeEventListener('abort', leaveUnanswered);
@@ -112,7 +116,7 @@
   }
 
   function attemptOptions(begun: BegunSend): AttemptOptions {
-    const {planned, send, line, lifeEnded, sentAt} = begun;
+    const {planned, send, line, foundClosed, sentAt} = begun;
     const {target, inHand} = planned.place;
     return {
       route,
@@ -134,8 +138,10 @@
       onStream: send.setStream,
       onPassOn: send.win,
       signal: AbortSignal.any([
-        ...[context.signal, planned.place.lifeEnded],
-        ...[lifeEnded.signal, send.signal],
+        context.signal,
+        planned.place.lifeEnded,
+        foundClosed.signal,
+        send.signal,
       ]),
       onHeader: header => {
         const stated = options.statements.note({target, header, sentAt});
@@ -188,12 +194,12 @@
   async function lookAtTarget({
     planned,
     send,
-    lifeEnded,
+    foundClosed,
   }: BegunSend): Promise<void> {
     const {target} = planned.place;
     const state = await options.crashWatch.look(target);
     if (state !== 'closed' || !send.isSilent()) return;
-    if (options.book.isStaying(target)) lifeEnded.abort();
+    if (options.book.isStaying(target)) foundClosed.abort();
   }
 
   /** Lets the stream go on elsewhere once its target is to load weights. */
--- a/packages/fleet/src/link/configuration_copies.ts
+++ b/packages/fleet/src/link/configuration_copies.ts
@@ -75,12 +75,7 @@
     if (document !== undefined) keep({...document, revision});
   }
 
-  /**
-   * Failure: a change touches every route, and a relay's loop stands still while
-   * it works out what differs, for each configuration that a follower holds. Guard:
-   * a text that shares little with its base is told whole, which costs a fraction
-   * of the time and about as many bytes.
-   */
+  /** Working out what differs in every route would hold the loop for long. */
   function baseFor(
     {text}: ConfigurationDocument,
     revision: Revision,
--- a/packages/fleet/src/link/text_similarity.ts
+++ b/packages/fleet/src/link/text_similarity.ts
@@ -13,11 +13,7 @@
 /** How far a sample may have moved, in bytes, beside what the texts have grown. */
 const LONGEST_SHIFT = 16 * 1024;
 
-/**
- * Whether `text` differs from `base` in few stretches, by samples of it. This is
- * cheap: a search of bytes stops at the first one that is found, and the whole
- * stops once too many are missing.
- */
+/** Whether `text` differs from `base` in few stretches, judged by samples. */
 export function isSimilar(text: Buffer, base: Buffer): boolean {
   const shift = LONGEST_SHIFT + Math.abs(text.length - base.length);
   const step = Math.max(1, Math.floor(text.length / SAMPLES));
--- a/packages/fleet/src/runtime/fleet_process.ts
+++ b/packages/fleet/src/runtime/fleet_process.ts
@@ -47,8 +47,7 @@
   const writer = createLogWriter(() => performance.now());
   const logs = createProcessLogs(settings, writer);
   const log = logs('process');
-  // Failure: the settings change while a process starts, and the signal that
-  // says so ends it.
+  // Without a handler the signal would end a process that starts.
   process.on('SIGHUP', () =>
     checkSettingsAgain(() => readFileSync(path, 'utf8'), settings, log),
   );
--- a/test/fleet/target_notes.test.ts
+++ b/test/fleet/target_notes.test.ts
@@ -40,10 +40,10 @@
     },
   } as unknown as RequestRunOptions;
 
-  function send(lifeEnded = new AbortController()) {
+  function send(foundClosed = new AbortController()) {
     const never = new AbortController().signal;
     const place = {target: doubted, lifeEnded: never} as TakenPlace;
-    return createTargetNotes(options, {accepted, place, lifeEnded});
+    return createTargetNotes(options, {accepted, place, foundClosed});
   }
 
   function isAvoided(): boolean {
@@ -109,9 +109,9 @@
 
 test('a target at whose address nothing listens has ended under its request', () => {
   const {send, endings} = startSite();
-  const lifeEnded = new AbortController();
-  lifeEnded.abort();
-  send(lifeEnded).noteEnd(LOST);
+  const foundClosed = new AbortController();
+  foundClosed.abort();
+  send(foundClosed).noteEnd(LOST);
   send().noteEnd(LOST);
   expect(endings).toEqual(['ended', 'lost']);
 });
