--- a/test/fleet/second_send.test.ts
+++ b/test/fleet/second_send.test.ts
@@ -1,24 +1,14 @@
 import {request} from 'undici';
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {isReady, send} from './fixtures/host_caller';
+import type {EngineFault, HostEngine} from './fixtures/host_engine';
+import {eventually, HOST, KEY} from './fixtures/host_site';
 import {
-  startHostEngine,
-  type EngineFault,
-  type HostEngine,
-  type HostEngineOptions,
-} from './fixtures/host_engine';
-import {
-  eventually,
-  HOST,
-  KEY,
-  startHostSite,
-  type HostSite,
-} from './fixtures/host_site';
-
-const PATIENCE = 6_000;
-
-/** Longer than a target may be silent before it is suspected. */
-const SILENCE = 900;
+  AS_ENGINE,
+  SILENCE,
+  startQuickSite,
+  WHOLE_STREAM,
+  type QuickSite,
+} from './fixtures/quick_site';
 
 /** The same with the longer objective. */
 const LONG_SILENCE = 2_000;
@@ -26,86 +16,17 @@
 /** Longer than callers wait. */
 const FOR_GOOD = 8_000;
 
-const EVENTS = 3;
-const WHOLE_STREAM = 'id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3';
-
-const ROUTE = {
-  Host: HOST,
-  Service: 'plain',
-  TimeoutMs: 6_000,
-  TargetLatencyMs: 100,
-  MaxAttempts: 2,
-};
-
-const ROUTES = [
-  {...ROUTE, Name: 'quick', Prefix: '/quick/', Kind: 'safe'},
-  {...ROUTE, Name: 'once', Prefix: '/once/', Kind: 'unsafe'},
-  {
-    ...ROUTE,
-    Name: 'slow',
-    Prefix: '/slow/',
-    Kind: 'unsafe',
-    TargetLatencyMs: 400,
-  },
-  {
-    ...ROUTE,
-    Name: 'going',
-    Prefix: '/going/',
-    Kind: 'stream',
-    Service: 'engines',
-    GapTargetMs: 300,
-    Resumable: true,
-  },
-];
-
-const AS_ENGINE = {
-  Service: 'engines',
-  Models: [{Name: 'model', Version: 1, Adapters: []}],
-};
-
-let site: HostSite;
-let address: string;
-let engines: HostEngine[];
-let onRun: (engine: HostEngine) => void;
-let stopEntry: () => Promise<void>;
+let quick: QuickSite;
+const startTarget: QuickSite['startTarget'] = (...args) =>
+  quick.startTarget(...args);
+const serve = () => quick.serve();
+const ask = (route: string) => quick.ask(route);
 
 beforeEach(async () => {
-  site = await startHostSite();
-  engines = [];
-  onRun = () => undefined;
+  quick = await startQuickSite();
 });
 
-afterEach(async () => {
-  await site.close();
-  await Promise.all(engines.map(engine => engine.close()));
-});
-
-async function startTarget(
-  instance: string,
-  changes: object = {},
-  options: Partial<HostEngineOptions> = {},
-): Promise<HostEngine> {
-  const engine = await startHostEngine({
-    instance,
-    version: 1,
-    events: EVENTS,
-    onRun: () => onRun(engine),
-    ...options,
-  });
-  engines.push(engine);
-  site.register(engine, changes);
-  return engine;
-}
-
-async function serve(): Promise<void> {
-  site.configure({}, ROUTES);
-  const {settings, running} = await site.startEntry();
-  stopEntry = running.stop;
-  address = settings.callerAddress;
-  await eventually(() => isReady(settings.readinessAddress));
-  await eventually(async () => (await ask('quick')).status === 200);
-  await eventually(async () => (await ask('going')).status === 200);
-}
+afterEach(() => quick.close());
 
 async function serveByTwo(): Promise<void> {
   await Promise.all([
@@ -114,34 +35,18 @@
   ]);
   await serve();
   await eventually(() => {
-    const lines = JSON.stringify(site.lines);
-    return engines.every(({instance}) => lines.includes(instance));
+    const lines = JSON.stringify(quick.site.lines);
+    return quick.engines.every(({instance}) => lines.includes(instance));
   });
 }
 
-let asked = 0;
-
-function headersOf(route: string): Record<string, string> {
-  asked += 1;
-  return {
-    'x-hibiscusbeam-request-id': `request-${asked}`,
-    'x-hibiscusbeam-deadline-ms': String(PATIENCE),
-    ...(route === 'going' && {'x-hibiscusbeam-model': 'model'}),
-  };
-}
-
-async function ask(route: string) {
-  const reply = await send(address, `/${route}/a`, headersOf(route));
-  return {status: reply.status, text: reply.text.trim()};
-}
-
 /** Has the first and the second target that runs a request fail like this. */
 function failInTurn(...faults: readonly EngineFault[]): HostEngine[] {
   const begun: HostEngine[] = [];
-  onRun = engine => {
+  quick.setOnRun(engine => {
     engine.setFault(faults[begun.length] ?? {kind: 'none'});
     begun.push(engine);
-  };
+  });
   return begun;
 }
 
@@ -153,7 +58,7 @@
 
 /** How the last request's sends went, by its line in the log. */
 function lastAttempts(): string {
-  const lines = site.lines.filter(({sentence}) => sentence === 'request');
+  const lines = quick.site.lines.filter(({sentence}) => sentence === 'request');
   return JSON.stringify(lines.at(-1)?.fields);
 }
 
@@ -218,7 +123,7 @@
   await startTarget('model', AS_ENGINE);
   await serve();
   plain.setFault({kind: 'mute'});
-  onRun = engine => engine.stopListening();
+  quick.setOnRun(engine => engine.stopListening());
   expect(await ask('once')).toEqual({status: 502, text: 'connectionLost'});
 });
 
@@ -243,13 +148,13 @@
   const options = {events: 40, eventSize: 500_000, pause: 1};
   await startTarget('model', AS_ENGINE, options);
   await serve();
-  const reply = await request(`http://${address}/going/a`, {
+  const reply = await request(`http://${quick.address()}/going/a`, {
     method: 'POST',
     body: 'question',
     headers: {
       host: HOST,
       authorization: `Token ${KEY}`,
-      ...headersOf('going'),
+      ...quick.headersOf('going'),
     },
   });
   await new Promise(resolve => setTimeout(resolve, SILENCE));
@@ -269,8 +174,8 @@
   plain.setFault({kind: 'mute'});
   let status: number | undefined;
   const asking = ask('once').then(reply => (status = reply.status));
-  await eventually(() => lastRun(plain)?.requestId === `request-${asked}`);
-  await stopEntry();
+  await eventually(() => lastRun(plain)?.requestId === quick.lastId());
+  await quick.stopEntry();
   expect(status).toBe(504);
   await asking;
 });
@@ -291,12 +196,12 @@
   await startTarget('model', AS_ENGINE);
   await serve();
   plain.setFault(silentFor(LONG_SILENCE, 0));
-  onRun = engine => {
+  quick.setOnRun(engine => {
     engine.stopListening();
-    site.register(engine, {State: 'draining'});
-  };
+    quick.site.register(engine, {State: 'draining'});
+  });
   expect(await ask('slow')).toEqual({status: 200, text: 'done by plain'});
-  expect(site.lines.map(({sentence}) => sentence)).not.toContain(
+  expect(quick.site.lines.map(({sentence}) => sentence)).not.toContain(
     'target ended under a request',
   );
 });
