--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -73,6 +73,9 @@
       return `Not run${before}: all targets of the service that stay had asked this entry to back off; the caller was told when the first of them takes requests again.`;
     case 'outdatedTargets':
       return `Not run${before}: the entry's list of targets was older than the draining bound, so that any of them may have left.`;
+    case 'notConnected':
+    case 'connectionRefused':
+      return `Not run${before}: no target that it was sent to took a connection.`;
     case 'quarantined':
       return `Not run${before}: three targets or more have ended while they ran this request, so that it is sent to no other one.`;
     default:
