Give residency, cold starts, evacuations and demand their types

Messages between entries gain fields for evacuated zones and for demand by service and urgency. Nothing goes by them yet: decisions that do are separate changes.

The types that a request's run, its sends and its notes share move to request_context.ts; the three files imported one another in a circle. Literals of targets, loads and needs in the placement tests become one fixture.

Evidence: types, lint, 415 tests of fleet, placement, routes, platform and relays; the one that failed compared a whole decoded row and names the new field now.

--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,3 +1,4 @@
+import type {Destinations} from '../routes';
 import type {OfLife} from './target_life';
 import type {
   Milliseconds,
@@ -23,6 +24,8 @@
   readonly zone: ZoneName;
   readonly slots: number;
   readonly leaving: boolean;
+  /** How long it stays cold, by its own word at its last sign of life. */
+  readonly coldFor: Milliseconds;
   /** Undefined if the target is no model engine. */
   readonly held: readonly HeldModel[] | undefined;
 }
@@ -41,6 +44,8 @@
   readonly sequence: number;
   /** Time until it is to load a version; undefined if it is not. */
   readonly loadsIn: Milliseconds | undefined;
+  /** Share of its memory for requests that is in use; undefined if unknown. */
+  readonly memoryShare: number | undefined;
 }
 
 /** One of the entries that send to the same targets. */
@@ -57,8 +62,16 @@
   readonly leastVersion: number | undefined;
   /** The same for targets in other zones, which a request reaches later. */
   readonly leastFarVersion: number | undefined;
+  /** Where the request may be served. */
+  readonly destinations: Destinations;
+  /** Time in which an idle target reads the request's prompt. */
+  readonly promptTime: Milliseconds;
   /** How long the request will probably run, once begun. */
   readonly expectedRun: Milliseconds;
+  /** Tokens that it will probably hold at its end; 0 for plain targets. */
+  readonly expectedTokens: number;
+  /** Until then a first event is on time; undefined if nothing says so. */
+  readonly firstEventBy: MonotonicInstant | undefined;
   /** Instances that have had the request. */
   readonly tried: ReadonlySet<string>;
   readonly now: MonotonicInstant;
--- /dev/null
+++ b/packages/core/src/routes/destinations.ts
@@ -0,0 +1,37 @@
+import type {RegionName} from '../types';
+import type {Route, WorkspaceAccess} from './types';
+
+/** Where a request may be served. */
+export type Destinations =
+  | {readonly kind: 'anywhere'}
+  | {readonly kind: 'regions'; readonly regions: ReadonlySet<RegionName>};
+
+/** The destinations of a request that no residency binds. */
+export const ANYWHERE: Destinations = {kind: 'anywhere'};
+
+/** Where a request may be served by its route and its workspace; both bind. */
+export function destinationsOf(
+  route: Pick<Route, 'allowedRegions'>,
+  workspace: Pick<WorkspaceAccess, 'allowedRegions'> | undefined,
+): Destinations {
+  const ofRoute = route.allowedRegions;
+  const ofWorkspace = workspace?.allowedRegions;
+  if (ofRoute === undefined && ofWorkspace === undefined) return ANYWHERE;
+  const regions = (ofRoute ?? ofWorkspace ?? []).filter(
+    region => ofWorkspace === undefined || ofWorkspace.includes(region),
+  );
+  return {kind: 'regions', regions: new Set(regions)};
+}
+
+/** Whether a request may be served in a region; undefined if it isn't known. */
+export function mayBeServedIn(
+  destinations: Destinations,
+  region: RegionName | undefined,
+): boolean {
+  switch (destinations.kind) {
+    case 'anywhere':
+      return true;
+    case 'regions':
+      return region !== undefined && destinations.regions.has(region);
+  }
+}
--- a/packages/core/src/routes/index.ts
+++ b/packages/core/src/routes/index.ts
@@ -1,2 +1,3 @@
+export * from './destinations';
 export * from './route_table';
 export * from './types';
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -3,6 +3,7 @@
   BytesPerSecond,
   Milliseconds,
   ModelName,
+  RegionName,
   ServiceName,
   WorkspaceName,
   ZoneName,
@@ -47,6 +48,8 @@
   readonly anonymous: boolean;
   /** Whether a broken stream may go on at another target. */
   readonly resumable: boolean;
+  /** Regions in which its requests may be served; undefined for all. */
+  readonly allowedRegions: readonly RegionName[] | undefined;
 }
 
 /** How fast the engines of a service work. */
@@ -66,6 +69,18 @@
   readonly prefillChunk: number;
   /** Time to load a staged version. */
   readonly loadTime: Milliseconds;
+  /** Added to a step by each thousand tokens of a writing request's context. */
+  readonly stepTimePerThousandTokens: Milliseconds;
+  /** Tokens that an engine's requests may hold; undefined if it is not named. */
+  readonly memoryTokens: number | undefined;
+}
+
+/** What the targets of a service bear right after a start. */
+export interface ColdStart {
+  /** How long a target stays cold after a start during traffic. */
+  readonly duration: Milliseconds;
+  /** Requests a second that a cold target takes from all entries together. */
+  readonly sendsPerSecond: number;
 }
 
 /** The parts in which a model's weights are moved. */
@@ -78,10 +93,16 @@
 
 /** A service that routes name, or the origin of weights. */
 export type ServiceDescription =
-  | {readonly kind: 'plain'; readonly name: ServiceName}
+  | {
+      readonly kind: 'plain';
+      readonly name: ServiceName;
+      /** Undefined if its targets take their share from the start. */
+      readonly coldStart: ColdStart | undefined;
+    }
   | {
       readonly kind: 'modelEngine';
       readonly name: ServiceName;
+      readonly coldStart: ColdStart | undefined;
       readonly profile: EngineProfile;
       readonly weights: WeightLayout;
     }
@@ -100,6 +121,8 @@
   readonly keys: readonly string[];
   /** 0 goes first; goes before the route's priority where it is set. */
   readonly priority: number | undefined;
+  /** Regions in which its requests may be served; undefined for all. */
+  readonly allowedRegions: readonly RegionName[] | undefined;
 }
 
 /** What callers may send, and how long connections are kept. */
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -125,7 +125,8 @@
     const now = clock();
     sequence += 1;
     if (now - chosenAt >= CHOOSE_PERIOD) chooseReceivers();
-    const {held, ordering, running, waiting, pace, born} = standing;
+    const {held, ordering, running, waiting, pace, born, memoryShare} =
+      standing;
     const state = JSON.stringify({held, ordering, born});
     const report: EngineReport = {
       engineAddress: options.engineAddress,
@@ -137,6 +138,7 @@
       sequence,
       namings: [],
       born,
+      memoryShare,
       loadsInMilliseconds:
         loadsIn === undefined ? undefined : Math.max(0, Math.round(loadsIn)),
     };
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -105,6 +105,7 @@
     sequence: report.sequence,
     born: report.born,
     loadsIn: report.loadsInMilliseconds,
+    memoryShare: report.memoryShare,
   };
 }
 
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -182,6 +182,7 @@
       wantsSiteReading: !isOwnZone,
       heldConfiguration: options.copies.newestRevision(),
       namings: options.namings(),
+      demands: [],
     };
   }
 
--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -13,6 +13,8 @@
   readonly promptTime: Milliseconds;
   /** Time in which its answer is written. */
   readonly writingTime: Milliseconds;
+  /** Tokens that it holds at its end. */
+  readonly tokens: number;
 }
 
 /** Works out a request's run from its header and the engines' profile. */
@@ -23,12 +25,13 @@
 ): ExpectedRun {
   const described = table.service(service);
   if (described?.kind !== 'modelEngine') {
-    return {promptTime: 0, writingTime: 0};
+    return {promptTime: 0, writingTime: 0, tokens: 0};
   }
   const {profile} = described;
   const answer = header.expectedOutputTokens ?? header.mostOutputTokens ?? 0;
   return {
     promptTime: promptTime(profile, header.promptTokens ?? 0),
     writingTime: writingTime(profile, answer),
+    tokens: (header.promptTokens ?? 0) + answer,
   };
 }
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -6,6 +6,7 @@
   RouteTable,
   StoreClock,
   StoreContact,
+  ZoneName,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
@@ -91,6 +92,15 @@
   readonly storeTime: Milliseconds;
   /** Of the newest configuration; 0 if there is none, or it can't be read. */
   readonly configurationRevision: Revision;
+  /** Zones whose targets are to get nothing; all of them. */
+  readonly evacuatedZones: readonly EvacuatedZone[];
+}
+
+/** A zone that the operator wants evacuated. */
+export interface EvacuatedZone {
+  readonly zone: ZoneName;
+  /** Of the operator's row. */
+  readonly revision: Revision;
 }
 
 /** What the operator wants, as far as this process knows. */
@@ -183,6 +193,7 @@
       newestChange,
       storeTime,
       configurationRevision: held.revision(),
+      evacuatedZones: [],
     });
     options.onChange();
   }
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -126,6 +126,7 @@
       operator,
       configuration: operator && takeConfiguration(now),
       targets: wantsTables ? takeTargets() : undefined,
+      demands: [],
       ...writeRecords(now),
     };
   }
@@ -134,7 +135,11 @@
     const moment = knowledge.operator();
     if (!moment || moment.storeTime === operatorTold) return undefined;
     operatorTold = moment.storeTime;
-    return {...moment, storeDistance: knowledge.readingDistance()};
+    return {
+      ...moment,
+      evacuatedZones: [...moment.evacuatedZones],
+      storeDistance: knowledge.readingDistance(),
+    };
   }
 
   function takeConfiguration(
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -1,7 +1,9 @@
 import {
   chooseService,
+  destinationsOf,
   type CallerAccess,
   type Confirmation,
+  type Destinations,
   type Milliseconds,
   type MonotonicInstant,
   type ReadingUse,
@@ -47,6 +49,8 @@
   readonly route: Route;
   readonly service: ServiceName;
   readonly access: Exclude<CallerAccess, {kind: 'denied'}>;
+  /** Where it may be served. */
+  readonly destinations: Destinations;
   /** What it will probably ask of its target. */
   readonly run: ExpectedRun;
   readonly body: Buffer;
@@ -92,11 +96,11 @@
   const patience = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + patience;
   const run = expectRun(header, table, service);
-  const workspace =
-    access.kind === 'workspace' ? access.workspace.name : undefined;
-  const fingerprint = fingerprintOf({workspace, path, body});
+  const workspace = access.kind === 'workspace' ? access.workspace : undefined;
+  const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
+  const destinations = destinationsOf(route, workspace);
   const content = {header, body, fingerprint, arrivedAt, deadline};
-  return {...content, route, service, access, run};
+  return {...content, route, service, access, destinations, run};
 }
 
 /**
--- /dev/null
+++ b/packages/fleet/src/entry/request_context.ts
@@ -0,0 +1,69 @@
+import type {
+  AnswerTimes,
+  ListedTarget,
+  NamedVersions,
+  Quarantine,
+  TargetBook,
+} from '@hibiscusbeam/core';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestProtocol} from '../ports';
+import type {CrashWatch} from './crash_watch';
+import type {FleetMetrics} from './fleet_metrics';
+import type {OperatorFollower} from './operator_follower';
+import type {PlaceOutcome, PlaceQueue} from './place_queue';
+import type {QuarantineTrials} from './quarantine_trials';
+import type {RepeatBudgets} from './repeat_budgets';
+import type {AcceptedRequest, KeyConfirmation} from './request_acceptance';
+import type {RequestStory} from './request_story';
+import type {StreamHandover} from './stream_handover';
+import type {StreamProgress} from './stream_relay';
+import type {TargetStatements} from './target_statements';
+import type {Timeliness} from './timeliness';
+
+/** What carrying out a request's flow needs. */
+export interface RequestRunOptions extends KeyConfirmation {
+  readonly protocol: RequestProtocol;
+  readonly operator: OperatorFollower;
+  readonly book: TargetBook;
+  readonly places: PlaceQueue;
+  readonly budgets: RepeatBudgets;
+  readonly handover: StreamHandover;
+  readonly versions: NamedVersions;
+  readonly timeliness: Timeliness;
+  readonly answerTimes: AnswerTimes;
+  readonly quarantine: Quarantine;
+  readonly trials: QuarantineTrials;
+  readonly crashWatch: CrashWatch;
+  readonly statements: TargetStatements;
+  readonly metrics: FleetMetrics;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Header lines of our own for the caller. */
+  readonly ownLines: () => readonly string[];
+}
+
+/** One request and what is known of it while it runs. */
+export interface RequestRunContext {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly accepted: AcceptedRequest;
+  readonly story: RequestStory;
+  readonly progress: StreamProgress;
+  /** Aborts at the deadline and when the caller has gone. */
+  readonly signal: AbortSignal;
+  /** Why it was aborted; undefined while it was not. */
+  readonly endedBy: () => 'callerGone' | 'timedOut' | undefined;
+}
+
+/** A place that a request has taken. */
+export type TakenPlace = Extract<PlaceOutcome, {readonly kind: 'place'}>;
+
+/** A send that is to be made. */
+export interface PlannedSend {
+  readonly place: TakenPlace;
+  /** Targets that have had the request before. */
+  readonly tried: readonly ListedTarget[];
+  /** The version that the target must have; undefined if any may do. */
+  readonly version: number | undefined;
+}
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -20,7 +20,8 @@
   type RequestAcceptanceOptions,
 } from './request_acceptance';
 import {readBody} from './request_body';
-import {createRequestRun, type RequestRunOptions} from './request_run';
+import type {RequestRunOptions} from './request_context';
+import {createRequestRun} from './request_run';
 import {createRequestStory, type RequestStory} from './request_story';
 import type {StreamProgress} from './stream_relay';
 import {createTimeliness} from './timeliness';
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -1,43 +1,26 @@
 import {
   FAR_DELAY,
   unreachable,
-  type AnswerTimes,
   type ForwardEffect,
   type ForwardReply,
   type ListedTarget,
   type Milliseconds,
-  type NamedVersions,
+  type MonotonicInstant,
   type PlaceNeed,
   type PlaceReply,
-  type Quarantine,
-  type TargetBook,
 } from '@hibiscusbeam/core';
-import type {Clock, Log} from '@hibiscusbeam/daemon';
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {RequestProtocol} from '../ports';
 import type {WholeAnswer} from './attempt';
-import type {CrashWatch} from './crash_watch';
-import type {FleetMetrics} from './fleet_metrics';
-import type {OperatorFollower} from './operator_follower';
-import type {PlaceOutcome, PlaceQueue} from './place_queue';
-import type {QuarantineTrials} from './quarantine_trials';
-import type {RepeatBudgets} from './repeat_budgets';
-import {
-  isKeyConfirmed,
-  type AcceptedRequest,
-  type KeyConfirmation,
-} from './request_acceptance';
-import type {RequestStory} from './request_story';
+import type {PlaceOutcome} from './place_queue';
+import {isKeyConfirmed} from './request_acceptance';
+import type {
+  PlannedSend,
+  RequestRunContext,
+  RequestRunOptions,
+  TakenPlace,
+} from './request_context';
 import {createSendsUnderWay} from './sends_under_way';
-import type {StreamHandover} from './stream_handover';
-import type {StreamProgress} from './stream_relay';
-import {
-  createTargetSender,
-  type PlannedSend,
-  type TakenPlace,
-} from './target_send';
-import type {TargetStatements} from './target_statements';
-import {spreadReturn, type PlaceLimits, type Timeliness} from './timeliness';
+import {createTargetSender} from './target_send';
+import {spreadReturn, type PlaceLimits} from './timeliness';
 
 const NO_PLACE_REASONS = {
   full: 'allFull',
@@ -47,41 +30,6 @@
   outdated: 'outdatedTargets',
 } as const;
 
-/** What carrying out a request's flow needs. */
-export interface RequestRunOptions extends KeyConfirmation {
-  readonly protocol: RequestProtocol;
-  readonly operator: OperatorFollower;
-  readonly book: TargetBook;
-  readonly places: PlaceQueue;
-  readonly budgets: RepeatBudgets;
-  readonly handover: StreamHandover;
-  readonly versions: NamedVersions;
-  readonly timeliness: Timeliness;
-  readonly answerTimes: AnswerTimes;
-  readonly quarantine: Quarantine;
-  readonly trials: QuarantineTrials;
-  readonly crashWatch: CrashWatch;
-  readonly statements: TargetStatements;
-  readonly metrics: FleetMetrics;
-  readonly clock: Clock;
-  readonly log: Log;
-  /** Header lines of our own for the caller. */
-  readonly ownLines: () => readonly string[];
-}
-
-/** One request and what is known of it while it runs. */
-export interface RequestRunContext {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly accepted: AcceptedRequest;
-  readonly story: RequestStory;
-  readonly progress: StreamProgress;
-  /** Aborts at the deadline and when the caller has gone. */
-  readonly signal: AbortSignal;
-  /** Why it was aborted; undefined while it was not. */
-  readonly endedBy: () => 'callerGone' | 'timedOut' | undefined;
-}
-
 /** Carries out the effects of one request's flow. */
 export interface RequestRun {
   readonly perform: (
@@ -121,12 +69,22 @@
       model: header.model,
       leastVersion: leastVersion(0),
       leastFarVersion: leastVersion(FAR_DELAY),
+      destinations: accepted.destinations,
+      promptTime: run.promptTime,
       expectedRun: run.writingTime,
+      expectedTokens: run.tokens,
+      firstEventBy: firstEventBy(),
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
     };
   }
 
+  /** Objectives count from the caller's first attempt. */
+  function firstEventBy(): MonotonicInstant | undefined {
+    if (progress.begun) return undefined;
+    return options.timeliness.objectiveEnd(accepted);
+  }
+
   function isQuarantined(): boolean {
     return options.quarantine.isQuarantined(fingerprint);
   }
--- a/packages/fleet/src/entry/target_notes.ts
+++ b/packages/fleet/src/entry/target_notes.ts
@@ -1,7 +1,6 @@
 import {unreachable, type ForwardAttemptEnd} from '@hibiscusbeam/core';
 import type {AcceptedRequest} from './request_acceptance';
-import type {RequestRunOptions} from './request_run';
-import type {TakenPlace} from './target_send';
+import type {RequestRunOptions, TakenPlace} from './request_context';
 
 /** One send, as far as it says something of its target. */
 export interface NotedSend {
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -6,26 +6,17 @@
   PlaceNeed,
 } from '@hibiscusbeam/core';
 import {attempt, type AttemptOptions, type WholeAnswer} from './attempt';
-import type {PlaceOutcome} from './place_queue';
 import {withLength} from './request_body';
-import type {RequestRunContext, RequestRunOptions} from './request_run';
+import type {
+  PlannedSend,
+  RequestRunContext,
+  RequestRunOptions,
+} from './request_context';
 import type {SendLine} from './request_story';
 import type {SendsUnderWay, SendUnderWay} from './sends_under_way';
 import {createTargetNotes, type TargetNotes} from './target_notes';
 import {longestSilence} from './timeliness';
 
-/** A place that a request has taken. */
-export type TakenPlace = Extract<PlaceOutcome, {readonly kind: 'place'}>;
-
-/** A send that is to be made. */
-export interface PlannedSend {
-  readonly place: TakenPlace;
-  /** Targets that have had the request before. */
-  readonly tried: readonly ListedTarget[];
-  /** The version that the target must have; undefined if any may do. */
-  readonly version: number | undefined;
-}
-
 /** What the sends of one request need from its run. */
 export interface TargetSenderHooks {
   readonly sends: SendsUnderWay;
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -49,6 +49,8 @@
 
 /** Knows until when requests are worth waiting for. */
 export interface Timeliness {
+  /** When the request's objective ends, counted from its caller's first attempt. */
+  readonly objectiveEnd: (accepted: AcceptedRequest) => MonotonicInstant;
   readonly limits: (accepted: AcceptedRequest) => PlaceLimits;
   /** Limits for a stream that has begun and goes on elsewhere. */
   readonly resumeLimits: (
@@ -72,28 +74,31 @@
   const fullPatience = new Map<string, Milliseconds>();
 
   /**
-   * Until when a place makes for an answer on time. Objectives count from a
-   * caller's first attempt; what a later one lacks in patience has passed.
+   * Objectives count from a caller's first attempt; what a later one lacks in
+   * patience has passed.
    */
-  function onTimeLimit({
+  function objectiveEnd({
     header,
     route,
-    service,
-    run,
     arrivedAt,
   }: AcceptedRequest): MonotonicInstant {
     const patience = Math.min(header.patience ?? Infinity, route.timeout);
     const key = `${route.name} ${route.timeout}`;
     const full = Math.max(fullPatience.get(key) ?? 0, patience);
     fullPatience.set(key, full);
-    const spent = full - patience;
+    return arrivedAt - (full - patience) + route.objective;
+  }
+
+  function onTimeLimit(accepted: AcceptedRequest): MonotonicInstant {
+    const {route, service, run} = accepted;
     const answerTime =
       answerTimes.expected(service, run.promptTime) ??
       route.objective * FIRST_SHARE;
-    return arrivedAt - spent + route.objective - answerTime;
+    return objectiveEnd(accepted) - answerTime;
   }
 
   return {
+    objectiveEnd,
     limits: accepted => {
       const onTimeUntil = onTimeLimit(accepted);
       const waitUntil = Math.min(
--- a/packages/fleet/src/link/report_batches.ts
+++ b/packages/fleet/src/link/report_batches.ts
@@ -100,6 +100,7 @@
     numbers: [],
     sequenceSteps: [],
     running: [],
+    memoryThousandths: [],
   };
   for (const {told: row, report} of reports) {
     const {number} = row;
@@ -111,10 +112,19 @@
     batch.numbers.push(number);
     batch.sequenceSteps.push(report.sequence - row.row.report.sequence);
     batch.running.push(report.running);
+    batch.memoryThousandths.push(toThousandths(report.memoryShare));
   }
   return batch;
 }
 
+function toThousandths(share: number | undefined): number {
+  return share === undefined ? 0 : 1 + Math.round(share * 1_000);
+}
+
+function toShare(thousandths = 0): number | undefined {
+  return thousandths === 0 ? undefined : (thousandths - 1) / 1_000;
+}
+
 function toldAt(
   {report, loadsAt}: TimedReport,
   now: MonotonicInstant,
@@ -149,6 +159,7 @@
         ...report,
         sequence: report.sequence + (batch.sequenceSteps[index] ?? 0),
         running: batch.running[index] ?? report.running,
+        memoryShare: toShare(batch.memoryThousandths[index]),
       };
     });
   };
--- a/packages/fleet/src/link/target_changes.ts
+++ b/packages/fleet/src/link/target_changes.ts
@@ -59,9 +59,10 @@
 }
 
 function writeTarget(target: ListedTarget): ListedTargetMessage {
-  const {held, ...rest} = target;
+  const {held, coldFor, ...rest} = target;
   return {
     ...rest,
+    coldForMilliseconds: Math.ceil(coldFor),
     held: held && {
       models: held.map(({model, version}) => ({model, version})),
     },
@@ -69,5 +70,6 @@
 }
 
 function readTarget(message: ListedTargetMessage): ListedTarget {
-  return {...message, born: message.born, held: message.held?.models};
+  const {coldForMilliseconds: coldFor, held, born, ...rest} = message;
+  return {...rest, born, coldFor, held: held?.models};
 }
--- a/packages/fleet/src/ports/engine.ts
+++ b/packages/fleet/src/ports/engine.ts
@@ -17,6 +17,8 @@
   readonly waiting: number;
   /** Times a pass takes longer than the service's profile says. */
   readonly pace: number;
+  /** Share of its memory for requests that is in use; undefined if unknown. */
+  readonly memoryShare: number | undefined;
   /** Start of its life; undefined if it doesn't say. */
   readonly born: EpochMilliseconds | undefined;
 }
--- a/test/fleet/engine_reports.test.ts
+++ b/test/fleet/engine_reports.test.ts
@@ -17,6 +17,7 @@
   running: 0,
   waiting: 0,
   pace: 1,
+  memoryShare: undefined,
   born: 1,
 };
 
--- a/test/fleet/entry_circle.test.ts
+++ b/test/fleet/entry_circle.test.ts
@@ -199,6 +199,7 @@
         newestChange: revision,
         storeTime,
         configurationRevision: revision,
+        evacuatedZones: [],
       });
     }
   };
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -136,6 +136,7 @@
           newestChange,
           storeTime: now() - ago + STORE_OFFSET,
           configurationRevision: newestChange,
+          evacuatedZones: [],
         },
         copy,
       ),
--- a/test/fleet/operator_watch.test.ts
+++ b/test/fleet/operator_watch.test.ts
@@ -11,7 +11,7 @@
 import {servicesDigest} from '../../packages/fleet/src/link/services_digest';
 
 const SERVICES: readonly ServiceDescription[] = [
-  {kind: 'plain', name: 'plain'},
+  {kind: 'plain', name: 'plain', coldStart: undefined},
 ];
 
 const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
--- a/test/fleet/passed_on_rows.test.ts
+++ b/test/fleet/passed_on_rows.test.ts
@@ -29,6 +29,7 @@
   writeTargetChanges,
 } from '../../packages/fleet/src/link/target_changes';
 import {propertySettings} from '../fixtures/property_settings';
+import {plainTarget} from '../fixtures/placement';
 
 const reportOf = (engine: number, changes: Partial<EngineReport> = {}) => ({
   engineAddress: `10.1.0.${engine}:8406`,
@@ -57,6 +58,7 @@
     targets: undefined,
     configuration: undefined,
     crashRecords: [],
+    demands: [],
     rateLimits: [],
     ...news,
   };
@@ -109,16 +111,13 @@
   );
 });
 
-const targetOf = (instance: number, leaving: boolean): ListedTarget => ({
-  instance: `i-${instance}`,
-  service: 'plain',
-  address: `10.1.0.${instance}:80`,
-  zone: 'north',
-  slots: 4,
-  leaving,
-  held: leaving ? undefined : [{model: 'model', version: 1}],
-  born: undefined,
-});
+const targetOf = (instance: number, leaving: boolean): ListedTarget =>
+  plainTarget(`i-${instance}`, {
+    address: `10.1.0.${instance}:80`,
+    leaving,
+    coldFor: leaving ? 1_500 : 0,
+    held: leaving ? undefined : [{model: 'model', version: 1}],
+  });
 
 test('a list that is passed on by its changes is the list', () => {
   const list = fc.uniqueArray(
--- a/test/fleet/place_queue.test.ts
+++ b/test/fleet/place_queue.test.ts
@@ -1,36 +1,12 @@
-import {
-  createTargetBook,
-  type ListedTarget,
-  type PlaceNeed,
-} from '@hibiscusbeam/core';
+import {createTargetBook} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 import {
   createPlaceQueue,
   type PlaceRequest,
 } from '../../packages/fleet/src/entry/place_queue';
+import {plainNeed, plainTarget} from '../fixtures/placement';
 
-const TARGET: ListedTarget = {
-  instance: 'target',
-  born: 100,
-  service: 'plain',
-  address: 'target:1',
-  zone: 'north',
-  slots: 1,
-  leaving: false,
-  held: undefined,
-};
-
-function need(now: number): PlaceNeed {
-  return {
-    service: 'plain',
-    model: undefined,
-    leastVersion: undefined,
-    leastFarVersion: undefined,
-    expectedRun: 1_000,
-    tried: new Set(),
-    now,
-  };
-}
+const TARGET = plainTarget('target', {born: 100, slots: 1});
 
 /** A queue on a clock that only `at` moves, so that no wait runs out by itself. */
 function createQueue() {
@@ -47,7 +23,7 @@
 
 function placeRequest(clock: () => number): PlaceRequest {
   return {
-    need: () => need(clock()),
+    need: () => plainNeed({now: clock()}),
     promptTime: 0,
     isResumed: false,
     priority: 0,
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -1,4 +1,5 @@
 import {
+  ANYWHERE,
   createAnswerTimes,
   createTargetBook,
   type ListedTarget,
@@ -9,14 +10,13 @@
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {createPlaceQueue} from '../../packages/fleet/src/entry/place_queue';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
-import {
-  createRequestRun,
-  type RequestRunOptions,
-} from '../../packages/fleet/src/entry/request_run';
+import type {RequestRunOptions} from '../../packages/fleet/src/entry/request_context';
+import {createRequestRun} from '../../packages/fleet/src/entry/request_run';
 import {createRequestStory} from '../../packages/fleet/src/entry/request_story';
 import {createTimeliness} from '../../packages/fleet/src/entry/timeliness';
 import {requestProtocol} from '../../platform/request_protocol';
 import {eventually} from './fixtures/host_site';
+import {plainTarget} from '../fixtures/placement';
 
 const TIMEOUT = 60_000;
 
@@ -39,16 +39,8 @@
 });
 
 function target(instance: string): ListedTarget {
-  return {
-    instance,
-    born: undefined,
-    service: 'plain',
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-    zone: 'north',
-    slots: 4,
-    leaving: false,
-    held: undefined,
-  };
+  const {port} = server.address() as AddressInfo;
+  return plainTarget(instance, {address: `127.0.0.1:${port}`});
 }
 
 /** A run of a request that is quarantined and has been given its one trial. */
@@ -86,7 +78,8 @@
     route,
     service: 'plain',
     access: {kind: 'anonymous'},
-    run: {promptTime: 0, writingTime: 0},
+    destinations: ANYWHERE,
+    run: {promptTime: 0, writingTime: 0, tokens: 0},
     fingerprint: 'content',
     body: Buffer.alloc(0),
     arrivedAt: now,
--- a/test/fleet/stream_handover.test.ts
+++ b/test/fleet/stream_handover.test.ts
@@ -1,13 +1,10 @@
-import {
-  createTargetBook,
-  type EngineLoad,
-  type ListedTarget,
-} from '@hibiscusbeam/core';
+import {createTargetBook, type EngineLoad} from '@hibiscusbeam/core';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {
   createStreamHandover,
   type MovableStream,
 } from '../../packages/fleet/src/entry/stream_handover';
+import {engineLoad, engineNeed, engineTarget} from '../fixtures/placement';
 
 const SLOTS = 16;
 
@@ -22,35 +19,14 @@
   vi.useRealTimers();
 });
 
-function engine(instance: string): ListedTarget {
-  return {
-    instance,
-    born: undefined,
-    service: 'engines',
-    address: `${instance}:1`,
-    zone: 'north',
-    slots: SLOTS,
-    leaving: false,
-    held: [{model: 'model', version: 1}],
-  };
-}
+const engine = (instance: string) => engineTarget(instance, {slots: SLOTS});
 
 function load(
   instance: string,
   ordering: boolean,
   running: number,
 ): EngineLoad {
-  return {
-    address: `${instance}:1`,
-    born: undefined,
-    held: [{model: 'model', version: 1}],
-    ordering,
-    running,
-    waiting: 0,
-    pace: 1,
-    sequence: 1,
-    loadsIn: undefined,
-  };
+  return engineLoad(instance, {ordering, running});
 }
 
 /** Two engines, one of which takes nothing new and waits for its streams. */
@@ -64,15 +40,12 @@
   let movesLeft = movesAllowed;
 
   function offer(rest: number, changes: Partial<MovableStream> = {}): void {
-    const need = () => ({
-      service: 'engines',
-      model: 'model',
-      leastVersion: undefined,
-      leastFarVersion: undefined,
-      expectedRun: rest,
-      tried: new Set(['loading']),
-      now: clock(),
-    });
+    const need = () =>
+      engineNeed({
+        expectedRun: rest,
+        tried: new Set(['loading']),
+        now: clock(),
+      });
     const begunAt = clock();
     handover.offer(loading, {
       need,
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -11,6 +11,7 @@
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {startTargetFollower} from '../../packages/fleet/src/entry/target_follower';
+import {plainNeed, plainTarget} from '../fixtures/placement';
 
 const DRAINING = 3_000;
 
@@ -34,18 +35,7 @@
   vi.useRealTimers();
 });
 
-function targetAt(leaving: boolean): ListedTarget {
-  return {
-    instance: 'one',
-    born: undefined,
-    service: 'plain',
-    address: 'one:1',
-    zone: 'north',
-    slots: 4,
-    leaving,
-    held: undefined,
-  };
-}
+const targetAt = (leaving: boolean) => plainTarget('one', {leaving});
 
 /** Whether the entry reads the store, and whether it is away. */
 interface StoreAccess {
@@ -117,15 +107,7 @@
     stopped.signal,
   );
   const isChosen = () =>
-    book.choose({
-      service: 'plain',
-      model: undefined,
-      leastVersion: undefined,
-      leastFarVersion: undefined,
-      expectedRun: 0,
-      tried: new Set(),
-      now: now(),
-    }).kind === 'chosen';
+    book.choose(plainNeed({expectedRun: 0, now: now()})).kind === 'chosen';
   /** What a relay tells that has read the list at `readAt`. */
   const hearFromRelay = (readAt: number): void => {
     const leaving = readAt - startedAt >= leavesAt;
--- a/test/fleet/target_notes.test.ts
+++ b/test/fleet/target_notes.test.ts
@@ -1,27 +1,19 @@
-import {createTargetBook, type ListedTarget} from '@hibiscusbeam/core';
+import {createTargetBook} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
-import type {RequestRunOptions} from '../../packages/fleet/src/entry/request_run';
+import type {
+  RequestRunOptions,
+  TakenPlace,
+} from '../../packages/fleet/src/entry/request_context';
 import {createTargetNotes} from '../../packages/fleet/src/entry/target_notes';
-import type {TakenPlace} from '../../packages/fleet/src/entry/target_send';
+import {plainNeed, plainTarget} from '../fixtures/placement';
 
 const accepted = {
   fingerprint: 'content',
   route: {name: 'route'},
 } as AcceptedRequest;
 
-function target(instance: string): ListedTarget {
-  return {
-    instance,
-    born: undefined,
-    service: 'plain',
-    address: `${instance}:1`,
-    zone: 'north',
-    slots: 100,
-    leaving: false,
-    held: undefined,
-  };
-}
+const target = (instance: string) => plainTarget(instance, {slots: 100});
 
 /** Two targets, the first of which is in doubt; the clock stands still. */
 function startSite() {
@@ -48,15 +40,7 @@
 
   function isAvoided(): boolean {
     const taken = Array.from({length: 50}, () => {
-      const choice = book.choose({
-        service: 'plain',
-        model: undefined,
-        leastVersion: undefined,
-        leastFarVersion: undefined,
-        expectedRun: 1,
-        tried: new Set(),
-        now: 0,
-      });
+      const choice = book.choose(plainNeed({expectedRun: 1}));
       if (choice.kind !== 'chosen') throw new Error('no target has room');
       const sent = {promptTime: 0, onLifeEnded: () => undefined};
       book.begin(choice.target, sent);
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -1,4 +1,4 @@
-import {createAnswerTimes, type Route} from '@hibiscusbeam/core';
+import {ANYWHERE, createAnswerTimes, type Route} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
 import {
@@ -15,7 +15,8 @@
     route,
     service: 'engines',
     access: {kind: 'anonymous'},
-    run: {promptTime: 0, writingTime: 0},
+    destinations: ANYWHERE,
+    run: {promptTime: 0, writingTime: 0, tokens: 0},
     fingerprint: 'content',
     body: Buffer.alloc(0),
     arrivedAt: 0,
--- a/test/fleet/version_namings.test.ts
+++ b/test/fleet/version_namings.test.ts
@@ -33,6 +33,7 @@
     namings: [],
     crashRecords: [],
     rateLimits: [],
+    demands: [],
   });
   const news = await new Promise<RelayNews | undefined>(resolve => {
     call.once('data', resolve);
--- a/test/placement/backing_off.test.ts
+++ b/test/placement/backing_off.test.ts
@@ -1,39 +1,13 @@
 import {
   createTargetBook,
   type ListedTarget,
-  type PlaceNeed,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import {plainNeed, plainTarget} from '../fixtures/placement';
 
-function target(
-  instance: string,
-  changes: Partial<ListedTarget> = {},
-): ListedTarget {
-  return {
-    instance,
-    born: 100,
-    service: 'plain',
-    address: `${instance}:1`,
-    zone: 'north',
-    slots: 4,
-    leaving: false,
-    held: undefined,
-    ...changes,
-  };
-}
-
-function need(now: number): PlaceNeed {
-  return {
-    service: 'plain',
-    model: undefined,
-    leastVersion: undefined,
-    leastFarVersion: undefined,
-    expectedRun: 1_000,
-    tried: new Set(),
-    now,
-  };
-}
+const target = (instance: string, changes: Partial<ListedTarget> = {}) =>
+  plainTarget(instance, {born: 100, ...changes});
 
 function bookOf(...targets: ListedTarget[]): TargetBook {
   const book = createTargetBook({instance: 'entry', zone: 'north'});
@@ -42,7 +16,7 @@
 }
 
 function chosen(book: TargetBook, now: number): string | undefined {
-  const choice = book.choose(need(now));
+  const choice = book.choose(plainNeed({now}));
   return choice.kind === 'chosen' ? choice.target.instance : undefined;
 }
 
@@ -63,8 +37,8 @@
 test('a request chosen before its target asks to back off does not begin', () => {
   const book = bookOf(target('one'));
   book.noteBackoff(target('one'), 3_000);
-  expect(book.mayStart(target('one'), need(10))).toBe(false);
-  expect(book.mayStart(target('one'), need(3_000))).toBe(true);
+  expect(book.mayStart(target('one'), plainNeed({now: 10}))).toBe(false);
+  expect(book.mayStart(target('one'), plainNeed({now: 3_000}))).toBe(true);
 });
 
 test('the time is kept while the line of its target lapses and comes back', () => {
@@ -88,5 +62,8 @@
   book.noteBackoff(target('two'), 2_000);
   book.noteBackoff(target('three'), 1_000);
   book.noteLeaving(target('three'));
-  expect(book.choose(need(10))).toEqual({kind: 'backingOff', until: 2_000});
+  expect(book.choose(plainNeed({now: 10}))).toEqual({
+    kind: 'backingOff',
+    until: 2_000,
+  });
 });
--- a/test/placement/leaving_targets.test.ts
+++ b/test/placement/leaving_targets.test.ts
@@ -1,37 +1,15 @@
 import {
   createTargetBook,
   type ListedTarget,
-  type PlaceNeed,
   type TargetBook,
 } from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import {plainNeed, plainTarget} from '../fixtures/placement';
 
-function target(
-  instance: string,
-  changes: Partial<ListedTarget> = {},
-): ListedTarget {
-  return {
-    instance,
-    born: 100,
-    service: 'plain',
-    address: `${instance}:1`,
-    zone: 'north',
-    slots: 4,
-    leaving: false,
-    held: undefined,
-    ...changes,
-  };
-}
+const target = (instance: string, changes: Partial<ListedTarget> = {}) =>
+  plainTarget(instance, {born: 100, ...changes});
 
-const NEED: PlaceNeed = {
-  service: 'plain',
-  model: undefined,
-  leastVersion: undefined,
-  leastFarVersion: undefined,
-  expectedRun: 1_000,
-  tried: new Set(),
-  now: 0,
-};
+const NEED = plainNeed();
 
 function bookOf(...targets: ListedTarget[]): TargetBook {
   const book = createTargetBook({instance: 'entry', zone: 'north'});
--- a/test/placement/list_memory.test.ts
+++ b/test/placement/list_memory.test.ts
@@ -1,24 +1,11 @@
 import {createListMemory, type ListedTarget} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import {plainTarget} from '../fixtures/placement';
 
 const options = {heartbeat: 1_200, returnTime: 2_000};
 
-function target(
-  instance: string,
-  changes: Partial<ListedTarget> = {},
-): ListedTarget {
-  return {
-    instance,
-    born: undefined,
-    service: 'plain',
-    address: `${instance}:1`,
-    zone: 'north',
-    slots: 1,
-    leaving: false,
-    held: undefined,
-    ...changes,
-  };
-}
+const target = (instance: string, changes: Partial<ListedTarget> = {}) =>
+  plainTarget(instance, {slots: 1, ...changes});
 
 // The store is away for longer than targets can go without renewing their
 // lines. All lapse, and come back within two seconds of its return.
--- a/test/placement/spreading_load.test.ts
+++ b/test/placement/spreading_load.test.ts
@@ -6,6 +6,7 @@
   type SendingEntry,
 } from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import {engineLoad, engineNeed, engineTarget} from '../fixtures/placement';
 
 /** A zone at 0.9 of its engines' limit; times in milliseconds. */
 const ENGINES = 6;
@@ -40,16 +41,7 @@
 
 function createEngines(): readonly Engine[] {
   return Array.from({length: ENGINES}, (_, index) => ({
-    target: {
-      instance: `engine-${index}`,
-      born: undefined,
-      service: 'engines',
-      address: `engine-${index}:1`,
-      zone: 'north',
-      slots: SLOTS,
-      leaving: false,
-      held: [{model: 'model', version: 1}],
-    },
+    target: engineTarget(`engine-${index}`, {slots: SLOTS}),
     readUntil: 0,
     running: 0,
     sequence: index,
@@ -80,36 +72,15 @@
   function report(engine: Engine, now: number): void {
     engine.sequence += 1;
     const {running, sequence} = engine;
-    const {address, held = []} = engine.target;
+    const {instance, held = []} = engine.target;
     for (const book of books) {
-      book.report(
-        {
-          address,
-          born: undefined,
-          held,
-          ordering: false,
-          running,
-          waiting: 0,
-          pace: 1,
-          sequence,
-          loadsIn: undefined,
-        },
-        now,
-      );
+      book.report(engineLoad(instance, {held, running, sequence}), now);
     }
   }
 
   function send(arrivedAt: number, prompt: number, now: number): void {
     const book = books[Math.floor(next() * ENTRIES)]!;
-    const choice = book.choose({
-      service: 'engines',
-      model: 'model',
-      leastVersion: undefined,
-      leastFarVersion: undefined,
-      expectedRun: WRITING,
-      tried: new Set(),
-      now,
-    });
+    const choice = book.choose(engineNeed({expectedRun: WRITING, now}));
     if (choice.kind !== 'chosen') {
       events.push({at: now + 10, run: () => send(arrivedAt, prompt, now + 10)});
       return;
--- a/test/placement/target_book.test.ts
+++ b/test/placement/target_book.test.ts
@@ -1,53 +1,15 @@
-import {
-  createTargetBook,
-  type EngineLoad,
-  type ListedTarget,
-  type PlaceNeed,
-} from '@hibiscusbeam/core';
+import {createTargetBook, type ListedTarget} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import {
+  engineLoad as load,
+  engineNeed as need,
+  engineTarget,
+} from '../fixtures/placement';
 
 const self = {instance: 'entry', zone: 'north'};
 
-function engine(instance: string, zone = 'north'): ListedTarget {
-  return {
-    instance,
-    born: undefined,
-    service: 'engines',
-    address: `${instance}:1`,
-    zone,
-    slots: 16,
-    leaving: false,
-    held: [{model: 'model', version: 1}],
-  };
-}
-
-function load(instance: string, changes: Partial<EngineLoad> = {}): EngineLoad {
-  return {
-    address: `${instance}:1`,
-    born: undefined,
-    held: [{model: 'model', version: 1}],
-    ordering: false,
-    running: 0,
-    waiting: 0,
-    pace: 1,
-    sequence: 1,
-    loadsIn: undefined,
-    ...changes,
-  };
-}
-
-function need(changes: Partial<PlaceNeed> = {}): PlaceNeed {
-  return {
-    service: 'engines',
-    model: 'model',
-    leastVersion: undefined,
-    leastFarVersion: undefined,
-    expectedRun: 1_000,
-    tried: new Set(),
-    now: 0,
-    ...changes,
-  };
-}
+const engine = (instance: string, zone = 'north') =>
+  engineTarget(instance, {zone});
 
 function bookOf(...targets: ListedTarget[]) {
   const book = createTargetBook(self);
--- a/test/placement/target_lives.test.ts
+++ b/test/placement/target_lives.test.ts
@@ -1,53 +1,21 @@
-import {
-  createTargetBook,
-  type EngineLoad,
-  type ListedTarget,
-  type PlaceNeed,
-} from '@hibiscusbeam/core';
+import {createTargetBook} from '@hibiscusbeam/core';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {propertySettings} from '../fixtures/property_settings';
+import {
+  engineLoad,
+  engineNeed,
+  engineTarget,
+  HELD,
+} from '../fixtures/placement';
 
-const HELD = [{model: 'model', version: 1}];
-
-function line(born: number | undefined, held = HELD): ListedTarget {
-  return {
-    instance: 'engine',
-    born,
-    service: 'engines',
-    address: 'engine:1',
-    zone: 'north',
-    slots: 16,
-    leaving: false,
-    held,
-  };
-}
+const line = (born: number | undefined, held = HELD) =>
+  engineTarget('engine', {born, held});
 
-function word(born: number | undefined, held = HELD): EngineLoad {
-  return {
-    address: 'engine:1',
-    born,
-    held,
-    ordering: false,
-    running: 0,
-    waiting: 0,
-    pace: 1,
-    sequence: 1,
-    loadsIn: undefined,
-  };
-}
+const word = (born: number | undefined, held = HELD) =>
+  engineLoad('engine', {born, held});
 
-function need(now: number): PlaceNeed {
-  return {
-    service: 'engines',
-    model: 'model',
-    leastVersion: undefined,
-    leastFarVersion: undefined,
-    expectedRun: 1_000,
-    tried: new Set(),
-    now,
-  };
-}
+const need = (now: number) => engineNeed({now});
 
 function createBook() {
   return createTargetBook({instance: 'entry', zone: 'north'});
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -118,6 +118,7 @@
         address: '10.1.0.20:8406',
         zone: 'north',
         slots: 16,
+        coldFor: 0,
         leaving: false,
         held: [{model: 'model', version: 2}],
       },
--- a/test/routes/route_table.test.ts
+++ b/test/routes/route_table.test.ts
@@ -20,6 +20,7 @@
     attempts: 2,
     anonymous: false,
     resumable: false,
+    allowedRegions: undefined,
     ...changes,
   };
 }
@@ -59,7 +60,12 @@
 });
 
 test('a key opens what its workspace may use, and no key nothing', () => {
-  const shop = {name: 'shop', keys: ['k'], priority: 0};
+  const shop = {
+    name: 'shop',
+    keys: ['k'],
+    priority: 0,
+    allowedRegions: undefined,
+  };
   const table = tableOf([route('one')], [shop]);
   const access = (key: string | undefined) => table.access(route('one'), key);
   expect(access('k')).toEqual({kind: 'workspace', workspace: shop});
