Count a version's bound from its first reading, across a restart of all processes

Cause: the age of a naming lived in processes only. When all of them start anew, each counts the bound from its own first look.

The entry that reads the operator's table for the site records the store's time of its first reading in a row of ours; whoever reads the whole table, which is at a start, reads these rows too. One write for each naming, one read more for a start after one.

Evidence: the test of the follower fails without the recorded time.

--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -16,6 +16,7 @@
 import {signOf} from '../link/store_sign';
 import type {
   HostError,
+  NamedVersion,
   OperatorFeed,
   OperatorReading,
   Revision,
@@ -69,6 +70,12 @@
 /** Time beyond the wait after which a question counts as lost. */
 const ANSWER_SLACK: Milliseconds = 800;
 
+/**
+ * Time after which a version's naming is recorded by whoever still reads the
+ * table for the site: after a start it takes that long to find a relay.
+ */
+const RECORD_DELAY: Milliseconds = 500;
+
 /** Pauses after failed questions, from the first to the longest. */
 const FIRST_PAUSE: Milliseconds = 100;
 const LONGEST_PAUSE: Milliseconds = 500;
@@ -171,12 +178,16 @@
     const before = held.servicesDigest();
     let isNews = false;
     held.takeReading(reading);
-    // An answer may be late, and a version's bound counts from its naming.
-    const lookedAt = options.storeClock.notAfter(reading.storeTime);
-    const knownSince = Math.min(answeredAt, lookedAt ?? answeredAt);
-    for (const {model, version} of reading.namedVersions) {
+    for (const {model, version, namedAt} of reading.namedVersions) {
+      // An answer may be late, and a version's bound counts from its naming.
+      const storeTime = namedAt ?? reading.storeTime;
+      const lookedAt = options.storeClock.notAfter(storeTime);
+      const knownSince = Math.min(answeredAt, lookedAt ?? answeredAt);
       const isNew = options.versions.name(model, version, knownSince);
-      if (isNew) log.info('version named', {model, version});
+      if (isNew) log.info('version named', {model, version, namedAt});
+      if (isNew && namedAt === undefined) {
+        recordNamingSoon({model, version, namedAt: storeTime});
+      }
       isNews ||= isNew;
     }
     if (isNews || held.servicesDigest() !== before) options.onNews();
@@ -198,6 +209,21 @@
     options.onChange();
   }
 
+  /**
+   * Failure: all processes of a site start anew, and each counts a version's bound
+   * from its own first look: engines get requests for the older version for
+   * seconds after it. Guard: the entry that reads the operator's table for the
+   * site records when it first read the name.
+   */
+  function recordNamingSoon(named: NamedVersion): void {
+    setTimeout(() => {
+      if (options.source() !== 'store') return;
+      void feed.recordNaming(named, ANSWER_SLACK).then(reply => {
+        if (reply.err) log.warn('naming not recorded', {error: reply.val});
+      });
+    }, RECORD_DELAY);
+  }
+
   function noteMoment(moment: OperatorMoment): void {
     if (moment.revision < knownUntil) return;
     knownUntil = moment.revision;
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -39,6 +39,11 @@
 export interface NamedVersion {
   readonly model: ModelName;
   readonly version: number;
+  /**
+   * The store's own steady clock when the name was first read, as an entry has
+   * recorded it; undefined if none has.
+   */
+  readonly namedAt: Milliseconds | undefined;
 }
 
 /** A configuration as the operator wrote it; only the adapter reads its text. */
@@ -72,6 +77,11 @@
     wait: Milliseconds,
     timeout: Milliseconds,
   ) => Promise<Result<OperatorReading, HostError>>;
+  /** Records when a version's name was first read, unless that is recorded. */
+  readonly recordNaming: (
+    named: NamedVersion,
+    timeout: Milliseconds,
+  ) => Promise<Result<boolean, HostError>>;
   /** Decodes a configuration that another entry has read; else the reason. */
   readonly decode: (
     document: ConfigurationDocument,
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -55,6 +55,7 @@
   let isUnusable = false;
   let lateBy = 0;
   let named: readonly NamedVersion[] = [];
+  const recorded: NamedVersion[] = [];
   const readingOf = (isNew: boolean) =>
     ({
       revision: version,
@@ -81,6 +82,10 @@
       if (lateBy > 0) await new Promise(later => setTimeout(later, lateBy));
       return Ok(reading);
     },
+    recordNaming: async naming => {
+      recorded.push(naming);
+      return Promise.resolve(Ok(true));
+    },
     decode: ({text}) => {
       const written = Number(text.toString());
       return written > 0 ? Ok(configurationOf(written)) : Err('no number');
@@ -114,8 +119,9 @@
     write: () => (version += 1),
     cut: () => (isCut = true),
     holdUpAnswers: (by: number) => (lateBy = by),
-    name: () => {
-      named = [{model: 'model', version: 2}];
+    recorded,
+    name: (namedAt?: number) => {
+      named = [{model: 'model', version: 2, namedAt}];
       version += 1;
     },
     leastVersion: () => versions.least('model', now(), 0),
@@ -316,3 +322,31 @@
   await vi.advanceTimersByTimeAsync(40);
   expect(site.leastVersion()).toBe(2);
 });
+
+// All processes are killed six seconds after a naming. Counted from their first
+// look, the bound would end six seconds after that of the operator.
+test('the bound of a recorded naming outlives a restart of all processes', async () => {
+  const before = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(100);
+  before.name();
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(before.recorded).toHaveLength(1);
+  const after = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(100);
+  after.name(before.recorded[0]?.namedAt);
+  await vi.advanceTimersByTimeAsync(VERSION_BOUND - 6_000 - 200);
+  expect(after.leastVersion()).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(200);
+  expect(after.leastVersion()).toBe(2);
+  expect(after.recorded).toHaveLength(0);
+});
+
+// At 43 entries each naming would cost 43 calls to the store.
+test('an entry that follows a relay records no naming', async () => {
+  const site = startFollower(() => 'zoneRelay');
+  await vi.advanceTimersByTimeAsync(100);
+  site.name();
+  site.hearFromRelay(5);
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(site.recorded).toHaveLength(0);
+});
--- a/test/fleet/operator_watch.test.ts
+++ b/test/fleet/operator_watch.test.ts
@@ -41,6 +41,7 @@
   } as unknown as OperatorReading;
   const feed: OperatorFeed = {
     readAll: () => Promise.resolve(Ok(reading)),
+    recordNaming: () => Promise.resolve(Ok(true)),
     follow: async (_after, wait) => {
       questions += 1;
       await new Promise(resolve => setTimeout(resolve, wait));
--- /dev/null
+++ b/test/platform/naming_table.test.ts
@@ -0,0 +1,44 @@
+import type {Milliseconds} from '@hibiscusbeam/core';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {createOperatorFeed} from '../../platform/operator_feed';
+import {createStoreClient} from '../../platform/store_client';
+import {startHostStore, type HostStore} from '../fleet/fixtures/host_store';
+
+const TIMEOUT: Milliseconds = 1_000;
+
+let store: HostStore;
+
+beforeEach(async () => {
+  store = await startHostStore();
+});
+
+afterEach(() => store.close());
+
+// Entries that read the name at the same time, or after a restart, must not
+// replace an earlier time by a later one.
+test('the first recorded time of a naming is the one that counts', async () => {
+  const feed = createOperatorFeed(createStoreClient(store.address));
+  const named = {model: 'model', version: 2};
+  store.write('op', 'version/model', {Model: 'model', Version: 2});
+  for (const namedAt of [100, 200]) {
+    const reply = await feed.recordNaming({...named, namedAt}, TIMEOUT);
+    expect(reply.unwrap()).toBe(namedAt === 100);
+  }
+  const reading = (await feed.readAll(TIMEOUT)).unwrap();
+  expect(reading.namedVersions).toEqual([{...named, namedAt: 100}]);
+});
+
+test('a naming that nobody has recorded has no time', async () => {
+  const feed = createOperatorFeed(createStoreClient(store.address));
+  store.write('op', 'version/model', {Model: 'model', Version: 2});
+  const reading = (await feed.readAll(TIMEOUT)).unwrap();
+  expect(reading.namedVersions).toEqual([
+    {model: 'model', version: 2, namedAt: undefined},
+  ]);
+});
+
+test('without a named version no further table is read', async () => {
+  const feed = createOperatorFeed(createStoreClient(store.address));
+  await feed.readAll(TIMEOUT);
+  expect(store.calls.get('/rows-get')).toBe(1);
+});
