Renew a configuration's confirmation in time after a lost answer

Cause: the operator's table is asked one question at a time. A question whose answer is lost is given up 0.8 s after its wait (0.4 s at a bound of 2 s), then comes a pause of 0.2 s, and then a question that waits for news for 0.4 s once more: 1.8 s plus two ways to the store and back, where a reading is outdated at 1.9 s. Reads of the list of targets begin by the clock and are answered meanwhile, so the store counts as serving and the reading can't be used as the last one known. When 40 entries start at once, the store answers late enough.

Change: a question that is late by a fifth of the bound is asked once more beside the first, and the first answer counts; none is asked while the store is known not to serve, since what is held counts then. A question that follows an old answer waits for no news.

A lost answer costs one further call.

Ruled out by reading the code, without a run: the choice of the relay takes no part (entries that know no relay ask themselves), nor does the mapping of the store's clock, which reads of the list correct within 0.6 s.

--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -12,6 +12,7 @@
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
 import type {Result} from 'ts-results';
 import type {ConfigurationCopies} from '../link/configuration_copies';
+import {askWithBackup} from '../link/backup_question';
 import {runFeedLoop} from '../link/feed_loop';
 import {signOf} from '../link/store_sign';
 import type {
@@ -29,6 +30,17 @@
  */
 const WAIT_SHARE = 0.2;
 
+/**
+ * Time beyond its wait after which a question is asked once more beside the one
+ * without an answer, as a share of the same bound.
+ *
+ * Failure: 40 entries start at once, the store is slow, and an answer is lost. The
+ * next question comes 1.4 s after the last answer and waits for news for 0.4 s: at
+ * 100 ms to the store, a configuration is outdated at 1.9 s of its bound of 2 s.
+ * Guard: the second question, and each one after a failure, waits for nothing.
+ */
+const LATE_SHARE = 0.2;
+
 /**
  * Age of the last confirmation, as a share of the same bound, after which an entry
  * with a relay asks the store itself: twice the reader's waits.
@@ -144,6 +156,11 @@
   readonly onConfiguration: () => void;
 }
 
+/** A reading, and when its question was asked. */
+interface AskedReading extends OperatorReading {
+  readonly askedAt: MonotonicInstant;
+}
+
 /** Creates the follower of the operator's writing. */
 export function createOperatorFollower(
   options: OperatorFollowerOptions,
@@ -166,7 +183,7 @@
   let knownUntil: Revision = 0;
   let wake = (): void => undefined;
 
-  function take(reading: OperatorReading): void {
+  function take({askedAt, ...reading}: AskedReading): void {
     const answeredAt = clock();
     const before = held.servicesDigest();
     let isNews = false;
@@ -270,18 +287,34 @@
 
   /** Who answers for the zone waits for news; others want to know at once. */
   function waitForChange(): Milliseconds {
-    if (options.source() !== 'store') return 0;
+    if (options.source() !== 'store' || isRenewalDue()) return 0;
     // The store answers at once if the wait is no whole number.
     return Math.floor(bound * WAIT_SHARE);
   }
 
+  /** Whether the last answer is too old for a question that waits for news. */
+  function isRenewalDue(): boolean {
+    return !held.isNewestLost() && confirmationAge() > bound * WAIT_SHARE;
+  }
+
   async function follow(after: Revision, signal: AbortSignal) {
     await untilMustAsk(signal);
     await untilCollected(signal);
     const wait = waitForChange();
-    return ask(() =>
-      feed.follow(Math.max(after, knownUntil), wait, wait + ANSWER_SLACK),
-    );
+    const question = (wait: Milliseconds) => () =>
+      ask(() =>
+        feed.follow(Math.max(after, knownUntil), wait, wait + ANSWER_SLACK),
+      );
+    return askWithBackup({
+      first: question(wait),
+      backup: question(0),
+      lateAfter: wait + bound * LATE_SHARE,
+      // What is held counts in any case while the store is away.
+      isBackupWanted: () =>
+        !options.storeContact.isAwaySince(
+          confirmation.confirmedAt() ?? -Infinity,
+        ),
+    });
   }
 
   async function untilCollected(signal: AbortSignal): Promise<void> {
@@ -290,14 +323,14 @@
   }
 
   /** Notes when a question is asked, which is when the store looks or later. */
-  async function ask<Answer>(
-    question: () => Promise<Result<Answer, HostError>>,
-  ): Promise<Result<Answer, HostError>> {
+  async function ask(
+    question: () => Promise<Result<OperatorReading, HostError>>,
+  ): Promise<Result<AskedReading, HostError>> {
     const sentAt = clock();
     askedAt = sentAt;
     const reply = await question();
     options.storeContact.note(sentAt, signOf(reply));
-    return reply;
+    return reply.map(reading => ({...reading, askedAt: sentAt}));
   }
 
   return {
