--- a/test/fleet/confirmation_renewal.test.ts
+++ b/test/fleet/confirmation_renewal.test.ts
@@ -78,6 +78,7 @@
   const feed: OperatorFeed = {
     readAll: timeout => answer(0, timeout),
     follow: (_after, wait, timeout) => answer(wait, timeout),
+    recordNaming: () => Promise.resolve(Ok(true)),
     decode: () => Err('none'),
   };
   const storeClock = createStoreClock();
