Send nothing to zones that the operator has evacuated

Cause: nothing read the operator's rows evacuate/ZONE, so callers' requests went on to targets of a zone that is to be emptied.

Rows are decoded with the operator's table; each own and relayed reading carries all evacuated zones, ordered by the store's revision. The target book chooses no target there, and checks again right before each send. A service whose targets all stand in evacuated zones is refused at once with targetsEvacuated. An entry whose reading of the table is older than 0.9 of bounds.evacuation (5 s) sends nothing, also while the newest configuration can't be read. Streams there run on, engines there get versions. Each change gives a log line and sets a gauge.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -81,6 +81,8 @@
   | 'allFull'
   /** All targets of the service leave. */
   | 'targetsLeaving'
+  /** All that stay are in zones that are being evacuated. */
+  | 'targetsEvacuated'
   /** All that stay want no request of this entry for a while. */
   | 'targetsBackingOff'
   | 'leaving'
--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -8,6 +8,7 @@
 export * from './types';
 export * from './list_memory';
 export * from './directory_choice';
+export * from './evacuations';
 export * from './version_rule';
 export * from './allowance';
 export * from './answer_times';
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -6,10 +6,12 @@
 import {
   fits,
   hasRoom,
+  NO_PLACE_RULES,
   REPORT_LIFE,
   isReported,
   saidOf,
   versionHeldBy,
+  type PlaceRules,
   type TargetEntry,
 } from './target_entry';
 import {isFormerLife, isSameLife} from './target_life';
@@ -41,12 +43,14 @@
 
 /**
  * Creates the book of an entry. Nothing is chosen while `isListUsable` says that
- * the list is too old to go by, nor any target to which `maySend` allows no more.
+ * what the entry goes by is too old, nor any target to which `maySend` allows no
+ * more, nor any that `rules` exclude.
  */
 export function createTargetBook(
   self: SendingEntry,
   isListUsable: () => boolean = () => true,
   maySend: PacedSends['maySend'] = () => true,
+  rules: PlaceRules = NO_PLACE_RULES,
 ): TargetBook {
   const {zone} = self;
   let senders: readonly SendingEntry[] = [self];
@@ -225,7 +229,8 @@
   }
 
   function mayTake(entry: TargetEntry, need: PlaceNeed): boolean {
-    return backoffEnd(entry.target) <= need.now && fits(entry, need, zone);
+    if (backoffEnd(entry.target) > need.now) return false;
+    return fits(entry, need, zone, rules);
   }
 
   function mayStart(target: ListedTarget, need: PlaceNeed): boolean {
@@ -239,8 +244,12 @@
     const ofService = [...entries.values()].filter(
       ({target}) => target.service === need.service,
     );
-    const staying = ofService.filter(({target}) => !isLeaving(target));
-    if (ofService.length > 0 && staying.length === 0) return {kind: 'leaving'};
+    const lasting = ofService.filter(({target}) => !isLeaving(target));
+    if (ofService.length > 0 && lasting.length === 0) return {kind: 'leaving'};
+    const staying = lasting.filter(
+      ({target}) => !rules.isEvacuated(target.zone),
+    );
+    if (lasting.length > 0 && staying.length === 0) return {kind: 'evacuated'};
     const ends = staying.map(({target}) => backoffEnd(target));
     const firstEnd = Math.min(...ends);
     if (staying.length > 0 && firstEnd > need.now) {
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -35,14 +35,25 @@
   avoidUntil: MonotonicInstant;
 }
 
+/** What the operator says of places. */
+export interface PlaceRules {
+  /** Whether the zone's targets are to get nothing. */
+  readonly isEvacuated: (zone: ZoneName) => boolean;
+}
+
+/** The rules where the operator says nothing. */
+export const NO_PLACE_RULES: PlaceRules = {isEvacuated: () => false};
+
 /** Whether a target that stays may start a request at all. */
 export function fits(
   entry: TargetEntry,
   need: PlaceNeed,
   zone: ZoneName,
+  rules: PlaceRules,
 ): boolean {
   const {target} = entry;
   if (target.service !== need.service) return false;
+  if (rules.isEvacuated(target.zone)) return false;
   if (need.tried.has(target.instance)) return false;
   if (isDenied(entry, need.now)) return false;
   if (need.model === undefined) return true;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -144,6 +144,8 @@
   | {readonly kind: 'none'}
   /** All targets of the service leave. */
   | {readonly kind: 'leaving'}
+  /** All that stay are in zones that are being evacuated. */
+  | {readonly kind: 'evacuated'}
   /** All that stay want no request of this entry before `until`. */
   | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   /** The list is too old: targets may have left. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -42,8 +42,9 @@
 import {createEntryCircle} from './entry_circle';
 import {createEntryQuarantine} from './entry_quarantine';
 import {createEngineReportStreams} from './engine_report_stream';
+import {createEvacuationWatch} from './evacuation_watch';
 import {createFleetMetrics} from './fleet_metrics';
-import {createHeldReadings} from './held_readings';
+import {createHeldReadings, EVACUATION_BOUND} from './held_readings';
 import {createLimitWatch} from './limit_watch';
 import {createOperatorFollower} from './operator_follower';
 import {createPlaceQueue} from './place_queue';
@@ -119,6 +120,7 @@
   const metrics = createFleetMetrics();
   const machineClock = startMachineClock(metrics.observeLoopDelay);
   const {bounds} = settings;
+  const evacuation = bounds.evacuation ?? EVACUATION_BOUND;
   const stopped = new AbortController();
   let phase: StoppingPhase = 'serving';
   const storeClock = createStoreClock();
@@ -130,9 +132,10 @@
   const readings = createHeldReadings({
     confirmation,
     listedAt: () => targets.listedAt(),
+    evacuationsReadAt: () => operator.evacuationsReadAt(),
     storeContact,
     machineClock,
-    bounds,
+    bounds: {...bounds, evacuation},
   });
   const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
   const life = `${settings.instance}-${randomUUID()}`;
@@ -156,10 +159,19 @@
     knownPart: () =>
       members.isKnown() ? (circle.usable().length + 1) / circle.size() : 0,
   });
+  const evacuations = createEvacuationWatch({
+    log: logs('configuration'),
+    metrics,
+    isKnownZone: () => true,
+  });
+  // An entry that was frozen or is cut off may miss an evacuation.
+  const arePlacesKnown = (): boolean =>
+    isReadable(readings.targets()) && isReadable(readings.evacuations());
   const book = createTargetBook(
     {instance: settings.instance, zone: settings.zone},
-    () => isReadable(readings.targets()),
+    arePlacesKnown,
     paced.maySend,
+    {isEvacuated: evacuations.isEvacuated},
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
   const handover = createStreamHandover({book, clock});
@@ -185,13 +197,15 @@
     storeClock,
     storeContact,
     versions,
+    evacuations,
     log: logs('configuration'),
     // Agents and followers hear of a new version from whoever hears of it first.
     onNews: () => {
       reportStreams.tellAll();
       circle.face.tellStates();
     },
-    bound: bounds.configuration,
+    // Both stand in the operator's table.
+    bound: Math.min(bounds.configuration, evacuation),
     copies,
     source: () => circle.operatorSource(),
     onConfiguration: () => circle.greetRelays(),
--- /dev/null
+++ b/packages/fleet/src/entry/evacuation_watch.ts
@@ -0,0 +1,73 @@
+import {
+  createEvacuations,
+  type Evacuations,
+  type EvacuatedZone,
+  type ZoneName,
+} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import type {ReadingScope} from '../link/feed_loop';
+import type {OperatorReading} from '../ports';
+import type {FleetMetrics} from './fleet_metrics';
+import type {OperatorMoment} from './operator_follower';
+
+/** What the watch needs. */
+export interface EvacuationWatchOptions {
+  readonly log: Log;
+  readonly metrics: Pick<FleetMetrics, 'setEvacuatedZones'>;
+  /** Whether the settings name a zone. */
+  readonly isKnownZone: (zone: ZoneName) => boolean;
+}
+
+/** Follows the zones that the operator wants evacuated. */
+export interface EvacuationWatch extends Pick<
+  Evacuations,
+  'zones' | 'isEvacuated'
+> {
+  /** Takes an own reading of the operator's table. */
+  readonly take: (reading: OperatorReading, scope: ReadingScope) => void;
+  /** Takes a reading of a relay. */
+  readonly hear: (moment: OperatorMoment) => void;
+}
+
+/** Creates the watch; it logs each change. */
+export function createEvacuationWatch(
+  options: EvacuationWatchOptions,
+): EvacuationWatch {
+  const {log, metrics} = options;
+  const evacuations = createEvacuations();
+
+  function update(apply: () => void): void {
+    const before = evacuations.zones();
+    apply();
+    const after = evacuations.zones();
+    const begun = after.filter(({zone}) => !hasZone(before, zone));
+    const ended = before.filter(({zone}) => !hasZone(after, zone));
+    begun.forEach(logBegun);
+    for (const {zone} of ended) log.info('zone no longer evacuated', {zone});
+    if (begun.length + ended.length > 0) metrics.setEvacuatedZones(after);
+  }
+
+  function logBegun({zone, revision}: EvacuatedZone): void {
+    if (options.isKnownZone(zone)) {
+      return log.info('zone evacuated', {zone, revision});
+    }
+    log.warn('evacuated zone is not known', {zone, revision});
+  }
+
+  return {
+    take: ({evacuations: changes, revision}, scope) =>
+      update(() => {
+        if (scope === 'changes') return evacuations.change(changes, revision);
+        const zones = changes.filter(({isEvacuated}) => isEvacuated);
+        evacuations.replace(zones, revision);
+      }),
+    hear: ({evacuatedZones, revision}) =>
+      update(() => evacuations.replace(evacuatedZones, revision)),
+    zones: evacuations.zones,
+    isEvacuated: evacuations.isEvacuated,
+  };
+}
+
+function hasZone(zones: readonly EvacuatedZone[], zone: ZoneName): boolean {
+  return zones.some(other => other.zone === zone);
+}
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -1,4 +1,5 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import type {EvacuatedZone} from '@hibiscusbeam/core';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the duration histogram, in milliseconds. */
 const DURATION_BUCKETS = [25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
@@ -30,6 +31,8 @@
   readonly countLeavingAnswer: (service: string) => void;
   /** Counts an answer in which a target asked to back off. */
   readonly countBackoffAnswer: (service: string) => void;
+  /** Replaces the zones that are evacuated. */
+  readonly setEvacuatedZones: (zones: readonly EvacuatedZone[]) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -94,6 +97,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const evacuatedZones = new Gauge({
+    name: 'hibiscusbeam_evacuated_zone_revision',
+    help: 'Revision of the operator’s row, for each zone that is evacuated.',
+    labelNames: ['zone'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -106,6 +115,12 @@
     countLimitedAnswer: service => limitedAnswers.inc({service}),
     countLeavingAnswer: service => leavingAnswers.inc({service}),
     countBackoffAnswer: service => backoffAnswers.inc({service}),
+    setEvacuatedZones: zones => {
+      evacuatedZones.reset();
+      for (const {zone, revision} of zones) {
+        evacuatedZones.set({zone}, revision);
+      }
+    },
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/held_readings.ts
+++ b/packages/fleet/src/entry/held_readings.ts
@@ -11,6 +11,14 @@
 /** Share of the bound of configurations that may pass; the rest is for clocks. */
 const CONFIGURATION_SHARE = 0.95;
 
+/**
+ * Share of the bound of evacuations that may pass; the rest is a request's way.
+ */
+const EVACUATIONS_SHARE = 0.9;
+
+/** Bound of evacuations where the settings name none. */
+export const EVACUATION_BOUND: Milliseconds = 5_000;
+
 /** Share of the draining bound that may pass; the rest is a request's way. */
 const TARGETS_SHARE = 0.9;
 
@@ -19,12 +27,15 @@
   readonly confirmation: Confirmation;
   /** When the list of targets was surely as it is held. */
   readonly listedAt: () => MonotonicInstant | undefined;
+  /** When the evacuations were surely as they are held. */
+  readonly evacuationsReadAt: () => MonotonicInstant | undefined;
   readonly storeContact: StoreContact;
   /** Counts suspensions of the machine. */
   readonly machineClock: Clock;
   readonly bounds: {
     readonly configuration: Milliseconds;
     readonly draining: Milliseconds;
+    readonly evacuation: Milliseconds;
   };
 }
 
@@ -32,6 +43,7 @@
 export interface HeldReadings {
   readonly configuration: () => ReadingUse;
   readonly targets: () => ReadingUse;
+  readonly evacuations: () => ReadingUse;
 }
 
 /** Creates the judge of what an entry holds. */
@@ -55,6 +67,8 @@
         bounds.configuration * CONFIGURATION_SHARE,
         confirmation.confirmedAt(),
       ),
+    evacuations: () =>
+      judge(bounds.evacuation * EVACUATIONS_SHARE, options.evacuationsReadAt()),
     targets: () => judge(bounds.draining * TARGETS_SHARE, options.listedAt()),
   };
 }
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -1,18 +1,19 @@
-import type {
-  Confirmation,
-  Milliseconds,
-  MonotonicInstant,
-  NamedVersions,
-  RouteTable,
-  StoreClock,
-  StoreContact,
-  ZoneName,
+import {
+  createConfirmation,
+  type Confirmation,
+  type EvacuatedZone,
+  type Milliseconds,
+  type MonotonicInstant,
+  type NamedVersions,
+  type RouteTable,
+  type StoreClock,
+  type StoreContact,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
 import type {Result} from 'ts-results';
 import type {ConfigurationCopies} from '../link/configuration_copies';
-import {runFeedLoop} from '../link/feed_loop';
+import {runFeedLoop, type ReadingScope} from '../link/feed_loop';
 import {signOf} from '../link/store_sign';
 import type {
   HostError,
@@ -20,6 +21,7 @@
   OperatorReading,
   Revision,
 } from '../ports';
+import type {EvacuationWatch} from './evacuation_watch';
 import {createHeldConfiguration} from './held_configuration';
 
 /**
@@ -96,13 +98,6 @@
   readonly evacuatedZones: readonly EvacuatedZone[];
 }
 
-/** A zone that the operator wants evacuated. */
-export interface EvacuatedZone {
-  readonly zone: ZoneName;
-  /** Of the operator's row. */
-  readonly revision: Revision;
-}
-
 /** What the operator wants, as far as this process knows. */
 export interface OperatorFollower {
   readonly start: (signal: AbortSignal) => void;
@@ -118,6 +113,11 @@
   readonly table: () => RouteTable | undefined;
   /** Digest of the configured services; of none before the first. */
   readonly servicesDigest: () => number;
+  /**
+   * The latest moment at which the evacuations were surely as they are held, also
+   * while the newest configuration can't be read; undefined before a reading.
+   */
+  readonly evacuationsReadAt: () => MonotonicInstant | undefined;
 }
 
 /** What a follower needs. */
@@ -129,6 +129,7 @@
   readonly storeContact: StoreContact;
   readonly versions: NamedVersions;
   readonly copies: ConfigurationCopies;
+  readonly evacuations: EvacuationWatch;
   readonly log: Log;
   readonly onChange: () => void;
   /** Time from a configuration's writing until it must be in force. */
@@ -148,7 +149,7 @@
 export function createOperatorFollower(
   options: OperatorFollowerOptions,
 ): OperatorFollower {
-  const {feed, clock, confirmation, log, bound} = options;
+  const {feed, clock, confirmation, evacuations, log, bound} = options;
   const held = createHeldConfiguration({
     copies: options.copies,
     decode: feed.decode,
@@ -158,6 +159,7 @@
       options.onConfiguration();
     },
   });
+  const evacuationsSeen = createConfirmation(options.storeClock);
   let askedAt: MonotonicInstant = -Infinity;
   let adoptedAt: MonotonicInstant = -Infinity;
   let newestChange: Revision = 0;
@@ -166,10 +168,12 @@
   let knownUntil: Revision = 0;
   let wake = (): void => undefined;
 
-  function take(reading: OperatorReading): void {
+  function take(reading: OperatorReading, scope: ReadingScope): void {
     const answeredAt = clock();
     const before = held.servicesDigest();
     let isNews = false;
+    // Before the configuration, so that no request goes by it without them.
+    evacuations.take(reading, scope);
     held.takeReading(reading);
     // An answer may be late, and a version's bound counts from its naming.
     const lookedAt = options.storeClock.notAfter(reading.storeTime);
@@ -181,6 +185,7 @@
     }
     if (isNews || held.servicesDigest() !== before) options.onNews();
     const {storeTime} = reading;
+    evacuationsSeen.record({askedAt, answeredAt, storeTime});
     // Failure: the newest configuration can't be read and takes a key away,
     // and the one before it counts as confirmed: the key is served for good.
     // Guard: nothing is confirmed until a newer one can be read.
@@ -193,7 +198,7 @@
       newestChange,
       storeTime,
       configurationRevision: held.revision(),
-      evacuatedZones: [],
+      evacuatedZones: evacuations.zones(),
     });
     options.onChange();
   }
@@ -213,6 +218,11 @@
    */
   function hear(moment: OperatorMoment, copy?: ConfigurationCopy): void {
     heardChange = Math.max(heardChange, moment.newestChange);
+    evacuations.hear(moment);
+    evacuationsSeen.recordRelayed({
+      heardAt: clock(),
+      storeTime: moment.storeTime,
+    });
     if (copy !== undefined) takeCopy(copy);
     if (moment.newestChange > knownUntil && !holdsNewest(moment)) return wake();
     if (held.isNewestLost()) return;
@@ -317,5 +327,6 @@
     hear,
     table: held.table,
     servicesDigest: held.servicesDigest,
+    evacuationsReadAt: evacuationsSeen.confirmedAt,
   };
 }
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -22,6 +22,7 @@
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
   | {readonly kind: 'leaving'}
+  | {readonly kind: 'evacuated'}
   | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
@@ -139,6 +140,7 @@
 ): boolean {
   switch (choice.kind) {
     case 'leaving':
+    case 'evacuated':
       return false;
     case 'backingOff':
       return choice.until < waitUntil;
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -26,6 +26,7 @@
   full: 'allFull',
   none: 'noTarget',
   leaving: 'targetsLeaving',
+  evacuated: 'targetsEvacuated',
   backingOff: 'targetsBackingOff',
   outdated: 'outdatedTargets',
 } as const;
@@ -162,6 +163,7 @@
       case 'full':
       case 'none':
       case 'leaving':
+      case 'evacuated':
       case 'backingOff':
       case 'outdated': {
         const reason = NO_PLACE_REASONS[outcome.kind];
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -1,4 +1,5 @@
 import type {
+  EvacuationChange,
   ListedTarget,
   Milliseconds,
   ModelName,
@@ -57,6 +58,8 @@
   /** Whether a configuration was written that can't be used. */
   readonly isConfigurationLost: boolean;
   readonly namedVersions: readonly NamedVersion[];
+  /** Rows on evacuations, in the order in which they were written. */
+  readonly evacuations: readonly EvacuationChange[];
   /** Revision of the newest row that was read, usable or not; 0 without rows. */
   readonly newestChange: Revision;
 }
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -26,6 +26,8 @@
   draining: milliseconds,
   /** From a version's naming until no request begins on an older one. */
   version: milliseconds,
+  /** From an evacuation's writing until no request reaches the zone's targets. */
+  evacuation: milliseconds.optional(),
   /** From the signal to stop until the process is killed. */
   grace: milliseconds,
   /** Longest life of a directory's answer. */
--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -69,6 +69,8 @@
       return `Not run${before}: no listed target of the service may take it (leaving, tried already, or with an older version than may start).`;
     case 'targetsLeaving':
       return `Not run${before}: all targets of the service leave, by the list or by their own answers.`;
+    case 'targetsEvacuated':
+      return `Not run${before}: all targets of the service that stay were in zones that the operator had evacuated.`;
     case 'targetsBackingOff':
       return `Not run${before}: all targets of the service that stay had asked this entry to back off; the caller was told when the first of them takes requests again.`;
     case 'outdatedTargets':
--- /dev/null
+++ b/test/fleet/evacuation.test.ts
@@ -0,0 +1,94 @@
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import type {HostEngine} from './fixtures/host_engine';
+import {eventually, type LogLine} from './fixtures/host_site';
+import {
+  AS_ENGINE,
+  startQuickSite,
+  WHOLE_STREAM,
+  type QuickSite,
+} from './fixtures/quick_site';
+
+const ROUNDS = 10;
+
+let quick: QuickSite;
+let north: HostEngine;
+let south: HostEngine;
+
+beforeEach(async () => {
+  quick = await startQuickSite();
+  north = await quick.startTarget('north-1');
+  south = await quick.startTarget('south-1', {Zone: 'south'});
+});
+
+afterEach(() => quick.close());
+
+const evacuate = (zone: string) =>
+  quick.site.store.write('op', `evacuate/${zone}`, {});
+
+const takeBack = (zone: string) =>
+  quick.site.store.remove('op', `evacuate/${zone}`);
+
+const logged = (text: string): readonly LogLine[] =>
+  quick.site.lines.filter(({sentence}) => sentence.includes(text));
+
+/** Statuses of some requests, two at a time. */
+async function ask(route: string): Promise<ReadonlySet<number | undefined>> {
+  const statuses = new Set<number | undefined>();
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const replies = await Promise.all([quick.ask(route), quick.ask(route)]);
+    for (const {status} of replies) statuses.add(status);
+  }
+  return statuses;
+}
+
+async function startStreams(): Promise<HostEngine> {
+  const options = {events: 3, pause: 150};
+  const engine = await quick.startTarget('engine-1', AS_ENGINE, options);
+  await quick.serve();
+  return engine;
+}
+
+test('targets of an evacuated zone get nothing, and their share again after it', async () => {
+  await startStreams();
+  evacuate('north');
+  await eventually(() => logged('zone evacuated').length > 0);
+  const before = north.runs.length;
+  expect(await ask('quick')).toEqual(new Set([200]));
+  expect(north.runs.length).toBe(before);
+  takeBack('north');
+  await eventually(() => logged('no longer evacuated').length > 0);
+  await ask('quick');
+  expect(north.runs.length).toBeGreaterThan(before);
+});
+
+test('an entry that starts while a zone is evacuated sends it nothing', async () => {
+  evacuate('north');
+  await quick.startTarget('engine-1', {...AS_ENGINE, Zone: 'south'});
+  await quick.serve();
+  expect(await ask('quick')).toEqual(new Set([200]));
+  expect(north.runs).toEqual([]);
+  expect(south.runs.length).toBeGreaterThan(0);
+});
+
+test('a stream that runs in the zone goes on to its end', async () => {
+  const engine = await startStreams();
+  const before = engine.runs.length;
+  const stream = quick.ask('going');
+  await eventually(() => engine.runs.length > before);
+  evacuate('north');
+  await eventually(() => logged('zone evacuated').length > 0);
+  expect(await stream).toEqual({
+    status: 200,
+    text: `${WHOLE_STREAM}\ndata: token 3`,
+  });
+  expect((await quick.ask('going')).status).toBe(503);
+});
+
+test('requests for a service without another zone are refused with a reason', async () => {
+  await startStreams();
+  evacuate('north');
+  evacuate('south');
+  await eventually(() => logged('zone evacuated').length > 1);
+  const {status, text} = await quick.ask('quick');
+  expect({status, text}).toEqual({status: 503, text: 'targetsEvacuated'});
+});
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -62,3 +62,14 @@
   expect(lines).toContain(`${bucket('targets', 3_000)} 1`);
   expect(lines).toContain(`${bucket('configuration', 250)} 1`);
 });
+
+test('shows the zones that are evacuated, and drops those that no longer are', async () => {
+  const metrics = createFleetMetrics();
+  metrics.setEvacuatedZones([{zone: 'south', revision: 7}]);
+  metrics.setEvacuatedZones([{zone: 'west', revision: 9}]);
+  const lines = (await metrics.text()).split('\n');
+  const shown = lines.filter(line => line.includes('_zone_revision{'));
+  expect(shown).toEqual([
+    'hibiscusbeam_evacuated_zone_revision{zone="west"} 9',
+  ]);
+});
--- a/test/fleet/held_configuration.test.ts
+++ b/test/fleet/held_configuration.test.ts
@@ -34,6 +34,7 @@
     document: {revision: written, text},
     isConfigurationLost: false,
     namedVersions: [],
+    evacuations: [],
     newestChange: written,
   };
 }
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -3,6 +3,7 @@
   createNamedVersions,
   createStoreClock,
   createStoreContact,
+  type EvacuationChange,
   type RoutingConfiguration,
 } from '@hibiscusbeam/core';
 import type {Log} from '@hibiscusbeam/daemon';
@@ -14,6 +15,7 @@
 import type {ConfigurationCopy} from '@hibiscusbeam/wire';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {createEvacuationWatch} from '../../packages/fleet/src/entry/evacuation_watch';
 import {
   createOperatorFollower,
   type TableSource,
@@ -55,6 +57,7 @@
   let isUnusable = false;
   let lateBy = 0;
   let named: readonly NamedVersion[] = [];
+  const rows: EvacuationChange[] = [];
   const readingOf = (isNew: boolean) =>
     ({
       revision: version,
@@ -66,6 +69,7 @@
       document: isNew && !isUnusable ? documentOf(version) : undefined,
       isConfigurationLost: isNew && isUnusable,
       namedVersions: isNew ? named : [],
+      evacuations: isNew ? rows : [],
       newestChange: isNew ? version : 0,
     }) satisfies OperatorReading;
   const feed: OperatorFeed = {
@@ -90,6 +94,17 @@
   const storeClock = createStoreClock();
   const confirmation = createConfirmation(storeClock);
   const versions = createNamedVersions(VERSION_BOUND);
+  const logged: string[] = [];
+  const note = (line: string): void => void logged.push(line);
+  const evacuations = createEvacuationWatch({
+    log: {info: note, warn: note} as unknown as Log,
+    metrics: {setEvacuatedZones: () => undefined},
+    isKnownZone: zone => zone !== 'nowhere',
+  });
+  const writeEvacuation = (zone: string, isEvacuated: boolean): void => {
+    version += 1;
+    rows.push({zone, revision: version, isEvacuated});
+  };
   const follower = createOperatorFollower({
     feed,
     clock: now,
@@ -97,6 +112,7 @@
     storeContact: createStoreContact(),
     versions,
     storeClock,
+    evacuations,
     log,
     bound: CONFIGURATION_BOUND,
     copies,
@@ -141,6 +157,20 @@
         copy,
       ),
     held: () => copies.newestRevision(),
+    evacuate: (zone: string) => writeEvacuation(zone, true),
+    endEvacuation: (zone: string) => writeEvacuation(zone, false),
+    evacuated: () => evacuations.zones().map(({zone}) => zone),
+    logged,
+    /** What a relay tells of an evacuation in the row of this revision. */
+    hearEvacuation: (zone: string, revision: number) =>
+      follower.hear({
+        revision,
+        newestChange: revision,
+        storeTime: now() + STORE_OFFSET,
+        configurationRevision: copies.newestRevision(),
+        evacuatedZones: [{zone, revision}],
+      }),
+    evacuationsAge: () => now() - (follower.evacuationsReadAt() ?? -Infinity),
   };
 }
 
@@ -316,3 +346,71 @@
   await vi.advanceTimersByTimeAsync(40);
   expect(site.leastVersion()).toBe(2);
 });
+
+test('an entry that starts knows the evacuations with its first configuration', async () => {
+  const site = startFollower(() => 'store');
+  site.evacuate('south');
+  expect(site.follower.table()).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(20);
+  expect(site.follower.table()).toBeDefined();
+  expect(site.evacuated()).toEqual(['south']);
+});
+
+test('evacuations overlap, end and begin again, with a line for each change', async () => {
+  const site = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(100);
+  site.evacuate('south');
+  site.evacuate('west');
+  await vi.advanceTimersByTimeAsync(400);
+  expect(site.evacuated()).toEqual(['south', 'west']);
+  site.endEvacuation('south');
+  await vi.advanceTimersByTimeAsync(400);
+  expect(site.evacuated()).toEqual(['west']);
+  site.evacuate('south');
+  await vi.advanceTimersByTimeAsync(400);
+  expect(site.evacuated()).toEqual(['west', 'south']);
+  const lines = site.logged.filter(line => line.startsWith('zone'));
+  expect(lines).toHaveLength(4);
+});
+
+// The relay's moment counts as confirmed by the configuration alone, so that an
+// entry would go on sending to the zone until it asks the store itself.
+test('an evacuation comes with the moment of a relay that names it', async () => {
+  const site = startFollower(() => 'zoneRelay');
+  await vi.advanceTimersByTimeAsync(100);
+  site.hearEvacuation('south', 2);
+  expect(site.evacuated()).toEqual(['south']);
+});
+
+test('an evacuation is known though the newest configuration is not held', async () => {
+  const site = startFollower(() => 'zoneRelay');
+  await vi.advanceTimersByTimeAsync(100);
+  site.cut();
+  site.follower.hear({
+    revision: 3,
+    newestChange: 3,
+    storeTime: Date.now() + STORE_OFFSET,
+    configurationRevision: 2,
+    evacuatedZones: [{zone: 'south', revision: 3}],
+  });
+  expect(site.evacuated()).toEqual(['south']);
+});
+
+test('readings of evacuations age while the relay and the store are silent', async () => {
+  const site = startFollower(() => 'zoneRelay');
+  await vi.advanceTimersByTimeAsync(100);
+  site.hearFromRelay(5);
+  site.cut();
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(site.evacuationsAge()).toBeGreaterThanOrEqual(6_000);
+});
+
+test('a name that is no known zone gives one line', async () => {
+  const site = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(100);
+  site.evacuate('nowhere');
+  await vi.advanceTimersByTimeAsync(4_000);
+  expect(site.logged.filter(line => line.includes('not known'))).toHaveLength(
+    1,
+  );
+});
--- a/test/fleet/operator_watch.test.ts
+++ b/test/fleet/operator_watch.test.ts
@@ -38,6 +38,7 @@
     configuration: {version: 2, services: SERVICES},
     isConfigurationLost: false,
     namedVersions: [],
+    evacuations: [],
   } as unknown as OperatorReading;
   const feed: OperatorFeed = {
     readAll: () => Promise.resolve(Ok(reading)),
--- a/test/fleet/stale_readings.test.ts
+++ b/test/fleet/stale_readings.test.ts
@@ -11,6 +11,7 @@
 
 const CONFIGURATION_BOUND = 900;
 const DRAINING_BOUND = 1_000;
+const EVACUATION_BOUND = 1_000;
 const NO_BOUND = 60_000;
 
 let site: HostSite;
@@ -32,6 +33,7 @@
 async function startServingEntry(bounds: {
   readonly configuration: number;
   readonly draining: number;
+  readonly evacuation?: number;
 }): Promise<string> {
   const {settings} = await site.startEntry(bounds);
   await eventually(() => isReady(settings.readinessAddress));
@@ -80,6 +82,20 @@
   expect(engine.runs.length).toBe(before);
 });
 
+test('nothing is sent to a zone that may have been evacuated', async () => {
+  const address = await startServingEntry({
+    configuration: NO_BOUND,
+    draining: NO_BOUND,
+    evacuation: EVACUATION_BOUND,
+  });
+  const before = engine.runs.length;
+  site.store.setFault('answersLate');
+  site.store.write('op', 'evacuate/north', {});
+  await pass(EVACUATION_BOUND);
+  expect((await send(address, '/safe/a')).status).toBe(503);
+  expect(engine.runs.length).toBe(before);
+});
+
 test('nothing is sent to a target that may have left', async () => {
   const address = await startServingEntry({
     configuration: NO_BOUND,
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -237,6 +237,20 @@
     expect(read.configuration?.version).toBe(3);
   });
 
+  test('a row with any value evacuates its zone', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.jsonValue(), async value => {
+        const written = row('evacuate/south', value, 7);
+        const {evacuations, unusable} = await readOperator(written);
+        expect(evacuations).toEqual([
+          {zone: 'south', revision: 7, isEvacuated: true},
+        ]);
+        expect(unusable).toEqual([]);
+      }),
+      propertySettings(100),
+    );
+  });
+
   test('rows for something else are passed over', async () => {
     const {unusable} = await readOperator(row('note', 'anything'));
     expect(unusable).toEqual([]);
