Keep requests in the regions that their route and workspace allow

Cause: residency was decoded and nothing went by it, so a request of a route bound to one region could be served in any.

Entries get the table of zones and regions in their settings. The target book chooses and starts requests at targets of their destinations only; a zone without a known region is in none. A request whose route and workspace allow no region in common is refused on arrival with noAllowedRegion, and reading such a configuration logs a warning. Requests that wait or are sent again go by the newest configuration, found by host, path and key once per table; a configuration older than its bound starts nothing where regions are named. The directory names entries of the own zone, else the own region, else of regions that all routes of the host with residency allow, else all.

The stub of test/fleet/request_run.test.ts gets an operator, which the run now asks for its table.

--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -83,6 +83,8 @@
   | 'targetsLeaving'
   /** All that stay are in zones that are being evacuated. */
   | 'targetsEvacuated'
+  /** Its route and its workspace allow no region in common. */
+  | 'noAllowedRegion'
   /** All that stay want no request of this entry for a while. */
   | 'targetsBackingOff'
   | 'leaving'
--- a/packages/core/src/placement/directory_choice.ts
+++ b/packages/core/src/placement/directory_choice.ts
@@ -1,11 +1,21 @@
-import type {ZoneName} from '../types';
+import type {RegionName, ZoneName} from '../types';
 
 /** An entry that callers may be sent to. */
 export interface UsableEntry {
   readonly zone: ZoneName;
+  /** Undefined if its zone's region is not known. */
+  readonly region: RegionName | undefined;
   readonly callerAddress: string;
 }
 
+/** Who asks for entries, and for what. */
+export interface EntryQuestion {
+  readonly zone: ZoneName | undefined;
+  readonly region: RegionName | undefined;
+  /** Regions that all routes of the host with residency allow, if any has. */
+  readonly allowedRegions: ReadonlySet<RegionName> | undefined;
+}
+
 /** Entries named at least, so that a caller has another when one fails. */
 const LEAST_ENTRIES = 2;
 
@@ -13,14 +23,25 @@
 const MOST_ENTRIES = 64;
 
 /**
- * The addresses for a caller of `zone`: its own zone's entries, and all of them
- * if its own are fewer than two.
+ * The addresses for a caller: the entries of its own zone, else of its own
+ * region, else of regions in which its requests are served, else all. Fewer than
+ * two entries are passed over.
  */
 export function chooseEntries(
   entries: readonly UsableEntry[],
-  zone: ZoneName | undefined,
+  {zone, region, allowedRegions}: EntryQuestion,
 ): readonly string[] {
-  const near = entries.filter(entry => entry.zone === zone);
-  const chosen = near.length >= LEAST_ENTRIES ? near : entries;
-  return chosen.slice(0, MOST_ENTRIES).map(entry => entry.callerAddress);
+  const circles = [
+    entries.filter(entry => entry.zone === zone),
+    entries.filter(entry => region !== undefined && entry.region === region),
+    entries.filter(
+      entry =>
+        entry.region !== undefined &&
+        allowedRegions?.has(entry.region) === true,
+    ),
+  ];
+  const near = circles.find(circle => circle.length >= LEAST_ENTRIES);
+  return (near ?? entries)
+    .slice(0, MOST_ENTRIES)
+    .map(entry => entry.callerAddress);
 }
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,11 +1,13 @@
 import type {MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
+import {areNowhere} from '../routes';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
 import {costOf} from './target_cost';
 import {
   fits,
   hasRoom,
+  mayServe,
   NO_PLACE_RULES,
   REPORT_LIFE,
   isReported,
@@ -240,9 +242,10 @@
   }
 
   function choose(need: PlaceNeed): TargetPlace {
+    if (areNowhere(need.destinations)) return {kind: 'nowhere'};
     if (!isListUsable()) return {kind: 'outdated'};
-    const ofService = [...entries.values()].filter(
-      ({target}) => target.service === need.service,
+    const ofService = [...entries.values()].filter(({target}) =>
+      mayServe(target, need, rules),
     );
     const lasting = ofService.filter(({target}) => !isLeaving(target));
     if (ofService.length > 0 && lasting.length === 0) return {kind: 'leaving'};
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -1,7 +1,9 @@
+import {mayBeServedIn} from '../routes';
 import type {
   Milliseconds,
   ModelName,
   MonotonicInstant,
+  RegionName,
   ZoneName,
 } from '../types';
 import type {EngineLoad, HeldModel, ListedTarget, PlaceNeed} from './types';
@@ -39,10 +41,25 @@
 export interface PlaceRules {
   /** Whether the zone's targets are to get nothing. */
   readonly isEvacuated: (zone: ZoneName) => boolean;
+  /** Undefined if the zone's region is not known. */
+  readonly regionOf: (zone: ZoneName) => RegionName | undefined;
 }
 
 /** The rules where the operator says nothing. */
-export const NO_PLACE_RULES: PlaceRules = {isEvacuated: () => false};
+export const NO_PLACE_RULES: PlaceRules = {
+  isEvacuated: () => false,
+  regionOf: () => undefined,
+};
+
+/** Whether a target is one of those among which a request may be served. */
+export function mayServe(
+  {service, zone}: ListedTarget,
+  need: PlaceNeed,
+  rules: PlaceRules,
+): boolean {
+  if (service !== need.service) return false;
+  return mayBeServedIn(need.destinations, rules.regionOf(zone));
+}
 
 /** Whether a target that stays may start a request at all. */
 export function fits(
@@ -52,7 +69,7 @@
   rules: PlaceRules,
 ): boolean {
   const {target} = entry;
-  if (target.service !== need.service) return false;
+  if (!mayServe(target, need, rules)) return false;
   if (rules.isEvacuated(target.zone)) return false;
   if (need.tried.has(target.instance)) return false;
   if (isDenied(entry, need.now)) return false;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -146,6 +146,8 @@
   | {readonly kind: 'leaving'}
   /** All that stay are in zones that are being evacuated. */
   | {readonly kind: 'evacuated'}
+  /** No region is allowed for the request. */
+  | {readonly kind: 'nowhere'}
   /** All that stay want no request of this entry before `until`. */
   | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   /** The list is too old: targets may have left. */
--- a/packages/core/src/routes/destinations.ts
+++ b/packages/core/src/routes/destinations.ts
@@ -23,6 +23,11 @@
   return {kind: 'regions', regions: new Set(regions)};
 }
 
+/** Whether a request may be served nowhere at all. */
+export function areNowhere(destinations: Destinations): boolean {
+  return destinations.kind === 'regions' && destinations.regions.size === 0;
+}
+
 /** Whether a request may be served in a region; undefined if it isn't known. */
 export function mayBeServedIn(
   destinations: Destinations,
--- /dev/null
+++ b/packages/core/src/routes/residency.ts
@@ -0,0 +1,68 @@
+import type {RegionName} from '../types';
+import type {Route, RoutingConfiguration, WorkspaceAccess} from './types';
+
+/** A route and a workspace that allow no region in common. */
+export interface ResidencyConflict {
+  readonly route: string;
+  readonly workspace: string;
+}
+
+/** Whether a configuration names regions at all. */
+export function bindsRegions({
+  routes,
+  workspaces = [],
+}: RoutingConfiguration): boolean {
+  return [...routes, ...workspaces].some(
+    ({allowedRegions}) => allowedRegions !== undefined,
+  );
+}
+
+/**
+ * Routes and workspaces whose requests can be served nowhere. Only the first
+ * route and workspace of each pair of lists are named: a site has thousands of
+ * pairs, and few lists.
+ */
+export function findResidencyConflicts({
+  routes,
+  workspaces = [],
+}: RoutingConfiguration): readonly ResidencyConflict[] {
+  return withDifferentRegions(routes).flatMap(route =>
+    withDifferentRegions(workspaces)
+      .filter(workspace => areDisjoint(route, workspace))
+      .map(workspace => ({route: route.name, workspace: workspace.name})),
+  );
+}
+
+/**
+ * Regions that all routes with residency allow, of those given; undefined if
+ * none of them has any.
+ */
+export function commonRegions(
+  routes: readonly Pick<Route, 'allowedRegions'>[],
+): ReadonlySet<RegionName> | undefined {
+  const lists = routes.flatMap(({allowedRegions}) =>
+    allowedRegions === undefined ? [] : [allowedRegions],
+  );
+  const [first, ...others] = lists;
+  if (first === undefined) return undefined;
+  const isCommon = (region: RegionName): boolean =>
+    others.every(list => list.includes(region));
+  return new Set(first.filter(isCommon));
+}
+
+function withDifferentRegions<Bound extends Route | WorkspaceAccess>(
+  bound: readonly Bound[],
+): readonly Bound[] {
+  const byList = new Map<string, Bound>();
+  for (const one of bound) {
+    if (one.allowedRegions === undefined) continue;
+    const list = JSON.stringify([...one.allowedRegions].sort());
+    if (!byList.has(list)) byList.set(list, one);
+  }
+  return [...byList.values()];
+}
+
+function areDisjoint(route: Route, workspace: WorkspaceAccess): boolean {
+  const allowed = new Set(route.allowedRegions);
+  return !workspace.allowedRegions?.some(region => allowed.has(region));
+}
--- a/packages/core/src/routes/route_table.ts
+++ b/packages/core/src/routes/route_table.ts
@@ -1,5 +1,6 @@
-import type {ServiceName} from '../types';
+import type {RegionName, ServiceName} from '../types';
 import {hash32} from '../utils/hash';
+import {bindsRegions, commonRegions} from './residency';
 import type {
   Route,
   RoutingConfiguration,
@@ -23,6 +24,10 @@
   readonly find: (host: string, path: string) => Route | undefined;
   readonly access: (route: Route, key: string | undefined) => CallerAccess;
   readonly service: (name: ServiceName) => ServiceDescription | undefined;
+  /** Whether the configuration names regions. */
+  readonly bindsRegions: boolean;
+  /** Regions that all routes of a host with residency allow, if any has. */
+  readonly regionsOf: (host: string) => ReadonlySet<RegionName> | undefined;
 }
 
 /** Prepares a configuration for look-ups. */
@@ -46,6 +51,8 @@
     configuration.services.map(service => [service.name, service] as const),
   );
 
+  const isBound = bindsRegions(configuration);
+
   function access(route: Route, key: string | undefined): CallerAccess {
     const holder = key === undefined ? undefined : holders.get(key);
     if (holder !== undefined) return {kind: 'workspace', workspace: holder};
@@ -62,6 +69,9 @@
       byHost.get(hostName(host))?.find(route => path.startsWith(route.prefix)),
     access,
     service: name => services.get(name),
+    bindsRegions: isBound,
+    regionsOf: host =>
+      isBound ? commonRegions(byHost.get(hostName(host)) ?? []) : undefined,
   };
 }
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -51,6 +51,7 @@
 import {createRepeatBudgets} from './repeat_budgets';
 import type {StoppingPhase} from './request_acceptance';
 import {createRequestHandler} from './request_handler';
+import {createSiteRegions} from './site_regions';
 import {openDirectory, openMetricsFace, openReadiness} from './service_faces';
 import {createStreamHandover} from './stream_handover';
 import {startTargetFollower} from './target_follower';
@@ -159,19 +160,26 @@
     knownPart: () =>
       members.isKnown() ? (circle.usable().length + 1) / circle.size() : 0,
   });
+  const regions = createSiteRegions(settings);
   const evacuations = createEvacuationWatch({
     log: logs('configuration'),
     metrics,
-    isKnownZone: () => true,
+    isKnownZone: regions.isKnownZone,
   });
-  // An entry that was frozen or is cut off may miss an evacuation.
+  // An entry that was frozen or is cut off may miss an evacuation or a change of
+  // residency, also for requests that it has accepted.
   const arePlacesKnown = (): boolean =>
-    isReadable(readings.targets()) && isReadable(readings.evacuations());
+    isReadable(readings.targets()) &&
+    isReadable(readings.evacuations()) &&
+    isResidencyKnown();
+  const isResidencyKnown = (): boolean =>
+    operator.table()?.bindsRegions !== true ||
+    isReadable(readings.configuration());
   const book = createTargetBook(
     {instance: settings.instance, zone: settings.zone},
     arePlacesKnown,
     paced.maySend,
-    {isEvacuated: evacuations.isEvacuated},
+    {isEvacuated: evacuations.isEvacuated, regionOf: regions.regionOf},
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
   const handover = createStreamHandover({book, clock});
@@ -354,6 +362,8 @@
       address: settings.directoryAddress,
       protocol: ports.directory,
       usable,
+      regionOf: regions.regionOf,
+      regionsOf: host => operator.table()?.regionsOf(host),
       keepFor: Math.min(bounds.directoryAnswer, LONGEST_DIRECTORY_LIFE),
     }),
     openReadiness(settings.readinessAddress, ports.directory, isReady),
--- a/packages/fleet/src/entry/held_configuration.ts
+++ b/packages/fleet/src/entry/held_configuration.ts
@@ -1,5 +1,6 @@
 import {
   createRouteTable,
+  findResidencyConflicts,
   type RouteTable,
   type RoutingConfiguration,
 } from '@hibiscusbeam/core';
@@ -9,6 +10,9 @@
 import {servicesDigest} from '../link/services_digest';
 import type {OperatorFeed, OperatorReading, Revision} from '../ports';
 
+/** Conflicts named in one line of the log. */
+const MOST_CONFLICTS_LOGGED = 10;
+
 /** The configuration that an entry goes by. */
 export interface HeldConfiguration {
   /** The newest configuration; undefined until one was read. */
@@ -88,9 +92,19 @@
       routes: configuration.routes.length,
       workspaces: configuration.workspaces?.length,
     });
+    warnOfConflicts(configuration);
     options.onAdopted();
   }
 
+  function warnOfConflicts(configuration: RoutingConfiguration): void {
+    const conflicts = findResidencyConflicts(configuration);
+    if (conflicts.length === 0) return;
+    log.warn('no region is allowed for requests of some workspaces', {
+      version: configuration.version,
+      conflicts: conflicts.slice(0, MOST_CONFLICTS_LOGGED),
+    });
+  }
+
   return {
     table: () => table,
     servicesDigest: () => digest,
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -23,6 +23,7 @@
   | {readonly kind: 'none'}
   | {readonly kind: 'leaving'}
   | {readonly kind: 'evacuated'}
+  | {readonly kind: 'nowhere'}
   | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
@@ -141,6 +142,7 @@
   switch (choice.kind) {
     case 'leaving':
     case 'evacuated':
+    case 'nowhere':
       return false;
     case 'backingOff':
       return choice.until < waitUntil;
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -1,4 +1,5 @@
 import {
+  areNowhere,
   chooseService,
   destinationsOf,
   type CallerAccess,
@@ -9,6 +10,7 @@
   type ReadingUse,
   type RequestFingerprint,
   type Route,
+  type RouteTable,
   type ServiceName,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
@@ -43,6 +45,9 @@
 /** Pause named to callers of an entry that leaves. */
 const RETRY_ELSEWHERE: Milliseconds = 20;
 
+/** Pause named where only another configuration lets the request be served. */
+const RETRY_RECONFIGURED: Milliseconds = 1_000;
+
 /** A request that may be forwarded. */
 export interface AcceptedRequest {
   readonly header: CallerHeader;
@@ -97,12 +102,27 @@
   const deadline = arrivedAt + patience;
   const run = expectRun(header, table, service);
   const workspace = access.kind === 'workspace' ? access.workspace : undefined;
-  const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
   const destinations = destinationsOf(route, workspace);
+  if (areNowhere(destinations)) {
+    return notRun('noAllowedRegion', RETRY_RECONFIGURED);
+  }
+  const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
   const content = {header, body, fingerprint, arrivedAt, deadline};
   return {...content, route, service, access, destinations, run};
 }
 
+/** Where a request may be served by a table; undefined without such a route. */
+export function destinationsIn(
+  table: RouteTable,
+  {header, path}: Pick<ArrivedRequest, 'header' | 'path'>,
+): Destinations | undefined {
+  const route = table.find(header.host, path);
+  if (route === undefined) return undefined;
+  const access = table.access(route, header.key);
+  const isOfWorkspace = access.kind === 'workspace';
+  return destinationsOf(route, isOfWorkspace ? access.workspace : undefined);
+}
+
 /**
  * A denial is final for its caller, so it needs a configuration that can't have
  * been replaced in force; otherwise the caller is told to come back.
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -1,6 +1,7 @@
 import {
   FAR_DELAY,
   unreachable,
+  type Destinations,
   type ForwardEffect,
   type ForwardReply,
   type ListedTarget,
@@ -11,7 +12,7 @@
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
 import type {PlaceOutcome} from './place_queue';
-import {isKeyConfirmed} from './request_acceptance';
+import {destinationsIn, isKeyConfirmed} from './request_acceptance';
 import type {
   PlannedSend,
   RequestRunContext,
@@ -27,6 +28,7 @@
   none: 'noTarget',
   leaving: 'targetsLeaving',
   evacuated: 'targetsEvacuated',
+  nowhere: 'noAllowedRegion',
   backingOff: 'targetsBackingOff',
   outdated: 'outdatedTargets',
 } as const;
@@ -59,6 +61,8 @@
       if (trial === 'held') trial = 'used';
     },
   });
+  let decidedBy = options.operator.table();
+  let destinations = accepted.destinations;
   let answer: WholeAnswer | undefined;
   let place: TakenPlace | undefined;
   let triedBefore: readonly ListedTarget[] = [];
@@ -70,7 +74,7 @@
       model: header.model,
       leastVersion: leastVersion(0),
       leastFarVersion: leastVersion(FAR_DELAY),
-      destinations: accepted.destinations,
+      destinations: destinationsNow(),
       promptTime: run.promptTime,
       expectedRun: run.writingTime,
       expectedTokens: run.tokens,
@@ -80,6 +84,17 @@
     };
   }
 
+  /** By the newest configuration, which may have changed since the request came. */
+  function destinationsNow(): Destinations {
+    const table = options.operator.table();
+    if (table !== undefined && table !== decidedBy) {
+      decidedBy = table;
+      const path = context.request.url ?? '/';
+      destinations = destinationsIn(table, {header, path}) ?? destinations;
+    }
+    return destinations;
+  }
+
   /** Objectives count from the caller's first attempt. */
   function firstEventBy(): MonotonicInstant | undefined {
     if (progress.begun) return undefined;
@@ -164,6 +179,7 @@
       case 'none':
       case 'leaving':
       case 'evacuated':
+      case 'nowhere':
       case 'backingOff':
       case 'outdated': {
         const reason = NO_PLACE_REASONS[outcome.kind];
--- a/packages/fleet/src/entry/service_faces.ts
+++ b/packages/fleet/src/entry/service_faces.ts
@@ -1,7 +1,12 @@
-import {chooseEntries, type Milliseconds} from '@hibiscusbeam/core';
+import {
+  chooseEntries,
+  type Milliseconds,
+  type RegionName,
+} from '@hibiscusbeam/core';
 import fastify, {type FastifyInstance} from 'fastify';
 import type {DirectoryProtocol, MemberDescription} from '../ports';
 import type {FleetMetrics} from './fleet_metrics';
+import type {SiteRegions} from './site_regions';
 
 /** Where a face listens, and how it closes. */
 export interface ServiceFace {
@@ -15,6 +20,9 @@
   /** Entries that callers may be sent to, this one among them. */
   readonly usable: () => readonly MemberDescription[];
   readonly keepFor: Milliseconds;
+  readonly regionOf: SiteRegions['regionOf'];
+  /** Regions that all routes of a host with residency allow, if any has. */
+  readonly regionsOf: (host: string) => ReadonlySet<RegionName> | undefined;
 }
 
 /**
@@ -49,9 +57,18 @@
     const entries = options
       .usable()
       .flatMap(({zone, callerAddress}) =>
-        callerAddress === undefined ? [] : [{zone, callerAddress}],
+        callerAddress === undefined
+          ? []
+          : [{zone, region: options.regionOf(zone), callerAddress}],
       );
-    const addresses = chooseEntries(entries, question.zone);
+    const addresses = chooseEntries(entries, {
+      zone: question.zone,
+      region:
+        question.region ?? (question.zone && options.regionOf(question.zone)),
+      allowedRegions: question.host
+        ? options.regionsOf(question.host)
+        : undefined,
+    });
     if (addresses.length === 0) return reply.code(503).send();
     return protocol.writeAnswer({addresses, keepFor: options.keepFor});
   });
--- a/packages/fleet/src/ports/protocol.ts
+++ b/packages/fleet/src/ports/protocol.ts
@@ -71,6 +71,7 @@
 export interface DirectoryQuestion {
   readonly host: string | undefined;
   readonly zone: string | undefined;
+  readonly region: string | undefined;
 }
 
 /** What a directory answers. */
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -48,6 +48,8 @@
   callerAddress: address,
   readinessAddress: address,
   directoryAddress: address,
+  /** Regions of the site's zones; targets of other zones are in no region. */
+  regions: z.record(z.string(), z.string().min(1)).nullish(),
   bounds,
 });
 
--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -69,6 +69,8 @@
       return `Not run${before}: no listed target of the service may take it (leaving, tried already, or with an older version than may start).`;
     case 'targetsLeaving':
       return `Not run${before}: all targets of the service leave, by the list or by their own answers.`;
+    case 'noAllowedRegion':
+      return `Not run${before}: its route and its workspace allow no region in common.`;
     case 'targetsEvacuated':
       return `Not run${before}: all targets of the service that stay were in zones that the operator had evacuated.`;
     case 'targetsBackingOff':
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -52,6 +52,7 @@
   const options = {
     protocol: requestProtocol,
     book,
+    operator: {table: () => undefined},
     places: createPlaceQueue(book, clock),
     timeliness: createTimeliness(answerTimes),
     answerTimes,
--- a/test/settings/fleet_settings.test.ts
+++ b/test/settings/fleet_settings.test.ts
@@ -57,6 +57,7 @@
       .replaceAll('{{Ip}}:{{PortRange.0}}', '10.1.0.40:7700')
       .replaceAll('{{Ip}}', '10.1.0.40')
       .replaceAll(/\{\{(NodeName|Zone|Region|Service)\|json\}\}/g, '"name"')
+      .replaceAll('{{Zones|json}}', '{"north": "inland"}')
       .replaceAll(/\{\{[\w.]+\|json\}\}/g, '1');
     expect(loadFleetSettings(filled)).toMatchObject({ok: true});
   }
