--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -81,6 +81,10 @@
   | 'allFull'
   /** All targets of the service leave. */
   | 'targetsLeaving'
+  /** All that stay are in zones that are being evacuated. */
+  | 'targetsEvacuated'
+  /** Its route and its workspace allow no region in common. */
+  | 'noAllowedRegion'
   /** All that stay want no request of this entry for a while. */
   | 'targetsBackingOff'
   | 'leaving'
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -22,6 +22,8 @@
   | {readonly kind: 'full'}
   | {readonly kind: 'none'}
   | {readonly kind: 'leaving'}
+  | {readonly kind: 'evacuated'}
+  | {readonly kind: 'nowhere'}
   | {readonly kind: 'backingOff'; readonly until: MonotonicInstant}
   | {readonly kind: 'outdated'}
   | {readonly kind: 'abandoned'};
@@ -139,6 +141,8 @@
 ): boolean {
   switch (choice.kind) {
     case 'leaving':
+    case 'evacuated':
+    case 'nowhere':
       return false;
     case 'backingOff':
       return choice.until < waitUntil;
--- a/test/fleet/confirmation_renewal.test.ts
+++ b/test/fleet/confirmation_renewal.test.ts
@@ -8,6 +8,7 @@
 import type {HostError, OperatorFeed} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {createEvacuationWatch} from '../../packages/fleet/src/entry/evacuation_watch';
 import {createHeldReadings} from '../../packages/fleet/src/entry/held_readings';
 import {createOperatorFollower} from '../../packages/fleet/src/entry/operator_follower';
 import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
@@ -57,6 +58,7 @@
     document: undefined,
     isConfigurationLost: false,
     namedVersions: [],
+    evacuations: [],
     newestChange: 0,
   });
   async function answer(wait: number, timeout: number) {
@@ -94,6 +96,11 @@
     log,
     bound: BOUND,
     copies: createConfigurationCopies(),
+    evacuations: createEvacuationWatch({
+      log,
+      metrics: {setEvacuatedZones: () => undefined},
+      isKnownZone: () => true,
+    }),
     source: () => 'store',
     spread: 0,
     onMoment: () => undefined,
@@ -106,7 +113,7 @@
     listedAt: now,
     storeContact,
     machineClock: now,
-    bounds: {configuration: BOUND, draining: BOUND},
+    bounds: {configuration: BOUND, draining: BOUND, evacuation: BOUND},
   });
   follower.start(stopped.signal);
   return {
