Keep an engine's requests within its memory

Cause: places were counted only. An engine ends when what its requests hold outgrows its memory, and the report says what they hold now, not at their ends, nor what other entries send to it in the same moment.

Change: for services whose profile names memoryTokens, a target has room only if the reported share, the output still to come of what runs, all of what waits, own sends that the report may not show (300 ms), and the request itself stay below 0.9 of it. If less is left than all entries may start before it shows, entries of the engine's zone take turns. Without a fresh report, what was left at the last one is shared by the places. Hints are bounded by the maximum that a request names and by what was seen of the route (mean and deviation). A hint of NaN or below 0 counts as none, and so does a malformed prompt length.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './kernel/flow';
 export * from './lease';
 export * from './membership';
+export * from './memory';
 export * from './orders';
 export * from './requests';
 export * from './routing';
--- /dev/null
+++ b/packages/core/src/memory/index.ts
@@ -0,0 +1,3 @@
+export * from './engine_memory';
+export * from './expected_output';
+export * from './request_sizes';
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -12,6 +12,7 @@
   versionHeldBy,
   type TargetEntry,
 } from './target_entry';
+import {createOwnMemory, createTargetMemory} from './target_memory';
 import {isFormerLife, isSameLife} from './target_life';
 import type {
   EngineLoad,
@@ -52,6 +53,7 @@
   let senders: readonly SendingEntry[] = [self];
   const places = new Map<ZoneName, SharePlace>();
   let entries = new Map<string, TargetEntry>();
+  const memory = createTargetMemory();
   const saidLeaving = createLifeMemory<true>(MOST_STATEMENTS);
   const backoffEnds = createLifeMemory<MonotonicInstant>(MOST_STATEMENTS);
   const reports = new Map<string, {load: EngineLoad; at: MonotonicInstant}>();
@@ -153,12 +155,11 @@
     places.clear();
   }
 
-  function begin(
-    target: ListedTarget,
-    {promptTime, onLifeEnded}: SentRequest,
-  ): RequestInHand {
+  function begin(target: ListedTarget, sent: SentRequest): RequestInHand {
     const entry = entries.get(target.instance);
     if (entry === undefined) return NOT_IN_HAND;
+    const {promptTime, onLifeEnded} = sent;
+    const freeMemory = memory.begin(entry, sent.memory, sent.at ?? 0);
     let unread = promptTime;
     const begun = (): void => {
       entry.unreadPrompts -= unread;
@@ -172,6 +173,7 @@
       begun,
       end: () => {
         begun();
+        freeMemory();
         entry.inHand.delete(onLifeEnded);
         entry.ownInFlight -= 1;
         entry.ownChange -= 1;
@@ -234,6 +236,12 @@
     return !isLeaving(entry.target) && mayTake(entry, need);
   }
 
+  function hasMemoryFor(entry: TargetEntry, need: PlaceNeed): boolean {
+    const place = placeAt(entry.target.zone);
+    const isFresh = isReported(entry, need.now);
+    return memory.hasRoom(entry, need, place, senders.length, isFresh);
+  }
+
   function choose(need: PlaceNeed): TargetPlace {
     if (!isListUsable()) return {kind: 'outdated'};
     const ofService = [...entries.values()].filter(
@@ -249,8 +257,9 @@
     const usable = staying.filter(entry => mayTake(entry, need));
     if (usable.length === 0) return {kind: 'none'};
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
-    const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
-      hasRoom(entry, need.now, senders.length),
+    const withRoom = (calm.length > 0 ? calm : usable).filter(
+      entry =>
+        hasRoom(entry, need.now, senders.length) && hasMemoryFor(entry, need),
     );
     const allowed = withRoom.filter(({target}) => maySend(target, need.now));
     let best: TargetEntry | undefined;
@@ -272,6 +281,7 @@
     return {
       target,
       inHand: new Set(),
+      memory: createOwnMemory(),
       denied: undefined,
       deniedAt: -Infinity,
       ownInFlight: 0,
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -4,6 +4,7 @@
   MonotonicInstant,
   ZoneName,
 } from '../types';
+import type {OwnMemory} from './target_memory';
 import type {EngineLoad, HeldModel, ListedTarget, PlaceNeed} from './types';
 
 /** A report older than this says nothing of the load now, in milliseconds. */
@@ -17,6 +18,8 @@
   target: ListedTarget;
   /** Told when this life ends with their request in hand. */
   readonly inHand: Set<() => void>;
+  /** Own requests, for the engine's memory. */
+  readonly memory: OwnMemory;
   /** What the list said when the target denied it. */
   denied: string | undefined;
   deniedAt: MonotonicInstant;
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,3 +1,4 @@
+import type {MemoryNeed} from '../memory';
 import type {Destinations} from '../routes';
 import type {OfLife} from './target_life';
 import type {
@@ -70,6 +71,8 @@
   readonly expectedRun: Milliseconds;
   /** Tokens that it will probably hold at its end; 0 for plain targets. */
   readonly expectedTokens: number;
+  /** What it asks of an engine's memory; undefined where none is named. */
+  readonly memory?: MemoryNeed;
   /** Until then a first event is on time; undefined if nothing says so. */
   readonly firstEventBy: MonotonicInstant | undefined;
   /** Instances that have had the request. */
@@ -81,6 +84,9 @@
 export interface SentRequest {
   /** Time in which the target reads its prompt. */
   readonly promptTime: Milliseconds;
+  /** What it asks of an engine's memory, and when it is sent. */
+  readonly memory?: MemoryNeed;
+  readonly at?: MonotonicInstant;
   /** Called if an engine's life ends with the request in hand. */
   readonly onLifeEnded: () => void;
 }
--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -1,6 +1,11 @@
 import {
+  createRequestSizes,
+  outputToExpect,
+  outputToReserve,
   promptTime,
   writingTime,
+  type EngineProfile,
+  type MemoryNeed,
   type Milliseconds,
   type RouteTable,
   type ServiceName,
@@ -15,23 +20,94 @@
   readonly writingTime: Milliseconds;
   /** Tokens that it holds at its end. */
   readonly tokens: number;
+  /** What it asks of an engine's memory; undefined where none is named. */
+  readonly memory?: MemoryNeed;
 }
 
-/** Works out a request's run from its header and the engines' profile. */
-export function expectRun(
-  header: CallerHeader,
-  table: RouteTable,
-  service: ServiceName,
-): ExpectedRun {
-  const described = table.service(service);
-  if (described?.kind !== 'modelEngine') {
-    return {promptTime: 0, writingTime: 0, tokens: 0};
+/** A request whose run is to be worked out. */
+export interface RequestToExpect {
+  readonly header: CallerHeader;
+  readonly table: RouteTable;
+  readonly service: ServiceName;
+  /** Name of its route. */
+  readonly route: string;
+}
+
+/** Works out the runs of requests. */
+export interface ExpectedRuns {
+  readonly expect: (request: RequestToExpect) => ExpectedRun;
+  /** Learns from an answer that took so long to write, from its first event. */
+  readonly noteWritten: (request: RequestToExpect, took: Milliseconds) => void;
+}
+
+/** Part of an engine that a request claims at most on a route not seen yet. */
+const UNSEEN_PART = 0.25;
+
+/**
+ * Creates the expectations. Answers don't say how many tokens they have; in the
+ * time that one took, an engine wrote one in each step at most.
+ */
+export function createExpectedRuns(): ExpectedRuns {
+  const written = createRequestSizes();
+
+  function expect({header, table, service, route}: RequestToExpect) {
+    const profile = profileOf(table, service);
+    if (profile === undefined) {
+      return {promptTime: 0, writingTime: 0, tokens: 0, memory: undefined};
+    }
+    const claims = {
+      hint: countOf(header.expectedOutputTokens),
+      most: countOf(header.mostOutputTokens),
+      seen: written.seen(route),
+    };
+    const prompt = countOf(header.promptTokens) ?? 0;
+    const answer = outputToExpect(claims);
+    const {memoryTokens} = profile;
+    return {
+      promptTime: promptTime(profile, prompt),
+      writingTime: writingTime(profile, answer),
+      tokens: prompt + answer,
+      memory:
+        memoryTokens === undefined
+          ? undefined
+          : memoryNeed(
+              memoryTokens,
+              prompt,
+              outputToReserve(claims, memoryTokens * UNSEEN_PART),
+            ),
+    };
   }
-  const {profile} = described;
-  const answer = header.expectedOutputTokens ?? header.mostOutputTokens ?? 0;
+
   return {
-    promptTime: promptTime(profile, header.promptTokens ?? 0),
-    writingTime: writingTime(profile, answer),
-    tokens: (header.promptTokens ?? 0) + answer,
+    expect,
+    noteWritten: ({header, table, service, route}, took) => {
+      const stepTime = profileOf(table, service)?.stepTime ?? 0;
+      if (stepTime <= 0) return;
+      const most = countOf(header.mostOutputTokens) ?? Infinity;
+      written.record(route, Math.min(took / stepTime, most));
+    },
   };
 }
+
+function memoryNeed(
+  engineTokens: number,
+  prompt: number,
+  output: number,
+): MemoryNeed {
+  return {engineTokens, tokens: prompt + output, output};
+}
+
+function profileOf(
+  table: RouteTable,
+  service: ServiceName,
+): EngineProfile | undefined {
+  const described = table.service(service);
+  return described?.kind === 'modelEngine' ? described.profile : undefined;
+}
+
+/** A number that a caller names; undefined if it is none. */
+function countOf(named: number | undefined): number | undefined {
+  return named !== undefined && Number.isFinite(named) && named >= 0
+    ? named
+    : undefined;
+}
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -97,13 +97,16 @@
     now: MonotonicInstant,
   ): PlaceOutcome | undefined {
     if (request.signal.aborted) return {kind: 'abandoned'};
-    const choice = book.choose(request.need());
+    const need = request.need();
+    const choice = book.choose(need);
     if (choice.kind === 'chosen') {
       const {target} = choice;
       onPlaced(target, now);
       const life = new AbortController();
       const inHand = book.begin(target, {
         promptTime: request.promptTime,
+        memory: need.memory,
+        at: now,
         onLifeEnded: () => life.abort(),
       });
       return {kind: 'place', target, inHand, lifeEnded: life.signal};
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -13,7 +13,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {CallerHeader} from '../ports';
-import {expectRun, type ExpectedRun} from './expected_run';
+import type {ExpectedRun, ExpectedRuns} from './expected_run';
 import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
 import {notRun, type OwnAnswer} from './own_answers';
@@ -38,6 +38,7 @@
   /** Whether the site's quarantined requests have been read. */
   readonly isQuarantineKnown: () => boolean;
   readonly stopping: () => StoppingPhase;
+  readonly expectedRuns: ExpectedRuns;
 }
 
 /** Pause named to callers of an entry that leaves. */
@@ -95,7 +96,8 @@
   if (service === undefined) return notRun('noTarget', undefined);
   const patience = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + patience;
-  const run = expectRun(header, table, service);
+  const expectable = {header, table, service, route: route.name};
+  const run = options.expectedRuns.expect(expectable);
   const workspace = access.kind === 'workspace' ? access.workspace : undefined;
   const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
   const destinations = destinationsOf(route, workspace);
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -11,6 +11,7 @@
 import type {CallerHeader} from '../ports';
 import {endWithConnection} from './answer_framing';
 import type {WholeAnswer} from './attempt';
+import {createExpectedRuns} from './expected_run';
 import type {FleetMetrics} from './fleet_metrics';
 import {ownAnswerFor, writeOwnAnswer, type OwnAnswer} from './own_answers';
 import {
@@ -40,7 +41,7 @@
 /** What the handling of requests needs. */
 export interface RequestHandlerOptions
   extends
-    RequestAcceptanceOptions,
+    Omit<RequestAcceptanceOptions, 'expectedRuns'>,
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
   readonly log: Log;
@@ -65,6 +66,8 @@
   const answerTimes = createAnswerTimes();
   const timeliness = createTimeliness(answerTimes);
   const runOptions = {...options, timeliness, answerTimes, ownLines};
+  const expectedRuns = createExpectedRuns();
+  const acceptance = {...options, expectedRuns};
   let running = 0;
   const deadlines = new Set<() => void>();
 
@@ -81,7 +84,7 @@
     const accepted =
       body === 'tooLarge'
         ? deny(options.readings.configuration(), BODY_TOO_LARGE)
-        : acceptRequest(options, {header, path, body, arrivedAt});
+        : acceptRequest(acceptance, {header, path, body, arrivedAt});
     if ('status' in accepted) {
       answerOurselves(request, response, header, accepted);
       return;
@@ -125,10 +128,21 @@
       run.end();
     });
     finish(response, result, run.answer());
+    if (result.kind === 'streamed') learn(accepted, progress);
     record(accepted, result, story, progress);
     options.places.pump();
   }
 
+  function learn(
+    {header, service, route}: AcceptedRequest,
+    {begunAt}: StreamProgress,
+  ): void {
+    const table = operator.table();
+    if (table === undefined || begunAt === undefined) return;
+    const run = {header, table, service, route: route.name};
+    expectedRuns.noteWritten(run, clock() - begunAt);
+  }
+
   /** Notes the deadline, and a caller who leaves before the answer's end. */
   function watchEnding(response: ServerResponse, accepted: AcceptedRequest) {
     const ended = new AbortController();
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -73,6 +73,7 @@
       promptTime: run.promptTime,
       expectedRun: run.writingTime,
       expectedTokens: run.tokens,
+      memory: run.memory,
       firstEventBy: firstEventBy(),
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
--- /dev/null
+++ b/test/fleet/expected_run.test.ts
@@ -0,0 +1,95 @@
+import {createRouteTable} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+import {createExpectedRuns} from '../../packages/fleet/src/entry/expected_run';
+import type {CallerHeader} from '../../packages/fleet/src/ports';
+
+const STEP = 10;
+const MEMORY = 100_000;
+
+function tableOf(memoryTokens: number | undefined) {
+  return createRouteTable({
+    version: 1,
+    routes: [],
+    services: [
+      {
+        kind: 'modelEngine',
+        name: 'engines',
+        coldStart: undefined,
+        profile: {
+          slots: 12,
+          stepTime: STEP,
+          stepTimePerRequest: 0.1,
+          prefillRate: 20_000,
+          timePerMillionPairs: 0,
+          stride: 1,
+          prefillChunk: 512,
+          loadTime: 2_000,
+          stepTimePerThousandTokens: 0,
+          memoryTokens,
+        },
+        weights: {models: ['model'], chunks: 1, chunkSize: 1, layers: 1},
+      },
+    ],
+    workspaces: [],
+    limits: {headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1},
+  });
+}
+
+function requestWith(
+  header: Partial<CallerHeader>,
+  memoryTokens: number | undefined = MEMORY,
+) {
+  return {
+    header: {promptTokens: 1_000, ...header} as CallerHeader,
+    table: tableOf(memoryTokens),
+    service: 'engines',
+    route: 'route',
+  };
+}
+
+/** Expectations that have seen many answers of `tokens` tokens. */
+function learnedRuns(tokens: number) {
+  const runs = createExpectedRuns();
+  for (let count = 0; count < 300; count += 1) {
+    runs.noteWritten(requestWith({}), tokens * STEP);
+  }
+  return runs;
+}
+
+test('no memory is asked for where the profile names none', () => {
+  const runs = createExpectedRuns();
+  const {memory} = runs.expect({...requestWith({}), table: tableOf(undefined)});
+  expect(memory).toBeUndefined();
+});
+
+// A hint of 0 hides what an answer takes; one of 10^9 has room nowhere.
+test.each([0, 1e9, NaN, -1])(
+  'a hint of %d tokens counts as what was seen of its route',
+  hint => {
+    const {memory} = learnedRuns(200).expect(
+      requestWith({expectedOutputTokens: hint, mostOutputTokens: 500}),
+    );
+    expect(memory?.output).toBeGreaterThanOrEqual(199);
+    expect(memory?.output).toBeLessThan(300);
+    expect(memory?.tokens).toBeLessThan(1_300);
+  },
+);
+
+test('a hint above the maximum of its request counts as the maximum', () => {
+  const runs = createExpectedRuns();
+  const named = {expectedOutputTokens: 1e9, mostOutputTokens: 500};
+  const {tokens, memory} = runs.expect(requestWith(named));
+  expect(tokens).toBe(1_500);
+  expect(memory?.tokens).toBe(1_500);
+});
+
+test('a hint on a route not seen yet takes a quarter of an engine at most', () => {
+  const runs = createExpectedRuns();
+  const {memory} = runs.expect(requestWith({expectedOutputTokens: 1e9}));
+  expect(memory?.output).toBe(MEMORY / 4);
+});
+
+test('a prompt of a malformed number of tokens counts as unknown', () => {
+  const runs = createExpectedRuns();
+  expect(runs.expect(requestWith({promptTokens: NaN})).tokens).toBe(0);
+});
