--- a/test/fleet/confirmation_renewal.test.ts
+++ b/test/fleet/confirmation_renewal.test.ts
@@ -111,6 +111,7 @@
   const readings = createHeldReadings({
     confirmation,
     listedAt: now,
+    evacuationsReadAt: now,
     storeContact,
     machineClock: now,
     bounds: {configuration: BOUND, draining: BOUND, evacuation: BOUND},
