--- a/scripts/programs.mjs
+++ b/scripts/programs.mjs
@@ -7,4 +7,5 @@
   bundle('packages/standins/src/main.ts', 'dist/standins.cjs'),
   bundle('bench/throughput/bare_entry.ts', 'dist/bare_entry.cjs'),
   bundle('platform/entry_main.ts', 'dist/fleet_entry.cjs'),
+  bundle('platform/agent_main.ts', 'dist/fleet_agent.cjs'),
 ]);
