Report to the own zone's entries, and only what has changed

Agents report to two entries of their own zone: all to the first, what an engine serves and a sign of life each 500 ms to the second. Relays pass a zone's reports to the relays of other zones each 300 ms, and those to their followers; a report takes three steps at most, and only a higher sequence of an engine counts. What changes what an engine serves goes on after 10 ms in place of up to 100 ms. If no entry of the zone answers, agents report to all zones. Replies come each 1.5 s, of the 2.2 s after which a stream is given up.

Two costs of fewer reports that callers would have seen: turns at an engine's free slots moved with its reports, so an entry without a turn would wait for 500 ms at an idle engine: turns now move on with the time too. An engine that runs as many as before because one ended and one began is reported on after 200 ms, since entries that used their part wait for the next report.

The sequence of an agent begins at the time of day, so that one that starts anew is not taken for older than itself. Versions that are named with a report are taken however old the report is.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,5 +1,6 @@
 import type {MonotonicInstant, ZoneName} from '../types';
-import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
+import {sharePlace, type SharePlace} from './allowance';
+import {moveTurn, NO_TURN, turnAt} from './engine_turns';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
 import {costOf} from './target_cost';
@@ -109,8 +110,7 @@
       entry.report = load;
       entry.reportedAt = now;
       entry.ownChange = 0;
-      entry.allowed = allowedAt(entry.target, load);
-      entry.turn = turnAt(entry.target, load);
+      entry.share = turnAt(entry.target, load, placeAt(entry.target.zone));
     }
   }
 
@@ -130,16 +130,6 @@
     return {...target, born: reported.born, held: target.held && []};
   }
 
-  function allowedAt(target: ListedTarget, load: EngineLoad): number {
-    const used = load.running + load.waiting;
-    return allowance(target.slots - used, placeAt(target.zone), load.sequence);
-  }
-
-  function turnAt(target: ListedTarget, load: EngineLoad): number {
-    const place = placeAt(target.zone);
-    return turnOf(place, load.sequence) / place.count;
-  }
-
   function placeAt(targetZone: ZoneName): SharePlace {
     const known = places.get(targetZone);
     if (known !== undefined) return known;
@@ -248,6 +238,9 @@
     }
     const usable = staying.filter(entry => mayTake(entry, need));
     if (usable.length === 0) return {kind: 'none'};
+    for (const entry of usable) {
+      moveTurn(entry, placeAt(entry.target.zone), need.now);
+    }
     const calm = usable.filter(entry => entry.avoidUntil <= need.now);
     const withRoom = (calm.length > 0 ? calm : usable).filter(entry =>
       hasRoom(entry, need.now, senders.length),
@@ -277,8 +270,10 @@
       ownInFlight: 0,
       unreadPrompts: 0,
       ownChange: 0,
-      allowed: early === undefined ? 0 : allowedAt(target, early.load),
-      turn: early === undefined ? 0 : turnAt(target, early.load),
+      share:
+        early === undefined
+          ? NO_TURN
+          : turnAt(target, early.load, placeAt(target.zone)),
       report: early?.load,
       reportedAt: early?.at ?? -Infinity,
       failures: 0,
--- a/packages/core/src/placement/target_cost.ts
+++ b/packages/core/src/placement/target_cost.ts
@@ -49,7 +49,7 @@
   const far = entry.target.zone === zone ? 0 : OTHER_ZONE_LOAD;
   const pace = entry.report?.pace ?? 1;
   const unread = entry.unreadPrompts / UNREAD_PROMPTS;
-  const turn = entry.turn * TURN_COST;
+  const turn = entry.share.before * TURN_COST;
   return load * pace + unread + far + turn + loadCost(entry, need);
 }
 
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -4,6 +4,7 @@
   MonotonicInstant,
   ZoneName,
 } from '../types';
+import type {EngineTurn} from './engine_turns';
 import type {EngineLoad, HeldModel, ListedTarget, PlaceNeed} from './types';
 
 /** A report older than this says nothing of the load now, in milliseconds. */
@@ -25,10 +26,8 @@
   unreadPrompts: Milliseconds;
   /** Own sends less own ends since the last report. */
   ownChange: number;
-  /** Slots that this entry may fill until the next report. */
-  allowed: number;
-  /** Share of the entries whose turn at this engine is before this one's. */
-  turn: number;
+  /** What this entry may fill of the free slots. */
+  share: EngineTurn;
   report: EngineLoad | undefined;
   reportedAt: MonotonicInstant;
   failures: number;
@@ -72,7 +71,7 @@
   }
   // An engine that loads weights refuses everything until it is done.
   if (entry.report.ordering) return false;
-  return entry.ownChange < entry.allowed;
+  return entry.ownChange < entry.share.allowed;
 }
 
 /** Without reports, each entry keeps to twice its part of the slots. */
--- a/packages/core/src/relays/relay_choice.ts
+++ b/packages/core/src/relays/relay_choice.ts
@@ -8,16 +8,14 @@
 }
 
 /**
- * Entries of a zone that agents report to. With one, a relay's loss would leave
- * its zone without reports until the agents have noticed; each further one costs
- * an agent ten messages a second.
+ * Entries of its zone that an agent reports to. With one, a relay's loss would
+ * leave the zone without reports until the agents have noticed.
  */
 const REPORTED_TO = 2;
 
 /**
- * Most entries of a zone that agents report to all of. A report that comes
- * straight is 50 ms younger in the mean than one that is passed on, and up to
- * three streams a zone cost no more than the two above and what passes on.
+ * Most entries of a zone that its agents report to all of. A report that comes
+ * straight is 50 ms younger in the mean than one that is passed on.
  */
 const REPORTED_TO_ALL = 3;
 
@@ -50,23 +48,52 @@
   return relayOrder(entries, zone).find(entry => !isSilent(entry));
 }
 
+/** An entry that an agent reports to. */
+export interface ReportReceiver<Candidate> {
+  readonly entry: Candidate;
+  /** Whether it gets each report, or only what it needs to take over. */
+  readonly getsAll: boolean;
+}
+
 /**
- * The entries that agents report to, in all zones.
+ * The entries that an agent of `zone` reports to; their relay passes reports on
+ * to other zones.
  *
- * Failure: each agent reports to each entry. At 98 entries and 63 engines an agent
- * sends 460 messages a second, 50 to 80 KB, over the link that is to carry
- * weights; at 390 and 600 some 1,800. Guard: two of each zone get the reports and
- * pass them on, so that an agent's messages grow with the zones only.
+ * Failure: each agent reports to two entries of each zone, changed or not. At 98
+ * entries and three zones it writes 33 messages a second, which takes 4% of a core,
+ * and each relay reads all of them. Guard: entries of the own zone only. Failure: no
+ * entry of the zone answers, and other zones place requests by old reports. Guard:
+ * then entries of all zones get them.
  */
 export function reportReceivers<Candidate extends RelayCandidate>(
   entries: readonly Candidate[],
+  zone: ZoneName,
   isSilent: (entry: Candidate) => boolean,
-): readonly Candidate[] {
+): readonly ReportReceiver<Candidate>[] {
+  const isAnswered = entries.some(
+    entry => entry.zone === zone && !isSilent(entry),
+  );
+  if (isAnswered) return receiversIn(entries, zone, isSilent);
   const zones = new Set(entries.map(entry => entry.zone));
-  return [...zones].flatMap(zone => {
-    const order = relayOrder(entries, zone);
-    if (order.length <= REPORTED_TO_ALL) return order;
-    const answering = order.filter(entry => !isSilent(entry));
-    return (answering.length > 0 ? answering : order).slice(0, REPORTED_TO);
-  });
+  return [...zones].flatMap(each => receiversIn(entries, each, isSilent));
+}
+
+function receiversIn<Candidate extends RelayCandidate>(
+  entries: readonly Candidate[],
+  zone: ZoneName,
+  isSilent: (entry: Candidate) => boolean,
+): readonly ReportReceiver<Candidate>[] {
+  const order = relayOrder(entries, zone);
+  if (isSmallZone(order.length)) {
+    return order.map(entry => ({entry, getsAll: true}));
+  }
+  const answering = order.filter(entry => !isSilent(entry));
+  return (answering.length > 0 ? answering : order)
+    .slice(0, REPORTED_TO)
+    .map((entry, index) => ({entry, getsAll: index === 0}));
+}
+
+/** Whether agents report to all entries of a zone with so many of them. */
+export function isSmallZone(entries: number): boolean {
+  return entries <= REPORTED_TO_ALL;
 }
--- /dev/null
+++ b/packages/core/src/relays/report_order.ts
@@ -0,0 +1,38 @@
+import type {Milliseconds, MonotonicInstant} from '../types';
+
+/** Age of the newest report after which an older sequence counts again. */
+const ORDER_LIFE: Milliseconds = 2_000;
+
+/** Tells reports that are news from those that came another way before. */
+export interface ReportOrder {
+  /** Whether a report is newer than all before of its engine; notes it if so. */
+  readonly takes: (
+    engineAddress: string,
+    sequence: number,
+    now: MonotonicInstant,
+  ) => boolean;
+}
+
+/**
+ * Creates the order of reports.
+ *
+ * Failure: two entries take themselves for the relay, and both pass an engine's
+ * reports on. The later way brings an old one last, and requests go by it. Guard:
+ * only a report with a higher sequence counts. An agent that starts anew with a
+ * clock set back is heard again after 2 s.
+ */
+export function createReportOrder(): ReportOrder {
+  const newest = new Map<string, {sequence: number; at: MonotonicInstant}>();
+
+  return {
+    takes: (engineAddress, sequence, now) => {
+      const before = newest.get(engineAddress);
+      const isOld =
+        before !== undefined &&
+        sequence <= before.sequence &&
+        now - before.at < ORDER_LIFE;
+      if (!isOld) newest.set(engineAddress, {sequence, at: now});
+      return !isOld;
+    },
+  };
+}
--- a/packages/fleet/src/agent/engine_reports.ts
+++ b/packages/fleet/src/agent/engine_reports.ts
@@ -1,9 +1,11 @@
 import type {ClientDuplexStream} from '@grpc/grpc-js';
 import {
   createSilentPeers,
+  isReportDue,
   reportReceivers,
   type Milliseconds,
   type MonotonicInstant,
+  type ReportedState,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {
@@ -14,11 +16,11 @@
 import {createEntryChannels} from '../link/channels';
 import type {EngineStanding, MemberDescription} from '../ports';
 
-/** Period of reports to entries of the own zone, which send here most. */
-const NEAR_PERIOD: Milliseconds = 100;
+/** Period in which the sequence grows, whether or not a report is written. */
+const SEQUENCE_PERIOD: Milliseconds = 100;
 
-/** Period of reports to entries of other zones; bytes between zones cost. */
-const FAR_PERIOD: Milliseconds = 300;
+/** Sequences are told in 32 bits. */
+const SEQUENCES = 2 ** 32;
 
 /** Time without a reply after which a stream counts as silent. */
 const LONGEST_SILENCE: Milliseconds = 2_200;
@@ -58,10 +60,11 @@
 interface ReportedEntry {
   readonly life: string;
   readonly address: string;
-  readonly period: Milliseconds;
+  getsAll: boolean;
   stream: ReportStream | undefined;
   sentAt: number;
-  sentState: string;
+  /** What was told last on the stream. */
+  sent: ReportedState | undefined;
   repliedAt: number;
   brokenAt: number;
 }
@@ -75,6 +78,9 @@
   const silent = createSilentPeers();
   let members: readonly MemberDescription[] = [];
   let entries = new Map<string, ReportedEntry>();
+  const startedAt = clock();
+  // By the time of day, so that an agent that starts anew goes on from where it was.
+  const firstSequence = Math.floor(Date.now() / SEQUENCE_PERIOD) % SEQUENCES;
   let sequence = 0;
   let chosenAt = -Infinity;
 
@@ -87,12 +93,14 @@
     const now = clock();
     chosenAt = now;
     const next = new Map<string, ReportedEntry>();
-    const receivers = reportReceivers(members, ({life}) =>
+    const receivers = reportReceivers(members, options.zone, ({life}) =>
       silent.isSilent(life, now),
     );
-    for (const member of receivers) {
+    for (const {entry: member, getsAll} of receivers) {
       const {life} = member;
-      next.set(life, entries.get(life) ?? createReported(member));
+      const reported = entries.get(life) ?? createReported(member);
+      reported.getsAll = getsAll;
+      next.set(life, reported);
     }
     for (const [life, entry] of entries) {
       if (!next.has(life)) entry.stream?.end();
@@ -101,34 +109,63 @@
     channels.keep(new Set([...next.values()].map(({address}) => address)));
   }
 
-  function createReported({
-    life,
-    address,
-    zone,
-  }: MemberDescription): ReportedEntry {
+  function createReported({life, address}: MemberDescription): ReportedEntry {
     return {
       life,
       address,
-      period: zone === options.zone ? NEAR_PERIOD : FAR_PERIOD,
+      getsAll: false,
       stream: undefined,
       sentAt: -Infinity,
-      sentState: '',
+      sent: undefined,
       repliedAt: 0,
       brokenAt: -Infinity,
     };
   }
 
+  /** Grows with the time too, so that entries agree on turns between reports. */
+  function nextSequence(now: MonotonicInstant): number {
+    const passed = Math.floor((now - startedAt) / SEQUENCE_PERIOD);
+    return Math.max(sequence + 1, (firstSequence + passed) % SEQUENCES);
+  }
+
   function offer(
     standing: EngineStanding,
     loadsIn: Milliseconds | undefined,
   ): void {
     const now = clock();
-    sequence += 1;
+    sequence = nextSequence(now);
     if (now - chosenAt >= CHOOSE_PERIOD) chooseReceivers();
+    const loadsAt = loadsIn === undefined ? undefined : now + loadsIn;
+    const next: ReportedState = {...standing, loadsAt};
+    let report: EngineReport | undefined;
+    for (const entry of entries.values()) {
+      giveUpSilent(entry, now);
+      const {getsAll, sent: before, sentAt} = entry;
+      const since = now - sentAt;
+      if (!isReportDue({getsAll, before, next, since})) continue;
+      report ??= reportOf(standing, loadsIn);
+      send(entry, report, next, now);
+    }
+  }
+
+  /**
+   * Failure: an open connection falls silent for good, and entries go by an old
+   * standing. Guard: replies come each 1.5 s; without them it is opened anew.
+   */
+  function giveUpSilent(entry: ReportedEntry, now: MonotonicInstant): void {
+    if (entry.stream && now - entry.repliedAt > LONGEST_SILENCE) {
+      lose(entry);
+      channels.drop(entry.address);
+    }
+  }
+
+  function reportOf(
+    standing: EngineStanding,
+    loadsIn: Milliseconds | undefined,
+  ): EngineReport {
     const {held, ordering, running, waiting, pace, born, memoryShare} =
       standing;
-    const state = JSON.stringify({held, ordering, born});
-    const report: EngineReport = {
+    return {
       engineAddress: options.engineAddress,
       loaded: held.map(({model, version}) => ({model, version})),
       ordering,
@@ -142,32 +179,21 @@
       loadsInMilliseconds:
         loadsIn === undefined ? undefined : Math.max(0, Math.round(loadsIn)),
     };
-    for (const entry of entries.values()) {
-      const isDue = now - entry.sentAt >= entry.period - 5;
-      if (state === entry.sentState && !isDue) continue;
-      send(entry, report, state, now);
-    }
   }
 
   function send(
     entry: ReportedEntry,
     report: EngineReport,
-    state: string,
+    state: ReportedState,
     now: MonotonicInstant,
   ): void {
-    // Failure: an open connection falls silent for good, and entries go by an
-    // old standing. Replies come every second; without them it is opened anew.
-    if (entry.stream && now - entry.repliedAt > LONGEST_SILENCE) {
-      lose(entry);
-      channels.drop(entry.address);
-    }
     const isNew = entry.stream === undefined;
     entry.stream ??= open(entry);
     if (entry.stream === undefined) return;
-    entry.sentAt = now;
-    entry.sentState = state;
     // Old reports are of no use, so they don't queue behind a full window.
     if (entry.stream.writableLength > 0) return;
+    entry.sentAt = now;
+    entry.sent = state;
     const namings = isNew ? options.namings() : [];
     entry.stream.write({...report, namings});
   }
@@ -193,8 +219,11 @@
   function lose(entry: ReportedEntry): void {
     entry.stream?.cancel();
     entry.stream = undefined;
+    entry.sent = undefined;
     entry.brokenAt = clock();
     silent.note(entry.life, entry.brokenAt);
+    // The next one in order gets each report from the next look on.
+    chosenAt = -Infinity;
   }
 
   return {setMembers, offer};
--- a/packages/fleet/src/entry/engine_report_stream.ts
+++ b/packages/fleet/src/entry/engine_report_stream.ts
@@ -3,8 +3,11 @@
 import {every} from '@hibiscusbeam/daemon';
 import type {EngineReport, EngineReportReply} from '@hibiscusbeam/wire';
 
-/** Period of replies, which show the agent that its reports arrive. */
-const REPLY_PERIOD: Milliseconds = 1_000;
+/**
+ * Period of replies, which show the agent that its reports arrive. An agent gives
+ * a stream up after 2.2 s; what is left of them is for a loop that runs late.
+ */
+const REPLY_PERIOD: Milliseconds = 1_500;
 
 /** A stream of reports, with replies in the other direction. */
 export type ReportCall = ServerDuplexStream<EngineReport, EngineReportReply>;
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -1,7 +1,9 @@
 import {
   chooseRelay,
   createEntryStates,
+  createReportOrder,
   createSilentPeers,
+  isSmallZone,
   type Milliseconds,
   type ZoneName,
 } from '@hibiscusbeam/core';
@@ -97,6 +99,7 @@
   const channels = createEntryChannels();
   const states = createEntryStates();
   const silent = createSilentPeers();
+  const reportOrder = createReportOrder();
   const siteReader = createSiteReader({
     instance: self.instance,
     clock,
@@ -177,7 +180,7 @@
     const isOwnZone = zone === self.zone;
     return {
       self: ownState(),
-      wantsReports: isOwnZone && clock() - reportedAt > REPORTS_MISSED,
+      wantsReports: !isOwnZone || !hearsAgents(),
       wantsTables: isOwnZone,
       wantsSiteReading: !isOwnZone,
       heldConfiguration: options.copies.newestRevision(),
@@ -186,6 +189,12 @@
     };
   }
 
+  /** Whether agents of the zone report all to this entry. */
+  function hearsAgents(): boolean {
+    const inZone = entries.filter(({zone}) => zone === self.zone).length + 1;
+    return isSmallZone(inZone) && clock() - reportedAt <= REPORTS_MISSED;
+  }
+
   function loseRelay(relay: MemberDescription): void {
     log.warn('relay lost', {relay: relay.instance, zone: relay.zone});
     silent.note(relay.life, clock());
@@ -201,12 +210,27 @@
     for (const {instance, ready, ageMilliseconds} of news.entries) {
       noteState(instance, ready, now - ageMilliseconds);
     }
-    if (news.reports.length > 0) options.onReports(news.reports);
+    takePassedReports(news.reports, relay);
     takeRecords(news.records);
     siteReader.note(news.operator, relay);
     options.onTables(news);
   }
 
+  function takePassedReports(
+    reports: readonly EngineReport[],
+    relay: MemberDescription,
+  ): void {
+    const fresh = reports.filter(isNewest);
+    if (fresh.length === 0) return;
+    // What the own zone's relay tells is known to all that follow it.
+    if (relay.zone !== self.zone) face.offerFarReports(fresh);
+    options.onReports(fresh);
+  }
+
+  function isNewest({engineAddress, sequence}: EngineReport): boolean {
+    return reportOrder.takes(engineAddress, sequence, clock());
+  }
+
   function followsOwnRelay(): boolean {
     return links.some(link => link.relay.zone === self.zone && link.isLive());
   }
@@ -306,6 +330,8 @@
     },
     takeReport: report => {
       reportedAt = clock();
+      // Versions are named with the first report on a stream, however old it is.
+      if (!isNewest(report)) return options.onNamings(report.namings);
       face.offerReport(report);
       options.onReports([report]);
     },
--- a/packages/fleet/src/entry/relay_face.ts
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -14,18 +14,27 @@
 import type {OperatorMoment} from './operator_follower';
 import {
   createRelayFollower,
+  NO_REPORTS,
   type FollowCall,
   type PassedListing,
+  type PassedReports,
   type RelayFollower,
 } from './relay_follower';
 import type {TargetListing} from './target_follower';
 
 /**
- * Period of looks for what is to be passed on; agents report each 100 ms in the
- * zone, so that a report waits for half of that in the mean.
+ * Period of looks for what is to be passed on; agents report up to each 100 ms in
+ * the zone, so that a report waits for half of that in the mean.
  */
 const PASS_PERIOD: Milliseconds = 100;
 
+/**
+ * Looks between two lists of reports for relays of other zones. Their entries may
+ * give an engine two requests within a report, so a report each 100 ms would let
+ * them fill engines of this zone.
+ */
+const LOOKS_BETWEEN_FAR_REPORTS = 3;
+
 /** Time in which changes are collected before they are passed on at once. */
 const COLLECT_CHANGES: Milliseconds = 10;
 
@@ -50,6 +59,8 @@
   readonly answer: (call: FollowCall) => void;
   /** Takes a report that an agent has sent here. */
   readonly offerReport: (report: EngineReport) => void;
+  /** Takes reports that the relay of another zone has passed on. */
+  readonly offerFarReports: (reports: readonly EngineReport[]) => void;
   readonly offerOperator: (moment: OperatorMoment) => void;
   readonly offerTargets: (listing: TargetListing) => void;
   /** Passes all states and namings on at once. */
@@ -67,7 +78,13 @@
   const numberState = createStateNumbers();
   const numberReport = createReportNumbers();
   const numberTargets = createTargetNumbers();
-  const reports = new Map<string, PassedReport>();
+  /** Of agents, for entries of the own zone, and for other zones' relays. */
+  const agentReports = new Map<string, PassedReport>();
+  const reportsForFar = new Map<string, PassedReport>();
+  /** Of other zones' relays, for entries of the own zone. */
+  const farReports = new Map<string, PassedReport>();
+  let looks = 0;
+  let isStateNew = false;
   let operator: OperatorMoment | undefined;
   let listing: PassedListing | undefined;
   let listed: readonly ListedTarget[] | undefined;
@@ -114,19 +131,33 @@
   function tellSoon(): void {
     soon ??= setTimeout(() => {
       soon = undefined;
-      passOn([]);
+      if (isStateNew) passOn(takeReports(true));
+      else passOn(NO_REPORTS);
     }, COLLECT_CHANGES);
   }
 
-  function passOn(fresh: readonly PassedReport[]): void {
+  function takeReports(isFarDue: boolean): PassedReports {
+    isStateNew = false;
+    const taken = {
+      ofAgents: [...agentReports.values()],
+      ofRelays: [...farReports.values()],
+      forFar: isFarDue ? [...reportsForFar.values()] : [],
+    };
+    agentReports.clear();
+    farReports.clear();
+    if (isFarDue) reportsForFar.clear();
+    return taken;
+  }
+
+  function passOn(reports: PassedReports): void {
     const now = clock();
-    for (const follower of [...followers]) follower.tell(fresh, now);
+    for (const follower of [...followers]) follower.tell(reports, now);
   }
 
   function look(): void {
     if (followers.size === 0) return close();
-    const fresh = [...reports.values()];
-    reports.clear();
+    looks += 1;
+    const reports = takeReports(looks % LOOKS_BETWEEN_FAR_REPORTS === 0);
     for (const follower of [...followers]) {
       follower.look();
       if (!follower.isSilent(clock())) continue;
@@ -134,13 +165,27 @@
       follower.end();
       options.onFollowerLost(follower.instance());
     }
-    passOn(fresh);
+    passOn(reports);
+  }
+
+  /**
+   * Failure: an engine is about to load or has died, and entries three steps away
+   * send to it for 300 ms more. Guard: what changes what an engine serves goes on
+   * at once; how much it runs goes on with the next look.
+   */
+  function noteReport(report: EngineReport): PassedReport {
+    const passed = numberReport(report, clock());
+    if (passed.changesState) {
+      isStateNew = true;
+      tellSoon();
+    }
+    return passed;
   }
 
   function close(): void {
     stopLooks?.();
     stopLooks = undefined;
-    reports.clear();
+    takeReports(true);
   }
 
   function offerTargets(next: TargetListing): void {
@@ -161,7 +206,15 @@
     answer,
     offerReport: report => {
       if (followers.size === 0) return;
-      reports.set(report.engineAddress, numberReport(report, clock()));
+      const passed = noteReport(report);
+      agentReports.set(report.engineAddress, passed);
+      reportsForFar.set(report.engineAddress, passed);
+    },
+    offerFarReports: reports => {
+      if (followers.size === 0) return;
+      for (const report of reports) {
+        farReports.set(report.engineAddress, noteReport(report));
+      }
     },
     offerOperator: moment => {
       operator = moment;
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -41,6 +41,23 @@
   readonly targets: NumberedTargets;
 }
 
+/** Reports to be passed on, by where they are from and where they go. */
+export interface PassedReports {
+  /** Of agents, for entries of the own zone. */
+  readonly ofAgents: readonly PassedReport[];
+  /** Of other zones' relays, for entries of the own zone. */
+  readonly ofRelays: readonly PassedReport[];
+  /** Of agents, for relays of other zones. */
+  readonly forFar: readonly PassedReport[];
+}
+
+/** None at all. */
+export const NO_REPORTS: PassedReports = {
+  ofAgents: [],
+  ofRelays: [],
+  forFar: [],
+};
+
 /** What an entry knows and passes on. */
 export interface PassedKnowledge {
   readonly states: () => readonly PassedState[];
@@ -64,10 +81,7 @@
   /** Lets the states be passed on with the next news. */
   readonly wantStates: () => void;
   /** Writes what it does not know yet, unless its window is full. */
-  readonly tell: (
-    reports: readonly PassedReport[],
-    now: MonotonicInstant,
-  ) => void;
+  readonly tell: (reports: PassedReports, now: MonotonicInstant) => void;
   readonly end: () => void;
 }
 
@@ -90,10 +104,10 @@
   let sentConfiguration: Revision = 0;
   let sentConfigurationAt: MonotonicInstant = -Infinity;
 
-  function tell(reports: readonly PassedReport[], now: MonotonicInstant): void {
+  function tell(passed: PassedReports, now: MonotonicInstant): void {
     // Old news are of no use, so they don't queue behind a full window.
     if (greeting === undefined || call.writableLength > 0) return;
-    const news = collectNews(greeting, reports, now);
+    const news = collectNews(greeting, wantedReports(greeting, passed), now);
     const hasRows = news.targets || !hasNoRecords(news);
     const hasNews = news.entries || news.reports || news.operator || hasRows;
     const isSignDue = looksSinceNews >= LOOKS_BETWEEN_SIGNS;
@@ -103,7 +117,7 @@
   }
 
   function collectNews(
-    {wantsReports, wantsTables, wantsSiteReading}: FollowerGreeting,
+    {wantsTables, wantsSiteReading}: FollowerGreeting,
     reports: readonly PassedReport[],
     now: MonotonicInstant,
   ): RelayNews {
@@ -117,7 +131,7 @@
         ? writeStates(knowledge.states(), toldStates)
         : undefined,
       reports:
-        wantsReports && reports.length > 0
+        reports.length > 0
           ? writeReports(reports, toldReports, now)
           : undefined,
       // Whoever is told of a newer row is told of what it says in the same news:
@@ -131,6 +145,19 @@
     };
   }
 
+  /**
+   * Failure: relays of two zones tell each other of the same reports for good.
+   * Guard: what a relay has passed on goes to entries of the own zone only, which
+   * are those that want the tables.
+   */
+  function wantedReports(
+    {wantsReports, wantsTables}: FollowerGreeting,
+    {ofAgents, ofRelays, forFar}: PassedReports,
+  ): readonly PassedReport[] {
+    if (!wantsTables) return wantsReports ? forFar : [];
+    return wantsReports ? [...ofAgents, ...ofRelays] : ofRelays;
+  }
+
   function takeOperator(): RelayNews['operator'] {
     const moment = knowledge.operator();
     if (!moment || moment.storeTime === operatorTold) return undefined;
--- a/packages/fleet/src/link/report_batches.ts
+++ b/packages/fleet/src/link/report_batches.ts
@@ -1,4 +1,8 @@
-import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import {
+  isSameState,
+  type Milliseconds,
+  type MonotonicInstant,
+} from '@hibiscusbeam/core';
 import type {EngineReport, ReportBatch} from '@hibiscusbeam/wire';
 import {
   createRowNumbers,
@@ -22,6 +26,8 @@
 export interface PassedReport {
   readonly told: NumberedRow<TimedReport>;
   readonly report: EngineReport;
+  /** Whether the engine serves something else than at the report before. */
+  readonly changesState: boolean;
 }
 
 /** Takes reports to be passed on. */
@@ -41,14 +47,19 @@
  */
 export function createReportNumbers(): NoteReport {
   const numbers = createRowNumbers<TimedReport>(isSameButRunning);
+  const newest = new Map<string, EngineReport>();
 
   return (heard, now) => {
     // Names go on with the states of entries, with their age at that moment.
     const report = {...heard, namings: []};
     const {loadsInMilliseconds: loadsIn} = report;
     const loadsAt = loadsIn === undefined ? undefined : now + loadsIn;
+    const before = newest.get(report.engineAddress);
+    newest.set(report.engineAddress, report);
     return {
       report,
+      changesState:
+        before === undefined || !isSameState(stateOf(before), stateOf(report)),
       told: numbers.note(report.engineAddress, {report, loadsAt}),
     };
   };
@@ -59,12 +70,10 @@
   const other = next.report;
   return (
     other.sequence >= one.sequence &&
-    other.ordering === one.ordering &&
     other.waiting === one.waiting &&
-    other.born === one.born &&
     Math.abs(other.pace - one.pace) <= PACE_STEP &&
     isSameLoad(before.loadsAt, next.loadsAt) &&
-    isSameLoaded(one.loaded, other.loaded)
+    isSameState(stateOf(one), stateOf(other))
   );
 }
 
@@ -76,17 +85,8 @@
   return Math.abs(one - other) <= LOAD_STEP;
 }
 
-function isSameLoaded(
-  one: EngineReport['loaded'],
-  other: EngineReport['loaded'],
-): boolean {
-  return (
-    one.length === other.length &&
-    one.every(({model, version}, index) => {
-      const match = other[index];
-      return match?.model === model && match.version === version;
-    })
-  );
+function stateOf({loaded, ordering, born}: EngineReport) {
+  return {held: loaded, ordering, born};
 }
 
 /** Writes reports for one receiver. */
--- a/test/fleet/engine_reports.test.ts
+++ b/test/fleet/engine_reports.test.ts
@@ -1,3 +1,4 @@
+import {relayOrder} from '@hibiscusbeam/core';
 import {afterEach, expect, test} from 'vitest';
 import {
   createEngineReports,
@@ -93,6 +94,65 @@
   };
 }
 
+// The one that gets all reports is killed. The other one takes its place, and must
+// know at once what engines run.
+test('the second receiver gets each report once the first is lost', async () => {
+  let now = 10_000;
+  const heard = new Map<string, number[]>();
+  const servers = new Map<string, () => void>();
+  const members = await Promise.all(
+    ['a', 'b', 'c', 'd'].map(async instance => {
+      const address = await freeAddress();
+      heard.set(instance, []);
+      const server = await openPeerServer(address, {
+        role: 'entry',
+        handlers: {
+          reportEngine: call => {
+            call.on('data', ({running}) => heard.get(instance)!.push(running));
+            call.on('error', () => undefined);
+          },
+          follow: call => call.end(),
+        },
+      });
+      servers.set(instance, server.close);
+      closers.push(server.close);
+      const life = `life of ${instance}`;
+      return {instance, role: 'entry' as const, zone: 'north', address, life};
+    }),
+  );
+  const reports = createEngineReports({
+    engineAddress: '127.0.0.1:1',
+    zone: 'north',
+    namings: () => [],
+    clock: () => now,
+    onReply: () => undefined,
+  });
+  closers.push(() => reports.setMembers([]));
+  reports.setMembers(members);
+  const [first, second] = relayOrder(members, 'north').map(
+    ({instance}) => instance,
+  );
+  const offer = (running: number): void => {
+    now += 100;
+    reports.offer({...STANDING, running}, undefined);
+  };
+  offer(1);
+  await eventually(() => heard.get(second!)!.length === 1);
+  for (const running of [2, 3]) {
+    offer(running);
+    await eventually(() => heard.get(first!)!.includes(running));
+  }
+  expect(heard.get(second!)).toEqual([1]);
+  servers.get(first!)!();
+  // Looks go on until the broken stream shows.
+  await eventually(() => {
+    offer(4);
+    return heard.get(second!)!.includes(4);
+  });
+  offer(5);
+  await eventually(() => heard.get(second!)!.includes(5));
+});
+
 test('a silent engine does not make its agent close what entries answer on', async () => {
   const {calls, report, answerAfter, pass, offer, replies} =
     await startReports();
--- /dev/null
+++ b/test/relays/report_need.test.ts
@@ -0,0 +1,91 @@
+import {
+  createReportOrder,
+  isReportDue,
+  reportChange,
+  type ReportedState,
+} from '@hibiscusbeam/core';
+import {expect, test} from 'vitest';
+
+const IDLE: ReportedState = {
+  held: [{model: 'model', version: 1}],
+  ordering: false,
+  running: 0,
+  waiting: 0,
+  pace: 1,
+  memoryShare: 0.5,
+  loadsAt: 1_000,
+  born: 7,
+};
+
+const isDue = (
+  getsAll: boolean,
+  changes: Partial<ReportedState>,
+  since = 0,
+  before: ReportedState | undefined = IDLE,
+) => isReportDue({getsAll, before, next: {...IDLE, ...changes}, since});
+
+test.each<Partial<ReportedState>>([
+  {ordering: true},
+  {held: []},
+  {held: [{model: 'model', version: 2}]},
+  {born: 8},
+])('what an engine serves is told to both receivers at once (%j)', changes => {
+  expect(reportChange(IDLE, {...IDLE, ...changes})).toBe('state');
+  expect([isDue(true, changes), isDue(false, changes)]).toEqual([true, true]);
+});
+
+test.each<Partial<ReportedState>>([
+  {running: 1},
+  {waiting: 1},
+  {pace: 1.06},
+  {memoryShare: 0.56},
+  {memoryShare: undefined},
+  {loadsAt: 1_061},
+  {loadsAt: undefined},
+])('how much an engine runs is told to the first receiver (%j)', changes => {
+  expect(reportChange(IDLE, {...IDLE, ...changes})).toBe('load');
+  expect([isDue(true, changes), isDue(false, changes)]).toEqual([true, false]);
+});
+
+test.each<Partial<ReportedState>>([
+  {},
+  {pace: 1.04},
+  {memoryShare: 0.54},
+  {loadsAt: 1_060},
+])('what no entry decides by is told with signs of life only (%j)', changes => {
+  expect(isDue(true, changes, 490)).toBe(false);
+  expect(isDue(true, changes, 500)).toBe(true);
+  expect(isDue(false, changes, 500)).toBe(true);
+});
+
+// One request ended and one began between two looks. An entry that has used its
+// part of the free slots waits for the next report.
+test('a report of an engine that runs the same is repeated after 200 ms', () => {
+  const before = {...IDLE, running: 3};
+  expect(isDue(true, before, 190, before)).toBe(false);
+  expect(isDue(true, before, 200, before)).toBe(true);
+  expect(isDue(false, before, 200, before)).toBe(false);
+});
+
+test('a receiver that was told nothing is told all', () => {
+  const next = IDLE;
+  expect(isReportDue({getsAll: false, before: undefined, next, since: 0})).toBe(
+    true,
+  );
+});
+
+test('of two relays that pass on the same engine, the older report is dropped', () => {
+  const order = createReportOrder();
+  expect(order.takes('one', 5, 0)).toBe(true);
+  expect(order.takes('one', 5, 10)).toBe(false);
+  expect(order.takes('one', 4, 10)).toBe(false);
+  expect(order.takes('other', 4, 10)).toBe(true);
+  expect(order.takes('one', 6, 20)).toBe(true);
+});
+
+test('an agent that starts anew with a lower sequence is heard after 2 s', () => {
+  const order = createReportOrder();
+  order.takes('one', 500, 0);
+  expect(order.takes('one', 1, 1_999)).toBe(false);
+  expect(order.takes('one', 1, 2_000)).toBe(true);
+});
