Add the forecast of an engine's first event

Requests are placed by load and unread prompts weighed by hand, so an engine that is five times slower counts as little worse than its peers. Nothing uses it yet.

--- /dev/null
+++ b/packages/core/src/forecast/index.ts
@@ -0,0 +1,3 @@
+export * from './first_event';
+export * from './relative_paces';
+export * from './seen_paces';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from './configuration';
 export * from './distribution';
 export * from './event_stream';
+export * from './forecast';
 export * from './forwarding';
 export * from './freshness';
 export * from './kernel/flow';
