Choose engines by the forecast first event where they differ

An engine that is slower than its peers gets nearly as many requests as they do, and its callers see late first events: the cost weighs pace only with what runs. Where some pace differs from the usual one by more than a tenth, the least harm is now chosen: time until the first event, its lateness, the prompt's delay for what runs there, the time a place is held, zone and turn. Even sites keep the cost that stands.

First events are not recorded in the entry yet.

--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,8 +1,9 @@
+import {createSeenPace} from '../forecast';
 import type {MonotonicInstant, ZoneName} from '../types';
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
-import {costOf} from './target_cost';
+import {chooseBest, forecastAt} from './target_choice';
 import {
   fits,
   hasRoom,
@@ -253,14 +254,7 @@
       hasRoom(entry, need.now, senders.length),
     );
     const allowed = withRoom.filter(({target}) => maySend(target, need.now));
-    let best: TargetEntry | undefined;
-    let bestCost = Infinity;
-    for (const entry of allowed) {
-      const cost = costOf(entry, need, zone);
-      if (cost >= bestCost) continue;
-      best = entry;
-      bestCost = cost;
-    }
+    const best = chooseBest(allowed, need, zone);
     if (best === undefined) return {kind: 'full'};
     return {kind: 'chosen', target: best.target};
   }
@@ -283,6 +277,7 @@
       reportedAt: early?.at ?? -Infinity,
       failures: 0,
       avoidUntil: -Infinity,
+      seen: createSeenPace(),
     };
   }
 
@@ -317,6 +312,12 @@
     },
     mayStart,
     choose,
+    forecast: (target, need) => {
+      const entry = entries.get(target.instance);
+      return entry && forecastAt(entry, need);
+    },
+    noteFirstEvent: (target, ratio, now) =>
+      entries.get(target.instance)?.seen.record(ratio, now),
     heldVersion: (target, model, now) => {
       const entry = entries.get(target.instance);
       return entry && versionHeldBy(entry, model, now);
--- /dev/null
+++ b/packages/core/src/placement/target_choice.ts
@@ -0,0 +1,159 @@
+import {
+  forecastFirstEvent,
+  relativePaces,
+  type EngineWork,
+  type RelativePaces,
+} from '../forecast';
+import type {EngineProfile} from '../routes';
+import type {Milliseconds, MonotonicInstant, ZoneName} from '../types';
+import {costOf} from './target_cost';
+import {isReported, REPORT_LIFE, type TargetEntry} from './target_entry';
+import type {PlaceNeed} from './types';
+
+/** Error of a forecast, in milliseconds, within which a first event may be late. */
+const FORECAST_ERROR: Milliseconds = 60;
+
+/** What a late first event weighs, as milliseconds of an earlier one. */
+const LATE_COST: Milliseconds = 1_000;
+
+/** The same for a target in another zone: about one way there and back. */
+const FAR_COST: Milliseconds = 20;
+
+/** Share of a prompt's reading that delays each request that runs there. */
+const DELAY_SHARE = 0.05;
+
+/** Share of a run's time that counts for the place it holds. */
+const HELD_SHARE = 0.05;
+
+/** What an engine with all places in use weighs beside an idle one. */
+const LOAD_COST: Milliseconds = 50;
+
+/** What a run that an engine's load would wait for weighs. */
+const RUN_INTO_LOAD_COST: Milliseconds = 100;
+
+/**
+ * Prompts, as long as the request's own, that the entries whose turn is before
+ * this one's may send before the next report. With one prompt in place of four,
+ * 8.0 in place of 6.1% are late with 17 entries and engines in slow periods.
+ */
+const TURN_PROMPTS = 4;
+
+/** The target with the least cost; undefined if there is none. */
+export function chooseBest(
+  entries: readonly TargetEntry[],
+  need: PlaceNeed,
+  zone: ZoneName,
+): TargetEntry | undefined {
+  const costs = costsOf(entries, need, zone);
+  let best: TargetEntry | undefined;
+  let least = Infinity;
+  for (const [index, entry] of entries.entries()) {
+    const cost = costs[index] ?? Infinity;
+    if (cost >= least) continue;
+    best = entry;
+    least = cost;
+  }
+  return best;
+}
+
+/** Time until the first event at a target; undefined for plain targets. */
+export function forecastAt(
+  entry: TargetEntry,
+  need: PlaceNeed,
+): Milliseconds | undefined {
+  if (need.profile === undefined) return undefined;
+  const work = workAt(entry, need, reportedPace(entry, need.now));
+  return forecastFirstEvent(need.profile, work, need);
+}
+
+/** Where all engines are even, the cost by load and turns decides. */
+function costsOf(
+  entries: readonly TargetEntry[],
+  need: PlaceNeed,
+  zone: ZoneName,
+): readonly number[] {
+  const {profile, now} = need;
+  if (profile === undefined) return entries.map(by => costOf(by, need, zone));
+  const {paces, isUneven} = pacesOf(entries, now);
+  return entries.map((entry, index) =>
+    isUneven
+      ? harmOf(entry, need, zone, profile, paces[index] ?? 1)
+      : costOf(entry, need, zone),
+  );
+}
+
+/** The paces of targets of one service, in their order. */
+export function pacesOf(
+  entries: readonly TargetEntry[],
+  now: MonotonicInstant,
+): RelativePaces {
+  return relativePaces(
+    entries.map(entry => ({
+      zone: entry.target.zone,
+      reported: reportedPace(entry, now),
+      logSeen: entry.seen.logPace(now),
+    })),
+  );
+}
+
+/** What a place costs the request and others, in milliseconds. */
+function harmOf(
+  entry: TargetEntry,
+  need: PlaceNeed,
+  zone: ZoneName,
+  profile: EngineProfile,
+  pace: number,
+): Milliseconds {
+  const {promptTime, expectedRun} = need;
+  const work = workAt(entry, need, pace);
+  const turns = entry.turn * TURN_PROMPTS * promptTime * pace;
+  const first = forecastFirstEvent(profile, work, need) + turns;
+  const delay = work.running * promptTime * pace * DELAY_SHARE;
+  const run = expectedRun * pace;
+  const load = ((work.running + work.waiting) / profile.slots) * pace;
+  const far = entry.target.zone === zone ? 0 : FAR_COST;
+  const runsIntoLoad = work.loadsIn !== undefined && run > work.loadsIn;
+  return (
+    first +
+    latenessOf(first, need) +
+    delay +
+    run * HELD_SHARE +
+    load * LOAD_COST +
+    far +
+    (runsIntoLoad ? RUN_INTO_LOAD_COST : 0)
+  );
+}
+
+function latenessOf(
+  first: Milliseconds,
+  {firstEventBy, now}: PlaceNeed,
+): Milliseconds {
+  if (firstEventBy === undefined) return 0;
+  const left = firstEventBy - now - first;
+  return LATE_COST / (1 + Math.exp(left / FORECAST_ERROR));
+}
+
+/** Prompts of others are unread at least while their requests wait there. */
+function workAt(entry: TargetEntry, need: PlaceNeed, pace: number): EngineWork {
+  const {report, ownInFlight, ownChange, unreadPrompts} = entry;
+  if (!isReported(entry, need.now) || report === undefined) {
+    const running = ownInFlight;
+    return {running, waiting: 0, unreadPrompts, loadsIn: undefined, pace};
+  }
+  const {waiting, loadsIn} = report;
+  return {
+    running: Math.max(ownInFlight, report.running + ownChange),
+    waiting,
+    unreadPrompts: Math.max(unreadPrompts, waiting * need.promptTime),
+    loadsIn,
+    pace,
+  };
+}
+
+/** What the agent says, fading to 1 with the report's age. */
+function reportedPace(entry: TargetEntry, now: MonotonicInstant): number {
+  const {report, reportedAt} = entry;
+  if (report === undefined || !isReported(entry, now)) return 1;
+  const fresh = 1 - Math.max(0, now - reportedAt) / REPORT_LIFE;
+  return 1 + (report.pace - 1) * fresh;
+}
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -1,3 +1,4 @@
+import type {SeenPace} from '../forecast';
 import type {
   Milliseconds,
   ModelName,
@@ -33,6 +34,8 @@
   reportedAt: MonotonicInstant;
   failures: number;
   avoidUntil: MonotonicInstant;
+  /** Pace of its first events, beside what is reported. */
+  readonly seen: SeenPace;
 }
 
 /** Whether a target that stays may start a request at all. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,4 +1,4 @@
-import type {Destinations} from '../routes';
+import type {Destinations, EngineProfile} from '../routes';
 import type {OfLife} from './target_life';
 import type {
   Milliseconds,
@@ -72,6 +72,8 @@
   readonly expectedTokens: number;
   /** Until then a first event is on time; undefined if nothing says so. */
   readonly firstEventBy: MonotonicInstant | undefined;
+  /** How fast the service's engines work; undefined for plain targets. */
+  readonly profile: EngineProfile | undefined;
   /** Instances that have had the request. */
   readonly tried: ReadonlySet<string>;
   readonly now: MonotonicInstant;
@@ -128,6 +130,17 @@
   readonly mayStart: (target: ListedTarget, need: PlaceNeed) => boolean;
   /** The best place with room, or why there is none. */
   readonly choose: (need: PlaceNeed) => TargetPlace;
+  /** Time until the first event at a target; undefined for plain targets. */
+  readonly forecast: (
+    target: ListedTarget,
+    need: PlaceNeed,
+  ) => Milliseconds | undefined;
+  /** Notes that a first event took so many times its forecast. */
+  readonly noteFirstEvent: (
+    target: ListedTarget,
+    ratio: number,
+    now: MonotonicInstant,
+  ) => void;
   /** The version that a target holds, as far as is known here. */
   readonly heldVersion: (
     target: ListedTarget,
--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -1,6 +1,7 @@
 import {
   promptTime,
   writingTime,
+  type EngineProfile,
   type Milliseconds,
   type RouteTable,
   type ServiceName,
@@ -15,6 +16,8 @@
   readonly writingTime: Milliseconds;
   /** Tokens that it holds at its end. */
   readonly tokens: number;
+  /** How fast the engines of its service work; undefined for plain targets. */
+  readonly profile: EngineProfile | undefined;
 }
 
 /** Works out a request's run from its header and the engines' profile. */
@@ -25,7 +28,7 @@
 ): ExpectedRun {
   const described = table.service(service);
   if (described?.kind !== 'modelEngine') {
-    return {promptTime: 0, writingTime: 0, tokens: 0};
+    return {promptTime: 0, writingTime: 0, tokens: 0, profile: undefined};
   }
   const {profile} = described;
   const answer = header.expectedOutputTokens ?? header.mostOutputTokens ?? 0;
@@ -33,5 +36,6 @@
     promptTime: promptTime(profile, header.promptTokens ?? 0),
     writingTime: writingTime(profile, answer),
     tokens: (header.promptTokens ?? 0) + answer,
+    profile,
   };
 }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -74,6 +74,7 @@
       expectedRun: run.writingTime,
       expectedTokens: run.tokens,
       firstEventBy: firstEventBy(),
+      profile: run.profile,
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
     };
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -79,7 +79,7 @@
     service: 'plain',
     access: {kind: 'anonymous'},
     destinations: ANYWHERE,
-    run: {promptTime: 0, writingTime: 0, tokens: 0},
+    run: {promptTime: 0, writingTime: 0, tokens: 0, profile: undefined},
     fingerprint: 'content',
     body: Buffer.alloc(0),
     arrivedAt: now,
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -16,7 +16,7 @@
     service: 'engines',
     access: {kind: 'anonymous'},
     destinations: ANYWHERE,
-    run: {promptTime: 0, writingTime: 0, tokens: 0},
+    run: {promptTime: 0, writingTime: 0, tokens: 0, profile: undefined},
     fingerprint: 'content',
     body: Buffer.alloc(0),
     arrivedAt: 0,
--- /dev/null
+++ b/test/forecast/uneven_choice.test.ts
@@ -0,0 +1,34 @@
+import {expect, test} from 'vitest';
+import {playSite, type SitePlan} from './uneven_site';
+
+const PLAN: Omit<SitePlan, 'engines' | 'chooser' | 'seed'> = {
+  load: 0.85,
+  entries: 17,
+  reportAge: 100,
+};
+const SEEDS = [1, 2, 3];
+
+/** Mean share of late first events, in percent. */
+function lateShare(plan: Omit<SitePlan, 'seed'>): number {
+  const shares = SEEDS.map(seed => playSite({...plan, seed}));
+  return (100 * shares.reduce((sum, share) => sum + share)) / SEEDS.length;
+}
+
+// A sixth of the engines is 1.5 to 5 times slower. Chosen by load alone, each
+// request there is late: 10.4% were in place of 7.6.
+test('fewer first events are late where some engines are slower', () => {
+  const plan = {...PLAN, engines: 'sixthSlower'} as const;
+  const standing = lateShare({...plan, chooser: 'standing'});
+  const forecast = lateShare({...plan, chooser: 'forecast'});
+  expect(forecast).toBeLessThan(0.85 * standing);
+});
+
+// The slow engines' agents report the usual pace. What is seen of their first
+// events takes its place: 1.4% are late in place of 3.6.
+test('engines that misreport their pace are passed over', () => {
+  const plan = {...PLAN, engines: 'sixthSlower', entries: 1} as const;
+  const untold = {...plan, tellsPace: false};
+  const standing = lateShare({...untold, chooser: 'standing'});
+  const forecast = lateShare({...untold, chooser: 'forecast'});
+  expect(forecast).toBeLessThan(0.7 * standing);
+});
