--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -1,12 +1,14 @@
+import {createSeenPace} from '../forecast';
 import type {MonotonicInstant, ZoneName} from '../types';
 import {areNowhere} from '../routes';
 import {sharePlace, type SharePlace} from './allowance';
 import {moveTurn, NO_TURN, turnAt} from './engine_turns';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
-import {costOf} from './target_cost';
+import {chooseBest, forecastAt} from './target_choice';
 import {
   fits,
+  hasFreePlace,
   hasRoom,
   mayServe,
   NO_PLACE_RULES,
@@ -267,14 +269,10 @@
         hasRoom(entry, need.now, senders.length) && hasMemoryFor(entry, need),
     );
     const allowed = withRoom.filter(({target}) => maySend(target, need.now));
-    let best: TargetEntry | undefined;
-    let bestCost = Infinity;
-    for (const entry of allowed) {
-      const cost = costOf(entry, need, zone);
-      if (cost >= bestCost) continue;
-      best = entry;
-      bestCost = cost;
-    }
+    const open = (calm.length > 0 ? calm : usable).filter(
+      entry => hasFreePlace(entry, need.now) && maySend(entry.target, need.now),
+    );
+    const best = chooseBest({dealt: allowed, open, peers: usable}, need, zone);
     if (best === undefined) return {kind: 'full'};
     return {kind: 'chosen', target: best.target};
   }
@@ -300,6 +298,7 @@
       reportedAt: early?.at ?? -Infinity,
       failures: 0,
       avoidUntil: -Infinity,
+      seen: createSeenPace(),
     };
   }
 
@@ -334,6 +333,12 @@
     },
     mayStart,
     choose,
+    forecast: (target, need) => {
+      const entry = entries.get(target.instance);
+      return entry && forecastAt(entry, need);
+    },
+    noteFirstEvent: (target, ratio, now) =>
+      entries.get(target.instance)?.seen.record(ratio, now),
     heldVersion: (target, model, now) => {
       const entry = entries.get(target.instance);
       return entry && versionHeldBy(entry, model, now);
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -1,4 +1,5 @@
 import {mayBeServedIn} from '../routes';
+import type {SeenPace} from '../forecast';
 import type {
   Milliseconds,
   ModelName,
@@ -37,6 +38,8 @@
   reportedAt: MonotonicInstant;
   failures: number;
   avoidUntil: MonotonicInstant;
+  /** Pace of its first events, beside what is reported. */
+  readonly seen: SeenPace;
 }
 
 /** What the operator says of places. */
@@ -105,6 +108,25 @@
   return entry.ownChange < entry.share.allowed;
 }
 
+/**
+ * Whether an engine is reported to have a place, dealt out to this entry or not.
+ *
+ * Failure: places are dealt out by turns, and what an entry doesn't use of its
+ * turn is lost. With more entries than engines, requests wait for their entry's
+ * turn until they are late while most engines have places.
+ */
+export function hasFreePlace(
+  entry: TargetEntry,
+  now: MonotonicInstant,
+): boolean {
+  const {report, ownChange, target} = entry;
+  if (report === undefined || !isReported(entry, now)) return false;
+  if (report.ordering) return false;
+  // One beside those dealt out: prompts of one entry don't wait for one another.
+  if (ownChange > entry.share.allowed) return false;
+  return report.running + report.waiting + ownChange < target.slots;
+}
+
 /** Without reports, each entry keeps to twice its part of the slots. */
 function hasRoomUnreported(entry: TargetEntry, senders: number): boolean {
   const {slots, held} = entry.target;
--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -22,6 +22,8 @@
   readonly tokens: number;
   /** What it asks of an engine's memory; undefined where none is named. */
   readonly memory?: MemoryNeed;
+  /** How fast the engines of its service work; undefined for plain targets. */
+  readonly profile: EngineProfile | undefined;
 }
 
 /** A request whose run is to be worked out. */
@@ -67,6 +69,7 @@
       promptTime: promptTime(profile, prompt),
       writingTime: writingTime(profile, answer),
       tokens: prompt + answer,
+      profile,
       memory:
         memoryTokens === undefined
           ? undefined
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -80,6 +80,7 @@
       expectedTokens: run.tokens,
       memory: run.memory,
       firstEventBy: firstEventBy(),
+      profile: run.profile,
       tried: new Set(tried.map(target => target.instance)),
       now: options.clock(),
     };
