Decide admission by a level that all entries compute alike

Cause: with 43 entries each orders only its own few waiting requests, and nobody is refused before its wait is over.

Change: decisions only, not wired yet. Demand by service and priority over the last second, sums over zones that lapse after 3 s, the capacity of a service from the target book, the level with its floor, equal parts of workspaces by credits, and the learned time for which places are held.

Ruled out: equal parts alone.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission';
 export * from './activation';
 export * from './configuration';
 export * from './distribution';
--- /dev/null
+++ b/packages/core/src/placement/service_capacity.ts
@@ -0,0 +1,32 @@
+import type {ServiceCapacity} from '../admission/types';
+import type {MonotonicInstant} from '../types';
+import {isReported, type TargetEntry} from './target_entry';
+
+/** Paces that count; an engine that misreports its pace has some part in any case. */
+const LEAST_PACE = 0.5;
+const MOST_PACE = 10;
+
+/** What those of `entries` can take that are reported and don't load weights. */
+export function capacityOf(
+  entries: readonly TargetEntry[],
+  now: MonotonicInstant,
+): ServiceCapacity {
+  let places = 0;
+  let pacedPlaces = 0;
+  let free = 0;
+  for (const entry of entries) {
+    const {report, target, ownChange} = entry;
+    if (!isReported(entry, now) || report === undefined) continue;
+    if (report.ordering) continue;
+    const used = report.running + report.waiting + Math.max(0, ownChange);
+    places += target.slots;
+    pacedPlaces += target.slots / boundedPace(report.pace);
+    free += Math.max(0, target.slots - used);
+  }
+  return {places, pacedPlaces, free};
+}
+
+function boundedPace(pace: number): number {
+  if (!Number.isFinite(pace)) return 1;
+  return Math.min(MOST_PACE, Math.max(LEAST_PACE, pace));
+}
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -2,6 +2,7 @@
 import {allowance, sharePlace, turnOf, type SharePlace} from './allowance';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
+import {capacityOf} from './service_capacity';
 import {costOf} from './target_cost';
 import {
   fits,
@@ -317,6 +318,13 @@
     },
     mayStart,
     choose,
+    capacity: (service, now) =>
+      capacityOf(
+        [...entries.values()].filter(
+          ({target}) => target.service === service && !isLeaving(target),
+        ),
+        now,
+      ),
     heldVersion: (target, model, now) => {
       const entry = entries.get(target.instance);
       return entry && versionHeldBy(entry, model, now);
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,3 +1,4 @@
+import type {ServiceCapacity} from '../admission/types';
 import type {Destinations} from '../routes';
 import type {OfLife} from './target_life';
 import type {
@@ -128,6 +129,11 @@
   readonly mayStart: (target: ListedTarget, need: PlaceNeed) => boolean;
   /** The best place with room, or why there is none. */
   readonly choose: (need: PlaceNeed) => TargetPlace;
+  /** What the engines of a service that are reported can take. */
+  readonly capacity: (
+    service: ServiceName,
+    now: MonotonicInstant,
+  ) => ServiceCapacity;
   /** The version that a target holds, as far as is known here. */
   readonly heldVersion: (
     target: ListedTarget,
--- /dev/null
+++ b/test/admission/level.test.ts
@@ -0,0 +1,194 @@
+import {
+  admissionLevel,
+  createDemandMeter,
+  createLevelAdmission,
+  createPlaceTimes,
+  createSiteDemand,
+  createWorkspaceParts,
+  shareAt,
+  type ServiceDemand,
+} from '@hibiscusbeam/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+
+const demandArbitrary = fc
+  .uniqueArray(
+    fc.tuple(fc.integer({min: 0, max: 9}), fc.double({min: 0.01, max: 500})),
+    {selector: ([priority]) => priority, minLength: 1, maxLength: 6},
+  )
+  .map(entries => new Map(entries.filter(([, places]) => places > 0)));
+
+test('what is admitted fills the capacity and never more', () => {
+  const capacity = fc.double({min: 0, max: 1_000, noNaN: true});
+  fc.assert(
+    fc.property(demandArbitrary, capacity, (demand, places) => {
+      const level = admissionLevel(demand, places);
+      const admitted = level.shares.reduce(
+        (sum, {priority, share}) => sum + share * demand.get(priority)!,
+        0,
+      );
+      expect(admitted).toBeCloseTo(Math.min(level.demand, places), 6);
+      const shares = level.shares.map(({share}) => share);
+      for (const [index, share] of shares.entries()) {
+        expect(share).toBeLessThan((shares[index - 1] ?? 1) + 1e-9);
+      }
+      const floor = Math.min(0.25, places / level.demand);
+      expect(Math.min(...shares)).toBeGreaterThan(floor - 1e-9);
+    }),
+    {seed: 14},
+  );
+});
+
+test('the first priority that does not fit is admitted by a share', () => {
+  const demand = new Map([
+    [0, 40],
+    [1, 40],
+    [2, 40],
+  ]);
+  const {shares} = admissionLevel(demand, 80);
+  expect(shares.map(({share}) => share)).toEqual([1, 0.75, 0.25]);
+});
+
+test('a priority that nobody has asked for gets what the next more urgent one gets', () => {
+  const level = admissionLevel(new Map([[3, 100]]), 50);
+  expect(shareAt(level, 1)).toBe(1);
+  expect(shareAt(level, 5)).toBe(0.5);
+});
+
+test('priorities that messages cannot carry are counted as the nearest that they can', () => {
+  const meter = createDemandMeter();
+  for (const priority of [-3, NaN, 0.5]) {
+    meter.note({service: 'engines', priority, placeTime: 100}, 1_000);
+  }
+  const demands = meter.demands(1_000, () => 0);
+  expect(demands).toMatchObject([{priority: 0, places: 0.3}]);
+});
+
+test('demand of more than a second ago counts no more', () => {
+  const meter = createDemandMeter();
+  meter.note({service: 'engines', priority: 0, placeTime: 500}, 0);
+  expect(meter.demands(1_000, () => 0)).toHaveLength(1);
+  expect(meter.demands(1_101, () => 0)).toEqual([]);
+});
+
+const ONE: ServiceDemand = {
+  service: 'engines',
+  priority: 1,
+  places: 10,
+  waiting: 0,
+};
+
+function createSite(options: {readonly follows?: boolean} = {}) {
+  return createSiteDemand({
+    zone: 'north',
+    own: () => [ONE],
+    entries: () => 40,
+    followsRelay: () => options.follows ?? false,
+  });
+}
+
+const placesOf = (site: ReturnType<typeof createSite>, now: number) =>
+  site.of('engines', now).get(1);
+
+test('an entry that is cut off counts its own demand for each entry known', () => {
+  const site = createSite({follows: true});
+  site.noteZones([{zone: 'north', demands: [ONE], heardAt: 1_000}]);
+  expect(placesOf(site, 3_999)).toBe(10);
+  expect(placesOf(site, 4_000)).toBe(400);
+});
+
+test('an entry that resumes after a freeze drops what it heard before', () => {
+  const site = createSite();
+  site.noteFollower('other', [ONE], 0);
+  site.noteZones([{zone: 'south', demands: [ONE], heardAt: 0}]);
+  expect(placesOf(site, 1_000)).toBe(30);
+  site.noteFollower('other', [ONE], 9_000);
+  expect(placesOf(site, 9_000)).toBe(20);
+});
+
+test('a relay that takes over keeps the former sum until its followers greet', () => {
+  const site = createSite();
+  const former = {zone: 'north', demands: [{...ONE, places: 90}], heardAt: 0};
+  site.noteZones([former]);
+  site.noteFollower('other', [ONE], 500);
+  expect(placesOf(site, 500)).toBe(90);
+  expect(placesOf(site, 3_000)).toBe(20);
+});
+
+test('a sum that was overtaken by a newer one is dropped', () => {
+  const site = createSite({follows: true});
+  const newer = {zone: 'north', demands: [ONE], heardAt: 500};
+  site.noteZones([newer, {zone: 'north', demands: [], heardAt: 400}]);
+  expect(placesOf(site, 600)).toBe(10);
+});
+
+test('a workspace with a burst gets only what the others leave', () => {
+  const parts = createWorkspaceParts(() => 0.5);
+  const admitted = {burst: 0, calm: 0};
+  for (let now = 0; now < 20_000; now += 10) {
+    const workspace = now % 100 === 0 ? 'calm' : 'burst';
+    if (parts.admits({workspace, placeTime: 100}, 0.5, now)) {
+      admitted[workspace] += 1;
+    }
+  }
+  expect(admitted.calm).toBeGreaterThan(190);
+  expect(admitted.burst + admitted.calm).toBeGreaterThan(990);
+  expect(admitted.burst + admitted.calm).toBeLessThan(1_010);
+});
+
+test('few requests at each entry are admitted by their share in the mean', () => {
+  let admitted = 0;
+  for (let entry = 0; entry < 1_000; entry += 1) {
+    const parts = createWorkspaceParts(() => entry / 1_000);
+    const request = {workspace: 'one', placeTime: 100};
+    if (parts.admits(request, 0.4, 0)) admitted += 1;
+  }
+  expect(admitted).toBeGreaterThan(350);
+  expect(admitted).toBeLessThan(450);
+});
+
+function createAdmission(capacity: {places: number; free: number}) {
+  return createLevelAdmission({
+    instance: 'entry',
+    demand: () => new Map([[1, 400]]),
+    capacity: () => ({...capacity, pacedPlaces: capacity.places}),
+    entries: () => 1,
+  });
+}
+
+const REQUEST = {
+  service: 'engines',
+  priority: 1,
+  workspace: 'one',
+  placeTime: 1_000,
+};
+
+test('without a known engine no request is refused by a level', () => {
+  const admission = createAdmission({places: 0, free: 0});
+  for (let now = 0; now < 2_000; now += 50) {
+    expect(admission.decide(REQUEST, 0, now).kind).toBe('noLevel');
+  }
+});
+
+test('a place that nobody wants is given to a request below the level', () => {
+  const admission = createAdmission({places: 100, free: 20});
+  const kinds = Array.from(
+    {length: 100},
+    (_, index) => admission.decide(REQUEST, 0, index * 10).kind,
+  );
+  const spare = kinds.filter(kind => kind === 'spare').length;
+  // 15 places beyond a twentieth, filled at the start and once in 300 ms.
+  expect(spare).toBeGreaterThan(45);
+  expect(spare).toBeLessThan(65);
+  const busy = createAdmission({places: 100, free: 20});
+  expect(busy.decide(REQUEST, 3, 0).kind).not.toBe('spare');
+});
+
+test('hints that are far off change the learned place time within bounds', () => {
+  const times = createPlaceTimes();
+  expect(times.factor('engines')).toBe(1);
+  times.note('engines', {expected: 0, held: 1e9}, 0);
+  expect(times.factor('engines')).toBe(5);
+  times.note('other', {expected: 1e9, held: 10}, 0);
+  expect(times.factor('other')).toBe(0.2);
+});
--- /dev/null
+++ b/test/admission/model_results.ts
@@ -0,0 +1,69 @@
+import {WARM_UP, type Call} from './model_calls';
+
+/** What callers got of one priority or workspace. */
+export interface Earned {
+  requests: number;
+  served: number;
+  refused: number;
+  late: number;
+  /** Value earned over the value of all requests. */
+  value: number;
+}
+
+/** What callers got. */
+export interface ModelResult {
+  readonly value: number;
+  readonly byPriority: ReadonlyMap<number, Earned>;
+  readonly byWorkspace: ReadonlyMap<string, Earned>;
+  readonly largest: Earned;
+}
+
+export type CallEnd = 'onTime' | 'late' | 'cut' | 'refused';
+
+export function createResults() {
+  const byPriority = new Map<number, Earned>();
+  const byWorkspace = new Map<string, Earned>();
+  const all = emptyEarned();
+  const largest = emptyEarned();
+  let possible = 0;
+  let earned = 0;
+
+  function add(into: Earned, end: CallEnd, value: number): void {
+    into.requests += 1;
+    into.value += value;
+    if (end === 'refused') into.refused += 1;
+    else if (end === 'late') into.late += 1;
+    if (end === 'onTime' || end === 'late') into.served += 1;
+  }
+
+  return {
+    note: (call: Call, end: CallEnd): void => {
+      if (call.at < WARM_UP) return;
+      const {kind, workspace} = call;
+      const value =
+        end === 'onTime' ? kind.value : end === 'late' ? kind.lateValue : 0;
+      possible += kind.value;
+      earned += value;
+      add(all, end, value / kind.value);
+      if (call.isLarge) add(largest, end, value / kind.value);
+      add(entryIn(byPriority, kind.priority), end, value / kind.value);
+      add(entryIn(byWorkspace, workspace), end, value / kind.value);
+    },
+    summary: (): ModelResult => ({
+      value: earned / possible,
+      byPriority,
+      byWorkspace,
+      largest,
+    }),
+  };
+}
+
+function emptyEarned(): Earned {
+  return {requests: 0, served: 0, refused: 0, late: 0, value: 0};
+}
+
+function entryIn<Key>(map: Map<Key, Earned>, key: Key): Earned {
+  const known = map.get(key) ?? emptyEarned();
+  map.set(key, known);
+  return known;
+}
