Refuse requests below the level on their arrival

Cause: requests that no engine could serve in time waited at their entry for up to a second and were refused then; each entry knew its own callers only.

Change: setting `admission: level | none`. The platform's list is rendered by the template; the deployment asks for the level if the list has the word. Followers' greetings carry their demand, relays' news the sums by zone, with the states each second and when one has changed by a tenth. A request is decided once, before it waits; streams that callers resume, second sends and requests that wait already are not. The time for which places are held is learned from sends that end. With `admission: none` nothing is measured, sent or refused.

--- a/packages/core/src/admission/place_times.ts
+++ b/packages/core/src/admission/place_times.ts
@@ -7,41 +7,65 @@
 const PROFILE_WEIGHT: Milliseconds = 5_000;
 
 /** Bounds of what is learned, against hints that are far off. */
-const LEAST = 0.2;
-const MOST = 5;
+const LEAST_FACTOR = 0.2;
+const MOST_FACTOR = 5;
 
 /** Learns how long requests hold places, against what was expected. */
 export interface PlaceTimes {
+  /** `expected`: undefined if the request says nothing of its answer's length. */
   readonly note: (
     service: ServiceName,
-    times: {readonly expected: Milliseconds; readonly held: Milliseconds},
+    times: {
+      readonly expected: Milliseconds | undefined;
+      readonly held: Milliseconds;
+    },
     now: MonotonicInstant,
   ) => void;
-  /** Times longer than expected that a request holds its place. */
-  readonly factor: (service: ServiceName) => number;
+  /** How long a request will hold its place; 0 if nothing is known. */
+  readonly placeTime: (
+    service: ServiceName,
+    expected: Milliseconds | undefined,
+  ) => Milliseconds;
+}
+
+interface Seen {
+  /** Of the requests whose length was known. */
+  readonly expected: Milliseconds;
+  readonly heldAsExpected: Milliseconds;
+  /** Of all requests. */
+  readonly held: Milliseconds;
+  readonly count: number;
+  readonly at: MonotonicInstant;
 }
 
 /** Creates the times; the profile is trusted until requests have ended. */
 export function createPlaceTimes(): PlaceTimes {
-  const seen = new Map<
-    ServiceName,
-    {expected: Milliseconds; held: Milliseconds; at: MonotonicInstant}
-  >();
+  const services = new Map<ServiceName, Seen>();
 
   return {
     note: (service, {expected, held}, now) => {
-      const before = seen.get(service) ?? {expected: 0, held: 0, at: now};
-      const kept = Math.exp((before.at - now) / MEMORY);
-      seen.set(service, {
-        expected: before.expected * kept + expected,
-        held: before.held * kept + held,
+      const before = services.get(service);
+      const kept = before ? Math.exp((before.at - now) / MEMORY) : 0;
+      const isKnown = expected !== undefined;
+      services.set(service, {
+        expected: (before?.expected ?? 0) * kept + (expected ?? 0),
+        heldAsExpected:
+          (before?.heldAsExpected ?? 0) * kept + (isKnown ? held : 0),
+        held: (before?.held ?? 0) * kept + held,
+        count: (before?.count ?? 0) * kept + 1,
         at: now,
       });
     },
-    factor: service => {
-      const {expected, held} = seen.get(service) ?? {expected: 0, held: 0};
-      const factor = (held + PROFILE_WEIGHT) / (expected + PROFILE_WEIGHT);
-      return Math.min(MOST, Math.max(LEAST, factor));
+    placeTime: (service, expected) => {
+      const seen = services.get(service);
+      if (expected === undefined) {
+        return seen === undefined ? 0 : seen.held / seen.count;
+      }
+      if (seen === undefined) return expected;
+      const factor =
+        (seen.heldAsExpected + PROFILE_WEIGHT) /
+        (seen.expected + PROFILE_WEIGHT);
+      return expected * Math.min(MOST_FACTOR, Math.max(LEAST_FACTOR, factor));
     },
   };
 }
--- a/packages/core/src/admission/site_demand.ts
+++ b/packages/core/src/admission/site_demand.ts
@@ -21,10 +21,9 @@
     demands: readonly ServiceDemand[],
     now: MonotonicInstant,
   ) => void;
-  readonly forgetFollower: (instance: InstanceName) => void;
   /** Takes sums that a relay has told; older ones than known are dropped. */
   readonly noteZones: (zones: readonly ZoneDemand[]) => void;
-  /** Sums by zone, to be passed on. */
+  /** Sums by zone, the own one first, to be passed on. */
   readonly zones: (now: MonotonicInstant) => readonly ZoneDemand[];
   /** Demand for a service, of all entries as far as is known. */
   readonly of: (service: ServiceName, now: MonotonicInstant) => PriorityDemand;
@@ -79,8 +78,11 @@
   }
 
   function zones(now: MonotonicInstant): readonly ZoneDemand[] {
+    for (const [zone, {heardAt}] of heard) {
+      if (!isFresh(heardAt, now)) heard.delete(zone);
+    }
     const others = [...heard.values()].filter(
-      ({zone, heardAt}) => zone !== options.zone && isFresh(heardAt, now),
+      ({zone}) => zone !== options.zone,
     );
     return [ownZone(now), ...others];
   }
@@ -95,7 +97,6 @@
   return {
     noteFollower: (instance, demands, now) =>
       void followers.set(instance, {demands, heardAt: now}),
-    forgetFollower: instance => void followers.delete(instance),
     noteZones: told => {
       for (const zone of told) {
         const before = heard.get(zone.zone);
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -85,6 +85,8 @@
   | 'targetsBackingOff'
   | 'leaving'
   | 'outdatedTargets'
+  /** Callers ask for more than the engines give, and others go first. */
+  | 'belowLevel'
   /** Targets have ended under it, here or at other entries. */
   | 'quarantined';
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,6 +39,7 @@
 import {startMachineClock} from '../runtime/clock';
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
+import {createEntryAdmission, NO_ADMISSION} from './entry_admission';
 import {createEntryCircle} from './entry_circle';
 import {createEntryQuarantine} from './entry_quarantine';
 import {createEngineReportStreams} from './engine_report_stream';
@@ -162,6 +163,18 @@
     paced.maySend,
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
+  const admission =
+    settings.admission === 'none'
+      ? NO_ADMISSION
+      : createEntryAdmission({
+          instance: settings.instance,
+          zone: settings.zone,
+          book,
+          clock,
+          entries: () => circle.size(),
+          followsRelay: () => !circle.readsTargets(),
+          waitingFor: places.waitingFor,
+        });
   const handover = createStreamHandover({book, clock});
   const self: MemberDescription = {
     instance: settings.instance,
@@ -224,6 +237,7 @@
     log: logs('membership'),
     copies,
     records: createSiteRecords(quarantine, limits),
+    demands: admission.exchange,
     storeDistance: storeDistance.shortest,
     namings: namings.tell,
     onNamings: namings.take,
@@ -253,6 +267,7 @@
     confirmation,
     book,
     places,
+    admission,
     handover,
     budgets: createRepeatBudgets({
       share: bounds.repeats.share,
--- /dev/null
+++ b/packages/fleet/src/entry/entry_admission.ts
@@ -0,0 +1,155 @@
+import {
+  createDemandMeter,
+  createLevelAdmission,
+  createPlaceTimes,
+  createSiteDemand,
+  type AdmissionLevel,
+  type Milliseconds,
+  type ServiceDemand,
+  type ServiceName,
+  type TargetBook,
+  type ZoneDemand,
+} from '@hibiscusbeam/core';
+import type {Clock} from '@hibiscusbeam/daemon';
+import type {AcceptedRequest} from './request_acceptance';
+
+/** Exchange of what callers ask for among the entries. */
+export interface DemandExchange {
+  /** What the callers of this entry ask for. */
+  readonly own: () => readonly ServiceDemand[];
+  /** Sums by zone, the own one first; empty without admission by level. */
+  readonly zones: () => readonly ZoneDemand[];
+  readonly noteFollower: (
+    instance: string,
+    demands: readonly ServiceDemand[],
+  ) => void;
+  readonly noteZones: (zones: readonly ZoneDemand[]) => void;
+}
+
+/** Whether a request is admitted on its arrival. */
+export type ArrivalDecision =
+  | {
+      readonly kind: 'admitted';
+      /** Undefined if nothing was to be decided. */
+      readonly by: 'level' | 'spare' | undefined;
+    }
+  | {readonly kind: 'belowLevel'; readonly level: AdmissionLevel};
+
+/** Admission at one entry. */
+export interface EntryAdmission {
+  readonly isByLevel: boolean;
+  readonly exchange: DemandExchange;
+  /** Decides on a request that has not waited yet. */
+  readonly arrive: (accepted: AcceptedRequest) => ArrivalDecision;
+  /** Notes how long a request has held its place. */
+  readonly noteHeld: (accepted: AcceptedRequest, held: Milliseconds) => void;
+}
+
+/** What admission at an entry goes by. */
+export interface EntryAdmissionOptions {
+  readonly instance: string;
+  readonly zone: string;
+  readonly book: TargetBook;
+  readonly clock: Clock;
+  /** Entries that are known of, this one included. */
+  readonly entries: () => number;
+  readonly followsRelay: () => boolean;
+  /** Requests that wait here for a place. */
+  readonly waitingFor: (service: ServiceName, priority?: number) => number;
+}
+
+/** Admission of all requests. */
+export const NO_ADMISSION: EntryAdmission = {
+  isByLevel: false,
+  exchange: {
+    own: () => [],
+    zones: () => [],
+    noteFollower: () => undefined,
+    noteZones: () => undefined,
+  },
+  arrive: () => ({kind: 'admitted', by: undefined}),
+  noteHeld: () => undefined,
+};
+
+/** Creates admission by level. */
+export function createEntryAdmission(
+  options: EntryAdmissionOptions,
+): EntryAdmission {
+  const {clock, book, entries, waitingFor} = options;
+  const meter = createDemandMeter();
+  const placeTimes = createPlaceTimes();
+  const own = (now: number): readonly ServiceDemand[] =>
+    meter.demands(now, waitingFor);
+  const site = createSiteDemand({...options, own});
+  const levels = createLevelAdmission({
+    instance: options.instance,
+    demand: site.of,
+    capacity: book.capacity,
+    entries,
+  });
+
+  function arrive(accepted: AcceptedRequest): ArrivalDecision {
+    const {service, header} = accepted;
+    const expected = expectedTime(accepted);
+    const request = {
+      service,
+      priority: priorityOf(accepted),
+      workspace: workspaceOf(accepted),
+      placeTime: placeTimes.placeTime(service, expected),
+    };
+    const now = clock();
+    meter.note(request, now);
+    // A stream that goes on has had its place before.
+    if (header.resumeAfter !== undefined || request.placeTime === 0) {
+      return {kind: 'admitted', by: undefined};
+    }
+    const decision = levels.decide(request, waitingFor(service), now);
+    switch (decision.kind) {
+      case 'noLevel':
+        return {kind: 'admitted', by: undefined};
+      case 'admitted':
+        return {kind: 'admitted', by: 'level'};
+      case 'spare':
+        return {kind: 'admitted', by: 'spare'};
+      case 'belowLevel':
+        return decision;
+    }
+  }
+
+  return {
+    isByLevel: true,
+    exchange: {
+      own: () => own(clock()),
+      zones: () => site.zones(clock()),
+      noteFollower: (instance, demands) =>
+        site.noteFollower(instance, demands, clock()),
+      noteZones: site.noteZones,
+    },
+    arrive,
+    noteHeld: (accepted, held) => {
+      const {service} = accepted;
+      const now = clock();
+      const {places, pacedPlaces} = book.capacity(service, now);
+      // Slow engines count in the capacity, so not in the time as well.
+      const pace = pacedPlaces > 0 ? places / pacedPlaces : 1;
+      const expected = expectedTime(accepted);
+      placeTimes.note(service, {expected, held: held / pace}, now);
+    },
+  };
+}
+
+/** Undefined if nothing says how long the answer will be. */
+function expectedTime({run}: AcceptedRequest): Milliseconds | undefined {
+  return run.writingTime > 0 ? run.promptTime + run.writingTime : undefined;
+}
+
+/** The workspace's priority where it has one, else the route's. */
+export function priorityOf({access, route}: AcceptedRequest): number {
+  const ofWorkspace =
+    access.kind === 'workspace' ? access.workspace.priority : undefined;
+  return ofWorkspace ?? route.priority;
+}
+
+function workspaceOf({access}: AcceptedRequest): string | undefined {
+  return access.kind === 'workspace' ? access.workspace.name : undefined;
+}
--- a/packages/fleet/src/entry/entry_circle.ts
+++ b/packages/fleet/src/entry/entry_circle.ts
@@ -14,8 +14,10 @@
 } from '@hibiscusbeam/wire';
 import {createEntryChannels} from '../link/channels';
 import type {ConfigurationCopies} from '../link/configuration_copies';
+import {readDemands} from '../link/demand_messages';
 import type {SiteRecords, SiteRecordsMessage} from '../link/site_records';
 import type {MemberDescription} from '../ports';
+import {NO_ADMISSION, type DemandExchange} from './entry_admission';
 import type {TableSource} from './operator_follower';
 import {createRelayFace, type RelayFace} from './relay_face';
 import {openRelayLink, type RelayLink} from './relay_link';
@@ -46,6 +48,8 @@
   readonly copies: ConfigurationCopies;
   /** What all entries are to know. */
   readonly records: SiteRecords;
+  /** What callers ask for, here and at other entries. */
+  readonly demands?: DemandExchange;
   /** Time to the store and back; undefined if it is not known yet. */
   readonly storeDistance: () => Milliseconds | undefined;
   readonly namings: () => VersionNaming[];
@@ -93,7 +97,7 @@
  * other zones, so that connections grow with the zones and with a zone's size.
  */
 export function createEntryCircle(options: EntryCircleOptions): EntryCircle {
-  const {self, clock, log} = options;
+  const {self, clock, log, demands = NO_ADMISSION.exchange} = options;
   const channels = createEntryChannels();
   const states = createEntryStates();
   const silent = createSilentPeers();
@@ -108,6 +112,7 @@
     namings: options.namings,
     copies: options.copies,
     records: options.records,
+    demands: demands.zones,
     readingDistance: () =>
       operatorSource() === 'store' ? options.storeDistance() : undefined,
     onGreeting: takeGreeting,
@@ -182,7 +187,7 @@
       wantsSiteReading: !isOwnZone,
       heldConfiguration: options.copies.newestRevision(),
       namings: options.namings(),
-      demands: [],
+      demands: isOwnZone ? [...demands.own()] : [],
     };
   }
 
@@ -203,6 +208,7 @@
     }
     if (news.reports.length > 0) options.onReports(news.reports);
     takeRecords(news.records);
+    demands.noteZones(news.demands);
     siteReader.note(news.operator, relay);
     options.onTables(news);
   }
@@ -220,7 +226,12 @@
     options.onNamings(greeting.namings);
     takeRecords(greeting);
     const {self: state} = greeting;
-    if (state !== undefined) noteState(state.instance, state.ready, clock());
+    if (state === undefined) return;
+    noteState(state.instance, state.ready, clock());
+    // Relays of other zones follow this one, too; they tell their sums as news.
+    if (greeting.wantsTables) {
+      demands.noteFollower(state.instance, readDemands(greeting.demands));
+    }
   }
 
   function takeRecords(message: SiteRecordsMessage): void {
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -1,12 +1,14 @@
-import type {
-  ListedTarget,
-  Milliseconds,
-  MonotonicInstant,
-  PacedSends,
-  PlaceNeed,
-  RequestInHand,
-  TargetBook,
-  TargetPlace,
+import {
+  exchangedPriority,
+  type ListedTarget,
+  type Milliseconds,
+  type MonotonicInstant,
+  type PacedSends,
+  type PlaceNeed,
+  type RequestInHand,
+  type ServiceName,
+  type TargetBook,
+  type TargetPlace,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 
@@ -50,6 +52,8 @@
   /** Looks again, after something has changed. */
   readonly pump: () => void;
   readonly waiting: () => number;
+  /** Those that wait for a service, of one priority or of all. */
+  readonly waitingFor: (service: ServiceName, priority?: number) => number;
 }
 
 /** Period of looks without a change, for waits that run out. */
@@ -128,7 +132,17 @@
     });
   }
 
-  return {take, pump, waiting: () => waiters.length};
+  function waitingFor(service: ServiceName, priority?: number): number {
+    const asking = waiters.filter(
+      ({request}) =>
+        request.need().service === service &&
+        (priority === undefined ||
+          exchangedPriority(request.priority) === priority),
+    );
+    return asking.length;
+  }
+
+  return {take, pump, waiting: () => waiters.length, waitingFor};
 }
 
 /** Whether a place may come up while the request may wait. */
--- a/packages/fleet/src/entry/relay_face.ts
+++ b/packages/fleet/src/entry/relay_face.ts
@@ -1,4 +1,4 @@
-import type {ListedTarget, Milliseconds} from '@hibiscusbeam/core';
+import type {ListedTarget, Milliseconds, ZoneDemand} from '@hibiscusbeam/core';
 import {every, type Clock} from '@hibiscusbeam/daemon';
 import type {
   EngineReport,
@@ -39,6 +39,8 @@
   readonly records: SiteRecords;
   /** This entry's distance from the store if it reads the operator's table. */
   readonly readingDistance: () => Milliseconds | undefined;
+  /** What callers ask for by zone, the own one first. */
+  readonly demands: () => readonly ZoneDemand[];
   /** Told of each greeting of a follower. */
   readonly onGreeting: (greeting: FollowerGreeting) => void;
   /** Told when a follower has fallen silent or its connection has broken. */
@@ -101,6 +103,7 @@
       namings: options.namings,
       copies: options.copies,
       records: options.records,
+      demands: options.demands,
       readingDistance: options.readingDistance,
       operator: () => operator,
       targets: () => listing,
--- a/packages/fleet/src/entry/relay_follower.ts
+++ b/packages/fleet/src/entry/relay_follower.ts
@@ -1,5 +1,9 @@
 import type {ServerDuplexStream} from '@grpc/grpc-js';
-import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import type {
+  Milliseconds,
+  MonotonicInstant,
+  ZoneDemand,
+} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
   FollowerGreeting,
@@ -7,6 +11,7 @@
   VersionNaming,
 } from '@hibiscusbeam/wire';
 import type {ConfigurationCopies} from '../link/configuration_copies';
+import {placesAskedFor, writeZoneDemands} from '../link/demand_messages';
 import {createToldRows} from '../link/numbered_rows';
 import {writeReports, type PassedReport} from '../link/report_batches';
 import {hasNoRecords, type SiteRecords} from '../link/site_records';
@@ -30,6 +35,9 @@
 /** Time after which a configuration is sent again that a follower doesn't hold. */
 const COPY_LOST: Milliseconds = 1_000;
 
+/** Change of the demand, as a share of what was told, that is told at once. */
+const TOLD_CHANGE = 0.1;
+
 /** A stream of a follower's greetings, with news in the other direction. */
 export type FollowCall = ServerDuplexStream<FollowerGreeting, RelayNews>;
 
@@ -51,6 +59,8 @@
   readonly operator: () => OperatorMoment | undefined;
   readonly targets: () => PassedListing | undefined;
   readonly records: SiteRecords;
+  /** What callers ask for by zone, the own one first. */
+  readonly demands: () => readonly ZoneDemand[];
 }
 
 /** An entry that follows this one. */
@@ -85,6 +95,7 @@
   let looksSinceNews = 0;
   let statesToldAt: MonotonicInstant = -Infinity;
   /** Store times of the newest readings of both tables that it was told. */
+  let placesTold = 0;
   let operatorTold = -Infinity;
   let targetsTold = -Infinity;
   let sentConfiguration: Revision = 0;
@@ -94,7 +105,8 @@
     // Old news are of no use, so they don't queue behind a full window.
     if (greeting === undefined || call.writableLength > 0) return;
     const news = collectNews(greeting, reports, now);
-    const hasRows = news.targets || !hasNoRecords(news);
+    const hasRows =
+      news.targets || news.demands.length > 0 || !hasNoRecords(news);
     const hasNews = news.entries || news.reports || news.operator || hasRows;
     const isSignDue = looksSinceNews >= LOOKS_BETWEEN_SIGNS;
     if (!hasNews && !isSignDue) return;
@@ -126,11 +138,27 @@
       operator,
       configuration: operator && takeConfiguration(now),
       targets: wantsTables ? takeTargets() : undefined,
-      demands: [],
+      demands: takeDemands(wantsTables, areStatesDue, now),
       ...writeRecords(now),
     };
   }
 
+  /** Other relays add up their own zones themselves. */
+  function takeDemands(
+    isOfZone: boolean,
+    areDue: boolean,
+    now: MonotonicInstant,
+  ): RelayNews['demands'] {
+    const known = knowledge.demands();
+    const zones = isOfZone ? known : known.slice(0, 1);
+    const places = placesAskedFor(zones);
+    const change = Math.abs(places - placesTold);
+    const isChanged = change > Math.max(1, placesTold) * TOLD_CHANGE;
+    if (!areDue && !isChanged) return [];
+    placesTold = places;
+    return writeZoneDemands(zones, now);
+  }
+
   function takeOperator(): RelayNews['operator'] {
     const moment = knowledge.operator();
     if (!moment || moment.storeTime === operatorTold) return undefined;
--- a/packages/fleet/src/entry/relay_news.ts
+++ b/packages/fleet/src/entry/relay_news.ts
@@ -1,4 +1,8 @@
-import type {Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import type {
+  Milliseconds,
+  MonotonicInstant,
+  ZoneDemand,
+} from '@hibiscusbeam/core';
 import type {
   ConfigurationCopy,
   EngineReport,
@@ -6,6 +10,7 @@
   RelayNews,
   VersionNaming,
 } from '@hibiscusbeam/wire';
+import {readZoneDemands} from '../link/demand_messages';
 import {createReportReader} from '../link/report_batches';
 import {createStateReader} from '../link/state_batches';
 import {createTargetReader} from '../link/target_changes';
@@ -28,6 +33,8 @@
   readonly configuration: ConfigurationCopy | undefined;
   readonly targets: TargetListing | undefined;
   readonly records: SiteRecordsMessage;
+  /** What callers ask for, by zone. */
+  readonly demands: readonly ZoneDemand[];
 }
 
 /** Creates the reader of one stream of news. */
@@ -54,5 +61,6 @@
     configuration: news.configuration,
     targets: news.targets && readListing(news.targets),
     records: news,
+    demands: readZoneDemands(news.demands, now),
   });
 }
--- a/packages/fleet/src/entry/request_context.ts
+++ b/packages/fleet/src/entry/request_context.ts
@@ -9,6 +9,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import type {CrashWatch} from './crash_watch';
+import type {EntryAdmission} from './entry_admission';
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
 import type {PlaceOutcome, PlaceQueue} from './place_queue';
@@ -32,6 +33,7 @@
   readonly versions: NamedVersions;
   readonly timeliness: Timeliness;
   readonly answerTimes: AnswerTimes;
+  readonly admission: EntryAdmission;
   readonly quarantine: Quarantine;
   readonly trials: QuarantineTrials;
   readonly crashWatch: CrashWatch;
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -10,6 +10,7 @@
   type PlaceReply,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
+import {priorityOf} from './entry_admission';
 import type {PlaceOutcome} from './place_queue';
 import {isKeyConfirmed} from './request_acceptance';
 import type {
@@ -59,6 +60,8 @@
     },
   });
   let answer: WholeAnswer | undefined;
+  /** Set on arrival, so that later sends are never refused by the level. */
+  let isAdmitted = false;
   let place: TakenPlace | undefined;
   let triedBefore: readonly ListedTarget[] = [];
   let trial: 'none' | 'held' | 'used' = 'none';
@@ -85,6 +88,15 @@
     return options.timeliness.objectiveEnd(accepted);
   }
 
+  function refusalOnArrival(): PlaceReply<ListedTarget> | undefined {
+    const decision = options.admission.arrive(accepted);
+    if (decision.kind === 'admitted') return undefined;
+    const reason = 'belowLevel';
+    story.noPlace(reason);
+    const retryAfter = spreadReturn(header.requestId, route, 0);
+    return {kind: 'noPlace', reason, retryAfter};
+  }
+
   function isQuarantined(): boolean {
     return options.quarantine.isQuarantined(fingerprint);
   }
@@ -101,6 +113,9 @@
   async function choosePlace(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
+    const refusal = isAdmitted ? undefined : refusalOnArrival();
+    if (refusal !== undefined) return {kind: 'placed', place: refusal};
+    isAdmitted = true;
     if (isQuarantined() && !(await takeTrial())) {
       const retryAfter = options.trials.retryAfter(fingerprint);
       const reason = 'quarantined';
@@ -127,7 +142,7 @@
       need: () => needOf(tried),
       promptTime: run.promptTime,
       isResumed: progress.begun,
-      priority: priority(),
+      priority: priorityOf(accepted),
       ...placeLimits(),
       signal: AbortSignal.any([signal, withdrawal.signal]),
     });
@@ -190,12 +205,6 @@
     return options.book.heldVersion(target, header.model, options.clock());
   }
 
-  function priority(): number {
-    const ofWorkspace =
-      access.kind === 'workspace' ? access.workspace.priority : undefined;
-    return ofWorkspace ?? route.priority;
-  }
-
   function mayBegin({place: {target}, tried}: PlannedSend): boolean {
     if (signal.aborted) return false;
     if (isQuarantined() && trial !== 'held') return false;
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -151,7 +151,10 @@
     if (end.kind === 'answered' && end.success) recordTime(begun);
     if (answer !== undefined) hooks.keepAnswer(answer);
     notes.noteEnd(end);
-    if (end.kind !== 'notRun') hooks.onRun();
+    if (end.kind !== 'notRun') {
+      hooks.onRun();
+      options.admission.noteHeld(accepted, options.clock() - begun.sentAt);
+    }
     line.end(end.kind, 'cause' in end ? end.cause : undefined);
     send.end(end);
   }
--- /dev/null
+++ b/packages/fleet/src/link/demand_messages.ts
@@ -0,0 +1,49 @@
+import type {
+  MonotonicInstant,
+  ServiceDemand,
+  ZoneDemand,
+} from '@hibiscusbeam/core';
+import type {FollowerGreeting, RelayNews} from '@hibiscusbeam/wire';
+
+/** Most rows of a message that are read: far more than services times priorities. */
+const MOST_ROWS = 1_000;
+
+/** Reads demands; rows that no meter can have written are left out. */
+export function readDemands(
+  rows: FollowerGreeting['demands'],
+): readonly ServiceDemand[] {
+  return rows
+    .slice(0, MOST_ROWS)
+    .filter(({places}) => Number.isFinite(places) && places >= 0);
+}
+
+/** Reads the sums by zone that a relay has told. */
+export function readZoneDemands(
+  rows: RelayNews['demands'],
+  now: MonotonicInstant,
+): readonly ZoneDemand[] {
+  return rows.slice(0, MOST_ROWS).map(({zone, demands, ageMilliseconds}) => ({
+    zone,
+    demands: readDemands(demands),
+    heardAt: now - ageMilliseconds,
+  }));
+}
+
+/** Writes sums by zone. */
+export function writeZoneDemands(
+  zones: readonly ZoneDemand[],
+  now: MonotonicInstant,
+): RelayNews['demands'] {
+  return zones.map(({zone, demands, heardAt}) => ({
+    zone,
+    demands: [...demands],
+    ageMilliseconds: Math.max(0, Math.round(now - heardAt)),
+  }));
+}
+
+/** Places that are asked for in all zones. */
+export function placesAskedFor(zones: readonly ZoneDemand[]): number {
+  return zones
+    .flatMap(({demands}) => demands)
+    .reduce((sum, {places}) => sum + places, 0);
+}
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -39,6 +39,19 @@
   }),
 });
 
+/**
+ * Who is admitted when capacity is short. The second form is for platforms that
+ * list what they ask of a deployment: by level if the list has the word.
+ */
+const admission = z.union([
+  z.enum(['level', 'none']),
+  z
+    .object({levelWhen: z.string(), among: z.array(z.string()).nullish()})
+    .transform(({levelWhen, among}) =>
+      among?.includes(levelWhen) ? ('level' as const) : ('none' as const),
+    ),
+]);
+
 /** Settings of an entry. */
 export const entrySettings = z.object({
   ...common,
@@ -46,6 +59,7 @@
   callerAddress: address,
   readinessAddress: address,
   directoryAddress: address,
+  admission: admission.default('none'),
   bounds,
 });
 
--- a/test/admission/level.test.ts
+++ b/test/admission/level.test.ts
@@ -186,9 +186,16 @@
 
 test('hints that are far off change the learned place time within bounds', () => {
   const times = createPlaceTimes();
-  expect(times.factor('engines')).toBe(1);
+  expect(times.placeTime('engines', 100)).toBe(100);
   times.note('engines', {expected: 0, held: 1e9}, 0);
-  expect(times.factor('engines')).toBe(5);
+  expect(times.placeTime('engines', 100)).toBe(500);
   times.note('other', {expected: 1e9, held: 10}, 0);
-  expect(times.factor('other')).toBe(0.2);
+  expect(times.placeTime('other', 100)).toBe(20);
+});
+
+test('a request without a hint counts as long as those before it', () => {
+  const times = createPlaceTimes();
+  times.note('engines', {expected: undefined, held: 800}, 0);
+  times.note('engines', {expected: 100, held: 1_200}, 0);
+  expect(times.placeTime('engines', undefined)).toBe(1_000);
 });
--- a/test/fleet/entry_circle.test.ts
+++ b/test/fleet/entry_circle.test.ts
@@ -1,4 +1,8 @@
-import {createQuarantine, createRateLimits} from '@hibiscusbeam/core';
+import {
+  createQuarantine,
+  createRateLimits,
+  createSiteDemand,
+} from '@hibiscusbeam/core';
 import type {EngineReport} from '@hibiscusbeam/wire';
 import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, expect, test} from 'vitest';
@@ -44,6 +48,12 @@
   const copies = createConfigurationCopies();
   const quarantine = createQuarantine();
   const limits = createRateLimits(() => performance.now());
+  const demand = createSiteDemand({
+    zone,
+    own: () => [{service: 'engines', priority: 1, places: 2, waiting: 1}],
+    entries: () => 1,
+    followsRelay: () => !circle.readsTargets(),
+  });
   const circle = createEntryCircle({
     self,
     isReady: () => ready,
@@ -54,6 +64,13 @@
     onReports: taken => reports.push(...taken),
     copies,
     records: createSiteRecords(quarantine, limits),
+    demands: {
+      own: () => [{service: 'engines', priority: 1, places: 2, waiting: 1}],
+      zones: () => demand.zones(performance.now()),
+      noteFollower: (follower, demands) =>
+        demand.noteFollower(follower, demands, performance.now()),
+      noteZones: demand.noteZones,
+    },
     storeDistance: () => distance,
     onTables: told => void news.push(told),
     onUsable: () => undefined,
@@ -77,6 +94,7 @@
   return {
     self,
     circle,
+    places: () => demand.of('engines', performance.now()).get(1),
     reports,
     news,
     copies,
@@ -274,3 +292,9 @@
   late!.circle.setMembers(others.map(({self}) => self));
   await eventually(() => knows(late!));
 });
+
+test('all entries know what the callers of all zones ask for', async () => {
+  const entries = await startSite(3);
+  await untilSettled(entries);
+  await eventually(() => entries.every(entry => entry.places() === 12));
+});
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -8,6 +8,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, type AddressInfo, type Server} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  NO_ADMISSION,
+  type EntryAdmission,
+} from '../../packages/fleet/src/entry/entry_admission';
 import {createPlaceQueue} from '../../packages/fleet/src/entry/place_queue';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
 import type {RequestRunOptions} from '../../packages/fleet/src/entry/request_context';
@@ -44,7 +48,7 @@
 }
 
 /** A run of a request that is quarantined and has been given its one trial. */
-function startTrial() {
+function startTrial(admission: EntryAdmission = NO_ADMISSION) {
   const book = createTargetBook({instance: 'entry', zone: 'north'});
   book.list([target('one'), target('two')], 0);
   const clock = (): number => performance.now();
@@ -55,6 +59,7 @@
     places: createPlaceQueue(book, clock),
     timeliness: createTimeliness(answerTimes),
     answerTimes,
+    admission,
     quarantine: {isQuarantined: () => true},
     trials: {
       claim: () => Promise.resolve(true),
@@ -118,3 +123,34 @@
     place: {kind: 'noPlace', reason: 'quarantined'},
   });
 });
+
+test('a request below the level is refused before it waits or is sent', async () => {
+  const level = {shares: [], demand: 2, capacity: 1};
+  const run = startTrial({
+    ...NO_ADMISSION,
+    arrive: () => ({kind: 'belowLevel', level}),
+  });
+  const refused = await run.perform({kind: 'choosePlace', tried: []});
+  run.end();
+  expect(refused).toMatchObject({
+    place: {kind: 'noPlace', reason: 'belowLevel'},
+  });
+});
+
+test('a second send of an admitted request is never refused by the level', async () => {
+  let decided = 0;
+  const run = startTrial({
+    ...NO_ADMISSION,
+    arrive: () => {
+      decided += 1;
+      return {kind: 'admitted', by: 'level'};
+    },
+  });
+  const first = await run.perform({kind: 'choosePlace', tried: []});
+  if (first.kind !== 'placed' || first.place.kind !== 'place') {
+    throw new Error('the request found no place');
+  }
+  await run.perform({kind: 'choosePlace', tried: [first.place.target]});
+  run.end();
+  expect(decided).toBe(1);
+});
--- a/test/settings/fleet_settings.test.ts
+++ b/test/settings/fleet_settings.test.ts
@@ -56,8 +56,26 @@
       .replaceAll(/\{\{(Listen\.\w+|Platform\.Address|app)\|json\}\}/g, '"a:1"')
       .replaceAll('{{Ip}}:{{PortRange.0}}', '10.1.0.40:7700')
       .replaceAll('{{Ip}}', '10.1.0.40')
+      .replaceAll('{{Contracts|json}}', '["pressure"]')
       .replaceAll(/\{\{(NodeName|Zone|Region|Service)\|json\}\}/g, '"name"')
       .replaceAll(/\{\{[\w.]+\|json\}\}/g, '1');
     expect(loadFleetSettings(filled)).toMatchObject({ok: true});
   }
 });
+
+test('a deployment that does not ask for it admits all requests', () => {
+  const admissionOf = (line: string) => {
+    const loaded = loadFleetSettings(`${entry}${line}\n`);
+    return loaded.ok && loaded.val.role === 'entry'
+      ? loaded.val.admission
+      : loaded.val;
+  };
+  expect(admissionOf('')).toBe('none');
+  expect(admissionOf('admission: level')).toBe('level');
+  const listed = (list: string) =>
+    admissionOf(`admission: {levelWhen: pressure, among: ${list}}`);
+  expect(listed('["other", "pressure"]')).toBe('level');
+  expect(listed('["other"]')).toBe('none');
+  expect(listed('')).toBe('none');
+  expect(listed('7')).toMatchObject([{field: 'admission'}]);
+});
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -258,6 +258,7 @@
         callerAddress: await freeAddress(),
         readinessAddress: await freeAddress(),
         directoryAddress: await freeAddress(),
+        admission: 'none',
         store: {address: site.store.address, heartbeat: 1_200},
         bounds: BOUNDS,
       },
