--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -5,6 +5,7 @@
 import {moveTurn, NO_TURN, turnAt} from './engine_turns';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
+import {capacityOf} from './service_capacity';
 import {chooseBest, forecastAt} from './target_choice';
 import {
   fits,
@@ -339,6 +340,16 @@
     },
     noteFirstEvent: (target, ratio, now) =>
       entries.get(target.instance)?.seen.record(ratio, now),
+    capacity: (service, now) =>
+      capacityOf(
+        [...entries.values()].filter(
+          ({target}) =>
+            target.service === service &&
+            !isLeaving(target) &&
+            !rules.isEvacuated(target.zone),
+        ),
+        now,
+      ),
     heldVersion: (target, model, now) => {
       const entry = entries.get(target.instance);
       return entry && versionHeldBy(entry, model, now);
--- a/packages/core/src/placement/target_choice.ts
+++ b/packages/core/src/placement/target_choice.ts
@@ -136,7 +136,7 @@
 ): Milliseconds {
   const {promptTime, expectedRun} = need;
   const work = workAt(entry, need, pace);
-  const turns = entry.turn * TURN_PROMPTS[deal] * promptTime * pace;
+  const turns = entry.share.before * TURN_PROMPTS[deal] * promptTime * pace;
   const first = forecastFirstEvent(profile, work, need) + turns;
   const delay = work.running * promptTime * pace * DELAY_SHARE;
   const run = expectedRun * pace;
--- a/packages/core/src/placement/target_memory.ts
+++ b/packages/core/src/placement/target_memory.ts
@@ -99,7 +99,7 @@
       return hasMemory(engine, need.memory, {
         senders,
         isNear: place.isNear,
-        before: report === undefined ? 0 : turnOf(place, report.sequence),
+        before: report === undefined ? 0 : turnOf(place, report),
       });
     },
   };
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -1,3 +1,4 @@
+import type {ServiceCapacity} from '../admission/types';
 import type {MemoryNeed} from '../memory';
 import type {Destinations, EngineProfile} from '../routes';
 import type {OfLife} from './target_life';
@@ -147,6 +148,11 @@
     ratio: number,
     now: MonotonicInstant,
   ) => void;
+  /** What the engines of a service that are reported can take. */
+  readonly capacity: (
+    service: ServiceName,
+    now: MonotonicInstant,
+  ) => ServiceCapacity;
   /** The version that a target holds, as far as is known here. */
   readonly heldVersion: (
     target: ListedTarget,
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,6 +39,7 @@
 import {startMachineClock} from '../runtime/clock';
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
+import {createEntryAdmission, NO_ADMISSION} from './entry_admission';
 import {createEntryCircle} from './entry_circle';
 import {createEntryQuarantine} from './entry_quarantine';
 import {createEngineReportStreams} from './engine_report_stream';
@@ -182,6 +183,18 @@
     {isEvacuated: evacuations.isEvacuated, regionOf: regions.regionOf},
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
+  const admission =
+    settings.admission === 'none'
+      ? NO_ADMISSION
+      : createEntryAdmission({
+          instance: settings.instance,
+          zone: settings.zone,
+          book,
+          clock,
+          entries: () => circle.size(),
+          followsRelay: () => !circle.readsTargets(),
+          waitingFor: places.waitingFor,
+        });
   const handover = createStreamHandover({book, clock});
   const self: MemberDescription = {
     instance: settings.instance,
@@ -246,6 +259,7 @@
     log: logs('membership'),
     copies,
     records: createSiteRecords(quarantine, limits),
+    demands: admission.exchange,
     storeDistance: storeDistance.shortest,
     namings: namings.tell,
     onNamings: namings.take,
@@ -275,6 +289,7 @@
     confirmation,
     book,
     places,
+    admission,
     handover,
     budgets: createRepeatBudgets({
       share: bounds.repeats.share,
--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -55,7 +55,13 @@
   function expect({header, table, service, route}: RequestToExpect) {
     const profile = profileOf(table, service);
     if (profile === undefined) {
-      return {promptTime: 0, writingTime: 0, tokens: 0, memory: undefined};
+      return {
+        promptTime: 0,
+        writingTime: 0,
+        tokens: 0,
+        memory: undefined,
+        profile: undefined,
+      };
     }
     const claims = {
       hint: countOf(header.expectedOutputTokens),
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -41,6 +41,19 @@
   }),
 });
 
+/**
+ * Who is admitted when capacity is short. The second form is for platforms that
+ * list what they ask of a deployment: by level if the list has the word.
+ */
+const admission = z.union([
+  z.enum(['level', 'none']),
+  z
+    .object({levelWhen: z.string(), among: z.array(z.string()).nullish()})
+    .transform(({levelWhen, among}) =>
+      among?.includes(levelWhen) ? ('level' as const) : ('none' as const),
+    ),
+]);
+
 /** Settings of an entry. */
 export const entrySettings = z.object({
   ...common,
@@ -50,6 +63,7 @@
   directoryAddress: address,
   /** Regions of the site's zones; targets of other zones are in no region. */
   regions: z.record(z.string(), z.string().min(1)).nullish(),
+  admission: admission.default('none'),
   bounds,
 });
 
