Pace what is sent to targets right after their start

Cause: a target's own word that it is cold, and the configuration's cold start, were decoded and not used; a target that has just started got its full share at once.

Prompts longer than the service's mean go to warm targets while one has room. Log lines and a gauge show cold targets.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -7,6 +7,7 @@
 export * from './engine_times';
 export * from './types';
 export * from './list_memory';
+export * from './cold_targets';
 export * from './directory_choice';
 export * from './evacuations';
 export * from './version_rule';
--- /dev/null
+++ b/packages/core/src/placement/prompt_times.ts
@@ -0,0 +1,26 @@
+import type {Milliseconds, ServiceName} from '../types';
+
+/** Part of the mean that the newest request makes up. */
+const NEWEST_PART = 0.05;
+
+/** Knows which prompts of a service are short ones. */
+export interface PromptTimes {
+  /** Takes the time in which a target reads a prompt that is sent. */
+  readonly note: (service: ServiceName, promptTime: Milliseconds) => void;
+  /** Whether a prompt is no longer than the mean of those sent lately. */
+  readonly isShort: (service: ServiceName, promptTime: Milliseconds) => boolean;
+}
+
+/** Creates the memory of prompts. */
+export function createPromptTimes(): PromptTimes {
+  const means = new Map<ServiceName, Milliseconds>();
+
+  return {
+    note: (service, promptTime) => {
+      const mean = means.get(service) ?? promptTime;
+      means.set(service, mean + (promptTime - mean) * NEWEST_PART);
+    },
+    isShort: (service, promptTime) =>
+      promptTime <= (means.get(service) ?? Infinity),
+  };
+}
--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -3,6 +3,7 @@
 import {areNowhere} from '../routes';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
+import {createPromptTimes} from './prompt_times';
 import {costOf} from './target_cost';
 import {
   fits,
@@ -45,16 +46,17 @@
 
 /**
  * Creates the book of an entry. Nothing is chosen while `isListUsable` says that
- * what the entry goes by is too old, nor any target to which `maySend` allows no
- * more, nor any that `rules` exclude.
+ * what the entry goes by is too old, nor what `maySend` or `placeRules` exclude.
  */
 export function createTargetBook(
   self: SendingEntry,
   isListUsable: () => boolean = () => true,
   maySend: PacedSends['maySend'] = () => true,
-  rules: PlaceRules = NO_PLACE_RULES,
+  placeRules: Partial<PlaceRules> = {},
 ): TargetBook {
   const {zone} = self;
+  const rules = {...NO_PLACE_RULES, ...placeRules};
+  const prompts = createPromptTimes();
   let senders: readonly SendingEntry[] = [self];
   const places = new Map<ZoneName, SharePlace>();
   let entries = new Map<string, TargetEntry>();
@@ -165,6 +167,7 @@
   ): RequestInHand {
     const entry = entries.get(target.instance);
     if (entry === undefined) return NOT_IN_HAND;
+    prompts.note(target.service, promptTime);
     let unread = promptTime;
     const begun = (): void => {
       entry.unreadPrompts -= unread;
@@ -267,7 +270,7 @@
     const allowed = withRoom.filter(({target}) => maySend(target, need.now));
     let best: TargetEntry | undefined;
     let bestCost = Infinity;
-    for (const entry of allowed) {
+    for (const entry of forPrompt(allowed, need)) {
       const cost = costOf(entry, need, zone);
       if (cost >= bestCost) continue;
       best = entry;
@@ -277,6 +280,16 @@
     return {kind: 'chosen', target: best.target};
   }
 
+  /** Cold targets bear little, so they are left to requests with short prompts. */
+  function forPrompt(
+    allowed: readonly TargetEntry[],
+    {service, promptTime, now}: PlaceNeed,
+  ): readonly TargetEntry[] {
+    if (prompts.isShort(service, promptTime)) return allowed;
+    const warm = allowed.filter(({target}) => !rules.isCold(target, now));
+    return warm.length > 0 ? warm : allowed;
+  }
+
   function createEntry(target: ListedTarget): TargetEntry {
     const reported = reports.get(target.address);
     const isOfFormerLife = reported && isFormerLife(reported.load, target);
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -43,12 +43,15 @@
   readonly isEvacuated: (zone: ZoneName) => boolean;
   /** Undefined if the zone's region is not known. */
   readonly regionOf: (zone: ZoneName) => RegionName | undefined;
+  /** Whether the target bears little right after its start. */
+  readonly isCold: (target: ListedTarget, now: MonotonicInstant) => boolean;
 }
 
 /** The rules where the operator says nothing. */
 export const NO_PLACE_RULES: PlaceRules = {
   isEvacuated: () => false,
   regionOf: () => undefined,
+  isCold: () => false,
 };
 
 /** Whether a target is one of those among which a request may be served. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,6 +39,7 @@
 import {startMachineClock} from '../runtime/clock';
 import type {FleetEntrySettings} from '../settings';
 import {createCallerFace} from './caller_face';
+import {createColdWatch} from './cold_watch';
 import {createEntryCircle} from './entry_circle';
 import {createEntryQuarantine} from './entry_quarantine';
 import {createEngineReportStreams} from './engine_report_stream';
@@ -111,6 +112,15 @@
   };
 }
 
+/** The smaller of two limits, of which either may be missing. */
+function smaller(
+  one: number | undefined,
+  other: number | undefined,
+): number | undefined {
+  if (one === undefined || other === undefined) return one ?? other;
+  return Math.min(one, other);
+}
+
 /** Starts an entry; resolves once it listens. */
 export async function startFleetEntry(
   settings: FleetEntrySettings,
@@ -154,9 +164,15 @@
     log: logs('routing'),
     onChange: () => circle.offerRecords(),
   });
+  const cold = createColdWatch({
+    clock,
+    log: logs('routing'),
+    metrics,
+    table: () => operator.table(),
+  });
   const paced = createPacedSends({
     self: {instance: settings.instance, zone: settings.zone},
-    rateOf: limits.rateOf,
+    rateOf: life => smaller(limits.rateOf(life), cold.rateOf(life)),
     knownPart: () =>
       members.isKnown() ? (circle.usable().length + 1) / circle.size() : 0,
   });
@@ -179,7 +195,11 @@
     {instance: settings.instance, zone: settings.zone},
     arePlacesKnown,
     paced.maySend,
-    {isEvacuated: evacuations.isEvacuated, regionOf: regions.regionOf},
+    {
+      isEvacuated: evacuations.isEvacuated,
+      regionOf: regions.regionOf,
+      isCold: cold.isCold,
+    },
   );
   const places = createPlaceQueue(book, clock, paced.noteSend);
   const handover = createStreamHandover({book, clock});
@@ -319,7 +339,9 @@
   function takeReports(reports: readonly EngineReport[]): void {
     for (const report of reports) {
       namings.take(report.namings);
-      book.report(toEngineLoad(report), clock());
+      const load = toEngineLoad(report);
+      cold.report(load);
+      book.report(load, clock());
     }
     places.pump();
     handover.look();
@@ -342,6 +364,7 @@
       log: logs('routing'),
       draining: bounds.draining,
       heartbeat: settings.store.heartbeat,
+      onTargets: cold.list,
       onChange: places.pump,
       isConfigured: service => {
         const table = operator.table();
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -1,4 +1,4 @@
-import type {EvacuatedZone} from '@hibiscusbeam/core';
+import type {ColdTarget, EvacuatedZone} from '@hibiscusbeam/core';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the duration histogram, in milliseconds. */
@@ -33,6 +33,8 @@
   readonly countBackoffAnswer: (service: string) => void;
   /** Replaces the zones that are evacuated. */
   readonly setEvacuatedZones: (zones: readonly EvacuatedZone[]) => void;
+  /** Replaces the targets that are cold. */
+  readonly setColdTargets: (targets: readonly ColdTarget[]) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -103,6 +105,12 @@
     labelNames: ['zone'],
     registers: [registry],
   });
+  const coldTargets = new Gauge({
+    name: 'hibiscusbeam_cold_targets',
+    help: 'Targets that are cold after a start, by service.',
+    labelNames: ['service'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -121,6 +129,10 @@
         evacuatedZones.set({zone}, revision);
       }
     },
+    setColdTargets: targets => {
+      coldTargets.reset();
+      for (const {service} of targets) coldTargets.inc({service});
+    },
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -87,6 +87,8 @@
   readonly log: Log;
   readonly draining: Milliseconds;
   readonly heartbeat: Milliseconds;
+  /** Told of the targets to go by, before the book is. */
+  readonly onTargets: (targets: readonly ListedTarget[]) => void;
   readonly onChange: () => void;
   /** Whether a service is configured; undefined before any configuration. */
   readonly isConfigured: (service: ServiceName) => boolean | undefined;
@@ -187,6 +189,7 @@
     listedAt = Math.max(listedAt ?? provenAt, provenAt);
     options.onListing(listing);
     const targets = memory.take(listing.targets, clock());
+    options.onTargets(targets);
     book.list(targets, clock());
     logChanges(targets);
     options.onChange();
--- a/test/fleet/fleet_metrics.test.ts
+++ b/test/fleet/fleet_metrics.test.ts
@@ -73,3 +73,14 @@
     'hibiscusbeam_evacuated_zone_revision{zone="west"} 9',
   ]);
 });
+
+test('shows how many targets are cold, by service', async () => {
+  const metrics = createFleetMetrics();
+  const cold = {service: 'engines', until: 1};
+  metrics.setColdTargets([
+    {...cold, instance: 'one'},
+    {...cold, instance: 'two'},
+  ]);
+  const lines = (await metrics.text()).split('\n');
+  expect(lines).toContain('hibiscusbeam_cold_targets{service="engines"} 2');
+});
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -101,6 +101,7 @@
       log,
       draining: DRAINING,
       heartbeat: 1_200,
+      onTargets: () => undefined,
       onChange: () => undefined,
       isConfigured: () => true,
     },
--- a/test/placement/evacuated_zones.test.ts
+++ b/test/placement/evacuated_zones.test.ts
@@ -14,7 +14,7 @@
     {instance: 'entry', zone: 'north'},
     () => true,
     () => true,
-    {isEvacuated: zone => zones.has(zone), regionOf: () => undefined},
+    {isEvacuated: zone => zones.has(zone)},
   );
   const north = plainTarget('north-1');
   const south = plainTarget('south-1', {zone: 'south'});
