Let two tests of residency fail without their guards

Both passed with the guard taken out of the source: a request whose set of regions is empty is refused at once by the target book too, and the request that was to wait came after the new configuration. The first test now looks for the line of a request that was not forwarded, the second lets the request reach the entry first.

--- a/test/fleet/residency.test.ts
+++ b/test/fleet/residency.test.ts
@@ -73,6 +73,12 @@
   });
   expect(text).toBe('noAllowedRegion\n');
   expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+  const refused = site.lines.filter(
+    ({sentence, fields}) =>
+      sentence === 'answered here' &&
+      JSON.stringify(fields).includes('noAllowedRegion'),
+  );
+  expect(refused.length).toBeGreaterThan(0);
   const warnings = site.lines.filter(({sentence}) =>
     sentence.startsWith('no region is allowed'),
   );
@@ -97,6 +103,8 @@
   const waiting = send(address, '/bound/a', {
     'x-hibiscusbeam-deadline-ms': '3000',
   });
+  // Time in which it reaches the entry; it waits there for longer.
+  await new Promise(resolve => setTimeout(resolve, 100));
   bindTo(['north']);
   expect((await waiting).status).toBe(200);
   expect(north.runs.length).toBeGreaterThan(before);
