Test evacuations beside a broken stream and a restored store

A stream that breaks elsewhere must not go on in the evacuated zone, and an evacuation that a restore of the store has lost is over: the newest reading counts. Both pass on the code as it is.

--- a/test/fleet/evacuation.test.ts
+++ b/test/fleet/evacuation.test.ts
@@ -92,3 +92,28 @@
   const {status, text} = await quick.ask('quick');
   expect({status, text}).toEqual({status: 503, text: 'targetsEvacuated'});
 });
+
+test('a stream that breaks elsewhere does not go on in the zone', async () => {
+  const north = await startStreams();
+  const south = await quick.startTarget('engine-2', {
+    ...AS_ENGINE,
+    Zone: 'south',
+  });
+  evacuate('north');
+  await eventually(() => logged('zone evacuated').length > 0);
+  await eventually(async () => (await quick.ask('going')).status === 200);
+  const before = north.runs.length;
+  south.setFault({kind: 'cutStream', after: 1});
+  expect((await quick.ask('going')).text).not.toContain('token 3');
+  expect(south.runs.length).toBeGreaterThan(0);
+  expect(north.runs.length).toBe(before);
+});
+
+test('an evacuation that a restore of the store takes back is over', async () => {
+  await startStreams();
+  const copy = quick.site.store.copy();
+  evacuate('north');
+  await eventually(() => logged('zone evacuated').length > 0);
+  quick.site.store.restore(copy);
+  await eventually(() => logged('no longer evacuated').length > 0);
+});
