Play evacuations and zones that return cold in the soak

Engines stand in three zones; evacuations overlap, end and begin again, and whole zones are replaced by cold engines, beside kills, stops and freezes of entries and limits of targets. Faults of the store are left out of this set: nothing can be written while it is away. Two oracles: no request reaches a zone later than the bound (3 s here) after its row was written, also by entries that were frozen, and no cold target gets more than 1.5 x rate + 5 in any second, from whichever entries.

--- a/test/soak/oracles.ts
+++ b/test/soak/oracles.ts
@@ -64,12 +64,33 @@
   readonly isServed: boolean;
 }
 
+/** A span in which the operator's table had the row of an evacuation. */
+export interface EvacuationSpan {
+  readonly zone: string;
+  readonly from: number;
+  readonly until: number;
+}
+
+/** A target that said it was cold when it was listed first. */
+export interface ColdSpan {
+  readonly engine: HostEngine;
+  readonly from: number;
+  readonly until: number;
+}
+
 /** What a soak has recorded. */
 export interface SoakRecords {
   readonly callers: readonly CallerRecord[];
   readonly engines: readonly HostEngine[];
   readonly limits: readonly LimitSpan[];
   readonly routes: readonly RouteSpan[];
+  readonly evacuations: readonly EvacuationSpan[];
+  /** Bound of evacuations, in milliseconds. */
+  readonly evacuationBound: number;
+  readonly zoneOf: (engine: HostEngine) => string | undefined;
+  readonly coldSpans: readonly ColdSpan[];
+  /** Requests a second that a cold target takes from all entries together. */
+  readonly coldRate: number;
   /** Whether the store neither began nor ended to misbehave in a span. */
   readonly isStoreStable: (from: number, until: number) => boolean;
   /** Body of the request under which targets end. */
@@ -92,6 +113,8 @@
     ...exceededLimits(records),
     ...sendsToLeaving(records),
     ...sendsWhileBackingOff(records),
+    ...sendsToEvacuated(records),
+    ...exceededColdRates(records),
     ...olderConfigurations(records),
     ...outdatedReadings(records),
     ...unanswered(records),
@@ -217,6 +240,37 @@
   );
 }
 
+/** Requests that reach an evacuated zone, also by entries that were frozen. */
+function sendsToEvacuated(records: SoakRecords): readonly string[] {
+  const {evacuations, evacuationBound, engines, zoneOf} = records;
+  return evacuations.flatMap(({zone, from, until}) =>
+    engines
+      .filter(engine => zoneOf(engine) === zone)
+      .flatMap(({instance, arrivals}) =>
+        arrivals
+          .filter(({at}) => at >= from + evacuationBound && at < until)
+          .map(({requestId}) => `${requestId} sent to ${instance}, evacuated`),
+      ),
+  );
+}
+
+function exceededColdRates({
+  coldSpans,
+  coldRate,
+}: SoakRecords): readonly string[] {
+  const most = 1.5 * coldRate + 5;
+  return coldSpans.flatMap(({engine, from, until}) => {
+    const times = engine.arrivals
+      .map(({at}) => at)
+      .filter(at => at >= from && at < until);
+    return times.flatMap(first => {
+      const count = times.filter(at => at >= first && at < first + SECOND);
+      if (count.length <= most) return [];
+      return [`${engine.instance}, cold, got ${count.length} in a second`];
+    });
+  });
+}
+
 /** Answers by a configuration that had been replaced longer ago than its bound. */
 function olderConfigurations(records: SoakRecords): readonly string[] {
   const {callers, routes, isCalm, isStoreStable} = records;
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -28,6 +28,18 @@
   /** The store is copied; a restore brings that copy back. */
   | {readonly kind: 'copy'}
   | {readonly kind: 'restore'}
+  /** The operator wants a zone evacuated, or takes that back. */
+  | {
+      readonly kind: 'evacuate';
+      readonly zone: string;
+      readonly isEvacuated: boolean;
+    }
+  /** All engines of a zone are replaced by ones that are cold. */
+  | {
+      readonly kind: 'coldReturn';
+      readonly zone: string;
+      readonly duration: number;
+    }
   /** The operator adds a route, or takes it away. */
   | {readonly kind: 'route'; readonly isServed: boolean};
 
@@ -75,6 +87,16 @@
 const LEAST_CALM = 4_000;
 const CALM_SPREAD = 2_000;
 
+/** Zones of the engines, in turn. */
+export const ENGINE_ZONES: readonly string[] = ['north', 'south', 'west'];
+
+const FIRST_EVACUATION = 1_000;
+const LEAST_EVACUATED = 4_000;
+const EVACUATED_SPREAD = 2_500;
+const LEAST_BETWEEN = 2_500;
+const BETWEEN_SPREAD = 2_000;
+const COLD_FOR = 3_000;
+
 const STORE_FAULTS: readonly StoreFault[] = [
   'busy',
   'silent',
@@ -221,6 +243,32 @@
   return planned;
 }
 
+/** Plans evacuations that overlap, and zones that return cold after some. */
+export function planEvacuations(
+  seed: number,
+  {duration}: SoakSize,
+): readonly PlannedTrouble[] {
+  const random = createRandom(`${seed} evacuations`);
+  const planned: PlannedTrouble[] = [];
+  let turn = random(ENGINE_ZONES.length);
+  for (
+    let at = FIRST_EVACUATION;
+    at < duration - LEAST_EVACUATED;
+    at += LEAST_BETWEEN + random(BETWEEN_SPREAD)
+  ) {
+    turn += 1;
+    const zone = ENGINE_ZONES[turn % ENGINE_ZONES.length] ?? 'north';
+    const lasting = LEAST_EVACUATED + random(EVACUATED_SPREAD);
+    const until = Math.min(duration, at + lasting);
+    const evacuate = {kind: 'evacuate', zone} as const;
+    planned.push({at, trouble: {...evacuate, isEvacuated: true}});
+    planned.push({at: until, trouble: {...evacuate, isEvacuated: false}});
+    const cold = {kind: 'coldReturn', zone, duration: COLD_FOR} as const;
+    if (random(2) === 0) planned.push({at: until, trouble: cold});
+  }
+  return planned;
+}
+
 /** Whole numbers from 0 to below a bound, the same for a seed. */
 function createRandom(seed: number | string): (bound: number) => number {
   let drawn = 0;
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -47,6 +47,13 @@
   },
 );
 
+test.each(SEEDS)(
+  'seed %i breaks no promise while zones are evacuated and return cold',
+  async seed => {
+    await expectKeptPromises(seed, 'evacuations');
+  },
+);
+
 test.each(SEEDS)(
   'seed %i breaks no promise when all entries lose power after a configuration',
   async seed => {
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -13,11 +13,15 @@
 import {
   brokenPromises,
   type CallerRecord,
+  type ColdSpan,
+  type EvacuationSpan,
   type LimitSpan,
   type RouteSpan,
   type SoakRecords,
 } from './oracles';
 import {
+  ENGINE_ZONES,
+  planEvacuations,
   planPowerLosses,
   planRestores,
   planSilences,
@@ -39,6 +43,12 @@
 const LAST_CALM = 6_000;
 const RESTART_PAUSE = 300;
 
+/** Period in which a cold engine says how long it stays so. */
+const COLD_HEARTBEAT = 1_200;
+const COLD_RATE = 2;
+
+const EVACUATION_BOUND = 3_000;
+
 /** Share of the grace period after which a stopping entry takes no more. */
 const CLOSING_SHARE = 0.45;
 
@@ -55,6 +65,27 @@
   repeats: {share: 0.2, slack: 104, window: 10_000},
 };
 
+/** Time from an engine's leaving to its end; what it runs ends meanwhile. */
+const LEAVING_FOR = 1_000;
+
+const COLD_START = {ColdStartS: 3, ColdPerS: COLD_RATE};
+
+const COLD_SERVICES = [
+  {Name: 'plain', ...COLD_START},
+  {
+    Name: 'engines',
+    ...COLD_START,
+    Engine: {
+      Slots: 4,
+      Models: [{Name: 'model', WarmS: 0.1}],
+      step_ms: 1,
+      layers: 2,
+      Chunks: 6,
+      ChunkBytes: 1,
+    },
+  },
+];
+
 /** Name of the route that comes and goes. */
 const ADDED = 'added';
 
@@ -99,6 +130,8 @@
   | 'restores'
   /** Also sound targets that fall silent and go on. */
   | 'silences'
+  /** Also evacuated zones, and zones that return cold. */
+  | 'evacuations'
   /** Losses of power in place of others, right after configurations. */
   | 'powerLosses';
 
@@ -114,7 +147,9 @@
   /** Other faults of the store would leave few seconds to judge a restore by. */
   function keeps({trouble}: PlannedTrouble): boolean {
     if (troubles === 'powerLosses') return false;
-    return troubles !== 'restores' || trouble.kind !== 'store';
+    // Nothing can be written while the store is away, nor an evacuation.
+    const hasOwnFaults = troubles === 'restores' || troubles === 'evacuations';
+    return !hasOwnFaults || trouble.kind !== 'store';
   }
 }
 
@@ -137,6 +172,8 @@
       return planRestores(seed, size);
     case 'silences':
       return planSilences(seed, size);
+    case 'evacuations':
+      return planEvacuations(seed, size);
     case 'powerLosses':
       return planPowerLosses(seed, size);
   }
@@ -161,6 +198,10 @@
   /** Spans in which an entry that is to stop answers "not run", or is gone. */
   const closings: Disturbance[] = [];
   const routes: RouteSpan[] = [];
+  const evacuations: EvacuationSpan[] = [];
+  const openEvacuations = new Map<string, number>();
+  const coldSpans: ColdSpan[] = [];
+  const zones = new Map<HostEngine, string>();
   /** When the store began or ended to misbehave. */
   const storeFaults: number[] = [];
   let copy: StoreCopy | undefined;
@@ -168,7 +209,7 @@
   let enginesEnded = 0;
   let isOver = false;
 
-  async function startEngine(place: number): Promise<void> {
+  async function startEngine(place: number, coldFor = 0): Promise<void> {
     if (isOver) return;
     const isModel = place % 2 === 1;
     const instance = `engine-${place}-${engines.length}`;
@@ -180,6 +221,11 @@
     engine.setFault({kind: 'crashes', under: CRASHING});
     engines.push(engine);
     running[place] = engine;
+    zones.set(engine, zoneAt(place));
+    if (coldFor > 0) {
+      const from = performance.now();
+      coldSpans.push({engine, from, until: from + coldFor});
+    }
     register(engine, place);
   }
 
@@ -188,7 +234,40 @@
       Service: 'engines',
       Models: [{Name: 'model', Version: 1, Adapters: []}],
     };
-    site.register(engine, place % 2 === 1 ? models : {});
+    const cold = coldSpans.find(span => span.engine === engine);
+    site.register(engine, {
+      ...(place % 2 === 1 && models),
+      Zone: zoneAt(place),
+      ColdRemainingMs: Math.max(0, (cold?.until ?? 0) - performance.now()),
+    });
+  }
+
+  function zoneAt(place: number): string {
+    const turn = Math.floor(place / 2) % ENGINE_ZONES.length;
+    const zone = ENGINE_ZONES[turn] ?? 'north';
+    return troubles === 'evacuations' ? zone : 'north';
+  }
+
+  /** Engines that were cold write their lines again with what is left of it. */
+  function renewCold(): void {
+    const cold = new Set(coldSpans.map(({engine}) => engine));
+    for (const [place, engine] of running.entries()) {
+      if (cold.has(engine)) register(engine, place);
+    }
+  }
+
+  function evacuate(zone: string, isEvacuated: boolean): void {
+    endEvacuation(zone);
+    if (!isEvacuated) return site.store.remove('op', `evacuate/${zone}`);
+    site.store.write('op', `evacuate/${zone}`, {});
+    openEvacuations.set(zone, performance.now());
+  }
+
+  function endEvacuation(zone: string): void {
+    const from = openEvacuations.get(zone);
+    openEvacuations.delete(zone);
+    if (from === undefined) return;
+    evacuations.push({zone, from, until: performance.now()});
   }
 
   async function replaceEngine(ended: HostEngine, place: number) {
@@ -201,7 +280,10 @@
 
   function configure(): void {
     routes.push({at: performance.now(), isServed: isRouteServed});
-    site.configure({}, isRouteServed ? [ADDED_ROUTE] : []);
+    site.configure(
+      troubles === 'evacuations' ? {Services: COLD_SERVICES} : {},
+      isRouteServed ? [ADDED_ROUTE] : [],
+    );
   }
 
   /** Writes what no entry reads, so that the store's versions grow. */
@@ -222,17 +304,17 @@
           site.store.remove('servers', engine.instance);
         }
       }
-      running.forEach(register);
+      running.forEach((engine, place) => register(engine, place));
       configure();
     }, WRITTEN_AGAIN).unref();
   }
 
-  async function endEngine(place: number): Promise<void> {
+  async function endEngine(place: number, coldFor = 0): Promise<void> {
     const engine = running[place];
     if (engine === undefined) return;
     site.store.remove('servers', engine.instance);
     endLimit(engine);
-    await startEngine(place);
+    await startEngine(place, coldFor);
     await engine.close();
   }
 
@@ -259,7 +341,10 @@
         readinessAddress: await freeAddress(),
         directoryAddress: await freeAddress(),
         store: {address: site.store.address, heartbeat: 1_200},
-        bounds: BOUNDS,
+        bounds:
+          troubles === 'evacuations'
+            ? {...BOUNDS, evacuation: EVACUATION_BOUND}
+            : BOUNDS,
       },
     });
   }
@@ -292,6 +377,18 @@
       }
       case 'silence':
         return running[trouble.engine]?.fallSilent(trouble.duration);
+      case 'evacuate':
+        return evacuate(trouble.zone, trouble.isEvacuated);
+      case 'coldReturn':
+        for (const place of places) {
+          if (zoneAt(place) !== trouble.zone) continue;
+          running[place]?.setLeaving(true);
+          setTimeout(
+            () => void endEngine(place, trouble.duration),
+            LEAVING_FOR,
+          ).unref();
+        }
+        return;
       case 'leave':
         return running[trouble.engine]?.setLeaving(true);
       case 'end':
@@ -331,8 +428,8 @@
   }
 
   const places = Array.from({length: size.engines}, (_, place) => place);
-  await Promise.all(places.map(startEngine));
-  site.configure();
+  await Promise.all(places.map(place => startEngine(place)));
+  configure();
   const entries = await Promise.all(
     Array.from({length: size.entries}, (_, index) => startEntry(index)),
   );
@@ -341,6 +438,7 @@
     return ready.every(isUp => isUp);
   });
   const heartbeats = setInterval(writeOthers, HEARTBEAT);
+  const coldHeartbeats = setInterval(renewCold, COLD_HEARTBEAT);
   const startedAt = performance.now();
   const planned = planOf(seed, size, troubles);
   const end = startedAt + size.duration + LAST_CALM;
@@ -365,12 +463,19 @@
   await Promise.all(sending);
   isOver = true;
   clearInterval(heartbeats);
+  clearInterval(coldHeartbeats);
+  for (const zone of [...openEvacuations.keys()]) endEvacuation(zone);
   for (const engine of [...openLimits.keys()]) endLimit(engine);
   const records: SoakRecords = {
     callers,
     engines,
     limits,
     routes,
+    evacuations,
+    evacuationBound: EVACUATION_BOUND,
+    zoneOf: engine => zones.get(engine),
+    coldSpans,
+    coldRate: COLD_RATE,
     isStoreStable: (from, until) =>
       storeFaults.every(at => at < from || at > until),
     crashing: CRASHING,
