--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -5,6 +5,7 @@
 import {moveTurn, NO_TURN, turnAt} from './engine_turns';
 import {createLifeMemory} from './life_memory';
 import type {PacedSends} from './paced_sends';
+import {createPromptTimes} from './prompt_times';
 import {capacityOf} from './service_capacity';
 import {chooseBest, forecastAt} from './target_choice';
 import {
@@ -50,16 +51,17 @@
 
 /**
  * Creates the book of an entry. Nothing is chosen while `isListUsable` says that
- * what the entry goes by is too old, nor any target to which `maySend` allows no
- * more, nor any that `rules` exclude.
+ * what the entry goes by is too old, nor what `maySend` or `placeRules` exclude.
  */
 export function createTargetBook(
   self: SendingEntry,
   isListUsable: () => boolean = () => true,
   maySend: PacedSends['maySend'] = () => true,
-  rules: PlaceRules = NO_PLACE_RULES,
+  placeRules: Partial<PlaceRules> = {},
 ): TargetBook {
   const {zone} = self;
+  const rules = {...NO_PLACE_RULES, ...placeRules};
+  const prompts = createPromptTimes();
   let senders: readonly SendingEntry[] = [self];
   const places = new Map<ZoneName, SharePlace>();
   let entries = new Map<string, TargetEntry>();
@@ -159,6 +161,7 @@
     if (entry === undefined) return NOT_IN_HAND;
     const {promptTime, onLifeEnded} = sent;
     const freeMemory = memory.begin(entry, sent.memory, sent.at ?? 0);
+    prompts.note(target.service, promptTime);
     let unread = promptTime;
     const begun = (): void => {
       entry.unreadPrompts -= unread;
@@ -273,11 +276,26 @@
     const open = (calm.length > 0 ? calm : usable).filter(
       entry => hasFreePlace(entry, need.now) && maySend(entry.target, need.now),
     );
-    const best = chooseBest({dealt: allowed, open, peers: usable}, need, zone);
+    const choices = {
+      dealt: forPrompt(allowed, need),
+      open: forPrompt(open, need),
+      peers: usable,
+    };
+    const best = chooseBest(choices, need, zone);
     if (best === undefined) return {kind: 'full'};
     return {kind: 'chosen', target: best.target};
   }
 
+  /** Cold targets bear little, so they are left to requests with short prompts. */
+  function forPrompt(
+    allowed: readonly TargetEntry[],
+    {service, promptTime, now}: PlaceNeed,
+  ): readonly TargetEntry[] {
+    if (prompts.isShort(service, promptTime)) return allowed;
+    const warm = allowed.filter(({target}) => !rules.isCold(target, now));
+    return warm.length > 0 ? warm : allowed;
+  }
+
   function createEntry(target: ListedTarget): TargetEntry {
     const reported = reports.get(target.address);
     const isOfFormerLife = reported && isFormerLife(reported.load, target);
