Look at an idle engine each 250 ms

Cause: looks at the own engine, each 100 ms, are most of what an idle agent does: of its JavaScript on loopback, 47% are HTTP calls, three setImmediate a call.

While the engine runs nothing, serves the newest version that is known of and no load is due, the agent looks each 250 ms; at once when a version is named. While a version is on its way all is as before. An entry that begins a request on an idle engine knows of it itself; the others hear of it up to 150 ms later, and turns at free slots bound what they add meanwhile.

bench:control gets an origin of weights, without which an agent always has a version to fetch.

--- a/bench/control/main.ts
+++ b/bench/control/main.ts
@@ -5,6 +5,7 @@
 import {freePorts} from '../../demo/site/processes';
 import {
   startHostEngine,
+  startHostOrigin,
   type HostEngine,
 } from '../../test/fleet/fixtures/host_engine';
 import {isReady, send} from '../../test/fleet/fixtures/host_caller';
@@ -44,7 +45,7 @@
   repeats: {share: 0.2, slack: 104, window: 10_000},
 };
 
-const CONFIGURATION = {
+const configurationWith = (origin: string, chunkSize: number) => ({
   Version: 1,
   Routes: [
     {
@@ -70,12 +71,13 @@
         step_ms: 9,
         layers: 2,
         Chunks: 1,
-        ChunkBytes: 1,
+        ChunkBytes: chunkSize,
       },
     },
+    {Name: 'origin', Origin: origin, LinkMbps: 100},
   ],
   Tenants: [{Name: 'shop', ApiKeys: [KEY], Priority: 1}],
-};
+});
 
 function pause(seconds: number): Promise<void> {
   return new Promise(done => setTimeout(done, seconds * 1_000));
@@ -186,7 +188,9 @@
 
 async function main(): Promise<void> {
   const store = await startHostStore();
-  store.write('op', 'config', CONFIGURATION);
+  const origin = await startHostOrigin(1, () => 1);
+  const configuration = configurationWith(origin.address, origin.chunkSize);
+  store.write('op', 'config', configuration);
   const count = Number(values.zones) * Number(values.inZone);
   const engines = await Promise.all(
     Array.from({length: count}, (_, index) =>
--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -1,4 +1,9 @@
-import {AGENT_TRANSFERS, createNamedVersions, hash32} from '@hibiscusbeam/core';
+import {
+  AGENT_TRANSFERS,
+  createNamedVersions,
+  hash32,
+  type NamedVersions,
+} from '@hibiscusbeam/core';
 import {
   answerFetchChunk,
   createSwarmDriver,
@@ -51,7 +56,15 @@
     address: settings.peerAddress,
     life: `${settings.instance}-${randomUUID()}`,
   };
-  const versions = createNamedVersions(settings.bounds.version);
+  const named = createNamedVersions(settings.bounds.version);
+  const versions: NamedVersions = {
+    ...named,
+    name: (...naming) => {
+      const isNew = named.name(...naming);
+      if (isNew) keeper.lookNow();
+      return isNew;
+    },
+  };
   const configurationLog = logs('configuration');
   const namings = createNamingExchange(
     versions,
--- a/packages/fleet/src/agent/engine_keeper.ts
+++ b/packages/fleet/src/agent/engine_keeper.ts
@@ -13,7 +13,6 @@
 } from '@hibiscusbeam/core';
 import {
   digestText,
-  sleep,
   type Clock,
   type Log,
   type SwarmDriver,
@@ -24,6 +23,7 @@
   VersionContent,
   VersionOrigin,
 } from '../ports';
+import {createWakeablePause} from '../link/wakeable_pause';
 import {createContentReader} from './content_reader';
 import {createEngineOrders} from './engine_orders';
 import type {OperatorWatch} from './operator_watch';
@@ -35,9 +35,15 @@
 } from './wanted_version';
 import {canBeKept, type StagedChunks} from './staged_chunks';
 
-/** Period of looks at the own engine; they are free on its own machine. */
+/** Period of looks at the own engine while it runs something or a load is due. */
 const LOOK_PERIOD: Milliseconds = 100;
 
+/**
+ * The same while nothing runs and nothing is due. Looks are most of what an idle
+ * agent does; entries that send know of their own requests by themselves.
+ */
+const IDLE_LOOK_PERIOD: Milliseconds = 250;
+
 /** Longest wait for the engine's word. */
 const LOOK_TIMEOUT: Milliseconds = 500;
 
@@ -75,6 +81,8 @@
 /** Keeps an engine at the newest version. */
 export interface EngineKeeper {
   readonly start: (signal: AbortSignal) => void;
+  /** Looks at the engine at once, since a version was named. */
+  readonly lookNow: () => void;
   /** The versions that are being fetched or are there. */
   readonly fetching: () => readonly FetchedVersion[];
   /** Whether transfers may take the whole link of the machine. */
@@ -99,6 +107,7 @@
   let isReachable = true;
   /** Since when the entries know of a load that is due; undefined if none is. */
   let closedAt: MonotonicInstant | undefined;
+  const pause = createWakeablePause();
 
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -110,10 +119,19 @@
       else logUnreachable(standing.val);
       fetchNewest();
       if (standing.ok) loadIfDue(standing.val);
-      await sleep(LOOK_PERIOD, signal);
+      const isCalm = standing.ok && isIdle(standing.val) && isNothingDue();
+      await pause.sleep(isCalm ? IDLE_LOOK_PERIOD : LOOK_PERIOD, signal);
     }
   }
 
+  /** Whether the engine serves the newest version that is known of. */
+  function isNothingDue(): boolean {
+    const model = findWantedModel(operator.services(), options.service);
+    if (model === undefined || plan.inHand() === undefined) return false;
+    const wanted = options.versions.newest(model.name) ?? 0;
+    return plan.isServed() && plan.newest() >= wanted && closedAt === undefined;
+  }
+
   function take(standing: EngineStanding): void {
     noteLife(standing);
     isServing = standing.held.length > 0;
@@ -312,7 +330,12 @@
 
   return {
     start: signal => void run(signal),
+    lookNow: pause.wake,
     fetching: plan.wanted,
     needsWholeLink: () => !isServing || plan.isPressed(clock()),
   };
 }
+
+function isIdle({running, waiting, ordering}: EngineStanding): boolean {
+  return running === 0 && waiting === 0 && !ordering;
+}
--- /dev/null
+++ b/test/fleet/engine_keeper.test.ts
@@ -0,0 +1,130 @@
+import {
+  createNamedVersions,
+  type ServiceDescription,
+  type VersionDigest,
+} from '@hibiscusbeam/core';
+import type {Log, SwarmDriver} from '@hibiscusbeam/daemon';
+import {Ok} from 'ts-results';
+import {afterEach, beforeEach, expect, test, vi} from 'vitest';
+import {createEngineKeeper} from '../../packages/fleet/src/agent/engine_keeper';
+import type {StagedChunks} from '../../packages/fleet/src/agent/staged_chunks';
+import type {
+  EngineControl,
+  EngineStanding,
+  VersionOrigin,
+} from '../../packages/fleet/src/ports';
+
+const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+
+const SERVICES = [
+  {
+    kind: 'modelEngine',
+    name: 'engines',
+    weights: {models: ['model'], chunkSize: 1_024, chunks: 1},
+  },
+  {kind: 'weightOrigin', name: 'origin', address: 'origin:1'},
+] as unknown as readonly ServiceDescription[];
+
+let stopped: AbortController;
+
+beforeEach(() => {
+  stopped = new AbortController();
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  stopped.abort();
+  vi.useRealTimers();
+});
+
+/** A keeper of an engine that serves version 1 of its model. */
+async function startKeeper() {
+  let looks = 0;
+  let running = 0;
+  const versions = createNamedVersions(8_000);
+  versions.name('model', 1, 0);
+  const standing = (): EngineStanding => ({
+    held: [{model: 'model', version: 1}],
+    ordering: false,
+    running,
+    waiting: 0,
+    pace: 1,
+    memoryShare: undefined,
+    born: 1,
+  });
+  const keeper = createEngineKeeper({
+    service: 'engines',
+    engine: {
+      standing: () => {
+        looks += 1;
+        return Promise.resolve(Ok(standing()));
+      },
+    } as unknown as EngineControl,
+    origin: {
+      content: (_address, model, version) =>
+        Promise.resolve(
+          Ok({
+            model,
+            version: version ?? 1,
+            digests: [`sha256:${'0'.repeat(64)}`],
+          }),
+        ),
+    } as Partial<VersionOrigin> as VersionOrigin,
+    operator: {
+      services: () => SERVICES,
+      start: () => undefined,
+      noteEntry: () => undefined,
+    },
+    versions,
+    staged: {
+      aim: () => undefined,
+      prepare: () => undefined,
+      setReachable: () => undefined,
+    } as unknown as StagedChunks,
+    swarm: {
+      refreshHeld: () => Promise.resolve(),
+      want: () => undefined,
+      abandon: (_: VersionDigest) => undefined,
+      progress: () => [],
+      isWithinReach: () => false,
+    } as unknown as SwarmDriver,
+    self: {instance: 'agent', zone: 'north'},
+    members: () => [{instance: 'agent', zone: 'north'}],
+    areMembersKnown: () => true,
+    versionBound: 8_000,
+    clock: () => Date.now(),
+    log,
+    onStanding: () => undefined,
+  });
+  keeper.start(stopped.signal);
+  await vi.advanceTimersByTimeAsync(1_000);
+  return {
+    versions,
+    lookNow: keeper.lookNow,
+    setRunning: (next: number) => (running = next),
+    looksIn: async (time: number): Promise<number> => {
+      const before = looks;
+      await vi.advanceTimersByTimeAsync(time);
+      return looks - before;
+    },
+  };
+}
+
+test('an engine that is idle is looked at each 250 ms, a busy one each 100 ms', async () => {
+  const {looksIn, setRunning} = await startKeeper();
+  expect(await looksIn(2_000)).toBe(8);
+  setRunning(1);
+  await looksIn(250);
+  expect(await looksIn(2_000)).toBe(20);
+});
+
+// A version is named while the engine is idle. Its engine must be looked at at
+// once, and as often as before until it serves the version.
+test('an idle engine is looked at at once when a version is named', async () => {
+  const {versions, lookNow, looksIn} = await startKeeper();
+  await looksIn(10);
+  versions.name('model', 2, Date.now());
+  lookNow();
+  expect(await looksIn(0)).toBe(1);
+  expect(await looksIn(1_000)).toBe(10);
+});
