--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -1,4 +1,9 @@
-import {AGENT_TRANSFERS, createNamedVersions, hash32} from '@hibiscusbeam/core';
+import {
+  AGENT_TRANSFERS,
+  createNamedVersions,
+  hash32,
+  type NamedVersions,
+} from '@hibiscusbeam/core';
 import {
   answerFetchChunk,
   createSwarmDriver,
@@ -10,6 +15,7 @@
   type SwarmDriver,
 } from '@hibiscusbeam/daemon';
 import {randomUUID} from 'node:crypto';
+import {createFailurePause} from '../link/failure_pause';
 import {createMemberFollower} from '../link/member_follower';
 import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
@@ -50,7 +56,15 @@
     address: settings.peerAddress,
     life: `${settings.instance}-${randomUUID()}`,
   };
-  const versions = createNamedVersions(settings.bounds.version);
+  const named = createNamedVersions(settings.bounds.version);
+  const versions: NamedVersions = {
+    ...named,
+    name: (...naming) => {
+      const isNew = named.name(...naming);
+      if (isNew) keeper.lookNow();
+      return isNew;
+    },
+  };
   const configurationLog = logs('configuration');
   const namings = createNamingExchange(
     versions,
@@ -110,6 +124,7 @@
     table: ports.members,
     clock: monotonicClock,
     log: logs('membership'),
+    failurePause: createFailurePause(hash32(settings.instance) / 2 ** 32),
     onChange: others => {
       peers.setMembers(others);
       reports.setMembers(others);
