Order those that wait by attempts and workspaces under a level

Cause: of the admitted requests an entry placed the one of the highest priority with the least time left, so that a caller's later attempts and the largest workspace took the places that first attempts of others waited for.

Change, only with `admission: level`: on time first, then those whose time runs out, then priority, first attempts, workspaces by the place time used lately, time left. Engines are told the request's priority, 0 to 9.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -1,5 +1,6 @@
 import {
   createConfirmation,
+  createFairOrder,
   createNamedVersions,
   createPacedSends,
   createRateLimits,
@@ -162,7 +163,12 @@
     () => isReadable(readings.targets()),
     paced.maySend,
   );
-  const places = createPlaceQueue(book, clock, paced.noteSend);
+  const places = createPlaceQueue(
+    book,
+    clock,
+    paced.noteSend,
+    settings.admission === 'level' ? createFairOrder() : undefined,
+  );
   const admission =
     settings.admission === 'none'
       ? NO_ADMISSION
--- a/packages/fleet/src/entry/entry_admission.ts
+++ b/packages/fleet/src/entry/entry_admission.ts
@@ -3,6 +3,7 @@
   createLevelAdmission,
   createPlaceTimes,
   createSiteDemand,
+  exchangedPriority,
   type AdmissionLevel,
   type Milliseconds,
   type ServiceDemand,
@@ -13,6 +14,12 @@
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {AcceptedRequest} from './request_acceptance';
 
+/** The least urgent priority that engines know. */
+const LEAST_URGENT = 9;
+
+/** Time for which the sums by zone are kept before they are added up anew. */
+const SUMS_LIFE: Milliseconds = 50;
+
 /** Exchange of what callers ask for among the entries. */
 export interface DemandExchange {
   /** What the callers of this entry ask for. */
@@ -41,6 +48,8 @@
   readonly exchange: DemandExchange;
   /** Decides on a request that has not waited yet. */
   readonly arrive: (accepted: AcceptedRequest) => ArrivalDecision;
+  /** How long a request will probably hold its place. */
+  readonly placeTime: (accepted: AcceptedRequest) => Milliseconds;
   /** Notes how long a request has held its place. */
   readonly noteHeld: (accepted: AcceptedRequest, held: Milliseconds) => void;
 }
@@ -68,6 +77,7 @@
     noteZones: () => undefined,
   },
   arrive: () => ({kind: 'admitted', by: undefined}),
+  placeTime: () => 0,
   noteHeld: () => undefined,
 };
 
@@ -88,14 +98,29 @@
     entries,
   });
 
+  let sums: readonly ZoneDemand[] = [];
+  let summedAt = -Infinity;
+
+  /** One sum for all followers, which are told one after the other. */
+  function zones(): readonly ZoneDemand[] {
+    const now = clock();
+    if (now - summedAt < SUMS_LIFE) return sums;
+    summedAt = now;
+    sums = site.zones(now);
+    return sums;
+  }
+
+  function placeTime(accepted: AcceptedRequest): Milliseconds {
+    return placeTimes.placeTime(accepted.service, expectedTime(accepted));
+  }
+
   function arrive(accepted: AcceptedRequest): ArrivalDecision {
     const {service, header} = accepted;
-    const expected = expectedTime(accepted);
     const request = {
       service,
       priority: priorityOf(accepted),
       workspace: workspaceOf(accepted),
-      placeTime: placeTimes.placeTime(service, expected),
+      placeTime: placeTime(accepted),
     };
     const now = clock();
     meter.note(request, now);
@@ -120,12 +145,13 @@
     isByLevel: true,
     exchange: {
       own: () => own(clock()),
-      zones: () => site.zones(clock()),
+      zones,
       noteFollower: (instance, demands) =>
         site.noteFollower(instance, demands, clock()),
       noteZones: site.noteZones,
     },
     arrive,
+    placeTime,
     noteHeld: (accepted, held) => {
       const {service} = accepted;
       const now = clock();
@@ -150,6 +176,12 @@
   return ofWorkspace ?? route.priority;
 }
 
-function workspaceOf({access}: AcceptedRequest): string | undefined {
+/** The priority as engines are told it: 0 to 9. */
+export function toldPriority(accepted: AcceptedRequest): number {
+  return Math.min(LEAST_URGENT, exchangedPriority(priorityOf(accepted)));
+}
+
+/** The workspace of its caller; undefined for callers without a key. */
+export function workspaceOf({access}: AcceptedRequest): string | undefined {
   return access.kind === 'workspace' ? access.workspace.name : undefined;
 }
--- a/packages/fleet/src/entry/place_queue.ts
+++ b/packages/fleet/src/entry/place_queue.ts
@@ -9,6 +9,8 @@
   type ServiceName,
   type TargetBook,
   type TargetPlace,
+  type WaitingOrder,
+  type WaitingRequest,
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 
@@ -29,17 +31,11 @@
   | {readonly kind: 'abandoned'};
 
 /** A request that asks for a place. */
-export interface PlaceRequest {
+export interface PlaceRequest extends WaitingRequest {
   /** The need as of now; read anew at each look. */
   readonly need: () => PlaceNeed;
   /** Time in which a target reads its prompt. */
   readonly promptTime: Milliseconds;
-  /** Whether its caller already waits for the next event of a stream. */
-  readonly isResumed: boolean;
-  /** 0 goes first. */
-  readonly priority: number;
-  /** Until when a place still makes for an answer on time. */
-  readonly onTimeUntil: MonotonicInstant;
   /** Until when it may wait. */
   readonly waitUntil: MonotonicInstant;
   /** Aborts when the caller has gone. */
@@ -64,11 +60,18 @@
   readonly resolve: (outcome: PlaceOutcome) => void;
 }
 
+/** The order without admission by level. */
+const ORDER_BY_PRIORITY: WaitingOrder<PlaceRequest> = {
+  compare,
+  notePlaced: () => undefined,
+};
+
 /** Creates the queue over the places of `book`; `onPlaced` is told of each taken. */
 export function createPlaceQueue(
   book: TargetBook,
   clock: Clock,
   onPlaced: PacedSends['noteSend'] = () => undefined,
+  order: WaitingOrder<PlaceRequest> = ORDER_BY_PRIORITY,
 ): PlaceQueue {
   let waiters: Waiter[] = [];
   let timer: NodeJS.Timeout | undefined;
@@ -77,7 +80,9 @@
     if (waiters.length === 0) return;
     const now = clock();
     const left: Waiter[] = [];
-    waiters.sort((one, other) => compare(one.request, other.request, now));
+    waiters.sort((one, other) =>
+      order.compare(one.request, other.request, now),
+    );
     for (const waiter of waiters) {
       const outcome = attempt(waiter.request, now);
       if (outcome === undefined) left.push(waiter);
@@ -105,6 +110,7 @@
     if (choice.kind === 'chosen') {
       const {target} = choice;
       onPlaced(target, now);
+      order.notePlaced(request, now);
       const life = new AbortController();
       const inHand = book.begin(target, {
         promptTime: request.promptTime,
@@ -121,7 +127,7 @@
     const mustQueue = waiters.some(
       waiter =>
         waiter.request.need().service === service &&
-        compare(waiter.request, request, now) <= 0,
+        order.compare(waiter.request, request, now) <= 0,
     );
     const outcome = mustQueue ? undefined : attempt(request, now);
     if (outcome !== undefined) return Promise.resolve(outcome);
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -10,7 +10,7 @@
   type PlaceReply,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
-import {priorityOf} from './entry_admission';
+import {priorityOf, workspaceOf} from './entry_admission';
 import type {PlaceOutcome} from './place_queue';
 import {isKeyConfirmed} from './request_acceptance';
 import type {
@@ -143,6 +143,9 @@
       promptTime: run.promptTime,
       isResumed: progress.begun,
       priority: priorityOf(accepted),
+      isLaterAttempt: options.timeliness.isLaterAttempt(accepted),
+      workspace: workspaceOf(accepted),
+      placeTime: options.admission.placeTime(accepted),
       ...placeLimits(),
       signal: AbortSignal.any([signal, withdrawal.signal]),
     });
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -5,6 +5,7 @@
   MonotonicInstant,
   PlaceNeed,
 } from '@hibiscusbeam/core';
+import {toldPriority} from './entry_admission';
 import {attempt, type AttemptOptions, type WholeAnswer} from './attempt';
 import {withLength} from './request_body';
 import type {
@@ -61,7 +62,9 @@
       workspace:
         access.kind === 'workspace' ? access.workspace.name : undefined,
       patience: Math.max(1, Math.floor(patience)),
-      priority: undefined,
+      priority: options.admission.isByLevel
+        ? toldPriority(accepted)
+        : undefined,
       version,
       resumeAfter: progress.lastEventId,
     });
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -40,6 +40,9 @@
  */
 const RESUME_WAIT: Milliseconds = 1_000;
 
+/** Patience that a later attempt lacks; callers round it to milliseconds. */
+const LOST_PATIENCE: Milliseconds = 20;
+
 /** Until when a request may wait for a place. */
 export interface PlaceLimits {
   /** Until then a place makes for an answer on time. */
@@ -52,6 +55,8 @@
   /** When the request's objective ends, counted from its caller's first attempt. */
   readonly objectiveEnd: (accepted: AcceptedRequest) => MonotonicInstant;
   readonly limits: (accepted: AcceptedRequest) => PlaceLimits;
+  /** Whether the caller has asked before, by the patience that it has lost. */
+  readonly isLaterAttempt: (accepted: AcceptedRequest) => boolean;
   /** Limits for a stream that has begun and goes on elsewhere. */
   readonly resumeLimits: (
     accepted: AcceptedRequest,
@@ -99,6 +104,11 @@
 
   return {
     objectiveEnd,
+    isLaterAttempt: accepted => {
+      const {arrivedAt, route} = accepted;
+      const lost = arrivedAt + route.objective - objectiveEnd(accepted);
+      return lost > LOST_PATIENCE;
+    },
     limits: accepted => {
       const onTimeUntil = onTimeLimit(accepted);
       const waitUntil = Math.min(
--- a/test/admission/site_model.ts
+++ b/test/admission/site_model.ts
@@ -1,7 +1,9 @@
+import {createFairOrder, type WaitingRequest} from '@hibiscusbeam/core';
 import {
   PLACES,
   PROMPT_TOKENS_PER_MILLISECOND,
   createRandom,
+  expectedPlaceTime,
   generateCalls,
   stepTime,
   type Call,
@@ -34,6 +36,7 @@
   let free = engineCount * PLACES;
   const events = createEvents();
   const waiting: Call[][] = Array.from({length: entryCount}, () => []);
+  const orders = Array.from({length: entryCount}, createFairOrder);
   const results = createResults();
   const entryOf = (call: Call): number => (isSingle ? 0 : call.entry);
 
@@ -88,23 +91,42 @@
   function serve(entry: number): boolean {
     const queue = waiting[entry]!;
     while (queue.length > 0 && free > 0) {
-      queue.sort(
-        (one, other) =>
-          one.kind.priority - other.kind.priority ||
-          onTimeUntil(one) - onTimeUntil(other),
-      );
+      sortQueue(queue, entry);
       const call = queue.shift()!;
       if (now > onTimeUntil(call)) {
         refuse(call, now - call.at);
         continue;
       }
       decisions.noteWait(entry, now - call.at);
+      orders[entry]!.notePlaced(toWaiting(call), now);
       start(call);
       return true;
     }
     return false;
   }
 
+  /** Without the level as before it: by priority, then by the time left. */
+  function sortQueue(queue: Call[], entry: number): void {
+    const order = orders[entry]!;
+    queue.sort((one, other) =>
+      policy === 'level' || isSingle
+        ? order.compare(toWaiting(one), toWaiting(other), now)
+        : one.kind.priority - other.kind.priority ||
+          onTimeUntil(one) - onTimeUntil(other),
+    );
+  }
+
+  function toWaiting(call: Call): WaitingRequest {
+    return {
+      isResumed: false,
+      priority: call.kind.priority,
+      onTimeUntil: onTimeUntil(call),
+      isLaterAttempt: false,
+      workspace: call.workspace,
+      placeTime: expectedPlaceTime(call.kind),
+    };
+  }
+
   function serveAny(): void {
     const first = Math.floor(random() * entryCount);
     for (let index = 0; index < entryCount && free > 0; index += 1) {
--- a/test/fleet/place_queue.test.ts
+++ b/test/fleet/place_queue.test.ts
@@ -1,4 +1,8 @@
-import {createTargetBook} from '@hibiscusbeam/core';
+import {
+  createFairOrder,
+  createTargetBook,
+  type WaitingOrder,
+} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 import {
   createPlaceQueue,
@@ -9,13 +13,13 @@
 const TARGET = plainTarget('target', {born: 100, slots: 1});
 
 /** A queue on a clock that only `at` moves, so that no wait runs out by itself. */
-function createQueue() {
+function createQueue(order?: WaitingOrder<PlaceRequest>) {
   let now = 0;
   const book = createTargetBook({instance: 'entry', zone: 'north'});
   book.list([TARGET], 0);
   return {
     book,
-    queue: createPlaceQueue(book, () => now),
+    queue: createPlaceQueue(book, () => now, undefined, order),
     at: (time: number) => (now = time),
     placeRequest: () => placeRequest(() => now),
   };
@@ -27,6 +31,9 @@
     promptTime: 0,
     isResumed: false,
     priority: 0,
+    isLaterAttempt: false,
+    workspace: undefined,
+    placeTime: 1_000,
     onTimeUntil: 1_000,
     waitUntil: 1_000,
     signal: new AbortController().signal,
@@ -65,3 +72,51 @@
   queue.pump();
   expect(await waiting).toMatchObject({kind: 'place'});
 });
+
+/** Names of requests in the order in which they get the one place. */
+async function servedInOrder(
+  changes: Readonly<Record<string, Partial<PlaceRequest>>>,
+  looksAt = 0,
+): Promise<readonly string[]> {
+  const {queue, at, placeRequest} = createQueue(createFairOrder());
+  const first = await queue.take({...placeRequest(), workspace: 'busy'});
+  const served: string[] = [];
+  let release = first.kind === 'place' ? first.inHand.end : () => undefined;
+  for (const [name, change] of Object.entries(changes)) {
+    void queue.take({...placeRequest(), ...change}).then(outcome => {
+      served.push(name);
+      if (outcome.kind === 'place') release = outcome.inHand.end;
+    });
+  }
+  at(looksAt);
+  for (const _ of Object.keys(changes)) {
+    release();
+    queue.pump();
+    await Promise.resolve();
+  }
+  return served;
+}
+
+test('with admission by level, first attempts and other workspaces go first', async () => {
+  const served = await servedInOrder({
+    lessUrgent: {priority: 1, onTimeUntil: 400},
+    later: {isLaterAttempt: true, onTimeUntil: 300},
+    busy: {workspace: 'busy', onTimeUntil: 500},
+    calm: {workspace: 'calm'},
+    sooner: {workspace: 'other', onTimeUntil: 900},
+    resumed: {isResumed: true, priority: 9},
+  });
+  expect(served).toEqual([
+    ...['resumed', 'sooner', 'calm', 'busy', 'later', 'lessUrgent'],
+  ]);
+});
+
+test('a long objective yields to a more urgent request until its own is at risk', async () => {
+  const requests = {
+    long: {priority: 2, onTimeUntil: 700},
+    urgent: {priority: 0, onTimeUntil: 900},
+  };
+  expect(await servedInOrder(requests, 600)).toEqual(['urgent', 'long']);
+  expect(await servedInOrder(requests, 690)).toEqual(['long', 'urgent']);
+  expect(await servedInOrder(requests, 710)).toEqual(['urgent', 'long']);
+});
