Derive Retry-After from the backlog under a level

Cause: all refused callers were told 2.5 to 5 objectives, whatever the backlog. With an objective of 1,003 ms that is up to 5 s of a deadline of 6 s, while callers ignore what is longer than a third of the time they have left; refused ones of all kinds came back into the same burst.

Change, only with `admission: level`: the pause begins at 2.5 objectives, or when engines that load are back if their places would suffice; the backlog (excess over capacity times the time of the overload, 4 s at most) is added by rank of priority and to the spread. It is never longer than a third of the time left; where that cuts it, returns are spread over the part before.

Conclusion: the least pause gives way to the third of the time left where both can't hold, since callers ignore a longer one.

--- a/packages/core/src/admission/index.ts
+++ b/packages/core/src/admission/index.ts
@@ -2,6 +2,7 @@
 export * from './level';
 export * from './level_admission';
 export * from './place_times';
+export * from './return_time';
 export * from './site_demand';
 export * from './types';
 export * from './waiting_order';
--- a/packages/core/src/admission/level_admission.ts
+++ b/packages/core/src/admission/level_admission.ts
@@ -8,6 +8,7 @@
   type FloorBase,
 } from './level';
 import type {PriorityDemand} from './site_demand';
+import type {ServicePressure} from './return_time';
 import type {ArrivingRequest, ServiceCapacity} from './types';
 import {createWorkspaceParts, type WorkspaceParts} from './workspace_parts';
 
@@ -30,6 +31,9 @@
  */
 const FILL_TIME: Milliseconds = 300;
 
+/** Time in which an engine loads a version and is back; 2 to 2.4 s were seen. */
+const LOAD_TIME: Milliseconds = 2_200;
+
 /** What admission by level goes by. */
 export interface LevelAdmissionOptions {
   /** Name of the entry; spreads which requests of a share are admitted. */
@@ -65,11 +69,11 @@
     waiting: number,
     now: MonotonicInstant,
   ) => LevelDecision;
-  /** The level in force; undefined if no engine of the service is known. */
-  readonly level: (
+  /** How short a service is; undefined if none of its engines is known. */
+  readonly pressure: (
     service: ServiceName,
     now: MonotonicInstant,
-  ) => AdmissionLevel | undefined;
+  ) => ServicePressure | undefined;
 }
 
 interface ServiceState {
@@ -77,6 +81,8 @@
   level: AdmissionLevel | undefined;
   capacity: ServiceCapacity | undefined;
   decidedAt: MonotonicInstant;
+  /** When demand began to exceed the capacity; undefined if it doesn't. */
+  overloadedSince: MonotonicInstant | undefined;
   /** Requests below the level that may be admitted to free places. */
   spare: number;
 }
@@ -95,6 +101,7 @@
       level: undefined,
       capacity: undefined,
       decidedAt: -Infinity,
+      overloadedSince: undefined,
       spare: 0,
     };
     services.set(service, state);
@@ -112,6 +119,11 @@
           );
     state.spare = spareAfter(state, Math.min(passed, FILL_TIME));
     state.decidedAt = now;
+    const {level} = state;
+    const isOverloaded = level !== undefined && level.demand > level.capacity;
+    state.overloadedSince = isOverloaded
+      ? (state.overloadedSince ?? now)
+      : undefined;
     return state;
   }
 
@@ -161,5 +173,20 @@
     return {kind: 'spare', level};
   }
 
-  return {decide, level: (service, now) => stateOf(service, now).level};
+  function pressure(
+    service: ServiceName,
+    now: MonotonicInstant,
+  ): ServicePressure | undefined {
+    const {level, capacity, overloadedSince} = stateOf(service, now);
+    if (level === undefined) return undefined;
+    const missing = level.demand - level.capacity;
+    const isHelped = missing > 0 && (capacity?.loading ?? 0) >= missing;
+    return {
+      level,
+      overloadedFor: now - (overloadedSince ?? now),
+      capacityIn: isHelped ? LOAD_TIME : 0,
+    };
+  }
+
+  return {decide, pressure};
 }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -41,6 +41,8 @@
   readonly places: number;
   /** The same, each divided by the pace of its engine. */
   readonly pacedPlaces: number;
+  /** Places of engines that load weights now. */
+  readonly loading: number;
   /** Places that are not in use, as far as is known. */
   readonly free: number;
 }
--- a/packages/core/src/placement/service_capacity.ts
+++ b/packages/core/src/placement/service_capacity.ts
@@ -13,17 +13,21 @@
 ): ServiceCapacity {
   let places = 0;
   let pacedPlaces = 0;
+  let loading = 0;
   let free = 0;
   for (const entry of entries) {
     const {report, target, ownChange} = entry;
     if (!isReported(entry, now) || report === undefined) continue;
-    if (report.ordering) continue;
+    if (report.ordering) {
+      loading += target.slots;
+      continue;
+    }
     const used = report.running + report.waiting + Math.max(0, ownChange);
     places += target.slots;
     pacedPlaces += target.slots / boundedPace(report.pace);
     free += Math.max(0, target.slots - used);
   }
-  return {places, pacedPlaces, free};
+  return {places, pacedPlaces, loading, free};
 }
 
 function boundedPace(pace: number): number {
--- a/packages/fleet/src/entry/entry_admission.ts
+++ b/packages/fleet/src/entry/entry_admission.ts
@@ -4,6 +4,8 @@
   createPlaceTimes,
   createSiteDemand,
   exchangedPriority,
+  hash32,
+  returnTime,
   type AdmissionLevel,
   type Milliseconds,
   type ServiceDemand,
@@ -13,6 +15,7 @@
 } from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {AcceptedRequest} from './request_acceptance';
+import {spreadReturn} from './timeliness';
 
 /** The least urgent priority that engines know. */
 const LEAST_URGENT = 9;
@@ -48,6 +51,11 @@
   readonly exchange: DemandExchange;
   /** Decides on a request that has not waited yet. */
   readonly arrive: (accepted: AcceptedRequest) => ArrivalDecision;
+  /** When the caller of a refused request should come back, not before `least`. */
+  readonly retryAfter: (
+    accepted: AcceptedRequest,
+    least: Milliseconds,
+  ) => Milliseconds;
   /** How long a request will probably hold its place. */
   readonly placeTime: (accepted: AcceptedRequest) => Milliseconds;
   /** Notes how long a request has held its place. */
@@ -77,6 +85,8 @@
     noteZones: () => undefined,
   },
   arrive: () => ({kind: 'admitted', by: undefined}),
+  retryAfter: ({header, route}, least) =>
+    spreadReturn(header.requestId, route, least),
   placeTime: () => 0,
   noteHeld: () => undefined,
 };
@@ -151,6 +161,18 @@
       noteZones: site.noteZones,
     },
     arrive,
+    retryAfter: (accepted, least) => {
+      const {header, route, service, deadline} = accepted;
+      const now = clock();
+      return returnTime({
+        objective: route.objective,
+        timeLeft: deadline - now,
+        priority: priorityOf(accepted),
+        spread: hash32(header.requestId ?? '') / 2 ** 32,
+        pressure: levels.pressure(service, now),
+        least,
+      });
+    },
     placeTime,
     noteHeld: (accepted, held) => {
       const {service} = accepted;
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -21,7 +21,7 @@
 } from './request_context';
 import {createSendsUnderWay} from './sends_under_way';
 import {createTargetSender} from './target_send';
-import {spreadReturn, type PlaceLimits} from './timeliness';
+import type {PlaceLimits} from './timeliness';
 
 const NO_PLACE_REASONS = {
   full: 'allFull',
@@ -48,7 +48,7 @@
   context: RequestRunContext,
 ): RequestRun {
   const {accepted, story, progress, signal, endedBy} = context;
-  const {header, route, service, access, run, fingerprint} = accepted;
+  const {header, service, access, run, fingerprint} = accepted;
   const sends = createSendsUnderWay();
   const sendTo = createTargetSender(options, context, {
     sends,
@@ -93,7 +93,7 @@
     if (decision.kind === 'admitted') return undefined;
     const reason = 'belowLevel';
     story.noPlace(reason);
-    const retryAfter = spreadReturn(header.requestId, route, 0);
+    const retryAfter = options.admission.retryAfter(accepted, 0);
     return {kind: 'noPlace', reason, retryAfter};
   }
 
@@ -185,7 +185,7 @@
         const reason = NO_PLACE_REASONS[outcome.kind];
         const least =
           outcome.kind === 'backingOff' ? outcome.until - options.clock() : 0;
-        const retryAfter = spreadReturn(header.requestId, route, least);
+        const retryAfter = options.admission.retryAfter(accepted, least);
         return {kind: 'noPlace', reason, retryAfter};
       }
     }
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -1,5 +1,7 @@
 import {
   hash32,
+  LEAST_RETURN,
+  RETURN_SPREAD,
   type AnswerTimes,
   type Milliseconds,
   type MonotonicInstant,
@@ -20,14 +22,6 @@
  */
 const LATE_WAIT: Milliseconds = 60;
 
-/**
- * Pause named to callers whose request found no place, in objectives: the least
- * one, and what is added by turns. Engines that load a version are back after
- * 2 to 2.4 s; who returns within it is refused once more.
- */
-const LEAST_RETURN = 2.5;
-const RETURN_SPREAD = 2.5;
-
 /** Silence, in objectives, after which a target is suspected to have ended. */
 const SILENCE_IN_OBJECTIVES = 3.5;
 
--- a/test/admission/level.test.ts
+++ b/test/admission/level.test.ts
@@ -151,7 +151,11 @@
   return createLevelAdmission({
     instance: 'entry',
     demand: () => new Map([[1, 400]]),
-    capacity: () => ({...capacity, pacedPlaces: capacity.places}),
+    capacity: () => ({
+      ...capacity,
+      pacedPlaces: capacity.places,
+      loading: 0,
+    }),
     entries: () => 1,
   });
 }
--- a/test/admission/model_decisions.ts
+++ b/test/admission/model_decisions.ts
@@ -93,7 +93,12 @@
       instance: `entry-${index}`,
       demand: (service, now) =>
         isComplete ? exactDemand() : demand.of(service, now),
-      capacity: () => ({places, pacedPlaces: places, free: site.free()}),
+      capacity: () => ({
+        places,
+        pacedPlaces: places,
+        loading: 0,
+        free: site.free(),
+      }),
       entries: () => count,
       utilization: options.utilization,
       floorBase: options.floorBase,
--- /dev/null
+++ b/test/admission/return_time.test.ts
@@ -0,0 +1,67 @@
+import {returnTime, type ReturnNeed} from '@hibiscusbeam/core';
+import fc from 'fast-check';
+import {expect, test} from 'vitest';
+
+function need(changes: Partial<ReturnNeed> = {}): ReturnNeed {
+  const shares = [0, 1, 2].map(priority => ({priority, share: 0.5}));
+  return {
+    objective: 400,
+    timeLeft: 30_000,
+    priority: 0,
+    spread: 0.5,
+    pressure: {
+      level: {shares, demand: 150, capacity: 100},
+      overloadedFor: 2_000,
+      capacityIn: 0,
+    },
+    least: 0,
+    ...changes,
+  };
+}
+
+test('callers are never told to wait longer than a third of their time left', () => {
+  const anyNeed = fc.record({
+    objective: fc.integer({min: 1, max: 5_000}),
+    timeLeft: fc.integer({min: -100, max: 20_000}),
+    priority: fc.integer({min: -1, max: 9}),
+    spread: fc.double({min: 0, max: 1, noNaN: true}),
+    least: fc.integer({min: 0, max: 5_000}),
+  });
+  fc.assert(
+    fc.property(anyNeed, changes => {
+      const pause = returnTime(need(changes));
+      expect(pause).toBeGreaterThanOrEqual(0);
+      expect(pause).toBeLessThanOrEqual(Math.max(0, changes.timeLeft) / 3);
+    }),
+    {seed: 14},
+  );
+});
+
+test('refused callers do not return at once, also if their time is short', () => {
+  for (const timeLeft of [30_000, 3_000]) {
+    const [first, last] = [0, 1].map(spread =>
+      returnTime(need({timeLeft, spread})),
+    );
+    expect(last! - first!).toBeGreaterThan(timeLeft > 3_000 ? 1_000 : 400);
+  }
+});
+
+test('who is urgent returns earlier, but not before two and a half objectives', () => {
+  const pauses = [0, 1, 2].map(priority => returnTime(need({priority})));
+  expect(pauses).toEqual([...pauses].sort((one, other) => one - other));
+  expect(new Set(pauses).size).toBe(3);
+  expect(returnTime(need({spread: 0}))).toBe(1_000);
+});
+
+test('the pause covers the backlog, and the time until engines have loaded', () => {
+  const {pressure} = need();
+  const longer = {...pressure!, overloadedFor: 4_000};
+  const lately = {...pressure!, overloadedFor: 0};
+  expect(returnTime(need({pressure: longer}))).toBeGreaterThan(
+    returnTime(need({pressure: lately})),
+  );
+  const loading = {...lately, capacityIn: 2_200};
+  expect(
+    returnTime(need({pressure: loading, spread: 0})),
+  ).toBeGreaterThanOrEqual(2_200);
+});
