Let operators see the level of admission

Cause: a request that the level refused could not be told from others, and nothing said when a level began or ended.

Change, only with `admission: level`: counters of admitted, held and refused requests by service, priority and reason, a gauge of the admitted shares, a histogram of waits for a place, one log line when a share changes by a fifth or an overload ends (a second apart at least), and the level in the story of each request that it refuses.

Evidence: test/admission/entry_admission.test.ts: nothing is logged at three quarters of the capacity; 1 to 4 lines in 4 s at four times the capacity and one when it ends.

--- /dev/null
+++ b/packages/fleet/src/entry/admission_watch.ts
@@ -0,0 +1,85 @@
+import {
+  exchangedPriority,
+  type AdmissionLevel,
+  type Milliseconds,
+  type MonotonicInstant,
+  type ServiceName,
+} from '@hibiscusbeam/core';
+import type {Log} from '@hibiscusbeam/daemon';
+import type {FleetMetrics} from './fleet_metrics';
+
+/** Least time between two log lines about the level of a service. */
+const LOG_PERIOD: Milliseconds = 1_000;
+
+/** Change of a share that is logged. */
+const LOGGED_CHANGE = 0.2;
+
+/** Lets operators see the level. */
+export interface AdmissionWatch {
+  readonly noteLevel: (
+    service: ServiceName,
+    level: AdmissionLevel,
+    now: MonotonicInstant,
+  ) => void;
+}
+
+interface LoggedLevel {
+  readonly level: AdmissionLevel;
+  readonly at: MonotonicInstant;
+}
+
+/** Creates what writes levels to the metrics and, when they change, to the log. */
+export function createAdmissionWatch(
+  metrics: FleetMetrics,
+  log: Log,
+): AdmissionWatch {
+  const logged = new Map<ServiceName, LoggedLevel>();
+  const seen = new Map<ServiceName, AdmissionLevel>();
+
+  return {
+    noteLevel: (service, level, now) => {
+      if (seen.get(service) === level) return;
+      seen.set(service, level);
+      for (const {priority, share} of level.shares) {
+        metrics.setAdmissionShare(service, priority, share);
+      }
+      const last = logged.get(service);
+      if (last !== undefined && now - last.at < LOG_PERIOD) return;
+      if (!differs(level, last?.level)) return;
+      logged.set(service, {level, at: now});
+      log.info('admission level changed', {service, ...describe(level)});
+    },
+  };
+}
+
+/** All are admitted as long as nothing has been logged. */
+function differs(
+  {shares}: AdmissionLevel,
+  before: AdmissionLevel | undefined,
+): boolean {
+  return shares.some(({priority, share}) => {
+    const known = before?.shares.find(other => other.priority === priority);
+    const change = Math.abs(share - (known?.share ?? 1));
+    // The end of an overload is logged, however small its last step is.
+    return change >= LOGGED_CHANGE || (share === 1 && change > 0);
+  });
+}
+
+function describe({shares, demand, capacity}: AdmissionLevel) {
+  return {
+    shares: shares.map(
+      ({priority, share}) => `${priority}: ${share.toFixed(2)}`,
+    ),
+    demand: Math.round(demand),
+    capacity: Math.round(capacity),
+  };
+}
+
+/** A level in the story of a request of `priority` that it has refused. */
+export function describeRefusal(
+  level: AdmissionLevel,
+  priority: number,
+): string {
+  const {shares, demand, capacity} = describe(level);
+  return `belowLevel, priority ${exchangedPriority(priority)}, shares ${shares.join(' ')}, demand ${demand} of ${capacity} places`;
+}
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -176,6 +176,8 @@
           instance: settings.instance,
           zone: settings.zone,
           book,
+          metrics,
+          log: logs('routing'),
           clock,
           entries: () => circle.size(),
           followsRelay: () => !circle.readsTargets(),
--- a/packages/fleet/src/entry/entry_admission.ts
+++ b/packages/fleet/src/entry/entry_admission.ts
@@ -13,13 +13,18 @@
   type TargetBook,
   type ZoneDemand,
 } from '@hibiscusbeam/core';
-import type {Clock} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import {createAdmissionWatch} from './admission_watch';
+import type {CountedAdmission, FleetMetrics} from './fleet_metrics';
 import type {AcceptedRequest} from './request_acceptance';
 import {spreadReturn} from './timeliness';
 
 /** The least urgent priority that engines know. */
 const LEAST_URGENT = 9;
 
+/** Wait from which a request counts as held. */
+const HELD: Milliseconds = 1;
+
 /** Time for which the sums by zone are kept before they are added up anew. */
 const SUMS_LIFE: Milliseconds = 50;
 
@@ -51,6 +56,12 @@
   readonly exchange: DemandExchange;
   /** Decides on a request that has not waited yet. */
   readonly arrive: (accepted: AcceptedRequest) => ArrivalDecision;
+  /** Notes how long an admitted request has waited, and why in vain. */
+  readonly noteWait: (
+    accepted: AcceptedRequest,
+    waited: Milliseconds,
+    refusedFor: string | undefined,
+  ) => void;
   /** When the caller of a refused request should come back, not before `least`. */
   readonly retryAfter: (
     accepted: AcceptedRequest,
@@ -67,6 +78,8 @@
   readonly instance: string;
   readonly zone: string;
   readonly book: TargetBook;
+  readonly metrics: FleetMetrics;
+  readonly log: Log;
   readonly clock: Clock;
   /** Entries that are known of, this one included. */
   readonly entries: () => number;
@@ -85,6 +98,7 @@
     noteZones: () => undefined,
   },
   arrive: () => ({kind: 'admitted', by: undefined}),
+  noteWait: () => undefined,
   retryAfter: ({header, route}, least) =>
     spreadReturn(header.requestId, route, least),
   placeTime: () => 0,
@@ -98,6 +112,7 @@
   const {clock, book, entries, waitingFor} = options;
   const meter = createDemandMeter();
   const placeTimes = createPlaceTimes();
+  const watch = createAdmissionWatch(options.metrics, options.log);
   const own = (now: number): readonly ServiceDemand[] =>
     meter.demands(now, waitingFor);
   const site = createSiteDemand({...options, own});
@@ -139,6 +154,10 @@
       return {kind: 'admitted', by: undefined};
     }
     const decision = levels.decide(request, waitingFor(service), now);
+    if (decision.kind !== 'noLevel') {
+      watch.noteLevel(service, decision.level, now);
+      count(accepted, ...countedAs(decision.kind));
+    }
     switch (decision.kind) {
       case 'noLevel':
         return {kind: 'admitted', by: undefined};
@@ -151,6 +170,16 @@
     }
   }
 
+  function count(
+    accepted: AcceptedRequest,
+    outcome: CountedAdmission['outcome'],
+    reason: string,
+  ): void {
+    const {service} = accepted;
+    const priority = exchangedPriority(priorityOf(accepted));
+    options.metrics.countAdmission({service, priority, outcome, reason});
+  }
+
   return {
     isByLevel: true,
     exchange: {
@@ -161,6 +190,11 @@
       noteZones: site.noteZones,
     },
     arrive,
+    noteWait: (accepted, waited, refusedFor) => {
+      options.metrics.observePlaceWait(accepted.service, waited);
+      if (waited >= HELD) count(accepted, 'held', 'allFull');
+      if (refusedFor !== undefined) count(accepted, 'refused', refusedFor);
+    },
     retryAfter: (accepted, least) => {
       const {header, route, service, deadline} = accepted;
       const now = clock();
@@ -186,6 +220,20 @@
   };
 }
 
+/** Outcome and reason as they are counted. */
+function countedAs(
+  kind: 'admitted' | 'spare' | 'belowLevel',
+): readonly [CountedAdmission['outcome'], string] {
+  switch (kind) {
+    case 'admitted':
+      return ['admitted', 'level'];
+    case 'spare':
+      return ['admitted', 'spare'];
+    case 'belowLevel':
+      return ['refused', 'belowLevel'];
+  }
+}
+
 /** Undefined if nothing says how long the answer will be. */
 function expectedTime({run}: AcceptedRequest): Milliseconds | undefined {
   return run.writingTime > 0 ? run.promptTime + run.writingTime : undefined;
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -1,4 +1,4 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the duration histogram, in milliseconds. */
 const DURATION_BUCKETS = [25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
@@ -9,6 +9,18 @@
 /** Upper bounds of the histogram of the loop's delays, in milliseconds. */
 const DELAY_BUCKETS = [5, 20, 50, 100, 200, 500, 1_000, 2_000];
 
+/** Upper bounds of the histogram of waits for a place, in milliseconds. */
+const WAIT_BUCKETS = [1, 10, 25, 50, 100, 200, 400, 800, 1_600];
+
+/** What became of a request that asked for a place. */
+export interface CountedAdmission {
+  readonly service: string;
+  readonly priority: number;
+  readonly outcome: 'admitted' | 'held' | 'refused';
+  /** What it was admitted by, or why it was held or refused. */
+  readonly reason: string;
+}
+
 /** Tables of the store whose readings requests are decided by. */
 export type ReadTable = 'configuration' | 'targets';
 
@@ -30,6 +42,16 @@
   readonly countLeavingAnswer: (service: string) => void;
   /** Counts an answer in which a target asked to back off. */
   readonly countBackoffAnswer: (service: string) => void;
+  /** Counts a decision of admission by level, or a wait for a place. */
+  readonly countAdmission: (admission: CountedAdmission) => void;
+  /** Notes the share of a priority that is admitted. */
+  readonly setAdmissionShare: (
+    service: string,
+    priority: number,
+    share: number,
+  ) => void;
+  /** Notes how long an admitted request has waited for a place. */
+  readonly observePlaceWait: (service: string, milliseconds: number) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -94,6 +116,25 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const admissions = new Counter({
+    name: 'hibiscusbeam_admissions_total',
+    help: 'Requests admitted, held and refused under a level.',
+    labelNames: ['service', 'priority', 'outcome', 'reason'],
+    registers: [registry],
+  });
+  const admissionShares = new Gauge({
+    name: 'hibiscusbeam_admission_share',
+    help: 'Share of a priority that is admitted.',
+    labelNames: ['service', 'priority'],
+    registers: [registry],
+  });
+  const placeWaits = new Histogram({
+    name: 'hibiscusbeam_place_wait_milliseconds',
+    help: 'Time for which admitted requests waited for a place.',
+    labelNames: ['service'],
+    buckets: WAIT_BUCKETS,
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -106,6 +147,11 @@
     countLimitedAnswer: service => limitedAnswers.inc({service}),
     countLeavingAnswer: service => leavingAnswers.inc({service}),
     countBackoffAnswer: service => backoffAnswers.inc({service}),
+    countAdmission: admission => admissions.inc({...admission}),
+    setAdmissionShare: (service, priority, share) =>
+      admissionShares.set({service, priority}, share),
+    observePlaceWait: (service, milliseconds) =>
+      placeWaits.observe({service}, milliseconds),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -10,6 +10,7 @@
   type PlaceReply,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
+import {describeRefusal} from './admission_watch';
 import {priorityOf, workspaceOf} from './entry_admission';
 import type {PlaceOutcome} from './place_queue';
 import {isKeyConfirmed} from './request_acceptance';
@@ -92,7 +93,7 @@
     const decision = options.admission.arrive(accepted);
     if (decision.kind === 'admitted') return undefined;
     const reason = 'belowLevel';
-    story.noPlace(reason);
+    story.noPlace(describeRefusal(decision.level, priorityOf(accepted)));
     const retryAfter = options.admission.retryAfter(accepted, 0);
     return {kind: 'noPlace', reason, retryAfter};
   }
@@ -122,13 +123,25 @@
       return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
     }
     triedBefore = [...tried];
+    const askedAt = options.clock();
     const outcome = await takePlace(triedBefore);
+    noteWait(outcome, options.clock() - askedAt);
     if (outcome === 'withdrawn') return sends.next();
     if (outcome.kind === 'place') place = outcome;
     else story.noPlace(outcome.kind);
     return {kind: 'placed', place: placeReply(outcome)};
   }
 
+  function noteWait(
+    outcome: PlaceOutcome | 'withdrawn',
+    waited: Milliseconds,
+  ): void {
+    if (outcome === 'withdrawn' || outcome.kind === 'abandoned') return;
+    const refusedFor =
+      outcome.kind === 'place' ? undefined : NO_PLACE_REASONS[outcome.kind];
+    options.admission.noteWait(accepted, waited, refusedFor);
+  }
+
   /** Waits for a place, but for no longer than until a send reports. */
   async function takePlace(
     tried: readonly ListedTarget[],
--- a/test/admission/entry_admission.test.ts
+++ b/test/admission/entry_admission.test.ts
@@ -1,5 +1,8 @@
 import {ANYWHERE, createTargetBook, type Route} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
+import type {Log} from '@hibiscusbeam/daemon';
+import {describeRefusal} from '../../packages/fleet/src/entry/admission_watch';
+import {createFleetMetrics} from '../../packages/fleet/src/entry/fleet_metrics';
 import {createEntryAdmission} from '../../packages/fleet/src/entry/entry_admission';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
 import {
@@ -36,7 +39,12 @@
     if (options.isReported === false) return;
     book.report(engineLoad('engine', {running}), now);
   };
+  const metrics = createFleetMetrics();
+  const lines: unknown[] = [];
+  const log = {info: (...line: unknown[]) => lines.push(line)};
   const admission = createEntryAdmission({
+    metrics,
+    log: log as unknown as Log,
     instance: 'entry',
     zone: 'north',
     book,
@@ -59,7 +67,7 @@
     }
     return refused / ((rate * length) / 1_000);
   };
-  return {admission, load};
+  return {admission, load, metrics, lines};
 }
 
 test('what the engines cannot take is refused on arrival', () => {
@@ -104,3 +112,34 @@
   expect(placesAskedFor(read)).toBe(3);
   expect(read).toMatchObject([{heardAt: 1_000}]);
 });
+
+test('an overload shows in metrics, and in one log line when it begins and ends', async () => {
+  const {admission, load, metrics, lines} = createSite();
+  load(12, 3_000);
+  expect(lines).toEqual([]);
+  load(64, 4_000);
+  const atFull = lines.length;
+  expect(atFull).toBeGreaterThanOrEqual(1);
+  expect(atFull).toBeLessThanOrEqual(4);
+  admission.noteWait(accepted(), 30, 'allFull');
+  const text = await metrics.text();
+  const counted =
+    'hibiscusbeam_admissions_total{service="engines",priority="1"';
+  expect(text).toContain(`${counted},outcome="refused",reason="belowLevel"}`);
+  expect(text).toContain(`${counted},outcome="held",reason="allFull"} 1`);
+  expect(text).toContain('hibiscusbeam_admission_share{service="engines"');
+  expect(text).toContain('hibiscusbeam_place_wait_milliseconds_bucket{le="50"');
+  load(6, 4_000);
+  expect(lines.at(-1)).toMatchObject([
+    'admission level changed',
+    {shares: ['1: 1.00']},
+  ]);
+});
+
+test('the story of a refused request names the level', () => {
+  const shares = [{priority: 1, share: 0.5}];
+  const story = describeRefusal({shares, demand: 32, capacity: 16}, 1);
+  expect(story).toBe(
+    'belowLevel, priority 1, shares 1: 0.50, demand 32 of 16 places',
+  );
+});
