--- a/test/admission/level.test.ts
+++ b/test/admission/level.test.ts
@@ -126,12 +126,13 @@
   const parts = createWorkspaceParts(() => 0.5);
   const admitted = {burst: 0, calm: 0};
   for (let now = 0; now < 20_000; now += 10) {
-    const workspace = now % 100 === 0 ? 'calm' : 'burst';
+    const workspace = now % 70 === 0 ? 'calm' : 'burst';
     if (parts.admits({workspace, placeTime: 100}, 0.5, now)) {
       admitted[workspace] += 1;
     }
   }
-  expect(admitted.calm).toBeGreaterThan(190);
+  // 286 were asked for.
+  expect(admitted.calm).toBeGreaterThan(270);
   expect(admitted.burst + admitted.calm).toBeGreaterThan(990);
   expect(admitted.burst + admitted.calm).toBeLessThan(1_010);
 });
