--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -1,5 +1,6 @@
 import {
   createConfirmation,
+  createFairOrder,
   createNamedVersions,
   createPacedSends,
   createRateLimits,
@@ -205,7 +206,12 @@
       isCold: cold.isCold,
     },
   );
-  const places = createPlaceQueue(book, clock, paced.noteSend);
+  const places = createPlaceQueue(
+    book,
+    clock,
+    paced.noteSend,
+    settings.admission === 'level' ? createFairOrder() : undefined,
+  );
   const admission =
     settings.admission === 'none'
       ? NO_ADMISSION
@@ -213,6 +219,8 @@
           instance: settings.instance,
           zone: settings.zone,
           book,
+          metrics,
+          log: logs('routing'),
           clock,
           entries: () => circle.size(),
           followsRelay: () => !circle.readsTargets(),
--- a/packages/fleet/src/entry/entry_admission.ts
+++ b/packages/fleet/src/entry/entry_admission.ts
@@ -3,6 +3,9 @@
   createLevelAdmission,
   createPlaceTimes,
   createSiteDemand,
+  exchangedPriority,
+  hash32,
+  returnTime,
   type AdmissionLevel,
   type Milliseconds,
   type ServiceDemand,
@@ -10,8 +13,20 @@
   type TargetBook,
   type ZoneDemand,
 } from '@hibiscusbeam/core';
-import type {Clock} from '@hibiscusbeam/daemon';
+import type {Clock, Log} from '@hibiscusbeam/daemon';
+import {createAdmissionWatch} from './admission_watch';
+import type {CountedAdmission, FleetMetrics} from './fleet_metrics';
 import type {AcceptedRequest} from './request_acceptance';
+import {spreadReturn} from './timeliness';
+
+/** The least urgent priority that engines know. */
+const LEAST_URGENT = 9;
+
+/** Wait from which a request counts as held. */
+const HELD: Milliseconds = 1;
+
+/** Time for which the sums by zone are kept before they are added up anew. */
+const SUMS_LIFE: Milliseconds = 50;
 
 /** Exchange of what callers ask for among the entries. */
 export interface DemandExchange {
@@ -41,6 +56,19 @@
   readonly exchange: DemandExchange;
   /** Decides on a request that has not waited yet. */
   readonly arrive: (accepted: AcceptedRequest) => ArrivalDecision;
+  /** Notes how long an admitted request has waited, and why in vain. */
+  readonly noteWait: (
+    accepted: AcceptedRequest,
+    waited: Milliseconds,
+    refusedFor: string | undefined,
+  ) => void;
+  /** When the caller of a refused request should come back, not before `least`. */
+  readonly retryAfter: (
+    accepted: AcceptedRequest,
+    least: Milliseconds,
+  ) => Milliseconds;
+  /** How long a request will probably hold its place. */
+  readonly placeTime: (accepted: AcceptedRequest) => Milliseconds;
   /** Notes how long a request has held its place. */
   readonly noteHeld: (accepted: AcceptedRequest, held: Milliseconds) => void;
 }
@@ -50,6 +78,8 @@
   readonly instance: string;
   readonly zone: string;
   readonly book: TargetBook;
+  readonly metrics: FleetMetrics;
+  readonly log: Log;
   readonly clock: Clock;
   /** Entries that are known of, this one included. */
   readonly entries: () => number;
@@ -68,6 +98,10 @@
     noteZones: () => undefined,
   },
   arrive: () => ({kind: 'admitted', by: undefined}),
+  noteWait: () => undefined,
+  retryAfter: ({header, route}, least) =>
+    spreadReturn(header.requestId, route, least),
+  placeTime: () => 0,
   noteHeld: () => undefined,
 };
 
@@ -78,6 +112,7 @@
   const {clock, book, entries, waitingFor} = options;
   const meter = createDemandMeter();
   const placeTimes = createPlaceTimes();
+  const watch = createAdmissionWatch(options.metrics, options.log);
   const own = (now: number): readonly ServiceDemand[] =>
     meter.demands(now, waitingFor);
   const site = createSiteDemand({...options, own});
@@ -88,14 +123,29 @@
     entries,
   });
 
+  let sums: readonly ZoneDemand[] = [];
+  let summedAt = -Infinity;
+
+  /** One sum for all followers, which are told one after the other. */
+  function zones(): readonly ZoneDemand[] {
+    const now = clock();
+    if (now - summedAt < SUMS_LIFE) return sums;
+    summedAt = now;
+    sums = site.zones(now);
+    return sums;
+  }
+
+  function placeTime(accepted: AcceptedRequest): Milliseconds {
+    return placeTimes.placeTime(accepted.service, expectedTime(accepted));
+  }
+
   function arrive(accepted: AcceptedRequest): ArrivalDecision {
     const {service, header} = accepted;
-    const expected = expectedTime(accepted);
     const request = {
       service,
       priority: priorityOf(accepted),
       workspace: workspaceOf(accepted),
-      placeTime: placeTimes.placeTime(service, expected),
+      placeTime: placeTime(accepted),
     };
     const now = clock();
     meter.note(request, now);
@@ -104,6 +154,10 @@
       return {kind: 'admitted', by: undefined};
     }
     const decision = levels.decide(request, waitingFor(service), now);
+    if (decision.kind !== 'noLevel') {
+      watch.noteLevel(service, decision.level, now);
+      count(accepted, ...countedAs(decision.kind));
+    }
     switch (decision.kind) {
       case 'noLevel':
         return {kind: 'admitted', by: undefined};
@@ -116,16 +170,44 @@
     }
   }
 
+  function count(
+    accepted: AcceptedRequest,
+    outcome: CountedAdmission['outcome'],
+    reason: string,
+  ): void {
+    const {service} = accepted;
+    const priority = exchangedPriority(priorityOf(accepted));
+    options.metrics.countAdmission({service, priority, outcome, reason});
+  }
+
   return {
     isByLevel: true,
     exchange: {
       own: () => own(clock()),
-      zones: () => site.zones(clock()),
+      zones,
       noteFollower: (instance, demands) =>
         site.noteFollower(instance, demands, clock()),
       noteZones: site.noteZones,
     },
     arrive,
+    noteWait: (accepted, waited, refusedFor) => {
+      options.metrics.observePlaceWait(accepted.service, waited);
+      if (waited >= HELD) count(accepted, 'held', 'allFull');
+      if (refusedFor !== undefined) count(accepted, 'refused', refusedFor);
+    },
+    retryAfter: (accepted, least) => {
+      const {header, route, service, deadline} = accepted;
+      const now = clock();
+      return returnTime({
+        objective: route.objective,
+        timeLeft: deadline - now,
+        priority: priorityOf(accepted),
+        spread: hash32(header.requestId ?? '') / 2 ** 32,
+        pressure: levels.pressure(service, now),
+        least,
+      });
+    },
+    placeTime,
     noteHeld: (accepted, held) => {
       const {service} = accepted;
       const now = clock();
@@ -138,6 +220,20 @@
   };
 }
 
+/** Outcome and reason as they are counted. */
+function countedAs(
+  kind: 'admitted' | 'spare' | 'belowLevel',
+): readonly [CountedAdmission['outcome'], string] {
+  switch (kind) {
+    case 'admitted':
+      return ['admitted', 'level'];
+    case 'spare':
+      return ['admitted', 'spare'];
+    case 'belowLevel':
+      return ['refused', 'belowLevel'];
+  }
+}
+
 /** Undefined if nothing says how long the answer will be. */
 function expectedTime({run}: AcceptedRequest): Milliseconds | undefined {
   return run.writingTime > 0 ? run.promptTime + run.writingTime : undefined;
@@ -150,6 +246,12 @@
   return ofWorkspace ?? route.priority;
 }
 
-function workspaceOf({access}: AcceptedRequest): string | undefined {
+/** The priority as engines are told it: 0 to 9. */
+export function toldPriority(accepted: AcceptedRequest): number {
+  return Math.min(LEAST_URGENT, exchangedPriority(priorityOf(accepted)));
+}
+
+/** The workspace of its caller; undefined for callers without a key. */
+export function workspaceOf({access}: AcceptedRequest): string | undefined {
   return access.kind === 'workspace' ? access.workspace.name : undefined;
 }
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -10,6 +10,18 @@
 /** Upper bounds of the histogram of the loop's delays, in milliseconds. */
 const DELAY_BUCKETS = [5, 20, 50, 100, 200, 500, 1_000, 2_000];
 
+/** Upper bounds of the histogram of waits for a place, in milliseconds. */
+const WAIT_BUCKETS = [1, 10, 25, 50, 100, 200, 400, 800, 1_600];
+
+/** What became of a request that asked for a place. */
+export interface CountedAdmission {
+  readonly service: string;
+  readonly priority: number;
+  readonly outcome: 'admitted' | 'held' | 'refused';
+  /** What it was admitted by, or why it was held or refused. */
+  readonly reason: string;
+}
+
 /** Tables of the store whose readings requests are decided by. */
 export type ReadTable = 'configuration' | 'targets';
 
@@ -35,6 +47,16 @@
   readonly setEvacuatedZones: (zones: readonly EvacuatedZone[]) => void;
   /** Replaces the targets that are cold. */
   readonly setColdTargets: (targets: readonly ColdTarget[]) => void;
+  /** Counts a decision of admission by level, or a wait for a place. */
+  readonly countAdmission: (admission: CountedAdmission) => void;
+  /** Notes the share of a priority that is admitted. */
+  readonly setAdmissionShare: (
+    service: string,
+    priority: number,
+    share: number,
+  ) => void;
+  /** Notes how long an admitted request has waited for a place. */
+  readonly observePlaceWait: (service: string, milliseconds: number) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -111,6 +133,25 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const admissions = new Counter({
+    name: 'hibiscusbeam_admissions_total',
+    help: 'Requests admitted, held and refused under a level.',
+    labelNames: ['service', 'priority', 'outcome', 'reason'],
+    registers: [registry],
+  });
+  const admissionShares = new Gauge({
+    name: 'hibiscusbeam_admission_share',
+    help: 'Share of a priority that is admitted.',
+    labelNames: ['service', 'priority'],
+    registers: [registry],
+  });
+  const placeWaits = new Histogram({
+    name: 'hibiscusbeam_place_wait_milliseconds',
+    help: 'Time for which admitted requests waited for a place.',
+    labelNames: ['service'],
+    buckets: WAIT_BUCKETS,
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -133,6 +174,11 @@
       coldTargets.reset();
       for (const {service} of targets) coldTargets.inc({service});
     },
+    countAdmission: admission => admissions.inc({...admission}),
+    setAdmissionShare: (service, priority, share) =>
+      admissionShares.set({service, priority}, share),
+    observePlaceWait: (service, milliseconds) =>
+      placeWaits.observe({service}, milliseconds),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -11,7 +11,8 @@
   type PlaceReply,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
-import {priorityOf} from './entry_admission';
+import {describeRefusal} from './admission_watch';
+import {priorityOf, workspaceOf} from './entry_admission';
 import type {PlaceOutcome} from './place_queue';
 import {destinationsIn, isKeyConfirmed} from './request_acceptance';
 import type {
@@ -22,7 +23,7 @@
 } from './request_context';
 import {createSendsUnderWay} from './sends_under_way';
 import {createTargetSender} from './target_send';
-import {spreadReturn, type PlaceLimits} from './timeliness';
+import type {PlaceLimits} from './timeliness';
 
 const NO_PLACE_REASONS = {
   full: 'allFull',
@@ -51,7 +52,7 @@
   context: RequestRunContext,
 ): RequestRun {
   const {accepted, story, progress, signal, endedBy} = context;
-  const {header, route, service, access, run, fingerprint} = accepted;
+  const {header, service, access, run, fingerprint} = accepted;
   const sends = createSendsUnderWay();
   const sendTo = createTargetSender(options, context, {
     sends,
@@ -110,8 +111,8 @@
     const decision = options.admission.arrive(accepted);
     if (decision.kind === 'admitted') return undefined;
     const reason = 'belowLevel';
-    story.noPlace(reason);
-    const retryAfter = spreadReturn(header.requestId, route, 0);
+    story.noPlace(describeRefusal(decision.level, priorityOf(accepted)));
+    const retryAfter = options.admission.retryAfter(accepted, 0);
     return {kind: 'noPlace', reason, retryAfter};
   }
 
@@ -140,13 +141,25 @@
       return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
     }
     triedBefore = [...tried];
+    const askedAt = options.clock();
     const outcome = await takePlace(triedBefore);
+    noteWait(outcome, options.clock() - askedAt);
     if (outcome === 'withdrawn') return sends.next();
     if (outcome.kind === 'place') place = outcome;
     else story.noPlace(outcome.kind);
     return {kind: 'placed', place: placeReply(outcome)};
   }
 
+  function noteWait(
+    outcome: PlaceOutcome | 'withdrawn',
+    waited: Milliseconds,
+  ): void {
+    if (outcome === 'withdrawn' || outcome.kind === 'abandoned') return;
+    const refusedFor =
+      outcome.kind === 'place' ? undefined : NO_PLACE_REASONS[outcome.kind];
+    options.admission.noteWait(accepted, waited, refusedFor);
+  }
+
   /** Waits for a place, but for no longer than until a send reports. */
   async function takePlace(
     tried: readonly ListedTarget[],
@@ -161,6 +174,9 @@
       promptTime: run.promptTime,
       isResumed: progress.begun,
       priority: priorityOf(accepted),
+      isLaterAttempt: options.timeliness.isLaterAttempt(accepted),
+      workspace: workspaceOf(accepted),
+      placeTime: options.admission.placeTime(accepted),
       ...placeLimits(),
       signal: AbortSignal.any([signal, withdrawal.signal]),
     });
@@ -202,7 +218,7 @@
         const reason = NO_PLACE_REASONS[outcome.kind];
         const least =
           outcome.kind === 'backingOff' ? outcome.until - options.clock() : 0;
-        const retryAfter = spreadReturn(header.requestId, route, least);
+        const retryAfter = options.admission.retryAfter(accepted, least);
         return {kind: 'noPlace', reason, retryAfter};
       }
     }
--- a/packages/fleet/src/entry/timeliness.ts
+++ b/packages/fleet/src/entry/timeliness.ts
@@ -1,5 +1,7 @@
 import {
   hash32,
+  LEAST_RETURN,
+  RETURN_SPREAD,
   type AnswerTimes,
   type Milliseconds,
   type MonotonicInstant,
@@ -20,14 +22,6 @@
  */
 const LATE_WAIT: Milliseconds = 60;
 
-/**
- * Pause named to callers whose request found no place, in objectives: the least
- * one, and what is added by turns. Engines that load a version are back after
- * 2 to 2.4 s; who returns within it is refused once more.
- */
-const LEAST_RETURN = 2.5;
-const RETURN_SPREAD = 2.5;
-
 /** Silence, in objectives, after which a target is suspected to have ended. */
 const SILENCE_IN_OBJECTIVES = 3.5;
 
@@ -65,6 +59,8 @@
   /** When the request's objective ends, counted from its caller's first attempt. */
   readonly objectiveEnd: (accepted: AcceptedRequest) => MonotonicInstant;
   readonly limits: (accepted: AcceptedRequest) => PlaceLimits;
+  /** Whether the caller has asked before, by the patience that it has lost. */
+  readonly isLaterAttempt: (accepted: AcceptedRequest) => boolean;
   /** Limits for a stream that has begun and goes on elsewhere. */
   readonly resumeLimits: (
     accepted: AcceptedRequest,
@@ -95,6 +91,7 @@
 
   return {
     objectiveEnd,
+    isLaterAttempt: accepted => patienceOfRoutes.spent(accepted) > 0,
     limits: accepted => {
       const onTimeUntil = onTimeLimit(accepted);
       const waitUntil = Math.min(
