--- a/packages/fleet/src/entry/expected_run.ts
+++ b/packages/fleet/src/entry/expected_run.ts
@@ -18,6 +18,8 @@
   readonly promptTime: Milliseconds;
   /** Time in which its answer is written. */
   readonly writingTime: Milliseconds;
+  /** Tokens of its answer, by the caller's hint. */
+  readonly answerTokens: number;
   /** Tokens that it holds at its end. */
   readonly tokens: number;
   /** What it asks of an engine's memory; undefined where none is named. */
@@ -59,6 +61,7 @@
         promptTime: 0,
         writingTime: 0,
         tokens: 0,
+        answerTokens: 0,
         memory: undefined,
         profile: undefined,
       };
@@ -75,6 +78,7 @@
       promptTime: promptTime(profile, prompt),
       writingTime: writingTime(profile, answer),
       tokens: prompt + answer,
+      answerTokens: claims.hint ?? 0,
       profile,
       memory:
         memoryTokens === undefined
