Bound what an entry buffers for slow readers

Cause: streams are paused at their high-water mark, but the number of streams isn't bounded, and whole answers of plain services (up to 8 MiB each) and bodies on their way to targets are held in full. An entry of 250 MB ends before its callers notice, with the requests of all others.

Change: setting `buffers` (bytes). Beyond the bound, those that have taken nothing for longest are dropped, of the ones that hold at least half of the mean; a log line `slow reader dropped` and the counter hibiscusbeam_dropped_readers_total by kind tell of it. A caller whose whole answer is still read from its target counts, and isn't called slow.

Evidence: 250 callers that read nothing of their streams, over Unix sockets, are dropped until 1.5 MB are left, and 20 that read get all of their 0.64 MB (test/fleet/buffered_bytes.test.ts). A real entry with callers that don't read whole answers of 7 MB drops the slowest and serves the one that reads (test/fleet/slow_callers.test.ts). Measured on this machine: over TCP on loopback the system takes 3.9 MB for one such caller, which is why the first test doesn't use it; an idle entry takes 76 MB.

Left as it is: bodies that callers send, and bodies kept to be sent again, are bounded by the configuration's limits for each request only.

--- a/packages/core/src/memory/index.ts
+++ b/packages/core/src/memory/index.ts
@@ -1,3 +1,4 @@
 export * from './engine_memory';
 export * from './expected_output';
 export * from './request_sizes';
+export * from './slow_readers';
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -7,6 +7,7 @@
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
+import type {RequestBuffers} from './buffered_bytes';
 import {
   openExchange,
   type ExchangeFailure,
@@ -38,6 +39,7 @@
   readonly body: Buffer;
   readonly protocol: RequestProtocol;
   readonly response: ServerResponse;
+  readonly buffers: RequestBuffers;
   readonly progress: StreamProgress;
   readonly now: () => MonotonicInstant;
   readonly ownLines: () => readonly string[];
@@ -128,7 +130,7 @@
   if (success && options.route.kind === 'stream') {
     return relayStream({...options, answer});
   }
-  const body = await readWhole(answer, options.silence.noteBytes);
+  const body = await readWhole(answer, options);
   if (body === undefined) {
     options.explain('answer was cut');
     return {kind: 'unknown', cause: 'connectionLost'};
@@ -141,19 +143,34 @@
 /** The whole body; undefined if it was cut or is too large. */
 function readWhole(
   {body, isWhole}: IncomingAnswer,
-  noteBytes: () => void,
+  {
+    silence,
+    buffers,
+  }: Pick<AttemptOptions, 'buffers'> & {
+    readonly silence: SilenceWatch;
+  },
 ): Promise<Buffer | undefined> {
   return new Promise(resolve => {
     const parts: Buffer[] = [];
     let size = 0;
     body.on('data', (part: Buffer) => {
-      noteBytes();
+      silence.noteBytes();
       size += part.length;
       parts.push(part);
+      buffers.hold(part.length);
       if (size > LARGEST_WHOLE_ANSWER) body.destroy();
     });
-    body.on('end', () => resolve(isWhole() ? Buffer.concat(parts) : undefined));
-    body.on('error', () => resolve(undefined));
-    body.on('close', () => resolve(undefined));
+    const cut = (): void => {
+      buffers.hold(-size);
+      size = 0;
+      resolve(undefined);
+    };
+    body.on('end', () => {
+      if (!isWhole()) return cut();
+      body.off('close', cut);
+      resolve(Buffer.concat(parts));
+    });
+    body.on('error', cut);
+    body.on('close', cut);
   });
 }
--- /dev/null
+++ b/packages/fleet/src/entry/buffered_bytes.ts
@@ -0,0 +1,166 @@
+import {
+  chooseDropped,
+  type Bytes,
+  type MonotonicInstant,
+} from '@hibiscusbeam/core';
+import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
+import type {ClientRequest, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Period of looks at what is held, while requests run. */
+const LOOK_PERIOD = 100;
+
+/** Time in which further bytes are collected before the next look. */
+const COLLECT = 10;
+
+/** Who reads: a caller its answer, or a target the body of a request. */
+export type ReaderKind = 'caller' | 'target';
+
+/** What the bound on buffered bytes needs. */
+export interface BufferedBytesOptions {
+  readonly bound: Bytes;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly onDropped: (kind: ReaderKind) => void;
+}
+
+/** What is buffered for one request. */
+export interface RequestBuffers {
+  /** Counts bytes of whole answers that are read; negative ones are released. */
+  readonly hold: (bytes: Bytes) => void;
+  /** Looks soon, since something was written. */
+  readonly note: () => void;
+  /** Counts what is sent to a target until its connection closes. */
+  readonly watchTarget: (request: ClientRequest) => void;
+  /** Releases all whole answers: what is passed on is in the response. */
+  readonly passedOn: () => void;
+}
+
+/** Bounds what an entry buffers for callers and targets that read slowly. */
+export interface BufferedBytes {
+  /** Counts what is buffered for a request until its response closes. */
+  readonly open: (
+    response: ServerResponse,
+    requestId: string | undefined,
+  ) => RequestBuffers;
+  /** All bytes that are held now. */
+  readonly held: () => Bytes;
+}
+
+interface Reader {
+  readonly kind: ReaderKind;
+  readonly requestId: string | undefined;
+  readonly held: () => Bytes;
+  /** Whether any of them could be taken: a whole answer may still be read. */
+  readonly isOffered: () => boolean;
+  /** Bytes that the system has taken on the connection. */
+  readonly taken: () => Bytes;
+  readonly drop: () => void;
+  takenBefore: Bytes;
+  movedAt: MonotonicInstant;
+}
+
+/**
+ * Creates the bound.
+ *
+ * Failure: hundreds of callers read slowly. Each stream is paused at its
+ * high-water mark, whole answers are held in full, and together they exceed the
+ * memory of the process: it ends, with all of its requests. Guard: beyond the bound
+ * the slowest readers are dropped, so that the others are served.
+ */
+export function createBufferedBytes(
+  options: BufferedBytesOptions,
+): BufferedBytes {
+  const {bound, clock, log} = options;
+  const readers = new Set<Reader>();
+  let soon: NodeJS.Timeout | undefined;
+  let stopLooks: (() => void) | undefined;
+
+  function watch(
+    reader: Omit<Reader, 'takenBefore' | 'movedAt'>,
+    closing: ClientRequest | ServerResponse,
+  ): void {
+    if (closing.destroyed) return;
+    const watched = {...reader, takenBefore: 0, movedAt: clock()};
+    readers.add(watched);
+    stopLooks ??= every(LOOK_PERIOD, look);
+    closing.once('close', () => {
+      readers.delete(watched);
+      if (readers.size > 0) return;
+      stopLooks?.();
+      stopLooks = undefined;
+    });
+  }
+
+  function note(): void {
+    soon ??= setTimeout(() => {
+      soon = undefined;
+      look();
+    }, COLLECT);
+  }
+
+  function look(): void {
+    const now = clock();
+    const buffered = [...readers].map(reader => {
+      const held = reader.held();
+      const taken = reader.taken();
+      const isStalled = reader.isOffered() && taken <= reader.takenBefore;
+      if (!isStalled) reader.movedAt = now;
+      reader.takenBefore = taken;
+      return {reader, held, stalledFor: now - reader.movedAt};
+    });
+    for (const {reader, held, stalledFor} of chooseDropped(buffered, bound)) {
+      const {kind, requestId} = reader;
+      log.warn('slow reader dropped', {
+        kind,
+        request: requestId,
+        held,
+        stalledFor: Math.round(stalledFor),
+        bound,
+      });
+      options.onDropped(kind);
+      reader.drop();
+    }
+  }
+
+  return {
+    open: (response, requestId) => {
+      let whole = 0;
+      const caller = {
+        kind: 'caller',
+        requestId,
+        held: () => whole + response.writableLength,
+        isOffered: () => response.writableLength > 0,
+        taken: () => takenBy(response.socket),
+        drop: () => void response.destroy(),
+      } as const;
+      watch(caller, response);
+      return {
+        hold: bytes => {
+          whole += bytes;
+          note();
+        },
+        note,
+        watchTarget: request =>
+          watch(
+            {
+              kind: 'target',
+              requestId,
+              held: () => request.writableLength,
+              isOffered: () => request.writableLength > 0,
+              taken: () => takenBy(request.socket),
+              drop: () => void request.destroy(new Error('read too slowly')),
+            },
+            request,
+          ),
+        passedOn: () => (whole = 0),
+      };
+    },
+    held: () => [...readers].reduce((sum, {held}) => sum + held(), 0),
+  };
+}
+
+/** What waits in the socket counts as written, though nobody has taken it. */
+function takenBy(socket: Socket | null): Bytes {
+  return socket === null ? 0 : socket.bytesWritten - socket.writableLength;
+}
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -37,7 +37,8 @@
   TargetList,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
-import type {FleetEntrySettings} from '../settings';
+import {bufferBound, type FleetEntrySettings} from '../settings';
+import {createBufferedBytes} from './buffered_bytes';
 import {createCallerFace} from './caller_face';
 import {createEntryCircle} from './entry_circle';
 import {createEntryQuarantine} from './entry_quarantine';
@@ -270,6 +271,12 @@
       metrics,
     }),
     trials,
+    buffers: createBufferedBytes({
+      bound: bufferBound(settings),
+      clock,
+      log: logs('requests'),
+      onDropped: metrics.countDroppedReader,
+    }),
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -6,6 +6,7 @@
 import type {Milliseconds, UnknownCause} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {startAnswerTimer} from '../link/answer_timer';
+import type {RequestBuffers} from './buffered_bytes';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
 
 /** A request as it goes to a target. */
@@ -17,6 +18,8 @@
   readonly body: Buffer;
   /** Whether the target may still be sent the request; asked once connected. */
   readonly mayBegin: () => boolean;
+  /** What is buffered of it. */
+  readonly buffers: Pick<RequestBuffers, 'watchTarget'>;
 }
 
 /** The beginning of a target's answer; its body is still to be read. */
@@ -85,6 +88,7 @@
     agent: false,
     setHost: false,
   });
+  outgoing.buffers.watchTarget(request);
   const answer = awaitAnswer(request, protocol, outgoing);
   return {answer, abort: () => void request.destroy()};
 }
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -30,6 +30,8 @@
   readonly countLeavingAnswer: (service: string) => void;
   /** Counts an answer in which a target asked to back off. */
   readonly countBackoffAnswer: (service: string) => void;
+  /** Counts a caller or target that was dropped since it read too slowly. */
+  readonly countDroppedReader: (kind: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -94,6 +96,12 @@
     labelNames: ['service'],
     registers: [registry],
   });
+  const droppedReaders = new Counter({
+    name: 'hibiscusbeam_dropped_readers_total',
+    help: 'Callers and targets that were dropped since they read too slowly.',
+    labelNames: ['kind'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -106,6 +114,7 @@
     countLimitedAnswer: service => limitedAnswers.inc({service}),
     countLeavingAnswer: service => leavingAnswers.inc({service}),
     countBackoffAnswer: service => backoffAnswers.inc({service}),
+    countDroppedReader: kind => droppedReaders.inc({kind}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/request_context.ts
+++ b/packages/fleet/src/entry/request_context.ts
@@ -8,6 +8,7 @@
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
+import type {RequestBuffers} from './buffered_bytes';
 import type {CrashWatch} from './crash_watch';
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
@@ -50,6 +51,7 @@
   readonly accepted: AcceptedRequest;
   readonly story: RequestStory;
   readonly progress: StreamProgress;
+  readonly buffers: RequestBuffers;
   /** Aborts at the deadline and when the caller has gone. */
   readonly signal: AbortSignal;
   /** Why it was aborted; undefined while it was not. */
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -11,6 +11,7 @@
 import type {CallerHeader} from '../ports';
 import {endWithConnection} from './answer_framing';
 import type {WholeAnswer} from './attempt';
+import type {BufferedBytes} from './buffered_bytes';
 import {createExpectedRuns} from './expected_run';
 import type {FleetMetrics} from './fleet_metrics';
 import {ownAnswerFor, writeOwnAnswer, type OwnAnswer} from './own_answers';
@@ -44,6 +45,7 @@
     Omit<RequestAcceptanceOptions, 'expectedRuns'>,
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
+  readonly buffers: BufferedBytes;
   readonly log: Log;
   /** When the list of targets was surely as it is held here. */
   readonly listedAt: () => MonotonicInstant | undefined;
@@ -112,6 +114,7 @@
       lastEventId: accepted.header.resumeAfter,
       begunAt: undefined,
     };
+    const buffers = options.buffers.open(response, accepted.header.requestId);
     const ending = watchEnding(response, accepted);
     const run = createRequestRun(runOptions, {
       request,
@@ -119,6 +122,7 @@
       accepted,
       story,
       progress,
+      buffers,
       ...ending,
     });
     options.budgets.recordFirst(accepted.service);
@@ -128,6 +132,7 @@
       run.end();
     });
     finish(response, result, run.answer());
+    buffers.passedOn();
     if (result.kind === 'streamed') learn(accepted, progress);
     record(accepted, result, story, progress);
     options.places.pump();
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -6,6 +6,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import {endWithConnection} from './answer_framing';
+import type {RequestBuffers} from './buffered_bytes';
 import type {IncomingAnswer} from './exchange';
 import type {HeldStream} from './sends_under_way';
 import type {SilenceWatch} from './silence_watch';
@@ -22,6 +23,7 @@
 export interface StreamRelayOptions {
   readonly answer: IncomingAnswer;
   readonly response: ServerResponse;
+  readonly buffers: Pick<RequestBuffers, 'note'>;
   readonly protocol: RequestProtocol;
   readonly progress: StreamProgress;
   /** Is told of the target's bytes; doesn't count while none are read. */
@@ -92,7 +94,9 @@
         begin();
         options.onEvent();
         progress.lastEventId = event.id ?? progress.lastEventId;
-        if (!response.write(event.bytes)) reading.awaitCaller();
+        if (response.write(event.bytes)) continue;
+        options.buffers.note();
+        reading.awaitCaller();
       }
     });
     body.on('end', () => {
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -50,7 +50,7 @@
   context: RequestRunContext,
   hooks: TargetSenderHooks,
 ): (planned: PlannedSend) => void {
-  const {request, response, accepted, progress} = context;
+  const {request, response, accepted, progress, buffers} = context;
   const {header, route, service, access, run} = accepted;
   const {sends} = hooks;
 
@@ -119,6 +119,7 @@
       body: accepted.body,
       protocol: options.protocol,
       response,
+      buffers,
       progress,
       now: options.clock,
       ownLines: options.ownLines,
--- /dev/null
+++ b/packages/fleet/src/settings/buffer_bound.ts
@@ -0,0 +1,23 @@
+import type {Bytes} from '@hibiscusbeam/core';
+import type {FleetEntrySettings} from './schema';
+
+const MEGABYTE: Bytes = 1_000_000;
+
+/**
+ * Share of an entry's memory for buffered bytes. The smallest entries have 250 MB,
+ * of which the idle program takes 76 MB; the rest is for requests and the heap.
+ */
+const BUFFERS_SHARE = 0.2;
+
+/** The bound where neither the setting nor the memory is named. */
+const DEFAULT_BOUND: Bytes = 64 * MEGABYTE;
+
+/** Most bytes that an entry buffers for callers and targets that read slowly. */
+export function bufferBound({
+  buffers,
+  memoryMegabytes,
+}: Pick<FleetEntrySettings, 'buffers' | 'memoryMegabytes'>): Bytes {
+  if (typeof buffers === 'number') return buffers;
+  if (typeof memoryMegabytes !== 'number') return DEFAULT_BOUND;
+  return memoryMegabytes * MEGABYTE * BUFFERS_SHARE;
+}
--- a/packages/fleet/src/settings/index.ts
+++ b/packages/fleet/src/settings/index.ts
@@ -1,3 +1,4 @@
+export * from './buffer_bound';
 export * from './load_fleet_settings';
 export type {
   FleetAgentSettings,
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -46,6 +46,10 @@
   callerAddress: address,
   readinessAddress: address,
   directoryAddress: address,
+  /** Most bytes that are buffered for callers and targets that read slowly. */
+  buffers: z.int().positive().nullish(),
+  /** Memory of the process; a share of it is the bound if `buffers` is absent. */
+  memoryMegabytes: z.number().positive().nullish(),
   bounds,
 });
 
--- /dev/null
+++ b/test/fleet/buffered_bytes.test.ts
@@ -0,0 +1,139 @@
+import {monotonicClock, type Log} from '@hibiscusbeam/daemon';
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {PassThrough} from 'node:stream';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  createBufferedBytes,
+  type BufferedBytes,
+} from '../../packages/fleet/src/entry/buffered_bytes';
+import {relayStream} from '../../packages/fleet/src/entry/stream_relay';
+import {requestProtocol} from '../../platform/request_protocol';
+import {eventually} from './fixtures/host_site';
+
+const SLOW_READERS = 250;
+const FAST_READERS = 20;
+const BOUND = 1_500_000;
+const EVENT = Buffer.from(`data: ${'.'.repeat(8_000)}\n\n`);
+const EVENTS = 80;
+const SLOW = 'slow';
+
+/** Over loopback by TCP, the system takes 3.9 MB for each reader that stalls. */
+const PATH = join(tmpdir(), `hibiscusbeam-buffers-${process.pid}.sock`);
+
+const nothing = (): void => undefined;
+
+let buffered: BufferedBytes;
+let droppedLines: string[];
+let sockets: Socket[];
+let server: ReturnType<typeof createServer>;
+
+/** Passes a stream of events on, as an entry does with its target's. */
+function relay(request: IncomingMessage, response: ServerResponse): void {
+  const requestId = request.url?.slice(1);
+  const body = new PassThrough();
+  for (let count = 0; count < EVENTS; count += 1) body.write(EVENT);
+  body.end();
+  const answer = {
+    status: 200,
+    lines: [],
+    header: {} as never,
+    body: body as unknown as IncomingMessage,
+    isWhole: () => true,
+    isFramed: true,
+  };
+  void relayStream({
+    answer,
+    response,
+    protocol: requestProtocol,
+    progress: {begun: false, lastEventId: undefined, begunAt: undefined},
+    silence: {
+      noteBytes: nothing,
+      pause: nothing,
+      resume: nothing,
+      stop: nothing,
+    },
+    signal: new AbortController().signal,
+    buffers: buffered.open(response, requestId),
+    onStream: nothing,
+    onPassOn: nothing,
+    now: () => 0,
+    ownLines: () => [],
+    onEvent: nothing,
+    onFirstEvent: nothing,
+  }).then(() => response.end());
+}
+
+beforeEach(async () => {
+  droppedLines = [];
+  sockets = [];
+  const warn = (_: string, fields: {request: string}) =>
+    void droppedLines.push(fields.request);
+  buffered = createBufferedBytes({
+    bound: BOUND,
+    clock: monotonicClock,
+    log: {warn} as unknown as Log,
+    onDropped: nothing,
+  });
+  server = createServer(relay);
+  await new Promise<void>(resolve => server.listen(PATH, resolve));
+});
+
+afterEach(() => {
+  for (const socket of sockets) socket.destroy();
+  server.closeAllConnections();
+  server.close();
+});
+
+function ask(name: string): Socket {
+  const socket = connect(PATH);
+  socket.on('error', nothing);
+  sockets.push(socket);
+  socket.write(`GET /${name} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`);
+  return socket;
+}
+
+function readWhole(name: string): Promise<number> {
+  const socket = ask(name);
+  let size = 0;
+  socket.on('data', bytes => (size += bytes.length));
+  return new Promise(resolve => socket.on('close', () => resolve(size)));
+}
+
+// 250 callers stop reading their streams. What waits for them was bounded by the
+// memory of the process only, and it ended with the requests of all others.
+test('hundreds of slow readers are dropped down to the bound, and others served', async () => {
+  for (let count = 0; count < SLOW_READERS; count += 1) ask(`${SLOW}-${count}`);
+  await eventually(() => droppedLines.length > 0 && buffered.held() > 0);
+  await eventually(() => buffered.held() <= BOUND);
+  const sizes = await Promise.all(
+    Array.from({length: FAST_READERS}, (_, count) =>
+      readWhole(`fast-${count}`),
+    ),
+  );
+  for (const size of sizes) expect(size).toBeGreaterThan(EVENT.length * EVENTS);
+  expect(droppedLines.every(name => name.startsWith(SLOW))).toBe(true);
+  expect(droppedLines.length).toBeLessThan(SLOW_READERS);
+});
+
+test('a whole answer counts until it is passed on', async () => {
+  const held = new Promise<number>(resolve => {
+    server.removeAllListeners('request');
+    server.on('request', (_, response) => {
+      const buffers = buffered.open(response, 'whole');
+      buffers.hold(BOUND - 1);
+      resolve(buffered.held());
+      buffers.passedOn();
+      response.end();
+    });
+  });
+  await readWhole('whole');
+  expect(await held).toBe(BOUND - 1);
+  expect(buffered.held()).toBe(0);
+});
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -21,11 +21,13 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+const buffers = {watchTarget: () => undefined};
+
 async function readAnswer(address: string, mayBegin = () => true) {
   const lines = ['Host', 'a.example'];
   const body = Buffer.alloc(0);
   const exchange = openExchange(
-    {address, method: 'GET', path: '/', lines, body, mayBegin},
+    {address, method: 'GET', path: '/', lines, body, mayBegin, buffers},
     requestProtocol,
   );
   const answer = await exchange.answer;
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -95,6 +95,12 @@
     accepted,
     story: createRequestStory(clock),
     progress: {begun: false, lastEventId: undefined, begunAt: undefined},
+    buffers: {
+      hold: () => undefined,
+      note: () => undefined,
+      watchTarget: () => undefined,
+      passedOn: () => undefined,
+    },
     signal: new AbortController().signal,
     endedBy: () => undefined,
   });
--- /dev/null
+++ b/test/fleet/slow_callers.test.ts
@@ -0,0 +1,76 @@
+import {connect, type Socket} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {isReady, send} from './fixtures/host_caller';
+import {startHostEngine, type HostEngine} from './fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  KEY,
+  startHostSite,
+  type HostSite,
+} from './fixtures/host_site';
+
+const ANSWER = 7_000_000;
+
+/**
+ * Room for two whole answers and a little more. What a slow caller's connection
+ * does not take is some 3 MB.
+ */
+const BOUND = 16_000_000;
+
+const SLOW_CALLERS = 6;
+
+let site: HostSite;
+let engine: HostEngine;
+const slow: Socket[] = [];
+
+afterEach(async () => {
+  for (const socket of slow.splice(0)) socket.destroy();
+  await site.close();
+  await engine.close();
+});
+
+/** Asks for a plain answer and reads nothing of it. */
+function askSlowly(address: string, requestId: string): void {
+  const [host, port] = address.split(':');
+  const socket = connect(Number(port), host);
+  socket.on('error', () => undefined);
+  slow.push(socket);
+  const lines = [
+    'POST /safe/a HTTP/1.1',
+    `Host: ${HOST}`,
+    `Authorization: Token ${KEY}`,
+    `X-Hibiscusbeam-Request-Id: ${requestId}`,
+    'Content-Length: 0',
+  ];
+  socket.write(`${lines.join('\r\n')}\r\n\r\n`);
+}
+
+// Callers ask for whole answers of megabytes and read nothing. The entry held
+// each until its caller left.
+test('an entry drops callers that do not read whole answers, slowest first', async () => {
+  site = await startHostSite();
+  engine = await startHostEngine({instance: 'one', eventSize: ANSWER});
+  site.register(engine);
+  site.configure();
+  const {settings} = await site.startEntry({}, {buffers: BOUND});
+  await eventually(() => isReady(settings.readinessAddress));
+  const address = settings.callerAddress;
+  await eventually(async () => (await send(address, '/safe/a')).status === 200);
+  const dropped = () =>
+    site.lines
+      .filter(({sentence}) => sentence === 'slow reader dropped')
+      .map(({fields}) => (fields as {readonly request: string}).request);
+  for (let number = 1; number <= SLOW_CALLERS; number += 1) {
+    askSlowly(address, `slow-${number}`);
+    await eventually(() =>
+      JSON.stringify(site.lines).includes(`slow-${number}`),
+    );
+    const {status, text} = await send(address, '/safe/a');
+    expect(status).toBe(200);
+    expect(text.length).toBeGreaterThan(ANSWER);
+  }
+  await eventually(() => dropped().length > 0);
+  expect(dropped()[0]).toBe('slow-1');
+  expect(dropped()).not.toContain('request-1');
+});
