Ask again for a repeat that the budget denied

Cause: a request whose target falls silent asks once whether the site's budget allows a second send. If it is used up in that moment, the request waits for the silent target until its deadline, though first requests earn the next repeat a few requests later.

Change: the flow's wait says whether a denied repeat is still wanted. The budgets keep such requests in order, and the next first request of the service that earns a repeat grants it; no timer takes part. A report that comes first withdraws the wish; a repeat that is granted beside a report stays with its request and isn't taken twice. A request none of whose sends is under way is answered at once, as before: it has nothing to wait for.

Evidence: test/forwarding/forward_request.test.ts (one send before, two now; the properties play up to three late grants, each charged), and test/placement/repeat_budgets.test.ts (granted in the order of asking, nothing taken once withdrawn).

--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -36,6 +36,8 @@
   answerAtHand: boolean;
   /** Whether a repeat has been taken that no send has used. */
   repeatTaken: boolean;
+  /** Whether a repeat was denied that the sends under way still call for. */
+  wantsRepeat: boolean;
 }
 
 /** What the flow does next. */
@@ -66,6 +68,7 @@
     lastEventId: undefined,
     answerAtHand: false,
     repeatTaken: false,
+    wantsRepeat: false,
   };
   let step: Step = {kind: 'search'};
   for (;;) {
@@ -74,8 +77,13 @@
         step = yield* searchAndSend(request, progress);
         break;
       case 'wait': {
-        const report = reportOf(yield {kind: 'wait'});
-        step = yield* afterReport(request, progress, report);
+        const {wantsRepeat} = progress;
+        const reply = yield {kind: 'wait', wantsRepeat};
+        if (reply.kind === 'repeat') {
+          step = afterRepeat(progress, reply.allowed);
+          break;
+        }
+        step = yield* afterReport(request, progress, reportOf(reply));
         break;
       }
       case 'end':
@@ -116,6 +124,7 @@
   {outcome, underWay, silent}: SendReport,
 ): Steps<Target> {
   progress.underWay = underWay;
+  progress.wantsRepeat = false;
   const consequence = consequenceOf(request, progress, outcome);
   if (consequence.kind === 'end') return consequence;
   const {mayRepeat, otherwise} = consequence;
@@ -123,11 +132,28 @@
   if (mayRepeat && !isAnyNotSilent) {
     const isRepeat = hasArrived(outcome);
     if (!isRepeat || (yield* takeRepeat(progress))) return {kind: 'search'};
+    progress.wantsRepeat = true;
   }
   if (underWay > 0) return {kind: 'wait'};
   return {kind: 'end', result: otherwise};
 }
 
+/**
+ * Goes on after a repeat that was allowed late.
+ *
+ * Failure: the budget is used up for a moment when a target falls silent. The
+ * request then waits for it until its deadline, though others may repeat again
+ * 50 ms later.
+ */
+function afterRepeat<Target>(
+  progress: Progress<Target>,
+  allowed: boolean,
+): Step {
+  progress.wantsRepeat = false;
+  progress.repeatTaken = allowed;
+  return {kind: allowed ? 'search' : 'wait'};
+}
+
 /** Whether anything of the request may have reached the target of a send. */
 function hasArrived(outcome: AttemptOutcome): boolean {
   if (outcome.kind !== 'notRun') return true;
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -101,7 +101,11 @@
       readonly resumeAfter: string | undefined;
     }
   /** Waits for the next report of the sends under way. */
-  | {readonly kind: 'wait'}
+  | {
+      readonly kind: 'wait';
+      /** Whether a repeat that was denied is wanted as soon as it is allowed. */
+      readonly wantsRepeat: boolean;
+    }
   /** Asks whether the site's budget allows one more send. */
   | {readonly kind: 'takeRepeat'};
 
@@ -117,7 +121,7 @@
 
 /**
  * Answers to the flow's effects. A report may also answer `choosePlace`; the
- * wait for a place is then withdrawn.
+ * wait for a place is then withdrawn. A repeat answers `wait` if it is wanted.
  */
 export type ForwardReply<Target> =
   | {readonly kind: 'placed'; readonly place: PlaceReply<Target>}
--- a/packages/fleet/src/entry/repeat_budgets.ts
+++ b/packages/fleet/src/entry/repeat_budgets.ts
@@ -8,6 +8,14 @@
 export interface RepeatBudgets {
   readonly recordFirst: (service: ServiceName) => void;
   readonly takeRepeat: (service: ServiceName) => boolean;
+  /**
+   * Takes a repeat as soon as first requests allow one, in the order of asking;
+   * resolves without one once the signal aborts.
+   */
+  readonly awaitRepeat: (
+    service: ServiceName,
+    signal: AbortSignal,
+  ) => Promise<boolean>;
   /** Takes one for a stream that is moved, if enough is left for failures. */
   readonly takeMove: (service: ServiceName) => boolean;
 }
@@ -34,6 +42,7 @@
   options: RepeatBudgetsOptions,
 ): RepeatBudgets {
   const budgets = new Map<ServiceName, RetryBudget>();
+  const waiting = new Map<ServiceName, Set<() => void>>();
 
   /**
    * Failure: an entry that has just started knows no other one, takes the whole
@@ -55,8 +64,41 @@
     return budget;
   }
 
+  function waitersOf(service: ServiceName): Set<() => void> {
+    const known = waiting.get(service) ?? new Set();
+    waiting.set(service, known);
+    return known;
+  }
+
+  function awaitRepeat(
+    service: ServiceName,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    if (signal.aborted) return Promise.resolve(false);
+    const waiters = waitersOf(service);
+    return new Promise(resolve => {
+      const grant = (): void => end(true);
+      const withdraw = (): void => end(false);
+      const end = (isGranted: boolean): void => {
+        waiters.delete(grant);
+        signal.removeEventListener('abort', withdraw);
+        resolve(isGranted);
+      };
+      waiters.add(grant);
+      signal.addEventListener('abort', withdraw);
+    });
+  }
+
+  function recordFirst(service: ServiceName): void {
+    const budget = budgetOf(service);
+    budget?.recordFirstTry();
+    const [grant] = waitersOf(service);
+    if (grant !== undefined && budget?.takeRetry() === true) grant();
+  }
+
   return {
-    recordFirst: service => budgetOf(service)?.recordFirstTry(),
+    recordFirst,
+    awaitRepeat,
     takeRepeat: service => budgetOf(service)?.takeRetry() ?? false,
     takeMove: service => budgetOf(service)?.takeMove() ?? false,
   };
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -212,6 +212,19 @@
     return sends.next();
   }
 
+  /** The next report, or a repeat that was denied before. */
+  async function nextOrRepeat(): Promise<ForwardReply<ListedTarget>> {
+    if (sends.hasReport()) return sends.next();
+    const withdrawal = new AbortController();
+    const repeat = options.budgets.awaitRepeat(service, withdrawal.signal);
+    await Promise.race([sends.reported(), repeat]);
+    withdrawal.abort();
+    // One that was granted beside a report counts: its search meets the report.
+    if (!(await repeat)) return sends.next();
+    story.repeat(true);
+    return {kind: 'repeat', allowed: true};
+  }
+
   function perform(
     effect: ForwardEffect<ListedTarget>,
   ): ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>> {
@@ -221,7 +234,7 @@
       case 'send':
         return send();
       case 'wait':
-        return sends.next();
+        return effect.wantsRepeat ? nextOrRepeat() : sends.next();
       case 'takeRepeat': {
         const allowed = options.budgets.takeRepeat(service);
         story.repeat(allowed);
--- a/test/forwarding/forward_request.test.ts
+++ b/test/forwarding/forward_request.test.ts
@@ -70,6 +70,8 @@
   /** Sends for which a place is found. */
   readonly places: number;
   readonly repeats: number;
+  /** Repeats that are allowed after they were denied, while sends are silent. */
+  readonly lateRepeats: number;
 }
 
 const scripts: fc.Arbitrary<Script> = fc.record({
@@ -92,6 +94,7 @@
   interrupted: fc.array(fc.boolean(), {maxLength: 12}),
   places: fc.integer({min: 0, max: 12}),
   repeats: fc.integer({min: 0, max: 12}),
+  lateRepeats: fc.integer({min: 0, max: 3}),
 });
 
 interface PlayedSend {
@@ -121,14 +124,14 @@
   let underWay: PlayedSend[] = [];
   let streamBegun = false;
   let lastReport: ForwardAttemptOutcome | undefined;
-  let [reports, searches, repeats, moves] = [0, 0, 0, 0];
+  let [reports, searches, repeats, moves, late] = [0, 0, 0, 0, 0];
   let step = flow.next();
   for (let steps = 0; step.done !== true; steps += 1) {
     if (steps > MOST_STEPS) throw new Error('the flow does not end');
     step = flow.next(reply(step.value));
   }
   const leftUnderWay = underWay.length;
-  const charged = Math.min(repeats, script.repeats) + moves;
+  const charged = Math.min(repeats, script.repeats) + moves + late;
   const ending = {lastReport, leftUnderWay, charged};
   return {result: step.value, sent, streamBegun, ...ending};
 
@@ -149,7 +152,9 @@
         return report();
       }
       case 'wait':
-        return report();
+        if (!effect.wantsRepeat || late >= script.lateRepeats) return report();
+        late += 1;
+        return {kind: 'repeat', allowed: true};
       case 'takeRepeat':
         repeats += 1;
         return {kind: 'repeat', allowed: repeats <= script.repeats};
@@ -228,6 +233,7 @@
     interrupted: [],
     places: 12,
     repeats: 12,
+    lateRepeats: 0,
   };
 }
 
@@ -352,6 +358,11 @@
   }
 });
 
+test('a repeat that was denied is made once it is allowed', () => {
+  const {sent} = play({...silentFor(), repeats: 0, lateRepeats: 1});
+  expect(sent).toHaveLength(2);
+});
+
 test('a second send that fails leaves the silent one to answer', () => {
   const {result} = play({
     ...silentFor(),
--- a/test/placement/repeat_budgets.test.ts
+++ b/test/placement/repeat_budgets.test.ts
@@ -33,3 +33,45 @@
   while (budgets.takeRepeat('model')) taken += 1;
   expect(taken * entries).toBeLessThanOrEqual(100);
 });
+
+/** Budgets of one entry that have nothing left and earn one by five requests. */
+function usedUpBudgets() {
+  const budgets = createRepeatBudgets({
+    share: 0.34,
+    slack: 10,
+    entries: () => 1,
+  });
+  while (budgets.takeRepeat('engines'));
+  return budgets;
+}
+
+// The budget is used up for a moment. Without a second question the request
+// waits for its silent target until its deadline.
+test('a denied repeat is granted in turn once first requests allow it', async () => {
+  const budgets = usedUpBudgets();
+  const {signal} = new AbortController();
+  const granted: string[] = [];
+  for (const name of ['one', 'other']) {
+    void budgets.awaitRepeat('engines', signal).then(() => granted.push(name));
+  }
+  const record = async (count: number) => {
+    for (let done = 0; done < count; done += 1) budgets.recordFirst('engines');
+    await Promise.resolve();
+  };
+  await record(4);
+  expect(granted).toEqual([]);
+  await record(1);
+  expect(granted).toEqual(['one']);
+  await record(5);
+  expect(granted).toEqual(['one', 'other']);
+});
+
+test('a repeat that is wanted no more is not taken', async () => {
+  const budgets = usedUpBudgets();
+  const withdrawal = new AbortController();
+  const repeat = budgets.awaitRepeat('engines', withdrawal.signal);
+  withdrawal.abort();
+  expect(await repeat).toBe(false);
+  for (let done = 0; done < 5; done += 1) budgets.recordFirst('engines');
+  expect(budgets.takeRepeat('engines')).toBe(true);
+});
