--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,7 +39,8 @@
   TargetList,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
-import type {FleetEntrySettings} from '../settings';
+import {bufferBound, type FleetEntrySettings} from '../settings';
+import {createBufferedBytes} from './buffered_bytes';
 import {createCallerFace} from './caller_face';
 import {createColdWatch} from './cold_watch';
 import {createEntryAdmission, NO_ADMISSION} from './entry_admission';
@@ -342,6 +343,12 @@
       metrics,
     }),
     trials,
+    buffers: createBufferedBytes({
+      bound: bufferBound(settings),
+      clock,
+      log: logs('requests'),
+      onDropped: metrics.countDroppedReader,
+    }),
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -65,6 +65,8 @@
   ) => void;
   /** Notes how long an admitted request has waited for a place. */
   readonly observePlaceWait: (service: string, milliseconds: number) => void;
+  /** Counts a caller or target that was dropped since it read too slowly. */
+  readonly countDroppedReader: (kind: string) => void;
   /** All of them as text. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -167,6 +169,12 @@
     buckets: WAIT_BUCKETS,
     registers: [registry],
   });
+  const droppedReaders = new Counter({
+    name: 'hibiscusbeam_dropped_readers_total',
+    help: 'Callers and targets that were dropped since they read too slowly.',
+    labelNames: ['kind'],
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -196,6 +204,7 @@
       admissionShares.set({service, priority}, share),
     observePlaceWait: (service, milliseconds) =>
       placeWaits.observe({service}, milliseconds),
+    countDroppedReader: kind => droppedReaders.inc({kind}),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -64,6 +64,10 @@
   /** Regions of the site's zones; targets of other zones are in no region. */
   regions: z.record(z.string(), z.string().min(1)).nullish(),
   admission: admission.default('none'),
+  /** Most bytes that are buffered for callers and targets that read slowly. */
+  buffers: z.int().positive().nullish(),
+  /** Memory of the process; a share of it is the bound if `buffers` is absent. */
+  memoryMegabytes: z.number().positive().nullish(),
   bounds,
 });
 
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -107,6 +107,12 @@
     accepted,
     story: createRequestStory(clock),
     progress: {begun: false, lastEventId: undefined, begunAt: undefined},
+    buffers: {
+      hold: () => undefined,
+      note: () => undefined,
+      watchTarget: () => undefined,
+      passedOn: () => undefined,
+    },
     signal: new AbortController().signal,
     endedBy: () => undefined,
   });
