--- a/test/admission/entry_admission.test.ts
+++ b/test/admission/entry_admission.test.ts
@@ -25,6 +25,7 @@
       promptTime: 50,
       writingTime: 950,
       tokens: 100,
+      answerTokens: 0,
       profile: undefined,
     },
     fingerprint: 'content',
