Offer a stream again whose move has failed

Cause: a stream at an engine that is to load weights is offered for a move once. If the move finds no place by the time that it is made, or its next engine refuses it or falls silent, the stream stays to its end, and the load waits.

Change: the offer stays until the stream has left. It is tried again 150 ms after the last move at the earliest, only while the stream is alone, no place is looked for, and the route allows a further send. A move that was paid for and that no send has used isn't paid for again.

Evidence: test/fleet/stream_handover.test.ts (one move before, a second one now after 150 ms). In its fixture a moved stream now says that it isn't alone any more, as the entry's does; it relied on the offer being dropped.

test/fleet/stream_moves.test.ts: two runs with this change passed, one failed in all of its three tests (`SocketError: other side closed` before an answer's header), on a machine with a load average of 20 to 30; it passed on the commit before in one run. The cause wasn't found.

--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -53,6 +53,7 @@
     sends,
     needOf,
     mayBegin,
+    isChoosing: () => isChoosing,
     keepAnswer: kept => (answer = kept),
     onRun: () => {
       if (trial === 'held') trial = 'used';
@@ -60,6 +61,7 @@
   });
   let answer: WholeAnswer | undefined;
   let place: TakenPlace | undefined;
+  let isChoosing = false;
   let triedBefore: readonly ListedTarget[] = [];
   let trial: 'none' | 'held' | 'used' = 'none';
 
@@ -230,7 +232,8 @@
   ): ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>> {
     switch (effect.kind) {
       case 'choosePlace':
-        return choosePlace(effect.tried);
+        isChoosing = true;
+        return choosePlace(effect.tried).finally(() => (isChoosing = false));
       case 'send':
         return send();
       case 'wait':
--- a/packages/fleet/src/entry/stream_handover.ts
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -42,9 +42,13 @@
  */
 const NEXT_LOOK: Milliseconds = 5;
 
+/** Pause before a stream whose move has failed is moved again. */
+const MOVE_AGAIN: Milliseconds = 150;
+
 interface Offer {
   readonly target: ListedTarget;
   readonly stream: MovableStream;
+  movedAt: MonotonicInstant;
 }
 
 /** Creates the handover over the places of `book`. */
@@ -77,12 +81,15 @@
     const {stream} = offer;
     if (book.choose(stream.need()).kind !== 'chosen') return false;
     if (!stream.takeMove()) return false;
-    offers.delete(offer);
+    // Failure: the move finds no place, or its send fails, and the stream stays at
+    // an engine that waits for it. Guard: it is offered until it has left.
+    offer.movedAt = clock();
     stream.handOn();
     return true;
   }
 
   function isMovable(offer: Offer, now: MonotonicInstant): boolean {
+    if (now - offer.movedAt < MOVE_AGAIN) return false;
     return offer.stream.mayMove() && isWorthMoving(remaining(offer, now));
   }
 
@@ -94,7 +101,7 @@
 
   return {
     offer: (target, stream) => {
-      const offer = {target, stream};
+      const offer = {target, stream, movedAt: -Infinity};
       offers.add(offer);
       return () => void offers.delete(offer);
     },
--- a/packages/fleet/src/entry/target_send.ts
+++ b/packages/fleet/src/entry/target_send.ts
@@ -23,6 +23,8 @@
   readonly needOf: (tried: readonly ListedTarget[]) => PlaceNeed;
   /** Whether what led to the choice of the target still holds. */
   readonly mayBegin: (planned: PlannedSend) => boolean;
+  /** Whether a place for another send is looked for. */
+  readonly isChoosing: () => boolean;
   /** Takes a whole answer that may be passed on. */
   readonly keepAnswer: (answer: WholeAnswer) => void;
   /** Is told that a send has ended and may have run. */
@@ -53,6 +55,9 @@
   const {request, response, accepted, progress, buffers} = context;
   const {header, route, service, access, run} = accepted;
   const {sends} = hooks;
+  let begunSends = 0;
+  /** Whether a move was paid for that no send has used. */
+  let hasPaidMove = false;
 
   function headerLines({place, version}: PlannedSend): readonly string[] {
     const patience = accepted.deadline - options.clock();
@@ -76,6 +81,8 @@
 
   function begin(planned: PlannedSend): BegunSend {
     const {place} = planned;
+    begunSends += 1;
+    hasPaidMove = false;
     const send = sends.begin();
     const line = context.story.send(place.target);
     const foundClosed = new AbortController();
@@ -209,9 +216,14 @@
       begunAt: () => progress.begunAt,
       mayMove: () =>
         progress.lastEventId !== undefined &&
+        begunSends < route.attempts &&
+        !hooks.isChoosing() &&
         send.isAlone() &&
         !send.isSilent(),
-      takeMove: () => options.budgets.takeMove(service),
+      takeMove: () => {
+        hasPaidMove ||= options.budgets.takeMove(service);
+        return hasPaidMove;
+      },
       handOn: () => {
         const {lastEventId} = progress;
         if (lastEventId !== undefined) {
