--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -58,6 +58,7 @@
     sends,
     needOf,
     mayBegin,
+    isChoosing: () => isChoosing,
     keepAnswer: kept => (answer = kept),
     onRun: () => {
       if (trial === 'held') trial = 'used';
@@ -69,6 +70,7 @@
   /** Set on arrival, so that later sends are never refused by the level. */
   let isAdmitted = false;
   let place: TakenPlace | undefined;
+  let isChoosing = false;
   let triedBefore: readonly ListedTarget[] = [];
   let trial: 'none' | 'held' | 'used' = 'none';
 
@@ -274,7 +276,8 @@
   ): ForwardReply<ListedTarget> | Promise<ForwardReply<ListedTarget>> {
     switch (effect.kind) {
       case 'choosePlace':
-        return choosePlace(effect.tried);
+        isChoosing = true;
+        return choosePlace(effect.tried).finally(() => (isChoosing = false));
       case 'send':
         return send();
       case 'wait':
--- a/packages/fleet/src/entry/stream_handover.ts
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -54,9 +54,13 @@
  */
 const NEXT_LOOK: Milliseconds = 5;
 
+/** Pause before a stream whose move has failed is moved again. */
+const MOVE_AGAIN: Milliseconds = 150;
+
 interface Offer {
   readonly target: ListedTarget;
   readonly stream: MovableStream;
+  movedAt: MonotonicInstant;
 }
 
 /** Creates the handover over the places of `book`. */
@@ -91,12 +95,15 @@
     const first = book.forecast(place.target, need);
     if (rest !== undefined && !endsInTime(rest, first ?? 0)) return false;
     if (!stream.takeMove()) return false;
-    offers.delete(offer);
+    // Failure: the move finds no place, or its send fails, and the stream stays at
+    // an engine that waits for it. Guard: it is offered until it has left.
+    offer.movedAt = clock();
     stream.handOn();
     return true;
   }
 
   function isMovable(offer: Offer, now: MonotonicInstant): boolean {
+    if (now - offer.movedAt < MOVE_AGAIN) return false;
     if (!offer.stream.mayMove()) return false;
     if (lateRest(offer) !== undefined) return true;
     const isEmptying = book.isEmptying(offer.target, now);
@@ -123,7 +130,7 @@
 
   return {
     offer: (target, stream) => {
-      const offer = {target, stream};
+      const offer = {target, stream, movedAt: -Infinity};
       offers.add(offer);
       return () => void offers.delete(offer);
     },
