--- a/packages/core/src/placement/target_book.ts
+++ b/packages/core/src/placement/target_book.ts
@@ -281,7 +281,7 @@
       open: forPrompt(open, need),
       peers: usable,
     };
-    const best = chooseBest(choices, need, zone);
+    const best = chooseBest(choices, need, zone, rules.placement);
     if (best === undefined) return {kind: 'full'};
     return {kind: 'chosen', target: best.target};
   }
--- a/packages/core/src/placement/target_choice.ts
+++ b/packages/core/src/placement/target_choice.ts
@@ -7,7 +7,12 @@
 import type {EngineProfile} from '../routes';
 import type {Milliseconds, MonotonicInstant, ZoneName} from '../types';
 import {costOf} from './target_cost';
-import {isReported, REPORT_LIFE, type TargetEntry} from './target_entry';
+import {
+  isReported,
+  REPORT_LIFE,
+  type Placement,
+  type TargetEntry,
+} from './target_entry';
 import type {PlaceNeed} from './types';
 
 /** Error of a forecast, in milliseconds, within which a first event may be late. */
@@ -64,9 +69,10 @@
   {dealt, open, peers}: PlaceChoices,
   need: PlaceNeed,
   zone: ZoneName,
+  placement: Placement,
 ): TargetEntry | undefined {
   const {profile, now, firstEventBy} = need;
-  if (profile === undefined) {
+  if (profile === undefined || placement === 'load') {
     return leastOf(dealt, entry => costOf(entry, need, zone));
   }
   const {paces, isUneven} = pacesOf(peers, now);
--- a/packages/core/src/placement/target_entry.ts
+++ b/packages/core/src/placement/target_entry.ts
@@ -42,10 +42,15 @@
   readonly seen: SeenPace;
 }
 
+/** Whether engines are chosen by their load, or by the forecast first event. */
+export type Placement = 'load' | 'forecast';
+
 /** What the operator says of places. */
 export interface PlaceRules {
   /** Whether the zone's targets are to get nothing. */
   readonly isEvacuated: (zone: ZoneName) => boolean;
+  /** What engines are chosen by. */
+  readonly placement: Placement;
   /** Undefined if the zone's region is not known. */
   readonly regionOf: (zone: ZoneName) => RegionName | undefined;
   /** Whether the target bears little right after its start. */
@@ -54,6 +59,7 @@
 
 /** The rules where the operator says nothing. */
 export const NO_PLACE_RULES: PlaceRules = {
+  placement: 'load',
   isEvacuated: () => false,
   regionOf: () => undefined,
   isCold: () => false,
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -202,6 +202,7 @@
     arePlacesKnown,
     paced.maySend,
     {
+      placement: settings.placement,
       isEvacuated: evacuations.isEvacuated,
       regionOf: regions.regionOf,
       isCold: cold.isCold,
@@ -227,7 +228,11 @@
           followsRelay: () => !circle.readsTargets(),
           waitingFor: places.waitingFor,
         });
-  const handover = createStreamHandover({book, clock});
+  const handover = createStreamHandover({
+    book,
+    clock,
+    movesLate: settings.placement === 'forecast',
+  });
   const self: MemberDescription = {
     instance: settings.instance,
     role: 'entry',
--- a/packages/fleet/src/entry/stream_handover.ts
+++ b/packages/fleet/src/entry/stream_handover.ts
@@ -46,6 +46,8 @@
 export interface StreamHandoverOptions {
   readonly book: TargetBook;
   readonly clock: Clock;
+  /** Whether streams that won't end in time are moved. */
+  readonly movesLate: boolean;
 }
 
 /**
@@ -110,15 +112,19 @@
     return isEmptying && isWorthMoving(remaining(offer, now));
   }
 
+  function restOf(stream: MovableStream): StreamRest | undefined {
+    return options.movesLate ? stream.rest() : undefined;
+  }
+
   /** The rest of a stream that won't end in time where it runs. */
   function lateRest({stream}: Offer): StreamRest | undefined {
-    const rest = stream.rest();
+    const rest = restOf(stream);
     return rest && gainOfMove(rest) !== undefined ? rest : undefined;
   }
 
   /** Time that a move saves the caller or the engine's load. */
   function gain(offer: Offer, now: MonotonicInstant): Milliseconds {
-    const rest = offer.stream.rest();
+    const rest = restOf(offer.stream);
     return (rest && gainOfMove(rest)) ?? remaining(offer, now);
   }
 
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -64,6 +64,8 @@
   /** Regions of the site's zones; targets of other zones are in no region. */
   regions: z.record(z.string(), z.string().min(1)).nullish(),
   admission: admission.default('none'),
+  /** What engines are chosen by where they differ in pace. */
+  placement: z.enum(['load', 'forecast']).default('load'),
   /** Most bytes that are buffered for callers and targets that read slowly. */
   buffers: z.int().positive().nullish(),
   /** Memory of the process; a share of it is the bound if `buffers` is absent. */
--- a/test/fleet/stream_handover.test.ts
+++ b/test/fleet/stream_handover.test.ts
@@ -35,7 +35,7 @@
   const book = createTargetBook({instance: 'entry', zone: 'north'});
   const [loading, other] = [engine('loading'), engine('other')];
   book.list([loading, other], clock());
-  const handover = createStreamHandover({book, clock});
+  const handover = createStreamHandover({book, clock, movesLate: true});
   const moved: number[] = [];
   let movesLeft = movesAllowed;
 
--- a/test/forecast/uneven_site.ts
+++ b/test/forecast/uneven_site.ts
@@ -127,7 +127,9 @@
   }
 
   function createBook(entry: SendingEntry): TargetBook {
-    const book = createTargetBook(entry);
+    const book = createTargetBook(entry, undefined, undefined, {
+      placement: 'forecast',
+    });
     book.list(
       engines.map(({target}) => target),
       0,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -340,6 +340,7 @@
         callerAddress: await freeAddress(),
         readinessAddress: await freeAddress(),
         directoryAddress: await freeAddress(),
+        placement: 'load',
         admission: 'none',
         store: {address: site.store.address, heartbeat: 1_200},
         bounds:
