--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -27,7 +27,7 @@
   /** From a version's naming until no request begins on an older one. */
   version: milliseconds,
   /** From an evacuation's writing until no request reaches the zone's targets. */
-  evacuation: milliseconds.optional(),
+  evacuation: milliseconds.nullish(),
   /** From the signal to stop until the process is killed. */
   grace: milliseconds,
   /** Longest life of a directory's answer. */
@@ -64,6 +64,8 @@
   /** Regions of the site's zones; targets of other zones are in no region. */
   regions: z.record(z.string(), z.string().min(1)).nullish(),
   admission: admission.default('none'),
+  /** What engines are chosen by where they differ in pace. */
+  placement: z.enum(['load', 'forecast']).default('load'),
   /** Most bytes that are buffered for callers and targets that read slowly. */
   buffers: z.int().positive().nullish(),
   /** Memory of the process; a share of it is the bound if `buffers` is absent. */
