Keep the platform's names out of the bench of control

Cause: bench/control wrote a configuration and a registration in the platform's words, which only platform/ and the stand-ins of its tests know. They stand beside the other stand-ins now; nothing else changes.

--- a/bench/control/main.ts
+++ b/bench/control/main.ts
@@ -9,9 +9,13 @@
   type HostEngine,
 } from '../../test/fleet/fixtures/host_engine';
 import {isReady, send} from '../../test/fleet/fixtures/host_caller';
-import {eventually, HOST, KEY} from '../../test/fleet/fixtures/host_site';
+import {eventually} from '../../test/fleet/fixtures/host_site';
 import {startHostStore} from '../../test/fleet/fixtures/host_store';
 import {readUsage} from '../shared/process_usage';
+import {
+  configurationWith,
+  registrationOf,
+} from '../../test/fleet/fixtures/control_site';
 
 const {values} = parseArgs({
   options: {
@@ -45,40 +49,6 @@
   repeats: {share: 0.2, slack: 104, window: 10_000},
 };
 
-const configurationWith = (origin: string, chunkSize: number) => ({
-  Version: 1,
-  Routes: [
-    {
-      Host: HOST,
-      Name: 'stream',
-      Prefix: '/stream/',
-      Kind: 'stream',
-      Service: 'engines',
-      Resumable: true,
-      TimeoutMs: 6_000,
-      TargetLatencyMs: 400,
-      GapTargetMs: 400,
-      MaxAttempts: 2,
-    },
-  ],
-  Services: [
-    {
-      Name: 'engines',
-      HealthPath: '/health',
-      Engine: {
-        Slots: 12,
-        Models: [{Name: 'model', WarmS: 0.1}],
-        step_ms: 9,
-        layers: 2,
-        Chunks: 1,
-        ChunkBytes: chunkSize,
-      },
-    },
-    {Name: 'origin', Origin: origin, LinkMbps: 100},
-  ],
-  Tenants: [{Name: 'shop', ApiKeys: [KEY], Priority: 1}],
-});
-
 function pause(seconds: number): Promise<void> {
   return new Promise(done => setTimeout(done, seconds * 1_000));
 }
@@ -203,17 +173,11 @@
     ),
   );
   engines.forEach((engine, index) =>
-    store.write('servers', engine.instance, {
-      Service: 'engines',
-      Address: engine.address,
-      Zone: `z${Math.floor(index / Number(values.inZone))}`,
-      Version: 'v1',
-      Slots: 12,
-      State: 'ready',
-      ColdRemainingMs: 0,
-      Sequence: 1,
-      Models: [{Name: 'model', Version: 1, Adapters: []}],
-    }),
+    store.write(
+      'servers',
+      engine.instance,
+      registrationOf(engine, `z${Math.floor(index / Number(values.inZone))}`),
+    ),
   );
   const members = await startMembers(store.address, engines);
   await pause(SETTLE_SECONDS);
