--- a/packages/core/src/types/names.ts
+++ b/packages/core/src/types/names.ts
@@ -36,6 +36,9 @@
  */
 export type RequestFingerprint = string;
 
+/** Identifies a part of prompts; the same in each request that contains it. */
+export type PromptPartDigest = string;
+
 /** Number of an agent's incarnation; raised in the table at each start. */
 export type Incarnation = number;
 
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -7,6 +7,7 @@
   type Destinations,
   type Milliseconds,
   type MonotonicInstant,
+  type PromptPartDigest,
   type ReadingUse,
   type RequestFingerprint,
   type Route,
@@ -19,7 +20,7 @@
 import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
 import {notRun, type LocalAnswer} from './local_answers';
-import {fingerprintOf} from './request_fingerprint';
+import {fingerprintOf, promptPartDigest} from './request_fingerprint';
 
 /** Phase of a planned stop. */
 export type StoppingPhase = 'serving' | 'leaving' | 'closing';
@@ -70,6 +71,8 @@
   readonly run: ExpectedRun;
   readonly body: Buffer;
   readonly fingerprint: RequestFingerprint;
+  /** Parts of its prompt, in order. */
+  readonly promptParts: readonly PromptPartDigest[];
   readonly arrivedAt: MonotonicInstant;
   readonly deadline: MonotonicInstant;
 }
@@ -118,7 +121,8 @@
     return notRun('noAllowedRegion', RETRY_RECONFIGURED_AFTER);
   }
   const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
-  const content = {header, body, fingerprint, arrivedAt, deadline};
+  const promptParts = header.promptParts.map(promptPartDigest);
+  const content = {header, body, fingerprint, promptParts, arrivedAt, deadline};
   return {...content, route, service, access, destinations, run};
 }
 
--- a/packages/fleet/src/entry/request_fingerprint.ts
+++ b/packages/fleet/src/entry/request_fingerprint.ts
@@ -1,4 +1,8 @@
-import type {RequestFingerprint, WorkspaceName} from '@hibiscusbeam/core';
+import type {
+  PromptPartDigest,
+  RequestFingerprint,
+  WorkspaceName,
+} from '@hibiscusbeam/core';
 import {createHash} from 'node:crypto';
 
 /**
@@ -7,6 +11,9 @@
  */
 const FINGERPRINT_DIGITS = 32;
 
+/** Hexadecimal digits of a part's digest, which each request's log line has. */
+const PART_DIGITS = 16;
+
 /** The parts of a request that stay the same when its caller retries it. */
 export interface FingerprintedContent {
   /** Undefined for an anonymous caller. */
@@ -30,3 +37,11 @@
     .digest('hex')
     .slice(0, FINGERPRINT_DIGITS);
 }
+
+/** Identifies a part of a prompt, whichever request contains it. */
+export function promptPartDigest(id: string): PromptPartDigest {
+  return createHash('sha256')
+    .update(JSON.stringify(['prompt part', id]))
+    .digest('hex')
+    .slice(0, PART_DIGITS);
+}
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -281,6 +281,7 @@
           ? accepted.access.workspace.name
           : undefined,
       fingerprint: accepted.fingerprint,
+      promptParts: accepted.promptParts,
       result: result.kind,
       reason: 'reason' in result ? result.reason : undefined,
       cause: 'cause' in result ? result.cause : undefined,
--- a/packages/fleet/src/ports/protocol.ts
+++ b/packages/fleet/src/ports/protocol.ts
@@ -12,6 +12,8 @@
   readonly patience: Milliseconds | undefined;
   readonly model: ModelName | undefined;
   readonly promptTokens: number | undefined;
+  /** Ids of the parts of the prompt, in order; requests may share parts. */
+  readonly promptParts: readonly string[];
   readonly mostOutputTokens: number | undefined;
   /** The caller's estimate of the answer's length. */
   readonly expectedOutputTokens: number | undefined;
--- a/test/admission/entry_admission.test.ts
+++ b/test/admission/entry_admission.test.ts
@@ -29,6 +29,7 @@
       profile: undefined,
     },
     fingerprint: 'content',
+    promptParts: [],
     body: Buffer.alloc(0),
     arrivedAt: 0,
     deadline: 6_000,
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -93,6 +93,7 @@
       profile: undefined,
     },
     fingerprint: 'content',
+    promptParts: [],
     body: Buffer.alloc(0),
     arrivedAt: now,
     deadline: now + TIMEOUT,
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -24,6 +24,7 @@
       profile: undefined,
     },
     fingerprint: 'content',
+    promptParts: [],
     body: Buffer.alloc(0),
     arrivedAt: 0,
     deadline: Math.min(timeout, patience),
--- a/test/platform/request_protocol.test.ts
+++ b/test/platform/request_protocol.test.ts
@@ -73,3 +73,18 @@
   const header = requestProtocol.readAnswer(200, ['Retry-After', '3']);
   expect(header.backoff).toBeUndefined();
 });
+
+test.each([
+  ['5c1e07a2:800,91BD3F06:410', ['5c1e07a2', '91bd3f06']],
+  [' 5c1e07a2:800 , ,91bd3f06', ['5c1e07a2', '91bd3f06']],
+  ['', []],
+])('the parts of the prompt %j are read as %j', (value, parts) => {
+  const lines = ['X-Hibiscusbeam-Prompt-Prefix', value];
+  expect(requestProtocol.readCaller(lines).promptParts).toEqual(parts);
+});
+
+test('only the first 32 parts of a prompt are read', () => {
+  const value = Array.from({length: 40}, (_, index) => `${index}:1`).join(',');
+  const lines = ['X-Hibiscusbeam-Prompt-Prefix', value];
+  expect(requestProtocol.readCaller(lines).promptParts).toHaveLength(32);
+});
