--- /dev/null
+++ b/packages/core/src/quarantine/culprits.ts
@@ -0,0 +1,84 @@
+import type {Suspect, TargetIncarnation} from '../types';
+import type {EndedLife} from './types';
+
+/**
+ * Number of targets that may end during attempts with a suspect before it is
+ * quarantined.
+ */
+export const ENDINGS_TO_QUARANTINE = 3;
+
+/** The evidence against one suspect since it was last answered. */
+export interface Evidence {
+  readonly suspect: Suspect;
+  readonly endings: ReadonlyMap<TargetIncarnation, EndedLife>;
+  /** Whether a target has ever survived an answer to a request with it. */
+  readonly wasAnswered: boolean;
+}
+
+/**
+ * Selects the suspects that caused the ends of targets. Each request on a
+ * target that ends is a suspect, and so is each part of its prompt; those that
+ * only shared their targets with worse ones are innocent.
+ */
+export function findCulprits(
+  evidence: Iterable<Evidence>,
+): ReadonlySet<Suspect> {
+  const candidates = [...evidence]
+    .filter(({endings}) => endings.size >= ENDINGS_TO_QUARANTINE)
+    .sort(compareSeverity);
+  const culprits = new Set<Suspect>();
+  const explained = new Set<TargetIncarnation>();
+  let peers: Evidence[] = [];
+  const convictPeers = (): void => {
+    const guilty = peers.filter(peer => isCulprit(peer, explained));
+    for (const {suspect, endings} of guilty) {
+      culprits.add(suspect);
+      for (const life of endings.keys()) explained.add(life);
+    }
+    peers = [];
+  };
+  for (const candidate of candidates) {
+    const [first] = peers;
+    if (first && compareSeverity(first, candidate) !== 0) convictPeers();
+    peers.push(candidate);
+  }
+  convictPeers();
+  return culprits;
+}
+
+/** The worst first: suspects that were never answered, then most endings. */
+function compareSeverity(one: Evidence, other: Evidence): number {
+  return (
+    Number(one.wasAnswered) - Number(other.wasAnswered) ||
+    other.endings.size - one.endings.size
+  );
+}
+
+function isCulprit(
+  {endings, wasAnswered}: Evidence,
+  explained: ReadonlySet<TargetIncarnation>,
+): boolean {
+  const unexplained = [...endings.values()].filter(
+    ({life}) => !explained.has(life),
+  );
+  if (!wasAnswered) return unexplained.length > 0;
+  return countConsecutive(unexplained) >= ENDINGS_TO_QUARANTINE;
+}
+
+/**
+ * Counts endings whose attempt was sent after the previous one had ended. An
+ * outage ends many targets at once, each with an attempt of a popular suspect.
+ */
+function countConsecutive(endings: readonly EndedLife[]): number {
+  let count = 0;
+  let lastEndedAt = -Infinity;
+  const inOrder = [...endings].sort(
+    (one, other) => one.endedAt - other.endedAt,
+  );
+  for (const {sentAt, endedAt} of inOrder) {
+    if (sentAt <= lastEndedAt) continue;
+    count += 1;
+    lastEndedAt = endedAt;
+  }
+  return count;
+}
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,89 +1,133 @@
-import type {
-  MonotonicInstant,
-  RequestFingerprint,
-  TargetIncarnation,
-} from '../types';
+import type {MonotonicInstant, Suspect, TargetIncarnation} from '../types';
 import {createRevisionedRows, type ChangedRows} from '../utils/revisioned_rows';
-import type {CrashRecord, EndedLife, Quarantine} from './types';
-
-/**
- * Number of targets that may end while running a request before it is
- * quarantined.
- */
-export const ENDINGS_TO_QUARANTINE = 3;
-
-/** Maximum number of endings kept per request. */
+import {findCulprits} from './culprits';
+import type {
+  CrashRecord,
+  EndedLife,
+  Quarantine,
+  QuarantineOptions,
+  VerdictOrigin,
+} from './types';
+
+/** Maximum number of endings kept per suspect. */
 const MAX_ENDINGS = 16;
 
-/** Maximum number of requests that are remembered. */
+/** Maximum number of suspects that are remembered. */
 const MAX_RECORDS = 2_000;
 
+/** Maximum number of suspects whose last answer is remembered. */
+const MAX_ANSWERED = 8_192;
+
 interface HeldRecord {
-  readonly fingerprint: RequestFingerprint;
-  readonly endings: Map<TargetIncarnation, MonotonicInstant>;
-  completedAt: MonotonicInstant | undefined;
+  readonly suspect: Suspect;
+  readonly endings: Map<TargetIncarnation, EndedLife>;
 }
 
 /**
- * Creates the quarantine of one entry. Records only grow until a complete
- * response resets them, so entries may relay them in any order and repeatedly.
+ * Creates the quarantine of one entry. Records only grow until an answer resets
+ * them, so entries may relay them in any order and repeatedly.
  */
-export function createQuarantine(maxRecords = MAX_RECORDS): Quarantine {
+export function createQuarantine(options: QuarantineOptions = {}): Quarantine {
+  const {maxRecords = MAX_RECORDS, onVerdict} = options;
   const records = createRevisionedRows(maxRecords, leastSignificant);
-  const stored = new Set<RequestFingerprint>();
+  /** The least recently answered suspect first. */
+  const answered = new Map<Suspect, MonotonicInstant>();
+  const stored = new Set<Suspect>();
+  let culprits: ReadonlySet<Suspect> = new Set();
+
+  function recordEnding(suspect: Suspect, ending: EndedLife): boolean {
+    const isNew = addEnding(suspect, ending);
+    if (isNew) judge('observed');
+    return isNew;
+  }
 
-  function recordEnding(
-    fingerprint: RequestFingerprint,
-    {life, endedAt}: EndedLife,
-  ): boolean {
-    const record = records.get(fingerprint) ?? createRecord(fingerprint);
-    if (record.endings.has(life)) return false;
-    if (endedAt <= (record.completedAt ?? -Infinity)) return false;
+  function addEnding(suspect: Suspect, ending: EndedLife): boolean {
+    const record = records.get(suspect) ?? createRecord(suspect);
+    if (record.endings.has(ending.life)) return false;
+    if (ending.sentAt <= answeredAt(suspect)) return false;
     if (record.endings.size >= MAX_ENDINGS) return false;
-    record.endings.set(life, endedAt);
-    records.set(fingerprint, record);
+    record.endings.set(ending.life, ending);
+    records.set(suspect, record);
     return true;
   }
 
-  function recordCompletion(
-    fingerprint: RequestFingerprint,
-    completedAt: MonotonicInstant,
-  ): boolean {
-    const wasStored = stored.delete(fingerprint);
-    const record = records.get(fingerprint);
-    if (record === undefined && !wasStored) return false;
-    return complete(record ?? createRecord(fingerprint), completedAt);
+  function answeredAt(suspect: Suspect): MonotonicInstant {
+    return answered.get(suspect) ?? -Infinity;
+  }
+
+  function recordAnswer(suspect: Suspect, begunAt: MonotonicInstant): boolean {
+    return takeAnswer(suspect, begunAt, 'observed');
   }
 
-  function complete(
-    record: HeldRecord,
-    completedAt: MonotonicInstant,
+  function takeAnswer(
+    suspect: Suspect,
+    begunAt: MonotonicInstant,
+    origin: VerdictOrigin,
   ): boolean {
-    if (completedAt <= (record.completedAt ?? -Infinity)) return false;
-    const isNew = record.completedAt === undefined || record.endings.size > 0;
-    record.completedAt = completedAt;
-    for (const [life, endedAt] of [...record.endings]) {
-      if (endedAt <= completedAt) record.endings.delete(life);
+    if (begunAt <= answeredAt(suspect)) return false;
+    rememberAnswer(suspect, begunAt);
+    const record = records.get(suspect) ?? createRecord(suspect);
+    const sizeBefore = record.endings.size;
+    for (const [life, {sentAt}] of [...record.endings]) {
+      if (sentAt <= begunAt) record.endings.delete(life);
     }
-    if (isNew) records.set(record.fingerprint, record);
-    return isNew;
+    const isReleased = record.endings.size === 0 && stored.delete(suspect);
+    if (record.endings.size === sizeBefore && !isReleased) return false;
+    records.set(suspect, record);
+    if (isReleased && !culprits.has(suspect)) {
+      onVerdict?.({suspect, isQuarantined: false, origin});
+    }
+    judge(origin);
+    return true;
   }
 
-  function merge({fingerprint, endings, completedAt}: CrashRecord): boolean {
-    let isNew = false;
-    if (completedAt !== undefined && isSuspected(fingerprint)) {
-      isNew = recordCompletion(fingerprint, completedAt);
+  function rememberAnswer(suspect: Suspect, begunAt: MonotonicInstant): void {
+    answered.delete(suspect);
+    answered.set(suspect, begunAt);
+    const [oldest] = answered.keys();
+    if (answered.size > MAX_ANSWERED && oldest !== undefined) {
+      answered.delete(oldest);
     }
+  }
+
+  function merge(record: CrashRecord): boolean {
+    const {suspect, endings} = record;
+    const theirs = record.answeredAt ?? -Infinity;
+    let isNew = takeAnswer(suspect, theirs, 'relayed');
     for (const ending of endings) {
-      if (recordEnding(fingerprint, ending)) isNew = true;
+      if (addEnding(suspect, ending)) isNew = true;
+      if (ending.sentAt <= answeredAt(suspect) && theirs < ending.sentAt) {
+        shareAnswer(suspect);
+        isNew = true;
+      }
     }
+    judge('relayed');
     return isNew;
   }
 
-  /** Whether a complete response would change anything. */
-  function isSuspected(fingerprint: RequestFingerprint): boolean {
-    const record = records.get(fingerprint);
-    return stored.has(fingerprint) || (record?.endings.size ?? 0) > 0;
+  /** Relays an answer that another entry has not learned of. */
+  function shareAnswer(suspect: Suspect): void {
+    records.set(suspect, records.get(suspect) ?? createRecord(suspect));
+  }
+
+  function judge(origin: VerdictOrigin): void {
+    const before = culprits;
+    culprits = findCulprits(evidence());
+    for (const suspect of culprits) {
+      if (before.has(suspect) || stored.has(suspect)) continue;
+      onVerdict?.({suspect, isQuarantined: true, origin});
+    }
+    for (const suspect of before) {
+      if (culprits.has(suspect)) continue;
+      stored.delete(suspect);
+      onVerdict?.({suspect, isQuarantined: false, origin});
+    }
+  }
+
+  function* evidence() {
+    for (const {suspect, endings} of records.values()) {
+      yield {suspect, endings, wasAnswered: answered.has(suspect)};
+    }
   }
 
   function changedSince(
@@ -94,76 +138,52 @@
     return {rows: changed.rows.map(toRecord), revision: changed.revision};
   }
 
-  function isQuarantined(fingerprint: RequestFingerprint): boolean {
-    if (stored.has(fingerprint)) return true;
-    const record = records.get(fingerprint);
-    if (record === undefined) return false;
-    if (record.endings.size < ENDINGS_TO_QUARANTINE) return false;
-    return !isExplained(record);
-  }
-
-  /**
-   * Whether another request was at each of the targets that ended, and at more;
-   * then this request only shared them.
-   */
-  function isExplained({endings}: HeldRecord): boolean {
-    const incarnations = [...endings.keys()];
-    return [...records.values()].some(
-      other =>
-        other.endings.size > incarnations.length &&
-        incarnations.every(life => other.endings.has(life)),
-    );
+  function toRecord({suspect, endings}: HeldRecord): CrashRecord {
+    return {
+      suspect,
+      endings: [...endings.values()],
+      answeredAt: answered.get(suspect),
+    };
   }
 
-  function recordStored(
-    fingerprint: RequestFingerprint,
-    isStored: boolean,
-  ): void {
+  function recordStored(suspect: Suspect, isStored: boolean): void {
     if (isStored) {
-      stored.add(fingerprint);
+      const isNew = !stored.has(suspect) && !culprits.has(suspect);
+      stored.add(suspect);
+      if (isNew) onVerdict?.({suspect, isQuarantined: true, origin: 'stored'});
       return;
     }
-    // Whoever removed the row has seen a complete response to the request.
-    if (stored.delete(fingerprint)) records.get(fingerprint)?.endings.clear();
+    if (!stored.delete(suspect)) return;
+    // Whoever removed the row has seen an answer to a request with the suspect.
+    records.get(suspect)?.endings.clear();
+    if (culprits.has(suspect)) judge('stored');
+    else onVerdict?.({suspect, isQuarantined: false, origin: 'stored'});
   }
 
   return {
     recordEnding,
-    recordCompletion,
+    recordAnswer,
     merge,
     changedSince,
-    isQuarantined,
+    isQuarantined: suspect => culprits.has(suspect) || stored.has(suspect),
+    size: () => new Set([...culprits, ...stored]).size,
     recordStored,
     forgetStored: () => stored.clear(),
   };
 }
 
-function createRecord(fingerprint: RequestFingerprint): HeldRecord {
-  return {fingerprint, endings: new Map(), completedAt: undefined};
+function createRecord(suspect: Suspect): HeldRecord {
+  return {suspect, endings: new Map()};
 }
 
 /** Returns the oldest record with the fewest endings. */
-function leastSignificant(
-  records: ReadonlyMap<RequestFingerprint, HeldRecord>,
-): RequestFingerprint {
+function leastSignificant(records: ReadonlyMap<Suspect, HeldRecord>): Suspect {
   let leastKey = '';
   let minEndings = Infinity;
-  for (const [fingerprint, {endings}] of records) {
+  for (const [suspect, {endings}] of records) {
     if (endings.size >= minEndings) continue;
-    leastKey = fingerprint;
+    leastKey = suspect;
     minEndings = endings.size;
   }
   return leastKey;
 }
-
-function toRecord({
-  fingerprint,
-  endings,
-  completedAt,
-}: HeldRecord): CrashRecord {
-  return {
-    fingerprint,
-    endings: [...endings].map(([life, endedAt]) => ({life, endedAt})),
-    completedAt,
-  };
-}
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -1,38 +1,52 @@
-import type {
-  MonotonicInstant,
-  RequestFingerprint,
-  TargetIncarnation,
-} from '../types';
+import type {MonotonicInstant, Suspect, TargetIncarnation} from '../types';
 import type {ChangedRows} from '../utils/revisioned_rows';
 
-/** The end of a target's incarnation while it ran a request. */
+/** The end of a target's incarnation during an attempt. */
 export interface EndedLife {
   readonly life: TargetIncarnation;
+  readonly sentAt: MonotonicInstant;
   readonly endedAt: MonotonicInstant;
 }
 
-/** What is known about a request during which targets have ended. */
+/** What is known about a suspect during whose attempts targets have ended. */
 export interface CrashRecord {
-  readonly fingerprint: RequestFingerprint;
+  readonly suspect: Suspect;
   readonly endings: readonly EndedLife[];
-  /** When a target last answered it completely; earlier endings don't count. */
-  readonly completedAt: MonotonicInstant | undefined;
+  /**
+   * When a target last began an answer that it survived; attempts sent before
+   * don't count.
+   */
+  readonly answeredAt: MonotonicInstant | undefined;
+}
+
+/** How an entry has learned what changed its verdict about a suspect. */
+export type VerdictOrigin = 'observed' | 'relayed' | 'stored';
+
+/** A change of whether a suspect is quarantined. */
+export interface Verdict {
+  readonly suspect: Suspect;
+  readonly isQuarantined: boolean;
+  readonly origin: VerdictOrigin;
 }
 
-/** Requests during which targets have ended, and those that are quarantined. */
+/** Options of a quarantine. */
+export interface QuarantineOptions {
+  /** Maximum number of suspects that are remembered. */
+  readonly maxRecords?: number;
+  readonly onVerdict?: (verdict: Verdict) => void;
+}
+
+/** Suspects during whose attempts targets have ended. */
 export interface Quarantine {
   /** Records an ending observed here; returns whether it is new. */
-  readonly recordEnding: (
-    fingerprint: RequestFingerprint,
-    ending: EndedLife,
-  ) => boolean;
+  readonly recordEnding: (suspect: Suspect, ending: EndedLife) => boolean;
   /**
-   * Records a complete response received here; returns whether it clears a
-   * suspicion.
+   * Records an answer that a target has begun and survived; returns whether it
+   * clears a suspicion.
    */
-  readonly recordCompletion: (
-    fingerprint: RequestFingerprint,
-    completedAt: MonotonicInstant,
+  readonly recordAnswer: (
+    suspect: Suspect,
+    begunAt: MonotonicInstant,
   ) => boolean;
   /** Merges another entry's record; returns whether it is new. */
   readonly merge: (record: CrashRecord) => boolean;
@@ -41,16 +55,12 @@
     revision: number,
     most: number,
   ) => ChangedRows<CrashRecord>;
-  /**
-   * Whether so many targets have ended under it that it is sent to no other
-   * one.
-   */
-  readonly isQuarantined: (fingerprint: RequestFingerprint) => boolean;
+  /** Whether requests with the suspect are sent to no other target. */
+  readonly isQuarantined: (suspect: Suspect) => boolean;
+  /** Number of suspects that are quarantined. */
+  readonly size: () => number;
   /** Applies the site's stored rows: all of them or those that changed. */
-  readonly recordStored: (
-    fingerprint: RequestFingerprint,
-    isStored: boolean,
-  ) => void;
+  readonly recordStored: (suspect: Suspect, isStored: boolean) => void;
   /** Drops the site's stored rows, before all are read again. */
   readonly forgetStored: () => void;
 }
--- a/packages/core/src/types/names.ts
+++ b/packages/core/src/types/names.ts
@@ -39,6 +39,9 @@
 /** Identifies a part of prompts; the same in each request that contains it. */
 export type PromptPartDigest = string;
 
+/** What the end of a target may be caused by. */
+export type Suspect = RequestFingerprint | PromptPartDigest;
+
 /** Number of an agent's incarnation; raised in the table at each start. */
 export type Incarnation = number;
 
--- a/packages/fleet/src/entry/crash_monitor.ts
+++ b/packages/fleet/src/entry/crash_monitor.ts
@@ -2,8 +2,9 @@
   targetIncarnationKey,
   type ListedTarget,
   type Milliseconds,
+  type MonotonicInstant,
   type Quarantine,
-  type RequestFingerprint,
+  type Suspect,
   type TargetIncarnation,
 } from '@hibiscusbeam/core';
 import {sleep, type Clock, type Log} from '@hibiscusbeam/daemon';
@@ -19,35 +20,37 @@
 /** Response of an address to a connection attempt. */
 export type AddressState = 'listening' | 'closed' | 'unreachable';
 
+/** An attempt at a target that may have ended because of it. */
+export interface SuspectedAttempt {
+  readonly target: ListedTarget;
+  readonly sentAt: MonotonicInstant;
+  /** What the target may have ended because of. */
+  readonly suspects: readonly Suspect[];
+}
+
 /** Dependencies of the crash monitor. */
 export interface CrashMonitorOptions {
   readonly quarantine: Quarantine;
   readonly clock: Clock;
   readonly log: Log;
   readonly probe?: (address: string) => Promise<AddressState>;
-  /** Called when something observed here has changed the quarantine. */
-  readonly onChange: (fingerprint: RequestFingerprint) => void;
+  /** Called when other entries need what was observed here. */
+  readonly onChange: () => void;
 }
 
 /** Detects whether targets have ended while they ran requests. */
 export interface CrashMonitor {
   /** Checks whether anything listens at the target's address. */
   readonly probe: (target: ListedTarget) => Promise<AddressState>;
-  /** Records that a request lost its connection to a target that ran it. */
-  readonly recordLostConnection: (
-    fingerprint: RequestFingerprint,
-    target: ListedTarget,
-  ) => Promise<void>;
-  /**
-   * Records that the target's incarnation is known to have ended while it ran
-   * the request.
-   */
-  readonly recordEnded: (
-    fingerprint: RequestFingerprint,
-    target: ListedTarget,
+  /** Records that an attempt lost its connection to its target. */
+  readonly recordLostConnection: (attempt: SuspectedAttempt) => Promise<void>;
+  /** Records that the target's incarnation is known to have ended. */
+  readonly recordEnded: (attempt: SuspectedAttempt) => void;
+  /** Records that a target has begun an answer and still runs. */
+  readonly recordAnswered: (
+    suspects: readonly Suspect[],
+    begunAt: MonotonicInstant,
   ) => void;
-  /** Records that a target has answered the request and still runs. */
-  readonly recordCompleted: (fingerprint: RequestFingerprint) => void;
 }
 
 /**
@@ -80,41 +83,42 @@
   }
 
   async function recordLostConnection(
-    fingerprint: RequestFingerprint,
-    target: ListedTarget,
+    attempt: SuspectedAttempt,
   ): Promise<void> {
     const endedAt = clock();
-    const state = await probeOnce(target);
-    if (state === 'closed') recordEnding(fingerprint, target, endedAt);
+    const state = await probeOnce(attempt.target);
+    if (state === 'closed') recordEnding(attempt, endedAt);
   }
 
   function recordEnding(
-    fingerprint: RequestFingerprint,
-    target: ListedTarget,
-    endedAt: number,
+    {suspects, target, sentAt}: SuspectedAttempt,
+    endedAt: MonotonicInstant,
   ): void {
-    const ending = {life: targetIncarnationKey(target), endedAt};
-    const wasQuarantined = quarantine.isQuarantined(fingerprint);
-    if (!quarantine.recordEnding(fingerprint, ending)) return;
-    const isQuarantined = quarantine.isQuarantined(fingerprint);
+    const ending = {life: targetIncarnationKey(target), sentAt, endedAt};
+    const added = suspects.filter(suspect =>
+      quarantine.recordEnding(suspect, ending),
+    );
+    if (added.length === 0) return;
     const {instance} = target;
-    log.info('target ended under a request', {fingerprint, instance});
-    if (isQuarantined && !wasQuarantined) {
-      log.warn('request quarantined', {fingerprint, instance});
-    }
-    options.onChange(fingerprint);
+    log.info('target ended under a request', {suspects: added, instance});
+    options.onChange();
+  }
+
+  function recordAnswered(
+    suspects: readonly Suspect[],
+    begunAt: MonotonicInstant,
+  ): void {
+    const cleared = suspects.filter(suspect =>
+      quarantine.recordAnswer(suspect, begunAt),
+    );
+    if (cleared.length > 0) options.onChange();
   }
 
   return {
     probe: probeOnce,
     recordLostConnection,
-    recordEnded: (fingerprint, target) =>
-      recordEnding(fingerprint, target, clock()),
-    recordCompleted: fingerprint => {
-      if (!quarantine.recordCompletion(fingerprint, clock())) return;
-      log.info('request no longer suspected of ending targets', {fingerprint});
-      options.onChange(fingerprint);
-    },
+    recordEnded: attempt => recordEnding(attempt, clock()),
+    recordAnswered,
   };
 }
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -167,6 +167,7 @@
       holder: incarnation,
       clock,
       log: logs('requests'),
+      metrics,
       failurePause,
       onChange: () => entryPeers.scheduleRecords(),
     });
--- a/packages/fleet/src/entry/entry_quarantine.ts
+++ b/packages/fleet/src/entry/entry_quarantine.ts
@@ -1,8 +1,13 @@
-import {createQuarantine, type Quarantine} from '@hibiscusbeam/core';
+import {
+  createQuarantine,
+  type Quarantine,
+  type Verdict,
+} from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {FailurePause} from '../link/failure_pause';
 import type {QuarantineTable} from '../ports';
 import {createCrashMonitor, type CrashMonitor} from './crash_monitor';
+import type {FleetMetrics} from './fleet_metrics';
 import {createQuarantineStore, type QuarantineStore} from './quarantine_store';
 import {
   createQuarantineTrials,
@@ -16,14 +21,15 @@
   readonly holder: string;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Pick<FleetMetrics, 'setQuarantined'>;
   readonly failurePause: FailurePause;
   /** Called when this entry has learned something that other entries need. */
   readonly onChange: () => void;
 }
 
 /**
- * Quarantine of requests that crash their targets, with its storage, trials and
- * crash detection.
+ * Quarantine of requests and prompt parts that crash targets, with its storage,
+ * trials and crash detection.
  */
 export interface EntryQuarantine {
   readonly quarantine: Quarantine;
@@ -36,8 +42,8 @@
 export function createEntryQuarantine(
   options: EntryQuarantineOptions,
 ): EntryQuarantine {
-  const {table, holder, clock, log} = options;
-  const quarantine = createQuarantine();
+  const {table, holder, clock, log, metrics} = options;
+  const quarantine = createQuarantine({onVerdict: takeVerdict});
   const trials = createQuarantineTrials({table, holder, clock, log});
   const quarantineStore = createQuarantineStore({
     table,
@@ -50,11 +56,23 @@
     quarantine,
     clock,
     log,
-    onChange: fingerprint => {
-      options.onChange();
-      quarantineStore.update(fingerprint);
-      if (!quarantine.isQuarantined(fingerprint)) trials.forget(fingerprint);
-    },
+    onChange: options.onChange,
   });
-  return {quarantine, quarantineStore, trials, crashMonitor};
+
+  function takeVerdict({suspect, isQuarantined, origin}: Verdict): void {
+    log.warn(isQuarantined ? 'quarantined' : 'released from quarantine', {
+      suspect,
+      origin,
+    });
+    metrics.setQuarantined(quarantine.size());
+    if (!isQuarantined) trials.forget(suspect);
+    if (origin === 'observed') quarantineStore.update(suspect);
+  }
+
+  return {
+    quarantine,
+    quarantineStore,
+    trials,
+    crashMonitor,
+  };
 }
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -73,6 +73,8 @@
   readonly observeSlotWait: (service: string, milliseconds: number) => void;
   /** Counts a caller or target that was dropped because it read too slowly. */
   readonly countDroppedReader: (kind: string) => void;
+  /** Sets the number of quarantined requests and prompt parts. */
+  readonly setQuarantined: (count: number) => void;
   /** All metrics in the text format of Prometheus. */
   readonly text: () => Promise<string>;
   readonly contentType: string;
@@ -181,6 +183,11 @@
     labelNames: ['kind'],
     registers: [registry],
   });
+  const quarantined = new Gauge({
+    name: 'hibiscusbeam_quarantined',
+    help: 'Requests and parts of prompts that are sent to no target.',
+    registers: [registry],
+  });
   return {
     countRequest: (route, result) => requests.inc({route, result}),
     observeDuration: (route, milliseconds) =>
@@ -211,6 +218,7 @@
     observeSlotWait: (service, milliseconds) =>
       slotWaits.observe({service}, milliseconds),
     countDroppedReader: kind => droppedReaders.inc({kind}),
+    setQuarantined: count => quarantined.set(count),
     text: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/fleet/src/entry/quarantine_store.ts
+++ b/packages/fleet/src/entry/quarantine_store.ts
@@ -1,8 +1,4 @@
-import type {
-  Milliseconds,
-  Quarantine,
-  RequestFingerprint,
-} from '@hibiscusbeam/core';
+import type {Milliseconds, Quarantine, Suspect} from '@hibiscusbeam/core';
 import {sleep, type Log} from '@hibiscusbeam/daemon';
 import type {FailurePause} from '../link/failure_pause';
 import {runFeedLoop, type ReadingScope} from '../link/feed_loop';
@@ -33,13 +29,13 @@
   readonly log: Log;
 }
 
-/** Persists quarantined requests in the store, for entries that restart. */
+/** Persists quarantined suspects in the store, for entries that restart. */
 export interface QuarantineStore {
   readonly start: (signal: AbortSignal) => void;
   /** Whether the stored rows have been read at least once. */
   readonly isKnown: () => boolean;
   /** Writes or removes a row, after this entry has changed the quarantine. */
-  readonly update: (fingerprint: RequestFingerprint) => void;
+  readonly update: (suspect: Suspect) => void;
 }
 
 /** Creates the store of one entry's quarantine. */
@@ -47,11 +43,11 @@
   options: QuarantineStoreOptions,
 ): QuarantineStore {
   const {table, quarantine, log} = options;
-  const rows = new Set<RequestFingerprint>();
-  /** Requests whose rows were removed, oldest first. */
-  const removed = new Set<RequestFingerprint>();
+  const rows = new Set<Suspect>();
+  /** Suspects whose rows were removed, oldest first. */
+  const removed = new Set<Suspect>();
   let era: number | undefined;
-  const changed = new Set<RequestFingerprint>();
+  const changed = new Set<Suspect>();
   let isKnown = false;
   let isWriting = false;
   let stopped: AbortSignal | undefined;
@@ -74,20 +70,20 @@
       rows.clear();
       quarantine.forgetStored();
     }
-    for (const {fingerprint, isStored} of changes) {
-      recordRow(fingerprint, isStored);
-      quarantine.recordStored(fingerprint, isStored);
+    for (const {suspect, isStored} of changes) {
+      recordRow(suspect, isStored);
+      quarantine.recordStored(suspect, isStored);
     }
   }
 
-  function recordRow(fingerprint: RequestFingerprint, isStored: boolean): void {
+  function recordRow(suspect: Suspect, isStored: boolean): void {
     if (isStored) {
-      rows.add(fingerprint);
-      removed.delete(fingerprint);
+      rows.add(suspect);
+      removed.delete(suspect);
       return;
     }
-    if (!rows.delete(fingerprint)) return;
-    removed.add(fingerprint);
+    if (!rows.delete(suspect)) return;
+    removed.add(suspect);
     const [oldest] = removed;
     if (removed.size > MAX_ROWS && oldest !== undefined) {
       removed.delete(oldest);
@@ -101,15 +97,15 @@
   function takeRestored({changes}: QuarantineReading): void {
     const listed = changes
       .filter(({isStored}) => isStored)
-      .map(({fingerprint}) => fingerprint);
+      .map(({suspect}) => suspect);
     const lost = [...rows].filter(row => !listed.includes(row));
     rows.clear();
-    for (const fingerprint of listed) {
-      rows.add(fingerprint);
-      if (removed.has(fingerprint)) changed.add(fingerprint);
-      else quarantine.recordStored(fingerprint, true);
+    for (const suspect of listed) {
+      rows.add(suspect);
+      if (removed.has(suspect)) changed.add(suspect);
+      else quarantine.recordStored(suspect, true);
     }
-    for (const fingerprint of lost) changed.add(fingerprint);
+    for (const suspect of lost) changed.add(suspect);
     void writeChanges();
   }
 
@@ -117,27 +113,27 @@
     if (isWriting) return;
     isWriting = true;
     while (changed.size > 0 && stopped?.aborted !== true) {
-      for (const fingerprint of [...changed]) await writeChange(fingerprint);
+      for (const suspect of [...changed]) await writeChange(suspect);
     }
     isWriting = false;
   }
 
-  async function writeChange(fingerprint: RequestFingerprint): Promise<void> {
-    const isQuarantined = quarantine.isQuarantined(fingerprint);
-    if (isQuarantined === rows.has(fingerprint)) {
-      changed.delete(fingerprint);
+  async function writeChange(suspect: Suspect): Promise<void> {
+    const isQuarantined = quarantine.isQuarantined(suspect);
+    if (isQuarantined === rows.has(suspect)) {
+      changed.delete(suspect);
       return;
     }
     if (isQuarantined) makeRoom();
     const written = isQuarantined
-      ? await table.put(fingerprint, WRITE_TIMEOUT)
-      : await table.remove(fingerprint, WRITE_TIMEOUT);
+      ? await table.put(suspect, WRITE_TIMEOUT)
+      : await table.remove(suspect, WRITE_TIMEOUT);
     if (written.ok) {
-      recordRow(fingerprint, isQuarantined);
+      recordRow(suspect, isQuarantined);
       return;
     }
     const {val: error} = written;
-    log.warn('failed to store a quarantine change', {fingerprint, error});
+    log.warn('failed to store a quarantine change', {suspect, error});
     await sleep(WRITE_RETRY_PAUSE, stopped);
   }
 
@@ -167,8 +163,8 @@
       );
     },
     isKnown: () => isKnown,
-    update: fingerprint => {
-      changed.add(fingerprint);
+    update: suspect => {
+      changed.add(suspect);
       void writeChanges();
     },
   };
--- a/packages/fleet/src/entry/quarantine_trials.ts
+++ b/packages/fleet/src/entry/quarantine_trials.ts
@@ -1,8 +1,4 @@
-import type {
-  Milliseconds,
-  MonotonicInstant,
-  RequestFingerprint,
-} from '@hibiscusbeam/core';
+import type {Milliseconds, MonotonicInstant, Suspect} from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {QuarantineTable} from '../ports';
 
@@ -18,7 +14,7 @@
 /** Timeout of store calls; the caller waits for them. */
 const CLAIM_TIMEOUT: Milliseconds = 300;
 
-/** Requests whose state is remembered. */
+/** Suspects whose state is remembered. */
 const MAX_REMEMBERED = 2_000;
 
 /** Dependencies of the quarantine trials. */
@@ -30,18 +26,21 @@
   readonly log: Log;
 }
 
-/** The single trial that each quarantined request has on the site. */
+/** The single trial that each quarantined suspect has on the site. */
 export interface QuarantineTrials {
-  /** Claims the trial; resolves to whether this request may be sent once. */
-  readonly claim: (fingerprint: RequestFingerprint) => Promise<boolean>;
+  /**
+   * Claims the trial; resolves to whether one request with the suspect may be
+   * sent once.
+   */
+  readonly claim: (suspect: Suspect) => Promise<boolean>;
   /** Releases a trial that was not used. */
-  readonly release: (fingerprint: RequestFingerprint) => void;
+  readonly release: (suspect: Suspect) => void;
   /** Retry-After for the caller of a refused request. */
-  readonly retryAfter: (fingerprint: RequestFingerprint) => Milliseconds;
+  readonly retryAfter: (suspect: Suspect) => Milliseconds;
   /** Claims the trials of this entry again, after the store was restored. */
   readonly reclaim: () => void;
-  /** Forgets a request that is no longer quarantined. */
-  readonly forget: (fingerprint: RequestFingerprint) => void;
+  /** Forgets a suspect that is no longer quarantined. */
+  readonly forget: (suspect: Suspect) => void;
 }
 
 interface KnownTrial {
@@ -52,22 +51,21 @@
 }
 
 /**
- * Creates the trials of one entry. A request that was running when its targets
- * failed for another reason would stay quarantined forever, since only a
- * complete answer releases it. A row in the store ensures that the whole site
+ * Creates the trials of one entry. A suspect whose targets failed for another
+ * reason would stay quarantined forever, since only an answer releases it. A row in the store ensures that the whole site
  * tries it once.
  */
 export function createQuarantineTrials(
   options: QuarantineTrialsOptions,
 ): QuarantineTrials {
   const {table, holder, clock, log} = options;
-  const trials = new Map<RequestFingerprint, KnownTrial>();
+  const trials = new Map<Suspect, KnownTrial>();
 
-  function trialOf(fingerprint: RequestFingerprint): KnownTrial {
-    const known = trials.get(fingerprint);
+  function trialOf(suspect: Suspect): KnownTrial {
+    const known = trials.get(suspect);
     if (known !== undefined) return known;
     const trial = {dueAt: clock() + TRIAL_DELAY, isTaken: false, isOwn: false};
-    trials.set(fingerprint, trial);
+    trials.set(suspect, trial);
     const [oldest] = trials.keys();
     if (trials.size > MAX_REMEMBERED && oldest !== undefined) {
       trials.delete(oldest);
@@ -75,57 +73,57 @@
     return trial;
   }
 
-  async function claim(fingerprint: RequestFingerprint): Promise<boolean> {
-    const trial = trialOf(fingerprint);
+  async function claim(suspect: Suspect): Promise<boolean> {
+    const trial = trialOf(suspect);
     if (trial.isTaken || clock() < trial.dueAt) return false;
     trial.isTaken = true;
-    const claimed = await table.claimTrial(fingerprint, holder, CLAIM_TIMEOUT);
+    const claimed = await table.claimTrial(suspect, holder, CLAIM_TIMEOUT);
     if (claimed.ok) {
       trial.isOwn = claimed.val;
-      log.info('trial of a quarantined request', {
-        fingerprint,
+      log.info('trial of a quarantined suspect', {
+        suspect,
         isClaimed: claimed.val,
       });
       return claimed.val;
     }
-    log.warn('failed to claim a trial', {fingerprint, error: claimed.val});
+    log.warn('failed to claim a trial', {suspect, error: claimed.val});
     // Without an answer the row may have been written: then no entry tries the
-    // request.
+    // suspect.
     trial.isTaken = claimed.val.kind === 'noAnswer';
     return false;
   }
 
-  async function reclaim(fingerprint: RequestFingerprint): Promise<void> {
-    const claimed = await table.claimTrial(fingerprint, holder, CLAIM_TIMEOUT);
+  async function reclaim(suspect: Suspect): Promise<void> {
+    const claimed = await table.claimTrial(suspect, holder, CLAIM_TIMEOUT);
     if (claimed.ok) return;
     log.warn('failed to claim a trial again', {
-      fingerprint,
+      suspect,
       error: claimed.val,
     });
   }
 
-  async function release(fingerprint: RequestFingerprint): Promise<void> {
-    const removed = await table.removeTrial(fingerprint, CLAIM_TIMEOUT);
-    if (removed.ok) trials.delete(fingerprint);
-    else log.warn('trial not released', {fingerprint, error: removed.val});
+  async function release(suspect: Suspect): Promise<void> {
+    const removed = await table.removeTrial(suspect, CLAIM_TIMEOUT);
+    if (removed.ok) trials.delete(suspect);
+    else log.warn('trial not released', {suspect, error: removed.val});
   }
 
   return {
     claim,
     reclaim: () => {
-      for (const [fingerprint, {isOwn}] of trials) {
-        if (isOwn) void reclaim(fingerprint);
+      for (const [suspect, {isOwn}] of trials) {
+        if (isOwn) void reclaim(suspect);
       }
     },
-    release: fingerprint => void release(fingerprint),
-    retryAfter: fingerprint => {
-      const {dueAt, isTaken} = trialOf(fingerprint);
+    release: suspect => void release(suspect),
+    retryAfter: suspect => {
+      const {dueAt, isTaken} = trialOf(suspect);
       return isTaken ? RETRY_AFTER_TRIAL : Math.max(1, dueAt - clock());
     },
-    forget: fingerprint => {
-      const trial = trials.get(fingerprint);
-      trials.delete(fingerprint);
-      if (trial?.isTaken === true) void release(fingerprint);
+    forget: suspect => {
+      const trial = trials.get(suspect);
+      trials.delete(suspect);
+      if (trial?.isTaken === true) void release(suspect);
     },
   };
 }
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -9,6 +9,7 @@
   type MonotonicInstant,
   type PlacementRequest,
   type SlotReply,
+  type Suspect,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
 import {describeRefusal} from './admission_monitor';
@@ -54,7 +55,8 @@
   context: RequestRunContext,
 ): RequestRun {
   const {accepted, trace, progress, signal, endedBy} = context;
-  const {header, service, access, run, fingerprint} = accepted;
+  const {header, service, access, run} = accepted;
+  const suspects = [accepted.fingerprint, ...accepted.promptParts];
   const attempts = createAttemptsInFlight();
   const sendTo = createTargetSender(options, context, {
     attempts,
@@ -75,6 +77,7 @@
   let isChoosing = false;
   let triedTargets: readonly ListedTarget[] = [];
   let trial: 'none' | 'held' | 'used' = 'none';
+  let claimedTrials: readonly Suspect[] = [];
 
   function placementRequestFor(
     tried: readonly ListedTarget[],
@@ -125,30 +128,53 @@
     return {kind: 'noPlace', reason, retryAfter};
   }
 
+  function quarantinedSuspects(): readonly Suspect[] {
+    return suspects.filter(options.quarantine.isQuarantined);
+  }
+
   function isQuarantined(): boolean {
-    return options.quarantine.isQuarantined(fingerprint);
+    return quarantinedSuspects().length > 0;
   }
 
   /** A trial is a single attempt: no other one starts alongside it. */
   async function takeTrial(): Promise<boolean> {
     if (attempts.count() > 0) return false;
-    if (trial === 'none' && (await options.trials.claim(fingerprint))) {
-      trial = 'held';
-    }
+    if (trial === 'none' && (await claimTrials())) trial = 'held';
     return trial === 'held';
   }
 
+  /** Claims the trials of all quarantined suspects, or none. */
+  async function claimTrials(): Promise<boolean> {
+    const wanted = quarantinedSuspects();
+    for (const suspect of wanted) {
+      if (!(await options.trials.claim(suspect))) {
+        releaseTrials();
+        return false;
+      }
+      claimedTrials = [...claimedTrials, suspect];
+    }
+    return true;
+  }
+
+  function releaseTrials(): void {
+    for (const suspect of claimedTrials) options.trials.release(suspect);
+    claimedTrials = [];
+  }
+
+  function quarantineRefusal(): ForwardReply<ListedTarget> {
+    const delays = quarantinedSuspects().map(options.trials.retryAfter);
+    const retryAfter = Math.max(1, ...delays);
+    const reason = 'quarantined';
+    return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
+  }
+
   async function chooseSlot(
     tried: readonly ListedTarget[],
   ): Promise<ForwardReply<ListedTarget>> {
     const refusal = isAdmitted ? undefined : refusalOnArrival();
     if (refusal !== undefined) return {kind: 'placed', place: refusal};
     isAdmitted = true;
-    if (isQuarantined() && !(await takeTrial())) {
-      const retryAfter = options.trials.retryAfter(fingerprint);
-      const reason = 'quarantined';
-      return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
-    }
+    if (isQuarantined() && !(await takeTrial())) return quarantineRefusal();
     triedTargets = [...tried];
     const requestedAt = options.clock();
     const outcome = await takeSlot(triedTargets);
@@ -312,7 +338,7 @@
     answer: () => answer,
     end: () => {
       attempts.abort();
-      if (trial === 'held') options.trials.release(fingerprint);
+      if (trial === 'held') releaseTrials();
     },
   };
 }
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -102,9 +102,11 @@
     const send = attempts.begin();
     const line = context.trace.send(place.target);
     const foundClosed = new AbortController();
+    const sentAt = options.clock();
     const recorder = createAttemptRecorder(options, {
       accepted,
       place,
+      sentAt,
       foundClosed,
     });
     const pauses = createEventPauses();
@@ -125,7 +127,7 @@
       line,
       foundClosed,
       recorder,
-      sentAt: options.clock(),
+      sentAt,
       forecast: forecastOf(planned),
       pauses,
       leave: () => {
@@ -146,7 +148,7 @@
   }
 
   function attemptOptions(begun: StartedAttempt): AttemptOptions {
-    const {planned, send, line, foundClosed, sentAt, pauses} = begun;
+    const {planned, send, line, recorder, foundClosed, sentAt, pauses} = begun;
     const {target, inFlight} = planned.place;
     return {
       route,
@@ -184,6 +186,7 @@
       },
       onEvent: () => {
         inFlight.begun();
+        recorder.recordEvent();
         pauses.record(options.clock());
       },
       keepAnswer: kept => (begun.answer = kept),
--- a/packages/fleet/src/link/crash_records.ts
+++ b/packages/fleet/src/link/crash_records.ts
@@ -33,17 +33,18 @@
 }
 
 function writeCrashRecord(
-  {fingerprint, endings, completedAt}: CrashRecord,
+  {suspect, endings, answeredAt}: CrashRecord,
   now: MonotonicInstant,
 ): CrashRecordMessage {
   return {
-    fingerprint: Buffer.from(fingerprint, 'hex'),
-    endings: endings.map(({life, endedAt}) => ({
+    fingerprint: Buffer.from(suspect, 'hex'),
+    endings: endings.map(({life, sentAt, endedAt}) => ({
       life,
       ageMilliseconds: ageOf(endedAt, now),
+      sentMillisecondsAgo: ageOf(sentAt, now),
     })),
     completedMillisecondsAgo:
-      completedAt === undefined ? undefined : ageOf(completedAt, now),
+      answeredAt === undefined ? undefined : ageOf(answeredAt, now),
   };
 }
 
@@ -52,14 +53,15 @@
   message: CrashRecordMessage,
   now: MonotonicInstant,
 ): CrashRecord {
-  const {completedMillisecondsAgo: completed} = message;
+  const {completedMillisecondsAgo: answered} = message;
   return {
-    fingerprint: Buffer.from(message.fingerprint).toString('hex'),
-    endings: message.endings.map(({life, ageMilliseconds}) => ({
-      life,
-      endedAt: now - ageMilliseconds,
+    suspect: Buffer.from(message.fingerprint).toString('hex'),
+    endings: message.endings.map(ending => ({
+      life: ending.life,
+      sentAt: now - (ending.sentMillisecondsAgo ?? ending.ageMilliseconds),
+      endedAt: now - ending.ageMilliseconds,
     })),
-    completedAt: completed === undefined ? undefined : now - completed,
+    answeredAt: answered === undefined ? undefined : now - answered,
   };
 }
 
--- a/packages/fleet/src/ports/host_store.ts
+++ b/packages/fleet/src/ports/host_store.ts
@@ -3,7 +3,7 @@
   ListedTarget,
   Milliseconds,
   ModelName,
-  RequestFingerprint,
+  Suspect,
   RoutingConfiguration,
 } from '@hibiscusbeam/core';
 import type {Result} from 'ts-results';
@@ -157,38 +157,38 @@
   ) => Promise<Result<MemberReading, HostError>>;
 }
 
-/** Row of a quarantined request that was written or removed. */
+/** Row of a quarantined suspect that was written or removed. */
 export interface QuarantineChange {
-  readonly fingerprint: RequestFingerprint;
+  readonly suspect: Suspect;
   readonly isStored: boolean;
 }
 
-/** Rows of quarantined requests: all of them, or the changed ones. */
+/** Rows of quarantined suspects: all of them, or the changed ones. */
 export interface QuarantineReading extends StoreReading {
   readonly changes: readonly QuarantineChange[];
 }
 
-/** Quarantined requests in the host platform's store. */
+/** Quarantined suspects in the host platform's store. */
 export interface QuarantineTable {
   readonly put: (
-    fingerprint: RequestFingerprint,
+    suspect: Suspect,
     timeout: Milliseconds,
   ) => Promise<Result<void, HostError>>;
   readonly remove: (
-    fingerprint: RequestFingerprint,
+    suspect: Suspect,
     timeout: Milliseconds,
   ) => Promise<Result<void, HostError>>;
   /**
-   * Records that `holder` runs the request as a trial; false if another holder
-   * has.
+   * Records that `holder` runs a request with the suspect as its trial; false
+   * if another holder has.
    */
   readonly claimTrial: (
-    fingerprint: RequestFingerprint,
+    suspect: Suspect,
     holder: string,
     timeout: Milliseconds,
   ) => Promise<Result<boolean, HostError>>;
   readonly removeTrial: (
-    fingerprint: RequestFingerprint,
+    suspect: Suspect,
     timeout: Milliseconds,
   ) => Promise<Result<void, HostError>>;
   readonly readAll: (
--- a/test/fleet/attempt_recorder.test.ts
+++ b/test/fleet/attempt_recorder.test.ts
@@ -5,37 +5,46 @@
   RequestRunOptions,
   TakenSlot,
 } from '../../packages/fleet/src/entry/request_context';
+import type {SuspectedAttempt} from '../../packages/fleet/src/entry/crash_monitor';
 import {createAttemptRecorder} from '../../packages/fleet/src/entry/attempt_recorder';
 import {plainRequest, plainTarget} from '../fixtures/placement';
 
 const accepted = {
   fingerprint: 'content',
+  promptParts: ['part'] as readonly string[],
   route: {name: 'route'},
 } as AcceptedRequest;
 
 const target = (instance: string) => plainTarget(instance, {slots: 100});
 
-/** Lists two targets. All attempts go to the first; the clock is stopped. */
+/** Lists two targets. All attempts go to the first. */
 function startSite() {
   const registry = createTargetRegistry({instance: 'entry', zone: 'north'});
   const [doubted, other] = [target('doubted'), target('other')];
   registry.list([doubted, other], 0);
   const endings: string[] = [];
+  const suspects: (readonly string[])[] = [];
+  const answered: (readonly string[])[] = [];
+  let now = 0;
   const options = {
     registry,
-    clock: () => 0,
+    clock: () => now,
     metrics: {countLostAttempt: () => undefined},
     crashMonitor: {
-      recordLostConnection: () => endings.push('lost'),
+      recordLostConnection: (attempt: SuspectedAttempt) => {
+        endings.push('lost');
+        suspects.push(attempt.suspects);
+      },
       recordEnded: () => endings.push('ended'),
-      recordCompleted: () => undefined,
+      recordAnswered: (cleared: readonly string[]) => answered.push(cleared),
     },
   } as unknown as RequestRunOptions;
 
   function send(foundClosed = new AbortController()) {
     const never = new AbortController().signal;
     const place = {target: doubted, incarnationEnded: never} as TakenSlot;
-    return createAttemptRecorder(options, {accepted, place, foundClosed});
+    const attempt = {accepted, place, sentAt: 0, foundClosed};
+    return createAttemptRecorder(options, attempt);
   }
 
   function isAvoided(): boolean {
@@ -49,7 +58,8 @@
     return !taken.includes('doubted');
   }
 
-  return {send, isAvoided, endings};
+  const pass = (time: number): number => (now += time);
+  return {send, isAvoided, endings, suspects, answered, pass};
 }
 
 const LOST = {kind: 'unknown', cause: 'connectionLost'} as const;
@@ -99,3 +109,33 @@
   send().recordEnd(LOST);
   expect(endings).toEqual(['ended', 'lost']);
 });
+
+/** Longer than targets run after the first event of an answer they crash on. */
+const LONG = 1_000;
+
+test('all parts of a prompt are suspects until their target has survived the first event', () => {
+  const {send, suspects, pass} = startSite();
+  const recorder = send();
+  recorder.recordEvent();
+  pass(10);
+  recorder.recordEnd(LOST);
+  expect(suspects).toEqual([['content', 'part']]);
+});
+
+test('only the request is a suspect once its target has survived the first event', () => {
+  const {send, suspects, answered, pass} = startSite();
+  const recorder = send();
+  recorder.recordEvent();
+  pass(LONG);
+  recorder.recordEvent();
+  recorder.recordEnd(LOST);
+  expect(answered).toEqual([['part']]);
+  expect(suspects).toEqual([['content']]);
+});
+
+test('a failure that a target answers clears no part of the prompt', () => {
+  const {send, answered} = startSite();
+  send().recordEnd({kind: 'answered', success: false});
+  send().recordEnd({kind: 'answered', success: true});
+  expect(answered).toEqual([['content'], ['content', 'part']]);
+});
--- a/test/fleet/crash_monitor.test.ts
+++ b/test/fleet/crash_monitor.test.ts
@@ -12,6 +12,10 @@
   return {instance, born, address: '10.0.0.1:80'} as ListedTarget;
 }
 
+function attempt(suspect: string, instance: string, born?: number) {
+  return {suspects: [suspect], target: target(instance, born), sentAt: 0};
+}
+
 function startMonitor(state: AddressState) {
   const quarantine = createQuarantine();
   let probes = 0;
@@ -32,13 +36,13 @@
 
 test('a target at whose address nothing listens has ended', async () => {
   const {monitor, endings} = startMonitor('closed');
-  await monitor.recordLostConnection('request', target('one'));
+  await monitor.recordLostConnection(attempt('request', 'one'));
   expect(endings()).toBe(1);
 });
 
 test('a connection reset by the network does not count as a crash of the target', async () => {
   const {monitor, endings} = startMonitor('listening');
-  await monitor.recordLostConnection('request', target('one'));
+  await monitor.recordLostConnection(attempt('request', 'one'));
   expect(endings()).toBe(0);
 });
 
@@ -47,7 +51,7 @@
   const requests = ['a', 'b', 'c'];
   await Promise.all(
     requests.map(request =>
-      monitor.recordLostConnection(request, target('one')),
+      monitor.recordLostConnection(attempt(request, 'one')),
     ),
   );
   expect(probes()).toBe(1);
@@ -57,7 +61,7 @@
 test('incarnations under one instance id are distinguished by their start time', () => {
   const {monitor, quarantine} = startMonitor('closed');
   for (const born of [1, 2, 3]) {
-    monitor.recordEnded('request', target('one', born));
+    monitor.recordEnded(attempt('request', 'one', born));
   }
   expect(quarantine.isQuarantined('request')).toBe(true);
 });
@@ -67,7 +71,7 @@
   const [one] = await Promise.all([
     monitor.probe(target('one')),
     monitor.probe(target('one')),
-    monitor.recordLostConnection('request', target('one')),
+    monitor.recordLostConnection(attempt('request', 'one')),
   ]);
   expect(one).toBe('closed');
   expect(probes()).toBe(1);
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -278,7 +278,8 @@
 });
 
 function endTarget(entry: Entry, life: string): void {
-  const ending = {life, endedAt: performance.now()};
+  const now = performance.now();
+  const ending = {life, sentAt: now, endedAt: now};
   entry.quarantine.recordEnding('c0ffee', ending);
   entry.entryPeers.scheduleRecords();
 }
@@ -314,7 +315,7 @@
   for (const life of ['one', 'two', 'three']) endTarget(entries[0]!, life);
   await eventually(() => entries.every(isQuarantined));
   const last = entries.at(-1)!;
-  last.quarantine.recordCompletion('c0ffee', performance.now());
+  last.quarantine.recordAnswer('c0ffee', performance.now());
   last.entryPeers.scheduleRecords();
   await eventually(() => !entries.some(isQuarantined));
 });
--- a/test/fleet/quarantine_table.test.ts
+++ b/test/fleet/quarantine_table.test.ts
@@ -33,10 +33,10 @@
   const [one, other] = [openTable(), openTable()];
   await one.put('request', TIMEOUT);
   const written = (await other.readAll(TIMEOUT)).unwrap();
-  expect(written.changes).toEqual([{fingerprint: 'request', isStored: true}]);
+  expect(written.changes).toEqual([{suspect: 'request', isStored: true}]);
   await one.remove('request', TIMEOUT);
   const followed = await other.follow(written.revision, 100, TIMEOUT);
   expect(followed.unwrap().changes).toEqual([
-    {fingerprint: 'request', isStored: false},
+    {suspect: 'request', isStored: false},
   ]);
 });
--- a/test/fleet/relayed_rows.test.ts
+++ b/test/fleet/relayed_rows.test.ts
@@ -206,7 +206,11 @@
   for (let index = 0; index < 1_000; index += 1) {
     const life = `i-${String(index).padStart(10, '0')}/1790000000000`;
     const fingerprint = createHash('md5').update(life).digest('hex');
-    quarantine.recordEnding(fingerprint, {life, endedAt: -1_000});
+    quarantine.recordEnding(fingerprint, {
+      life,
+      sentAt: -1_200,
+      endedAt: -1_000,
+    });
     limits.recordAnswer({life, rate: 2.5, sentAt: 0});
   }
   const write = createSiteRecords(quarantine, limits).createWriter();
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -10,7 +10,7 @@
   incarnations: readonly string[],
 ): void {
   for (const life of incarnations) {
-    quarantine.recordEnding(fingerprint, {life, endedAt: 1});
+    quarantine.recordEnding(fingerprint, {life, sentAt: 1, endedAt: 1});
   }
 }
 
@@ -31,11 +31,11 @@
 test('a complete response resets earlier endings', () => {
   const quarantine = createQuarantine();
   endAll(quarantine, 'request', ['one', 'two', 'three']);
-  expect(quarantine.recordCompletion('request', 2)).toBe(true);
+  expect(quarantine.recordAnswer('request', 2)).toBe(true);
   expect(quarantine.isQuarantined('request')).toBe(false);
   endAll(quarantine, 'request', ['late word of four']);
-  quarantine.recordEnding('request', {life: 'five', endedAt: 3});
-  quarantine.recordEnding('request', {life: 'six', endedAt: 3});
+  quarantine.recordEnding('request', {life: 'five', sentAt: 3, endedAt: 3});
+  quarantine.recordEnding('request', {life: 'six', sentAt: 3, endedAt: 3});
   expect(quarantine.isQuarantined('request')).toBe(false);
 });
 
@@ -55,7 +55,7 @@
 });
 
 test('many requests with one ending do not evict a quarantined one', () => {
-  const quarantine = createQuarantine(10);
+  const quarantine = createQuarantine({maxRecords: 10});
   endAll(quarantine, 'crashing', ['one', 'two', 'three']);
   for (let index = 0; index < 100; index += 1) {
     endAll(quarantine, `request-${index}`, ['four']);
@@ -113,7 +113,7 @@
   for (let messages = 0; messages < 4; messages += 1) {
     const changes = quarantine.changedSince(revision, 3);
     revision = changes.revision;
-    passed.push(...changes.rows.map(({fingerprint}) => fingerprint));
+    passed.push(...changes.rows.map(({suspect}) => suspect));
   }
   expect(passed).toHaveLength(7);
   expect(new Set(passed).size).toBe(7);
