Store a quarantine that no entry has observed on its own

What callers would see: after a power loss of all entries, requests that had been quarantined crash three more targets.

Cause: only the entry whose own observation was the third end wrote the row. If two entries observe ends at the same time, the third one reaches each of them in a record of the other, all entries refuse the suspect, and none stores it.

The fix: each entry that learns of a changed verdict from others writes it 1 to 3 s later unless the feed has shown the row by then; entries spread that span, so one write is the rule. Ruled out: a write by each entry at once, which costs a call per entry.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -169,6 +169,7 @@
       log: logs('requests'),
       metrics,
       failurePause,
+      spread,
       onChange: () => entryPeers.scheduleRecords(),
     });
   const limits = createRateLimits(clock);
--- a/packages/fleet/src/entry/entry_quarantine.ts
+++ b/packages/fleet/src/entry/entry_quarantine.ts
@@ -1,5 +1,6 @@
 import {
   createQuarantine,
+  unreachable,
   type Quarantine,
   type Verdict,
 } from '@hibiscusbeam/core';
@@ -23,6 +24,8 @@
   readonly log: Log;
   readonly metrics: Pick<FleetMetrics, 'setQuarantined'>;
   readonly failurePause: FailurePause;
+  /** Differs between entries; from 0 to below 1. */
+  readonly spread: number;
   /** Called when this entry has learned something that other entries need. */
   readonly onChange: () => void;
 }
@@ -51,6 +54,7 @@
     onRestore: trials.reclaim,
     failurePause: options.failurePause,
     log,
+    spread: options.spread,
   });
   const crashMonitor = createCrashMonitor({
     quarantine,
@@ -59,14 +63,29 @@
     onChange: options.onChange,
   });
 
-  function takeVerdict({suspect, isQuarantined, origin}: Verdict): void {
+  function takeVerdict(verdict: Verdict): void {
+    const {suspect, isQuarantined, origin} = verdict;
     log.warn(isQuarantined ? 'quarantined' : 'released from quarantine', {
       suspect,
       origin,
     });
     metrics.setQuarantined(quarantine.size());
     if (!isQuarantined) trials.forget(suspect);
-    if (origin === 'observed') quarantineStore.update(suspect);
+    storeVerdict(verdict);
+  }
+
+  /** Each change is observed by one entry, which may fail before it is stored. */
+  function storeVerdict({suspect, origin}: Verdict): void {
+    switch (origin) {
+      case 'observed':
+        return quarantineStore.update(suspect);
+      case 'relayed':
+        return quarantineStore.updateLater(suspect);
+      case 'stored':
+        return;
+      default:
+        return unreachable(origin);
+    }
   }
 
   return {
--- a/packages/fleet/src/entry/quarantine_store.ts
+++ b/packages/fleet/src/entry/quarantine_store.ts
@@ -16,6 +16,13 @@
 /** Timeout of one write. */
 const WRITE_TIMEOUT: Milliseconds = 800;
 
+/**
+ * Delay before an entry writes what another one should have written, and the
+ * span over which the entries spread it.
+ */
+const TAKEOVER_DELAY: Milliseconds = 1_000;
+const TAKEOVER_SPREAD: Milliseconds = 2_000;
+
 /** Maximum number of rows in the table, so that it can be read at startup. */
 const MAX_ROWS = 1_000;
 
@@ -27,6 +34,8 @@
   readonly onRestore: () => void;
   readonly failurePause: FailurePause;
   readonly log: Log;
+  /** Differs between entries; from 0 to below 1. */
+  readonly spread: number;
 }
 
 /** Persists quarantined suspects in the store, for entries that restart. */
@@ -36,6 +45,10 @@
   readonly isKnown: () => boolean;
   /** Writes or removes a row, after this entry has changed the quarantine. */
   readonly update: (suspect: Suspect) => void;
+  /**
+   * Writes or removes a row, unless another entry has done so after a while.
+   */
+  readonly updateLater: (suspect: Suspect) => void;
 }
 
 /** Creates the store of one entry's quarantine. */
@@ -146,6 +159,11 @@
     changed.add(oldest);
   }
 
+  function update(suspect: Suspect): void {
+    changed.add(suspect);
+    void writeChanges();
+  }
+
   return {
     start: signal => {
       stopped = signal;
@@ -163,9 +181,10 @@
       );
     },
     isKnown: () => isKnown,
-    update: suspect => {
-      changed.add(suspect);
-      void writeChanges();
+    update,
+    updateLater: suspect => {
+      const delay = TAKEOVER_DELAY + TAKEOVER_SPREAD * options.spread;
+      void sleep(delay, stopped).then(() => update(suspect));
     },
   };
 }
--- a/test/fleet/quarantine_restore.test.ts
+++ b/test/fleet/quarantine_restore.test.ts
@@ -46,6 +46,7 @@
     onRestore: trials.reclaim,
     failurePause: createFailurePause(0),
     log,
+    spread: 0,
   });
   quarantineStore.start(stopped.signal);
   await eventually(quarantineStore.isKnown);
