Refuse waiting requests as soon as they are quarantined

What callers saw: a request whose part had just been quarantined kept its place in the queue for a slot, up to its objective, and was refused only when it was about to be sent.

Cause: the quarantine was asked before the wait and before the send, not during the wait.

The fix: the wait ends with the verdict, whichever way the entry learns of it, and the caller gets 503 with the time of the trial. The new test's request waits for a slot that never comes; without the fix it isn't answered.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -161,7 +161,7 @@
   });
   const isReadable = (use: ReadingUse): boolean => use !== 'outdated';
   const incarnation = `${settings.instance}-${randomUUID()}`;
-  const {quarantine, quarantineStore, trials, crashMonitor} =
+  const {quarantine, quarantineStore, trials, crashMonitor, onQuarantined} =
     createEntryQuarantine({
       table: ports.quarantine,
       holder: incarnation,
@@ -361,6 +361,7 @@
       metrics,
     }),
     trials,
+    onQuarantined,
     buffers: createBufferedBytes({
       bound: maxBufferedBytes(settings),
       clock,
--- a/packages/fleet/src/entry/entry_quarantine.ts
+++ b/packages/fleet/src/entry/entry_quarantine.ts
@@ -2,6 +2,7 @@
   createQuarantine,
   unreachable,
   type Quarantine,
+  type Suspect,
   type Verdict,
 } from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
@@ -39,6 +40,8 @@
   readonly quarantineStore: QuarantineStore;
   readonly trials: QuarantineTrials;
   readonly crashMonitor: CrashMonitor;
+  /** Calls `listener` for each suspect that is quarantined, until stopped. */
+  readonly onQuarantined: (listener: (suspect: Suspect) => void) => () => void;
 }
 
 /** Connects the parts that work on one quarantine. */
@@ -46,6 +49,7 @@
   options: EntryQuarantineOptions,
 ): EntryQuarantine {
   const {table, holder, clock, log, metrics} = options;
+  const listeners = new Set<(suspect: Suspect) => void>();
   const quarantine = createQuarantine({onVerdict: takeVerdict});
   const trials = createQuarantineTrials({table, holder, clock, log});
   const quarantineStore = createQuarantineStore({
@@ -70,7 +74,8 @@
       origin,
     });
     metrics.setQuarantined(quarantine.size());
-    if (!isQuarantined) trials.forget(suspect);
+    if (isQuarantined) for (const listener of listeners) listener(suspect);
+    else trials.forget(suspect);
     storeVerdict(verdict);
   }
 
@@ -93,5 +98,9 @@
     quarantineStore,
     trials,
     crashMonitor,
+    onQuarantined: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
   };
 }
--- a/packages/fleet/src/entry/request_context.ts
+++ b/packages/fleet/src/entry/request_context.ts
@@ -11,6 +11,7 @@
 import type {RequestBuffers} from './buffered_bytes';
 import type {CrashMonitor} from './crash_monitor';
 import type {EntryAdmission} from './entry_admission';
+import type {EntryQuarantine} from './entry_quarantine';
 import type {FleetMetrics} from './fleet_metrics';
 import type {OperatorFollower} from './operator_follower';
 import type {SlotOutcome, SlotQueue} from './slot_queue';
@@ -37,6 +38,7 @@
   readonly admission: EntryAdmission;
   readonly quarantine: Quarantine;
   readonly trials: QuarantineTrials;
+  readonly onQuarantined: EntryQuarantine['onQuarantined'];
   readonly crashMonitor: CrashMonitor;
   readonly headerRecorder: HeaderRecorder;
   readonly metrics: FleetMetrics;
--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -180,27 +180,36 @@
     const outcome = await takeSlot(triedTargets);
     recordWait(outcome, options.clock() - requestedAt);
     if (outcome === 'withdrawn') return attempts.next();
+    if (outcome === 'quarantined') return quarantineRefusal();
     if (outcome.kind === 'place') place = outcome;
     else trace.noPlace(outcome.kind);
     return {kind: 'placed', place: slotReply(outcome)};
   }
 
   function recordWait(
-    outcome: SlotOutcome | 'withdrawn',
+    outcome: SlotOutcome | 'withdrawn' | 'quarantined',
     waited: Milliseconds,
   ): void {
-    if (outcome === 'withdrawn' || outcome.kind === 'abandoned') return;
+    if (outcome === 'withdrawn' || outcome === 'quarantined') return;
+    if (outcome.kind === 'abandoned') return;
     const refusedFor =
       outcome.kind === 'place' ? undefined : NO_SLOT_REASONS[outcome.kind];
     options.admission.recordWait(accepted, waited, refusedFor);
   }
 
-  /** Waits for a slot, but only until an attempt reports. */
+  /**
+   * Waits for a slot, but only until an attempt reports or the request is
+   * quarantined.
+   */
   async function takeSlot(
     tried: readonly ListedTarget[],
-  ): Promise<SlotOutcome | 'withdrawn'> {
+  ): Promise<SlotOutcome | 'withdrawn' | 'quarantined'> {
     if (attempts.hasReport()) return 'withdrawn';
     const withdrawal = new AbortController();
+    const quarantined = new AbortController();
+    const stopWatching = options.onQuarantined(suspect => {
+      if (suspects.includes(suspect) && trial !== 'held') quarantined.abort();
+    });
     if (attempts.count() > 0) {
       void attempts.reported().then(() => withdrawal.abort());
     }
@@ -213,12 +222,14 @@
       workspace: workspaceOf(accepted),
       slotTime: options.admission.slotTime(accepted),
       ...slotLimits(),
-      signal: AbortSignal.any([signal, withdrawal.signal]),
+      signal: AbortSignal.any([signal, withdrawal.signal, quarantined.signal]),
     });
+    stopWatching();
     const isReported = withdrawal.signal.aborted || attempts.hasReport();
-    if (endedBy() !== undefined || !isReported) return outcome;
+    const isGone = endedBy() !== undefined;
+    if (isGone || (!isReported && !quarantined.signal.aborted)) return outcome;
     if (outcome.kind === 'place') releaseSlot(outcome);
-    return 'withdrawn';
+    return isReported ? 'withdrawn' : 'quarantined';
   }
 
   function slotLimits(): SlotWaitLimits {
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -12,7 +12,11 @@
   NO_ADMISSION,
   type EntryAdmission,
 } from '../../packages/fleet/src/entry/entry_admission';
-import {createSlotQueue} from '../../packages/fleet/src/entry/slot_queue';
+import {
+  createSlotQueue,
+  type SlotOutcome,
+  type SlotRequest,
+} from '../../packages/fleet/src/entry/slot_queue';
 import type {AcceptedRequest} from '../../packages/fleet/src/entry/request_acceptance';
 import type {RequestRunOptions} from '../../packages/fleet/src/entry/request_context';
 import {createRequestRun} from '../../packages/fleet/src/entry/request_run';
@@ -48,7 +52,10 @@
 }
 
 /** Starts a run of a quarantined request that has got its one trial. */
-function startTrial(admission: EntryAdmission = NO_ADMISSION) {
+function startTrial(
+  admission: EntryAdmission = NO_ADMISSION,
+  changes: Partial<RequestRunOptions> = {},
+) {
   const registry = createTargetRegistry({instance: 'entry', zone: 'north'});
   registry.list([target('one'), target('two')], 0);
   const clock = (): number => performance.now();
@@ -69,7 +76,9 @@
     },
     clock,
     machineClock: clock,
+    onQuarantined: () => () => undefined,
     ownLines: () => [],
+    ...changes,
   } as unknown as RequestRunOptions;
   const route = {
     name: 'route',
@@ -93,7 +102,7 @@
       profile: undefined,
     },
     fingerprint: 'content',
-    promptParts: [],
+    promptParts: ['part'],
     body: Buffer.alloc(0),
     arrivedAt: now,
     deadline: now + TIMEOUT,
@@ -168,3 +177,34 @@
   run.end();
   expect(decided).toBe(1);
 });
+
+test('a request that waits for a slot is refused as soon as it is quarantined', async () => {
+  const quarantined = new Set<string>();
+  let notify = (_suspect: string): void => undefined;
+  let waiting: AbortSignal | undefined;
+  const changes = {
+    quarantine: {
+      isQuarantined: (suspect: string) => quarantined.has(suspect),
+    },
+    trials: {claim: () => Promise.resolve(false), retryAfter: () => 7},
+    onQuarantined: (listener: typeof notify) => {
+      notify = listener;
+      return () => undefined;
+    },
+    places: {
+      take: ({signal}: SlotRequest) =>
+        new Promise<SlotOutcome>(resolve => {
+          waiting = signal;
+          signal.onabort = () => resolve({kind: 'abandoned'});
+        }),
+    },
+  } as unknown as Partial<RequestRunOptions>;
+  const run = startTrial(NO_ADMISSION, changes);
+  const choice = run.perform({kind: 'choosePlace', tried: []});
+  await eventually(() => waiting !== undefined);
+  quarantined.add('part');
+  notify('part');
+  expect(await choice).toMatchObject({
+    place: {kind: 'noPlace', reason: 'quarantined', retryAfter: 7},
+  });
+});
