Take no answer for complete whose target crashed as it ended

What callers saw in the new test: a stream of a target that sends neither a length nor chunks ended as complete after one event of three, as its target had crashed and closed its connections. And a part that crashes such targets before the first event was released at once: its answers, whole and empty, cleared it (8 late attempts where 3 are allowed).

Cause: an answer without a framing ends with its connection, and the end of a process closes connections in the same way. The relay forwarded what had come as the whole stream, even half an event.

The fix: the end of such an answer waits until its target is seen to listen still, 200 ms at most; if nothing listens and the target isn't leaving, the answer is broken off, so that a stream resumes elsewhere and the end counts against its suspects. A stream that ends inside an event, or has no event and no framing, is broken off too. Ruled out: trusting such answers only in the evidence, which leaves callers with half a stream; probing all answers, since a length or chunks confirm the end.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -68,6 +68,11 @@
   readonly onEvent: () => void;
   /** Called when the first event of all attempts has arrived. */
   readonly onFirstEvent: () => void;
+  /**
+   * Whether an answer that ended with its connection may be complete: a target
+   * that crashes closes its connections in the same way.
+   */
+  readonly confirmEnd: () => Promise<boolean>;
   /** Receives a complete answer that may be forwarded. */
   readonly keepAnswer: (answer: WholeAnswer) => void;
   /** Receives the reason of a failure, for the log. */
@@ -141,6 +146,10 @@
     return {kind: 'unknown', cause: 'connectionLost'};
   }
   const {lines, isFramed} = answer;
+  if (!isFramed && !(await options.confirmEnd())) {
+    options.explain('target ended with its answer');
+    return {kind: 'unknown', cause: 'connectionLost'};
+  }
   options.keepAnswer({status, lines, body, isFramed});
   return {kind: 'answered', success};
 }
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -34,6 +34,8 @@
   readonly onStream: (stream: ForwardedStream) => void;
   /** Called before anything is forwarded. */
   readonly onForward: () => void;
+  /** Whether an answer that ended with its connection may be complete. */
+  readonly confirmEnd: () => Promise<boolean>;
   readonly now: () => MonotonicInstant;
   /** Header lines that the entry adds for the caller. */
   readonly ownLines: () => readonly string[];
@@ -56,6 +58,8 @@
   const {answer, response, progress} = options;
   const {body} = answer;
   const splitter = createEventSplitter();
+  let hasEnded = false;
+  let hasEvents = false;
 
   function begin(): void {
     if (progress.begun) return;
@@ -92,6 +96,7 @@
         }
         options.onForward();
         begin();
+        hasEvents = true;
         options.onEvent();
         progress.lastEventId = event.id ?? progress.lastEventId;
         if (response.write(event.bytes)) continue;
@@ -99,22 +104,34 @@
         reading.awaitCaller();
       }
     });
-    body.on('end', () => {
-      if (options.signal.aborted || !answer.isWhole()) {
-        return broken('connectionLost');
-      }
+    const complete = (): void => {
+      if (options.signal.aborted) return broken('connectionLost');
       options.onForward();
       begin();
       // An answer without framing can't confirm that a stream is complete whose
       // response to the caller was begun with chunked encoding.
-      if (!answer.isFramed && progress.begun && response.chunkedEncoding) {
+      if (!answer.isFramed && response.chunkedEncoding) {
         return broken('connectionLost');
       }
-      if (splitter.rest().length > 0) response.write(splitter.rest());
       resolve({kind: 'streamed'});
+    };
+    body.on('end', () => {
+      hasEnded = true;
+      const isWhole = answer.isWhole() && splitter.rest().length === 0;
+      if (!isWhole) return broken('connectionLost');
+      if (answer.isFramed) return complete();
+      if (!hasEvents) return broken('connectionLost');
+      void options
+        .confirmEnd()
+        .then(isConfirmed =>
+          isConfirmed ? complete() : broken('connectionLost'),
+        );
     });
-    body.on('error', () => broken('connectionLost'));
-    body.on('close', () => broken('connectionLost'));
+    const cut = (): void => {
+      if (!hasEnded) broken('connectionLost');
+    };
+    body.on('error', cut);
+    body.on('close', cut);
   });
 }
 
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -9,6 +9,7 @@
   type PlacementRequest,
   type RemainingStream,
 } from '@hibiscusbeam/core';
+import {sleep} from '@hibiscusbeam/daemon';
 import {enginePriority} from './entry_admission';
 import {runAttempt, type AttemptOptions, type WholeAnswer} from './attempt';
 import {withContentLength} from './request_body';
@@ -22,6 +23,9 @@
 import {createAttemptRecorder, type AttemptRecorder} from './attempt_recorder';
 import {maxSilence} from './timeliness';
 
+/** How long the end of an answer may wait for its confirmation. */
+const CONFIRM_TIMEOUT: Milliseconds = 200;
+
 /** What the attempts of one request need from its run. */
 export interface TargetSenderHooks {
   readonly attempts: AttemptsInFlight;
@@ -189,11 +193,24 @@
         recorder.recordEvent();
         pauses.record(options.clock());
       },
+      confirmEnd: () => confirmEnd(target),
       keepAnswer: kept => (begun.answer = kept),
       explain: line.explain,
     };
   }
 
+  /**
+   * A target that no longer listens has crashed, unless it is leaving. An
+   * address that doesn't respond shows nothing.
+   */
+  async function confirmEnd(target: ListedTarget): Promise<boolean> {
+    const state = await Promise.race([
+      options.crashMonitor.probe(target),
+      sleep(CONFIRM_TIMEOUT),
+    ]);
+    return state !== 'closed' || !options.registry.isStaying(target);
+  }
+
   function finish(begun: StartedAttempt, end: ForwardAttemptEnd): void {
     const {send, line, recorder, answer, leave} = begun;
     leave();
--- a/test/fleet/buffered_bytes.test.ts
+++ b/test/fleet/buffered_bytes.test.ts
@@ -69,6 +69,7 @@
     now: () => 0,
     ownLines: () => [],
     onEvent: nothing,
+    confirmEnd: () => Promise.resolve(true),
     onFirstEvent: nothing,
   }).then(() => response.end());
 }
--- a/test/fleet/prompt_part_quarantine.test.ts
+++ b/test/fleet/prompt_part_quarantine.test.ts
@@ -27,14 +27,8 @@
       startHostEngine({instance: `engine-${index}`, version: 1}),
     ),
   );
-  for (const engine of engines) {
-    engine.setFault({
-      kind: 'crashesOnPart',
-      part: CRASHING_PART,
-      framing: 'chunks',
-    });
-    site.register(engine, AS_ENGINE);
-  }
+  setFraming('chunks');
+  for (const engine of engines) site.register(engine, AS_ENGINE);
   site.configure();
 });
 
@@ -82,7 +76,14 @@
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
-test('different requests that share a part which crashes targets are not sent by any entry, and others are', async () => {
+/** Sets how engines frame their answers, also those they crash under. */
+function setFraming(framing: 'chunks' | 'connection'): void {
+  for (const engine of engines) {
+    engine.setFault({kind: 'crashesOnPart', part: CRASHING_PART, framing});
+  }
+}
+
+async function checkLateAttempts(): Promise<void> {
   const first = await startServingEntry();
   const second = await startServingEntry();
   const addresses = [first.address, second.address];
@@ -101,4 +102,13 @@
   expect(before).toBeGreaterThanOrEqual(3);
   expect(crashingAttempts() - before).toBeLessThanOrEqual(MAX_LATE_ATTEMPTS);
   expect(sound.filter(status => status !== 200)).toEqual([]);
+}
+
+test('different requests that share a part which crashes targets are not sent by any entry, and others are', async () => {
+  await checkLateAttempts();
+});
+
+test('a part that crashes targets is found although their answers end with the connection', async () => {
+  setFraming('connection');
+  await checkLateAttempts();
 });
