Let the soak crash targets on a part of prompts

It checks that no more than three late attempts have the part, and that at least half of the sound streams at calm entries are served.

--- a/test/soak/caller.ts
+++ b/test/soak/caller.ts
@@ -1,6 +1,7 @@
 import {request} from 'undici';
 import {HOST, KEY} from '../fleet/fixtures/host_site';
 import type {CallerFailure, CallerRecord} from './invariants';
+import {promptOf} from './prompt_parts';
 
 /** Deadline that callers set for their requests. */
 const DEADLINE_MS = 2_000;
@@ -51,7 +52,10 @@
     authorization: `Token ${KEY}`,
     'x-hibiscusbeam-request-id': requestId,
     'x-hibiscusbeam-deadline-ms': String(DEADLINE_MS),
-    ...(path.startsWith('/stream/') && {'x-hibiscusbeam-model': 'model'}),
+    ...(path.startsWith('/stream/') && {
+      'x-hibiscusbeam-model': 'model',
+      'x-hibiscusbeam-prompt-prefix': promptOf(requestId, path),
+    }),
   };
 }
 
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -1,4 +1,5 @@
 import type {EngineRun, HostEngine} from '../fleet/fixtures/host_engine';
+import {partViolations} from './prompt_parts';
 
 /** Time within which observations of one entry reach all entries. */
 const SYNC_MS = 3_000;
@@ -110,6 +111,7 @@
     ...refusedRequestsRun(records),
     ...incompleteAnswers(records),
     ...crashingAttempts(records),
+    ...partViolations(records),
     ...exceededLimits(records),
     ...attemptsToLeaving(records),
     ...attemptsDuringBackoff(records),
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -63,3 +63,10 @@
     await expectNoViolations(seed, 'powerLosses');
   },
 );
+
+test.each(SEEDS)(
+  'seed %i violates no invariant when a part of prompts crashes targets',
+  async seed => {
+    await expectNoViolations(seed, 'promptParts');
+  },
+);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -31,6 +31,11 @@
   type SoakSize,
   type SoakFault,
 } from './plan';
+import {
+  CRASHING_PART_INTERVAL,
+  CRASHING_PART_PATH,
+  partFault,
+} from './prompt_parts';
 
 const CRASHING_BODY = 'ends its target';
 const ENGINE_RESTART_MS = 1_200;
@@ -133,7 +138,9 @@
   /** Also evacuations of zones, and zones that return cold. */
   | 'evacuations'
   /** Only power losses, right after configuration changes. */
-  | 'powerLosses';
+  | 'powerLosses'
+  /** Also a part of prompts that crashes targets; some seeds lose power. */
+  | 'promptParts';
 
 function planFaults(
   seed: number,
@@ -179,6 +186,8 @@
       return planEvacuations(seed, size);
     case 'powerLosses':
       return planPowerLosses(seed, size);
+    case 'promptParts':
+      return seed % 3 === 0 ? planPowerLosses(seed, size) : [];
   }
 }
 
@@ -221,7 +230,10 @@
       version: isModel ? 1 : undefined,
       onEnded: () => void replaceEngine(engine, position),
     });
-    engine.setFault({kind: 'crashes', under: CRASHING_BODY});
+    const crashesOnPart = isModel && faultSet === 'promptParts';
+    engine.setFault(
+      crashesOnPart ? partFault(seed) : {kind: 'crashes', under: CRASHING_BODY},
+    );
     engines.push(engine);
     running[position] = engine;
     zones.set(engine, zoneAt(position));
@@ -425,6 +437,12 @@
     disturbedSpans.push({entry, from, until: from + duration});
   }
 
+  function pathOf(id: number, usual: string | undefined): string {
+    const hasPart =
+      faultSet === 'promptParts' && id % CRASHING_PART_INTERVAL === 0;
+    return hasPart ? `${CRASHING_PART_PATH}${id}` : `/${usual}/${id}`;
+  }
+
   async function send(id: number, entry: number): Promise<void> {
     const address = entries[entry]!.callerAddress;
     const isCrashing = id % CRASHING_INTERVAL === 0;
@@ -432,7 +450,7 @@
     const usual = isProbe
       ? ADDED_ROUTE_NAME
       : REQUEST_KINDS[id % REQUEST_KINDS.length];
-    const path = isCrashing ? CRASHING_PATH : `/${usual}/${id}`;
+    const path = isCrashing ? CRASHING_PATH : pathOf(id, usual);
     const body = isCrashing ? CRASHING_BODY : `question ${id}`;
     callers.push(await sendAttempt({id, entry, address, path, body}));
   }
@@ -509,6 +527,7 @@
     ({requestId, path}) =>
       Number(requestId.split('-')[1]) >= firstIdAfterFaults &&
       path !== CRASHING_PATH &&
+      !path.startsWith(CRASHING_PART_PATH) &&
       !path.startsWith(`/${ADDED_ROUTE_NAME}/`),
   );
   const served = afterwards.filter(({status}) => status === 200).length;
