Judge suspects again only when the evidence against one that may be guilty changed

What callers would see: an entry that has just started, or that is told of hundreds of suspects after a burst of ends, answers late while it judges.

Cause: each ending, and each row of another entry's records, had all suspects judged again, up to 2,000 for each of 2,000 rows, though one with fewer than three ends can't be guilty.

The fix: the evidence is marked as changed where a suspect has three ends or had them before an answer. A first answer to a suspect that has ends is relayed now too, since it decides in which order suspects are judged.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -1,6 +1,6 @@
 import type {MonotonicInstant, Suspect, TargetIncarnation} from '../types';
 import {createRevisionedRows, type ChangedRows} from '../utils/revisioned_rows';
-import {findCulprits} from './culprits';
+import {ENDINGS_TO_QUARANTINE, findCulprits} from './culprits';
 import type {
   CrashRecord,
   EndedLife,
@@ -34,6 +34,8 @@
   const answered = new Map<Suspect, MonotonicInstant>();
   const stored = new Set<Suspect>();
   let culprits: ReadonlySet<Suspect> = new Set();
+  /** Whether the evidence against a possible culprit has changed. */
+  let isOutdated = false;
 
   function recordEnding(suspect: Suspect, ending: EndedLife): boolean {
     const isNew = addEnding(suspect, ending);
@@ -48,6 +50,7 @@
     if (record.endings.size >= MAX_ENDINGS) return false;
     record.endings.set(ending.life, ending);
     records.set(suspect, record);
+    isOutdated ||= record.endings.size >= ENDINGS_TO_QUARANTINE;
     return true;
   }
 
@@ -65,14 +68,18 @@
     origin: VerdictOrigin,
   ): boolean {
     if (begunAt <= answeredAt(suspect)) return false;
+    const isFirst = !answered.has(suspect);
     rememberAnswer(suspect, begunAt);
     const record = records.get(suspect) ?? createRecord(suspect);
     const sizeBefore = record.endings.size;
+    isOutdated ||= sizeBefore >= ENDINGS_TO_QUARANTINE;
     for (const [life, {sentAt}] of [...record.endings]) {
       if (sentAt <= begunAt) record.endings.delete(life);
     }
     const isReleased = record.endings.size === 0 && stored.delete(suspect);
-    if (record.endings.size === sizeBefore && !isReleased) return false;
+    const isCleared = record.endings.size < sizeBefore;
+    const isEvidence = isCleared || (isFirst && sizeBefore > 0);
+    if (!isEvidence && !isReleased) return false;
     records.set(suspect, record);
     if (isReleased && !culprits.has(suspect)) {
       onVerdict?.({suspect, isQuarantined: false, origin});
@@ -111,6 +118,8 @@
   }
 
   function judge(origin: VerdictOrigin): void {
+    if (!isOutdated) return;
+    isOutdated = false;
     const before = culprits;
     culprits = findCulprits(evidence());
     for (const suspect of culprits) {
@@ -156,6 +165,7 @@
     if (!stored.delete(suspect)) return;
     // Whoever removed the row has seen an answer to a request with the suspect.
     records.get(suspect)?.endings.clear();
+    isOutdated = true;
     if (culprits.has(suspect)) judge('stored');
     else onVerdict?.({suspect, isQuarantined: false, origin: 'stored'});
   }
