--- a/packages/fleet/src/entry/request_run.ts
+++ b/packages/fleet/src/entry/request_run.ts
@@ -9,7 +9,6 @@
   type MonotonicInstant,
   type PlacementRequest,
   type SlotReply,
-  type Suspect,
 } from '@hibiscusbeam/core';
 import type {WholeAnswer} from './attempt';
 import {describeRefusal} from './admission_monitor';
@@ -23,6 +22,7 @@
   TakenSlot,
 } from './request_context';
 import {createAttemptsInFlight} from './attempts_in_flight';
+import {createRequestTrial} from './request_trial';
 import {createTargetSender} from './target_sender';
 import type {SlotWaitLimits} from './timeliness';
 
@@ -56,17 +56,18 @@
 ): RequestRun {
   const {accepted, trace, progress, signal, endedBy} = context;
   const {header, service, access, run} = accepted;
-  const suspects = [accepted.fingerprint, ...accepted.promptParts];
   const attempts = createAttemptsInFlight();
+  const trial = createRequestTrial(options, [
+    accepted.fingerprint,
+    ...accepted.promptParts,
+  ]);
   const sendTo = createTargetSender(options, context, {
     attempts,
     placementRequestFor,
     mayBegin,
     isChoosing: () => isChoosing,
     keepAnswer: kept => (answer = kept),
-    onRun: () => {
-      if (trial === 'held') trial = 'used';
-    },
+    onRun: trial.recordRun,
   });
   let decidedTable = options.operator.table();
   let destinations = accepted.destinations;
@@ -76,8 +77,6 @@
   let place: TakenSlot | undefined;
   let isChoosing = false;
   let triedTargets: readonly ListedTarget[] = [];
-  let trial: 'none' | 'held' | 'used' = 'none';
-  let claimedTrials: readonly Suspect[] = [];
 
   function placementRequestFor(
     tried: readonly ListedTarget[],
@@ -128,43 +127,14 @@
     return {kind: 'noPlace', reason, retryAfter};
   }
 
-  function quarantinedSuspects(): readonly Suspect[] {
-    return suspects.filter(options.quarantine.isQuarantined);
-  }
-
-  function isQuarantined(): boolean {
-    return quarantinedSuspects().length > 0;
-  }
-
   /** A trial is a single attempt: no other one starts alongside it. */
   async function takeTrial(): Promise<boolean> {
-    if (attempts.count() > 0) return false;
-    if (trial === 'none' && (await claimTrials())) trial = 'held';
-    return trial === 'held';
-  }
-
-  /** Claims the trials of all quarantined suspects, or none. */
-  async function claimTrials(): Promise<boolean> {
-    const wanted = quarantinedSuspects();
-    for (const suspect of wanted) {
-      if (!(await options.trials.claim(suspect))) {
-        releaseTrials();
-        return false;
-      }
-      claimedTrials = [...claimedTrials, suspect];
-    }
-    return true;
-  }
-
-  function releaseTrials(): void {
-    for (const suspect of claimedTrials) options.trials.release(suspect);
-    claimedTrials = [];
+    return attempts.count() === 0 && (await trial.claim());
   }
 
   function quarantineRefusal(): ForwardReply<ListedTarget> {
-    const delays = quarantinedSuspects().map(options.trials.retryAfter);
-    const retryAfter = Math.max(1, ...delays);
     const reason = 'quarantined';
+    const retryAfter = trial.retryAfter();
     return {kind: 'placed', place: {kind: 'noPlace', reason, retryAfter}};
   }
 
@@ -174,7 +144,9 @@
     const refusal = isAdmitted ? undefined : refusalOnArrival();
     if (refusal !== undefined) return {kind: 'placed', place: refusal};
     isAdmitted = true;
-    if (isQuarantined() && !(await takeTrial())) return quarantineRefusal();
+    if (trial.isQuarantined() && !(await takeTrial())) {
+      return quarantineRefusal();
+    }
     triedTargets = [...tried];
     const requestedAt = options.clock();
     const outcome = await takeSlot(triedTargets);
@@ -207,9 +179,7 @@
     if (attempts.hasReport()) return 'withdrawn';
     const withdrawal = new AbortController();
     const quarantined = new AbortController();
-    const stopWatching = options.onQuarantined(suspect => {
-      if (suspects.includes(suspect) && trial !== 'held') quarantined.abort();
-    });
+    const stopWatching = trial.onQuarantined(() => quarantined.abort());
     if (attempts.count() > 0) {
       void attempts.reported().then(() => withdrawal.abort());
     }
@@ -296,7 +266,7 @@
 
   function mayBegin({place: {target}, tried}: PlannedAttempt): boolean {
     if (signal.aborted) return false;
-    if (isQuarantined() && trial !== 'held') return false;
+    if (trial.isQuarantined() && !trial.isHeld()) return false;
     if (access.kind === 'workspace' && !isKeyConfirmed(options)) return false;
     return options.registry.mayStart(target, placementRequestFor(tried));
   }
@@ -349,7 +319,7 @@
     answer: () => answer,
     end: () => {
       attempts.abort();
-      if (trial === 'held') releaseTrials();
+      trial.release();
     },
   };
 }
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -1,13 +1,11 @@
 import {
   createEventPauses,
-  passTimeOf,
   type EventPauses,
   type ForwardAttemptEnd,
   type ListedTarget,
   type Milliseconds,
   type MonotonicInstant,
   type PlacementRequest,
-  type RemainingStream,
 } from '@hibiscusbeam/core';
 import {sleep} from '@hibiscusbeam/daemon';
 import {enginePriority} from './entry_admission';
@@ -21,6 +19,7 @@
 import type {AttemptTrace} from './request_trace';
 import type {AttemptsInFlight, AttemptInFlight} from './attempts_in_flight';
 import {createAttemptRecorder, type AttemptRecorder} from './attempt_recorder';
+import {createRemainingEvents} from './remaining_events';
 import {maxSilence} from './timeliness';
 
 /** How long the end of an answer may wait for its confirmation. */
@@ -73,6 +72,7 @@
   const {request, response, accepted, progress, buffers} = context;
   const {header, route, service, access, run} = accepted;
   const {attempts} = hooks;
+  const remaining = createRemainingEvents(options, context);
   let startedAttempts = 0;
   /** Whether a retry was taken for a move that no attempt has used yet. */
   let hasPaidMove = false;
@@ -217,7 +217,7 @@
     if (end.kind === 'answered' && end.success) recordTime(begun);
     if (answer !== undefined) hooks.keepAnswer(answer);
     recorder.recordEnd(end);
-    recordLength(end);
+    remaining.record(end);
     if (end.kind !== 'notRun') {
       hooks.onRun();
       options.admission.recordHeld(accepted, options.clock() - begun.sentAt);
@@ -296,7 +296,7 @@
     return options.handover.offer(target, {
       need: () => hooks.placementRequestFor([...tried, target]),
       begunAt: () => progress.begunAt,
-      rest: () => restOf(pauses),
+      rest: () => remaining.forecast(pauses),
       mayMove: () =>
         progress.lastEventId !== undefined &&
         startedAttempts < route.attempts &&
@@ -316,35 +316,6 @@
     });
   }
 
-  function restOf(pauses: EventPauses): RemainingStream | undefined {
-    const pause = pauses.median();
-    const forwarded = forwardedEvents();
-    const {profile, answerTokens, tokens} = run;
-    if (pause === undefined || profile === undefined) return undefined;
-    if (forwarded === undefined) return undefined;
-    const {lengths} = options.handover;
-    const events = lengths.remaining(route.name, forwarded, answerTokens);
-    if (events === undefined) return undefined;
-    return {
-      events,
-      pause,
-      typicalPause: passTimeOf(profile, profile.slots, tokens),
-      timeLeft: accepted.deadline - options.clock(),
-    };
-  }
-
-  /** The event ids of resumable streams count the events. */
-  function forwardedEvents(): number | undefined {
-    const forwarded = Number(progress.lastEventId);
-    return Number.isInteger(forwarded) ? forwarded : undefined;
-  }
-
-  function recordLength(end: ForwardAttemptEnd): void {
-    const events = forwardedEvents();
-    if (end.kind !== 'streamed' || events === undefined) return;
-    options.handover.lengths.record(route.name, events, run.answerTokens);
-  }
-
   /**
    * Reports an internal failure. The request may have ended before, so it is
    * also logged.
