--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,7 +1,8 @@
 import {rmSync} from 'node:fs';
 import {join} from 'node:path';
 import {expect, test} from 'vitest';
-import {runSoak, type FaultSet} from './soak';
+import type {FaultSet} from './fault_sets';
+import {runSoak} from './soak';
 
 const SIZE = {entries: 4, engines: 6, duration: 14_000};
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,6 +1,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
-import {startHostEngine, type HostEngine} from '../fleet/fixtures/host_engine';
+import {
+  startHostEngine,
+  type EngineFault,
+  type HostEngine,
+} from '../fleet/fixtures/host_engine';
 import type {StoreSnapshot} from '../fleet/fixtures/host_store';
 import {
   eventually,
@@ -19,18 +23,8 @@
   type RouteSpan,
   type SoakRecords,
 } from './invariants';
-import {
-  ENGINE_ZONES,
-  planEvacuations,
-  planPowerLosses,
-  planRestores,
-  planSilences,
-  planStatements,
-  planBasicFaults,
-  type PlannedFault,
-  type SoakSize,
-  type SoakFault,
-} from './plan';
+import {hasProbes, planFaults, type FaultSet} from './fault_sets';
+import {ENGINE_ZONES, type SoakFault, type SoakSize} from './plan';
 import {
   CRASHING_PART_INTERVAL,
   CRASHING_PART_PATH,
@@ -126,71 +120,6 @@
   readonly servedAfterwards: number;
 }
 
-/** The set of faults of a soak run. */
-export type FaultSet =
-  | 'basic'
-  /** Also targets that announce leaving or ask to back off. */
-  | 'statements'
-  /** Also restores of the store from copies, and configuration changes. */
-  | 'restores'
-  /** Also healthy targets that fall silent and then resume. */
-  | 'silences'
-  /** Also evacuations of zones, and zones that return cold. */
-  | 'evacuations'
-  /** Only power losses, right after configuration changes. */
-  | 'powerLosses'
-  /** Also a part of prompts that crashes targets; some seeds lose power. */
-  | 'promptParts';
-
-function planFaults(
-  seed: number,
-  size: SoakSize,
-  faultSet: FaultSet,
-): readonly PlannedFault[] {
-  const basic = planBasicFaults(seed, size);
-  const planned = [
-    ...basic.filter(isKept),
-    ...planAdditionalFaults(seed, size, faultSet),
-  ];
-  return planned.sort((one, other) => one.at - other.at);
-
-  /** Other store faults would leave too little time to check a restore. */
-  function isKept({fault}: PlannedFault): boolean {
-    if (faultSet === 'powerLosses') return false;
-    // No evacuation can be written while the store is unavailable.
-    const hasOwnFaults = faultSet === 'restores' || faultSet === 'evacuations';
-    return !hasOwnFaults || fault.kind !== 'store';
-  }
-}
-
-/** Whether requests for the added route are sent. */
-function hasProbes(faultSet: FaultSet): boolean {
-  return faultSet === 'restores' || faultSet === 'powerLosses';
-}
-
-function planAdditionalFaults(
-  seed: number,
-  size: SoakSize,
-  faultSet: FaultSet,
-): readonly PlannedFault[] {
-  switch (faultSet) {
-    case 'basic':
-      return [];
-    case 'statements':
-      return planStatements(seed, size);
-    case 'restores':
-      return planRestores(seed, size);
-    case 'silences':
-      return planSilences(seed, size);
-    case 'evacuations':
-      return planEvacuations(seed, size);
-    case 'powerLosses':
-      return planPowerLosses(seed, size);
-    case 'promptParts':
-      return seed % 3 === 0 ? planPowerLosses(seed, size) : [];
-  }
-}
-
 /** Runs the faults of one seed against real entry processes. */
 export async function runSoak(
   seed: number,
@@ -230,10 +159,7 @@
       version: isModel ? 1 : undefined,
       onEnded: () => void replaceEngine(engine, position),
     });
-    const crashesOnPart = isModel && faultSet === 'promptParts';
-    engine.setFault(
-      crashesOnPart ? partFault(seed) : {kind: 'crashes', under: CRASHING_BODY},
-    );
+    engine.setFault(usualFault(position));
     engines.push(engine);
     running[position] = engine;
     zones.set(engine, zoneAt(position));
@@ -244,6 +170,14 @@
     register(engine, position);
   }
 
+  /** What an engine ends under if nothing else is wrong with it. */
+  function usualFault(position: number): EngineFault {
+    const hasModel = position % 2 === 1;
+    return hasModel && faultSet === 'promptParts'
+      ? partFault(seed)
+      : {kind: 'crashes', under: CRASHING_BODY};
+  }
+
   function register(engine: HostEngine, position: number): void {
     const models = {
       Service: 'engines',
@@ -417,7 +351,7 @@
         const {retryAfter} = fault;
         running[fault.engine]?.setFault(
           retryAfter === undefined
-            ? {kind: 'crashes', under: CRASHING_BODY}
+            ? usualFault(fault.engine)
             : {kind: 'shedding', retryAfter},
         );
       }
