--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -24,7 +24,7 @@
     case 'noConfiguration':
       return 'Not run: the entry had read no configuration yet.';
     case 'starting':
-      return 'Not run: the entry had not read the quarantined requests yet.';
+      return 'Not run: the entry had not read the quarantine yet.';
     case 'leaving':
       return 'Not run: the entry was about to stop.';
     case 'unknown key':
@@ -81,7 +81,7 @@
     case 'connectionRefused':
       return `Not run${afterAttempts}: no target that it was sent to took a connection.`;
     case 'quarantined':
-      return `Not run${afterAttempts}: three targets or more have ended while they ran this request, so that it is sent to no other one.`;
+      return `Not run${afterAttempts}: three targets or more have ended under this request or under a part of its prompt, so that it is sent to no other one.`;
     default:
       return `Not run${afterAttempts}: ${reason ?? 'no reason logged'}.`;
   }
