Blame the most specific of the suspects at the same targets

Cause: the three engines ended before any of them had answered anything, so the shared first part had the same ends as the crashing one; both were quarantined, and with no stream in flight nothing could clear the shared one. The log shows both verdicts within 1 ms and the trial of the shared part taken at 11.7 s without a result.

The fix: of suspects with the same ends the most specific is judged first: the request, then the later part, since a part comes after those that more prompts share. The others are explained by it. If it is the wrong one, the next end comes without it, and the other one is worse. Records carry the part's position.

Ruled out: quarantining none of them until they differ, which ends more targets.

The new test has both parts quarantined without the fix.

--- a/packages/core/src/quarantine/culprits.ts
+++ b/packages/core/src/quarantine/culprits.ts
@@ -13,6 +13,8 @@
   readonly endings: ReadonlyMap<TargetIncarnation, EndedLife>;
   /** Whether a target has ever survived an answer to a request with it. */
   readonly wasAnswered: boolean;
+  /** Position of a part in its prompts, from 1; undefined for a request. */
+  readonly depth: number | undefined;
 }
 
 /**
@@ -46,14 +48,23 @@
   return culprits;
 }
 
-/** The worst first: suspects that were never answered, then most endings. */
+/**
+ * The worst first: suspects that were never answered, then most endings, then
+ * the most specific. A part comes after those that more prompts share, so of
+ * two parts at the same targets the later one affects fewer requests.
+ */
 function compareSeverity(one: Evidence, other: Evidence): number {
   return (
     Number(one.wasAnswered) - Number(other.wasAnswered) ||
-    other.endings.size - one.endings.size
+    other.endings.size - one.endings.size ||
+    specificity(other) - specificity(one)
   );
 }
 
+function specificity({depth}: Evidence): number {
+  return depth ?? Number.MAX_SAFE_INTEGER;
+}
+
 function isCulprit(
   {endings, wasAnswered}: Evidence,
   explained: ReadonlySet<TargetIncarnation>,
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -21,6 +21,7 @@
 interface HeldRecord {
   readonly suspect: Suspect;
   readonly endings: Map<TargetIncarnation, EndedLife>;
+  depth: number | undefined;
 }
 
 /**
@@ -37,18 +38,27 @@
   /** Whether the evidence against a possible culprit has changed. */
   let isOutdated = false;
 
-  function recordEnding(suspect: Suspect, ending: EndedLife): boolean {
-    const isNew = addEnding(suspect, ending);
+  function recordEnding(
+    suspect: Suspect,
+    ending: EndedLife,
+    depth?: number,
+  ): boolean {
+    const isNew = addEnding(suspect, ending, depth);
     if (isNew) judge('observed');
     return isNew;
   }
 
-  function addEnding(suspect: Suspect, ending: EndedLife): boolean {
+  function addEnding(
+    suspect: Suspect,
+    ending: EndedLife,
+    depth: number | undefined,
+  ): boolean {
     const record = records.get(suspect) ?? createRecord(suspect);
     if (record.endings.has(ending.life)) return false;
     if (ending.sentAt <= answeredAt(suspect)) return false;
     if (record.endings.size >= MAX_ENDINGS) return false;
     record.endings.set(ending.life, ending);
+    record.depth ??= depth;
     records.set(suspect, record);
     isOutdated ||= record.endings.size >= ENDINGS_TO_QUARANTINE;
     return true;
@@ -98,11 +108,11 @@
   }
 
   function merge(record: CrashRecord): boolean {
-    const {suspect, endings} = record;
+    const {suspect, endings, depth} = record;
     const theirs = record.answeredAt ?? -Infinity;
     let isNew = takeAnswer(suspect, theirs, 'relayed');
     for (const ending of endings) {
-      if (addEnding(suspect, ending)) isNew = true;
+      if (addEnding(suspect, ending, depth)) isNew = true;
       if (ending.sentAt <= answeredAt(suspect) && theirs < ending.sentAt) {
         shareAnswer(suspect);
         isNew = true;
@@ -134,8 +144,8 @@
   }
 
   function* evidence() {
-    for (const {suspect, endings} of records.values()) {
-      yield {suspect, endings, wasAnswered: answered.has(suspect)};
+    for (const record of records.values()) {
+      yield {...record, wasAnswered: answered.has(record.suspect)};
     }
   }
 
@@ -147,9 +157,10 @@
     return {rows: changed.rows.map(toRecord), revision: changed.revision};
   }
 
-  function toRecord({suspect, endings}: HeldRecord): CrashRecord {
+  function toRecord({suspect, endings, depth}: HeldRecord): CrashRecord {
     return {
       suspect,
+      depth,
       endings: [...endings.values()],
       answeredAt: answered.get(suspect),
     };
@@ -183,7 +194,7 @@
 }
 
 function createRecord(suspect: Suspect): HeldRecord {
-  return {suspect, endings: new Map()};
+  return {suspect, endings: new Map(), depth: undefined};
 }
 
 /** Returns the oldest record with the fewest endings. */
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -17,6 +17,8 @@
    * don't count.
    */
   readonly answeredAt: MonotonicInstant | undefined;
+  /** Position of a part in its prompts, from 1; undefined for a request. */
+  readonly depth: number | undefined;
 }
 
 /** How an entry has learned what changed its verdict about a suspect. */
@@ -38,8 +40,15 @@
 
 /** Suspects during whose attempts targets have ended. */
 export interface Quarantine {
-  /** Records an ending observed here; returns whether it is new. */
-  readonly recordEnding: (suspect: Suspect, ending: EndedLife) => boolean;
+  /**
+   * Records an ending observed here; `depth` is the position of a part in the
+   * prompt, from 1. Returns whether the ending is new.
+   */
+  readonly recordEnding: (
+    suspect: Suspect,
+    ending: EndedLife,
+    depth?: number,
+  ) => boolean;
   /**
    * Records an answer that a target has begun and survived; returns whether it
    * clears a suspicion.
--- a/packages/fleet/src/entry/crash_monitor.ts
+++ b/packages/fleet/src/entry/crash_monitor.ts
@@ -24,7 +24,7 @@
 export interface SuspectedAttempt {
   readonly target: ListedTarget;
   readonly sentAt: MonotonicInstant;
-  /** What the target may have ended because of. */
+  /** The request and the parts of its prompt, in order. */
   readonly suspects: readonly Suspect[];
 }
 
@@ -95,8 +95,8 @@
     endedAt: MonotonicInstant,
   ): void {
     const ending = {life: targetIncarnationKey(target), sentAt, endedAt};
-    const added = suspects.filter(suspect =>
-      quarantine.recordEnding(suspect, ending),
+    const added = suspects.filter((suspect, position) =>
+      quarantine.recordEnding(suspect, ending, position || undefined),
     );
     if (added.length === 0) return;
     const {instance} = target;
--- a/packages/fleet/src/link/crash_records.ts
+++ b/packages/fleet/src/link/crash_records.ts
@@ -33,7 +33,7 @@
 }
 
 function writeCrashRecord(
-  {suspect, endings, answeredAt}: CrashRecord,
+  {suspect, endings, answeredAt, depth}: CrashRecord,
   now: MonotonicInstant,
 ): CrashRecordMessage {
   return {
@@ -45,6 +45,7 @@
     })),
     completedMillisecondsAgo:
       answeredAt === undefined ? undefined : ageOf(answeredAt, now),
+    promptDepth: depth,
   };
 }
 
@@ -62,6 +63,7 @@
       endedAt: now - ending.ageMilliseconds,
     })),
     answeredAt: answered === undefined ? undefined : now - answered,
+    depth: message.promptDepth,
   };
 }
 
--- a/test/quarantine/prompt_parts.test.ts
+++ b/test/quarantine/prompt_parts.test.ts
@@ -19,7 +19,9 @@
   ): void {
     const ending = {life, sentAt, endedAt: sentAt + CRASH_DELAY};
     for (const suspects of requests) {
-      for (const suspect of suspects) quarantine.recordEnding(suspect, ending);
+      suspects.forEach((suspect, position) =>
+        quarantine.recordEnding(suspect, ending, position || undefined),
+      );
     }
   }
 
@@ -43,6 +45,23 @@
   expect(quarantined()).toEqual(['bad']);
 });
 
+test('of parts at the same targets the one that fewer prompts share is quarantined', () => {
+  const {crash, quarantined} = startSite();
+  for (const target of ['one', 'two', 'three']) {
+    crash(target, 0, [`request at ${target}`, 'shared', 'bad', target]);
+  }
+  expect(quarantined()).toEqual(['bad']);
+});
+
+test('another part at the same targets is quarantined once a target ends under it alone', () => {
+  const {crash, quarantined} = startSite();
+  for (const target of ['one', 'two', 'three']) {
+    crash(target, 0, [`request at ${target}`, 'bad', 'beside it', target]);
+  }
+  crash('four', 0, ['request at four', 'bad']);
+  expect(quarantined()).toEqual(['bad']);
+});
+
 test('a part that is answered between two ends is not quarantined with the crashing part', () => {
   const {crash, answer, quarantined} = startSite();
   for (let round = 0; round < 6; round += 1) {
--- a/test/quarantine/site_model.ts
+++ b/test/quarantine/site_model.ts
@@ -85,9 +85,10 @@
     for (const {suspects, entry, sentAt} of lost) {
       const hasSurvived = now - sentAt >= BEGIN_MS + SURVIVED_MS;
       const blamed = hasSurvived ? suspects.slice(0, 1) : suspects;
-      for (const suspect of blamed) {
-        entries[entry]!.recordEnding(suspect, {life, sentAt, endedAt: now});
-      }
+      const ending = {life, sentAt, endedAt: now};
+      blamed.forEach((suspect, position) =>
+        entries[entry]!.recordEnding(suspect, ending, position || undefined),
+      );
     }
   }
 
