Ignore a stored quarantine of what a target has answered

Cause: an entry had quarantined the shared part on its own first sights and stored that; answers at other entries released it within 0.4 s, and the entry was killed before it removed its row. When the others read all rows again they took the old row for newer than what they had seen, so no answer could come to clear it, and the removal that they had planned found the part quarantined.

The fix: a row doesn't hold for a suspect that a target has answered as far as the entry knows; what other entries' ends say against it is judged as before. The planned removal then goes through.

The new test has the shared part quarantined without the fix.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -168,6 +168,8 @@
 
   function recordStored(suspect: Suspect, isStored: boolean): void {
     if (isStored) {
+      // The row of an entry that ended before it learned of the answer.
+      if (answered.has(suspect)) return;
       const isNew = !stored.has(suspect) && !culprits.has(suspect);
       stored.add(suspect);
       if (isNew) onVerdict?.({suspect, isQuarantined: true, origin: 'stored'});
--- a/test/quarantine/prompt_parts.test.ts
+++ b/test/quarantine/prompt_parts.test.ts
@@ -140,6 +140,14 @@
   expect(fresh.quarantined()).toEqual([]);
 });
 
+test('a stored quarantine of a part that a target has answered does not hold', () => {
+  const {quarantine, answer, quarantined} = startSite();
+  answer(0, 'shared');
+  quarantine.recordStored('shared', true);
+  quarantine.recordStored('bad', true);
+  expect(quarantined()).toEqual(['bad']);
+});
+
 test('each change of a verdict is reported once, with its origin', () => {
   const {quarantine, verdicts, crash, answer} = startSite();
   for (const target of ['one', 'two', 'three', 'four']) {
