Judge the suspects of one ended attempt together

Cause: the suspects of an attempt, and the rows of one message, were recorded one by one, and each was judged before the next one was known; a shared part came first and had nothing worse beside it.

The fix: all suspects of an attempt, and all rows of a message, are recorded before they are judged. Attempts that other entries report later can still change a verdict within their delay.

The new test has the shared part quarantined for a moment without the fix, at the observing entry and at the one that it tells.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -39,13 +39,14 @@
   let isOutdated = false;
 
   function recordEnding(
-    suspect: Suspect,
+    suspects: readonly Suspect[],
     ending: EndedLife,
-    depth?: number,
-  ): boolean {
-    const isNew = addEnding(suspect, ending, depth);
-    if (isNew) judge('observed');
-    return isNew;
+  ): readonly Suspect[] {
+    const added = suspects.filter((suspect, position) =>
+      addEnding(suspect, ending, position === 0 ? undefined : position),
+    );
+    judge('observed');
+    return added;
   }
 
   function addEnding(
@@ -69,7 +70,9 @@
   }
 
   function recordAnswer(suspect: Suspect, begunAt: MonotonicInstant): boolean {
-    return takeAnswer(suspect, begunAt, 'observed');
+    const isNew = takeAnswer(suspect, begunAt, 'observed');
+    judge('observed');
+    return isNew;
   }
 
   function takeAnswer(
@@ -94,7 +97,6 @@
     if (isReleased && !culprits.has(suspect)) {
       onVerdict?.({suspect, isQuarantined: false, origin});
     }
-    judge(origin);
     return true;
   }
 
@@ -107,7 +109,13 @@
     }
   }
 
-  function merge(record: CrashRecord): boolean {
+  function merge(others: readonly CrashRecord[]): boolean {
+    const areNew = others.map(mergeRecord);
+    judge('relayed');
+    return areNew.includes(true);
+  }
+
+  function mergeRecord(record: CrashRecord): boolean {
     const {suspect, endings, depth} = record;
     const theirs = record.answeredAt ?? -Infinity;
     let isNew = takeAnswer(suspect, theirs, 'relayed');
@@ -118,7 +126,6 @@
         isNew = true;
       }
     }
-    judge('relayed');
     return isNew;
   }
 
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -41,14 +41,13 @@
 /** Suspects during whose attempts targets have ended. */
 export interface Quarantine {
   /**
-   * Records an ending observed here; `depth` is the position of a part in the
-   * prompt, from 1. Returns whether the ending is new.
+   * Records an ending observed here; `suspects` are the request and the parts of
+   * its prompt, in order. Returns the suspects for which the ending is new.
    */
   readonly recordEnding: (
-    suspect: Suspect,
+    suspects: readonly Suspect[],
     ending: EndedLife,
-    depth?: number,
-  ) => boolean;
+  ) => readonly Suspect[];
   /**
    * Records an answer that a target has begun and survived; returns whether it
    * clears a suspicion.
@@ -57,8 +56,8 @@
     suspect: Suspect,
     begunAt: MonotonicInstant,
   ) => boolean;
-  /** Merges another entry's record; returns whether it is new. */
-  readonly merge: (record: CrashRecord) => boolean;
+  /** Merges another entry's records; returns whether any of them is new. */
+  readonly merge: (records: readonly CrashRecord[]) => boolean;
   /** Records that changed after `revision`, at most `most`. */
   readonly changedSince: (
     revision: number,
--- a/packages/fleet/src/entry/crash_monitor.ts
+++ b/packages/fleet/src/entry/crash_monitor.ts
@@ -95,9 +95,7 @@
     endedAt: MonotonicInstant,
   ): void {
     const ending = {life: targetIncarnationKey(target), sentAt, endedAt};
-    const added = suspects.filter((suspect, position) =>
-      quarantine.recordEnding(suspect, ending, position || undefined),
-    );
+    const added = quarantine.recordEnding(suspects, ending);
     if (added.length === 0) return;
     const {instance} = target;
     log.info('target ended under a request', {suspects: added, instance});
--- a/packages/fleet/src/link/site_records.ts
+++ b/packages/fleet/src/link/site_records.ts
@@ -44,8 +44,8 @@
     },
     merge: ({crashRecords, rateLimits}, now) => {
       const isNew = [
-        ...crashRecords.map(record =>
-          quarantine.merge(readCrashRecord(record, now)),
+        quarantine.merge(
+          crashRecords.map(record => readCrashRecord(record, now)),
         ),
         ...rateLimits.map(({life, rate, edition}) =>
           limits.merge({life, rate, edition}),
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -280,7 +280,7 @@
 function endTarget(entry: Entry, life: string): void {
   const now = performance.now();
   const ending = {life, sentAt: now, endedAt: now};
-  entry.quarantine.recordEnding('c0ffee', ending);
+  entry.quarantine.recordEnding(['c0ffee'], ending);
   entry.entryPeers.scheduleRecords();
 }
 
--- a/test/fleet/entry_quarantine.test.ts
+++ b/test/fleet/entry_quarantine.test.ts
@@ -42,13 +42,13 @@
   const one = await startEntry('one');
   const other = await startEntry('other');
   const ending = {sentAt: 1, endedAt: 2};
-  one.recordEnding('part', {life: 'first', ...ending});
-  one.recordEnding('part', {life: 'second', ...ending});
-  other.recordEnding('part', {life: 'third', ...ending});
+  one.recordEnding(['part'], {life: 'first', ...ending});
+  one.recordEnding(['part'], {life: 'second', ...ending});
+  other.recordEnding(['part'], {life: 'third', ...ending});
   const records = [one, other].flatMap(entry => entry.changedSince(0, 10).rows);
   for (const record of records) {
-    one.merge(record);
-    other.merge(record);
+    one.merge([record]);
+    other.merge([record]);
   }
   expect(one.isQuarantined('part')).toBe(true);
   await eventually(() => store.read('quarantine', 'part') !== undefined);
--- a/test/fleet/relayed_rows.test.ts
+++ b/test/fleet/relayed_rows.test.ts
@@ -206,7 +206,7 @@
   for (let index = 0; index < 1_000; index += 1) {
     const life = `i-${String(index).padStart(10, '0')}/1790000000000`;
     const fingerprint = createHash('md5').update(life).digest('hex');
-    quarantine.recordEnding(fingerprint, {
+    quarantine.recordEnding([fingerprint], {
       life,
       sentAt: -1_200,
       endedAt: -1_000,
--- a/test/quarantine/prompt_parts.test.ts
+++ b/test/quarantine/prompt_parts.test.ts
@@ -18,11 +18,7 @@
     ...requests: readonly (readonly string[])[]
   ): void {
     const ending = {life, sentAt, endedAt: sentAt + CRASH_DELAY};
-    for (const suspects of requests) {
-      suspects.forEach((suspect, position) =>
-        quarantine.recordEnding(suspect, ending, position || undefined),
-      );
-    }
+    for (const suspects of requests) quarantine.recordEnding(suspects, ending);
   }
 
   function answer(begunAt: number, ...suspects: readonly string[]): void {
@@ -53,6 +49,17 @@
   expect(quarantined()).toEqual(['bad']);
 });
 
+test('no suspect is quarantined on the way to the verdict', () => {
+  const [one, other] = [startSite(), startSite()];
+  for (const target of ['one', 'two', 'three']) {
+    one.crash(target, 0, [`request at ${target}`, 'shared', 'bad']);
+  }
+  other.quarantine.merge(one.quarantine.changedSince(0, 100).rows);
+  for (const {verdicts} of [one, other]) {
+    expect(verdicts.map(({suspect}) => suspect)).toEqual(['bad']);
+  }
+});
+
 test('another part at the same targets is quarantined once a target ends under it alone', () => {
   const {crash, quarantined} = startSite();
   for (const target of ['one', 'two', 'three']) {
@@ -130,13 +137,9 @@
     fresh.crash(`target ${target}`, target, ['shared']);
   }
   expect(fresh.quarantined()).toEqual(['shared']);
-  for (const record of fresh.quarantine.changedSince(0, 100).rows) {
-    other.quarantine.merge(record);
-  }
+  other.quarantine.merge(fresh.quarantine.changedSince(0, 100).rows);
   expect(other.quarantine.isQuarantined('shared')).toBe(false);
-  for (const record of other.quarantine.changedSince(0, 100).rows) {
-    fresh.quarantine.merge(record);
-  }
+  fresh.quarantine.merge(other.quarantine.changedSince(0, 100).rows);
   expect(fresh.quarantined()).toEqual([]);
 });
 
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -10,7 +10,7 @@
   incarnations: readonly string[],
 ): void {
   for (const life of incarnations) {
-    quarantine.recordEnding(fingerprint, {life, sentAt: 1, endedAt: 1});
+    quarantine.recordEnding([fingerprint], {life, sentAt: 1, endedAt: 1});
   }
 }
 
@@ -34,8 +34,8 @@
   expect(quarantine.recordAnswer('request', 2)).toBe(true);
   expect(quarantine.isQuarantined('request')).toBe(false);
   endAll(quarantine, 'request', ['late word of four']);
-  quarantine.recordEnding('request', {life: 'five', sentAt: 3, endedAt: 3});
-  quarantine.recordEnding('request', {life: 'six', sentAt: 3, endedAt: 3});
+  quarantine.recordEnding(['request'], {life: 'five', sentAt: 3, endedAt: 3});
+  quarantine.recordEnding(['request'], {life: 'six', sentAt: 3, endedAt: 3});
   expect(quarantine.isQuarantined('request')).toBe(false);
 });
 
@@ -87,8 +87,8 @@
       const order = [0, 1, 2, 3, 2, 1].map(index => (index + seed) % 4);
       const all = order.map(index => entries[index]!);
       const merged = [createQuarantine(), createQuarantine()];
-      for (const record of recordsOf(all)) merged[0]!.merge(record);
-      for (const record of recordsOf(all).reverse()) merged[1]!.merge(record);
+      for (const record of recordsOf(all)) merged[0]!.merge([record]);
+      for (const record of recordsOf(all).reverse()) merged[1]!.merge([record]);
       for (const fingerprint of ['a', 'b']) {
         expect(merged[0]!.isQuarantined(fingerprint)).toBe(
           merged[1]!.isQuarantined(fingerprint),
--- a/test/quarantine/site_model.ts
+++ b/test/quarantine/site_model.ts
@@ -86,9 +86,7 @@
       const hasSurvived = now - sentAt >= BEGIN_MS + SURVIVED_MS;
       const blamed = hasSurvived ? suspects.slice(0, 1) : suspects;
       const ending = {life, sentAt, endedAt: now};
-      blamed.forEach((suspect, position) =>
-        entries[entry]!.recordEnding(suspect, ending, position || undefined),
-      );
+      entries[entry]!.recordEnding(blamed, ending);
     }
   }
 
@@ -118,9 +116,7 @@
       revisions[index] = revision;
       return rows;
     });
-    for (const row of changes.flat()) {
-      for (const entry of entries) entry.merge(row);
-    }
+    for (const entry of entries) entry.merge(changes.flat());
   }
 
   function send(id: number, now: number): void {
