Group the suspects by severity in a generator

Found in the read-through: the selection of culprits mixed the grouping with the decision. No change of behaviour; the guards of the quarantine are caught as before.

--- a/packages/core/src/quarantine/culprits.ts
+++ b/packages/core/src/quarantine/culprits.ts
@@ -20,34 +20,42 @@
 /**
  * Selects the suspects that caused the ends of targets. Each request on a
  * target that ends is a suspect, and so is each part of its prompt; those that
- * only shared their targets with worse ones are innocent.
+ * only shared their targets with worse ones are not selected.
  */
 export function findCulprits(
   evidence: Iterable<Evidence>,
 ): ReadonlySet<Suspect> {
-  const candidates = [...evidence]
-    .filter(({endings}) => endings.size >= ENDINGS_TO_QUARANTINE)
-    .sort(compareSeverity);
   const culprits = new Set<Suspect>();
   const explained = new Set<TargetIncarnation>();
-  let peers: Evidence[] = [];
-  const convictPeers = (): void => {
-    const guilty = peers.filter(peer => isCulprit(peer, explained));
-    for (const {suspect, endings} of guilty) {
+  for (const group of groupsBySeverity(evidence)) {
+    const found = group.filter(candidate => isCulprit(candidate, explained));
+    for (const {suspect, endings} of found) {
       culprits.add(suspect);
       for (const life of endings.keys()) explained.add(life);
     }
-    peers = [];
-  };
-  for (const candidate of candidates) {
-    const [first] = peers;
-    if (first && compareSeverity(first, candidate) !== 0) convictPeers();
-    peers.push(candidate);
   }
-  convictPeers();
   return culprits;
 }
 
+/** Yields the suspects with enough endings, the equally severe together. */
+function* groupsBySeverity(
+  evidence: Iterable<Evidence>,
+): Generator<readonly Evidence[]> {
+  const candidates = [...evidence]
+    .filter(({endings}) => endings.size >= ENDINGS_TO_QUARANTINE)
+    .sort(compareSeverity);
+  let group: Evidence[] = [];
+  for (const candidate of candidates) {
+    const [first] = group;
+    if (first !== undefined && compareSeverity(first, candidate) !== 0) {
+      yield group;
+      group = [];
+    }
+    group.push(candidate);
+  }
+  if (group.length > 0) yield group;
+}
+
 /**
  * The worst first: suspects that were never answered, then most endings, then
  * the most specific. A part comes after those that more prompts share, so of
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -45,7 +45,7 @@
     const added = suspects.filter((suspect, position) =>
       addEnding(suspect, ending, position === 0 ? undefined : position),
     );
-    judge('observed');
+    updateVerdicts('observed');
     return added;
   }
 
@@ -71,7 +71,7 @@
 
   function recordAnswer(suspect: Suspect, begunAt: MonotonicInstant): boolean {
     const isNew = takeAnswer(suspect, begunAt, 'observed');
-    judge('observed');
+    updateVerdicts('observed');
     return isNew;
   }
 
@@ -110,12 +110,12 @@
   }
 
   function merge(others: readonly CrashRecord[]): boolean {
-    const areNew = others.map(mergeRecord);
-    judge('relayed');
+    const areNew = others.map(mergeOne);
+    updateVerdicts('relayed');
     return areNew.includes(true);
   }
 
-  function mergeRecord(record: CrashRecord): boolean {
+  function mergeOne(record: CrashRecord): boolean {
     const {suspect, endings, depth} = record;
     const theirs = record.answeredAt ?? -Infinity;
     let isNew = takeAnswer(suspect, theirs, 'relayed');
@@ -134,7 +134,7 @@
     records.set(suspect, records.get(suspect) ?? createRecord(suspect));
   }
 
-  function judge(origin: VerdictOrigin): void {
+  function updateVerdicts(origin: VerdictOrigin): void {
     if (!isOutdated) return;
     isOutdated = false;
     const before = culprits;
@@ -186,7 +186,7 @@
     // Whoever removed the row has seen an answer to a request with the suspect.
     records.get(suspect)?.endings.clear();
     isOutdated = true;
-    if (culprits.has(suspect)) judge('stored');
+    if (culprits.has(suspect)) updateVerdicts('stored');
     else onVerdict?.({suspect, isQuarantined: false, origin: 'stored'});
   }
 
