--- a/packages/core/src/quarantine/culprits.ts
+++ b/packages/core/src/quarantine/culprits.ts
@@ -18,9 +18,8 @@
 }
 
 /**
- * Selects the suspects that caused the ends of targets. Each request on a
- * target that ends is a suspect, and so is each part of its prompt; those that
- * only shared their targets with worse ones are not selected.
+ * Selects the suspects that caused the ends of targets; those that only shared
+ * their targets with worse ones are not selected.
  */
 export function findCulprits(
   evidence: Iterable<Evidence>,
@@ -57,9 +56,8 @@
 }
 
 /**
- * The worst first: suspects that were never answered, then most endings, then
- * the most specific. A part comes after those that more prompts share, so of
- * two parts at the same targets the later one affects fewer requests.
+ * The worst first: never answered, then most endings, then the most specific.
+ * A part comes after those that more prompts share.
  */
 function compareSeverity(one: Evidence, other: Evidence): number {
   return (
