--- a/test/fleet/entry.test.ts
+++ b/test/fleet/entry.test.ts
@@ -122,6 +122,14 @@
   expect(answer.headers.connection).toBe('close');
 });
 
+test('withholds an answer without a length whose target crashed as it ended', async () => {
+  const engine = await startPlain('one');
+  const {settings} = await startReadyEntry(1);
+  engine.setFault({kind: 'unframed', crashes: true});
+  const answer = await send(settings.callerAddress, '/unsafe/a');
+  expect(answer.status).toBe(502);
+});
+
 test('answers 503 with Retry-After if no target accepts the request', async () => {
   const engine = await startPlain('one');
   const {settings} = await startReadyEntry(1);
