Rely on checks of staged chunks only while they are recent

Cause: an agent reads the staged chunks one by one and orders the load once all digests match, however long ago the first was read. Its machine was suspended in the middle of the reads, and a chunk that had already been read became corrupted meanwhile. Ruled out: a read in transit during the suspension (reads come in order, it begins 14 reads later) and an order accepted late (half of the reads still precede it).

Fix: each digest has the time of its read, by the clock that also counts suspensions, and checks over 2 s old are repeated before the order, in at most three passes, since reads may take longer than that by themselves. Where the engine may still have accepted the order on an outdated check (slow reads, a late or missing answer, a write without an answer that may still be applied), all chunks are read again after it, with nothing staged in between: what is intact then was intact when the engine took it. Until then the agent reports that its engine accepts nothing.

A test of the earlier code now waits for that reading before it orders again, and `hold` blocks all staging: a repair would hide what the engine took.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -26,6 +26,7 @@
   OperatorFeed,
   VersionOrigin,
 } from '../ports';
+import {startMachineClock} from '../runtime/clock';
 import type {FleetAgentSettings} from '../settings';
 import {createEngineManager, type EngineManager} from './engine_manager';
 import {createEngineReports} from './engine_reports';
@@ -77,7 +78,11 @@
     monotonicClock,
     configurationLog,
   );
-  const staged = createStagedChunks(ports.engine, logs('target'));
+  const staged = createStagedChunks(
+    ports.engine,
+    logs('target'),
+    startMachineClock(),
+  );
   const peers = createPeerAgents({
     self,
     swarm: () => swarm,
--- a/packages/fleet/src/agent/engine_manager.ts
+++ b/packages/fleet/src/agent/engine_manager.ts
@@ -147,7 +147,8 @@
   }
 
   function report(status: EngineStatus): void {
-    const ordering = status.ordering || closedAt !== undefined;
+    const ordering =
+      status.ordering || closedAt !== undefined || !orders.isLoadTrusted();
     options.onStatus({...status, ordering}, plan.loadsIn(clock()));
   }
 
@@ -199,7 +200,7 @@
       return;
     }
     if (!mayOrder(status)) return;
-    void orders.orderLoad(due);
+    void orders.orderLoad(due, () => isStillDue(due));
   }
 
   function findDueLoad(): FetchedVersion | undefined {
@@ -210,6 +211,11 @@
     return plan.mayLoad(clock()) ? current : undefined;
   }
 
+  /** Whether a load is still due after its chunks have been verified. */
+  function isStillDue(version: FetchedVersion): boolean {
+    return plan.current() === version && plan.mayLoad(clock());
+  }
+
   /**
    * Reports to the entries that the engine accepts nothing more, and allows the
    * order only some time after that. A request that reaches an engine right
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -2,11 +2,14 @@
   AGENT_TRANSFER_POLICY,
   type Bytes,
   type Digest,
+  type Milliseconds,
+  type MonotonicInstant,
 } from '@hibiscusbeam/core';
 import {
   digestBytes,
   type ChunkStore,
   type ChunkStoreError,
+  type Clock,
   type Log,
 } from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
@@ -41,10 +44,10 @@
    */
   readonly setReachable: (isReachable: boolean) => void;
   /**
-   * Prevents staging of other versions until `release`, since the engine may
-   * still accept an order for this one.
+   * Prevents staging until `release`: the engine may still accept an order, or
+   * what it took with one is to be read again.
    */
-  readonly hold: (content: VersionContent) => void;
+  readonly hold: () => void;
   /** Ends a hold, if there is one. */
   readonly release: () => void;
   /** Drops the chunks in memory of a version that the engine has loaded. */
@@ -56,10 +59,48 @@
    */
   readonly withVerified: <Outcome>(
     content: VersionContent,
-    whenWhole: () => Promise<Outcome>,
+    whenVerified: (verified: VerifiedChunks) => Promise<Outcome>,
   ) => Promise<Outcome | undefined>;
+  /**
+   * Reads all staged chunks of the version and repairs none; then runs
+   * `whenRead` with nothing staged in between.
+   */
+  readonly inspect: (
+    content: VersionContent,
+    whenRead: (state: StagedState) => void,
+  ) => Promise<void>;
+}
+
+/** Staged chunks that were all found intact. */
+export interface VerifiedChunks {
+  /**
+   * Whether none of them was read too long ago to rely on it, or may since have
+   * been overwritten.
+   */
+  readonly areCurrent: () => boolean;
 }
 
+/** State of a version's staged chunks; unknown if the engine is silent. */
+export type StagedState = 'intact' | 'corrupted' | 'unknown';
+
+/**
+ * Maximum age of the check of a staged chunk that a load relies on. Half as
+ * much again may pass until a corrupted chunk is charged to the load.
+ */
+const MAX_CHECK_AGE: Milliseconds = 2_000;
+
+/**
+ * How long a write without an answer may still be applied, and overwrite a
+ * chunk that was verified since.
+ */
+const MAX_WRITE_DELAY: Milliseconds = 10_000;
+
+/**
+ * Number of passes in which outdated checks are repeated. Reading may take
+ * longer than a check is valid; more passes would not end then.
+ */
+const MAX_CHECK_PASSES = 3;
+
 /** Maximum size of a version whose chunks are kept in memory. */
 const MAX_KEPT_BYTES: Bytes = 32 * 1024 * 1024;
 
@@ -75,16 +116,19 @@
 export function createStagedChunks(
   engine: EngineControl,
   log: Log,
+  clock: Clock,
 ): StagedChunks {
   let stagedVersion: VersionContent | undefined;
   let preparedVersion: VersionContent | undefined;
   const memoryCopies = new Map<Digest, Buffer>();
   /** Digest last read or staged at each position. */
   const stagedDigests = new Map<number, Digest>();
+  /** When the read or write of each known digest was requested. */
+  const checkedAt = new Map<number, MonotonicInstant>();
   let isRead = false;
   let isReachable = true;
-  /** The version whose load order is unanswered. */
-  let unansweredOrder: VersionContent | undefined;
+  let unansweredWriteAt: MonotonicInstant = -Infinity;
+  let isHeld = false;
   let lastOperation: Promise<unknown> = Promise.resolve();
 
   async function put(
@@ -98,7 +142,7 @@
     if (isPrepared || position !== -1) keepInMemory(digest, bytes);
     if (!isReachable && memoryCopies.has(digest)) return Ok.EMPTY;
     if (stagedVersion !== undefined && position !== -1) {
-      if (isBlockedByOrder(stagedVersion)) return blockedResult(digest);
+      if (isHeld) return heldResult(digest);
       return stageOrKeep(stagedVersion, position, digest, bytes);
     }
     if (isPrepared) return Ok.EMPTY;
@@ -123,32 +167,24 @@
     if (fitsInMemory(chunks, bytes.length)) memoryCopies.set(digest, bytes);
   }
 
-  /**
-   * The engine may still accept an unanswered order, and would load whatever is
-   * staged then.
-   */
-  function isBlockedByOrder({version}: VersionContent): boolean {
-    return unansweredOrder !== undefined && unansweredOrder.version !== version;
-  }
-
-  function blockedResult(digest: Digest): Result<void, ChunkStoreError> {
+  function heldResult(digest: Digest): Result<void, ChunkStoreError> {
     if (memoryCopies.has(digest)) return Ok.EMPTY;
     return Err({
       kind: 'unavailable',
-      detail: 'an earlier order still has no answer',
+      detail: 'an earlier order is not settled yet',
     });
   }
 
   function release(): void {
-    if (unansweredOrder === undefined) return;
-    unansweredOrder = undefined;
+    if (!isHeld) return;
+    isHeld = false;
     stageKeptLater();
   }
 
   function stageKeptLater(): void {
     if (stagedVersion === undefined || memoryCopies.size === 0) return;
     const content = stagedVersion;
-    lastOperation = lastOperation.then(() => stageKept(content));
+    void inTurn(() => stageKept(content));
   }
 
   /**
@@ -175,12 +211,30 @@
     bytes: Buffer,
   ): Promise<Result<void, ChunkStoreError>> {
     stagedDigests.delete(position);
+    const requestedAt = clock();
     const stored = await engine.stage(model, position, bytes);
-    if (stored.err) return stored.mapErr(toStoreError);
-    stagedDigests.set(position, digest);
+    if (stored.err) {
+      if (stored.val.kind === 'unreachable') unansweredWriteAt = clock();
+      return stored.mapErr(toStoreError);
+    }
+    recordDigest(position, digest, requestedAt);
     return Ok.EMPTY;
   }
 
+  function recordDigest(
+    position: number,
+    digest: Digest,
+    requestedAt: MonotonicInstant,
+  ): void {
+    stagedDigests.set(position, digest);
+    checkedAt.set(position, requestedAt);
+  }
+
+  function isCurrent(position: number): boolean {
+    const age = clock() - (checkedAt.get(position) ?? -Infinity);
+    return age <= MAX_CHECK_AGE;
+  }
+
   function setStagedVersion(content: VersionContent): void {
     stagedVersion = content;
     preparedVersion = undefined;
@@ -223,12 +277,7 @@
       if (bytes === undefined || stagedDigests.get(position) === digest) {
         continue;
       }
-      if (
-        stagedVersion?.version !== content.version ||
-        isBlockedByOrder(content)
-      ) {
-        return;
-      }
+      if (isHeld || stagedVersion?.version !== content.version) return;
       await stage(content, position, digest, bytes);
     }
   }
@@ -264,15 +313,26 @@
       if (!positions.has(position)) stagedDigests.delete(position);
     }
     for (const position of positions) {
-      const read = await engine.readStaged(content.model, position);
-      if (read.ok) stagedDigests.set(position, digestBytes(read.val));
-      else if (read.val.kind === 'unreachable') return read;
-      else stagedDigests.delete(position);
+      const read = await readDigest(content, position);
+      if (read.err) return read;
     }
     isRead = true;
     return Ok.EMPTY;
   }
 
+  /** Fails only if the engine is silent. */
+  async function readDigest(
+    {model}: VersionContent,
+    position: number,
+  ): Promise<Result<void, EngineError>> {
+    const requestedAt = clock();
+    const read = await engine.readStaged(model, position);
+    if (read.ok) recordDigest(position, digestBytes(read.val), requestedAt);
+    else if (read.val.kind === 'unreachable') return read;
+    else stagedDigests.delete(position);
+    return Ok.EMPTY;
+  }
+
   async function* get(
     digest: Digest,
   ): AsyncGenerator<Result<Uint8Array, ChunkStoreError>> {
@@ -308,21 +368,68 @@
     return undefined;
   }
 
-  async function withVerified<Outcome>(
+  function isIntact({digests}: VersionContent): boolean {
+    return digests.every(
+      (digest, position) => stagedDigests.get(position) === digest,
+    );
+  }
+
+  /**
+   * Reads and repairs all chunks, and reads again what was last read too long
+   * ago: a process that was suspended meanwhile would rely on what it saw
+   * before. Returns whether all chunks are intact.
+   */
+  async function verify(content: VersionContent): Promise<boolean> {
+    let read = await readAll(content);
+    for (let pass = 1; read.ok; pass += 1) {
+      await stageKept(content);
+      if (!isIntact(content)) return false;
+      const outdated = outdatedPositions(content);
+      if (outdated.length === 0 || pass === MAX_CHECK_PASSES) return true;
+      log.info('verifies staged chunks again', {chunks: outdated.length, pass});
+      for (const position of outdated) {
+        read = await readDigest(content, position);
+        if (read.err) break;
+      }
+    }
+    return false;
+  }
+
+  function outdatedPositions({digests}: VersionContent): readonly number[] {
+    return [...digests.keys()].filter(position => !isCurrent(position));
+  }
+
+  /** Runs an operation after all earlier ones, with no other alongside it. */
+  function inTurn<Outcome>(
+    operation: () => Promise<Outcome>,
+  ): Promise<Outcome> {
+    const run = lastOperation.then(operation);
+    lastOperation = run.catch(() => undefined);
+    return run;
+  }
+
+  function withVerified<Outcome>(
     content: VersionContent,
-    whenVerified: () => Promise<Outcome>,
+    whenVerified: (verified: VerifiedChunks) => Promise<Outcome>,
   ): Promise<Outcome | undefined> {
-    const run = lastOperation.then(async () => {
+    return inTurn(async () => {
+      if (!(await verify(content))) return undefined;
+      const areCurrent = () =>
+        outdatedPositions(content).length === 0 &&
+        clock() - unansweredWriteAt > MAX_WRITE_DELAY;
+      return whenVerified({areCurrent});
+    });
+  }
+
+  function inspect(
+    content: VersionContent,
+    whenRead: (state: StagedState) => void,
+  ): Promise<void> {
+    return inTurn(async () => {
       const read = await readAll(content);
-      if (read.err) return undefined;
-      await stageKept(content);
-      const isWhole = content.digests.every(
-        (digest, position) => stagedDigests.get(position) === digest,
-      );
-      return isWhole ? whenVerified() : undefined;
+      if (read.err) whenRead('unknown');
+      else whenRead(isIntact(content) ? 'intact' : 'corrupted');
     });
-    lastOperation = run.catch(() => undefined);
-    return run;
   }
 
   return {
@@ -330,10 +437,11 @@
     setStagedVersion,
     prepare,
     setReachable,
-    hold: content => void (unansweredOrder = content),
+    hold: () => void (isHeld = true),
     release,
     forget,
     withVerified,
+    inspect,
   };
 }
 
--- a/test/fleet/engine_orders.test.ts
+++ b/test/fleet/engine_orders.test.ts
@@ -38,7 +38,7 @@
       return Promise.resolve(Err({kind: 'unreachable', detail: 'no answer'}));
     },
   };
-  const staged = createStagedChunks(engine, log);
+  const staged = createStagedChunks(engine, log, () => now);
   const swarm = {refreshHeld: () => Promise.resolve()} as SwarmDriver;
   const clock = () => now;
   return {
@@ -72,6 +72,15 @@
   sender.recordAnswer(clock());
 }
 
+/** Resolves once what was started before it has read the staged chunks. */
+function untilInspected({
+  staged,
+}: ReturnType<typeof startAgent>): Promise<void> {
+  return staged.inspect(content(2), ignore);
+}
+
+const isDue = () => true;
+
 const fetched = (version: number) =>
   ({
     version,
@@ -84,7 +93,7 @@
   const agent = startAgent();
   await put(agent, 2);
   const requestedBefore = agent.clock();
-  await agent.sender.orderLoad(fetched(2));
+  await agent.sender.orderLoad(fetched(2), isDue);
   await put(agent, 3);
   agent.sender.recordAnswer(requestedBefore);
   expect(agent.stagedBytes()).toBe('version 2');
@@ -100,22 +109,23 @@
   const agent = startAgent();
   await put(agent, 2);
   const requestedBefore = agent.clock();
-  await agent.sender.orderLoad(fetched(2));
+  await agent.sender.orderLoad(fetched(2), isDue);
   agent.pass(300);
   agent.sender.recordAnswer(requestedBefore);
   answerOnce(agent);
-  await agent.sender.orderLoad(fetched(2));
+  await agent.sender.orderLoad(fetched(2), isDue);
   expect(agent.orders).toEqual([2]);
   answerOnce(agent);
-  await agent.sender.orderLoad(fetched(2));
+  await untilInspected(agent);
+  await agent.sender.orderLoad(fetched(2), isDue);
   expect(agent.orders).toEqual([2, 2]);
 });
 
 test('a restarted engine gets an order at once', async () => {
   const agent = startAgent();
   await put(agent, 2);
-  await agent.sender.orderLoad(fetched(2));
+  await agent.sender.orderLoad(fetched(2), isDue);
   agent.sender.reset();
-  await agent.sender.orderLoad(fetched(2));
+  await agent.sender.orderLoad(fetched(2), isDue);
   expect(agent.orders).toEqual([2, 2]);
 });
--- a/test/fleet/load_orders.test.ts
+++ b/test/fleet/load_orders.test.ts
@@ -117,3 +117,40 @@
     sent: 6,
   });
 });
+
+test('an engine that accepts a late order with a corrupted chunk is reported as accepting nothing', async () => {
+  let newest = 1;
+  const origin = await startHostOrigin(6, () => newest);
+  closers.push(origin.close);
+  const site = await startSite(origin);
+  let isAccepted = false;
+  const openReports: EngineReport[] = [];
+  const engine: HostEngine = await startHostEngine({
+    instance: 'one',
+    version: 1,
+    onOrder: () => {
+      isAccepted = true;
+      engine.staged.set(2, Buffer.from('corrupted'));
+    },
+    onOrderCall: () => engine.fallSilent(1_500),
+  });
+  closers.push(engine.close);
+  let reports = 0;
+  await startListener(site, report => {
+    reports += 1;
+    if (isAccepted && !report.ordering) openReports.push(report);
+  });
+  await site.startAgent(engine);
+  await eventually(() => reports > 0);
+  newest = 2;
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  await eventually(() => engine.held() === 2);
+  await eventually(() =>
+    site.lines.some(
+      ({message}) => message === 'may have loaded corrupted chunks',
+    ),
+  );
+  const before = reports;
+  await eventually(() => reports > before + 1);
+  expect(openReports).toEqual([]);
+});
--- a/test/fleet/staged_chunks.test.ts
+++ b/test/fleet/staged_chunks.test.ts
@@ -58,14 +58,14 @@
     },
     load: () => Promise.reject(new Error('not asked here')),
   };
-  const staged = createStagedChunks(engine, log);
+  const staged = createStagedChunks(engine, log, () => 0);
   const setUp = (next: boolean): void => {
     isUp = next;
     staged.setReachable(isUp);
   };
   const silenceAfter = (calls: number): void => void (answersLeft = calls);
   /** Staging area of a restarted agent at the same engine. */
-  const restart = () => createStagedChunks(engine, log);
+  const restart = () => createStagedChunks(engine, log, () => 0);
   return {stagedBytes, refused, staged, setUp, silenceAfter, restart};
 }
 
@@ -233,7 +233,7 @@
   const {stagedBytes, staged} = startStaging();
   staged.setStagedVersion(content(2));
   await putAll(staged, 2);
-  staged.hold(content(2));
+  staged.hold();
   staged.setStagedVersion(content(3));
   await putAll(staged, 3);
   expect(await isWhole(staged, 3)).toBe(false);
