Accept at a stopping entry only what it can finish

Cause: acceptance asked only whether the entry still accepts (until 0.45 of the grace period), never whether the request can end before the final answers (0.9 of it). A request accepted last has 3.6 s, though its deadline may be 6 s. Ruled out: final answers that come too early (a later moment only moves the length of the streams that are cut) and engines or callers that end the streams (all are cut at one moment).

Fix: planned_stop.ts accepts a request whose deadline comes before the final answers. Others are refused as not run, so that their callers are served elsewhere; but while callers may still use directory answers from before the stop, or where no other entry is usable, one whose route's longest recent duration fits with half as much again is served. The stop is timed by the clock that counts suspensions.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -16,7 +16,6 @@
 } from '@hibiscusbeam/core';
 import {
   monotonicClock,
-  sleep,
   type Log,
   type LogPart,
   type RunningProcess,
@@ -54,7 +53,7 @@
 import {createOperatorFollower} from './operator_follower';
 import {createSlotQueue} from './slot_queue';
 import {createRetryBudgets} from './retry_budgets';
-import type {StoppingPhase} from './request_acceptance';
+import {createPlannedStop} from './planned_stop';
 import {createRequestHandler} from './request_handler';
 import {createSiteRegions} from './site_regions';
 import {
@@ -91,21 +90,9 @@
 const MAX_DIRECTORY_TTL: Milliseconds = 2_000;
 
 /**
- * Share of the grace period in which new requests are still served after a stop
- * signal; callers use old directory answers for that long.
+ * Time in which callers open a connection to an address from the directory.
  */
-const SERVING_SHARE = 0.45;
-
-/**
- * Share of the grace period after which requests that still run are answered.
- */
-const FINAL_ANSWERS_SHARE = 0.9;
-
-/** Share of the grace period after which the process ends at the latest. */
-const ENDING_SHARE = 0.95;
-
-/** Interval between checks for running requests while stopping. */
-const STOPPING_CHECK_PERIOD: Milliseconds = 50;
+const CALLER_CONNECT_TIMEOUT: Milliseconds = 1_000;
 
 function toEngineLoad(report: EngineReport): EngineLoad {
   return {
@@ -143,7 +130,12 @@
   const {bounds} = settings;
   const evacuation = bounds.evacuation ?? DEFAULT_EVACUATION_BOUND;
   const stopped = new AbortController();
-  let phase: StoppingPhase = 'serving';
+  const keepFor = Math.min(bounds.directoryAnswer, MAX_DIRECTORY_TTL);
+  const plannedStop = createPlannedStop({
+    grace: bounds.grace,
+    callersStayFor: keepFor + CALLER_CONNECT_TIMEOUT,
+    clock: machineClock,
+  });
   const storeClock = createStoreClock();
   const storeDistance = createStoreDistance();
   const failurePause = createFailurePause(hash32(settings.instance) / 2 ** 32);
@@ -293,7 +285,7 @@
   // request with a key while its callers keep coming back, though the other
   // entries would serve them.
   const isReady = (): boolean =>
-    phase === 'serving' &&
+    plannedStop.phase() === 'serving' &&
     operator.table() !== undefined &&
     quarantineStore.isKnown() &&
     isReadable(readings.configuration()) &&
@@ -375,7 +367,8 @@
     log: logs('requests'),
     maxConfirmationAge,
     listedAt: () => targets.listedAt(),
-    stopping: () => phase,
+    plannedStop,
+    hasOtherEntries: () => entryPeers.usable().length > 0,
   });
   const callerServer = createCallerServer(handler, clock);
   const usable = (): readonly MemberDescription[] => {
@@ -443,7 +436,7 @@
       usable,
       regionOf: regions.regionOf,
       regionsOf: host => operator.table()?.regionsOf(host),
-      keepFor: Math.min(bounds.directoryAnswer, MAX_DIRECTORY_TTL),
+      keepFor,
     }),
     openReadinessServer(settings.readinessAddress, ports.directory, isReady),
     callerServer.listen(settings.callerAddress),
@@ -458,19 +451,12 @@
   let finish = (): void => undefined;
   const ended = new Promise<void>(resolve => (finish = resolve));
   const stop = async (): Promise<void> => {
-    if (phase !== 'serving') return ended;
-    const stoppingSince = clock();
-    const isPast = (share: number): boolean =>
-      clock() - stoppingSince >= bounds.grace * share;
-    phase = 'leaving';
+    if (plannedStop.phase() !== 'serving') return ended;
+    const leaving = plannedStop.begin();
     entryPeers.announceSelf();
     void members.leave();
-    await sleep(bounds.grace * SERVING_SHARE);
-    phase = 'closing';
-    while (handler.running() > 0 && !isPast(ENDING_SHARE)) {
-      if (isPast(FINAL_ANSWERS_SHARE)) handler.endAll();
-      await sleep(STOPPING_CHECK_PERIOD);
-    }
+    await leaving;
+    await plannedStop.finish(() => handler.running() === 0, handler.endAll);
     stopped.abort();
     stopPeers();
     callerServer.close();
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -19,12 +19,11 @@
 import type {ExpectedRun, ExpectedRuns} from './expected_run';
 import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
+import type {PlannedStop} from './planned_stop';
+import type {RunDurations} from './run_durations';
 import {notRun, type LocalAnswer} from './local_answers';
 import {fingerprintOf, promptPartDigest} from './request_fingerprint';
 
-/** Phase of a planned stop. */
-export type StoppingPhase = 'serving' | 'leaving' | 'closing';
-
 /**
  * Decides whether the configuration was confirmed recently enough to trust its
  * keys.
@@ -46,7 +45,11 @@
   readonly readings: HeldReadings;
   /** Whether the site's quarantined requests have been read. */
   readonly isQuarantineKnown: () => boolean;
-  readonly stopping: () => StoppingPhase;
+  readonly plannedStop: Pick<PlannedStop, 'phase' | 'mayAccept'>;
+  /** Whether callers may be sent to another entry. */
+  readonly hasOtherEntries: () => boolean;
+  readonly durations: Pick<RunDurations, 'longest'>;
+  readonly clock: Clock;
   readonly expectedRuns: ExpectedRuns;
 }
 
@@ -90,7 +93,7 @@
   options: RequestAcceptanceOptions,
   {header, path, body, arrivedAt}: ArrivedRequest,
 ): AcceptedRequest | LocalAnswer {
-  if (options.stopping() === 'closing') {
+  if (options.plannedStop.phase() === 'closing') {
     return notRun('leaving', RETRY_ELSEWHERE_AFTER);
   }
   const table = options.operator.table();
@@ -113,6 +116,9 @@
   if (service === undefined) return notRun('noTarget', undefined);
   const timeout = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + timeout;
+  if (!isAcceptedByStop(options, route, deadline)) {
+    return notRun('leaving', RETRY_ELSEWHERE_AFTER);
+  }
   const expectable = {header, table, service, route: route.name};
   const run = options.expectedRuns.expect(expectable);
   const workspace = access.kind === 'workspace' ? access.workspace : undefined;
@@ -126,6 +132,18 @@
   return {...content, route, service, access, destinations, run};
 }
 
+function isAcceptedByStop(
+  {plannedStop, durations, hasOtherEntries, clock}: RequestAcceptanceOptions,
+  route: Route,
+  deadline: MonotonicInstant,
+): boolean {
+  return plannedStop.mayAccept({
+    timeLeft: deadline - clock(),
+    longestRun: durations.longest(route.name),
+    hasAlternative: hasOtherEntries(),
+  });
+}
+
 /**
  * Where a request may be served by the routes of `table`; undefined if none
  * matches.
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -29,6 +29,7 @@
 import type {RequestRunOptions} from './request_context';
 import {createRequestRun} from './request_run';
 import {createRequestTrace, type RequestTrace} from './request_trace';
+import {createRunDurations} from './run_durations';
 import type {StreamProgress} from './stream_relay';
 import {createTimeliness} from './timeliness';
 
@@ -49,7 +50,7 @@
 /** Dependencies of the request handler. */
 export interface RequestHandlerOptions
   extends
-    Omit<RequestAcceptanceOptions, 'expectedRuns'>,
+    Omit<RequestAcceptanceOptions, 'expectedRuns' | 'durations'>,
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
   readonly buffers: BufferedBytes;
@@ -82,7 +83,8 @@
   const timeliness = createTimeliness(answerTimes);
   const runOptions = {...options, timeliness, answerTimes, ownLines};
   const expectedRuns = createExpectedRuns();
-  const acceptance = {...options, expectedRuns};
+  const durations = createRunDurations(clock);
+  const acceptance = {...options, expectedRuns, durations};
   let running = 0;
   const deadlines = new Set<() => void>();
 
@@ -220,7 +222,9 @@
 
   /** While stopping, asks callers to open their next connection elsewhere. */
   function ownLines(): readonly string[] {
-    return options.stopping() === 'serving' ? [] : ['Connection', 'close'];
+    return options.plannedStop.phase() === 'serving'
+      ? []
+      : ['Connection', 'close'];
   }
 
   function answerLocally(
@@ -272,6 +276,9 @@
     const took = Math.round(clock() - accepted.arrivedAt);
     metrics.countRequest(accepted.route.name, result.kind);
     metrics.observeDuration(accepted.route.name, took);
+    if (result.kind === 'streamed' || result.kind === 'passOn') {
+      durations.record(accepted.route.name, took);
+    }
     log.info('request', {
       request: accepted.header.requestId,
       route: accepted.route.name,
