Wait at a planned stop for answers that callers are still reading

A request counted as done once its answer had been handed to the connection, and the process ended when none was in progress.

Fix: a request is in progress until its answer has left the process or its caller has gone.

Evidence: the new test failed on (the entry stopped before its caller had read anything) and passes now; its guard is caught.

--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -65,7 +65,7 @@
 /** Handles callers' requests. */
 export interface RequestHandler {
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-  /** Number of requests in progress. */
+  /** Number of requests that were read and whose answers are not yet sent. */
   readonly running: () => number;
   /**
    * Ends all requests in progress with the answers they would get at their
@@ -95,7 +95,8 @@
     const arrivedAt = clock();
     const header = protocol.readCaller(request.rawHeaders);
     const body = await readBody(request, bodyLimit());
-    if (body === 'gone') return;
+    if (body === 'gone' || response.destroyed) return;
+    countUntilClosed(response);
     observeReadingAges();
     const path = request.url ?? '/';
     const accepted =
@@ -106,12 +107,16 @@
       answerLocally(request, response, header, accepted);
       return;
     }
+    await forward(request, response, accepted);
+  }
+
+  /**
+   * A request is in progress until its answer has left this process, which may
+   * take long if the caller reads slowly.
+   */
+  function countUntilClosed(response: ServerResponse): void {
     running += 1;
-    try {
-      await forward(request, response, accepted);
-    } finally {
-      running -= 1;
-    }
+    response.once('close', () => (running -= 1));
   }
 
   function bodyLimit(): number {
--- a/test/fleet/slow_callers.test.ts
+++ b/test/fleet/slow_callers.test.ts
@@ -74,3 +74,31 @@
   expect(dropped()[0]).toBe('slow-1');
   expect(dropped()).not.toContain('request-1');
 });
+
+test('a planned stop waits for a caller that has not yet read its answer', async () => {
+  site = await startHostSite();
+  engine = await startHostEngine({instance: 'one', eventSize: ANSWER_BYTES});
+  site.register(engine);
+  site.configure();
+  const grace = 4_000;
+  const {settings, running} = await site.startEntry({grace});
+  await eventually(() => isReady(settings.readinessAddress));
+  await eventually(
+    async () => (await send(settings.callerAddress, '/safe/a')).status === 200,
+  );
+  const events: string[] = [];
+  sendSlowRequest(settings.callerAddress, 'slow-1');
+  await eventually(() => JSON.stringify(site.lines).includes('slow-1'));
+  const stopped = running.stop().then(() => events.push('stopped'));
+  // Past the share of the grace period in which requests are served.
+  await new Promise(resolve => setTimeout(resolve, grace * 0.55));
+  let size = 0;
+  slow[0]!.on('data', (bytes: Buffer) => {
+    size += bytes.length;
+    if (size > ANSWER_BYTES) slow[0]!.destroy();
+  });
+  slow[0]!.once('close', () => events.push('read'));
+  await stopped;
+  expect(events).toEqual(['read', 'stopped']);
+  expect(size).toBeGreaterThan(ANSWER_BYTES);
+});
