Read at the end of a stop what has already arrived

Cause: the check that nothing is in progress and the close of all idle connections are one step, and a connection whose request waits in the socket counts as idle.

Fix: the server reads for three turns of the event loop before it closes; what arrives is refused as not run. A request that arrives after that may still cross the close.

Evidence: the new test of the server fails without its guard (the connection is closed).

--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import {createServer, type Server} from 'node:http';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createIdleConnections} from './idle_connections';
 import type {RequestHandler} from './request_handler';
 
@@ -13,11 +14,18 @@
  */
 const ACCEPT_BACKLOG = 1_024;
 
+/**
+ * Turns of the event loop in which a new connection is accepted and the request
+ * on it is read.
+ */
+const TURNS_TO_READ = 3;
+
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly listen: (address: string) => Promise<void>;
   readonly setIdleTimeout: (timeout: Milliseconds) => void;
-  readonly close: () => void;
+  /** Reads what has already arrived, then accepts nothing more. */
+  readonly close: () => Promise<void>;
 }
 
 /** Creates the server; it passes requests to `handler`. */
@@ -48,7 +56,8 @@
     setIdleTimeout: timeout => {
       server.keepAliveTimeout = timeout;
     },
-    close: () => {
+    close: async () => {
+      for (let turn = 0; turn < TURNS_TO_READ; turn += 1) await nextTurn();
       server.close();
       server.closeIdleConnections();
     },
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -457,9 +457,9 @@
     void members.leave();
     await leaving;
     await plannedStop.finish(() => handler.running() === 0, handler.endAll);
+    await callerServer.close();
     stopped.abort();
     stopPeers();
-    callerServer.close();
     peers.close();
     await Promise.all([
       directory.close(),
--- a/test/fleet/caller_server.test.ts
+++ b/test/fleet/caller_server.test.ts
@@ -39,9 +39,9 @@
   caller.on('error', () => undefined);
 });
 
-afterEach(() => {
+afterEach(async () => {
   caller.destroy();
-  server.close();
+  await server.close();
 });
 
 /** The next bytes from the entry, or `closed` if it closed the connection. */
@@ -117,3 +117,10 @@
     void setTimeout(() => response.end('late'), OVER_SHORT_TIME);
   expect(await sendRequest()).toContain('late');
 });
+
+test('a request that has arrived when the server closes is answered', async () => {
+  expect(await sendRequest()).toContain('200 OK');
+  const second = sendRequest();
+  void server.close();
+  expect(await second).toContain('200 OK');
+});
