Frame all answers, so that a cut one never looks complete

Cause: the entry forwarded such answers without a framing, and then nothing but the close ends them.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -25,7 +25,6 @@
   readonly status: number;
   readonly lines: HeaderLines;
   readonly body: Buffer;
-  readonly isFramed: boolean;
 }
 
 /** Options of one attempt at a target. */
@@ -150,7 +149,7 @@
     options.explain('target ended with its answer');
     return {kind: 'unknown', cause: 'connectionLost'};
   }
-  options.keepAnswer({status, lines, body, isFramed});
+  options.keepAnswer({status, lines, body});
   return {kind: 'answered', success};
 }
 
