Give up a target that sends bytes without end

What callers would see: a target in trouble sends bytes that are no answer and never end. A stream's entry collected an unfinished event until its caller's deadline, some 100 MB in 1.5 s in the test, with a time that grows with the square of the size; events without ids were forwarded for as long; informational heads cost it 160 MB in the same time.

Cause: whole answers have a limit, heads have that of the HTTP parser, and a stream had none: its splitter buffers until an event is complete.

Fix: an unfinished event, or events without an id between numbered ones, end the attempt as malformed from 256 KB on, and so do more than 16 informational heads. Other endless forms (empty lines, events of a stream that has no ids) need little memory and end at the caller's deadline.

--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -67,6 +67,14 @@
  */
 const CONNECT_TIMEOUT: Milliseconds = 200;
 
+/** Prefix of the codes of errors in the framing of an answer. */
+const PARSER_CODE_PREFIX = 'HPE_';
+
+const MALFORMED_CODE = `${PARSER_CODE_PREFIX}MALFORMED`;
+
+/** Maximum number of informational responses before an answer. */
+const MAX_INFORMATIONAL_RESPONSES = 16;
+
 /**
  * Sends a request over a connection of its own.
  *
@@ -107,6 +115,7 @@
     let sent = false;
     let outdated = false;
     let hasFailed = false;
+    let informationalResponses = 0;
     const fail = (detail: string, error?: NodeJS.ErrnoException): void => {
       timer.stop();
       if (sent) {
@@ -141,6 +150,12 @@
         setImmediate(send);
       }),
     );
+    request.on('information', () => {
+      informationalResponses += 1;
+      if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+        request.destroy(malformed('too many informational responses'));
+      }
+    });
     request.once('response', body => {
       const status = body.statusCode ?? 0;
       const lines = body.rawHeaders;
@@ -162,8 +177,12 @@
   });
 }
 
+function malformed(detail: string): NodeJS.ErrnoException {
+  return Object.assign(new Error(detail), {code: MALFORMED_CODE});
+}
+
 function causeOf(error: NodeJS.ErrnoException | undefined): UnknownCause {
-  return error?.code?.startsWith('HPE_') === true
+  return error?.code?.startsWith(PARSER_CODE_PREFIX) === true
     ? 'malformedAnswer'
     : 'connectionLost';
 }
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -1,7 +1,9 @@
 import {
   createEventSplitter,
+  type Bytes,
   type ForwardAttemptEnd,
   type MonotonicInstant,
+  type UnknownCause,
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
@@ -10,6 +12,12 @@
 import type {ForwardedStream} from './attempts_in_flight';
 import type {SilenceMonitor} from './silence_monitor';
 
+/**
+ * Maximum size of an event, and of the events without an id between two that
+ * have one. A target in trouble may send bytes without end.
+ */
+const MAX_EVENT_BYTES: Bytes = 256 * 1024;
+
 /** What has reached the caller of one stream, over all attempts. */
 export interface StreamProgress {
   begun: boolean;
@@ -59,6 +67,8 @@
   const splitter = createEventSplitter();
   let hasEnded = false;
   let hasEvents = false;
+  /** Bytes of events without an id since the last one with an id. */
+  let unnumberedBytes = 0;
 
   function begin(): void {
     if (progress.begun) return;
@@ -72,8 +82,14 @@
     response.writeHead(answer.status, lines);
   }
 
+  /** A stream without any ids is only limited by its caller's deadline. */
+  function isEndless(): boolean {
+    const isNumbered = progress.lastEventId !== undefined;
+    return isNumbered && unnumberedBytes > MAX_EVENT_BYTES;
+  }
+
   return new Promise(resolve => {
-    const broken = (cause: 'connectionLost' | 'foreignAnswer') => {
+    const broken = (cause: UnknownCause) => {
       body.destroy();
       const {lastEventId} = progress;
       resolve(
@@ -92,6 +108,9 @@
           broken('foreignAnswer');
           return;
         }
+        unnumberedBytes =
+          event.id === undefined ? unnumberedBytes + event.bytes.length : 0;
+        if (isEndless()) return broken('malformedAnswer');
         options.onForward();
         begin();
         hasEvents = true;
@@ -101,6 +120,7 @@
         options.buffers.scheduleCheck();
         reading.awaitCaller();
       }
+      if (splitter.rest().length > MAX_EVENT_BYTES) broken('malformedAnswer');
     });
     const complete = (): void => {
       if (options.signal.aborted) return broken('connectionLost');
