Limit the size of answers to calls

Cause: callHttp collected a body until its timeout, without a limit. All calls to engines, origin and store go through it.

Fix: an answer of over 16 MB (the store's largest objects have 8) ends the call and its connection.

--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -1,4 +1,4 @@
-import {unreachable, type Milliseconds} from '@hibiscusbeam/core';
+import {unreachable, type Bytes, type Milliseconds} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {Agent, request, type Dispatcher} from 'undici';
 import {startAnswerTimer} from './answer_timer';
@@ -84,6 +84,13 @@
   keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT,
 });
 
+/**
+ * Maximum size of an answer: the host platform's largest objects, and as much
+ * again. A server in trouble may send bytes without end, and on loopback some
+ * hundred megabytes arrive within a timeout.
+ */
+const MAX_REPLY_BYTES: Bytes = 16 * 1024 * 1024;
+
 /** Sends a request and reads the whole answer within the timeout. */
 export async function callHttp(
   call: HttpCall,
@@ -137,8 +144,11 @@
   recordBytes: () => void,
 ): Promise<Buffer> {
   const parts: Buffer[] = [];
+  let size = 0;
   for await (const part of body) {
     recordBytes();
+    size += part.length;
+    if (size > MAX_REPLY_BYTES) throw new Error('the answer is too large');
     parts.push(part);
   }
   return Buffer.concat(parts);
--- a/test/fleet/endless_answers.test.ts
+++ b/test/fleet/endless_answers.test.ts
@@ -1,6 +1,7 @@
 import {request} from 'node:http';
 import {createServer, type Server, type Socket} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {createEngineControl} from '../../platform/engine_control';
 import {isReady} from './fixtures/host_caller';
 import type {HostEngine} from './fixtures/host_engine';
 import {
@@ -252,3 +253,18 @@
     await eventually(() => open.size === 0);
   });
 }
+
+for (const endless of ANSWERS.filter(({path}) => path === '/unsafe/a')) {
+  test(`an agent's call ends if its engine sends ${endless.name} without end`, async () => {
+    answer = endless;
+    const engine = createEngineControl(address);
+    const growth = watchGrowth();
+    const [status, staged] = await Promise.all([
+      engine.standing(500),
+      engine.readStaged('model', 1),
+    ]);
+    expect([status.ok, staged.ok]).toEqual([false, false]);
+    expect(growth()).toBeLessThan(MAX_GROWTH);
+    await eventually(() => open.size === 0);
+  });
+}
