Announce a load again after the agent was stalled

What callers would see: requests that wait at an engine for all that runs and for a load, as they reach it right after the order.

Cause: as of the load on outdated checks, the agent relies on what it has done before, here on having told the entries 80 ms earlier that its engine accepts nothing more.

Fix: a report counts for a second, by the clock that also counts suspensions; after that the load is announced anew, and the order checks this right before it is sent.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -78,11 +78,8 @@
     monotonicClock,
     configurationLog,
   );
-  const staged = createStagedChunks(
-    ports.engine,
-    logs('target'),
-    startMachineClock(),
-  );
+  const machineClock = startMachineClock();
+  const staged = createStagedChunks(ports.engine, logs('target'), machineClock);
   const peers = createPeerAgents({
     self,
     swarm: () => swarm,
@@ -163,6 +160,7 @@
     areMembersKnown: members.isKnown,
     versionBound: settings.bounds.version,
     clock: monotonicClock,
+    machineClock,
     log: logs('target'),
     onStatus: reports.offer,
   });
--- a/packages/fleet/src/agent/engine_manager.ts
+++ b/packages/fleet/src/agent/engine_manager.ts
@@ -55,6 +55,11 @@
  */
 const DRAIN_BEFORE_LOAD: Milliseconds = 80;
 
+/**
+ * Age of the last report from which entries may take the engine for open again.
+ */
+const MAX_REPORT_AGE: Milliseconds = 1_000;
+
 /** Options of {@link createEngineManager}. */
 export interface EngineManagerOptions {
   readonly service: string;
@@ -71,6 +76,8 @@
   /** Time after a version's naming within which all engines must have it. */
   readonly versionBound: Milliseconds;
   readonly clock: Clock;
+  /** Clock that also counts while the machine is suspended. */
+  readonly machineClock: Clock;
   readonly log: Log;
   /** Called with each status, and with the time until a load if one is near. */
   readonly onStatus: (
@@ -111,6 +118,8 @@
   let isReachable = true;
   /** When the entries were informed of a due load; undefined if none is due. */
   let closedAt: MonotonicInstant | undefined;
+  /** When the entries were last informed, by the machine's clock. */
+  let reportedAt: MonotonicInstant = -Infinity;
   const pause = createWakeablePause();
 
   async function run(signal: AbortSignal): Promise<void> {
@@ -147,11 +156,18 @@
   }
 
   function report(status: EngineStatus): void {
+    // After a silence the entries are informed anew of a due load.
+    if (!isReportCurrent()) closedAt = undefined;
+    reportedAt = options.machineClock();
     const ordering =
       status.ordering || closedAt !== undefined || !orders.isLoadTrusted();
     options.onStatus({...status, ordering}, plan.loadsIn(clock()));
   }
 
+  function isReportCurrent(): boolean {
+    return options.machineClock() - reportedAt <= MAX_REPORT_AGE;
+  }
+
   /** Reads the staged chunks again once the engine answers. */
   function updateReachable(isReachableNow: boolean): void {
     if (isReachable === isReachableNow) return;
@@ -213,6 +229,7 @@
 
   /** Whether a load is still due after its chunks have been verified. */
   function isStillDue(version: FetchedVersion): boolean {
+    if (isServing && !(isDrained() && isReportCurrent())) return false;
     return plan.current() === version && plan.mayLoad(clock());
   }
 
@@ -228,7 +245,12 @@
       closedAt = clock();
       report(status);
     }
-    return clock() - closedAt >= DRAIN_BEFORE_LOAD;
+    return isDrained();
+  }
+
+  function isDrained(): boolean {
+    const since = closedAt ?? Infinity;
+    return clock() - since >= DRAIN_BEFORE_LOAD;
   }
 
   /**
--- a/test/fleet/engine_manager.test.ts
+++ b/test/fleet/engine_manager.test.ts
@@ -93,6 +93,7 @@
     areMembersKnown: () => true,
     versionBound: 8_000,
     clock: () => Date.now(),
+    machineClock: () => Date.now(),
     log,
     onStatus: () => undefined,
   });
--- a/test/fleet/load_orders.test.ts
+++ b/test/fleet/load_orders.test.ts
@@ -16,6 +16,9 @@
   type HostSite,
 } from './fixtures/host_site';
 
+/** Time between the report of a load and its order, in milliseconds. */
+const DRAIN_BEFORE_LOAD = 80;
+
 const closers: (() => void | Promise<void>)[] = [];
 
 afterEach(async () => {
@@ -87,6 +90,36 @@
   expect(events).toEqual(['closed', 'order']);
 });
 
+// The entries may have sent it requests again by then.
+test('an engine is not ordered to load right after its agent was stalled', async () => {
+  const stall = 1_500;
+  let newest = 1;
+  const origin = await startHostOrigin(6, () => newest);
+  closers.push(origin.close);
+  const site = await startSite(origin);
+  let wakeAt: number | undefined;
+  let orderedAt: number | undefined;
+  const engine = await startHostEngine({
+    instance: 'one',
+    version: 1,
+    onOrder: () => (orderedAt = performance.now()),
+  });
+  closers.push(engine.close);
+  let reports = 0;
+  await startListener(site, ({ordering}) => {
+    reports += 1;
+    if (!ordering || wakeAt !== undefined) return;
+    wakeAt = performance.now() + stall;
+    while (performance.now() < wakeAt);
+  });
+  await site.startAgent(engine);
+  await eventually(() => reports > 0);
+  newest = 2;
+  site.store.write('op', 'version/model', {Model: 'model', Version: 2});
+  await eventually(() => engine.held() === 2);
+  expect(orderedAt! - wakeAt!).toBeGreaterThanOrEqual(DRAIN_BEFORE_LOAD);
+});
+
 test('an engine that is silent when it gets a load order gets the order only once', async () => {
   let newest = 1;
   const origin = await startHostOrigin(6, () => newest);
