Reset the connection of a cut answer without a length

The same held for endless answers without a length, which end at the caller's deadline.

Cause: nothing but the close ends such an answer, and the entry cut it by a plain close.

Left: a caller that reads late may still see a plain end, and a killed entry sends no reset.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -458,6 +458,7 @@
     await leaving;
     await plannedStop.finish(() => handler.running() === 0, handler.endAll);
     await callerServer.close();
+    handler.cutAll();
     stopped.abort();
     stopPeers();
     peers.close();
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -9,7 +9,7 @@
 import {drive, type Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CallerHeader} from '../ports';
-import {endWithConnection} from './answer_framing';
+import {cutAnswer, endWithConnection, resetAnswer} from './answer_framing';
 import type {WholeAnswer} from './attempt';
 import type {BufferedBytes} from './buffered_bytes';
 import {createExpectedRuns} from './expected_run';
@@ -72,6 +72,8 @@
    * deadlines.
    */
   readonly endAll: () => void;
+  /** Cuts all answers that are not yet sent. */
+  readonly cutAll: () => void;
 }
 
 /** Creates the request handler. */
@@ -85,7 +87,7 @@
   const expectedRuns = createExpectedRuns();
   const durations = createRunDurations(clock);
   const acceptance = {...options, expectedRuns, durations};
-  let running = 0;
+  const unsent = new Set<ServerResponse>();
   const deadlines = new Set<() => void>();
 
   async function handle(
@@ -115,8 +117,8 @@
    * take long if the caller reads slowly.
    */
   function countUntilClosed(response: ServerResponse): void {
-    running += 1;
-    response.once('close', () => (running -= 1));
+    unsent.add(response);
+    response.once('close', () => unsent.delete(response));
   }
 
   function bodyLimit(): number {
@@ -219,9 +221,8 @@
       return;
     }
     const own = localAnswerFor(result);
-    // A stream that has begun can only be cut: closing the connection without
-    // the end of the framing tells the caller that it is incomplete.
-    if (own === undefined || isBegun) response.destroy();
+    // A stream that has begun can only be cut.
+    if (own === undefined || isBegun) void cutAnswer(response);
     else writeLocalAnswer(response, own, ownLines());
   }
 
@@ -316,7 +317,7 @@
     log.error('request failed in this process', {error});
     if (response.writableEnded) return;
     if (response.headersSent) {
-      response.destroy();
+      void cutAnswer(response);
       return;
     }
     writeLocalAnswer(response, FAILED_ANSWER, ownLines());
@@ -329,9 +330,10 @@
         answerFailure(response, error),
       );
     },
-    running: () => running,
+    running: () => unsent.size,
     endAll: () => {
       for (const endAtDeadline of [...deadlines]) endAtDeadline();
     },
+    cutAll: () => [...unsent].forEach(resetAnswer),
   };
 }
--- a/test/fleet/caller_server.test.ts
+++ b/test/fleet/caller_server.test.ts
@@ -30,6 +30,7 @@
       },
       running: () => 0,
       endAll: () => undefined,
+      cutAll: () => undefined,
     },
     monotonicClock,
   );
--- a/test/fleet/unframed_streams.test.ts
+++ b/test/fleet/unframed_streams.test.ts
@@ -1,6 +1,7 @@
+import {connect} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import type {EngineFault, HostEngine} from './fixtures/host_engine';
-import {eventually} from './fixtures/host_site';
+import {eventually, HOST, KEY} from './fixtures/host_site';
 import {
   AS_ENGINE,
   startShortObjectiveSite,
@@ -67,3 +68,32 @@
 
 test('a stream that ends with its connection without an event is resumed at another target', () =>
   checkResumed('end', 0));
+
+/** How the connection of a caller on a socket of its own ends. */
+function endOfStream(): Promise<string> {
+  const [host, port] = fixture.address().split(':');
+  const headers = Object.entries({
+    Host: HOST,
+    Authorization: `Token ${KEY}`,
+    ...fixture.headersOf('fixed'),
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  const caller = connect(Number(port), host);
+  caller.write(`GET /fixed/a HTTP/1.1\r\n${headers.join('')}\r\n`);
+  return new Promise(resolve => {
+    caller.resume();
+    caller.once('end', () => resolve('end'));
+    caller.once('error', (error: NodeJS.ErrnoException) =>
+      resolve(error.code ?? error.message),
+    );
+  });
+}
+
+test.each(['crash', 'halfEvent'] as const)(
+  'a stream without a length that is cut by a %s and may not be repeated does not end like a whole one',
+  async by => {
+    injectFault({kind: 'unframedStream', breaksAfter: undefined, by: 'end'});
+    expect(await endOfStream()).toBe('end');
+    injectFault({kind: 'unframedStream', breaksAfter: 1, by});
+    expect(await endOfStream()).toBe('ECONNRESET');
+  },
+);
