--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -14,6 +14,7 @@
 } from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
 import type {EngineControl, EngineError, VersionContent} from '../ports';
+import {createStagedDigests} from './staged_digests';
 
 /**
  * The staged chunks of the engine, by digest. They are also kept in memory
@@ -83,12 +84,6 @@
 /** State of a version's staged chunks; unknown if the engine is silent. */
 export type StagedState = 'intact' | 'corrupted' | 'unknown';
 
-/**
- * Maximum age of the check of a staged chunk that a load relies on. Half as
- * much again may pass until a corrupted chunk is charged to the load.
- */
-const MAX_CHECK_AGE: Milliseconds = 2_000;
-
 /**
  * How long a write without an answer may still be applied, and overwrite a
  * chunk that was verified since.
@@ -122,10 +117,7 @@
   let stagedVersion: VersionContent | undefined;
   let preparedVersion: VersionContent | undefined;
   const memoryCopies = new Map<Digest, Buffer>();
-  /** Digest last read or staged at each position. */
-  const stagedDigests = new Map<number, Digest>();
-  /** When the read or write of each known digest was requested. */
-  const checkedAt = new Map<number, MonotonicInstant>();
+  const stagedDigests = createStagedDigests(clock);
   let isRead = false;
   let isReachable = true;
   let unansweredWriteAt: MonotonicInstant = -Infinity;
@@ -218,24 +210,10 @@
       if (stored.val.kind === 'unreachable') unansweredWriteAt = clock();
       return stored.mapErr(toStoreError);
     }
-    recordDigest(position, digest, requestedAt);
+    stagedDigests.record(position, digest, requestedAt);
     return Ok.EMPTY;
   }
 
-  function recordDigest(
-    position: number,
-    digest: Digest,
-    requestedAt: MonotonicInstant,
-  ): void {
-    stagedDigests.set(position, digest);
-    checkedAt.set(position, requestedAt);
-  }
-
-  function isCurrent(position: number): boolean {
-    const age = clock() - (checkedAt.get(position) ?? -Infinity);
-    return age <= MAX_CHECK_AGE;
-  }
-
   function setStagedVersion(content: VersionContent): void {
     stagedVersion = content;
     preparedVersion = undefined;
@@ -295,7 +273,7 @@
     }
     return Ok({
       life: STAGING_INCARNATION,
-      digests: [...stagedDigests.values(), ...memoryCopies.keys()],
+      digests: [...stagedDigests.list(), ...memoryCopies.keys()],
     });
   }
 
@@ -310,9 +288,7 @@
     const staged = await engine.staged(content.model);
     if (staged.err) return staged;
     const positions = new Set(staged.val);
-    for (const position of [...stagedDigests.keys()]) {
-      if (!positions.has(position)) stagedDigests.delete(position);
-    }
+    stagedDigests.retain(positions);
     for (const position of positions) {
       const read = await readDigest(content, position);
       if (read.err) return read;
@@ -328,9 +304,12 @@
   ): Promise<Result<void, EngineError>> {
     const requestedAt = clock();
     const read = await engine.readStaged(model, position);
-    if (read.ok) recordDigest(position, digestBytes(read.val), requestedAt);
-    else if (read.val.kind === 'unreachable') return read;
-    else stagedDigests.delete(position);
+    if (read.ok) {
+      stagedDigests.record(position, digestBytes(read.val), requestedAt);
+      return Ok.EMPTY;
+    }
+    if (read.val.kind === 'unreachable') return read;
+    stagedDigests.delete(position);
     return Ok.EMPTY;
   }
 
@@ -342,7 +321,7 @@
       yield* splitIntoPieces(inMemory);
       return;
     }
-    const position = positionOf(digest);
+    const position = stagedDigests.positionOf(digest);
     if (stagedVersion === undefined || position === undefined) {
       yield Err({kind: 'notHeld', detail: 'not staged'});
       return;
@@ -362,19 +341,6 @@
     yield* splitIntoPieces(read.val);
   }
 
-  function positionOf(digest: Digest): number | undefined {
-    for (const [position, held] of stagedDigests) {
-      if (held === digest) return position;
-    }
-    return undefined;
-  }
-
-  function isIntact({digests}: VersionContent): boolean {
-    return digests.every(
-      (digest, position) => stagedDigests.get(position) === digest,
-    );
-  }
-
   /**
    * Reads and repairs all chunks, and reads again what was last read too long
    * ago: a process that was suspended meanwhile would rely on what it saw
@@ -384,8 +350,8 @@
     let read = await readAll(content);
     for (let pass = 1; read.ok; pass += 1) {
       await stageKept(content);
-      if (!isIntact(content)) return false;
-      const outdated = outdatedPositions(content);
+      if (!stagedDigests.areIntact(content)) return false;
+      const outdated = stagedDigests.outdated(content);
       if (outdated.length === 0 || pass === MAX_CHECK_PASSES) return true;
       log.info('verifies staged chunks again', {chunks: outdated.length, pass});
       for (const position of outdated) {
@@ -396,10 +362,6 @@
     return false;
   }
 
-  function outdatedPositions({digests}: VersionContent): readonly number[] {
-    return [...digests.keys()].filter(position => !isCurrent(position));
-  }
-
   /** Runs an operation after all earlier ones, with no other alongside it. */
   function inTurn<Outcome>(
     operation: () => Promise<Outcome>,
@@ -416,7 +378,7 @@
     return inTurn(async () => {
       if (!(await verify(content))) return undefined;
       const areCurrent = () =>
-        outdatedPositions(content).length === 0 &&
+        stagedDigests.outdated(content).length === 0 &&
         clock() - unansweredWriteAt > MAX_WRITE_DELAY;
       return whenVerified({areCurrent});
     });
@@ -429,7 +391,7 @@
     return inTurn(async () => {
       const read = await readAll(content);
       if (read.err) whenRead('unknown');
-      else whenRead(isIntact(content) ? 'intact' : 'corrupted');
+      else whenRead(stagedDigests.areIntact(content) ? 'intact' : 'corrupted');
     });
   }
 
