Take events of up to 8 MB, and count unfinished ones as buffered

What callers would have seen: streams whose events are larger than 256 KB were given up as malformed, since the limit for events without end was taken from their usual size.

Fix: an event may have as many bytes as a whole answer, 8 MB; what is unfinished counts toward the entry's limit on buffers; events without an id keep 256 KB. The splitter searches only the new bytes for the end of an event and joins its parts once, where it had joined them at each read.

--- a/packages/core/src/event_stream/event_splitter.ts
+++ b/packages/core/src/event_stream/event_splitter.ts
@@ -10,12 +10,18 @@
 export interface EventSplitter {
   /** Adds received bytes; returns the events that are now complete. */
   readonly push: (bytes: Buffer) => readonly StreamEvent[];
+  /** Size of an event that is not complete yet. */
+  readonly pendingBytes: () => number;
   /** Bytes of an event that is not complete yet. */
   readonly rest: () => Buffer;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+
+/** Bytes of the longest end of an event but its last one. */
+const LONGEST_END = 2;
+
 const ID_FIELD = /^id:[ ]?(.*?)\r?$/m;
 
 /**
@@ -23,21 +29,40 @@
  * that was already forwarded could not be joined to another target's events.
  */
 export function createEventSplitter(): EventSplitter {
-  let rest: Buffer = Buffer.alloc(0);
+  let parts: readonly Buffer[] = [];
+  let pending = 0;
+  /** The last bytes, in which the end of the event may begin. */
+  let tail: Buffer = Buffer.alloc(0);
+
+  function setRest(next: readonly Buffer[]): void {
+    parts = next;
+    pending = next.reduce((sum, {length}) => sum + length, 0);
+    tail = Buffer.concat(next.slice(-LONGEST_END)).subarray(-LONGEST_END);
+  }
 
   function push(bytes: Buffer): readonly StreamEvent[] {
-    rest = rest.length === 0 ? bytes : Buffer.concat([rest, bytes]);
+    // Only what is new is searched, however large the event has become.
+    const hasEnd = endOfEvent(Buffer.concat([tail, bytes])) !== undefined;
+    if (!hasEnd) {
+      parts = [...parts, bytes];
+      pending += bytes.length;
+      tail = Buffer.concat([tail, bytes]).subarray(-LONGEST_END);
+      return [];
+    }
+    let rest = Buffer.concat([...parts, bytes]);
     const events: StreamEvent[] = [];
     for (;;) {
       const end = endOfEvent(rest);
-      if (end === undefined) return events;
+      if (end === undefined) break;
       const event = rest.subarray(0, end);
       rest = rest.subarray(end);
       events.push({id: idOf(event), bytes: event});
     }
+    setRest(rest.length === 0 ? [] : [rest]);
+    return events;
   }
 
-  return {push, rest: () => rest};
+  return {push, pendingBytes: () => pending, rest: () => Buffer.concat(parts)};
 }
 
 /** Offset just after the first empty line, if there is one. */
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -14,10 +14,16 @@
 import type {SilenceMonitor} from './silence_monitor';
 
 /**
- * Maximum size of an event, and of the events without an id between two that
- * have one. A target in trouble may send bytes without end.
+ * Maximum size of an event, as of whole answers. A target in trouble may send
+ * bytes without end.
  */
-const MAX_EVENT_BYTES: Bytes = 256 * 1024;
+const MAX_EVENT_BYTES: Bytes = 8 * 1024 * 1024;
+
+/**
+ * Maximum size of the events without an id, such as comments, between two that
+ * have one.
+ */
+const MAX_UNNUMBERED_BYTES: Bytes = 256 * 1024;
 
 /** What has reached the caller of one stream, over all attempts. */
 export interface StreamProgress {
@@ -31,7 +37,7 @@
 export interface StreamRelayOptions {
   readonly answer: IncomingAnswer;
   readonly response: ServerResponse;
-  readonly buffers: Pick<RequestBuffers, 'scheduleCheck'>;
+  readonly buffers: Pick<RequestBuffers, 'scheduleCheck' | 'hold'>;
   readonly protocol: RequestProtocol;
   readonly progress: StreamProgress;
   /** Records the target's bytes; paused while none are read. */
@@ -70,6 +76,7 @@
   let hasEvents = false;
   /** Bytes of events without an id since the last one with an id. */
   let unnumberedBytes = 0;
+  let heldBytes: Bytes = 0;
 
   function begin(): void {
     if (progress.begun) return;
@@ -84,15 +91,23 @@
     response.writeHead(answer.status, lines);
   }
 
+  /** Counts an unfinished event as buffered. */
+  function holdPending(bytes: Bytes): void {
+    if (bytes === heldBytes) return;
+    options.buffers.hold(bytes - heldBytes);
+    heldBytes = bytes;
+  }
+
   /** A stream without any ids is only limited by its caller's deadline. */
   function isEndless(): boolean {
     const isNumbered = progress.lastEventId !== undefined;
-    return isNumbered && unnumberedBytes > MAX_EVENT_BYTES;
+    return isNumbered && unnumberedBytes > MAX_UNNUMBERED_BYTES;
   }
 
   return new Promise(resolve => {
     const broken = (cause: UnknownCause) => {
       body.destroy();
+      holdPending(0);
       const {lastEventId} = progress;
       resolve(
         progress.begun
@@ -122,7 +137,8 @@
         options.buffers.scheduleCheck();
         reading.awaitCaller();
       }
-      if (splitter.rest().length > MAX_EVENT_BYTES) broken('malformedAnswer');
+      holdPending(splitter.pendingBytes());
+      if (splitter.pendingBytes() > MAX_EVENT_BYTES) broken('malformedAnswer');
     });
     const complete = (): void => {
       if (options.signal.aborted) return broken('connectionLost');
@@ -137,7 +153,7 @@
     };
     body.on('end', () => {
       hasEnded = true;
-      const isWhole = answer.isWhole() && splitter.rest().length === 0;
+      const isWhole = answer.isWhole() && splitter.pendingBytes() === 0;
       if (!isWhole) return broken('connectionLost');
       if (answer.isFramed) return complete();
       if (!hasEvents) return broken('connectionLost');
