--- a/packages/fleet/src/agent/engine_orders.ts
+++ b/packages/fleet/src/agent/engine_orders.ts
@@ -42,10 +42,8 @@
 }
 
 /**
- * What is known of the chunks that the engine took with the last order. It
- * takes them as they are staged when it accepts the order, which may be long
- * after they were verified: the process or the engine may have been suspended
- * in between, and reading them may take longer than a check is valid.
+ * What is known of the chunks that the engine took with the last order. It may
+ * have accepted the order long after they were verified.
  */
 type LoadState =
   | {readonly kind: 'trusted'}
@@ -125,9 +123,8 @@
   }
 
   /**
-   * Reads the staged chunks after the engine has accepted or dropped the order.
-   * A corrupted chunk stays so until it is staged again, so chunks that are
-   * intact now were intact when the engine took them.
+   * Reads the staged chunks after the order. A corrupted chunk stays so until it
+   * is staged again, so chunks that are intact now were intact when taken.
    */
   function confirmLoad(): void {
     const state = loadState;
--- a/packages/fleet/src/agent/staged_chunks.ts
+++ b/packages/fleet/src/agent/staged_chunks.ts
@@ -91,9 +91,8 @@
 const MAX_WRITE_DELAY: Milliseconds = 10_000;
 
 /**
- * Number of passes over the staged chunks before an order. The second one is for
- * a suspension in the first; if reading takes longer than a check is valid, more
- * of them would only delay the load.
+ * Passes over the staged chunks before an order; the second one is for a
+ * suspension in the first. With slow reads, more would only delay the load.
  */
 const MAX_CHECK_PASSES = 2;
 
@@ -342,9 +341,8 @@
   }
 
   /**
-   * Reads and repairs all chunks, and reads again what was last read too long
-   * ago: a process that was suspended meanwhile would rely on what it saw
-   * before. Returns whether all chunks are intact.
+   * Reads and repairs all chunks, and reads again those that were last read too
+   * long ago. Returns whether all chunks are intact.
    */
   async function verify(content: VersionContent): Promise<boolean> {
     let read = await readAll(content);
--- a/packages/fleet/src/entry/planned_stop.ts
+++ b/packages/fleet/src/entry/planned_stop.ts
@@ -62,12 +62,8 @@
 const DURATION_MARGIN = 1.5;
 
 /**
- * Creates the course of a planned stop.
- *
- * A request that still runs at the final answers is cut, and its caller can't
- * tell what has happened to it. So a stopping entry accepts a request if its
- * deadline comes before that. One that probably ends in time is accepted too
- * while callers can't know better, or if there is no other entry.
+ * Creates the course of a planned stop. What still runs at the final answers is
+ * cut, so a request is accepted only if it ends before them.
  */
 export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
   const {grace, clock} = options;
@@ -90,6 +86,8 @@
     const elapsed = clock() - stoppingSince;
     const left = grace * FINAL_ANSWERS_SHARE - elapsed;
     if (request.timeLeft <= left) return true;
+    // Callers that can't know better, or have no other entry, would lose more by
+    // a refusal than by the small chance of a cut.
     if (request.hasAlternative && elapsed > options.callersStayFor) {
       return false;
     }
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -85,9 +85,8 @@
 });
 
 /**
- * Maximum size of an answer: the host platform's largest objects, and as much
- * again. A server in trouble may send bytes without end, and on loopback some
- * hundred megabytes arrive within a timeout.
+ * Maximum size of an answer, twice that of the host platform's largest objects.
+ * A server in trouble may send bytes without end.
  */
 const MAX_REPLY_BYTES: Bytes = 16 * 1024 * 1024;
 
--- a/test/fleet/endless_answers.test.ts
+++ b/test/fleet/endless_answers.test.ts
@@ -185,9 +185,8 @@
 }
 
 /**
- * The status of a complete answer, or `cut`. A body without a length ends with
- * its connection and is complete unless that is reset, which Node.js shows as an
- * error of the request only.
+ * The status of a complete answer, or `cut`. Node.js shows a reset after a body
+ * without a length as an error of the request only.
  */
 function outcomeOf(entry: string, path: string): Promise<number | 'cut'> {
   const [host, port] = entry.split(':');
