Notice a reset that arrives together with the last bytes of an answer

What callers saw: a target resets its connection in the middle of a stream without a length while the entry is suspended, and the caller gets part of the stream and the end of a whole one.

Cause: the entry never cut these answers. If a reset arrives before the last bytes are read, Node.js reports the bytes and then the regular end of the connection, not an error, so the body counted as whole.

Fix: at the end of a connection the entry asks for the address of its peer, which a reset connection no longer has. A body that ends with a reset connection is not whole, so its stream is cut or resumed, and its plain answer is not forwarded.

Evidence: the new test failed before (`isWhole: true`) and passes; its guard is caught.

--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -3,6 +3,7 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Milliseconds, UnknownCause} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {startAnswerTimer} from '../link/answer_timer';
@@ -115,6 +116,7 @@
     let sent = false;
     let outdated = false;
     let hasFailed = false;
+    let wasReset = false;
     let informationalResponses = 0;
     const fail = (detail: string, error?: NodeJS.ErrnoException): void => {
       timer.stop();
@@ -144,12 +146,14 @@
     const timer = startAnswerTimer(CONNECT_TIMEOUT, () => {
       request.destroy(new Error('no connection in time'));
     });
-    request.once('socket', socket =>
+    request.once('socket', socket => {
       socket.once('connect', () => {
         timer.stop();
         setImmediate(send);
-      }),
-    );
+      });
+      // Before the client of Node.js ends the body.
+      socket.prependOnceListener('end', () => (wasReset = isReset(socket)));
+    });
     request.on('information', () => {
       informationalResponses += 1;
       if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
@@ -160,13 +164,14 @@
       const status = body.statusCode ?? 0;
       const lines = body.rawHeaders;
       const header = protocol.readAnswer(status, lines);
-      // An answer without a length may be cut by a reset, and half of it would
-      // be forwarded as complete. The reset shows as an error before the end of
-      // the body.
-      const isWhole = (): boolean => body.complete && !hasFailed;
       const isFramed =
         body.headers['content-length'] !== undefined ||
         body.headers['transfer-encoding'] !== undefined;
+      // An answer without a length may be cut by a reset, and half of it would
+      // be forwarded as complete. The reset shows as an error before the end of
+      // the body, or only in the state of the connection.
+      const isWhole = (): boolean =>
+        body.complete && !hasFailed && (isFramed || !wasReset);
       resolve(Ok({status, lines, header, body, isWhole, isFramed}));
     });
     request.on('error', error => {
@@ -177,6 +182,17 @@
   });
 }
 
+/**
+ * Whether the connection was reset; valid while its end is handled.
+ *
+ * Node.js reports the regular end of a connection whose reset arrived before its
+ * last bytes were read, for example after a suspension. Such a connection has no
+ * peer any more.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 function malformed(detail: string): NodeJS.ErrnoException {
   return Object.assign(new Error(detail), {code: MALFORMED_CODE});
 }
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -64,6 +64,15 @@
   expect(await readAnswer(address)).toMatchObject({isWhole: false});
 });
 
+// Both arrive before the process reads, as after a suspension.
+test('a body without a length that is cut by a reset together with its last bytes is not complete', async () => {
+  const address = await startTarget(socket => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    socket.resetAndDestroy();
+  });
+  expect(await readAnswer(address)).toEqual({text: 'half', isWhole: false});
+});
+
 test('a chunked body that ends without its last chunk is not complete', async () => {
   const address = await startTarget(socket =>
     socket.end(
