--- a/test/fleet/unframed_streams.test.ts
+++ b/test/fleet/unframed_streams.test.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
-import {afterEach, beforeEach, expect, test} from 'vitest';
-import type {EngineFault, HostEngine} from './fixtures/host_engine';
+import {afterEach, beforeEach, describe, expect, test} from 'vitest';
+import type {EngineFault, EngineRun, HostEngine} from './fixtures/host_engine';
 import {eventually, HOST, KEY} from './fixtures/host_site';
 import {
   AS_ENGINE,
@@ -70,15 +70,19 @@
   checkResumed('end', 0));
 
 /** How the connection of a caller on a socket of its own ends. */
-function endOfStream(): Promise<string> {
+function endOfStream(
+  route = 'fixed',
+  headers: Record<string, string> = {},
+): Promise<string> {
   const [host, port] = fixture.address().split(':');
-  const headers = Object.entries({
+  const lines = Object.entries({
     Host: HOST,
     Authorization: `Token ${KEY}`,
-    ...fixture.headersOf('fixed'),
+    ...fixture.headersOf(route),
+    ...headers,
   }).map(([name, value]) => `${name}: ${value}\r\n`);
   const caller = connect(Number(port), host);
-  caller.write(`GET /fixed/a HTTP/1.1\r\n${headers.join('')}\r\n`);
+  caller.write(`GET /${route}/a HTTP/1.1\r\n${lines.join('')}\r\n`);
   return new Promise(resolve => {
     caller.resume();
     caller.once('end', () => resolve('end'));
@@ -97,3 +101,28 @@
     expect(await endOfStream()).toBe('ECONNRESET');
   },
 );
+
+describe('a stream without a length whose target falls silent does not end like a whole one', () => {
+  beforeEach(() => {
+    injectFault({kind: 'unframedStream', breaksAfter: 1, by: 'silence'});
+  });
+
+  test("at its caller's deadline", async () => {
+    const deadline = {'x-hibiscusbeam-deadline-ms': '1200'};
+    expect(await endOfStream('fixed', deadline)).toBe('ECONNRESET');
+  });
+
+  test("at its route's timeout", async () => {
+    expect(await endOfStream('brief')).toBe('ECONNRESET');
+  });
+
+  test('at the end of a planned stop', async () => {
+    const ended = endOfStream();
+    await eventually(() => fixture.engines.some(({runs}) => runs.some(isLast)));
+    await fixture.stopEntry();
+    expect(await ended).toBe('ECONNRESET');
+  });
+
+  const isLast = ({requestId}: EngineRun): boolean =>
+    requestId === fixture.lastId();
+});
