Reset answers without a length when their entry is killed

What callers saw: an entry is killed in the middle of a stream without a length, and its caller gets the end of a whole one.

Cause: the operating system closes the connections of a process that ends, and a plain close is the end of such an answer. What the process does when it cuts an answer can't help, since it no longer runs.

Fix: while an answer without a length is sent, its connection has the option to reset when it closes (SO_LINGER with no time), and loses it once the system has the whole answer. Node.js has no interface to the option, so it is set through koffi. Cuts by the entry itself now are closes of such a connection, which replaces the reset that they asked for one by one.

--- a/packages/fleet/src/entry/answer_framing.ts
+++ b/packages/fleet/src/entry/answer_framing.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import {sleep} from '@hibiscusbeam/daemon';
 import type {ServerResponse} from 'node:http';
+import {setResetOnClose} from '../runtime/socket_options';
 
 /**
  * Marks the end of an answer by closing the connection, as the target's own
@@ -9,10 +10,20 @@
  * A target that crashes may close its connection cleanly. An answer without a
  * length then looks complete, and adding a Content-Length would confirm to the
  * caller that it is.
+ *
+ * A regular close before the end would look like the end. So the connection is
+ * reset if it closes in the middle of the answer, also if this process is
+ * killed.
  */
 export function endWithConnection(response: ServerResponse): void {
   response.useChunkedEncodingByDefault = false;
   response.shouldKeepAlive = false;
+  const {socket} = response;
+  if (socket === null) return;
+  setResetOnClose(socket, true);
+  // The operating system has the whole answer now. Runs before the server of
+  // Node.js closes the connection.
+  response.prependOnceListener('finish', () => setResetOnClose(socket, false));
 }
 
 /**
@@ -21,19 +32,9 @@
  */
 const READ_BEFORE_RESET: Milliseconds = 100;
 
-/**
- * Closes the connection so that the caller sees that its answer is incomplete.
- * Without a length or chunks, only a reset shows that.
- */
+/** Closes the connection so that the caller sees that its answer is incomplete. */
 export async function cutAnswer(response: ServerResponse): Promise<void> {
-  if (!endsWithConnection(response)) return void response.destroy();
-  await sleep(READ_BEFORE_RESET);
-  resetAnswer(response);
-}
-
-/** The same at once, for a caller that does not read. */
-export function resetAnswer(response: ServerResponse): void {
-  if (endsWithConnection(response)) response.socket?.resetAndDestroy();
+  if (endsWithConnection(response)) await sleep(READ_BEFORE_RESET);
   response.destroy();
 }
 
--- a/packages/fleet/src/entry/buffered_bytes.ts
+++ b/packages/fleet/src/entry/buffered_bytes.ts
@@ -6,7 +6,6 @@
 import {every, type Clock, type Log} from '@hibiscusbeam/daemon';
 import type {ClientRequest, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {resetAnswer} from './answer_framing';
 
 /** Interval between checks of what is buffered, while requests run. */
 const CHECK_PERIOD_MS = 100;
@@ -143,7 +142,7 @@
         held: () => wholeAnswerBytes + response.writableLength,
         hasPending: () => response.writableLength > 0,
         taken: () => takenBy(response.socket),
-        drop: () => resetAnswer(response),
+        drop: () => void response.destroy(),
       } as const;
       track(caller, response);
       return {
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -9,7 +9,7 @@
 import {drive, type Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CallerHeader} from '../ports';
-import {cutAnswer, endWithConnection, resetAnswer} from './answer_framing';
+import {cutAnswer, endWithConnection} from './answer_framing';
 import type {WholeAnswer} from './attempt';
 import type {BufferedBytes} from './buffered_bytes';
 import {createExpectedRuns} from './expected_run';
@@ -334,6 +334,6 @@
     endAll: () => {
       for (const endAtDeadline of [...deadlines]) endAtDeadline();
     },
-    cutAll: () => [...unsent].forEach(resetAnswer),
+    cutAll: () => [...unsent].forEach(response => response.destroy()),
   };
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,8 +10,9 @@
   minifyWhitespace: true,
   minifySyntax: true,
   legalComments: 'none',
-  // An optional native transport of hot-shots; UDP does not need it.
-  external: ['unix-dgram'],
+  // An optional native transport of hot-shots, which UDP does not need, and a
+  // library with native code, which is loaded from node_modules.
+  external: ['unix-dgram', 'koffi'],
   mainFields: ['module', 'main'],
   logLevel: 'warning',
 };
