Give up a stream for the number of its events without an id

Cause: each line break is an event of its own, and each costs a write to the caller. The limit of 256 KB allowed 262,144 of them a stream, more than the entry can forward within a deadline; reading paused for the callers' full buffers in between, and nothing else gives up such an answer.

Fix: besides their size, the number of events without an id between two numbered ones is limited, to 4,096.

The new test got over 64 KB of line breaks without the limit; its guard is caught.

--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -3,6 +3,7 @@
   type Bytes,
   type ForwardAttemptEnd,
   type MonotonicInstant,
+  type StreamEvent,
   type UnknownCause,
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
@@ -20,10 +21,11 @@
 const MAX_EVENT_BYTES: Bytes = 8 * 1024 * 1024;
 
 /**
- * Maximum size of the events without an id, such as comments, between two that
- * have one.
+ * Maximum size and number of the events without an id, such as comments, between
+ * two that have one. Each event costs time, however small it is.
  */
 const MAX_UNNUMBERED_BYTES: Bytes = 256 * 1024;
+const MAX_UNNUMBERED_EVENTS = 4_096;
 
 /** What has reached the caller of one stream, over all attempts. */
 export interface StreamProgress {
@@ -74,8 +76,9 @@
   const splitter = createEventSplitter();
   let hasEnded = false;
   let hasEvents = false;
-  /** Bytes of events without an id since the last one with an id. */
-  let unnumberedBytes = 0;
+  /** Events without an id since the last one with an id. */
+  let unnumberedBytes: Bytes = 0;
+  let unnumberedEvents = 0;
   let heldBytes: Bytes = 0;
 
   function begin(): void {
@@ -98,10 +101,19 @@
     heldBytes = bytes;
   }
 
+  function countUnnumbered({id, bytes}: StreamEvent): void {
+    const isUnnumbered = id === undefined;
+    unnumberedBytes = isUnnumbered ? unnumberedBytes + bytes.length : 0;
+    unnumberedEvents = isUnnumbered ? unnumberedEvents + 1 : 0;
+  }
+
   /** A stream without any ids is only limited by its caller's deadline. */
   function isEndless(): boolean {
-    const isNumbered = progress.lastEventId !== undefined;
-    return isNumbered && unnumberedBytes > MAX_UNNUMBERED_BYTES;
+    if (progress.lastEventId === undefined) return false;
+    return (
+      unnumberedBytes > MAX_UNNUMBERED_BYTES ||
+      unnumberedEvents > MAX_UNNUMBERED_EVENTS
+    );
   }
 
   return new Promise(resolve => {
@@ -125,8 +137,7 @@
           broken('foreignAnswer');
           return;
         }
-        unnumberedBytes =
-          event.id === undefined ? unnumberedBytes + event.bytes.length : 0;
+        countUnnumbered(event);
         if (isEndless()) return broken('malformedAnswer');
         options.onForward();
         begin();
--- a/test/fleet/endless_answers.test.ts
+++ b/test/fleet/endless_answers.test.ts
@@ -188,7 +188,11 @@
  * The status of a complete answer, or `cut`. Node.js shows a reset after a body
  * without a length as an error of the request only.
  */
-function outcomeOf(entry: string, path: string): Promise<number | 'cut'> {
+function outcomeOf(
+  entry: string,
+  path: string,
+  onBytes: (bytes: Buffer) => void = () => undefined,
+): Promise<number | 'cut'> {
   const [host, port] = entry.split(':');
   return new Promise(resolve => {
     const sent = request({
@@ -209,7 +213,7 @@
     sent.on('response', answer => {
       answer.on('error', () => resolve('cut'));
       answer
-        .resume()
+        .on('data', onBytes)
         .on('end', () =>
           setImmediate(() => resolve(answer.statusCode ?? 'cut')),
         );
@@ -253,6 +257,20 @@
   });
 }
 
+// Guards against an entry that 20 such answers keep busy until their deadlines.
+test('a stream is given up after some thousand events without an id, however small they are', async () => {
+  answer = ANSWERS.find(({name}) => name === 'empty events')!;
+  const entry = await startReadyEntry();
+  let received = 0;
+  const outcome = await outcomeOf(
+    entry,
+    answer.path,
+    bytes => (received += bytes.length),
+  );
+  expect(outcome).toBe('cut');
+  expect(received).toBeLessThan(BLOCK);
+});
+
 for (const endless of ANSWERS.filter(({path}) => path === '/unsafe/a')) {
   test(`an agent's call ends if its engine sends ${endless.name} without end`, async () => {
     answer = endless;
