Leave the end of an answer without a length unconfirmed after a stall

What callers could see: an entry is suspended while a target ends its connection in a crash and starts again at its address. The entry then reads the end of the connection, finds the address listening, and passes on part of an answer as the whole.

Cause: the probe that confirms an end asks whether anything listens now. When the connection ended is unknown if the event loop has not run since.

The end of an answer without a length is then not confirmed, as if its target had crashed: a stream is cut or resumed, a plain answer is not passed on.

Cost: an answer that did end whole during such a stall is lost too, or repeated where that is allowed.

Evidence: the new test blocks the event loop for 0.8 s while a stream ends; its caller got "end" without the fix and gets ECONNRESET with it. The guard is caught. The restart itself is not part of the test.

Left: reading that pauses for a slow caller hides the time of the end as well.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -38,6 +38,7 @@
   TargetList,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
+import {createStallMonitor} from '../runtime/stall_monitor';
 import {maxBufferedBytes, type FleetEntrySettings} from '../settings';
 import {createBufferedBytes} from './buffered_bytes';
 import {createCallerServer} from './caller_server';
@@ -126,7 +127,11 @@
 ): Promise<RunningProcess> {
   const clock = monotonicClock;
   const metrics = createFleetMetrics();
-  const machineClock = startMachineClock(metrics.observeLoopDelay);
+  const machineClock = startMachineClock(delay => {
+    metrics.observeLoopDelay(delay);
+    stalls.record();
+  });
+  const stalls = createStallMonitor(machineClock);
   const {bounds} = settings;
   const evacuation = bounds.evacuation ?? DEFAULT_EVACUATION_BOUND;
   const stopped = new AbortController();
@@ -345,6 +350,7 @@
     versions,
     quarantine,
     crashMonitor,
+    stalls,
     headerRecorder: createHeaderRecorder({
       registry,
       clock,
--- a/packages/fleet/src/entry/request_context.ts
+++ b/packages/fleet/src/entry/request_context.ts
@@ -9,6 +9,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import type {RequestBuffers} from './buffered_bytes';
+import type {StallMonitor} from '../runtime/stall_monitor';
 import type {CrashMonitor} from './crash_monitor';
 import type {EntryAdmission} from './entry_admission';
 import type {EntryQuarantine} from './entry_quarantine';
@@ -40,6 +41,7 @@
   readonly trials: QuarantineTrials;
   readonly onQuarantined: EntryQuarantine['onQuarantined'];
   readonly crashMonitor: CrashMonitor;
+  readonly stalls: Pick<StallMonitor, 'hasStalled'>;
   readonly headerRecorder: HeaderRecorder;
   readonly metrics: FleetMetrics;
   readonly clock: Clock;
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -201,13 +201,15 @@
 
   /**
    * A target that no longer listens has crashed, unless it is leaving. An
-   * address that doesn't respond shows nothing.
+   * address that doesn't respond shows nothing, nor does one that responds after
+   * a stall of this process: the target may have restarted meanwhile.
    */
   async function confirmEnd(target: ListedTarget): Promise<boolean> {
     const state = await Promise.race([
       options.crashMonitor.probe(target),
       sleep(CONFIRM_TIMEOUT),
     ]);
+    if (options.stalls.hasStalled()) return false;
     return state !== 'closed' || !options.registry.isStaying(target);
   }
 
--- a/test/fleet/unframed_streams.test.ts
+++ b/test/fleet/unframed_streams.test.ts
@@ -4,11 +4,15 @@
 import {eventually, HOST, KEY} from './fixtures/host_site';
 import {
   AS_ENGINE,
+  blockEventLoop,
   startShortObjectiveSite,
   WHOLE_STREAM,
   type ShortObjectiveSite,
 } from './fixtures/short_objective_site';
 
+/** Long enough for a target to restart. */
+const STALL_MS = 800;
+
 let fixture: ShortObjectiveSite;
 
 beforeEach(async () => {
@@ -102,6 +106,18 @@
   },
 );
 
+test('a stream without a length that ends while its entry is stalled does not end like a whole one', async () => {
+  fixture.setOnRun(engine => {
+    engine.setFault({
+      kind: 'unframedStream',
+      breaksAfter: undefined,
+      by: 'end',
+    });
+    setTimeout(() => blockEventLoop(STALL_MS), 1);
+  });
+  expect(await endOfStream()).toBe('ECONNRESET');
+});
+
 describe('a stream without a length whose target falls silent does not end like a whole one', () => {
   beforeEach(() => {
     injectFault({kind: 'unframedStream', breaksAfter: 1, by: 'silence'});
