Share the caller that shows how its connection ends

Three tests of answers without a length each had their own caller on a socket. They now use one fixture; what they expect is unchanged.

--- a/test/fleet/unframed_streams.test.ts
+++ b/test/fleet/unframed_streams.test.ts
@@ -1,4 +1,3 @@
-import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
 import type {EngineFault, EngineRun, HostEngine} from './fixtures/host_engine';
 import {eventually, HOST, KEY} from './fixtures/host_site';
@@ -9,6 +8,7 @@
   WHOLE_STREAM,
   type ShortObjectiveSite,
 } from './fixtures/short_objective_site';
+import {sendOnSocket} from './fixtures/socket_caller';
 
 /** Long enough for a target to restart. */
 const STALL_MS = 800;
@@ -74,26 +74,17 @@
   checkResumed('end', 0));
 
 /** How the connection of a caller on a socket of its own ends. */
-function endOfStream(
+async function endOfStream(
   route = 'fixed',
-  headers: Record<string, string> = {},
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<string> {
-  const [host, port] = fixture.address().split(':');
-  const lines = Object.entries({
+  const {received} = sendOnSocket(fixture.address(), `/${route}/a`, {
     Host: HOST,
     Authorization: `Token ${KEY}`,
     ...fixture.headersOf(route),
     ...headers,
-  }).map(([name, value]) => `${name}: ${value}\r\n`);
-  const caller = connect(Number(port), host);
-  caller.write(`GET /${route}/a HTTP/1.1\r\n${lines.join('')}\r\n`);
-  return new Promise(resolve => {
-    caller.resume();
-    caller.once('end', () => resolve('end'));
-    caller.once('error', (error: NodeJS.ErrnoException) =>
-      resolve(error.code ?? error.message),
-    );
   });
+  return (await received).end;
 }
 
 test.each(['crash', 'halfEvent'] as const)(
--- a/test/processes/killed_entry.test.ts
+++ b/test/processes/killed_entry.test.ts
@@ -1,5 +1,4 @@
 import {mkdtempSync, rmSync} from 'node:fs';
-import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterAll, beforeAll, expect, test} from 'vitest';
@@ -12,6 +11,7 @@
   startHostSite,
   type HostSite,
 } from '../fleet/fixtures/host_site';
+import {sendOnSocket, type SocketCaller} from '../fleet/fixtures/socket_caller';
 import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
 
 const EVENTS = 20;
@@ -59,38 +59,25 @@
 
 const AS_MODEL = {'x-hibiscusbeam-model': 'model'};
 
-/** Reads a stream; `onEvent` is called with the number of events so far. */
-function readStream(onEvent: (count: number) => void) {
-  const [host, port] = entry.callerAddress.split(':');
-  const caller = connect(Number(port), host);
-  const lines = [
-    'POST /stream/a HTTP/1.1',
-    `Host: ${HOST}`,
-    `Authorization: Token ${KEY}`,
-    'X-Hibiscusbeam-Request-Id: request-1',
-    'X-Hibiscusbeam-Deadline-Ms: 4000',
-    'X-Hibiscusbeam-Model: model',
-    'Content-Length: 0',
-  ];
-  caller.write(`${lines.join('\r\n')}\r\n\r\n`);
-  let text = '';
-  const eventCount = (): number => text.split('data: ').length - 1;
-  return new Promise<{end: string; events: number}>(resolve => {
-    caller.on('data', (bytes: Buffer) => {
-      text += bytes.toString();
-      onEvent(eventCount());
-    });
-    caller.once('end', () => resolve({end: 'end', events: eventCount()}));
-    caller.once('error', (error: NodeJS.ErrnoException) =>
-      resolve({end: error.code ?? error.message, events: eventCount()}),
-    );
+function sendStream(): SocketCaller {
+  return sendOnSocket(entry.callerAddress, '/stream/a', {
+    Host: HOST,
+    Authorization: `Token ${KEY}`,
+    'X-Hibiscusbeam-Request-Id': 'request-1',
+    'X-Hibiscusbeam-Deadline-Ms': '4000',
+    ...AS_MODEL,
   });
 }
 
+const countEvents = (text: string): number => text.split('data: ').length - 1;
+
 test('a stream without a length does not end like a whole one if its entry is killed', async () => {
-  const whole = await readStream(() => undefined);
-  expect(whole).toEqual({end: 'end', events: EVENTS});
-  const {end, events} = await readStream(() => entry.signal('SIGKILL'));
+  const whole = await sendStream().received;
+  expect(whole.end).toBe('end');
+  expect(countEvents(whole.text)).toBe(EVENTS);
+  const {socket, received} = sendStream();
+  socket.once('data', () => entry.signal('SIGKILL'));
+  const {end, text} = await received;
   expect(end).toBe('ECONNRESET');
-  expect(events).toBeLessThan(EVENTS);
+  expect(countEvents(text)).toBeLessThan(EVENTS);
 });
