Wait for what was read before a connection is closed in tests

The tests of killed entries and of closed answers without a length relied on 50 ms between the last bytes and the reset. On a busy machine the caller could read both at once, and Node.js would then report an end: a verdict from the clock. The target now sends nothing after the bytes that the caller has read, and the connection is closed only then.

--- a/test/processes/killed_entry.test.ts
+++ b/test/processes/killed_entry.test.ts
@@ -14,8 +14,7 @@
 import {sendOnSocket, type SocketCaller} from '../fleet/fixtures/socket_caller';
 import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
 
-const EVENTS = 20;
-const EVENT_PAUSE_MS = 50;
+const EVENTS = 3;
 
 let site: HostSite;
 let engine: HostEngine;
@@ -24,17 +23,8 @@
 
 beforeAll(async () => {
   site = await startHostSite();
-  engine = await startHostEngine({
-    instance: 'one',
-    version: 1,
-    events: EVENTS,
-    pause: EVENT_PAUSE_MS,
-  });
-  engine.setFault({
-    kind: 'unframedStream',
-    breaksAfter: undefined,
-    by: 'end',
-  });
+  engine = await startHostEngine({instance: 'one', version: 1, events: EVENTS});
+  setLastEvent(undefined);
   site.register(engine, {
     Service: 'engines',
     Models: [{Name: 'model', Version: 1, Adapters: []}],
@@ -57,6 +47,11 @@
   rmSync(folder, {recursive: true});
 });
 
+/** Sets after how many events nothing more is sent, if at all. */
+function setLastEvent(breaksAfter: number | undefined): void {
+  engine.setFault({kind: 'unframedStream', breaksAfter, by: 'silence'});
+}
+
 const AS_MODEL = {'x-hibiscusbeam-model': 'model'};
 
 function sendStream(): SocketCaller {
@@ -75,6 +70,7 @@
   const whole = await sendStream().received;
   expect(whole.end).toBe('end');
   expect(countEvents(whole.text)).toBe(EVENTS);
+  setLastEvent(1);
   const {socket, received} = sendStream();
   socket.once('data', () => entry.signal('SIGKILL'));
   const {end, text} = await received;
