Share one log between the tests that expect no error

Thirteen tests each cast their own log without `error`, so that an error would end them with a type error. One fixture now says so: an error fails the test with its message. Information and warnings are discarded as before.

Evidence: the 78 tests of these files pass; types and linter are clean.

--- a/test/fleet/confirmation_renewal.test.ts
+++ b/test/fleet/confirmation_renewal.test.ts
@@ -4,7 +4,6 @@
   createStoreClock,
   createStoreAvailability,
 } from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import type {HostError, OperatorFeed} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
@@ -12,6 +11,7 @@
 import {createHeldReadings} from '../../packages/fleet/src/entry/held_readings';
 import {createOperatorFollower} from '../../packages/fleet/src/entry/operator_follower';
 import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const BOUND = 2_000;
 
@@ -26,8 +26,6 @@
 
 const REFUSED: HostError = {kind: 'unavailable', detail: 'status 503'};
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
-
 let stopped: AbortController;
 
 beforeEach(() => {
@@ -93,11 +91,11 @@
     storeAvailability,
     versions: createNamedVersions(8_000),
     storeClock,
-    log,
+    log: errorFreeLog,
     bound: BOUND,
     copies: createConfigurationCopies(),
     evacuations: createEvacuationMonitor({
-      log,
+      log: errorFreeLog,
       metrics: {setEvacuatedZones: () => undefined},
       isKnownZone: () => true,
     }),
--- a/test/fleet/crash_monitor.test.ts
+++ b/test/fleet/crash_monitor.test.ts
@@ -1,12 +1,10 @@
 import {createQuarantine, type ListedTarget} from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import {expect, test} from 'vitest';
 import {
   createCrashMonitor,
   type AddressState,
 } from '../../packages/fleet/src/entry/crash_monitor';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 function target(instance: string, born?: number): ListedTarget {
   return {instance, born, address: '10.0.0.1:80'} as ListedTarget;
@@ -22,7 +20,7 @@
   const monitor = createCrashMonitor({
     quarantine,
     clock: () => 1,
-    log,
+    log: errorFreeLog,
     probe: () => {
       probes += 1;
       return Promise.resolve(state);
--- a/test/fleet/engine_manager.test.ts
+++ b/test/fleet/engine_manager.test.ts
@@ -3,7 +3,7 @@
   type ServiceDescription,
   type VersionDigest,
 } from '@hibiscusbeam/core';
-import type {Log, SwarmDriver} from '@hibiscusbeam/daemon';
+import type {SwarmDriver} from '@hibiscusbeam/daemon';
 import {Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {createEngineManager} from '../../packages/fleet/src/agent/engine_manager';
@@ -13,8 +13,7 @@
   EngineStatus,
   VersionOrigin,
 } from '../../packages/fleet/src/ports';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const SERVICES = [
   {
@@ -94,7 +93,7 @@
     versionBound: 8_000,
     clock: () => Date.now(),
     machineClock: () => Date.now(),
-    log,
+    log: errorFreeLog,
     onStatus: () => undefined,
   });
   manager.start(stopped.signal);
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -4,7 +4,6 @@
   createSiteDemand,
 } from '@hibiscusbeam/core';
 import type {EngineReport} from '@hibiscusbeam/wire';
-import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, expect, test} from 'vitest';
 import {createEntryPeers} from '../../packages/fleet/src/entry/entry_peers';
 import type {RelayUpdate} from '../../packages/fleet/src/entry/relay_updates';
@@ -13,8 +12,7 @@
 import {createSiteRecords} from '../../packages/fleet/src/link/site_records';
 import type {MemberDescription} from '../../packages/fleet/src/ports';
 import {eventually, freeAddress} from './fixtures/host_site';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const closing: (() => void)[] = [];
 
@@ -58,7 +56,7 @@
     self,
     isReady: () => ready,
     clock: () => performance.now(),
-    log,
+    log: errorFreeLog,
     namings: () => [],
     onNamings: () => undefined,
     onReports: taken => reports.push(...taken),
--- a/test/fleet/entry_quarantine.test.ts
+++ b/test/fleet/entry_quarantine.test.ts
@@ -1,4 +1,3 @@
-import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {createEntryQuarantine} from '../../packages/fleet/src/entry/entry_quarantine';
 import {createFailurePause} from '../../packages/fleet/src/link/failure_pause';
@@ -6,8 +5,7 @@
 import {createStoreClient} from '../../platform/store_client';
 import {eventually} from './fixtures/host_site';
 import {startHostStore, type HostStore} from './fixtures/host_store';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 let store: HostStore;
 let stopped: AbortController;
@@ -27,7 +25,7 @@
     table: createQuarantineTable(createStoreClient(store.address)),
     holder,
     clock: () => 0,
-    log,
+    log: errorFreeLog,
     metrics: {setQuarantined: () => undefined},
     failurePause: createFailurePause(0),
     spread: 0,
--- a/test/fleet/feed_loop.test.ts
+++ b/test/fleet/feed_loop.test.ts
@@ -1,10 +1,8 @@
-import type {Log} from '@hibiscusbeam/daemon';
 import {Err, Ok} from 'ts-results';
 import {expect, test} from 'vitest';
 import {runFeedLoop} from '../../packages/fleet/src/link/feed_loop';
 import type {HostError, StoreReading} from '../../packages/fleet/src/ports';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 /** Runs a loop in which the second request fails; returns the requests. */
 async function requestsAround(error: HostError): Promise<readonly unknown[]> {
@@ -19,7 +17,7 @@
   await runFeedLoop<StoreReading>(
     {
       name: 'table',
-      log,
+      log: errorFreeLog,
       readAll: async () => {
         requests.push('whole');
         if (requests.length > 2) stopped.abort();
@@ -63,7 +61,7 @@
   await runFeedLoop<StoreReading>(
     {
       name: 'table',
-      log,
+      log: errorFreeLog,
       readAll: () => {
         reads += 1;
         if (reads === 5) stopped.abort();
--- a/test/fleet/held_configuration.test.ts
+++ b/test/fleet/held_configuration.test.ts
@@ -1,12 +1,10 @@
 import type {RoutingConfiguration} from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import {Ok} from 'ts-results';
 import {expect, test} from 'vitest';
 import {createHeldConfiguration} from '../../packages/fleet/src/entry/held_configuration';
 import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
 import type {OperatorReading} from '../../packages/fleet/src/ports';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 function configurationOf(version: number): RoutingConfiguration {
   return {
@@ -47,7 +45,7 @@
   const held = createHeldConfiguration({
     copies,
     decode: ({text}) => Ok(configurationOf(Number(text.toString()))),
-    log,
+    log: errorFreeLog,
     onAdopted: () => undefined,
   });
   return {copies, held, version: () => held.table()?.version};
--- a/test/fleet/member_follower.test.ts
+++ b/test/fleet/member_follower.test.ts
@@ -1,4 +1,3 @@
-import type {Log} from '@hibiscusbeam/daemon';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {createFailurePause} from '../../packages/fleet/src/link/failure_pause';
@@ -9,8 +8,7 @@
   MemberReading,
   MemberTable,
 } from '../../packages/fleet/src/ports';
-
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 /** Longer than the time in which members have to write their rows again. */
 const LONG_WAIT = 60_000;
@@ -79,7 +77,7 @@
     self: member('self'),
     table,
     clock: () => Date.now(),
-    log,
+    log: errorFreeLog,
     failurePause: createFailurePause(0),
     onChange: () => undefined,
   });
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -21,6 +21,7 @@
   type TableSource,
 } from '../../packages/fleet/src/entry/operator_follower';
 import {createConfigurationCopies} from '../../packages/fleet/src/link/configuration_copies';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 /** The store's clock is unrelated to the local one. */
 const STORE_OFFSET = 777_000;
@@ -36,8 +37,6 @@
 /** Age of a configuration from which its keys are no longer accepted. */
 const MAX_CONFIRMATION_AGE = 4_700;
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
-
 let stopped: AbortController;
 
 beforeEach(() => {
@@ -122,7 +121,7 @@
     versions,
     storeClock,
     evacuations,
-    log,
+    log: errorFreeLog,
     bound: CONFIGURATION_BOUND,
     copies,
     source,
--- a/test/fleet/operator_monitor.test.ts
+++ b/test/fleet/operator_monitor.test.ts
@@ -3,19 +3,17 @@
   type RoutingConfiguration,
   type ServiceDescription,
 } from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import type {OperatorFeed, OperatorReading} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {createOperatorMonitor} from '../../packages/fleet/src/agent/operator_monitor';
 import {servicesDigest} from '../../packages/fleet/src/link/services_digest';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const SERVICES: readonly ServiceDescription[] = [
   {kind: 'plain', name: 'plain', coldStart: undefined},
 ];
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
-
 let stopped: AbortController;
 
 beforeEach(() => {
@@ -51,7 +49,12 @@
     decode: () => Err('not asked'),
   };
   const versions = createNamedVersions(8_000);
-  const monitor = createOperatorMonitor(feed, versions, () => Date.now(), log);
+  const monitor = createOperatorMonitor(
+    feed,
+    versions,
+    () => Date.now(),
+    errorFreeLog,
+  );
   monitor.start(stopped.signal);
   return {monitor, requests: () => requests};
 }
--- a/test/fleet/quarantine_restore.test.ts
+++ b/test/fleet/quarantine_restore.test.ts
@@ -1,5 +1,4 @@
 import {createQuarantine} from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {createQuarantineStore} from '../../packages/fleet/src/entry/quarantine_store';
 import {createQuarantineTrials} from '../../packages/fleet/src/entry/quarantine_trials';
@@ -8,13 +7,12 @@
 import {createStoreClient} from '../../platform/store_client';
 import {eventually} from './fixtures/host_site';
 import {startHostStore, type HostStore} from './fixtures/host_store';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const TABLE = 'quarantine';
 const TRIALS = 'quarantine_trials';
 const TIMEOUT = 2_000;
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
-
 let store: HostStore;
 let stopped: AbortController;
 
@@ -38,14 +36,14 @@
     table,
     holder: 'entry',
     clock: () => now,
-    log,
+    log: errorFreeLog,
   });
   const quarantineStore = createQuarantineStore({
     table,
     quarantine,
     onRestore: trials.reclaim,
     failurePause: createFailurePause(0),
-    log,
+    log: errorFreeLog,
     spread: 0,
   });
   quarantineStore.start(stopped.signal);
--- a/test/fleet/quarantine_trials.test.ts
+++ b/test/fleet/quarantine_trials.test.ts
@@ -1,10 +1,9 @@
-import type {Log} from '@hibiscusbeam/daemon';
 import {Err, Ok} from 'ts-results';
 import {expect, test} from 'vitest';
 import {createQuarantineTrials} from '../../packages/fleet/src/entry/quarantine_trials';
 import type {HostError, QuarantineTable} from '../../packages/fleet/src/ports';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
 const LONG = 60_000;
 
 /** The trials of entries that share one store. */
@@ -30,7 +29,7 @@
       table,
       holder: `entry-${index}`,
       clock: () => now,
-      log,
+      log: errorFreeLog,
     }),
   );
   return {
--- a/test/fleet/target_follower.test.ts
+++ b/test/fleet/target_follower.test.ts
@@ -6,12 +6,12 @@
   type ListedTarget,
   type StoreClock,
 } from '@hibiscusbeam/core';
-import type {Log} from '@hibiscusbeam/daemon';
 import type {TargetReading} from '@hibiscusbeam/fleet';
 import {Err, Ok} from 'ts-results';
 import {afterEach, beforeEach, expect, test, vi} from 'vitest';
 import {startTargetFollower} from '../../packages/fleet/src/entry/target_follower';
 import {plainRequest, plainTarget} from '../fixtures/placement';
+import {errorFreeLog} from '../fixtures/error_free_log';
 
 const DRAINING = 3_000;
 
@@ -21,8 +21,6 @@
 /** Interval at which a relay reads the list. */
 const RELAY_PERIOD = 900;
 
-const log = {info: () => undefined, warn: () => undefined} as unknown as Log;
-
 let stopped: AbortController;
 
 beforeEach(() => {
@@ -98,7 +96,7 @@
       readsStore,
       onListing: () => undefined,
       spread: 0,
-      log,
+      log: errorFreeLog,
       draining: DRAINING,
       heartbeat: 1_200,
       onTargets: () => undefined,
