--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -183,11 +183,8 @@
 }
 
 /**
- * Whether the connection was reset; valid while its end is handled.
- *
- * Node.js reports the regular end of a connection whose reset arrived before its
- * last bytes were read, for example after a suspension. Such a connection has no
- * peer any more.
+ * Whether the connection that has just ended was reset. Node.js reports a reset
+ * that arrives before the last bytes are read as a regular end.
  */
 function isReset(socket: Socket): boolean {
   return socket.remoteAddress === undefined;
