--- a/packages/core/src/forwarding/forward_request.ts
+++ b/packages/core/src/forwarding/forward_request.ts
@@ -294,7 +294,13 @@
   progress: Progress<Target>,
 ): boolean {
   if (progress.possibleRuns >= request.attempts) return false;
-  if (!maySendAgain(request, progress)) return false;
+  return maySendAgain(request, progress) && isRepeatable(request);
+}
+
+/** Whether a request may run again on another target. */
+export function isRepeatable(
+  request: Pick<ForwardedRequest, 'kind' | 'resumable'>,
+): boolean {
   switch (request.kind) {
     case 'safe':
       return true;
--- /dev/null
+++ b/packages/core/src/memory/incoming_requests.ts
@@ -0,0 +1,84 @@
+import type {Bytes, Milliseconds} from '../types';
+
+/** A caller's request, as far as it has arrived. */
+export interface IncomingRequest {
+  /** Memory that it takes. */
+  readonly held: Bytes;
+  /** Whether more of it is expected. Complete requests are never refused. */
+  readonly isArriving: boolean;
+  /** How long nothing of it has arrived. */
+  readonly stalledFor: Milliseconds;
+}
+
+/** From this stall on, a request counts as making no progress. */
+const STALLED_AFTER: Milliseconds = 500;
+
+/** Minimum share of the mean size for a stalled request to be refused. */
+const MIN_REFUSED_SHARE = 0.5;
+
+/** Requests of at most this size may use the whole bound. */
+const SMALL_REQUEST: Bytes = 64 * 1024;
+
+/** Share of the bound for requests that are larger. */
+const LARGE_REQUESTS_SHARE = 0.75;
+
+/** Whether requests of this size together may exceed a bound. */
+export function mayExceedBound(total: Bytes, bound: Bytes): boolean {
+  return total > bound * LARGE_REQUESTS_SHARE;
+}
+
+/**
+ * Returns the requests to refuse so that the others take at most `bound` bytes,
+ * as far as that can be reached: first those that make no progress, then the
+ * largest.
+ *
+ * A part of the bound is kept for small requests. Otherwise a crowd of large
+ * bodies would have every ordinary caller refused.
+ */
+export function selectRequestsToRefuse<Request extends IncomingRequest>(
+  requests: readonly Request[],
+  bound: Bytes,
+): readonly Request[] {
+  const large = requests.filter(({held}) => held > SMALL_REQUEST);
+  const refusedLarge = selectFrom(large, bound * LARGE_REQUESTS_SHARE);
+  const left = requests.filter(request => !refusedLarge.includes(request));
+  return [...refusedLarge, ...selectFrom(left, bound)];
+}
+
+function selectFrom<Request extends IncomingRequest>(
+  requests: readonly Request[],
+  bound: Bytes,
+): readonly Request[] {
+  let total = requests.reduce((sum, {held}) => sum + held, 0);
+  let arriving = requests.filter(({isArriving}) => isArriving);
+  const refused: Request[] = [];
+  while (total > bound) {
+    const next = longestStalled(arriving) ?? largest(arriving);
+    if (next === undefined) break;
+    refused.push(next);
+    arriving = arriving.filter(request => request !== next);
+    total -= next.held;
+  }
+  return refused;
+}
+
+/**
+ * Small requests are left out: refusing them frees little, and their callers
+ * may only have a slow link.
+ */
+function longestStalled<Request extends IncomingRequest>(
+  requests: readonly Request[],
+): Request | undefined {
+  const total = requests.reduce((sum, {held}) => sum + held, 0);
+  const minHeld = (total / requests.length) * MIN_REFUSED_SHARE;
+  return requests
+    .filter(({stalledFor}) => stalledFor >= STALLED_AFTER)
+    .filter(({held}) => held >= minHeld)
+    .sort((one, other) => other.stalledFor - one.stalledFor)[0];
+}
+
+function largest<Request extends IncomingRequest>(
+  requests: readonly Request[],
+): Request | undefined {
+  return [...requests].sort((one, other) => other.held - one.held)[0];
+}
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -8,6 +8,7 @@
 import type {ServerResponse} from 'node:http';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
 import type {RequestBuffers} from './buffered_bytes';
+import type {RequestBody} from './request_body';
 import {
   openExchange,
   type ExchangeFailure,
@@ -36,7 +37,7 @@
   readonly method: string;
   readonly path: string;
   readonly lines: readonly string[];
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly protocol: RequestProtocol;
   readonly response: ServerResponse;
   readonly buffers: RequestBuffers;
@@ -64,6 +65,8 @@
   readonly signal: AbortSignal;
   /** Called with the header of an answer to this request. */
   readonly onHeader: (header: AnswerHeader) => void;
+  /** Called when an answer begins after which the request has run. */
+  readonly onAnswer: () => void;
   /** Called for each event of this target. */
   readonly onEvent: () => void;
   /** Called when the first event of all attempts has arrived. */
@@ -132,6 +135,7 @@
   options.onHeader(header);
   if (header.misdirected) return {kind: 'notRun', cause: 'misdirected'};
   if (header.notRun) return {kind: 'notRun', cause: 'refusedByTarget'};
+  options.onAnswer();
   const success = status >= 200 && status < 300;
   if (success && !header.sealed) {
     options.explain('success without the seal of its target');
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,7 +39,11 @@
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
 import {createStallMonitor} from '../runtime/stall_monitor';
-import {maxBufferedBytes, type FleetEntrySettings} from '../settings';
+import {
+  incomingMemory,
+  maxBufferedBytes,
+  type FleetEntrySettings,
+} from '../settings';
 import {createBufferedBytes} from './buffered_bytes';
 import {createCallerServer} from './caller_server';
 import {createColdTargetMonitor} from './cold_target_monitor';
@@ -49,6 +53,7 @@
 import {createEngineReportStreams} from './engine_report_stream';
 import {createEvacuationMonitor} from './evacuation_monitor';
 import {createFleetMetrics} from './fleet_metrics';
+import {createIncomingRequests} from './incoming_requests';
 import {createHeldReadings, DEFAULT_EVACUATION_BOUND} from './held_readings';
 import {createRateLimitMonitor} from './rate_limit_monitor';
 import {createOperatorFollower} from './operator_follower';
@@ -333,6 +338,11 @@
     failurePause,
     onChange: entryPeers.setMembers,
   });
+  const incoming = createIncomingRequests({
+    bound: incomingMemory(settings).requests,
+    clock,
+  });
+  metrics.observeCallers({memory: incoming.memory});
   const handler = createRequestHandler({
     protocol: ports.requests,
     operator,
@@ -366,6 +376,7 @@
       log: logs('requests'),
       onDropped: metrics.countDroppedReader,
     }),
+    incoming,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -9,6 +9,7 @@
 import {startAnswerTimer} from '../link/answer_timer';
 import type {RequestBuffers} from './buffered_bytes';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
+import type {RequestBody} from './request_body';
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -16,7 +17,7 @@
   readonly method: string;
   readonly path: string;
   readonly lines: readonly string[];
-  readonly body: Buffer;
+  readonly body: Pick<RequestBody, 'blocks'>;
   /**
    * Whether the target may still be sent the request; checked once connected.
    */
@@ -135,13 +136,14 @@
      */
     const send = (): void => {
       if (request.destroyed) return;
-      outdated = !outgoing.mayBegin();
-      if (outdated) {
+      const blocks = outgoing.body.blocks();
+      if (blocks === undefined || !outgoing.mayBegin()) {
+        outdated = true;
         request.destroy(new Error('may not begin there any more'));
         return;
       }
       sent = true;
-      request.end(outgoing.body);
+      sendBody(request, blocks);
     };
     const timer = startAnswerTimer(CONNECT_TIMEOUT, () => {
       request.destroy(new Error('no connection in time'));
@@ -182,6 +184,14 @@
   });
 }
 
+/** Sends the header and the whole body. */
+function sendBody(request: ClientRequest, blocks: readonly Buffer[]): void {
+  const last = blocks.at(-1);
+  for (const block of blocks.slice(0, -1)) request.write(block);
+  if (last === undefined) request.end();
+  else request.end(last);
+}
+
 /**
  * Whether the connection that has just ended was reset. Node.js reports a reset
  * that arrives before the last bytes are read as a regular end.
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -15,6 +15,8 @@
 /** Upper bounds of the histogram of waits for a slot. */
 const SLOT_WAIT_BUCKETS_MS = [1, 10, 25, 50, 100, 200, 400, 800, 1_600];
 
+const NO_MEMORY = {arriving: 0, complete: 0};
+
 /** Outcome of a request that needed a slot. */
 export interface CountedAdmission {
   readonly service: string;
@@ -32,6 +34,12 @@
 /** Tables of the store whose readings decide about requests. */
 export type ReadTable = 'configuration' | 'targets';
 
+/** What callers use of a process. */
+export interface CallerUse {
+  /** Bytes of their requests, by state. */
+  readonly memory: () => Readonly<Record<'arriving' | 'complete', number>>;
+}
+
 /** Metrics of a process. */
 export interface FleetMetrics {
   readonly countRequest: (route: string, result: string) => void;
@@ -73,6 +81,10 @@
   readonly observeSlotWait: (service: string, milliseconds: number) => void;
   /** Counts a caller or target that was dropped because it read too slowly. */
   readonly countDroppedReader: (kind: string) => void;
+  /** Counts a request that was refused before it had arrived. */
+  readonly countRefusedBody: (reason: string) => void;
+  /** Sets where the use of resources by callers is read. */
+  readonly observeCallers: (use: CallerUse) => void;
   /** Sets the number of quarantined requests and prompt parts. */
   readonly setQuarantined: (count: number) => void;
   /** All metrics in the text format of Prometheus. */
@@ -183,6 +195,24 @@
     labelNames: ['kind'],
     registers: [registry],
   });
+  const refusedBodies = new Counter({
+    name: 'hibiscusbeam_refused_bodies_total',
+    help: 'Requests that were refused before they had arrived, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+  let callers: CallerUse | undefined;
+  new Gauge({
+    name: 'hibiscusbeam_request_bytes',
+    help: 'Memory of the requests of callers, by state.',
+    labelNames: ['state'],
+    registers: [registry],
+    collect() {
+      const {arriving, complete} = callers?.memory() ?? NO_MEMORY;
+      this.set({state: 'arriving'}, arriving);
+      this.set({state: 'complete'}, complete);
+    },
+  });
   const quarantined = new Gauge({
     name: 'hibiscusbeam_quarantined',
     help: 'Requests and parts of prompts that are sent to no target.',
@@ -218,6 +248,8 @@
     observeSlotWait: (service, milliseconds) =>
       slotWaits.observe({service}, milliseconds),
     countDroppedReader: kind => droppedReaders.inc({kind}),
+    countRefusedBody: reason => refusedBodies.inc({reason}),
+    observeCallers: use => (callers = use),
     setQuarantined: count => quarantined.set(count),
     text: () => registry.metrics(),
     contentType: registry.contentType,
--- a/packages/fleet/src/entry/local_answers.ts
+++ b/packages/fleet/src/entry/local_answers.ts
@@ -7,7 +7,7 @@
 
 /** An answer that the entry itself gives, without a target. */
 export interface LocalAnswer {
-  readonly status: 400 | 401 | 404 | 413 | 502 | 503 | 504;
+  readonly status: 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504;
   readonly reason: string;
   /**
    * When to retry; only with answers that guarantee that the request did not
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -22,6 +22,7 @@
 import type {PlannedStop} from './planned_stop';
 import type {RunDurations} from './run_durations';
 import {notRun, type LocalAnswer} from './local_answers';
+import type {RequestBody} from './request_body';
 import {fingerprintOf, promptPartDigest} from './request_fingerprint';
 
 /**
@@ -62,6 +63,9 @@
  */
 const RETRY_RECONFIGURED_AFTER: Milliseconds = 1_000;
 
+/** Age from which a decision by the header is made again. */
+const MAX_DECISION_AGE: Milliseconds = 50;
+
 /** A request that may be forwarded. */
 export interface AcceptedRequest {
   readonly header: CallerHeader;
@@ -72,7 +76,7 @@
   readonly destinations: Destinations;
   /** Its expected cost for the target. */
   readonly run: ExpectedRun;
-  readonly body: Buffer;
+  readonly body: RequestBody;
   readonly fingerprint: RequestFingerprint;
   /** Parts of its prompt, in order. */
   readonly promptParts: readonly PromptPartDigest[];
@@ -80,19 +84,31 @@
   readonly deadline: MonotonicInstant;
 }
 
-/** A request as it arrived. */
-export interface ArrivedRequest {
+/** A request that may be forwarded once its body has been read. */
+export interface AcceptedHeader extends Omit<
+  AcceptedRequest,
+  'body' | 'fingerprint' | 'promptParts'
+> {
+  readonly path: string;
+  /** The configuration by which it was accepted. */
+  readonly table: RouteTable;
+}
+
+/** The header of a request as it arrived. */
+export interface ArrivedHeader {
   readonly header: CallerHeader;
   readonly path: string;
-  readonly body: Buffer;
   readonly arrivedAt: MonotonicInstant;
 }
 
-/** Decides whether a request may be forwarded; otherwise returns its answer. */
-export function acceptRequest(
+/**
+ * Decides by its header whether a request may be forwarded; otherwise returns
+ * its answer.
+ */
+export function acceptHeader(
   options: RequestAcceptanceOptions,
-  {header, path, body, arrivedAt}: ArrivedRequest,
-): AcceptedRequest | LocalAnswer {
+  {header, path, arrivedAt}: ArrivedHeader,
+): AcceptedHeader | LocalAnswer {
   if (options.plannedStop.phase() === 'closing') {
     return notRun('leaving', RETRY_ELSEWHERE_AFTER);
   }
@@ -126,10 +142,32 @@
   if (areEmpty(destinations)) {
     return notRun('noAllowedRegion', RETRY_RECONFIGURED_AFTER);
   }
-  const fingerprint = fingerprintOf({workspace: workspace?.name, path, body});
+  const arrived = {header, path, arrivedAt, deadline};
+  return {...arrived, table, route, service, access, destinations, run};
+}
+
+/**
+ * Decides whether a request whose body has been read may be forwarded. What was
+ * decided by its header holds for a moment only: its key may have been revoked
+ * while the body arrived.
+ */
+export function acceptRequest(
+  options: RequestAcceptanceOptions,
+  accepted: AcceptedHeader,
+  body: RequestBody,
+): AcceptedRequest | LocalAnswer {
+  const isCurrent =
+    options.operator.table() === accepted.table &&
+    options.clock() - accepted.arrivedAt <= MAX_DECISION_AGE;
+  const current = isCurrent ? accepted : acceptHeader(options, accepted);
+  if ('status' in current) return current;
+  const {access, header, path} = current;
+  const workspace =
+    access.kind === 'workspace' ? access.workspace.name : undefined;
+  const blocks = body.blocks() ?? [];
+  const fingerprint = fingerprintOf({workspace, path, blocks});
   const promptParts = header.promptParts.map(promptPartDigest);
-  const content = {header, body, fingerprint, promptParts, arrivedAt, deadline};
-  return {...content, route, service, access, destinations, run};
+  return {...current, body, fingerprint, promptParts};
 }
 
 function isAcceptedByStop(
@@ -150,7 +188,7 @@
  */
 export function destinationsIn(
   table: RouteTable,
-  {header, path}: Pick<ArrivedRequest, 'header' | 'path'>,
+  {header, path}: Pick<ArrivedHeader, 'header' | 'path'>,
 ): Destinations | undefined {
   const route = table.find(header.host, path);
   if (route === undefined) return undefined;
--- a/packages/fleet/src/entry/request_fingerprint.ts
+++ b/packages/fleet/src/entry/request_fingerprint.ts
@@ -19,7 +19,8 @@
   /** Undefined for an anonymous caller. */
   readonly workspace: WorkspaceName | undefined;
   readonly path: string;
-  readonly body: Buffer;
+  /** The body, in order. */
+  readonly blocks: readonly Buffer[];
 }
 
 /**
@@ -29,13 +30,12 @@
 export function fingerprintOf({
   workspace,
   path,
-  body,
+  blocks,
 }: FingerprintedContent): RequestFingerprint {
-  return createHash('sha256')
-    .update(JSON.stringify([workspace ?? null, path]))
-    .update(body)
-    .digest('hex')
-    .slice(0, FINGERPRINT_DIGITS);
+  const hash = createHash('sha256');
+  hash.update(JSON.stringify([workspace ?? null, path]));
+  for (const block of blocks) hash.update(block);
+  return hash.digest('hex').slice(0, FINGERPRINT_DIGITS);
 }
 
 /** Identifies a part of a prompt, whichever request contains it. */
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -1,6 +1,7 @@
 import {
   createFirstEventTimes,
   forwardRequest,
+  unreachable,
   type ForwardResult,
   type ListedTarget,
   type Milliseconds,
@@ -14,18 +15,21 @@
 import type {BufferedBytes} from './buffered_bytes';
 import {createExpectedRuns} from './expected_run';
 import type {FleetMetrics} from './fleet_metrics';
+import type {IncomingRequests} from './incoming_requests';
 import {
   localAnswerFor,
+  notRun,
   writeLocalAnswer,
   type LocalAnswer,
 } from './local_answers';
 import {
+  acceptHeader,
   acceptRequest,
   deny,
   type AcceptedRequest,
   type RequestAcceptanceOptions,
 } from './request_acceptance';
-import {readBody} from './request_body';
+import {readBody, type BodyReading} from './request_body';
 import type {RequestRunOptions} from './request_context';
 import {createRequestRun} from './request_run';
 import {createRequestTrace, type RequestTrace} from './request_trace';
@@ -38,6 +42,14 @@
   reason: 'the body is too large',
 };
 
+const LATE_BODY_ANSWER: LocalAnswer = {
+  status: 408,
+  reason: 'the body came too late',
+};
+
+/** Retry-After for callers whose request did not fit the memory. */
+const RETRY_OVERLOADED_AFTER: Milliseconds = 500;
+
 /**
  * Answer if the handler itself fails; it is unknown whether the request has
  * run.
@@ -54,6 +66,7 @@
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
   readonly buffers: BufferedBytes;
+  readonly incoming: IncomingRequests;
   readonly log: Log;
   /**
    * Latest time at which the list of targets is known to have been as it is
@@ -96,22 +109,49 @@
   ): Promise<void> {
     const arrivedAt = clock();
     const header = protocol.readCaller(request.rawHeaders);
-    const body = await readBody(request, bodyLimit());
-    if (body === 'gone' || response.destroyed) return;
-    countUntilClosed(response);
-    observeReadingAges();
     const path = request.url ?? '/';
-    const accepted =
-      body === 'tooLarge'
-        ? deny(options.readings.configuration(), BODY_TOO_LARGE_ANSWER)
-        : acceptRequest(acceptance, {header, path, body, arrivedAt});
+    const decided = acceptHeader(acceptance, {header, path, arrivedAt});
+    if ('status' in decided) {
+      answerLocally(request, response, header, decided);
+      return;
+    }
+    const reading = await readBody(request, response, {
+      maxLength: decided.table.configuration.limits.bodyBytes,
+      deadline: decided.deadline,
+      incoming: options.incoming,
+    });
+    if (reading.kind === 'gone' || response.destroyed) return;
+    if (reading.kind === 'refused') {
+      metrics.countRefusedBody(reading.reason);
+      answerLocally(request, response, header, refusalOf(reading.reason));
+      return;
+    }
+    const accepted = acceptRequest(acceptance, decided, reading.body);
     if ('status' in accepted) {
+      reading.body.release();
       answerLocally(request, response, header, accepted);
       return;
     }
+    countUntilClosed(response);
+    observeReadingAges();
     await forward(request, response, accepted);
   }
 
+  function refusalOf(
+    reason: Extract<BodyReading, {readonly kind: 'refused'}>['reason'],
+  ): LocalAnswer {
+    switch (reason) {
+      case 'tooLarge':
+        return deny(options.readings.configuration(), BODY_TOO_LARGE_ANSWER);
+      case 'late':
+        return LATE_BODY_ANSWER;
+      case 'overloaded':
+        return notRun(reason, RETRY_OVERLOADED_AFTER);
+      default:
+        return unreachable(reason);
+    }
+  }
+
   /**
    * A request is in progress until its answer has left this process, which may
    * take long if the caller reads slowly.
@@ -121,10 +161,6 @@
     response.once('close', () => unsent.delete(response));
   }
 
-  function bodyLimit(): number {
-    return operator.table()?.configuration.limits.bodyBytes ?? Infinity;
-  }
-
   async function forward(
     request: IncomingMessage,
     response: ServerResponse,
@@ -152,6 +188,7 @@
     const result = await drive(flow, run.perform).finally(() => {
       ending.stop();
       run.end();
+      accepted.body.release();
     });
     finish(response, result, run.answer());
     buffers.releaseAnswers();
@@ -239,6 +276,8 @@
     header: CallerHeader,
     answer: LocalAnswer,
   ): void {
+    countUntilClosed(response);
+    observeReadingAges();
     if (!response.destroyed) writeLocalAnswer(response, answer, ownLines());
     metrics.countRequest('none', String(answer.status));
     log.info('answered here', {
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -1,5 +1,6 @@
 import {
   createEventPauses,
+  isRepeatable,
   type EventPauses,
   type ForwardAttemptEnd,
   type ListedTarget,
@@ -74,6 +75,7 @@
   const {attempts} = hooks;
   const remaining = createRemainingEvents(options, context);
   let startedAttempts = 0;
+  let attemptsNotRun = 0;
   /** Whether a retry was taken for a move that no attempt has used yet. */
   let hasPaidMove = false;
 
@@ -193,12 +195,20 @@
         recorder.recordEvent();
         pauses.record(options.clock());
       },
+      onAnswer: () => releaseBody(send),
       confirmEnd: () => confirmEnd(target),
       keepAnswer: kept => (begun.answer = kept),
       explain: line.explain,
     };
   }
 
+  /** Releases the body if the request can't be sent again. */
+  function releaseBody({isAlone}: AttemptInFlight): void {
+    const possibleRuns = startedAttempts - attemptsNotRun;
+    const isLast = isAlone() && possibleRuns >= route.attempts;
+    if (isLast || !isRepeatable(route)) accepted.body.release();
+  }
+
   /**
    * A target that no longer listens has crashed, unless it is leaving. An
    * address that doesn't respond shows nothing, nor does one that responds after
@@ -220,7 +230,8 @@
     if (answer !== undefined) hooks.keepAnswer(answer);
     recorder.recordEnd(end);
     remaining.record(end);
-    if (end.kind !== 'notRun') {
+    if (end.kind === 'notRun') attemptsNotRun += 1;
+    else {
       hooks.onRun();
       options.admission.recordHeld(accepted, options.clock() - begun.sentAt);
     }
--- a/packages/fleet/src/settings/buffer_limit.ts
+++ b/packages/fleet/src/settings/buffer_limit.ts
@@ -24,3 +24,19 @@
   if (typeof memoryMegabytes !== 'number') return DEFAULT_MAX_BUFFERED_BYTES;
   return memoryMegabytes * MEGABYTE * BUFFER_MEMORY_SHARE;
 }
+
+/** Share of an entry's memory for the requests that it has or reads. */
+const REQUEST_MEMORY_SHARE = 0.2;
+
+/** Memory of an entry if it is not given. */
+const DEFAULT_MEMORY_MEGABYTES = 320;
+
+/** Maximum memory of callers' requests. */
+export function incomingMemory({
+  memoryMegabytes,
+}: Pick<FleetEntrySettings, 'memoryMegabytes'>): {
+  readonly requests: Bytes;
+} {
+  const memory = (memoryMegabytes ?? DEFAULT_MEMORY_MEGABYTES) * MEGABYTE;
+  return {requests: memory * REQUEST_MEMORY_SHARE};
+}
--- a/test/admission/entry_admission.test.ts
+++ b/test/admission/entry_admission.test.ts
@@ -11,6 +11,7 @@
   readZoneDemands,
 } from '../../packages/fleet/src/link/demand_messages';
 import {engineLoad, engineTarget} from '../fixtures/placement';
+import {arrivedBody} from '../fleet/fixtures/request_body';
 
 const ROUTE = {name: 'route', priority: 1, objective: 400} as Route;
 
@@ -30,7 +31,7 @@
     },
     fingerprint: 'content',
     promptParts: [],
-    body: Buffer.alloc(0),
+    body: arrivedBody(),
     arrivedAt: 0,
     deadline: 6_000,
     ...changes,
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -3,6 +3,7 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {requestProtocol} from '../../platform/request_protocol';
+import {arrivedBody} from './fixtures/request_body';
 
 const closing: (() => void)[] = [];
 
@@ -28,7 +29,7 @@
 
 async function readAnswer(address: string, mayBegin = () => true) {
   const lines = ['Host', 'a.example'];
-  const body = Buffer.alloc(0);
+  const body = arrivedBody();
   const exchange = openExchange(
     {address, method: 'GET', path: '/', lines, body, mayBegin, buffers},
     requestProtocol,
--- a/test/fleet/request_run.test.ts
+++ b/test/fleet/request_run.test.ts
@@ -25,6 +25,7 @@
 import {requestProtocol} from '../../platform/request_protocol';
 import {eventually} from './fixtures/host_site';
 import {plainTarget} from '../fixtures/placement';
+import {arrivedBody} from './fixtures/request_body';
 
 const TIMEOUT = 60_000;
 
@@ -103,7 +104,7 @@
     },
     fingerprint: 'content',
     promptParts: ['part'],
-    body: Buffer.alloc(0),
+    body: arrivedBody(),
     arrivedAt: now,
     deadline: now + TIMEOUT,
   };
--- a/test/fleet/timeliness.test.ts
+++ b/test/fleet/timeliness.test.ts
@@ -5,6 +5,7 @@
   createTimeliness,
   spreadRetryAfter,
 } from '../../packages/fleet/src/entry/timeliness';
+import {arrivedBody} from './fixtures/request_body';
 
 const OBJECTIVE = 400;
 
@@ -25,7 +26,7 @@
     },
     fingerprint: 'content',
     promptParts: [],
-    body: Buffer.alloc(0),
+    body: arrivedBody(),
     arrivedAt: 0,
     deadline: Math.min(timeout, patience),
   };
--- /dev/null
+++ b/test/processes/misbehaving_callers.test.ts
@@ -0,0 +1,149 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {isReady, send} from '../fleet/fixtures/host_caller';
+import {startHostEngine, type HostEngine} from '../fleet/fixtures/host_engine';
+import {
+  eventually,
+  HOST,
+  KEY,
+  startHostSite,
+  type HostSite,
+} from '../fleet/fixtures/host_site';
+import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
+import {startCrowd, type Crowd, type CrowdScript} from './crowd';
+import {peakMemory} from './process_resources';
+
+/** Memory of the smallest machine of the sites. */
+const MEMORY_MEGABYTES = 250;
+
+/** Flags of the deployed program. */
+const FLAGS = ['--max-old-space-size=192', '--max-semi-space-size=1'];
+
+const MAX_BODY = 4_194_304;
+const KILOBYTE = 1_024;
+
+/** Connections that send large bodies. */
+const SENDERS = 80;
+
+const HEAD_LINES = [
+  'POST /safe/a HTTP/1.1',
+  `Host: ${HOST}`,
+  `Authorization: Token ${KEY}`,
+  'X-Hibiscusbeam-Request-Id: crowd',
+  'X-Hibiscusbeam-Deadline-Ms: 60000',
+];
+
+const headWith = (line: string): string =>
+  `${[...HEAD_LINES, line].join('\r\n')}\r\n\r\n`;
+
+const announced = (length: number): string =>
+  headWith(`Content-Length: ${length}`);
+
+const CHUNKED = headWith('Transfer-Encoding: chunked');
+
+const chunkOf = (bytes: number): Buffer =>
+  Buffer.from(`${bytes.toString(16)}\r\n${'x'.repeat(bytes)}\r\n`);
+
+function* repeat(part: Buffer, times: number): Generator<Buffer> {
+  for (let count = 0; count < times; count += 1) yield part;
+}
+
+const LARGE_CHUNK = chunkOf(64 * KILOBYTE);
+const SMALL_CHUNK = chunkOf(1);
+const SMALL_CHUNKS_A_PACKET = 8_000;
+const PIECE = Buffer.alloc(32 * KILOBYTE, 'x');
+
+interface NamedScript extends CrowdScript {
+  readonly name: string;
+}
+
+const CROWDS: readonly NamedScript[] = [
+  {
+    name: 'chunked bodies in large chunks that stop short of their end',
+    members: SENDERS,
+    head: CHUNKED,
+    parts: () => repeat(LARGE_CHUNK, MAX_BODY / (64 * KILOBYTE)),
+  },
+  {
+    name: 'chunked bodies in chunks of one byte that stop short of their end',
+    members: SENDERS,
+    head: CHUNKED,
+    parts: () =>
+      repeat(Buffer.concat([...repeat(SMALL_CHUNK, SMALL_CHUNKS_A_PACKET)]), 6),
+  },
+  {
+    name: 'chunked bodies in chunks of one byte, each in a packet of its own',
+    members: SENDERS,
+    head: CHUNKED,
+    parts: () => repeat(SMALL_CHUNK, 20_000),
+  },
+  {
+    name: 'whole bodies of legal size at once',
+    members: SENDERS,
+    head: announced(MAX_BODY),
+    parts: () => [Buffer.alloc(MAX_BODY, 'x')],
+  },
+  {
+    name: 'bodies of legal size at once that stop short of their end',
+    members: SENDERS,
+    head: announced(MAX_BODY),
+    parts: () => [Buffer.alloc(MAX_BODY - 1, 'x')],
+  },
+  {
+    name: 'bodies of legal size in pieces that stop short of their end',
+    members: SENDERS,
+    head: announced(MAX_BODY),
+    parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
+  },
+];
+
+let site: HostSite;
+let engine: HostEngine;
+let entry: EntryProcess;
+let crowd: Crowd;
+let folder: string;
+
+beforeEach(async () => {
+  site = await startHostSite();
+  engine = await startHostEngine({instance: 'one'});
+  site.register(engine);
+  site.configure();
+  folder = mkdtempSync(join(tmpdir(), 'misbehaving-callers-'));
+  const settings = {
+    ...(await site.entrySettings()),
+    memoryMegabytes: MEMORY_MEGABYTES,
+  };
+  entry = startEntryProcess({settings, folder, pause: 60_000, flags: FLAGS});
+  await eventually(() => isReady(entry.readinessAddress).catch(() => false));
+  await eventually(isOrdinaryRequestAnswered);
+});
+
+afterEach(async () => {
+  crowd.close();
+  await entry.close();
+  await engine.close();
+  await site.close();
+  rmSync(folder, {recursive: true});
+});
+
+async function isOrdinaryRequestAnswered(): Promise<boolean> {
+  const {status} = await send(entry.callerAddress, '/safe/a');
+  return status === 200;
+}
+
+// Callers decided how much memory and how many descriptors an entry used.
+test.each(CROWDS)(
+  'an entry withstands callers that send $name',
+  async script => {
+    const processId = entry.processId() ?? 0;
+    crowd = startCrowd(entry.callerAddress, script);
+    await crowd.hasSent();
+    expect(entry.processId()).toBe(processId);
+    // A caller that is refused tries again.
+    await eventually(() => isOrdinaryRequestAnswered().catch(() => false));
+    await eventually(() => isReady(entry.readinessAddress).catch(() => false));
+    expect(peakMemory(processId)).toBeLessThan(MEMORY_MEGABYTES * 1_000_000);
+  },
+);
--- a/test/soak/entry_process.ts
+++ b/test/soak/entry_process.ts
@@ -12,6 +12,8 @@
   readonly readinessAddress: string;
   /** Sends a signal to the running process, if there is one. */
   readonly signal: (signal: NodeJS.Signals) => void;
+  /** Id of the running process; undefined between two of them. */
+  readonly processId: () => number | undefined;
   /** Kills the process and prevents further restarts. */
   readonly close: () => Promise<void>;
 }
@@ -23,11 +25,13 @@
   readonly folder: string;
   /** Delay before a restart, in milliseconds. */
   readonly pause: number;
+  /** Flags of Node.js. */
+  readonly flags?: readonly string[];
 }
 
 /** Starts an entry process. */
 export function startEntryProcess(options: EntryProcessOptions): EntryProcess {
-  const {settings, folder, pause} = options;
+  const {settings, folder, pause, flags = []} = options;
   mkdirSync(folder, {recursive: true});
   const file = join(folder, `${settings.instance}.yaml`);
   writeFileSync(file, JSON.stringify(settings));
@@ -37,7 +41,7 @@
 
   function start(): void {
     if (isClosed) return;
-    child = spawn(process.execPath, [PROGRAM], {
+    child = spawn(process.execPath, [...flags, PROGRAM], {
       env: {...process.env, HIBISCUSBEAM_CONFIG: file},
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -54,6 +58,7 @@
     callerAddress: settings.callerAddress,
     readinessAddress: settings.readinessAddress,
     signal: signal => void child?.kill(signal),
+    processId: () => child?.pid,
     close: () => {
       isClosed = true;
       const ended = new Promise<void>(resolve => {
