--- a/packages/core/src/memory/incoming_requests.ts
+++ b/packages/core/src/memory/incoming_requests.ts
@@ -82,3 +82,29 @@
 ): Request | undefined {
   return [...requests].sort((one, other) => other.held - one.held)[0];
 }
+
+/** Parts of bodies that were received in the last second. */
+export interface ReceivedParts {
+  readonly ofThisBody: number;
+  readonly ofOthers: number;
+}
+
+/** Bodies with fewer parts in a second are never refused for them. */
+const FEW_PARTS = 100;
+
+/**
+ * Parts in a second that may be processed for several bodies. Each part costs
+ * some microseconds, however small it is.
+ */
+const MAX_PARTS = 20_000;
+
+/**
+ * Whether a body arrives in so many parts that it has to be refused. One that
+ * comes alone may be divided as its caller likes.
+ */
+export function isTooFragmented({
+  ofThisBody,
+  ofOthers,
+}: ReceivedParts): boolean {
+  return ofThisBody >= FEW_PARTS && ofOthers >= MAX_PARTS;
+}
--- a/packages/fleet/src/entry/incoming_requests.ts
+++ b/packages/fleet/src/entry/incoming_requests.ts
@@ -1,4 +1,5 @@
 import {
+  isTooFragmented,
   mayExceedBound,
   selectRequestsToRefuse,
   type Bytes,
@@ -9,10 +10,15 @@
 /** Interval between checks of requests that are still arriving. */
 const CHECK_PERIOD_MS = 100;
 
+/** Period in which the parts of bodies are counted. */
+const PARTS_PERIOD_MS = 1_000;
+
 /** Why a request is refused before it has arrived. */
 export type IncomingRefusal =
   /** All requests together take too much memory. */
   | 'overloaded'
+  /** It comes in too many parts beside others. */
+  | 'fragmented'
   /** Its deadline has passed. */
   | 'late';
 
@@ -61,6 +67,9 @@
   body: Bytes;
   isArriving: boolean;
   progressedAt: MonotonicInstant;
+  /** Parts of the current period. */
+  parts: number;
+  partsSince: MonotonicInstant;
 }
 
 /**
@@ -75,6 +84,8 @@
   let total: Bytes = 0;
   let arriving = 0;
   let stopChecks: (() => void) | undefined;
+  let parts = 0;
+  let partsSince: MonotonicInstant = -Infinity;
 
   const heldBy = ({overhead, body}: Tracked): Bytes => overhead + body;
 
@@ -127,12 +138,33 @@
     }
   }
 
+  function countPart(request: Tracked): void {
+    const now = clock();
+    request.progressedAt = now;
+    if (now - partsSince >= PARTS_PERIOD_MS) {
+      partsSince = now;
+      parts = 0;
+    }
+    if (request.partsSince !== partsSince) {
+      request.partsSince = partsSince;
+      request.parts = 0;
+    }
+    parts += 1;
+    request.parts += 1;
+    const ofThisBody = request.parts;
+    if (isTooFragmented({ofThisBody, ofOthers: parts - ofThisBody})) {
+      refuse(request, 'fragmented');
+    }
+  }
+
   function open(options: IncomingRequestOptions): TrackedRequest {
     const request: Tracked = {
       ...options,
       body: 0,
       isArriving: true,
       progressedAt: clock(),
+      parts: 0,
+      partsSince: -Infinity,
     };
     tracked.add(request);
     total += request.overhead;
@@ -140,7 +172,7 @@
     keepBound();
     return {
       recordPart: memory => {
-        request.progressedAt = clock();
+        countPart(request);
         if (!request.isArriving || memory === 0) return;
         request.body += memory;
         total += memory;
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -124,6 +124,8 @@
     if (reading.kind === 'refused') {
       metrics.countRefusedBody(reading.reason);
       answerLocally(request, response, header, refusalOf(reading.reason));
+      // The rest would cost as much as before.
+      if (reading.reason === 'fragmented') request.socket.destroy();
       return;
     }
     const accepted = acceptRequest(acceptance, decided, reading.body);
@@ -146,6 +148,7 @@
       case 'late':
         return LATE_BODY_ANSWER;
       case 'overloaded':
+      case 'fragmented':
         return notRun(reason, RETRY_OVERLOADED_AFTER);
       default:
         return unreachable(reason);
--- a/test/memory/incoming_requests.test.ts
+++ b/test/memory/incoming_requests.test.ts
@@ -1,4 +1,4 @@
-import {selectRequestsToRefuse} from '@hibiscusbeam/core';
+import {isTooFragmented, selectRequestsToRefuse} from '@hibiscusbeam/core';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {propertyRuns} from '../forwarding/property_runs';
@@ -68,3 +68,10 @@
   const all = arriving(4_194_304, ...Array<number>(20).fill(40_000));
   expect(selectRequestsToRefuse(all, BOUND)).toEqual([]);
 });
+
+test('a body in tiny parts is refused only beside others that take up the time', () => {
+  const many = 1_000_000;
+  expect(isTooFragmented({ofThisBody: many, ofOthers: 1_000})).toBe(false);
+  expect(isTooFragmented({ofThisBody: 1_000, ofOthers: many})).toBe(true);
+  expect(isTooFragmented({ofThisBody: 64, ofOthers: many})).toBe(false);
+});
