--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -1,9 +1,14 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createIdleConnections} from './idle_connections';
-import type {RequestHandler} from './request_handler';
+import type {Expectation, RequestHandler} from './request_handler';
 
 /** Idle timeout of callers' connections until a configuration sets one. */
 const INITIAL_IDLE_TIMEOUT: Milliseconds = 15_000;
@@ -38,10 +43,15 @@
     () => server.keepAliveTimeout,
     clock,
   );
-  server.on('request', (request, response) => {
-    idleConnections.recordRequest(request, response);
-    handler.handle(request, response);
-  });
+  const handleRequest =
+    (expectation: Expectation) =>
+    (request: IncomingMessage, response: ServerResponse): void => {
+      idleConnections.recordRequest(request, response);
+      handler.handle(request, response, expectation);
+    };
+  server.on('request', handleRequest('none'));
+  server.on('checkContinue', handleRequest('continue'));
+  server.on('checkExpectation', handleRequest('unknown'));
   server.on('timeout', idleConnections.handleTimeout);
   // The request handler enforces deadlines itself.
   server.requestTimeout = 0;
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -70,6 +70,7 @@
 import {createStreamHandover} from './stream_handover';
 import {startTargetFollower} from './target_follower';
 import {createHeaderRecorder} from './header_recorder';
+import {createUnreadRequests} from './unread_requests';
 
 /** What an entry uses of the host platform. */
 export interface EntryPorts {
@@ -377,6 +378,7 @@
       onDropped: metrics.countDroppedReader,
     }),
     incoming,
+    unread: createUnreadRequests(clock),
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
--- a/packages/fleet/src/entry/local_answers.ts
+++ b/packages/fleet/src/entry/local_answers.ts
@@ -7,7 +7,7 @@
 
 /** An answer that the entry itself gives, without a target. */
 export interface LocalAnswer {
-  readonly status: 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504;
+  readonly status: 400 | 401 | 404 | 408 | 413 | 417 | 502 | 503 | 504;
   readonly reason: string;
   /**
    * When to retry; only with answers that guarantee that the request did not
@@ -59,6 +59,24 @@
   answer: LocalAnswer,
   ownLines: readonly string[],
 ): void {
+  response.end(beginLocalAnswer(response, answer, ownLines));
+}
+
+/** Sends a local answer whole, but leaves the response open. */
+export function sendLocalAnswer(
+  response: ServerResponse,
+  answer: LocalAnswer,
+  ownLines: readonly string[],
+): void {
+  response.write(beginLocalAnswer(response, answer, ownLines));
+}
+
+/** Writes the header; returns the body. */
+function beginLocalAnswer(
+  response: ServerResponse,
+  answer: LocalAnswer,
+  ownLines: readonly string[],
+): string {
   const text = `${answer.reason}\n`;
   const lines = [
     ...['Content-Type', 'text/plain'],
@@ -70,5 +88,5 @@
     lines.push('Retry-After', seconds);
   }
   response.writeHead(answer.status, lines);
-  response.end(text);
+  return text;
 }
--- a/packages/fleet/src/entry/request_body.ts
+++ b/packages/fleet/src/entry/request_body.ts
@@ -101,6 +101,11 @@
   return REQUEST_OVERHEAD + texts + characters;
 }
 
+/** The length that the caller has announced, if it is a number. */
+export function announcedLength({headers}: IncomingMessage): Bytes {
+  return Number(headers['content-length'] ?? 0);
+}
+
 /** Adds a Content-Length for the body as it is forwarded. */
 export function withContentLength(
   lines: readonly string[],
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -2,6 +2,7 @@
   createFirstEventTimes,
   forwardRequest,
   unreachable,
+  type Bytes,
   type ForwardResult,
   type ListedTarget,
   type Milliseconds,
@@ -26,16 +27,19 @@
   acceptHeader,
   acceptRequest,
   deny,
+  type AcceptedHeader,
   type AcceptedRequest,
+  type ArrivedHeader,
   type RequestAcceptanceOptions,
 } from './request_acceptance';
-import {readBody, type BodyReading} from './request_body';
+import {announcedLength, readBody, type BodyReading} from './request_body';
 import type {RequestRunOptions} from './request_context';
 import {createRequestRun} from './request_run';
 import {createRequestTrace, type RequestTrace} from './request_trace';
 import {createRunDurations} from './run_durations';
 import type {StreamProgress} from './stream_relay';
 import {createTimeliness} from './timeliness';
+import type {UnreadRequests, UnreadRest} from './unread_requests';
 
 const BODY_TOO_LARGE_ANSWER: LocalAnswer = {
   status: 413,
@@ -47,9 +51,23 @@
   reason: 'the body came too late',
 };
 
+const UNKNOWN_EXPECTATION_ANSWER: LocalAnswer = {
+  status: 417,
+  reason: 'unknown expectation',
+};
+
 /** Retry-After for callers whose request did not fit the memory. */
 const RETRY_OVERLOADED_AFTER: Milliseconds = 500;
 
+/**
+ * Maximum number of bytes that are read of a refused body until a configuration
+ * limits bodies.
+ */
+const INITIAL_MAX_REST: Bytes = 4 * 1024 * 1024;
+
+const CUT: UnreadRest = {kind: 'cut'};
+const UNSENT: UnreadRest = {kind: 'unsent'};
+
 /**
  * Answer if the handler itself fails; it is unknown whether the request has
  * run.
@@ -67,6 +85,7 @@
   readonly metrics: FleetMetrics;
   readonly buffers: BufferedBytes;
   readonly incoming: IncomingRequests;
+  readonly unread: UnreadRequests;
   readonly log: Log;
   /**
    * Latest time at which the list of targets is known to have been as it is
@@ -75,9 +94,19 @@
   readonly listedAt: () => MonotonicInstant | undefined;
 }
 
+/**
+ * What a caller expects before it sends the body: nothing, an informational
+ * answer, or something unknown.
+ */
+export type Expectation = 'none' | 'continue' | 'unknown';
+
 /** Handles callers' requests. */
 export interface RequestHandler {
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly handle: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectation: Expectation,
+  ) => void;
   /** Number of requests that were read and whose answers are not yet sent. */
   readonly running: () => number;
   /**
@@ -106,15 +135,21 @@
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
+    expectation: Expectation,
   ): Promise<void> {
     const arrivedAt = clock();
     const header = protocol.readCaller(request.rawHeaders);
     const path = request.url ?? '/';
-    const decided = acceptHeader(acceptance, {header, path, arrivedAt});
+    const decided =
+      expectation === 'unknown'
+        ? UNKNOWN_EXPECTATION_ANSWER
+        : decideByHeader(request, {header, path, arrivedAt});
     if ('status' in decided) {
-      answerLocally(request, response, header, decided);
+      const rest = expectation === 'none' ? discardedRest() : UNSENT;
+      answerLocally(request, response, header, decided, rest);
       return;
     }
+    if (expectation === 'continue') response.writeContinue();
     const reading = await readBody(request, response, {
       maxLength: decided.table.configuration.limits.bodyBytes,
       deadline: decided.deadline,
@@ -123,15 +158,14 @@
     if (reading.kind === 'gone' || response.destroyed) return;
     if (reading.kind === 'refused') {
       metrics.countRefusedBody(reading.reason);
-      answerLocally(request, response, header, refusalOf(reading.reason));
-      // The rest would cost as much as before.
-      if (reading.reason === 'fragmented') request.socket.destroy();
+      const {answer, rest} = refusalOf(reading.reason);
+      answerLocally(request, response, header, answer, rest);
       return;
     }
     const accepted = acceptRequest(acceptance, decided, reading.body);
     if ('status' in accepted) {
       reading.body.release();
-      answerLocally(request, response, header, accepted);
+      answerLocally(request, response, header, accepted, discardedRest());
       return;
     }
     countUntilClosed(response);
@@ -139,22 +173,47 @@
     await forward(request, response, accepted);
   }
 
+  /** Decides what can be known before the body. */
+  function decideByHeader(
+    request: IncomingMessage,
+    arrived: ArrivedHeader,
+  ): AcceptedHeader | LocalAnswer {
+    const accepted = acceptHeader(acceptance, arrived);
+    if ('status' in accepted) return accepted;
+    const {bodyBytes} = accepted.table.configuration.limits;
+    return announcedLength(request) > bodyBytes ? denyLargeBody() : accepted;
+  }
+
+  function denyLargeBody(): LocalAnswer {
+    return deny(options.readings.configuration(), BODY_TOO_LARGE_ANSWER);
+  }
+
   function refusalOf(
     reason: Extract<BodyReading, {readonly kind: 'refused'}>['reason'],
-  ): LocalAnswer {
+  ): {readonly answer: LocalAnswer; readonly rest: UnreadRest} {
     switch (reason) {
       case 'tooLarge':
-        return deny(options.readings.configuration(), BODY_TOO_LARGE_ANSWER);
+        return {answer: denyLargeBody(), rest: discardedRest()};
       case 'late':
-        return LATE_BODY_ANSWER;
+        return {answer: LATE_BODY_ANSWER, rest: discardedRest()};
       case 'overloaded':
+        return {
+          answer: notRun(reason, RETRY_OVERLOADED_AFTER),
+          rest: discardedRest(),
+        };
       case 'fragmented':
-        return notRun(reason, RETRY_OVERLOADED_AFTER);
+        return {answer: notRun(reason, RETRY_OVERLOADED_AFTER), rest: CUT};
       default:
         return unreachable(reason);
     }
   }
 
+  /** A body that the configuration allows is read to its end. */
+  function discardedRest(): UnreadRest {
+    const limits = operator.table()?.configuration.limits;
+    return {kind: 'discard', maxBytes: limits?.bodyBytes ?? INITIAL_MAX_REST};
+  }
+
   /**
    * A request is in progress until its answer has left this process, which may
    * take long if the caller reads slowly.
@@ -278,10 +337,11 @@
     response: ServerResponse,
     header: CallerHeader,
     answer: LocalAnswer,
+    rest: UnreadRest,
   ): void {
     countUntilClosed(response);
     observeReadingAges();
-    if (!response.destroyed) writeLocalAnswer(response, answer, ownLines());
+    options.unread.refuse(request, response, answer, ownLines(), rest);
     metrics.countRequest('none', String(answer.status));
     log.info('answered here', {
       request: header.requestId,
@@ -367,8 +427,8 @@
   }
 
   return {
-    handle: (request, response) => {
-      handle(request, response).catch((error: unknown) =>
+    handle: (request, response, expectation) => {
+      handle(request, response, expectation).catch((error: unknown) =>
         answerFailure(response, error),
       );
     },
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -79,6 +79,18 @@
     head: CHUNKED,
     parts: () => repeat(SMALL_CHUNK, 20_000),
   },
+  {
+    name: 'bodies far over the limit that are announced',
+    members: SENDERS,
+    head: announced(100 * MAX_BODY),
+    parts: () => repeat(PIECE, (2 * MAX_BODY) / PIECE.length),
+  },
+  {
+    name: 'bodies far over the limit that are not announced',
+    members: SENDERS,
+    head: CHUNKED,
+    parts: () => repeat(LARGE_CHUNK, (2 * MAX_BODY) / (64 * KILOBYTE)),
+  },
   {
     name: 'whole bodies of legal size at once',
     members: SENDERS,
@@ -99,6 +111,22 @@
   },
 ];
 
+/** Further ways to make an entry hold or do more than for ordinary callers. */
+const OTHER_CROWDS: readonly NamedScript[] = [
+  {
+    name: 'large bodies to a path without a route',
+    members: SENDERS,
+    head: announced(MAX_BODY).replace('/safe/', '/none/'),
+    parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
+  },
+  {
+    name: 'large bodies with an unknown key',
+    members: SENDERS,
+    head: announced(MAX_BODY).replace(KEY, 'unknown'),
+    parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
+  },
+];
+
 let site: HostSite;
 let engine: HostEngine;
 let entry: EntryProcess;
@@ -134,7 +162,7 @@
 }
 
 // Callers decided how much memory and how many descriptors an entry used.
-test.each(CROWDS)(
+test.each([...CROWDS, ...OTHER_CROWDS])(
   'an entry withstands callers that send $name',
   async script => {
     const processId = entry.processId() ?? 0;
