--- a/packages/core/src/memory/incoming_requests.ts
+++ b/packages/core/src/memory/incoming_requests.ts
@@ -108,3 +108,32 @@
 }: ReceivedParts): boolean {
   return ofThisBody >= FEW_PARTS && ofOthers >= MAX_PARTS;
 }
+
+/** For how long the connections have waited that wait longest. */
+export interface WaitingConnections {
+  /** Without any request so far; undefined if there are none. */
+  readonly unused: Milliseconds | undefined;
+  /** After a refusal, for the rest of the request; undefined if there are none. */
+  readonly refused: Milliseconds | undefined;
+  /** Between two requests; undefined if there are none. */
+  readonly idle: Milliseconds | undefined;
+}
+
+/** A caller sends its first request within this time after connecting. */
+const FIRST_REQUEST_WAIT: Milliseconds = 1_000;
+
+/**
+ * Which connection to close for a new one: one on which the caller has sent
+ * nothing or was refused, then one between two requests; `none` if all carry
+ * requests.
+ */
+export function selectConnectionToClose({
+  unused,
+  refused,
+  idle,
+}: WaitingConnections): keyof WaitingConnections | 'none' {
+  if (unused !== undefined && unused >= FIRST_REQUEST_WAIT) return 'unused';
+  if (refused !== undefined) return 'refused';
+  if (idle !== undefined) return 'idle';
+  return unused === undefined ? 'none' : 'unused';
+}
--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -1,17 +1,27 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
+import type {Bytes, Milliseconds} from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import {
   createServer,
   type IncomingMessage,
   type Server,
+  type ServerOptions,
   type ServerResponse,
 } from 'node:http';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+  limitConnections,
+  type CallerConnections,
+  type ConnectionLimits,
+} from './caller_connections';
 import {createIdleConnections} from './idle_connections';
 import type {Expectation, RequestHandler} from './request_handler';
 
-/** Idle timeout of callers' connections until a configuration sets one. */
-const INITIAL_IDLE_TIMEOUT: Milliseconds = 15_000;
+/** Limits on callers until a configuration sets them. */
+const INITIAL_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  headerTimeout: 3_000,
+  idleTimeout: 15_000,
+};
 
 /**
  * Length of the accept queue; a burst of callers opens hundreds of connections
@@ -25,10 +35,28 @@
  */
 const TURNS_TO_READ = 3;
 
+/** Limits on what callers send, as the operator configures them. */
+export interface CallerLimits {
+  /** Maximum size of a header. */
+  readonly headerBytes: Bytes;
+  /** Time in which a header has to arrive. */
+  readonly headerTimeout: Milliseconds;
+  /** Time for which a connection is kept without a request. */
+  readonly idleTimeout: Milliseconds;
+}
+
+/** Limits of the process on callers' connections. */
+export type CallerServerOptions = Omit<
+  ConnectionLimits,
+  'headerTimeout' | 'idleTimeout'
+>;
+
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly listen: (address: string) => Promise<void>;
-  readonly setIdleTimeout: (timeout: Milliseconds) => void;
+  readonly setLimits: (limits: CallerLimits) => void;
+  /** Number of open connections. */
+  readonly connections: CallerConnections['count'];
   /** Reads what has already arrived, then accepts nothing more. */
   readonly close: () => Promise<void>;
 }
@@ -37,8 +65,19 @@
 export function createCallerServer(
   handler: RequestHandler,
   clock: Clock,
+  options: CallerServerOptions,
 ): CallerServer {
-  const server: Server = createServer({keepAliveTimeout: INITIAL_IDLE_TIMEOUT});
+  let limits = INITIAL_LIMITS;
+  // The maximum size of a header is read at each connection.
+  const server: Server & Pick<ServerOptions, 'maxHeaderSize'> = createServer({
+    keepAliveTimeout: limits.idleTimeout,
+    maxHeaderSize: limits.headerBytes,
+  });
+  const connections = limitConnections(server, {
+    ...options,
+    headerTimeout: () => limits.headerTimeout,
+    idleTimeout: () => limits.idleTimeout,
+  });
   const idleConnections = createIdleConnections(
     () => server.keepAliveTimeout,
     clock,
@@ -46,6 +85,7 @@
   const handleRequest =
     (expectation: Expectation) =>
     (request: IncomingMessage, response: ServerResponse): void => {
+      if (!connections.recordRequest(request, response)) return;
       idleConnections.recordRequest(request, response);
       handler.handle(request, response, expectation);
     };
@@ -53,7 +93,10 @@
   server.on('checkContinue', handleRequest('continue'));
   server.on('checkExpectation', handleRequest('unknown'));
   server.on('timeout', idleConnections.handleTimeout);
-  // The request handler enforces deadlines itself.
+  // The limits on connections and the request handler enforce them: timers run
+  // before sockets are read, so Node.js would refuse what has arrived during a
+  // stall of the process.
+  server.headersTimeout = 0;
   server.requestTimeout = 0;
   return {
     listen: address => {
@@ -63,9 +106,12 @@
         server.listen(Number(port), host, ACCEPT_BACKLOG, resolve);
       });
     },
-    setIdleTimeout: timeout => {
-      server.keepAliveTimeout = timeout;
+    setLimits: changed => {
+      limits = changed;
+      server.keepAliveTimeout = changed.idleTimeout;
+      server.maxHeaderSize = changed.headerBytes;
     },
+    connections: connections.count,
     close: async () => {
       for (let turn = 0; turn < TURNS_TO_READ; turn += 1) await nextTurn();
       server.close();
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -40,6 +40,7 @@
 import {startMachineClock} from '../runtime/clock';
 import {createStallMonitor} from '../runtime/stall_monitor';
 import {
+  connectionLimits,
   incomingMemory,
   maxBufferedBytes,
   type FleetEntrySettings,
@@ -286,7 +287,7 @@
     spread,
     onChange: () => {
       const limits = operator.table()?.configuration.limits;
-      if (limits !== undefined) callerServer.setIdleTimeout(limits.idleTimeout);
+      if (limits !== undefined) callerServer.setLimits(limits);
       slotQueue.pump();
     },
   });
@@ -339,11 +340,10 @@
     failurePause,
     onChange: entryPeers.setMembers,
   });
-  const incoming = createIncomingRequests({
-    bound: incomingMemory(settings).requests,
-    clock,
-  });
-  metrics.observeCallers({memory: incoming.memory});
+  const memory = incomingMemory(settings);
+  const maxConnections = connectionLimits(settings);
+  const incoming = createIncomingRequests({bound: memory.requests, clock});
+  const unread = createUnreadRequests(clock);
   const handler = createRequestHandler({
     protocol: ports.requests,
     operator,
@@ -378,7 +378,7 @@
       onDropped: metrics.countDroppedReader,
     }),
     incoming,
-    unread: createUnreadRequests(clock),
+    unread,
     isQuarantineKnown: quarantineStore.isKnown,
     metrics,
     clock,
@@ -389,7 +389,18 @@
     plannedStop,
     hasOtherEntries: () => entryPeers.usable().length > 0,
   });
-  const callerServer = createCallerServer(handler, clock);
+  const callerServer = createCallerServer(handler, clock, {
+    maxConnections: maxConnections.callers,
+    maxHeaderMemory: memory.headers,
+    unread,
+    closeArriving: incoming.refuseLongestStalled,
+    onClosed: metrics.countClosedConnection,
+    clock,
+  });
+  metrics.observeCallers({
+    memory: incoming.memory,
+    connections: callerServer.connections,
+  });
   const usable = (): readonly MemberDescription[] => {
     const others = entryPeers.usable();
     return isReady() || others.length === 0 ? [self, ...others] : others;
--- a/packages/fleet/src/entry/fleet_metrics.ts
+++ b/packages/fleet/src/entry/fleet_metrics.ts
@@ -38,6 +38,8 @@
 export interface CallerUse {
   /** Bytes of their requests, by state. */
   readonly memory: () => Readonly<Record<'arriving' | 'complete', number>>;
+  /** Number of their connections. */
+  readonly connections: () => number;
 }
 
 /** Metrics of a process. */
@@ -83,6 +85,8 @@
   readonly countDroppedReader: (kind: string) => void;
   /** Counts a request that was refused before it had arrived. */
   readonly countRefusedBody: (reason: string) => void;
+  /** Counts a connection of a caller that was closed to keep a limit. */
+  readonly countClosedConnection: (reason: string) => void;
   /** Sets where the use of resources by callers is read. */
   readonly observeCallers: (use: CallerUse) => void;
   /** Sets the number of quarantined requests and prompt parts. */
@@ -201,6 +205,12 @@
     labelNames: ['reason'],
     registers: [registry],
   });
+  const closedConnections = new Counter({
+    name: 'hibiscusbeam_closed_connections_total',
+    help: 'Connections of callers that were closed to keep a limit, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
   let callers: CallerUse | undefined;
   new Gauge({
     name: 'hibiscusbeam_request_bytes',
@@ -213,6 +223,14 @@
       this.set({state: 'complete'}, complete);
     },
   });
+  new Gauge({
+    name: 'hibiscusbeam_caller_connections',
+    help: 'Open connections of callers.',
+    registers: [registry],
+    collect() {
+      this.set(callers?.connections() ?? 0);
+    },
+  });
   const quarantined = new Gauge({
     name: 'hibiscusbeam_quarantined',
     help: 'Requests and parts of prompts that are sent to no target.',
@@ -249,6 +267,7 @@
       slotWaits.observe({service}, milliseconds),
     countDroppedReader: kind => droppedReaders.inc({kind}),
     countRefusedBody: reason => refusedBodies.inc({reason}),
+    countClosedConnection: reason => closedConnections.inc({reason}),
     observeCallers: use => (callers = use),
     setQuarantined: count => quarantined.set(count),
     text: () => registry.metrics(),
--- a/packages/fleet/src/entry/incoming_requests.ts
+++ b/packages/fleet/src/entry/incoming_requests.ts
@@ -20,7 +20,9 @@
   /** It comes in too many parts beside others. */
   | 'fragmented'
   /** Its deadline has passed. */
-  | 'late';
+  | 'late'
+  /** Its connection is closed for another one. */
+  | 'tooManyConnections';
 
 /** A request that is read. */
 export interface IncomingRequestOptions {
@@ -53,6 +55,11 @@
 /** Limits the memory that callers' requests take. */
 export interface IncomingRequests {
   readonly open: (options: IncomingRequestOptions) => TrackedRequest;
+  /**
+   * Refuses the arriving request without progress for the longest time, to close
+   * its connection; false if none is arriving.
+   */
+  readonly refuseLongestStalled: () => boolean;
   readonly memory: () => IncomingMemory;
 }
 
@@ -188,6 +195,18 @@
     };
   }
 
+  function refuseLongestStalled(): boolean {
+    let longest: Tracked | undefined;
+    for (const request of tracked) {
+      if (!request.isArriving) continue;
+      longest ??= request;
+      if (request.progressedAt < longest.progressedAt) longest = request;
+    }
+    if (longest === undefined) return false;
+    refuse(longest, 'tooManyConnections');
+    return true;
+  }
+
   function memory(): IncomingMemory {
     let ofArriving: Bytes = 0;
     for (const request of tracked) {
@@ -196,5 +215,5 @@
     return {arriving: ofArriving, complete: total - ofArriving};
   }
 
-  return {open, memory};
+  return {open, refuseLongestStalled, memory};
 }
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -202,6 +202,7 @@
           rest: discardedRest(),
         };
       case 'fragmented':
+      case 'tooManyConnections':
         return {answer: notRun(reason, RETRY_OVERLOADED_AFTER), rest: CUT};
       default:
         return unreachable(reason);
--- a/packages/fleet/src/settings/buffer_limit.ts
+++ b/packages/fleet/src/settings/buffer_limit.ts
@@ -28,15 +28,22 @@
 /** Share of an entry's memory for the requests that it has or reads. */
 const REQUEST_MEMORY_SHARE = 0.2;
 
+/** Share of an entry's memory for headers that are arriving. */
+const HEADER_MEMORY_SHARE = 0.04;
+
 /** Memory of an entry if it is not given. */
 const DEFAULT_MEMORY_MEGABYTES = 320;
 
-/** Maximum memory of callers' requests. */
+/** Maximum memory of callers' requests, and of headers that are arriving. */
 export function incomingMemory({
   memoryMegabytes,
 }: Pick<FleetEntrySettings, 'memoryMegabytes'>): {
   readonly requests: Bytes;
+  readonly headers: Bytes;
 } {
   const memory = (memoryMegabytes ?? DEFAULT_MEMORY_MEGABYTES) * MEGABYTE;
-  return {requests: memory * REQUEST_MEMORY_SHARE};
+  return {
+    requests: memory * REQUEST_MEMORY_SHARE,
+    headers: memory * HEADER_MEMORY_SHARE,
+  };
 }
--- /dev/null
+++ b/packages/fleet/src/settings/connection_limits.ts
@@ -0,0 +1,27 @@
+import type {FleetSettings} from './schema';
+
+/** Maximum numbers of connections that others open to a process. */
+export interface ConnectionLimits {
+  readonly callers: number;
+}
+
+/** Descriptors of a process if their number is not given. */
+const DEFAULT_DESCRIPTORS = 4_096;
+
+/** Descriptors that are kept for files. */
+const FILE_DESCRIPTORS = 200;
+
+/**
+ * Shares of the other descriptors. Each request of a caller takes a connection
+ * to a target; the rest is for peers and the store.
+ */
+const CALLERS_SHARE = 0.37;
+
+/** Divides the descriptors of a process. */
+export function connectionLimits({
+  maxDescriptors,
+}: Pick<FleetSettings, 'maxDescriptors'>): ConnectionLimits {
+  const descriptors = maxDescriptors ?? DEFAULT_DESCRIPTORS;
+  const sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
+  return {callers: Math.max(1, Math.floor(sockets * CALLERS_SHARE))};
+}
--- a/packages/fleet/src/settings/schema.ts
+++ b/packages/fleet/src/settings/schema.ts
@@ -13,6 +13,8 @@
   /** Address for the other processes of the site. */
   peerAddress: address,
   metricsAddress: address.optional(),
+  /** Maximum number of descriptors that the process may open. */
+  maxDescriptors: z.int().positive().nullish(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   store: z.object({address, heartbeat: milliseconds}),
 };
--- /dev/null
+++ b/test/fleet/caller_connections.test.ts
@@ -0,0 +1,144 @@
+import {monotonicClock} from '@hibiscusbeam/daemon';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {
+  createCallerServer,
+  type CallerServer,
+} from '../../packages/fleet/src/entry/caller_server';
+import {createUnreadRequests} from '../../packages/fleet/src/entry/unread_requests';
+import {eventually, freeAddress} from './fixtures/host_site';
+
+const MAX_CONNECTIONS = 4;
+const MAX_HEADER_MEMORY = 80_000;
+const HEADER_TIMEOUT = 1_500;
+const HEAD = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
+const HALF_HEAD = 'POST / HTTP/1.1\r\nHost: a';
+
+/** Longer than a header may take, with the interval between checks. */
+const STALL = 2_000;
+
+let server: CallerServer;
+let address: string;
+let closed: string[];
+let closeArriving: () => boolean;
+let sockets: Socket[];
+let handled: number;
+
+beforeEach(async () => {
+  closed = [];
+  sockets = [];
+  handled = 0;
+  closeArriving = () => false;
+  server = createCallerServer(
+    {
+      handle: (request, response) => {
+        handled += 1;
+        request.resume().once('end', () => response.end('yes'));
+      },
+      running: () => 0,
+      endAll: () => undefined,
+      cutAll: () => undefined,
+    },
+    monotonicClock,
+    {
+      maxConnections: MAX_CONNECTIONS,
+      maxHeaderMemory: MAX_HEADER_MEMORY,
+      unread: createUnreadRequests(monotonicClock),
+      closeArriving: () => closeArriving(),
+      onClosed: reason => closed.push(reason),
+      clock: monotonicClock,
+    },
+  );
+  setIdleTimeout(60_000);
+  address = await freeAddress();
+  await server.listen(address);
+});
+
+afterEach(async () => {
+  for (const socket of sockets) socket.destroy();
+  await server.close();
+});
+
+function setIdleTimeout(idleTimeout: number): void {
+  const headerBytes = 16_384;
+  server.setLimits({headerBytes, headerTimeout: HEADER_TIMEOUT, idleTimeout});
+}
+
+async function open(sent = '') {
+  const [host, port] = address.split(':');
+  const socket = connect(Number(port), host);
+  const connection = {socket, received: ''};
+  sockets.push(socket);
+  socket.on('error', () => undefined);
+  socket.on('data', bytes => (connection.received += bytes.toString()));
+  socket.write(sent);
+  await once(socket, 'connect');
+  return connection;
+}
+
+function blockEventLoop(duration: number): void {
+  const until = performance.now() + duration;
+  while (performance.now() < until);
+}
+
+test('a header that does not end is refused with 408, also if bytes keep coming', async () => {
+  const connection = await open(HALF_HEAD);
+  const {socket} = connection;
+  const timer = setInterval(() => socket.write('x'), 50);
+  await eventually(() => socket.closed);
+  clearInterval(timer);
+  expect(connection.received).toContain('408 Request Timeout');
+  expect(closed).toEqual(['lateHeader']);
+});
+
+test('a header whose end arrives while the event loop is stalled is answered', async () => {
+  const connection = await open(HALF_HEAD);
+  connection.socket.write(HEAD.slice(HALF_HEAD.length));
+  blockEventLoop(STALL);
+  await eventually(() => connection.received.includes('200 OK'));
+  expect(closed).toEqual([]);
+});
+
+test('a connection on which nothing is sent is closed after the idle timeout', async () => {
+  setIdleTimeout(100);
+  const {socket} = await open();
+  await eventually(() => socket.closed);
+  expect(closed).toEqual(['unused']);
+});
+
+test('a new connection is served in place of the one that has been unused for longest', async () => {
+  const unused: Socket[] = [];
+  for (let count = 0; count < MAX_CONNECTIONS; count += 1) {
+    unused.push((await open()).socket);
+  }
+  const caller = await open(HEAD);
+  await eventually(() => caller.received.includes('200 OK'));
+  await eventually(() => unused[0]?.closed);
+  expect(unused.slice(1).some(socket => socket.closed)).toBe(false);
+  expect(closed).toEqual(['tooMany']);
+});
+
+test('a new connection is served in place of one on which a request does not arrive', async () => {
+  const slow: Socket[] = [];
+  closeArriving = () => {
+    slow.shift()?.destroy();
+    return true;
+  };
+  const unfinished = HEAD.replace('Length: 0', 'Length: 9');
+  for (let count = 0; count < MAX_CONNECTIONS; count += 1) {
+    slow.push((await open(unfinished)).socket);
+  }
+  await eventually(() => handled === MAX_CONNECTIONS);
+  const caller = await open(HEAD);
+  await eventually(() => caller.received.includes('200 OK'));
+  expect(slow.length).toBe(MAX_CONNECTIONS - 1);
+});
+
+test('headers that take too much memory together are closed, the largest first', async () => {
+  const large = await open(`${HALF_HEAD}${'\r\nab:'.repeat(2_900)}`);
+  const small = await open(HALF_HEAD);
+  await eventually(() => large.socket.closed);
+  expect(closed).toEqual(['largeHeader']);
+  expect(small.socket.closed).toBe(false);
+});
--- a/test/fleet/caller_server.test.ts
+++ b/test/fleet/caller_server.test.ts
@@ -6,6 +6,7 @@
   createCallerServer,
   type CallerServer,
 } from '../../packages/fleet/src/entry/caller_server';
+import {createUnreadRequests} from '../../packages/fleet/src/entry/unread_requests';
 import {freeAddress} from './fixtures/host_site';
 
 const REQUEST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
@@ -17,7 +18,11 @@
 /** Longer than a connection is kept with the short idle time. */
 const OVER_SHORT_TIME = 1_600;
 
+const MAX_CONNECTIONS = 3;
+const MAX_HEADER_MEMORY = 100_000;
+
 let server: CallerServer;
+let closed: string[];
 let caller: Socket;
 let onRequest: (response: ServerResponse) => void;
 
@@ -33,7 +38,16 @@
       cutAll: () => undefined,
     },
     monotonicClock,
+    {
+      maxConnections: MAX_CONNECTIONS,
+      maxHeaderMemory: MAX_HEADER_MEMORY,
+      unread: createUnreadRequests(monotonicClock),
+      closeArriving: () => false,
+      onClosed: reason => closed.push(reason),
+      clock: monotonicClock,
+    },
   );
+  closed = [];
   const address = await freeAddress();
   await server.listen(address);
   caller = connect(Number(address.split(':')[1]), '127.0.0.1');
@@ -45,6 +59,10 @@
   await server.close();
 });
 
+function setIdleTimeout(idleTimeout: number): void {
+  server.setLimits({headerBytes: 16_384, headerTimeout: 3_000, idleTimeout});
+}
+
 /** The next bytes from the entry, or `closed` if it closed the connection. */
 function nextAnswer(): Promise<string> {
   if (caller.closed) return Promise.resolve('closed');
@@ -69,13 +87,13 @@
 }
 
 test('a connection that stays idle is closed', async () => {
-  server.setIdleTimeout(SHORT_TIME);
+  setIdleTimeout(SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
   expect(await nextAnswer()).toBe('closed');
 });
 
 test('a request that arrives while the event loop is stalled past the idle timeout is answered', async () => {
-  server.setIdleTimeout(SHORT_TIME);
+  setIdleTimeout(SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
   const second = sendRequest();
   blockEventLoop(OVER_SHORT_TIME);
@@ -83,7 +101,7 @@
 });
 
 test('a request whose beginning arrives while the event loop is stalled past the idle timeout is answered', async () => {
-  server.setIdleTimeout(SHORT_TIME);
+  setIdleTimeout(SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
   const second = sendRequest(HALF_REQUEST);
   blockEventLoop(OVER_SHORT_TIME);
@@ -93,17 +111,17 @@
 });
 
 test('an idle connection is kept for a longer idle timeout that takes effect', async () => {
-  server.setIdleTimeout(SHORT_TIME);
+  setIdleTimeout(SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
-  server.setIdleTimeout(LONG_TIME);
+  setIdleTimeout(LONG_TIME);
   await sleep(OVER_SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
 });
 
 test('an idle connection is kept for the announced idle timeout even if a shorter one takes effect', async () => {
-  server.setIdleTimeout(LONG_TIME);
+  setIdleTimeout(LONG_TIME);
   onRequest = response => {
-    server.setIdleTimeout(SHORT_TIME);
+    setIdleTimeout(SHORT_TIME);
     response.end('yes');
   };
   expect(await sendRequest()).toContain(`timeout=${LONG_TIME / 1_000}`);
@@ -112,7 +130,7 @@
 });
 
 test('a request that lasts longer than the idle timeout is answered', async () => {
-  server.setIdleTimeout(SHORT_TIME);
+  setIdleTimeout(SHORT_TIME);
   expect(await sendRequest()).toContain('200 OK');
   onRequest = response =>
     void setTimeout(() => response.end('late'), OVER_SHORT_TIME);
--- a/test/memory/incoming_requests.test.ts
+++ b/test/memory/incoming_requests.test.ts
@@ -1,4 +1,8 @@
-import {isTooFragmented, selectRequestsToRefuse} from '@hibiscusbeam/core';
+import {
+  isTooFragmented,
+  selectConnectionToClose,
+  selectRequestsToRefuse,
+} from '@hibiscusbeam/core';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
 import {propertyRuns} from '../forwarding/property_runs';
@@ -75,3 +79,13 @@
   expect(isTooFragmented({ofThisBody: 1_000, ofOthers: many})).toBe(true);
   expect(isTooFragmented({ofThisBody: 64, ofOthers: many})).toBe(false);
 });
+
+test.each([
+  [{unused: 5_000, refused: 900, idle: 9_000}, 'unused'],
+  [{unused: 10, refused: 900, idle: 9_000}, 'refused'],
+  [{unused: 10, refused: undefined, idle: 9_000}, 'idle'],
+  [{unused: 10, refused: undefined, idle: undefined}, 'unused'],
+  [{unused: undefined, refused: undefined, idle: undefined}, 'none'],
+] as const)('of connections that wait %o, %s is closed', (waiting, kind) => {
+  expect(selectConnectionToClose(waiting)).toBe(kind);
+});
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -13,19 +13,23 @@
 } from '../fleet/fixtures/host_site';
 import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
 import {startCrowd, type Crowd, type CrowdScript} from './crowd';
-import {peakMemory} from './process_resources';
+import {openDescriptors, peakMemory} from './process_resources';
 
 /** Memory of the smallest machine of the sites. */
 const MEMORY_MEGABYTES = 250;
 
+const MAX_DESCRIPTORS = 400;
+
 /** Flags of the deployed program. */
 const FLAGS = ['--max-old-space-size=192', '--max-semi-space-size=1'];
 
 const MAX_BODY = 4_194_304;
 const KILOBYTE = 1_024;
+const SAMPLE_PERIOD_MS = 20;
 
-/** Connections that send large bodies. */
+/** Connections that send large bodies, and those that hold descriptors. */
 const SENDERS = 80;
+const WAITERS = 600;
 
 const HEAD_LINES = [
   'POST /safe/a HTTP/1.1',
@@ -109,10 +113,47 @@
     head: announced(MAX_BODY),
     parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
   },
+  {
+    name: 'the first byte of a body',
+    members: WAITERS,
+    head: announced(MAX_BODY),
+    parts: () => [Buffer.from('x')],
+  },
+  {
+    name: 'half a head',
+    members: WAITERS,
+    head: HEAD_LINES.slice(0, 2).join('\r\n'),
+    parts: () => [],
+  },
+  {name: 'nothing', members: WAITERS, head: '', parts: () => []},
 ];
 
 /** Further ways to make an entry hold or do more than for ordinary callers. */
 const OTHER_CROWDS: readonly NamedScript[] = [
+  {
+    name: 'headers of many lines that stop short of their end',
+    members: WAITERS,
+    head: HEAD_LINES.slice(0, 2).join('\r\n'),
+    parts: () => [Buffer.from('\r\nab:'.repeat(3_000))],
+  },
+  {
+    name: 'trailers without end',
+    members: SENDERS,
+    head: `${CHUNKED}0\r\n`,
+    parts: () => repeat(Buffer.from('a:b\r\n'.repeat(KILOBYTE)), 200),
+  },
+  {
+    name: 'extensions of chunks without end',
+    members: SENDERS,
+    head: `${CHUNKED}1;`,
+    parts: () => repeat(PIECE, 200),
+  },
+  {
+    name: 'the size of a chunk without end',
+    members: SENDERS,
+    head: CHUNKED,
+    parts: () => repeat(Buffer.alloc(PIECE.length, '0'), 200),
+  },
   {
     name: 'large bodies to a path without a route',
     members: SENDERS,
@@ -125,6 +166,12 @@
     head: announced(MAX_BODY).replace(KEY, 'unknown'),
     parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
   },
+  {
+    name: 'nothing after the entry has asked for the body',
+    members: WAITERS,
+    head: announced(MAX_BODY).replace('Host', 'Expect: 100-continue\r\nHost'),
+    parts: () => [],
+  },
 ];
 
 let site: HostSite;
@@ -132,6 +179,8 @@
 let entry: EntryProcess;
 let crowd: Crowd;
 let folder: string;
+let mostDescriptors: number;
+let sampling: NodeJS.Timeout;
 
 beforeEach(async () => {
   site = await startHostSite();
@@ -142,13 +191,20 @@
   const settings = {
     ...(await site.entrySettings()),
     memoryMegabytes: MEMORY_MEGABYTES,
+    maxDescriptors: MAX_DESCRIPTORS,
   };
   entry = startEntryProcess({settings, folder, pause: 60_000, flags: FLAGS});
   await eventually(() => isReady(entry.readinessAddress).catch(() => false));
   await eventually(isOrdinaryRequestAnswered);
+  mostDescriptors = 0;
+  sampling = setInterval(() => {
+    const open = openDescriptors(entry.processId() ?? 0);
+    mostDescriptors = Math.max(mostDescriptors, open);
+  }, SAMPLE_PERIOD_MS);
 });
 
 afterEach(async () => {
+  clearInterval(sampling);
   crowd.close();
   await entry.close();
   await engine.close();
@@ -173,5 +229,6 @@
     await eventually(() => isOrdinaryRequestAnswered().catch(() => false));
     await eventually(() => isReady(entry.readinessAddress).catch(() => false));
     expect(peakMemory(processId)).toBeLessThan(MEMORY_MEGABYTES * 1_000_000);
+    expect(mostDescriptors).toBeLessThanOrEqual(MAX_DESCRIPTORS);
   },
 );
