--- a/packages/fleet/src/entry/caller_connections.ts
+++ b/packages/fleet/src/entry/caller_connections.ts
@@ -9,6 +9,7 @@
 import {every, type Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {destroyWithParser} from '../runtime/request_parser';
 import type {UnreadRequests} from './unread_requests';
 
 /** Interval between checks of connections that wait for a request. */
@@ -29,11 +30,15 @@
   /** No request was sent on it. */
   | 'unused'
   /** The headers that are arriving take too much memory. */
-  | 'largeHeader';
+  | 'largeHeader'
+  /** Too many requests were sent before the first was answered. */
+  | 'pipelined';
 
 /** Limits on callers' connections. */
 export interface ConnectionLimits {
   readonly maxConnections: number;
+  /** Maximum number of requests on a connection that are not yet answered. */
+  readonly maxPipelined: number;
   /** Maximum memory of all headers that are arriving. */
   readonly maxHeaderMemory: Bytes;
   /** Time from the first byte of a header to its end. */
@@ -66,6 +71,17 @@
   headerSince: MonotonicInstant | undefined;
 }
 
+/**
+ * Closes the responses that waited for an earlier one on their connection.
+ * Node.js reports the end of the connection to the earliest one only.
+ */
+function closeAll(responses: ReadonlySet<ServerResponse>): void {
+  for (const response of [...responses]) {
+    response.destroy();
+    response.emit('close');
+  }
+}
+
 /**
  * Creates the limits for the connections of `server`. Callers that open
  * connections and send nothing, or a byte now and then, would otherwise use up
@@ -102,7 +118,7 @@
     stopWaiting(socket);
     limits.onClosed(reason);
     if (reason !== 'lateHeader') {
-      socket.destroy();
+      destroyWithParser(socket);
       return;
     }
     socket.end(TIMEOUT_ANSWER);
@@ -176,6 +192,7 @@
     socket.once('close', () => {
       open.delete(socket);
       stopWaiting(socket);
+      setImmediate(closeAll, responses);
     });
     if (open.size > limits.maxConnections) makeRoom(socket);
     if (!socket.destroyed) wait(unused, socket);
@@ -187,6 +204,10 @@
       stopWaiting(socket);
       const responses = open.get(socket);
       if (responses === undefined) return false;
+      if (responses.size >= limits.maxPipelined) {
+        close(socket, 'pipelined');
+        return false;
+      }
       responses.add(response);
       response.once('close', () => {
         responses.delete(response);
--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -48,9 +48,12 @@
 /** Limits of the process on callers' connections. */
 export type CallerServerOptions = Omit<
   ConnectionLimits,
-  'headerTimeout' | 'idleTimeout'
+  'maxPipelined' | 'headerTimeout' | 'idleTimeout'
 >;
 
+/** Callers send their requests one after the other. */
+const MAX_PIPELINED = 4;
+
 /** HTTP server for callers. */
 export interface CallerServer {
   readonly listen: (address: string) => Promise<void>;
@@ -75,6 +78,7 @@
   });
   const connections = limitConnections(server, {
     ...options,
+    maxPipelined: MAX_PIPELINED,
     headerTimeout: () => limits.headerTimeout,
     idleTimeout: () => limits.idleTimeout,
   });
--- a/packages/fleet/src/entry/unread_requests.ts
+++ b/packages/fleet/src/entry/unread_requests.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {destroyWithParser} from '../runtime/request_parser';
 import {
   sendLocalAnswer,
   writeLocalAnswer,
@@ -98,7 +99,7 @@
           return;
         case 'cut':
           writeLocalAnswer(response, answer, CLOSE);
-          request.socket.destroy();
+          destroyWithParser(request.socket);
           return;
       }
     },
@@ -107,7 +108,7 @@
       return undefined;
     },
     closeLongest: () => {
-      for (const socket of awaited.keys()) return void socket.destroy();
+      for (const socket of awaited.keys()) return destroyWithParser(socket);
     },
   };
 }
--- a/test/fleet/caller_connections.test.ts
+++ b/test/fleet/caller_connections.test.ts
@@ -1,5 +1,6 @@
 import {monotonicClock} from '@hibiscusbeam/daemon';
 import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {
@@ -24,17 +25,19 @@
 let closeArriving: () => boolean;
 let sockets: Socket[];
 let handled: number;
+let answers: (response: ServerResponse) => void;
 
 beforeEach(async () => {
   closed = [];
   sockets = [];
   handled = 0;
+  answers = response => response.end('yes');
   closeArriving = () => false;
   server = createCallerServer(
     {
       handle: (request, response) => {
         handled += 1;
-        request.resume().once('end', () => response.end('yes'));
+        request.resume().once('end', () => answers(response));
       },
       running: () => 0,
       endAll: () => undefined,
@@ -142,3 +145,24 @@
   expect(closed).toEqual(['largeHeader']);
   expect(small.socket.closed).toBe(false);
 });
+
+// A packet may hold hundreds of requests, each of which takes a slot.
+test('a connection with many requests that are not answered is closed and parsed no further', async () => {
+  answers = () => undefined;
+  const caller = await open(HEAD.repeat(100));
+  await eventually(() => caller.socket.closed);
+  expect(closed).toEqual(['pipelined']);
+  expect(handled).toBe(4);
+});
+
+// Node.js reports the end of a connection to the response that is sent only.
+test('all requests on a connection end with it', async () => {
+  const responses: ServerResponse[] = [];
+  answers = response => void responses.push(response);
+  const caller = await open(HEAD.repeat(3));
+  await eventually(() => handled === 3);
+  const ended = responses.map(response => once(response, 'close'));
+  caller.socket.destroy();
+  await Promise.all(ended);
+  expect(responses.every(({destroyed}) => destroyed)).toBe(true);
+});
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -63,6 +63,8 @@
   readonly name: string;
 }
 
+const SMALL_REQUEST = HEAD_LINES.slice(0, 3).join('\r\n') + '\r\n\r\n';
+
 const CROWDS: readonly NamedScript[] = [
   {
     name: 'chunked bodies in large chunks that stop short of their end',
@@ -130,6 +132,12 @@
 
 /** Further ways to make an entry hold or do more than for ordinary callers. */
 const OTHER_CROWDS: readonly NamedScript[] = [
+  {
+    name: 'requests before the first one is answered',
+    members: SENDERS,
+    head: '',
+    parts: () => repeat(Buffer.from(SMALL_REQUEST.repeat(500)), 10),
+  },
   {
     name: 'headers of many lines that stop short of their end',
     members: WAITERS,
