--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -467,14 +467,24 @@
       regionOf: regions.regionOf,
       regionsOf: host => operator.table()?.regionsOf(host),
       keepFor,
+      maxConnections: maxConnections.auxiliary,
+    }),
+    openReadinessServer({
+      address: settings.readinessAddress,
+      protocol: ports.directory,
+      isReady,
+      maxConnections: maxConnections.auxiliary,
     }),
-    openReadinessServer(settings.readinessAddress, ports.directory, isReady),
     callerServer.listen(settings.callerAddress),
   ]);
   const metricsServer =
     settings.metricsAddress === undefined
       ? undefined
-      : await openMetricsServer(settings.metricsAddress, metrics);
+      : await openMetricsServer({
+          address: settings.metricsAddress,
+          metrics,
+          maxConnections: maxConnections.metrics,
+        });
   members.start(stopped.signal);
   const stopPeers = entryPeers.start();
 
--- a/packages/fleet/src/settings/connection_limits.ts
+++ b/packages/fleet/src/settings/connection_limits.ts
@@ -3,6 +3,10 @@
 /** Maximum numbers of connections that others open to a process. */
 export interface ConnectionLimits {
   readonly callers: number;
+  /** On each of the directory and readiness ports. */
+  readonly auxiliary: number;
+  /** On the metrics port, whose answers are large. */
+  readonly metrics: number;
 }
 
 /** Descriptors of a process if their number is not given. */
@@ -16,6 +20,9 @@
  * to a target; the rest is for peers and the store.
  */
 const CALLERS_SHARE = 0.37;
+const AUXILIARY_SHARE = 0.03;
+
+const MAX_METRICS_CONNECTIONS = 16;
 
 /** Divides the descriptors of a process. */
 export function connectionLimits({
@@ -23,5 +30,12 @@
 }: Pick<FleetSettings, 'maxDescriptors'>): ConnectionLimits {
   const descriptors = maxDescriptors ?? DEFAULT_DESCRIPTORS;
   const sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
-  return {callers: Math.max(1, Math.floor(sockets * CALLERS_SHARE))};
+  const share = (part: number): number =>
+    Math.max(1, Math.floor(sockets * part));
+  const auxiliary = share(AUXILIARY_SHARE);
+  return {
+    callers: share(CALLERS_SHARE),
+    auxiliary,
+    metrics: Math.min(auxiliary, MAX_METRICS_CONNECTIONS),
+  };
 }
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -1,11 +1,14 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import type {FleetEntrySettings} from '@hibiscusbeam/fleet';
+import {request} from 'undici';
 import {afterEach, beforeEach, expect, test} from 'vitest';
 import {isReady, send} from '../fleet/fixtures/host_caller';
 import {startHostEngine, type HostEngine} from '../fleet/fixtures/host_engine';
 import {
   eventually,
+  freeAddress,
   HOST,
   KEY,
   startHostSite,
@@ -59,8 +62,14 @@
 const SMALL_CHUNKS_A_PACKET = 8_000;
 const PIECE = Buffer.alloc(32 * KILOBYTE, 'x');
 
+/** Addresses of an entry that anyone can connect to. */
+type Port =
+  'callerAddress' | 'directoryAddress' | 'readinessAddress' | 'metricsAddress';
+
 interface NamedScript extends CrowdScript {
   readonly name: string;
+  /** By default the one for callers. */
+  readonly port?: Port;
 }
 
 const SMALL_REQUEST = HEAD_LINES.slice(0, 3).join('\r\n') + '\r\n\r\n';
@@ -180,9 +189,39 @@
     head: announced(MAX_BODY).replace('Host', 'Expect: 100-continue\r\nHost'),
     parts: () => [],
   },
+  ...(
+    ['directoryAddress', 'readinessAddress', 'metricsAddress'] as const
+  ).flatMap((port): readonly NamedScript[] => [
+    {
+      name: `nothing to its ${port}`,
+      port,
+      members: WAITERS,
+      head: '',
+      parts: () => [],
+    },
+    {
+      name: `large bodies to its ${port}`,
+      port,
+      members: SENDERS,
+      head: announced(MAX_BODY),
+      parts: () => repeat(PIECE, MAX_BODY / PIECE.length - 1),
+    },
+    {
+      name: `requests to its ${port} before the first one is answered`,
+      port,
+      members: SENDERS,
+      head: '',
+      parts: () =>
+        repeat(
+          Buffer.from('GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(500)),
+          4,
+        ),
+    },
+  ]),
 ];
 
 let site: HostSite;
+let settings: FleetEntrySettings;
 let engine: HostEngine;
 let entry: EntryProcess;
 let crowd: Crowd;
@@ -196,8 +235,9 @@
   site.register(engine);
   site.configure();
   folder = mkdtempSync(join(tmpdir(), 'misbehaving-callers-'));
-  const settings = {
+  settings = {
     ...(await site.entrySettings()),
+    metricsAddress: await freeAddress(),
     memoryMegabytes: MEMORY_MEGABYTES,
     maxDescriptors: MAX_DESCRIPTORS,
   };
@@ -225,17 +265,24 @@
   return status === 200;
 }
 
+async function isDirectoryUp(): Promise<boolean> {
+  const reply = await request(`http://${settings.directoryAddress}/resolve`);
+  await reply.body.dump();
+  return reply.statusCode === 200;
+}
+
 // Callers decided how much memory and how many descriptors an entry used.
 test.each([...CROWDS, ...OTHER_CROWDS])(
   'an entry withstands callers that send $name',
   async script => {
     const processId = entry.processId() ?? 0;
-    crowd = startCrowd(entry.callerAddress, script);
+    crowd = startCrowd(settings[script.port ?? 'callerAddress'] ?? '', script);
     await crowd.hasSent();
     expect(entry.processId()).toBe(processId);
     // A caller that is refused tries again.
     await eventually(() => isOrdinaryRequestAnswered().catch(() => false));
     await eventually(() => isReady(entry.readinessAddress).catch(() => false));
+    await eventually(() => isDirectoryUp().catch(() => false));
     expect(peakMemory(processId)).toBeLessThan(MEMORY_MEGABYTES * 1_000_000);
     expect(mostDescriptors).toBeLessThanOrEqual(MAX_DESCRIPTORS);
   },
