--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -27,7 +27,7 @@
   VersionOrigin,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
-import type {FleetAgentSettings} from '../settings';
+import {connectionLimits, type FleetAgentSettings} from '../settings';
 import {createEngineManager, type EngineManager} from './engine_manager';
 import {createEngineReports} from './engine_reports';
 import {createOperatorMonitor} from './operator_monitor';
@@ -165,13 +165,17 @@
     onStatus: reports.offer,
   });
 
-  const server = await openPeerServer(settings.peerAddress, {
-    role: 'agent',
-    handlers: {
-      announce: peers.answer,
-      fetchChunk: call => void handleFetchChunk(call, swarm),
+  const server = await openPeerServer(
+    settings.peerAddress,
+    {
+      role: 'agent',
+      handlers: {
+        announce: peers.answer,
+        fetchChunk: call => void handleFetchChunk(call, swarm),
+      },
     },
-  });
+    connectionLimits(settings).peers,
+  );
   operator.start(stopped.signal);
   members.start(stopped.signal);
   engineManager.start(stopped.signal);
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -453,13 +453,17 @@
     stopped.signal,
   );
   const [peers, directory, readiness] = await Promise.all([
-    openPeerServer(settings.peerAddress, {
-      role: 'entry',
-      handlers: {
-        reportEngine: reportStreams.handleStream,
-        follow: entryPeers.relayServer.handleStream,
+    openPeerServer(
+      settings.peerAddress,
+      {
+        role: 'entry',
+        handlers: {
+          reportEngine: reportStreams.handleStream,
+          follow: entryPeers.relayServer.handleStream,
+        },
       },
-    }),
+      maxConnections.peers,
+    ),
     openDirectoryServer({
       address: settings.directoryAddress,
       protocol: ports.directory,
--- a/packages/fleet/src/settings/connection_limits.ts
+++ b/packages/fleet/src/settings/connection_limits.ts
@@ -7,6 +7,8 @@
   readonly auxiliary: number;
   /** On the metrics port, whose answers are large. */
   readonly metrics: number;
+  /** Of entries and agents. */
+  readonly peers: number;
 }
 
 /** Descriptors of a process if their number is not given. */
@@ -21,13 +23,18 @@
  */
 const CALLERS_SHARE = 0.37;
 const AUXILIARY_SHARE = 0.03;
+const PEERS_SHARE = 0.17;
+
+/** Share of an agent's, which serves nobody else. */
+const AGENT_PEERS_SHARE = 0.5;
 
 const MAX_METRICS_CONNECTIONS = 16;
 
 /** Divides the descriptors of a process. */
 export function connectionLimits({
+  role,
   maxDescriptors,
-}: Pick<FleetSettings, 'maxDescriptors'>): ConnectionLimits {
+}: Pick<FleetSettings, 'role' | 'maxDescriptors'>): ConnectionLimits {
   const descriptors = maxDescriptors ?? DEFAULT_DESCRIPTORS;
   const sockets = Math.max(0, descriptors - FILE_DESCRIPTORS);
   const share = (part: number): number =>
@@ -37,5 +44,6 @@
     callers: share(CALLERS_SHARE),
     auxiliary,
     metrics: Math.min(auxiliary, MAX_METRICS_CONNECTIONS),
+    peers: share(role === 'agent' ? AGENT_PEERS_SHARE : PEERS_SHARE),
   };
 }
--- a/test/fleet/engine_reports.test.ts
+++ b/test/fleet/engine_reports.test.ts
@@ -12,6 +12,8 @@
 import type {EngineStatus} from '../../packages/fleet/src/ports';
 import {eventually, freeAddress} from './fixtures/host_site';
 
+const MAX_PEERS = 10;
+
 const STATUS: EngineStatus = {
   held: [{model: 'model', version: 1}],
   ordering: false,
@@ -39,17 +41,21 @@
     stopped.signal,
   );
   const address = await freeAddress();
-  const server = await openPeerServer(address, {
-    role: 'entry',
-    handlers: {
-      reportEngine: call => {
-        calls.push(call);
-        if (isAnswering) streams.handleStream(call);
-        else call.on('data', () => void (reported += 1));
+  const server = await openPeerServer(
+    address,
+    {
+      role: 'entry',
+      handlers: {
+        reportEngine: call => {
+          calls.push(call);
+          if (isAnswering) streams.handleStream(call);
+          else call.on('data', () => void (reported += 1));
+        },
+        follow: call => call.end(),
       },
-      follow: call => call.end(),
     },
-  });
+    MAX_PEERS,
+  );
   closers.push(() => stopped.abort(), server.close);
   const reports: EngineReports = createEngineReports({
     engineAddress: '127.0.0.1:1',
@@ -104,19 +110,23 @@
     ['a', 'b', 'c', 'd'].map(async instance => {
       const address = await freeAddress();
       received.set(instance, []);
-      const server = await openPeerServer(address, {
-        role: 'entry',
-        handlers: {
-          reportEngine: call => {
-            call.on('data', ({running}) => {
-              received.get(instance)!.push(running);
-              call.write({namings: [], servicesDigest: 0});
-            });
-            call.on('error', () => undefined);
+      const server = await openPeerServer(
+        address,
+        {
+          role: 'entry',
+          handlers: {
+            reportEngine: call => {
+              call.on('data', ({running}) => {
+                received.get(instance)!.push(running);
+                call.write({namings: [], servicesDigest: 0});
+              });
+              call.on('error', () => undefined);
+            },
+            follow: call => call.end(),
           },
-          follow: call => call.end(),
         },
-      });
+        MAX_PEERS,
+      );
       servers.set(instance, server.close);
       closers.push(server.close);
       const life = `life of ${instance}`;
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -14,6 +14,8 @@
 import {eventually, freeAddress} from './fixtures/host_site';
 import {errorFreeLog} from '../fixtures/error_free_log';
 
+const MAX_PEERS = 10;
+
 const closing: (() => void)[] = [];
 
 afterEach(() => {
@@ -73,16 +75,20 @@
     onTables: update => void updates.push(update),
     onUsable: () => undefined,
   });
-  const server = await openPeerServer(self.address, {
-    role: 'entry',
-    handlers: {
-      reportEngine: call => call.end(),
-      follow: call => {
-        follows += 1;
-        entryPeers.relayServer.handleStream(call);
+  const server = await openPeerServer(
+    self.address,
+    {
+      role: 'entry',
+      handlers: {
+        reportEngine: call => call.end(),
+        follow: call => {
+          follows += 1;
+          entryPeers.relayServer.handleStream(call);
+        },
       },
     },
-  });
+    MAX_PEERS,
+  );
   const stop = entryPeers.start();
   const close = (): void => {
     stop();
--- a/test/fleet/load_orders.test.ts
+++ b/test/fleet/load_orders.test.ts
@@ -16,6 +16,8 @@
   type HostSite,
 } from './fixtures/host_site';
 
+const MAX_PEERS = 10;
+
 /** Time between the report of a load and its order, in milliseconds. */
 const DRAIN_BEFORE_LOAD = 80;
 
@@ -31,13 +33,17 @@
   onReport: (report: EngineReport) => void,
 ): Promise<void> {
   const address = await freeAddress();
-  const server = await openPeerServer(address, {
-    role: 'entry',
-    handlers: {
-      reportEngine: call => void call.on('data', onReport),
-      follow: call => call.end(),
+  const server = await openPeerServer(
+    address,
+    {
+      role: 'entry',
+      handlers: {
+        reportEngine: call => void call.on('data', onReport),
+        follow: call => call.end(),
+      },
     },
-  });
+    MAX_PEERS,
+  );
   closers.push(server.close);
   const table = createMemberTable(createStoreClient(site.store.address));
   const written = await table.put(
--- a/test/fleet/peer_agents.test.ts
+++ b/test/fleet/peer_agents.test.ts
@@ -4,6 +4,8 @@
 import {openPeerServer} from '../../packages/fleet/src/link/peer_server';
 import {eventually, freeAddress} from './fixtures/host_site';
 
+const MAX_PEERS = 10;
+
 const DIGEST = 'digest of a version';
 
 const closers: (() => void)[] = [];
@@ -46,18 +48,22 @@
     clock: () => performance.now(),
     log: {debug: ignore, info: ignore, warn: ignore, error: ignore},
   });
-  const server = await openPeerServer(self.address, {
-    role: 'agent',
-    handlers: {
-      announce: call => {
-        call.on('data', ({versionDigest, asksHeld}) => {
-          if (versionDigest !== '') requested.push(asksHeld);
-        });
-        if (!isFrozen) agents.answer(call);
+  const server = await openPeerServer(
+    self.address,
+    {
+      role: 'agent',
+      handlers: {
+        announce: call => {
+          call.on('data', ({versionDigest, asksHeld}) => {
+            if (versionDigest !== '') requested.push(asksHeld);
+          });
+          if (!isFrozen) agents.answer(call);
+        },
+        fetchChunk: call => call.end(),
       },
-      fetchChunk: call => call.end(),
     },
-  });
+    MAX_PEERS,
+  );
   closers.push(server.close, () => agents.channels.retain(new Set()));
   const announcement = (life = self.life) => ({
     instance,
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -64,7 +64,11 @@
 
 /** Addresses of an entry that anyone can connect to. */
 type Port =
-  'callerAddress' | 'directoryAddress' | 'readinessAddress' | 'metricsAddress';
+  | 'callerAddress'
+  | 'directoryAddress'
+  | 'readinessAddress'
+  | 'metricsAddress'
+  | 'peerAddress';
 
 interface NamedScript extends CrowdScript {
   readonly name: string;
@@ -218,6 +222,13 @@
         ),
     },
   ]),
+  {
+    name: 'nothing to its peerAddress',
+    port: 'peerAddress',
+    members: WAITERS,
+    head: '',
+    parts: () => [],
+  },
 ];
 
 let site: HostSite;
