--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -1,7 +1,6 @@
 import {
   createFirstEventTimes,
   forwardRequest,
-  unreachable,
   type Bytes,
   type ForwardResult,
   type ListedTarget,
@@ -19,7 +18,6 @@
 import type {IncomingRequests} from './incoming_requests';
 import {
   localAnswerFor,
-  notRun,
   writeLocalAnswer,
   type LocalAnswer,
 } from './local_answers';
@@ -32,8 +30,15 @@
   type ArrivedHeader,
   type RequestAcceptanceOptions,
 } from './request_acceptance';
-import {announcedLength, readBody, type BodyReading} from './request_body';
+import {announcedLength, readBody} from './request_body';
 import type {RequestRunOptions} from './request_context';
+import {
+  BODY_TOO_LARGE_ANSWER,
+  bodyRefusal,
+  discardedRest,
+  UNKNOWN_EXPECTATION_ANSWER,
+  type BodyRefusal,
+} from './request_refusals';
 import {createRequestRun} from './request_run';
 import {createRequestTrace, type RequestTrace} from './request_trace';
 import {createRunDurations} from './run_durations';
@@ -41,33 +46,6 @@
 import {createTimeliness} from './timeliness';
 import type {UnreadRequests, UnreadRest} from './unread_requests';
 
-const BODY_TOO_LARGE_ANSWER: LocalAnswer = {
-  status: 413,
-  reason: 'the body is too large',
-};
-
-const LATE_BODY_ANSWER: LocalAnswer = {
-  status: 408,
-  reason: 'the body came too late',
-};
-
-const UNKNOWN_EXPECTATION_ANSWER: LocalAnswer = {
-  status: 417,
-  reason: 'unknown expectation',
-};
-
-/** Retry-After for callers whose request did not fit the memory. */
-const RETRY_OVERLOADED_AFTER: Milliseconds = 500;
-
-/**
- * Maximum number of bytes that are read of a refused body until a configuration
- * limits bodies.
- */
-const INITIAL_MAX_REST: Bytes = 4 * 1024 * 1024;
-
-const CUT: UnreadRest = {kind: 'cut'};
-const UNSENT: UnreadRest = {kind: 'unsent'};
-
 /**
  * Answer if the handler itself fails; it is unknown whether the request has
  * run.
@@ -145,8 +123,9 @@
         ? UNKNOWN_EXPECTATION_ANSWER
         : decideByHeader(request, {header, path, arrivedAt});
     if ('status' in decided) {
-      const rest = expectation === 'none' ? discardedRest() : UNSENT;
-      answerLocally(request, response, header, decided, rest);
+      const rest: UnreadRest =
+        expectation === 'none' ? discardedRest(maxBody()) : {kind: 'unsent'};
+      answerLocally(request, response, header, {answer: decided, rest});
       return;
     }
     if (expectation === 'continue') response.writeContinue();
@@ -158,14 +137,19 @@
     if (reading.kind === 'gone' || response.destroyed) return;
     if (reading.kind === 'refused') {
       metrics.countRefusedBody(reading.reason);
-      const {answer, rest} = refusalOf(reading.reason);
-      answerLocally(request, response, header, answer, rest);
+      const refusal = bodyRefusal({
+        reading,
+        tooLargeAnswer: tooLargeAnswer(),
+        maxBody: maxBody(),
+      });
+      answerLocally(request, response, header, refusal);
       return;
     }
     const accepted = acceptRequest(acceptance, decided, reading.body);
     if ('status' in accepted) {
       reading.body.release();
-      answerLocally(request, response, header, accepted, discardedRest());
+      const rest = discardedRest(maxBody());
+      answerLocally(request, response, header, {answer: accepted, rest});
       return;
     }
     countUntilClosed(response);
@@ -181,38 +165,15 @@
     const accepted = acceptHeader(acceptance, arrived);
     if ('status' in accepted) return accepted;
     const {bodyBytes} = accepted.table.configuration.limits;
-    return announcedLength(request) > bodyBytes ? denyLargeBody() : accepted;
+    return announcedLength(request) > bodyBytes ? tooLargeAnswer() : accepted;
   }
 
-  function denyLargeBody(): LocalAnswer {
+  function tooLargeAnswer(): LocalAnswer {
     return deny(options.readings.configuration(), BODY_TOO_LARGE_ANSWER);
   }
 
-  function refusalOf(
-    reason: Extract<BodyReading, {readonly kind: 'refused'}>['reason'],
-  ): {readonly answer: LocalAnswer; readonly rest: UnreadRest} {
-    switch (reason) {
-      case 'tooLarge':
-        return {answer: denyLargeBody(), rest: discardedRest()};
-      case 'late':
-        return {answer: LATE_BODY_ANSWER, rest: discardedRest()};
-      case 'overloaded':
-        return {
-          answer: notRun(reason, RETRY_OVERLOADED_AFTER),
-          rest: discardedRest(),
-        };
-      case 'fragmented':
-      case 'tooManyConnections':
-        return {answer: notRun(reason, RETRY_OVERLOADED_AFTER), rest: CUT};
-      default:
-        return unreachable(reason);
-    }
-  }
-
-  /** A body that the configuration allows is read to its end. */
-  function discardedRest(): UnreadRest {
-    const limits = operator.table()?.configuration.limits;
-    return {kind: 'discard', maxBytes: limits?.bodyBytes ?? INITIAL_MAX_REST};
+  function maxBody(): Bytes | undefined {
+    return operator.table()?.configuration.limits.bodyBytes;
   }
 
   /**
@@ -337,8 +298,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     header: CallerHeader,
-    answer: LocalAnswer,
-    rest: UnreadRest,
+    {answer, rest}: BodyRefusal,
   ): void {
     countUntilClosed(response);
     observeReadingAges();
