--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -51,6 +51,9 @@
   'maxPipelined' | 'headerTimeout' | 'idleTimeout'
 >;
 
+/** Length of the shortest header line, such as `a:` with its line break. */
+const SHORTEST_LINE: Bytes = 4;
+
 /** Callers send their requests one after the other. */
 const MAX_PIPELINED = 4;
 
@@ -64,6 +67,11 @@
   readonly close: () => Promise<void>;
 }
 
+/** Lines that fit a header. Node.js drops all beyond its limit silently. */
+function mostLines(headerBytes: Bytes): number {
+  return Math.ceil(headerBytes / SHORTEST_LINE);
+}
+
 /** Creates the server; it passes requests to `handler`. */
 export function createCallerServer(
   handler: RequestHandler,
@@ -93,6 +101,7 @@
       idleConnections.recordRequest(request, response);
       handler.handle(request, response, expectation);
     };
+  server.maxHeadersCount = mostLines(limits.headerBytes);
   server.on('request', handleRequest('none'));
   server.on('checkContinue', handleRequest('continue'));
   server.on('checkExpectation', handleRequest('unknown'));
@@ -114,6 +123,7 @@
       limits = changed;
       server.keepAliveTimeout = changed.idleTimeout;
       server.maxHeaderSize = changed.headerBytes;
+      server.maxHeadersCount = mostLines(changed.headerBytes);
     },
     connections: connections.count,
     close: async () => {
--- a/test/fleet/caller_connections.test.ts
+++ b/test/fleet/caller_connections.test.ts
@@ -25,6 +25,7 @@
 let closeArriving: () => boolean;
 let sockets: Socket[];
 let handled: number;
+let headerLines: number;
 let answers: (response: ServerResponse) => void;
 
 beforeEach(async () => {
@@ -37,6 +38,7 @@
     {
       handle: (request, response) => {
         handled += 1;
+        headerLines = request.rawHeaders.length / 2;
         request.resume().once('end', () => answers(response));
       },
       running: () => 0,
@@ -146,6 +148,16 @@
   expect(small.socket.closed).toBe(false);
 });
 
+// Node.js drops the lines beyond a limit of its own, unless it is told another.
+test('a header of many lines keeps all of them', async () => {
+  const lines = Array.from({length: 3_000}, () => 'a:');
+  const caller = await open(
+    HEAD.replace('Host: a', ['Host: a', ...lines].join('\r\n')),
+  );
+  await eventually(() => caller.received.includes('200 OK'));
+  expect(headerLines).toBe(lines.length + 2);
+});
+
 // A packet may hold hundreds of requests, each of which takes a slot.
 test('a connection with many requests that are not answered is closed and parsed no further', async () => {
   answers = () => undefined;
