--- a/packages/core/src/memory/incoming_requests.ts
+++ b/packages/core/src/memory/incoming_requests.ts
@@ -83,30 +83,41 @@
   return [...requests].sort((one, other) => other.held - one.held)[0];
 }
 
-/** Parts of bodies that were received in the last second. */
-export interface ReceivedParts {
+/**
+ * Parts of at least this size are not counted: bodies in whole packets arrive in
+ * larger ones.
+ */
+const MAX_FRAGMENT: Bytes = 512;
+
+/** Whether a part of a body is so small that it mainly takes time. */
+export function isFragment(part: Bytes): boolean {
+  return part < MAX_FRAGMENT;
+}
+
+/** Fragments of bodies that were received in the last second. */
+export interface ReceivedFragments {
   readonly ofThisBody: number;
   readonly ofOthers: number;
 }
 
-/** Bodies with fewer parts in a second are never refused for them. */
-const FEW_PARTS = 100;
+/** Bodies with fewer fragments in a second are never refused for them. */
+const FEW_FRAGMENTS = 100;
 
 /**
- * Parts in a second that may be processed for several bodies. Each part costs
+ * Fragments in a second that may be processed for several bodies. Each costs
  * some microseconds, however small it is.
  */
-const MAX_PARTS = 20_000;
+const MAX_FRAGMENTS = 20_000;
 
 /**
- * Whether a body arrives in so many parts that it has to be refused. One that
+ * Whether a body arrives in so many fragments that it has to be refused. One that
  * comes alone may be divided as its caller likes.
  */
 export function isTooFragmented({
   ofThisBody,
   ofOthers,
-}: ReceivedParts): boolean {
-  return ofThisBody >= FEW_PARTS && ofOthers >= MAX_PARTS;
+}: ReceivedFragments): boolean {
+  return ofThisBody >= FEW_FRAGMENTS && ofOthers >= MAX_FRAGMENTS;
 }
 
 /** For how long the connections have waited that wait longest. */
--- a/packages/fleet/src/entry/incoming_requests.ts
+++ b/packages/fleet/src/entry/incoming_requests.ts
@@ -1,4 +1,5 @@
 import {
+  isFragment,
   isTooFragmented,
   mayExceedBound,
   selectRequestsToRefuse,
@@ -10,14 +11,14 @@
 /** Interval between checks of requests that are still arriving. */
 const CHECK_PERIOD_MS = 100;
 
-/** Period in which the parts of bodies are counted. */
-const PARTS_PERIOD_MS = 1_000;
+/** Period in which the fragments of bodies are counted. */
+const FRAGMENTS_PERIOD_MS = 1_000;
 
 /** Why a request is refused before it has arrived. */
 export type IncomingRefusal =
   /** All requests together take too much memory. */
   | 'overloaded'
-  /** It comes in too many parts beside others. */
+  /** It comes in too many fragments beside others. */
   | 'fragmented'
   /** Its deadline has passed. */
   | 'late'
@@ -36,8 +37,8 @@
 
 /** Tracks one request. */
 export interface TrackedRequest {
-  /** Records a part of the body, and how much memory it takes. */
-  readonly recordPart: (memory: Bytes) => void;
+  /** Records a part of the body, and how much more memory is taken for it. */
+  readonly recordPart: (length: Bytes, memory: Bytes) => void;
   /** Records that the request has arrived. */
   readonly complete: () => void;
   /** Releases the memory of the body. */
@@ -74,9 +75,9 @@
   body: Bytes;
   isArriving: boolean;
   progressedAt: MonotonicInstant;
-  /** Parts of the current period. */
-  parts: number;
-  partsSince: MonotonicInstant;
+  /** Of the current period. */
+  fragments: number;
+  fragmentsSince: MonotonicInstant;
 }
 
 /**
@@ -91,8 +92,8 @@
   let total: Bytes = 0;
   let arriving = 0;
   let stopChecks: (() => void) | undefined;
-  let parts = 0;
-  let partsSince: MonotonicInstant = -Infinity;
+  let fragments = 0;
+  let fragmentsSince: MonotonicInstant = -Infinity;
 
   const heldBy = ({overhead, body}: Tracked): Bytes => overhead + body;
 
@@ -145,21 +146,20 @@
     }
   }
 
-  function countPart(request: Tracked): void {
-    const now = clock();
-    request.progressedAt = now;
-    if (now - partsSince >= PARTS_PERIOD_MS) {
-      partsSince = now;
-      parts = 0;
+  function countFragment(request: Tracked): void {
+    const now = request.progressedAt;
+    if (now - fragmentsSince >= FRAGMENTS_PERIOD_MS) {
+      fragmentsSince = now;
+      fragments = 0;
     }
-    if (request.partsSince !== partsSince) {
-      request.partsSince = partsSince;
-      request.parts = 0;
+    if (request.fragmentsSince !== fragmentsSince) {
+      request.fragmentsSince = fragmentsSince;
+      request.fragments = 0;
     }
-    parts += 1;
-    request.parts += 1;
-    const ofThisBody = request.parts;
-    if (isTooFragmented({ofThisBody, ofOthers: parts - ofThisBody})) {
+    fragments += 1;
+    request.fragments += 1;
+    const ofThisBody = request.fragments;
+    if (isTooFragmented({ofThisBody, ofOthers: fragments - ofThisBody})) {
       refuse(request, 'fragmented');
     }
   }
@@ -170,16 +170,17 @@
       body: 0,
       isArriving: true,
       progressedAt: clock(),
-      parts: 0,
-      partsSince: -Infinity,
+      fragments: 0,
+      fragmentsSince: -Infinity,
     };
     tracked.add(request);
     total += request.overhead;
     startArriving();
     keepBound();
     return {
-      recordPart: memory => {
-        countPart(request);
+      recordPart: (length, memory) => {
+        request.progressedAt = clock();
+        if (isFragment(length)) countFragment(request);
         if (!request.isArriving || memory === 0) return;
         request.body += memory;
         total += memory;
--- a/packages/fleet/src/entry/request_body.ts
+++ b/packages/fleet/src/entry/request_body.ts
@@ -66,7 +66,7 @@
     function add(part: Buffer): void {
       if (blocks === undefined) return;
       if (blocks.length() + part.length <= maxLength) {
-        tracked.recordPart(blocks.add(part));
+        tracked.recordPart(part.length, blocks.add(part));
         return;
       }
       tracked.complete();
--- a/packages/fleet/src/entry/unread_requests.ts
+++ b/packages/fleet/src/entry/unread_requests.ts
@@ -1,4 +1,9 @@
-import type {Bytes, Milliseconds, MonotonicInstant} from '@hibiscusbeam/core';
+import {
+  isFragment,
+  type Bytes,
+  type Milliseconds,
+  type MonotonicInstant,
+} from '@hibiscusbeam/core';
 import type {Clock} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -15,8 +20,8 @@
 /** Time in which the rest of a refused request has to arrive. */
 const REST_TIMEOUT: Milliseconds = 3_000;
 
-/** Maximum number of parts in which it may come. */
-const MAX_REST_PARTS = 1_000;
+/** Maximum number of fragments in which it may come. */
+const MAX_REST_FRAGMENTS = 1_000;
 
 /** How a refusal ends if a part of the request is unread. */
 export type UnreadRest =
@@ -61,7 +66,7 @@
   ): void {
     const {socket} = request;
     let bytes: Bytes = 0;
-    let parts = 0;
+    let fragments = 0;
     // The end may already wait in the socket.
     const timer = setTimeout(() => setImmediate(cutUnlessEnded), REST_TIMEOUT);
     const cutUnlessEnded = (): void => {
@@ -70,8 +75,8 @@
     awaited.set(socket, clock());
     request.on('data', (part: Buffer) => {
       bytes += part.length;
-      parts += 1;
-      if (bytes > maxBytes || parts > MAX_REST_PARTS) socket.destroy();
+      if (isFragment(part.length)) fragments += 1;
+      if (bytes > maxBytes || fragments > MAX_REST_FRAGMENTS) socket.destroy();
     });
     request.once('end', () => response.end());
     request.once('error', () => undefined);
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -298,3 +298,13 @@
     expect(mostDescriptors).toBeLessThanOrEqual(MAX_DESCRIPTORS);
   },
 );
+
+test('an entry serves a body of the largest legal size beside ordinary requests', async () => {
+  const {callerAddress} = entry;
+  crowd = startCrowd(callerAddress, {members: 0, head: '', parts: () => []});
+  const replies = await Promise.all([
+    send(callerAddress, '/safe/a', {}, 'x'.repeat(MAX_BODY)),
+    ...['/safe/b', '/unsafe/c'].map(path => send(callerAddress, path)),
+  ]);
+  expect(replies.map(({status}) => status)).toEqual([200, 200, 200]);
+});
