--- a/test/fleet/caller_connections.test.ts
+++ b/test/fleet/caller_connections.test.ts
@@ -1,14 +1,10 @@
-import {monotonicClock} from '@hibiscusbeam/daemon';
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {
-  createCallerServer,
-  type CallerServer,
-} from '../../packages/fleet/src/entry/caller_server';
-import {createUnreadRequests} from '../../packages/fleet/src/entry/unread_requests';
+import type {CallerServer} from '../../packages/fleet/src/entry/caller_server';
+import {createTestCallerServer} from './fixtures/caller_server';
 import {eventually, freeAddress} from './fixtures/host_site';
 
 const MAX_CONNECTIONS = 4;
@@ -38,25 +34,17 @@
   handled = 0;
   answers = response => response.end('yes');
   closeArriving = () => false;
-  server = createCallerServer(
-    {
-      handle: (request, response) => {
-        handled += 1;
-        headerLines = request.rawHeaders.length / 2;
-        request.resume().once('end', () => answers(response));
-      },
-      running: () => 0,
-      endAll: () => undefined,
-      cutAll: () => undefined,
+  server = createTestCallerServer(
+    (request, response) => {
+      handled += 1;
+      headerLines = request.rawHeaders.length / 2;
+      request.resume().once('end', () => answers(response));
     },
-    monotonicClock,
     {
       maxConnections: MAX_CONNECTIONS,
       maxHeaderMemory: MAX_HEADER_MEMORY,
-      unread: createUnreadRequests(monotonicClock),
       closeArriving: () => closeArriving(),
       onClosed: reason => closed.push(reason),
-      clock: monotonicClock,
     },
   );
   setIdleTimeout(60_000);
--- a/test/fleet/caller_server.test.ts
+++ b/test/fleet/caller_server.test.ts
@@ -1,12 +1,8 @@
-import {monotonicClock} from '@hibiscusbeam/daemon';
 import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
-import {
-  createCallerServer,
-  type CallerServer,
-} from '../../packages/fleet/src/entry/caller_server';
-import {createUnreadRequests} from '../../packages/fleet/src/entry/unread_requests';
+import type {CallerServer} from '../../packages/fleet/src/entry/caller_server';
+import {createTestCallerServer} from './fixtures/caller_server';
 import {freeAddress} from './fixtures/host_site';
 
 const REQUEST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi';
@@ -22,32 +18,17 @@
 const MAX_HEADER_MEMORY = 100_000;
 
 let server: CallerServer;
-let closed: string[];
 let caller: Socket;
 let onRequest: (response: ServerResponse) => void;
 
 beforeEach(async () => {
   onRequest = response => response.end('yes');
-  server = createCallerServer(
-    {
-      handle: (request, response) => {
-        request.resume().once('end', () => onRequest(response));
-      },
-      running: () => 0,
-      endAll: () => undefined,
-      cutAll: () => undefined,
-    },
-    monotonicClock,
-    {
-      maxConnections: MAX_CONNECTIONS,
-      maxHeaderMemory: MAX_HEADER_MEMORY,
-      unread: createUnreadRequests(monotonicClock),
-      closeArriving: () => false,
-      onClosed: reason => closed.push(reason),
-      clock: monotonicClock,
+  server = createTestCallerServer(
+    (request, response) => {
+      request.resume().once('end', () => onRequest(response));
     },
+    {maxConnections: MAX_CONNECTIONS, maxHeaderMemory: MAX_HEADER_MEMORY},
   );
-  closed = [];
   const address = await freeAddress();
   await server.listen(address);
   caller = connect(Number(address.split(':')[1]), '127.0.0.1');
