--- a/test/fleet/refused_bodies.test.ts
+++ b/test/fleet/refused_bodies.test.ts
@@ -35,8 +35,8 @@
 });
 
 /** A connection, and everything that has been received on it. */
-function open() {
-  const [host, port] = address.split(':');
+function open(to = address) {
+  const [host, port] = to.split(':');
   const socket = connect(Number(port), host);
   sockets.push(socket);
   const connection = {socket, received: '', isClosed: false};
@@ -148,3 +148,14 @@
   expect(status).toBe(200);
   expect(engine.runs.at(-1)?.body.length).toBe(MAX_BODY);
 });
+
+// Without a configuration there was no limit to what was read.
+test('a body is refused by its header before the first configuration', async () => {
+  const unconfigured = await startHostSite();
+  const {settings} = await unconfigured.startEntry();
+  const connection = open(settings.callerAddress);
+  connection.socket.write(head('/safe/a', 'early', 'Content-Length: 9000000'));
+  await eventually(() => connection.received.includes('503'));
+  connection.socket.destroy();
+  await unconfigured.close();
+});
