--- a/packages/core/src/memory/incoming_requests.ts
+++ b/packages/core/src/memory/incoming_requests.ts
@@ -28,12 +28,8 @@
 }
 
 /**
- * Returns the requests to refuse so that the others take at most `bound` bytes,
- * as far as that can be reached: first those that make no progress, then the
- * largest.
- *
- * A part of the bound is kept for small requests. Otherwise a crowd of large
- * bodies would have every ordinary caller refused.
+ * Returns the arriving requests to refuse so that all others fit `bound`: first
+ * the stalled ones, then the largest. A part of it is kept for small requests.
  */
 export function selectRequestsToRefuse<Request extends IncomingRequest>(
   requests: readonly Request[],
@@ -133,11 +129,7 @@
 /** A caller sends its first request within this time after connecting. */
 const FIRST_REQUEST_WAIT: Milliseconds = 1_000;
 
-/**
- * Which connection to close for a new one: one on which the caller has sent
- * nothing or was refused, then one between two requests; `none` if all carry
- * requests.
- */
+/** Which connection to close for a new one; `none` if all carry requests. */
 export function selectConnectionToClose({
   unused,
   refused,
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -147,9 +147,8 @@
 }
 
 /**
- * Decides whether a request whose body has been read may be forwarded. What was
- * decided by its header holds for a moment only: its key may have been revoked
- * while the body arrived.
+ * Decides whether a request whose body has been read may be forwarded: again if
+ * that took long, since its key may have been revoked meanwhile.
  */
 export function acceptRequest(
   options: RequestAcceptanceOptions,
--- a/packages/fleet/src/entry/unread_requests.ts
+++ b/packages/fleet/src/entry/unread_requests.ts
@@ -48,12 +48,8 @@
 }
 
 /**
- * Creates the refusals.
- *
- * If a connection closed with a part of the request unread, it would be reset,
- * and the caller might lose the answer. So the answer is sent at once, and the
- * connection goes on after the rest of the request. It is closed if the rest is
- * too long or does not come.
+ * Creates the refusals. Closing a connection with bytes unread resets it, and
+ * the caller may lose the answer, so the rest is read within bounds.
  */
 export function createUnreadRequests(clock: Clock): UnreadRequests {
   /** In the order of their refusals. */
--- a/packages/fleet/src/link/connection_cap.ts
+++ b/packages/fleet/src/link/connection_cap.ts
@@ -2,8 +2,7 @@
 
 /**
  * Limits the open connections of `server`: the one on which the fewest bytes
- * have arrived is closed for a new one. Connections that send nothing would
- * otherwise use up the descriptors of the process.
+ * have arrived is closed for a new one, since peers send all the time.
  */
 export function capConnections(server: Server, maxConnections: number): void {
   const open = new Set<Socket>();
--- a/packages/fleet/src/runtime/request_parser.ts
+++ b/packages/fleet/src/runtime/request_parser.ts
@@ -4,11 +4,8 @@
 const PARSER_ERROR = -1;
 
 /**
- * Destroys a connection and stops its HTTP parser at the next request.
- *
- * A destroyed connection is still parsed to the end of the bytes that were just
- * read, and keeps their requests until it has closed. They may be hundreds.
- * Node.js has no public interface to prevent this.
+ * Destroys a connection and makes its HTTP parser fail at the next request.
+ * Node.js parses what it has read to the end, even hundreds of requests.
  */
 export function destroyWithParser(socket: Socket): void {
   const {parser} = socket as Socket & {
