--- /dev/null
+++ b/review/stand_ins_2/waiting.ts
@@ -0,0 +1,4 @@
+/** Waits for a number of milliseconds. */
+export function sleep(milliseconds: number): Promise<void> {
+  return new Promise(done => setTimeout(done, milliseconds));
+}
