Give a broken rule an exit code of its own inside the cases

Cause: Node.js ends with 1 on an error that nobody catches, for example without its bundle, and the scripts passed that on as a broken rule.

--- a/review/stand_ins_2/verdict.ts
+++ b/review/stand_ins_2/verdict.ts
@@ -6,9 +6,12 @@
   readonly lines: readonly string[];
 }
 
-/** Exit codes of a case. */
+/**
+ * Exit codes of a case. Node.js itself ends with 1 on an error, so a broken rule
+ * has a code of its own, which `run.sh` maps.
+ */
 const HELD = 0;
-const BROKEN = 1;
+const BROKEN = 10;
 const NOT_RUN = 2;
 
 /** Time after which a case counts as not run, in ms. */
