Keep the bytes of answers in memory and time in proportion to them

Cause: whatever was kept until something ends kept each part as a buffer of its own and counted only its bytes. A part of one byte takes hundreds of bytes, so the limit of 8 MB was never reached. The splitter of events also copied the list of all parts for each new one, in time proportional to the square of their number. Ruled out: the limit in bytes itself (bodies in whole packets stay below it) and the framing of the answer.

The same cause on related paths: the reader of calls to engines, store and origin, the receiver of chunks of weights, and in the product's own interface the clients of engines, plain services, the platform, the older system and the entries. Some of these had no limit at all, and the two that read lines joined and searched all that had arrived for each part.

Fix: the blocks that collect the bodies of callers are now part of core and used by all of them, and each answer has a limit of its fragments: 4,096 at once, and without end only one per 64 bytes, or 2,000 a second. More is no answer and counts against its target. The first part of a body no longer keeps a larger buffer that it is a view of.

Why it works: memory is at most twice the bytes, the bytes are limited as before, and the parts of one answer that are processed are limited, so one answer takes milliseconds instead of seconds.

--- a/packages/core/src/event_stream/event_splitter.ts
+++ b/packages/core/src/event_stream/event_splitter.ts
@@ -1,3 +1,6 @@
+import {createByteBlocks} from '../received_bytes';
+import type {Bytes} from '../types';
+
 /** One complete event of a stream of server-sent events, byte for byte. */
 export interface StreamEvent {
   /** The event's `id` field; undefined if it has none. */
@@ -11,7 +14,9 @@
   /** Adds received bytes; returns the events that are now complete. */
   readonly push: (bytes: Buffer) => readonly StreamEvent[];
   /** Size of an event that is not complete yet. */
-  readonly pendingBytes: () => number;
+  readonly pendingBytes: () => Bytes;
+  /** Memory of an event that is not complete yet. */
+  readonly pendingMemory: () => Bytes;
   /** Bytes of an event that is not complete yet. */
   readonly rest: () => Buffer;
 }
@@ -19,9 +24,6 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
-/** Bytes of the longest end of an event but its last one. */
-const LONGEST_END = 2;
-
 const ID_FIELD = /^id:[ ]?(.*?)\r?$/m;
 
 /**
@@ -29,54 +31,55 @@
  * that was already forwarded could not be joined to another target's events.
  */
 export function createEventSplitter(): EventSplitter {
-  let parts: readonly Buffer[] = [];
-  let pending = 0;
-  /** The last bytes, in which the end of the event may begin. */
-  let tail: Buffer = Buffer.alloc(0);
+  /** The event that is not complete yet. */
+  let pending = createByteBlocks();
+  /** Offset in it just after its last line feed, if it has one. */
+  let lineStart: Bytes | undefined;
+  let lastByte: number | undefined;
+
+  /** Whether the line that ends at an offset of the pending event is empty. */
+  function endsEmptyLine(offset: Bytes, byteBefore: number | undefined) {
+    if (lineStart === offset) return true;
+    return lineStart === offset - 1 && byteBefore === CARRIAGE_RETURN;
+  }
+
+  function complete(end: Buffer): StreamEvent {
+    const bytes = pending.length() === 0 ? end : joinPending(end);
+    pending = createByteBlocks();
+    lineStart = undefined;
+    return {id: idOf(bytes), bytes};
+  }
 
-  function setRest(next: readonly Buffer[]): void {
-    parts = next;
-    pending = next.reduce((sum, {length}) => sum + length, 0);
-    tail = Buffer.concat(next.slice(-LONGEST_END)).subarray(-LONGEST_END);
+  function joinPending(end: Buffer): Buffer {
+    pending.add(end);
+    return Buffer.concat(pending.take());
   }
 
+  // Only what is new is searched, however large the event has become.
   function push(bytes: Buffer): readonly StreamEvent[] {
-    // Only what is new is searched, however large the event has become.
-    const hasEnd = endOfEvent(Buffer.concat([tail, bytes])) !== undefined;
-    if (!hasEnd) {
-      parts = [...parts, bytes];
-      pending += bytes.length;
-      tail = Buffer.concat([tail, bytes]).subarray(-LONGEST_END);
-      return [];
-    }
-    let rest = Buffer.concat([...parts, bytes]);
     const events: StreamEvent[] = [];
-    for (;;) {
-      const end = endOfEvent(rest);
-      if (end === undefined) break;
-      const event = rest.subarray(0, end);
-      rest = rest.subarray(end);
-      events.push({id: idOf(event), bytes: event});
+    let start = 0;
+    let at = bytes.indexOf(LINE_FEED);
+    while (at !== -1) {
+      const offset = pending.length() + at - start;
+      const byteBefore = at === 0 ? lastByte : bytes[at - 1];
+      if (endsEmptyLine(offset, byteBefore)) {
+        events.push(complete(bytes.subarray(start, at + 1)));
+        start = at + 1;
+      } else lineStart = offset + 1;
+      at = bytes.indexOf(LINE_FEED, at + 1);
     }
-    setRest(rest.length === 0 ? [] : [rest]);
+    if (start < bytes.length) pending.add(bytes.subarray(start));
+    lastByte = bytes.at(-1) ?? lastByte;
     return events;
   }
 
-  return {push, pendingBytes: () => pending, rest: () => Buffer.concat(parts)};
-}
-
-/** Offset just after the first empty line, if there is one. */
-function endOfEvent(bytes: Buffer): number | undefined {
-  let lineFeed = bytes.indexOf(LINE_FEED);
-  while (lineFeed !== -1) {
-    const next = bytes[lineFeed + 1];
-    if (next === LINE_FEED) return lineFeed + 2;
-    if (next === CARRIAGE_RETURN && bytes[lineFeed + 2] === LINE_FEED) {
-      return lineFeed + 3;
-    }
-    lineFeed = bytes.indexOf(LINE_FEED, lineFeed + 1);
-  }
-  return undefined;
+  return {
+    push,
+    pendingBytes: () => pending.length(),
+    pendingMemory: () => pending.memory(),
+    rest: () => Buffer.concat(pending.take()),
+  };
 }
 
 function idOf(event: Buffer): string | undefined {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './ownership';
 export * from './placement';
 export * from './quarantine';
+export * from './received_bytes';
 export * from './relays';
 export * from './routes';
 export * from './types';
--- a/packages/daemon/src/caller_client/exchange.ts
+++ b/packages/daemon/src/caller_client/exchange.ts
@@ -1,5 +1,11 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
+import {
+  readLinesOf,
+  readWholeBody,
+  type Bytes,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
 import {Agent, request, type Dispatcher} from 'undici';
+import {monotonicClock} from '../runtime/clock';
 
 /** An HTTP request to an entry. */
 export interface EntryRequest {
@@ -40,7 +46,7 @@
 const CONNECT_TIMEOUT: Milliseconds = 2_000;
 
 /** Limit for a body or a line of a stream; entries send less. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const MAX_BODY_BYTES: Bytes = 16 * 1024 * 1024;
 
 /** Codes of errors that occur before any byte of a request is sent. */
 const UNSENT_ERROR_CODES = new Set([
@@ -89,36 +95,17 @@
     kind: 'response',
     status: response.statusCode,
     headers: response.headers,
-    lines: () => readLines(response.body),
+    lines: () =>
+      readLinesOf(response.body, {
+        maxLine: MAX_BODY_BYTES,
+        keepsUnterminated: true,
+        clock: monotonicClock,
+      }),
     json: async () => JSON.parse(await readText(response.body)) as unknown,
   };
 }
 
 async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
-  const parts: Uint8Array[] = [];
-  let size = 0;
-  for await (const part of body) {
-    size += part.length;
-    if (size > MAX_BODY_BYTES) throw new Error('the response is too long');
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString('utf8');
-}
-
-async function* readLines(
-  body: AsyncIterable<Uint8Array>,
-): AsyncGenerator<string> {
-  const decoder = new TextDecoder();
-  let partialLine = '';
-  for await (const part of body) {
-    const lines = (partialLine + decoder.decode(part, {stream: true})).split(
-      '\n',
-    );
-    partialLine = lines.pop() ?? '';
-    if (partialLine.length > MAX_BODY_BYTES) {
-      throw new Error('a line is too long');
-    }
-    yield* lines;
-  }
-  if (partialLine !== '') yield partialLine;
+  const limits = {maxBytes: MAX_BODY_BYTES, clock: monotonicClock};
+  return (await readWholeBody(body, limits)).toString('utf8');
 }
--- a/packages/daemon/src/entry/caller_service.ts
+++ b/packages/daemon/src/entry/caller_service.ts
@@ -3,6 +3,7 @@
   claimKey,
   createAtMostOnceFlow,
   createAttemptSource,
+  createByteBlocks,
   createOwnAttempt,
   createRepeatableFlow,
   DEFAULT_AT_MOST_ONCE_LIMITS,
@@ -265,18 +266,17 @@
   const callRepeatable = async (
     context: Omit<Parameters<RequestRunner['run']>[1], 'emit'>,
   ): Promise<CallResult> => {
-    const parts: Uint8Array[] = [];
+    const content = createByteBlocks();
     const flow = startRepeatableFlow(context.routed);
     const {outcome} = await runner.run(flow, {
       ...context,
       emit: frame => {
-        if (frame.kind === 'data') parts.push(frame.content);
+        if (frame.kind === 'data') content.add(frame.content);
         return undefined;
       },
     });
-    const content =
-      outcome.kind === 'answered' ? Buffer.concat(parts) : undefined;
-    return {outcome, content};
+    if (outcome.kind !== 'answered') return {outcome, content: undefined};
+    return {outcome, content: Buffer.concat(content.take())};
   };
 
   return {
--- a/packages/daemon/src/older_system/older_system_client.ts
+++ b/packages/daemon/src/older_system/older_system_client.ts
@@ -1,17 +1,23 @@
-import type {
-  Generation,
-  Milliseconds,
-  TargetName,
-  WorkspaceName,
+import {
+  readWholeBody,
+  type Bytes,
+  type Generation,
+  type Milliseconds,
+  type TargetName,
+  type WorkspaceName,
 } from '@hibiscusbeam/core';
 import {Agent, request} from 'undici';
 import * as z from 'zod';
+import {monotonicClock} from '../runtime/clock';
 
 /** Call timeout, after which the older system counts as silent. */
 const CALL_TIMEOUT: Milliseconds = 1_000;
 
 const MAX_CONNECTIONS = 2;
 
+/** Maximum size of an answer. */
+const MAX_ANSWER: Bytes = 16 * 1024 * 1024;
+
 /** State reported by the older system, all as of the same time. */
 export interface OlderSystemState {
   /** The generation whose ownership it follows; 0 before it received any. */
@@ -74,8 +80,13 @@
             body: JSON.stringify(body),
           }),
     });
-    const content = await response.body.text();
-    return response.statusCode === 200 ? JSON.parse(content) : undefined;
+    const content = await readWholeBody(response.body, {
+      maxBytes: MAX_ANSWER,
+      clock: monotonicClock,
+    });
+    return response.statusCode === 200
+      ? JSON.parse(content.toString('utf8'))
+      : undefined;
   };
 
   return {
--- a/packages/daemon/src/swarm/chunk_receiver.ts
+++ b/packages/daemon/src/swarm/chunk_receiver.ts
@@ -1,4 +1,9 @@
-import type {Bytes, Digest, RequestFailure} from '@hibiscusbeam/core';
+import {
+  createByteBlocks,
+  type Bytes,
+  type Digest,
+  type RequestFailure,
+} from '@hibiscusbeam/core';
 import {createHash} from 'node:crypto';
 import {Ok, type Result} from 'ts-results';
 
@@ -11,7 +16,8 @@
 
 /**
  * Reads a chunk's pieces and hashes each as it arrives. The pieces are not
- * concatenated, so that a chunk occupies its size in memory only once.
+ * concatenated, so that a chunk occupies its size in memory only once, but small
+ * ones are collected in larger ones.
  */
 export async function receiveChunk(
   source: AsyncIterable<Result<Uint8Array, RequestFailure>>,
@@ -20,7 +26,7 @@
   onProgress: (bytes: Bytes) => void,
 ): Promise<Result<ReceivedChunk, RequestFailure>> {
   const hash = createHash('sha256');
-  const pieces: Uint8Array[] = [];
+  const blocks = createByteBlocks();
   let received = 0;
   for await (const piece of source) {
     if (piece.err) return piece;
@@ -29,9 +35,9 @@
     // stops, as an endless sender would fill the memory.
     if (received > size) return Ok({pieces: [], verified: false});
     hash.update(piece.val);
-    pieces.push(piece.val);
+    blocks.add(piece.val);
     onProgress(piece.val.length);
   }
   const verified = `sha256:${hash.digest('hex')}` === digest;
-  return Ok({pieces: verified ? pieces : [], verified});
+  return Ok({pieces: verified ? blocks.take() : [], verified});
 }
--- a/packages/daemon/src/targets/engine_client.ts
+++ b/packages/daemon/src/targets/engine_client.ts
@@ -1,6 +1,8 @@
+import {readLinesOf, type Bytes} from '@hibiscusbeam/core';
 import {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
 import * as z from 'zod';
+import {monotonicClock} from '../runtime/clock';
 import {
   createTargetExchange,
   parseJson,
@@ -20,8 +22,8 @@
  */
 const MAX_CONNECTIONS = 128;
 
-/** Max length of a line of an engine's answer, in characters. */
-const MAX_LINE_LENGTH = 1024 * 1024;
+/** Max size of a line of an engine's answer. */
+const MAX_LINE: Bytes = 1024 * 1024;
 
 const reportSchema = z.object({
   life: z.string(),
@@ -167,20 +169,14 @@
 async function* readLines(
   body: AsyncIterable<Uint8Array>,
 ): AsyncIterable<Result<string, TargetError>> {
-  const decoder = new TextDecoder();
-  let remainder = '';
+  const options = {
+    maxLine: MAX_LINE,
+    keepsUnterminated: false,
+    clock: monotonicClock,
+  };
   try {
-    for await (const piece of body) {
-      remainder += decoder.decode(piece, {stream: true});
-      const complete = remainder.split('\n');
-      remainder = complete.pop() ?? '';
-      for (const line of complete) {
-        if (line !== '') yield Ok(line);
-      }
-      if (remainder.length > MAX_LINE_LENGTH) {
-        yield Err({kind: 'malformed', detail: 'line too long'});
-        return;
-      }
+    for await (const line of readLinesOf(body, options)) {
+      if (line !== '') yield Ok(line);
     }
   } catch (error) {
     yield Err(targetErrorOf(error));
--- a/packages/daemon/src/targets/http_exchange.ts
+++ b/packages/daemon/src/targets/http_exchange.ts
@@ -1,8 +1,14 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
+import {
+  RECEIVING_FAULT_CODE,
+  readWholeBody,
+  type Bytes,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
 import type {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
 import {Pool, type Dispatcher} from 'undici';
 import type {z} from 'zod';
+import {monotonicClock} from '../runtime/clock';
 import type {TargetError} from './types';
 
 /** Default call timeout, after which the call counts as cut. */
@@ -10,6 +16,13 @@
 
 const CONNECT_TIMEOUT: Milliseconds = 2_000;
 
+/** Maximum sizes of an answer, which may be a chunk of weights. */
+const MAX_ANSWER: Bytes = 64 * 1024 * 1024;
+const MAX_REFUSAL: Bytes = 64 * 1024;
+
+const ANSWER_LIMITS = {maxBytes: MAX_ANSWER, clock: monotonicClock};
+const REFUSAL_LIMITS = {maxBytes: MAX_REFUSAL, clock: monotonicClock};
+
 /** Codes of errors that occur before any byte of a request is sent. */
 const CONNECT_ERROR_CODES = new Set([
   'ECONNREFUSED',
@@ -54,6 +67,7 @@
   if (typeof code === 'string' && CONNECT_ERROR_CODES.has(code)) {
     return {kind: 'unreachable', detail};
   }
+  if (code === RECEIVING_FAULT_CODE) return {kind: 'malformed', detail};
   return {kind: 'cut', detail};
 }
 
@@ -96,7 +110,7 @@
     const opened = await open(call);
     if (opened.err) return opened;
     try {
-      return Ok(await opened.val.body.bytes());
+      return Ok(await readWholeBody(opened.val.body, ANSWER_LIMITS));
     } catch (error) {
       return Err(targetErrorOf(error));
     }
@@ -133,7 +147,10 @@
 async function readRefusal(
   response: Dispatcher.ResponseData,
 ): Promise<TargetError> {
-  const text = await response.body.text().catch(() => '');
+  const text = await readWholeBody(response.body, REFUSAL_LIMITS).then(
+    body => body.toString('utf8'),
+    () => '',
+  );
   let error = '';
   try {
     const body = JSON.parse(text) as {error?: unknown};
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -1,9 +1,13 @@
-import type {
-  ForwardAttemptEnd,
-  ListedTarget,
-  Milliseconds,
-  MonotonicInstant,
-  Route,
+import {
+  createReceivedBytes,
+  describeReceivingFault,
+  type Bytes,
+  type ForwardAttemptEnd,
+  type ListedTarget,
+  type Milliseconds,
+  type MonotonicInstant,
+  type ReceivingFault,
+  type Route,
 } from '@hibiscusbeam/core';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
@@ -19,7 +23,7 @@
 import {relayStream, type StreamProgress} from './stream_relay';
 
 /** Maximum size of an answer that is buffered before it is forwarded. */
-const MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024;
+const MAX_WHOLE_ANSWER_BYTES: Bytes = 8 * 1024 * 1024;
 
 /** A complete answer of a target, ready to be forwarded. */
 export interface WholeAnswer {
@@ -144,49 +148,80 @@
   if (success && options.route.kind === 'stream') {
     return relayStream({...options, answer});
   }
-  const body = await readWhole(answer, options);
-  if (body === undefined) {
+  const reading = await readWhole(answer, options);
+  if (reading.kind === 'cut') {
     options.explain('answer was cut off');
     return {kind: 'unknown', cause: 'connectionLost'};
   }
+  if (reading.kind === 'refused') {
+    options.explain(describeReceivingFault(reading.fault));
+    return {kind: 'unknown', cause: 'malformedAnswer'};
+  }
   const {lines, isFramed} = answer;
   if (!isFramed && !(await options.confirmEnd())) {
     options.explain('target ended with its answer');
     return {kind: 'unknown', cause: 'connectionLost'};
   }
-  options.keepAnswer({status, lines, body, isFramed});
+  options.keepAnswer({status, lines, body: reading.body, isFramed});
   return {kind: 'answered', success};
 }
 
-/** Reads the whole body; undefined if it was cut or is too large. */
+/** Result of reading a whole body. */
+type WholeReading =
+  | {readonly kind: 'whole'; readonly body: Buffer}
+  /** The target has ended it, or its connection, before its end. */
+  | {readonly kind: 'cut'}
+  | {readonly kind: 'refused'; readonly fault: ReceivingFault};
+
 function readWhole(
   {body, isWhole}: IncomingAnswer,
   {
     silence,
     buffers,
-  }: Pick<AttemptOptions, 'buffers'> & {
+    now,
+  }: Pick<AttemptOptions, 'buffers' | 'now'> & {
     readonly silence: SilenceMonitor;
   },
-): Promise<Buffer | undefined> {
+): Promise<WholeReading> {
   return new Promise(resolve => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    body.on('data', (part: Buffer) => {
-      silence.recordBytes();
-      size += part.length;
-      parts.push(part);
-      buffers.hold(part.length);
-      if (size > MAX_WHOLE_ANSWER_BYTES) body.destroy();
+    const received = createReceivedBytes({
+      maxBytes: MAX_WHOLE_ANSWER_BYTES,
+      clock: now,
     });
-    const cut = (): void => {
-      buffers.hold(-size);
-      size = 0;
-      resolve(undefined);
-    };
+    let held: Bytes = 0;
+    let hasStopped = false;
+
+    function hold(memory: Bytes): void {
+      if (memory === held) return;
+      buffers.hold(memory - held);
+      held = memory;
+    }
+
+    function stop(reading: WholeReading): void {
+      if (hasStopped) return;
+      hasStopped = true;
+      body.off('data', add);
+      if (reading.kind !== 'whole') hold(0);
+      resolve(reading);
+    }
+
+    function add(part: Buffer): void {
+      silence.recordBytes();
+      const fault = received.add(part);
+      hold(received.memory());
+      if (fault === undefined) return;
+      stop({kind: 'refused', fault});
+      body.destroy();
+    }
+
+    function cut(): void {
+      stop({kind: 'cut'});
+    }
+
+    body.on('data', add);
     body.on('end', () => {
       if (!isWhole()) return cut();
-      body.off('close', cut);
-      resolve(Buffer.concat(parts));
+      stop({kind: 'whole', body: received.join()});
     });
     body.on('error', cut);
     body.on('close', cut);
--- a/packages/fleet/src/entry/request_body.ts
+++ b/packages/fleet/src/entry/request_body.ts
@@ -1,6 +1,10 @@
-import type {Bytes, MonotonicInstant} from '@hibiscusbeam/core';
+import {
+  createByteBlocks,
+  type ByteBlocks,
+  type Bytes,
+  type MonotonicInstant,
+} from '@hibiscusbeam/core';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createBodyBlocks, type BodyBlocks} from './body_blocks';
 import type {IncomingRefusal, IncomingRequests} from './incoming_requests';
 
 /** The body of a request, in memory while it may have to be sent again. */
@@ -43,7 +47,7 @@
   {maxLength, deadline, incoming}: BodyReadingOptions,
 ): Promise<BodyReading> {
   return new Promise(resolve => {
-    let blocks: BodyBlocks | undefined = createBodyBlocks();
+    let blocks: ByteBlocks | undefined = createByteBlocks();
     request.on('data', add);
     request.on('end', finish);
     request.on('close', leave);
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -1,5 +1,6 @@
 import {
   createEventSplitter,
+  createFragmentLimit,
   type Bytes,
   type ForwardAttemptEnd,
   type MonotonicInstant,
@@ -74,12 +75,13 @@
   const {answer, response, progress} = options;
   const {body} = answer;
   const splitter = createEventSplitter();
+  const fragments = createFragmentLimit(options.now);
   let hasEnded = false;
   let hasEvents = false;
   /** Events without an id since the last one with an id. */
   let unnumberedBytes: Bytes = 0;
   let unnumberedEvents = 0;
-  let heldBytes: Bytes = 0;
+  let heldMemory: Bytes = 0;
 
   function begin(): void {
     if (progress.begun) return;
@@ -95,10 +97,10 @@
   }
 
   /** Counts an unfinished event as buffered. */
-  function holdPending(bytes: Bytes): void {
-    if (bytes === heldBytes) return;
-    options.buffers.hold(bytes - heldBytes);
-    heldBytes = bytes;
+  function holdPending(memory: Bytes): void {
+    if (memory === heldMemory) return;
+    options.buffers.hold(memory - heldMemory);
+    heldMemory = memory;
   }
 
   function countUnnumbered({id, bytes}: StreamEvent): void {
@@ -132,7 +134,13 @@
     body.on('data', (bytes: Buffer) => {
       if (options.signal.aborted) return;
       options.silence.recordBytes();
+      if (fragments.isExceededBy(bytes.length)) {
+        return broken('malformedAnswer');
+      }
       for (const event of splitter.push(bytes)) {
+        if (fragments.isExceededBy(event.bytes.length)) {
+          return broken('malformedAnswer');
+        }
         if (!mayFollow(progress.lastEventId, event.id)) {
           broken('foreignAnswer');
           return;
@@ -148,7 +156,7 @@
         options.buffers.scheduleCheck();
         reading.awaitCaller();
       }
-      holdPending(splitter.pendingBytes());
+      holdPending(splitter.pendingMemory());
       if (splitter.pendingBytes() > MAX_EVENT_BYTES) broken('malformedAnswer');
     });
     const complete = (): void => {
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -1,4 +1,10 @@
-import {unreachable, type Bytes, type Milliseconds} from '@hibiscusbeam/core';
+import {
+  readWholeBody,
+  unreachable,
+  type Bytes,
+  type Milliseconds,
+} from '@hibiscusbeam/core';
+import {monotonicClock} from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
 import {Agent, request, type Dispatcher} from 'undici';
 import {startAnswerTimer} from './answer_timer';
@@ -105,7 +111,11 @@
   try {
     const reply = await send(call, connection, controller.signal);
     hasBegun = true;
-    const body = await readBody(reply.body, timer.recordBytes);
+    const body = await readWholeBody(
+      reply.body,
+      {maxBytes: MAX_REPLY_BYTES, clock: monotonicClock},
+      timer.recordBytes,
+    );
     const {statusCode: status, headers} = reply;
     return Ok({status, header: name => firstValue(headers[name]), body});
   } catch (error) {
@@ -138,21 +148,6 @@
   return {recordBytes, stop: () => timer.stop()};
 }
 
-async function readBody(
-  body: AsyncIterable<Buffer>,
-  recordBytes: () => void,
-): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  for await (const part of body) {
-    recordBytes();
-    size += part.length;
-    if (size > MAX_REPLY_BYTES) throw new Error('the answer is too large');
-    parts.push(part);
-  }
-  return Buffer.concat(parts);
-}
-
 /**
  * Opens a connection for this call only: an open connection may fall silent
  * permanently, which shows only by a timeout if a later call reuses it.
--- a/packages/hibiscusbeam/src/operator/operator_client.ts
+++ b/packages/hibiscusbeam/src/operator/operator_client.ts
@@ -1,3 +1,4 @@
+import {readWholeBody, type Bytes} from '@hibiscusbeam/core';
 import {Err, Ok, type Result} from 'ts-results';
 import {request} from 'undici';
 import type * as z from 'zod';
@@ -18,6 +19,9 @@
 // Planning fetches manifests from the origin, so its reply may be slow.
 const REPLY_TIMEOUT_MILLISECONDS = 30_000;
 
+/** Maximum size of a reply. */
+const MAX_REPLY: Bytes = 16 * 1024 * 1024;
+
 /** Error codes of connections that were never made; nothing was sent. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -133,8 +137,12 @@
       body: call.yaml ?? null,
       signal: AbortSignal.timeout(REPLY_TIMEOUT_MILLISECONDS),
     });
-    const text = await response.body.text();
-    return Ok({status: response.statusCode, json: parseJson(text)});
+    const body = await readWholeBody(response.body, {
+      maxBytes: MAX_REPLY,
+      clock: () => performance.now(),
+    });
+    const json = parseJson(body.toString('utf8'));
+    return Ok({status: response.statusCode, json});
   } catch (error) {
     return Err(transportError(call, options.entry, error));
   }
--- a/packages/platform/src/node/http_client.ts
+++ b/packages/platform/src/node/http_client.ts
@@ -1,5 +1,10 @@
 import {isIP} from 'node:net';
-import type {Milliseconds, PlatformError} from '@hibiscusbeam/core';
+import {
+  readWholeBody,
+  type Bytes,
+  type Milliseconds,
+  type PlatformError,
+} from '@hibiscusbeam/core';
 import {Err, Ok} from 'ts-results';
 import type {Result} from 'ts-results';
 import {Agent, request} from 'undici';
@@ -11,6 +16,14 @@
 /** Max calls to the platform in flight; more wait for a connection. */
 const MAX_CONNECTIONS = 16;
 
+/** Maximum size of an answer, which may be an object of the store. */
+const MAX_ANSWER: Bytes = 64 * 1024 * 1024;
+
+const ANSWER_LIMITS = {
+  maxBytes: MAX_ANSWER,
+  clock: () => performance.now(),
+};
+
 /** One call to the platform. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'PUT';
@@ -98,13 +111,18 @@
     }
   }
 
-  function text(call: HttpCall): Promise<Result<string, PlatformError>> {
-    return exchange(call, response => response.body.text());
+  function bytes(call: HttpCall): Promise<Result<Buffer, PlatformError>> {
+    return exchange(call, ({body}) => readWholeBody(body, ANSWER_LIMITS));
+  }
+
+  async function text(call: HttpCall): Promise<Result<string, PlatformError>> {
+    return (await bytes(call)).map(content => content.toString('utf8'));
   }
 
   return {
     text,
-    bytes: call => exchange(call, response => response.body.bytes()),
+    bytes: async call =>
+      (await bytes(call)).map(content => new Uint8Array(content)),
     json: async (call, schema) => {
       const content = await text(call);
       if (content.err) return content;
--- a/test/fleet/endless_answers.test.ts
+++ b/test/fleet/endless_answers.test.ts
@@ -46,6 +46,7 @@
 const LONG_BODY = 'Content-Length: 1000000000000';
 const EVENT = 'id: 1\ndata: token 1\n\n';
 const FILL = 'x'.repeat(BLOCK);
+const FRAGMENTS = 9_999;
 
 const ANSWERS: readonly EndlessAnswer[] = [
   ...['/unsafe/a', '/stream/a'].flatMap(path => [
@@ -87,6 +88,18 @@
       beginning: headOf(CHUNKED),
       repeated: chunkOf(FILL),
     },
+    {
+      name: 'a body in chunks of one byte',
+      path,
+      beginning: headOf(CHUNKED),
+      repeated: chunkOf('x').repeat(FRAGMENTS),
+    },
+    {
+      name: 'a failure in chunks of one byte',
+      path,
+      beginning: headOf(CHUNKED).replace('200 OK', '500 Failed'),
+      repeated: chunkOf('x').repeat(FRAGMENTS),
+    },
     {
       name: 'a body with a length',
       path,
@@ -118,6 +131,12 @@
     beginning: headOf(CHUNKED) + chunkOf(EVENT),
     repeated: chunkOf('data: more\n\n'.repeat(999)),
   },
+  {
+    name: 'comment lines in chunks of one byte',
+    path: '/stream/a',
+    beginning: headOf(CHUNKED) + chunkOf(EVENT),
+    repeated: [':', '\n'].map(chunkOf).join('').repeat(FRAGMENTS),
+  },
   {
     name: 'empty events',
     path: '/stream/a',
--- a/test/fleet/body_blocks.test.ts
+++ b/test/received_bytes/byte_blocks.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
-import {createBodyBlocks} from '../../packages/fleet/src/entry/body_blocks';
+import {createByteBlocks} from '@hibiscusbeam/core';
 import {propertyRuns} from '../forwarding/property_runs';
 
 const LENGTH = 200_000;
@@ -10,7 +10,7 @@
 const MAX_OVERHEAD = 10_000;
 
 function collect(parts: readonly Buffer[]) {
-  const blocks = createBodyBlocks();
+  const blocks = createByteBlocks();
   const memory = parts.reduce((sum, part) => sum + blocks.add(part), 0);
   return {memory, length: blocks.length(), blocks: blocks.take()};
 }
