Treat an answer whose status ends no request as malformed

What callers saw: a target in trouble that answered with status 600 or 999 had its answer passed on, in 20 of 20 requests of the test. With 000, 001 or 099 the entry failed while it wrote the answer and sent 502. In each case the answer counted as a success of its target: the odd one of two equal targets was sent each of 20 requests first, and a quick one in trouble would draw all callers and their retries.

Cause: the parser of Node.js accepts any three digits, and an answer that is complete, whatever its status, cleared the failures of its target.

Fix: only the statuses 200 to 599 end a request. Any other is an unknown outcome with a malformed answer: evidence against the target, another attempt where the request may be repeated, otherwise 502. It is decided before the rest of the header is read, so "not run" isn't believed either.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -25,6 +25,10 @@
 /** Maximum size of an answer that is buffered before it is forwarded. */
 const MAX_WHOLE_ANSWER_BYTES: Bytes = 8 * 1024 * 1024;
 
+/** Range of the statuses that end a request. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+
 /** A complete answer of a target, ready to be forwarded. */
 export interface WholeAnswer {
   readonly status: number;
@@ -130,6 +134,10 @@
   options: AttemptOptions & {readonly silence: SilenceMonitor},
 ): Promise<ForwardAttemptEnd> {
   const {header, status} = answer;
+  if (!isFinalStatus(status)) {
+    options.explain(`status ${status} is not one of a final answer`);
+    return {kind: 'unknown', cause: 'malformedAnswer'};
+  }
   // A target may send the answer to another request, and the caller would be
   // given someone else's data. The request id that targets echo shows that.
   if (header.requestId !== options.requestId) {
@@ -166,6 +174,14 @@
   return {kind: 'answered', success};
 }
 
+/**
+ * Whether a status is one that ends a request. The parser of Node.js accepts
+ * any three digits.
+ */
+function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
+}
+
 /** Result of reading a whole body. */
 type WholeReading =
   | {readonly kind: 'whole'; readonly body: Buffer}
