Take no row whose address can't be used, and survive one that throws

What callers saw: with one row of another writer that has the port 99999 among the rows of the targets, each request that chose it got 502, 1 of 1 in the test. The port 0 and an octet of 999 were accepted too.

Cause: the pattern of an address took any five digits. Connecting to such a port throws at once instead of failing later: the attempt failed inside the entry, didn't count against its target and kept its slot, so placement chose the row again and again. On the same path, the probe of a target and the handling of a reading rejected without a handler, which ends a process of Node.js.

An attempt whose connection can't even be opened is one that was not connected, and one that fails inside the entry gives its slot back. A reading that can't be applied is logged once and requested again after a pause; it renews no confirmation.

--- a/packages/fleet/src/entry/crash_monitor.ts
+++ b/packages/fleet/src/entry/crash_monitor.ts
@@ -120,7 +120,12 @@
   };
 }
 
+/** An address that can't be connected to at all shows nothing. */
 function probeAddress(address: string): Promise<AddressState> {
+  return connectTo(address).catch(() => 'unreachable');
+}
+
+function connectTo(address: string): Promise<AddressState> {
   const [host, port] = address.split(':');
   return new Promise(resolve => {
     const socket = connect({host, port: Number(port)});
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -93,8 +93,26 @@
   outgoing: OutgoingRequest,
   protocol: RequestProtocol,
 ): Exchange {
+  let request: ClientRequest;
+  try {
+    request = createRequest(outgoing);
+  } catch (error) {
+    // Nothing was sent. An address that can't be used costs its target.
+    const detail = error instanceof Error ? error.message : String(error);
+    const answer = Promise.resolve(
+      Err({kind: 'notConnected', detail} as const),
+    );
+    return {answer, abort: () => undefined};
+  }
+  outgoing.buffers.trackTarget(request);
+  const answer = awaitAnswer(request, protocol, outgoing);
+  return {answer, abort: () => void request.destroy()};
+}
+
+/** Creates the request and begins to connect; throws if its address is invalid. */
+function createRequest(outgoing: OutgoingRequest): ClientRequest {
   const [host, port] = outgoing.address.split(':');
-  const request = openRequest({
+  return openRequest({
     host,
     port: Number(port),
     method: outgoing.method,
@@ -103,9 +121,6 @@
     agent: false,
     setHost: false,
   });
-  outgoing.buffers.trackTarget(request);
-  const answer = awaitAnswer(request, protocol, outgoing);
-  return {answer, abort: () => void request.destroy()};
 }
 
 function awaitAnswer(
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -151,6 +151,8 @@
   /** According to the last own read. */
   let isStoreDown = false;
   let newestRevision: Revision = -Infinity;
+  /** Of the last listing that could not be applied. */
+  let unappliedRevision: Revision | undefined;
   let era: number | undefined;
   let lastReadAt: MonotonicInstant = -Infinity;
   /**
@@ -224,10 +226,20 @@
     listing: TargetListing,
     provenAt: MonotonicInstant,
   ): void {
-    newestRevision = listing.revision;
     if (era !== undefined && listing.era > era) memory.recordRestore(clock());
     era = listing.era;
+    const listedBefore = listedAt;
     listedAt = Math.max(listedAt ?? provenAt, provenAt);
+    try {
+      useListing(listing);
+      newestRevision = listing.revision;
+    } catch (error) {
+      listedAt = listedBefore;
+      logUnapplied(listing.revision, error);
+    }
+  }
+
+  function useListing(listing: TargetListing): void {
     options.onListing(listing);
     const targets = memory.update(listing.targets, clock());
     options.onTargets(targets);
@@ -236,6 +248,16 @@
     options.onChange();
   }
 
+  /**
+   * A row that passes the checks and still can't be used must not end the
+   * process, nor the following of the list.
+   */
+  function logUnapplied(revision: Revision, error: unknown): void {
+    if (unappliedRevision === revision) return;
+    unappliedRevision = revision;
+    log.error('list of targets not applied', {revision, error});
+  }
+
   /** Targets of services that no route can use, reported like unusable rows. */
   function unconfiguredRows(reading: TargetReading): readonly UnusableRow[] {
     return reading.targets
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -97,8 +97,13 @@
 
   async function carryOut(planned: PlannedAttempt): Promise<void> {
     const begun = begin(planned);
-    const outcome = await runAttempt(attemptOptions(begun));
-    if (!begun.send.signal.aborted) finish(begun, endOf(outcome));
+    try {
+      const outcome = await runAttempt(attemptOptions(begun));
+      if (!begun.send.signal.aborted) finish(begun, endOf(outcome));
+    } catch (error) {
+      if (!begun.send.signal.aborted) begun.leave();
+      throw error;
+    }
   }
 
   function begin(planned: PlannedAttempt): StartedAttempt {
--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -48,19 +48,42 @@
   let failures = 0;
   /** Consecutive requests for changes that the store no longer knows. */
   let historyLosses = 0;
+  /** Of the last reading that could not be applied. */
+  let unappliedRevision: Revision | undefined;
+
+  /**
+   * Handles a reading. If a row that passes the checks can't be used, that must
+   * not end the process; the same reading is requested again after a pause.
+   */
+  async function isApplied(
+    reading: Reading,
+    scope: ReadingScope,
+  ): Promise<boolean> {
+    try {
+      await options.onReading(reading, scope);
+      return true;
+    } catch (error) {
+      const isFirst = unappliedRevision !== reading.revision;
+      unappliedRevision = reading.revision;
+      if (isFirst) log.error(`${name} not applied`, {error});
+      return false;
+    }
+  }
+
   while (!signal.aborted) {
     const scope = revision === undefined ? 'all' : 'changes';
     const reply = await (revision === undefined
       ? options.readAll()
       : options.follow(revision));
     if (reply.ok) {
-      if (failures > 0) log.info(`${name} regained`, {failures});
-      failures = 0;
-      if (scope === 'changes') historyLosses = 0;
-      recordEra(reply.val);
-      revision = reply.val.revision;
       unusableRows.record(reply.val.unusable);
-      await options.onReading(reply.val, scope);
+      if (await isApplied(reply.val, scope)) {
+        if (failures > 0) log.info(`${name} regained`, {failures});
+        failures = 0;
+        if (scope === 'changes') historyLosses = 0;
+        recordEra(reply.val);
+        revision = reply.val.revision;
+      } else await options.pause((failures += 1), signal);
       continue;
     }
     if (reply.val.kind === 'historyLost') {
--- a/test/fleet/crash_monitor.test.ts
+++ b/test/fleet/crash_monitor.test.ts
@@ -32,6 +32,18 @@
   return {quarantine, monitor, probes: () => probes, endings};
 }
 
+// A rejected probe would end the process.
+test('an address that can not be used shows nothing about its target', async () => {
+  const monitor = createCrashMonitor({
+    quarantine: createQuarantine(),
+    clock: () => 1,
+    log: errorFreeLog,
+    onChange: () => undefined,
+  });
+  const odd = {...target('odd'), address: '127.0.0.1:99999'};
+  expect(await monitor.probe(odd)).toBe('unreachable');
+});
+
 test('a target at whose address nothing listens has ended', async () => {
   const {monitor, endings} = startMonitor('closed');
   await monitor.recordLostConnection(attempt('request', 'one'));
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -83,6 +83,13 @@
   expect(await readAnswer(address)).toMatchObject({isWhole: false});
 });
 
+// An entry of an earlier version may pass on a row with such an address.
+test('an address that can not be used fails its exchange only', async () => {
+  expect(await readAnswer('127.0.0.1:99999')).toMatchObject({
+    failure: {kind: 'notConnected'},
+  });
+});
+
 test('a port without a listener proves that nothing was sent', async () => {
   const address = await startTarget(() => undefined);
   for (const close of closing.splice(0)) close();
--- a/test/fleet/feed_loop.test.ts
+++ b/test/fleet/feed_loop.test.ts
@@ -79,3 +79,39 @@
   );
   expect(pauses).toEqual([1, 2, 3]);
 });
+
+// A process would end, or follow the table no more.
+test('a reading that can not be applied is requested again after a pause', async () => {
+  const stopped = new AbortController();
+  const requests: unknown[] = [];
+  const errors: string[] = [];
+  const reading = (revision: number): StoreReading => ({
+    revision,
+    era: 0,
+    storeTime: 0,
+    unusable: [],
+  });
+  let pauses = 0;
+  await runFeedLoop<StoreReading>(
+    {
+      name: 'table',
+      log: {...errorFreeLog, error: message => void errors.push(message)},
+      readAll: () => Promise.resolve(Ok(reading(4))),
+      follow: after => {
+        requests.push(after);
+        if (requests.length === 4) stopped.abort();
+        return Promise.resolve(Ok(reading(5)));
+      },
+      onReading: ({revision}) => {
+        if (revision === 5 && requests.length < 3) throw new Error('odd row');
+      },
+      pause: () => {
+        pauses += 1;
+        return Promise.resolve();
+      },
+    },
+    stopped.signal,
+  );
+  expect(requests).toEqual([4, 4, 4, 5]);
+  expect([pauses, errors]).toEqual([2, ['table not applied']]);
+});
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -150,6 +150,9 @@
     ['a start time that is a string', {born: '2026-01-01'}],
     ['models of the wrong type', {Models: 'model'}],
     ['an invalid address', {Address: 'engine.example'}],
+    ['a port out of range', {Address: '10.1.0.20:65536'}],
+    ['the port 0', {Address: '10.1.0.20:0'}],
+    ['an octet out of range', {Address: '10.1.0.256:8406'}],
     ['no slots', {Slots: 0}],
   ])('a row with %s lists no engine', async (_, changes) => {
     const value = {...REGISTRATION, ...changes};
