Accept requests in a planned stop by their deadlines only

Cause: a request whose deadline came after the final answers was accepted if one and a half times the longest recent duration of its route fitted, while callers could still use earlier answers of the directory or had no other entry. How long others took is no bound of the next request.

Fix: the deadline alone decides. Everything else is refused at once with "not run", so its caller can use another entry. The record of durations is gone, with the two tests and two guards of the exception: they asked for the guess that cut these requests. They are replaced by a test that nothing accepted is cut, with one entry and with two.

Evidence: both new cases failed before (10 of 10 cut). Ruled out: later final answers, with which requests of 5 s sent after 2.6 s are cut as well.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -97,11 +97,6 @@
 /** Maximum lifetime of a directory answer, so that changes spread soon. */
 const MAX_DIRECTORY_TTL: Milliseconds = 2_000;
 
-/**
- * Time in which callers open a connection to an address from the directory.
- */
-const CALLER_CONNECT_TIMEOUT: Milliseconds = 1_000;
-
 function toEngineLoad(report: EngineReport): EngineLoad {
   return {
     address: report.engineAddress,
@@ -145,7 +140,6 @@
   const keepFor = Math.min(bounds.directoryAnswer, MAX_DIRECTORY_TTL);
   const plannedStop = createPlannedStop({
     grace: bounds.grace,
-    callersStayFor: keepFor + CALLER_CONNECT_TIMEOUT,
     clock: machineClock,
   });
   const storeClock = createStoreClock();
@@ -387,7 +381,6 @@
     maxConfirmationAge,
     listedAt: () => targets.listedAt(),
     plannedStop,
-    hasOtherEntries: () => entryPeers.usable().length > 0,
   });
   const callerServer = createCallerServer(handler, clock, {
     maxConnections: maxConnections.callers,
--- a/packages/fleet/src/entry/planned_stop.ts
+++ b/packages/fleet/src/entry/planned_stop.ts
@@ -1,28 +1,13 @@
-import type {Milliseconds} from '@hibiscusbeam/core';
+import {unreachable, type Milliseconds} from '@hibiscusbeam/core';
 import {sleep, type Clock} from '@hibiscusbeam/daemon';
 
 /** Phase of a planned stop. */
 export type StoppingPhase = 'serving' | 'leaving' | 'closing';
 
-/** What the acceptance of a request by a stopping entry depends on. */
-export interface StoppingRequest {
-  /** Time until its deadline. */
-  readonly timeLeft: Milliseconds;
-  /** Longest duration of recent requests of its route, if any. */
-  readonly longestRun: Milliseconds | undefined;
-  /** Whether another entry can take it. */
-  readonly hasAlternative: boolean;
-}
-
 /** Options of {@link createPlannedStop}. */
 export interface PlannedStopOptions {
   /** Time from the stop signal until the platform kills the process. */
   readonly grace: Milliseconds;
-  /**
-   * Time after the signal during which callers still use the directory's
-   * earlier answers.
-   */
-  readonly callersStayFor: Milliseconds;
   /** Clock that also counts while the machine is suspended. */
   readonly clock: Clock;
 }
@@ -32,8 +17,11 @@
   readonly phase: () => StoppingPhase;
   /** Begins the stop; resolves when no new request is accepted any more. */
   readonly begin: () => Promise<void>;
-  /** Whether a request that arrives now may be forwarded. */
-  readonly mayAccept: (request: StoppingRequest) => boolean;
+  /**
+   * Whether a request that arrives now may be forwarded, by the time until its
+   * deadline.
+   */
+  readonly mayAccept: (timeLeft: Milliseconds) => boolean;
   /**
    * Resolves once `isIdle`, at the latest shortly before the grace period ends;
    * `endAll` is called when requests in progress have to end.
@@ -58,12 +46,11 @@
 /** Interval between checks of the time and of running requests. */
 const CHECK_PERIOD: Milliseconds = 50;
 
-/** How much longer than the longest recent request another one may take. */
-const DURATION_MARGIN = 1.5;
-
 /**
  * Creates the course of a planned stop. What still runs at the final answers is
- * cut, so a request is accepted only if it ends before them.
+ * cut, so a request is accepted only if its deadline comes before them. How long
+ * others took is no bound, and a caller that is refused at once can use another
+ * entry.
  */
 export function createPlannedStop(options: PlannedStopOptions): PlannedStop {
   const {grace, clock} = options;
@@ -80,18 +67,19 @@
     phase = 'closing';
   }
 
-  function mayAccept(request: StoppingRequest): boolean {
-    if (phase === 'serving') return true;
-    if (phase === 'closing') return false;
-    const elapsed = clock() - stoppingSince;
-    const left = grace * FINAL_ANSWERS_SHARE - elapsed;
-    if (request.timeLeft <= left) return true;
-    // Callers that can't know better, or have no other entry, would lose more by
-    // a refusal than by the small chance of a cut.
-    if (request.hasAlternative && elapsed > options.callersStayFor) {
-      return false;
+  function mayAccept(timeLeft: Milliseconds): boolean {
+    switch (phase) {
+      case 'serving':
+        return true;
+      case 'leaving': {
+        const elapsed = clock() - stoppingSince;
+        return timeLeft <= grace * FINAL_ANSWERS_SHARE - elapsed;
+      }
+      case 'closing':
+        return false;
+      default:
+        return unreachable(phase);
     }
-    return (request.longestRun ?? Infinity) * DURATION_MARGIN <= left;
   }
 
   async function finish(
--- a/packages/fleet/src/entry/request_acceptance.ts
+++ b/packages/fleet/src/entry/request_acceptance.ts
@@ -20,7 +20,6 @@
 import type {HeldReadings} from './held_readings';
 import type {OperatorFollower} from './operator_follower';
 import type {PlannedStop} from './planned_stop';
-import type {RunDurations} from './run_durations';
 import {notRun, type LocalAnswer} from './local_answers';
 import type {RequestBody} from './request_body';
 import {fingerprintOf, promptPartDigest} from './request_fingerprint';
@@ -47,9 +46,6 @@
   /** Whether the site's quarantined requests have been read. */
   readonly isQuarantineKnown: () => boolean;
   readonly plannedStop: Pick<PlannedStop, 'phase' | 'mayAccept'>;
-  /** Whether callers may be sent to another entry. */
-  readonly hasOtherEntries: () => boolean;
-  readonly durations: Pick<RunDurations, 'longest'>;
   readonly clock: Clock;
   readonly expectedRuns: ExpectedRuns;
 }
@@ -132,7 +128,7 @@
   if (service === undefined) return notRun('noTarget', undefined);
   const timeout = Math.min(header.patience ?? Infinity, route.timeout);
   const deadline = arrivedAt + timeout;
-  if (!isAcceptedByStop(options, route, deadline)) {
+  if (!options.plannedStop.mayAccept(deadline - options.clock())) {
     return notRun('leaving', RETRY_ELSEWHERE_AFTER);
   }
   const expectable = {header, table, service, route: route.name};
@@ -169,18 +165,6 @@
   return {...current, body, fingerprint, promptParts};
 }
 
-function isAcceptedByStop(
-  {plannedStop, durations, hasOtherEntries, clock}: RequestAcceptanceOptions,
-  route: Route,
-  deadline: MonotonicInstant,
-): boolean {
-  return plannedStop.mayAccept({
-    timeLeft: deadline - clock(),
-    longestRun: durations.longest(route.name),
-    hasAlternative: hasOtherEntries(),
-  });
-}
-
 /**
  * Where a request may be served by the routes of `table`; undefined if none
  * matches.
--- a/packages/fleet/src/entry/request_handler.ts
+++ b/packages/fleet/src/entry/request_handler.ts
@@ -41,7 +41,6 @@
 } from './request_refusals';
 import {createRequestRun} from './request_run';
 import {createRequestTrace, type RequestTrace} from './request_trace';
-import {createRunDurations} from './run_durations';
 import type {StreamProgress} from './stream_relay';
 import {createTimeliness} from './timeliness';
 import type {UnreadRequests, UnreadRest} from './unread_requests';
@@ -58,7 +57,7 @@
 /** Dependencies of the request handler. */
 export interface RequestHandlerOptions
   extends
-    Omit<RequestAcceptanceOptions, 'expectedRuns' | 'durations'>,
+    Omit<RequestAcceptanceOptions, 'expectedRuns'>,
     Omit<RequestRunOptions, 'timeliness' | 'answerTimes' | 'ownLines'> {
   readonly metrics: FleetMetrics;
   readonly buffers: BufferedBytes;
@@ -105,8 +104,7 @@
   const timeliness = createTimeliness(answerTimes);
   const runOptions = {...options, timeliness, answerTimes, ownLines};
   const expectedRuns = createExpectedRuns();
-  const durations = createRunDurations(clock);
-  const acceptance = {...options, expectedRuns, durations};
+  const acceptance = {...options, expectedRuns};
   const unsent = new Set<ServerResponse>();
   const deadlines = new Set<() => void>();
 
@@ -345,9 +343,6 @@
     const took = Math.round(clock() - accepted.arrivedAt);
     metrics.countRequest(accepted.route.name, result.kind);
     metrics.observeDuration(accepted.route.name, took);
-    if (result.kind === 'streamed' || result.kind === 'passOn') {
-      durations.record(accepted.route.name, took);
-    }
     log.info('request', {
       request: accepted.header.requestId,
       route: accepted.route.name,
--- a/test/fleet/planned_stop.test.ts
+++ b/test/fleet/planned_stop.test.ts
@@ -1,12 +1,10 @@
 import {afterEach, beforeEach, describe, expect, test, vi} from 'vitest';
 import {createPlannedStop} from '../../packages/fleet/src/entry/planned_stop';
-import {createRunDurations} from '../../packages/fleet/src/entry/run_durations';
 import {isReady, send} from './fixtures/host_caller';
 import {startHostEngine, type HostEngine} from './fixtures/host_engine';
 import {eventually, startHostSite, type HostSite} from './fixtures/host_site';
 
 const GRACE = 8_000;
-const CALLERS_STAY_FOR = 3_000;
 
 /** When requests in progress get their final answers. */
 const FINAL_ANSWERS = 7_200;
@@ -22,13 +20,11 @@
   async function stopFor(elapsed: number) {
     const stop = createPlannedStop({
       grace: GRACE,
-      callersStayFor: CALLERS_STAY_FOR,
       clock: () => Date.now(),
     });
     void stop.begin();
     await vi.advanceTimersByTimeAsync(elapsed);
-    return (timeLeft: number, longestRun?: number, hasAlternative = true) =>
-      stop.mayAccept({timeLeft, longestRun, hasAlternative});
+    return stop.mayAccept;
   }
 
   test('a request is accepted if its deadline comes before the final answers', async () => {
@@ -39,43 +35,12 @@
     }
   });
 
-  test('a request that probably ends in time is accepted while callers use earlier answers', async () => {
-    const early = await stopFor(2_900);
-    expect(early(6_000, 2_000)).toBe(true);
-    expect(early(6_000, 4_000)).toBe(false);
-    const late = await stopFor(3_100);
-    expect(late(6_000, 2_000)).toBe(false);
-  });
-
-  // A refusal would leave it unserved.
-  test('a request that probably ends in time is accepted if there is no other entry', async () => {
-    const late = await stopFor(3_100);
-    expect(late(6_000, 2_000, false)).toBe(true);
-    expect(late(6_000, 4_000, false)).toBe(false);
-  });
-
   test('nothing is accepted once the serving share has passed', async () => {
     const accepts = await stopFor(3_650);
     expect(accepts(100)).toBe(false);
   });
 });
 
-test('the longest duration of a route is forgotten after a while', () => {
-  let now = 0;
-  const durations = createRunDurations(() => now);
-  durations.record('stream', 3_000);
-  durations.record('stream', 1_000);
-  expect(durations.longest('stream')).toBe(3_000);
-  expect(durations.longest('other')).toBeUndefined();
-  now = 31_000;
-  durations.record('stream', 1_000);
-  expect(durations.longest('stream')).toBe(3_000);
-  now = 62_000;
-  expect(durations.longest('stream')).toBe(1_000);
-  now = 200_000;
-  expect(durations.longest('stream')).toBeUndefined();
-});
-
 describe('a planned stop', () => {
   let site: HostSite;
   let engine: HostEngine;
@@ -91,6 +56,11 @@
 
   /** Starts two entries and an engine; returns the entry to be stopped. */
   async function startTwoEntries(pause: number) {
+    const [entry] = await startEntries(2, pause);
+    return entry!;
+  }
+
+  async function startEntries(count: number, pause: number) {
     engine = await startHostEngine({
       instance: 'one',
       version: 1,
@@ -102,16 +72,19 @@
       Models: [{Name: 'model', Version: 1, Adapters: []}],
     });
     site.configure();
-    const entries = [await site.startEntry(), await site.startEntry()] as const;
+    const entries = await Promise.all(
+      Array.from({length: count}, () => site.startEntry()),
+    );
     const addresses = entries.map(({settings}) => settings);
     await eventually(
-      () => site.lines.filter(({message}) => message === 'target').length >= 2,
+      () =>
+        site.lines.filter(({message}) => message === 'target').length >= count,
     );
     await eventually(async () => {
       const ready = addresses.map(address => isReady(address.readinessAddress));
       return !(await Promise.all(ready)).includes(false);
     });
-    return entries[0];
+    return entries;
   }
 
   const streamFrom = (address: string, patience: number) =>
@@ -136,4 +109,25 @@
     expect(answer.status).toBe(200);
     expect(answer.text).toContain('id: 10\n');
   });
+
+  // How long recent requests took says nothing about the next one.
+  test.each([1, 2])(
+    'one of %i entries cuts no request that it accepts while it stops, however long others took',
+    async count => {
+      const [stopping] = await startEntries(count, 1);
+      const {settings, running} = stopping!;
+      const short = await streamFrom(settings.callerAddress, 10_000);
+      expect(short.status).toBe(200);
+      engine.setFault({kind: 'silent', after: 1, duration: 3_000});
+      const stopped = running.stop();
+      const outcomes = [];
+      for (let sent = 0; sent < 10; sent += 1) {
+        const answer = streamFrom(settings.callerAddress, 10_000);
+        outcomes.push(answer.then(({status}) => status).catch(() => 'cut'));
+        await new Promise(resolve => setTimeout(resolve, 50));
+      }
+      expect(await Promise.all(outcomes)).toEqual(outcomes.map(() => 503));
+      await stopped;
+    },
+  );
 });
