Record a version's naming in the store at once

Cause: the time of a naming was written to the store only 0.5 s after it was read, once. Processes that had ended before that counted the bound from their first reading after the restart. The delay is for a process that has just started and doesn't know yet whether it reads for the site; it was applied to each reading.

Fix: a naming that is read as a change is recorded at once. One that is read at a start still waits. A record without an answer is repeated every 0.5 s, up to 20 times, since the store may be unavailable for seconds.

Ruled out: the margin of 1.5 s before the bound, which would have to cover any restart.

The new test fails without the change (0 records after 0.1 s).

--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -103,12 +103,15 @@
 const ANSWER_SLACK: Milliseconds = 800;
 
 /**
- * Delay before a version's naming is recorded, by the entry that then still
- * reads the table for the site: after a start it takes that long to find a
- * relay.
+ * Delay before a version's naming is recorded that was read at the start, by
+ * the entry that then still reads the table for the site: it takes that long to
+ * find a relay. A failed record is also repeated after it.
  */
 const NAMING_RECORD_DELAY: Milliseconds = 500;
 
+/** Attempts to record a naming; the store may be unavailable for seconds. */
+const MAX_NAMING_RECORDS = 20;
+
 /** Pauses after failed queries, from the first to the longest. */
 const MIN_RETRY_PAUSE: Milliseconds = 100;
 const MAX_RETRY_PAUSE: Milliseconds = 500;
@@ -244,7 +247,7 @@
       const isNew = options.versions.name(model, version, knownSince);
       if (isNew) log.info('version named', {model, version, namedAt});
       if (isNew && namedAt === undefined) {
-        recordNamingSoon({model, version, namedAt: storeTime});
+        recordNaming({model, version, namedAt: storeTime}, scope);
       }
       hasUpdate ||= isNew;
     }
@@ -272,17 +275,26 @@
 
   /**
    * Records when a version's name was first read, by the entry that reads the
-   * operator's table for the site. Otherwise, after a restart of all processes
-   * of a site, each counts the version's bound from its own first reading, and
-   * engines get requests for the older version for seconds after the bound.
+   * operator's table for the site: at once, as all processes may be killed right
+   * after the naming. Otherwise, after a restart of all of them, each counts the
+   * version's bound from its own first reading, and engines get requests for the
+   * older version for seconds after the bound.
    */
-  function recordNamingSoon(named: NamedVersion): void {
-    setTimeout(() => {
-      if (options.source() !== 'store') return;
-      void feed.recordNaming(named, ANSWER_SLACK).then(reply => {
-        if (reply.err) log.warn('naming was not recorded', {error: reply.val});
-      });
-    }, NAMING_RECORD_DELAY);
+  function recordNaming(named: NamedVersion, scope: ReadingScope): void {
+    if (scope === 'changes') return writeNaming(named, MAX_NAMING_RECORDS);
+    setTimeout(
+      () => writeNaming(named, MAX_NAMING_RECORDS),
+      NAMING_RECORD_DELAY,
+    );
+  }
+
+  function writeNaming(named: NamedVersion, attempts: number): void {
+    if (attempts === 0 || options.source() !== 'store') return;
+    void feed.recordNaming(named, ANSWER_SLACK).then(reply => {
+      if (reply.ok) return;
+      log.warn('naming was not recorded', {error: reply.val, attempts});
+      setTimeout(() => writeNaming(named, attempts - 1), NAMING_RECORD_DELAY);
+    });
   }
 
   function reportReading(moment: OperatorMoment): void {
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -60,6 +60,7 @@
   let lag = 0;
   let named: readonly NamedVersion[] = [];
   const recorded: NamedVersion[] = [];
+  let refusals = 0;
   const rows: EvacuationChange[] = [];
   const readingOf = (isNew: boolean) =>
     ({
@@ -91,6 +92,8 @@
     },
     recordNaming: async naming => {
       recorded.push(naming);
+      refusals -= 1;
+      if (refusals >= 0) return Err({kind: 'unavailable', detail: ''});
       return Promise.resolve(Ok(true));
     },
     decode: ({text}) => {
@@ -140,8 +143,9 @@
     setAway: (next: boolean) => (isAway = next),
     delayAnswers: (by: number) => (lag = by),
     recorded,
-    name: (namedAt?: number) => {
-      named = [{model: 'model', version: 2, namedAt}];
+    refuseRecords: (count: number) => (refusals = count),
+    name: (namedAt?: number, number = 2) => {
+      named = [{model: 'model', version: number, namedAt}];
       version += 1;
     },
     minVersion: () => versions.oldestAllowed('model', now(), 0),
@@ -378,6 +382,21 @@
   expect(after.recorded).toHaveLength(0);
 });
 
+// All processes are killed right after a naming, before it was recorded.
+test('a naming is recorded at once, and again if the store did not answer', async () => {
+  const site = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(1_000);
+  site.name();
+  await vi.advanceTimersByTimeAsync(100);
+  expect(site.recorded).toHaveLength(1);
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(site.recorded).toHaveLength(1);
+  site.refuseRecords(3);
+  site.name(undefined, 3);
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(site.recorded).toHaveLength(5);
+});
+
 // If all 43 entries recorded a naming, it would cost 43 calls to the store.
 test('an entry that follows a relay records no naming', async () => {
   const site = startFollower(() => 'zoneRelay');
