Withdraw requests that have not begun at the bound of their version

Cause: a request begins with its first token, and entries only limited when it was sent: 1.5 s before the bound of a version they send nothing more to engines with an older one. A request that waits longer than that at an engine, behind other prompts or for a load, begins on the old version after the bound.

Fix: an entry tracks the attempts at engines that have sent no event yet and withdraws them when the version that their engine holds may start nothing more: 0.3 s before the bound, or 1.5 s for another zone, which a close takes longer to reach. It closes the connection, which says nothing about the engine, and sends the request again only if it may run twice; otherwise the outcome is unknown. A request whose engine has loaded the new version by then stays. Only streams are withdrawn, as other answers don't show when they began.

Ruled out: a larger margin, which has no end either and keeps engines idle for its length at each version.

--- a/packages/core/src/event_stream/event_splitter.ts
+++ b/packages/core/src/event_stream/event_splitter.ts
@@ -44,15 +44,16 @@
   }
 
   function complete(end: Buffer): StreamEvent {
-    const bytes = pending.length() === 0 ? end : joinPending(end);
-    pending = createByteBlocks();
+    const bytes = pending.length() === 0 ? end : takePending(end);
     lineStart = undefined;
     return {id: idOf(bytes), bytes};
   }
 
-  function joinPending(end: Buffer): Buffer {
+  function takePending(end: Buffer): Buffer {
     pending.add(end);
-    return Buffer.concat(pending.take());
+    const bytes = Buffer.concat(pending.take());
+    pending = createByteBlocks();
+    return bytes;
   }
 
   // Only what is new is searched, however large the event has become.
--- a/packages/core/src/forwarding/types.ts
+++ b/packages/core/src/forwarding/types.ts
@@ -26,7 +26,11 @@
 
 /** Why the outcome of a request that was sent is unknown. */
 export type UnknownCause =
-  'connectionLost' | 'malformedAnswer' | 'foreignAnswer';
+  | 'connectionLost'
+  | 'malformedAnswer'
+  | 'foreignAnswer'
+  /** It was withdrawn before it began, at the bound of its target's version. */
+  | 'withdrawn';
 
 /** The end or the current state of one attempt at a target. */
 export type AttemptOutcome = AttemptEnd | AttemptState;
--- a/packages/core/src/placement/named_versions.ts
+++ b/packages/core/src/placement/named_versions.ts
@@ -18,6 +18,13 @@
  */
 export const MAX_FAR_DELAY = 2_500;
 
+/**
+ * Time in milliseconds before a version's bound at which requests that have not
+ * begun on an older one are withdrawn, for the close of their connections to
+ * reach the target.
+ */
+const WITHDRAWAL_MARGIN = 300;
+
 /** A named version, and since when any process has known of it. */
 export interface VersionNaming {
   readonly model: ModelName;
@@ -47,6 +54,16 @@
     now: MonotonicInstant,
     delay: Milliseconds,
   ) => number | undefined;
+  /**
+   * Returns when a request that has not begun on a version must be withdrawn;
+   * Infinity if no newer version is named. It may take longer to reach a target
+   * in another zone.
+   */
+  readonly withdrawalTime: (
+    model: ModelName,
+    version: number,
+    isFar: boolean,
+  ) => MonotonicInstant;
   readonly all: () => ReadonlyMap<ModelName, number>;
   /** Returns the most recent versions of each model, for other processes. */
   readonly recent: () => readonly VersionNaming[];
@@ -62,9 +79,14 @@
  * Creates an empty set of named versions.
  *
  * Each version has its bound from its own naming: a later version does not
- * postpone the bound of an earlier one.
+ * postpone the bound of an earlier one. `bound` is the time from a naming until
+ * older versions start nothing more, `VERSION_BOUND_MARGIN` before their bound;
+ * `onNaming` is called when a version is named, or earlier than was known.
  */
-export function createNamedVersions(bound: Milliseconds): NamedVersions {
+export function createNamedVersions(
+  bound: Milliseconds,
+  onNaming: () => void = () => undefined,
+): NamedVersions {
   const namings = new Map<ModelName, readonly VersionNaming[]>();
 
   const newest = (model: ModelName): number | undefined =>
@@ -80,6 +102,7 @@
       const next = [...others, {model, version, knownSince: first}];
       next.sort((one, other) => one.version - other.version);
       namings.set(model, next);
+      if (first !== existing?.knownSince) onNaming();
       return isNew;
     },
     newest,
@@ -88,6 +111,14 @@
         .get(model)
         ?.findLast(({knownSince}) => now + delay - knownSince >= bound)
         ?.version,
+    withdrawalTime: (model, version, isFar) => {
+      const newer = (namings.get(model) ?? []).filter(
+        naming => naming.version > version,
+      );
+      const firstNaming = Math.min(...newer.map(({knownSince}) => knownSince));
+      const margin = VERSION_BOUND_MARGIN - WITHDRAWAL_MARGIN;
+      return firstNaming + bound + (isFar ? 0 : margin);
+    },
     all: () => {
       const versions = new Map<ModelName, number>();
       for (const model of namings.keys()) {
--- a/packages/fleet/src/entry/attempt_recorder.ts
+++ b/packages/fleet/src/entry/attempt_recorder.ts
@@ -129,6 +129,8 @@
     recordEvent,
     recordSilence: recordFailure,
     recordEnd: end => {
+      // That says nothing about its target.
+      if (isWithdrawn(end)) return;
       recordTarget(end);
       if (isConnectionLost(end)) metrics.countLostAttempt(route.name);
       recordCrash(end);
@@ -136,6 +138,10 @@
   };
 }
 
+function isWithdrawn(end: ForwardAttemptEnd): boolean {
+  return 'cause' in end && end.cause === 'withdrawn';
+}
+
 /** Whether the connection to the target ended before its answer did. */
 function isConnectionLost(end: ForwardAttemptEnd): boolean {
   return 'cause' in end && end.cause === 'connectionLost';
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -71,6 +71,7 @@
 import {createStreamHandover} from './stream_handover';
 import {startTargetFollower} from './target_follower';
 import {createHeaderRecorder} from './header_recorder';
+import {createUnbegunAttempts} from './unbegun_attempts';
 import {createUnreadRequests} from './unread_requests';
 
 /** What an entry uses of the host platform. */
@@ -250,7 +251,14 @@
     callerAddress: settings.callerAddress,
     life: incarnation,
   };
-  const versions = createNamedVersions(bounds.version - VERSION_BOUND_MARGIN);
+  const unbegun = createUnbegunAttempts({
+    versions: () => versions,
+    machineClock,
+  });
+  const versions = createNamedVersions(
+    bounds.version - VERSION_BOUND_MARGIN,
+    unbegun.update,
+  );
   const namings = createNamingExchange(
     versions,
     machineClock,
@@ -353,6 +361,8 @@
       entries: () => (members.isKnown() ? entryPeers.size() : undefined),
     }),
     versions,
+    unbegun,
+    zone: settings.zone,
     quarantine,
     crashMonitor,
     stalls,
--- a/packages/fleet/src/entry/request_context.ts
+++ b/packages/fleet/src/entry/request_context.ts
@@ -4,6 +4,7 @@
   NamedVersions,
   Quarantine,
   TargetRegistry,
+  ZoneName,
 } from '@hibiscusbeam/core';
 import type {Clock, Log} from '@hibiscusbeam/daemon';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -24,6 +25,7 @@
 import type {StreamProgress} from './stream_relay';
 import type {HeaderRecorder} from './header_recorder';
 import type {Timeliness} from './timeliness';
+import type {UnbegunAttempts} from './unbegun_attempts';
 
 /** Dependencies shared by the runs of all requests. */
 export interface RequestRunOptions extends KeyConfirmation {
@@ -34,6 +36,9 @@
   readonly budgets: RetryBudgets;
   readonly handover: StreamHandover;
   readonly versions: NamedVersions;
+  readonly unbegun: UnbegunAttempts;
+  /** Availability zone of this entry. */
+  readonly zone: ZoneName;
   readonly timeliness: Timeliness;
   readonly answerTimes: FirstEventTimes;
   readonly admission: EntryAdmission;
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -53,6 +53,10 @@
   readonly recorder: AttemptRecorder;
   /** Aborted once nothing listens at the target's address any more. */
   readonly foundClosed: AbortController;
+  /** Aborted at the bound of the target's version, unless it has begun. */
+  readonly withdrawn: AbortController;
+  /** Called once it has begun. */
+  readonly stopWithdrawal: () => void;
   /** Pauses between the events of this target. */
   readonly pauses: EventPauses;
   /** Releases what the attempt has taken. */
@@ -99,7 +103,7 @@
     const begun = begin(planned);
     try {
       const outcome = await runAttempt(attemptOptions(begun));
-      if (!begun.send.signal.aborted) finish(begun, endOf(outcome));
+      if (!begun.send.signal.aborted) finish(begun, endOf(outcome, begun));
     } catch (error) {
       if (!begun.send.signal.aborted) begun.leave();
       throw error;
@@ -122,8 +126,11 @@
     });
     const pauses = createEventPauses();
     const stopOffering = offerToMove(planned, send, pauses);
+    const withdrawn = new AbortController();
+    const stopWithdrawal = trackUntilBegun(planned, withdrawn);
     const leave = (): void => {
       stopOffering();
+      stopWithdrawal();
       place.inFlight.end();
       options.places.pump();
     };
@@ -137,6 +144,8 @@
       send,
       line,
       foundClosed,
+      withdrawn,
+      stopWithdrawal,
       recorder,
       sentAt,
       forecast: forecastOf(planned),
@@ -149,6 +158,27 @@
     };
   }
 
+  /** Returns a function that ends the tracking. */
+  function trackUntilBegun(
+    {place: {target}}: PlannedAttempt,
+    withdrawn: AbortController,
+  ): () => void {
+    const {model} = header;
+    const showsBeginning = route.kind === 'stream';
+    if (model === undefined || !showsBeginning) return () => undefined;
+    const heldVersion = (): number | undefined =>
+      options.registry.heldVersion(target, model, options.clock());
+    const versionAtSend = heldVersion();
+    if (versionAtSend === undefined) return () => undefined;
+    return options.unbegun.track({
+      model,
+      isFar: target.zone !== options.zone,
+      // An engine that loads holds none.
+      heldVersion: () => heldVersion() ?? versionAtSend,
+      withdraw: () => withdrawn.abort(),
+    });
+  }
+
   /** The target's unread prompts already include the request's own. */
   function forecastOf({
     place,
@@ -159,7 +189,8 @@
   }
 
   function attemptOptions(begun: StartedAttempt): AttemptOptions {
-    const {planned, send, line, recorder, foundClosed, sentAt, pauses} = begun;
+    const {planned, send, line, recorder, sentAt, pauses} = begun;
+    const {foundClosed, withdrawn, stopWithdrawal} = begun;
     const {target, inFlight} = planned.place;
     return {
       route,
@@ -185,6 +216,7 @@
         context.signal,
         planned.place.incarnationEnded,
         foundClosed.signal,
+        withdrawn.signal,
         send.signal,
       ]),
       onHeader: header => {
@@ -197,6 +229,7 @@
       },
       onEvent: () => {
         inFlight.begun();
+        stopWithdrawal();
         recorder.recordEvent();
         pauses.record(options.clock());
       },
@@ -262,10 +295,15 @@
   }
 
   /** The attempt ends for the same reason as the request, if that has ended. */
-  function endOf(outcome: ForwardAttemptEnd): ForwardAttemptEnd {
+  function endOf(
+    outcome: ForwardAttemptEnd,
+    {withdrawn}: StartedAttempt,
+  ): ForwardAttemptEnd {
     const by = context.endedBy();
-    if (by === undefined || outcome.kind === 'streamed') return outcome;
-    return {kind: by};
+    if (by !== undefined && outcome.kind !== 'streamed') return {kind: by};
+    const isUnknown = outcome.kind === 'unknown';
+    if (!isUnknown || !withdrawn.signal.aborted) return outcome;
+    return {kind: 'unknown', cause: 'withdrawn'};
   }
 
   function recordSilence(
--- a/packages/hibiscusbeam/src/explain/cause_text.ts
+++ b/packages/hibiscusbeam/src/explain/cause_text.ts
@@ -97,6 +97,8 @@
       return 'the target sent what belongs to another request, or events out of order';
     case 'malformedAnswer':
       return 'the target sent no answer that counts';
+    case 'withdrawn':
+      return "it had not begun at the bound of its target's version";
     case 'timedOut':
       return 'its time was up';
     default:
--- a/test/placement/named_versions.test.ts
+++ b/test/placement/named_versions.test.ts
@@ -1,4 +1,4 @@
-import {createNamedVersions} from '@hibiscusbeam/core';
+import {createNamedVersions, VERSION_BOUND_MARGIN} from '@hibiscusbeam/core';
 import {expect, test} from 'vitest';
 
 // A version is named four seconds after another one. If only the newest naming
@@ -33,3 +33,27 @@
   expect(versions.name('model', 2, 100)).toBe(false);
   expect(versions.newest('model')).toBe(3);
 });
+
+test('what has not begun on a version is withdrawn before the bound of the first newer one', () => {
+  const bound = 8_000;
+  let namings = 0;
+  const versions = createNamedVersions(
+    bound - VERSION_BOUND_MARGIN,
+    () => (namings += 1),
+  );
+  expect(versions.withdrawalTime('model', 1, false)).toBe(Infinity);
+  versions.name('model', 3, 4_000);
+  versions.name('model', 2, 0);
+  const near = versions.withdrawalTime('model', 1, false);
+  expect(near).toBeLessThan(bound);
+  expect(near).toBeGreaterThan(bound - VERSION_BOUND_MARGIN);
+  expect(versions.withdrawalTime('model', 1, true)).toBe(
+    bound - VERSION_BOUND_MARGIN,
+  );
+  expect(versions.withdrawalTime('model', 2, false)).toBe(4_000 + near);
+  expect(versions.withdrawalTime('model', 3, false)).toBe(Infinity);
+  versions.name('model', 2, 100);
+  expect(namings).toBe(2);
+  versions.name('model', 2, -100);
+  expect(namings).toBe(3);
+});
