Take the exit of a leaving target for the cut that it is

Cause: an answer that ends with its connection counted as complete if nothing listened at its target's address any more and the target was leaving. The exception was for targets that stop listening before they have finished; but a target that exits looks the same and cuts what it runs.

Fix: the end is complete only if the target still listens. Otherwise the stream is resumed elsewhere or cut visibly, as after a crash. A silent attempt at a leaving target still isn't given up.

The new test fails with the exception (guard "the exit of a leaving target").

--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -248,9 +248,10 @@
   }
 
   /**
-   * A target that no longer listens has crashed, unless it is leaving. An
-   * address that doesn't respond shows nothing, nor does one that responds after
-   * a stall of this process: the target may have restarted meanwhile.
+   * A target that no longer listens has crashed or, if it is leaving, exited:
+   * either ends its answers before they are complete. An address that doesn't
+   * respond shows nothing, nor does one that responds after a stall of this
+   * process: the target may have restarted meanwhile.
    */
   async function confirmEnd(target: ListedTarget): Promise<boolean> {
     const state = await Promise.race([
@@ -258,7 +259,7 @@
       sleep(CONFIRM_TIMEOUT),
     ]);
     if (options.stalls.hasStalled()) return false;
-    return state !== 'closed' || !options.registry.isStaying(target);
+    return state !== 'closed';
   }
 
   function finish(begun: StartedAttempt, end: ForwardAttemptEnd): void {
--- a/test/fleet/unframed_streams.test.ts
+++ b/test/fleet/unframed_streams.test.ts
@@ -65,6 +65,12 @@
   after => checkResumed('crash', after),
 );
 
+// A target that is leaving exits at the end of its draining time.
+test('a stream whose leaving target exits in the middle of it is resumed at another target', async () => {
+  for (const engine of fixture.engines) engine.setLeaving(true);
+  await checkResumed('crash', 1);
+});
+
 test.each([0, 1, 2])(
   'a stream that ends with its connection inside an event, after %i others, is resumed at another target',
   after => checkResumed('halfEvent', after),
