Count only an unusable address against its target, not any request

The guard around opening a connection took every error for one of the target. A request that can't be written, as for a workspace whose name fits no header, then got 503 and another attempt instead of 502, and would have counted as a failure of each target it was sent to.

Only the code of a port out of range is the target's now. The release of a slot in the sender is taken back: an attempt that fails in the entry gives its slot back when its request ends, as that file's second test shows.

--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -74,6 +74,9 @@
 
 const MALFORMED_CODE = `${PARSER_CODE_PREFIX}MALFORMED`;
 
+/** Code of the error for a port out of range. */
+const BAD_PORT_CODE = 'ERR_SOCKET_BAD_PORT';
+
 /** Maximum number of informational responses before an answer. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -97,8 +100,8 @@
   try {
     request = createRequest(outgoing);
   } catch (error) {
-    // Nothing was sent. An address that can't be used costs its target.
-    const detail = error instanceof Error ? error.message : String(error);
+    if (!isAddressError(error)) throw error;
+    const {message: detail} = error;
     const answer = Promise.resolve(
       Err({kind: 'notConnected', detail} as const),
     );
@@ -109,7 +112,10 @@
   return {answer, abort: () => void request.destroy()};
 }
 
-/** Creates the request and begins to connect; throws if its address is invalid. */
+/**
+ * Creates the request and begins to connect; throws if the address, or a header
+ * line, can't be used.
+ */
 function createRequest(outgoing: OutgoingRequest): ClientRequest {
   const [host, port] = outgoing.address.split(':');
   return openRequest({
@@ -199,6 +205,12 @@
   });
 }
 
+/** Whether a request could not be created because of its target. */
+function isAddressError(error: unknown): error is Error {
+  const {code} = error as NodeJS.ErrnoException;
+  return code === BAD_PORT_CODE;
+}
+
 /** Sends the header and the whole body. */
 function sendBody(request: ClientRequest, blocks: readonly Buffer[]): void {
   const last = blocks.at(-1);
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -101,13 +101,8 @@
 
   async function carryOut(planned: PlannedAttempt): Promise<void> {
     const begun = begin(planned);
-    try {
-      const outcome = await runAttempt(attemptOptions(begun));
-      if (!begun.send.signal.aborted) finish(begun, endOf(outcome, begun));
-    } catch (error) {
-      if (!begun.send.signal.aborted) begun.leave();
-      throw error;
-    }
+    const outcome = await runAttempt(attemptOptions(begun));
+    if (!begun.send.signal.aborted) finish(begun, endOf(outcome, begun));
   }
 
   function begin(planned: PlannedAttempt): StartedAttempt {
