Give a version its bound even if it is replaced before it is read

Cause: the operator's row holds the newest version only. A version that was replaced before any entry had read it was never known, so engines got requests for the version before it until the bound of the second one, as much later as that was named. After a restart of all processes the same happened to a version that had been read and recorded: only the newest one was looked up in the records.

Fix: a reading in which the version jumps names the version before it as well, as of the reading before, which is never too late, and records it.

Evidence: both tests fail without the change (no oldest version at the first one's bound; one naming instead of two).

--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -109,6 +109,9 @@
  */
 const NAMING_RECORD_DELAY: Milliseconds = 500;
 
+/** The version that a model has before any is named. */
+const FIRST_VERSION = 1;
+
 /** Attempts to record a naming; the store may be unavailable for seconds. */
 const MAX_NAMING_RECORDS = 20;
 
@@ -239,6 +242,7 @@
     // evacuations.
     evacuations.take(reading, scope);
     held.takeReading(reading);
+    nameSkippedVersions(reading.namedVersions);
     for (const {model, version, namedAt} of reading.namedVersions) {
       // An answer may be late, while a version's bound counts from its naming.
       const storeTime = namedAt ?? reading.storeTime;
@@ -273,6 +277,31 @@
     options.onChange();
   }
 
+  /**
+   * Names versions that were replaced before they were read, as of the reading
+   * before. Otherwise, if two versions are named while the link to the store is
+   * saturated, the first one would have no bound, and engines would get requests
+   * for the version before it until the bound of the second one.
+   */
+  function nameSkippedVersions(named: readonly NamedVersion[]): void {
+    const since = confirmation.confirmedAt();
+    if (since === undefined) return;
+    const {versions} = options;
+    const skipped = named
+      .map(({model, version}) => ({model, version: version - 1}))
+      .filter(
+        ({model, version}) =>
+          version > (versions.newest(model) ?? FIRST_VERSION),
+      );
+    for (const {model, version} of skipped) {
+      versions.name(model, version, since);
+      log.info('version replaced before it was read', {model, version});
+      const namedAt = options.storeClock.storeTimeAt(since);
+      if (namedAt === undefined) continue;
+      writeNaming({model, version, namedAt}, MAX_NAMING_RECORDS);
+    }
+  }
+
   /**
    * Records when a version's name was first read, by the entry that reads the
    * operator's table for the site: at once, as all processes may be killed right
--- a/test/fleet/operator_follower.test.ts
+++ b/test/fleet/operator_follower.test.ts
@@ -382,6 +382,25 @@
   expect(after.recorded).toHaveLength(0);
 });
 
+// Two versions are named while the link to the store is saturated, and only the
+// second one is read.
+test('a version that is replaced before it is read has its bound too', async () => {
+  const site = startFollower(() => 'store');
+  await vi.advanceTimersByTimeAsync(1_000);
+  site.setAway(true);
+  // The query that waits at the store still confirms what is held.
+  await vi.advanceTimersByTimeAsync(1_000);
+  const firstNamedAt = Date.now();
+  await vi.advanceTimersByTimeAsync(2_000);
+  site.name(undefined, 3);
+  site.setAway(false);
+  await vi.advanceTimersByTimeAsync(firstNamedAt + VERSION_BOUND - Date.now());
+  expect(site.minVersion()).toBe(2);
+  expect(site.recorded.map(({version}) => version)).toEqual([2, 3]);
+  await vi.advanceTimersByTimeAsync(2_000 + 600);
+  expect(site.minVersion()).toBe(3);
+});
+
 // All processes are killed right after a naming, before it was recorded.
 test('a naming is recorded at once, and again if the store did not answer', async () => {
   const site = startFollower(() => 'store');
--- a/test/platform/naming_table.test.ts
+++ b/test/platform/naming_table.test.ts
@@ -28,6 +28,22 @@
   expect(reading.namedVersions).toEqual([{...named, namedAt: 100}]);
 });
 
+// After a restart of all processes, the bound of a version that was replaced
+// within it would be lost.
+test('a version that was replaced is read with its recorded time', async () => {
+  const feed = createOperatorFeed(createStoreClient(store.address));
+  store.write('op', 'version/model', {Model: 'model', Version: 3});
+  for (const version of [2, 3]) {
+    const named = {model: 'model', version, namedAt: version * 100};
+    await feed.recordNaming(named, TIMEOUT);
+  }
+  const reading = (await feed.readAll(TIMEOUT)).unwrap();
+  expect(reading.namedVersions).toEqual([
+    {model: 'model', version: 2, namedAt: 200},
+    {model: 'model', version: 3, namedAt: 300},
+  ]);
+});
+
 test('a naming without a record has no time', async () => {
   const feed = createOperatorFeed(createStoreClient(store.address));
   store.write('op', 'version/model', {Model: 'model', Version: 2});
