Check the head of a target's answer, and survive one that can't be passed on

What callers saw: an engine in trouble sent an answer with a spoilt head; the process that read it ended, and the requests that it served were cut.

Cause: the head of a stream is written to its caller in the callback of the target's socket. A head that the parser takes and the writer refuses throws there, and nothing catches it. Only the strictness of the parser of Node.js prevented that. Also, the first event counted as forwarded, and the other attempts were ended, before the head was written.

Ruled out: names with blanks or control bytes, which both parsers refuse; heads that stop in the middle; status 000, 099, 101, 199, 600, 999.

Callbacks on bytes of a target can no longer end the process: an error there is logged and ends that attempt, as a malformed answer that counts against its target. The head is written before the other attempts are ended, so that one of them can still answer.

Guards: the fields of a head, an error while a head is read, an error while an answer is forwarded; each is caught.

--- /dev/null
+++ b/packages/core/src/answer_head/index.ts
@@ -0,0 +1,1 @@
+export * from './answer_head';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission';
+export * from './answer_head';
 export * from './activation';
 export * from './configuration';
 export * from './distribution';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,4 +11,5 @@
 export {createSiteClientPool, type SiteClientPool} from './site/site_clients';
 export * from './runtime/clock';
 export * from './runtime/drive';
+export * from './runtime/guarded_callback';
 export * from './runtime/digests';
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -6,9 +6,9 @@
   type ListedTarget,
   type Milliseconds,
   type MonotonicInstant,
-  type ReceivingFault,
   type Route,
 } from '@hibiscusbeam/core';
+import {guardCallback} from '@hibiscusbeam/daemon';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHeader, HeaderLines, RequestProtocol} from '../ports';
 import type {RequestBuffers} from './buffered_bytes';
@@ -25,10 +25,6 @@
 /** Maximum size of an answer that is buffered before it is forwarded. */
 const MAX_WHOLE_ANSWER_BYTES: Bytes = 8 * 1024 * 1024;
 
-/** Range of the statuses that end a request. */
-const MIN_FINAL_STATUS = 200;
-const MAX_FINAL_STATUS = 599;
-
 /** A complete answer of a target, ready to be forwarded. */
 export interface WholeAnswer {
   readonly status: number;
@@ -88,6 +84,8 @@
   readonly keepAnswer: (answer: WholeAnswer) => void;
   /** Receives the reason of a failure, for the log. */
   readonly explain: (detail: string) => void;
+  /** Called with an error that handling what the target sent has thrown. */
+  readonly onError: (error: unknown) => void;
 }
 
 /** Sends a request to a target once; resolves to how that ended. */
@@ -107,6 +105,9 @@
     if (received.err) return failed(received.val, options);
     silence.recordBytes();
     return await takeAnswer(received.val, {...options, silence});
+  } catch (error) {
+    options.onError(error);
+    return {kind: 'unknown', cause: 'malformedAnswer'};
   } finally {
     silence.stop();
     options.signal.removeEventListener('abort', abort);
@@ -134,10 +135,6 @@
   options: AttemptOptions & {readonly silence: SilenceMonitor},
 ): Promise<ForwardAttemptEnd> {
   const {header, status} = answer;
-  if (!isFinalStatus(status)) {
-    options.explain(`status ${status} is not one of a final answer`);
-    return {kind: 'unknown', cause: 'malformedAnswer'};
-  }
   // A target may send the answer to another request, and the caller would be
   // given someone else's data. The request id that targets echo shows that.
   if (header.requestId !== options.requestId) {
@@ -162,7 +159,7 @@
     return {kind: 'unknown', cause: 'connectionLost'};
   }
   if (reading.kind === 'refused') {
-    options.explain(describeReceivingFault(reading.fault));
+    options.explain(reading.detail);
     return {kind: 'unknown', cause: 'malformedAnswer'};
   }
   const {lines, isFramed} = answer;
@@ -174,20 +171,12 @@
   return {kind: 'answered', success};
 }
 
-/**
- * Whether a status is one that ends a request. The parser of Node.js accepts
- * any three digits.
- */
-function isFinalStatus(status: number): boolean {
-  return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
-}
-
 /** Result of reading a whole body. */
 type WholeReading =
   | {readonly kind: 'whole'; readonly body: Buffer}
   /** The target has ended it, or its connection, before its end. */
   | {readonly kind: 'cut'}
-  | {readonly kind: 'refused'; readonly fault: ReceivingFault};
+  | {readonly kind: 'refused'; readonly detail: string};
 
 function readWhole(
   {body, isWhole}: IncomingAnswer,
@@ -195,7 +184,8 @@
     silence,
     buffers,
     now,
-  }: Pick<AttemptOptions, 'buffers' | 'now'> & {
+    onError,
+  }: Pick<AttemptOptions, 'buffers' | 'now' | 'onError'> & {
     readonly silence: SilenceMonitor;
   },
 ): Promise<WholeReading> {
@@ -204,6 +194,7 @@
       maxBytes: MAX_WHOLE_ANSWER_BYTES,
       clock: now,
     });
+    const guardedAdd = guardCallback(fail, add);
     let held: Bytes = 0;
     let hasStopped = false;
 
@@ -216,7 +207,7 @@
     function stop(reading: WholeReading): void {
       if (hasStopped) return;
       hasStopped = true;
-      body.off('data', add);
+      body.off('data', guardedAdd);
       if (reading.kind !== 'whole') hold(0);
       resolve(reading);
     }
@@ -225,8 +216,11 @@
       silence.recordBytes();
       const fault = received.add(part);
       hold(received.memory());
-      if (fault === undefined) return;
-      stop({kind: 'refused', fault});
+      if (fault !== undefined) refuse(describeReceivingFault(fault));
+    }
+
+    function refuse(detail: string): void {
+      stop({kind: 'refused', detail});
       body.destroy();
     }
 
@@ -234,11 +228,18 @@
       stop({kind: 'cut'});
     }
 
-    body.on('data', add);
-    body.on('end', () => {
+    function end(): void {
       if (!isWhole()) return cut();
       stop({kind: 'whole', body: received.join()});
-    });
+    }
+
+    function fail(error: unknown): void {
+      onError(error);
+      refuse(String(error));
+    }
+
+    body.on('data', guardedAdd);
+    body.on('end', guardCallback(fail, end));
     body.on('error', cut);
     body.on('close', cut);
   });
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -4,7 +4,13 @@
   type IncomingMessage,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {Milliseconds, UnknownCause} from '@hibiscusbeam/core';
+import {
+  describeAnswerHeadFault,
+  findAnswerHeadFault,
+  type Milliseconds,
+  type UnknownCause,
+} from '@hibiscusbeam/core';
+import {guardCallback} from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
 import {startAnswerTimer} from '../link/answer_timer';
 import type {RequestBuffers} from './buffered_bytes';
@@ -24,6 +30,8 @@
   readonly mayBegin: () => boolean;
   /** Tracks what is buffered of it. */
   readonly buffers: Pick<RequestBuffers, 'trackTarget'>;
+  /** Called with an error that handling what the target sent has thrown. */
+  readonly onError: (error: unknown) => void;
 }
 
 /** The start of a target's answer; its body is still to be read. */
@@ -148,6 +156,14 @@
       }
       resolve(Err({kind: outdated ? 'outdated' : unsentKind(error), detail}));
     };
+    const refuse = (detail: string): void => {
+      fail(detail, malformed(detail));
+      request.destroy();
+    };
+    const onError = (error: unknown): void => {
+      outgoing.onError(error);
+      refuse(String(error));
+    };
     /**
      * Checks again right before the first byte, after all updates that arrived
      * with the connection were processed. A process that gets no CPU for a
@@ -180,12 +196,16 @@
     request.on('information', () => {
       informationalResponses += 1;
       if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-        request.destroy(malformed('too many informational responses'));
+        refuse('too many informational responses');
       }
     });
-    request.once('response', body => {
-      const status = body.statusCode ?? 0;
-      const lines = body.rawHeaders;
+    const receive = (body: IncomingMessage): void => {
+      const {statusCode: status = 0, rawHeaders: lines} = body;
+      const fault = findAnswerHeadFault({status, lines});
+      if (fault !== undefined) {
+        refuse(`${describeAnswerHeadFault(fault)} (status ${status})`);
+        return;
+      }
       const header = protocol.readAnswer(status, lines);
       const isFramed =
         body.headers['content-length'] !== undefined ||
@@ -196,7 +216,8 @@
       const isWhole = (): boolean =>
         body.complete && !hasFailed && (isFramed || !wasReset);
       resolve(Ok({status, lines, header, body, isWhole, isFramed}));
-    });
+    };
+    request.once('response', guardCallback(onError, receive));
     request.on('error', error => {
       hasFailed = true;
       fail(error.message, error);
--- a/packages/fleet/src/entry/stream_relay.ts
+++ b/packages/fleet/src/entry/stream_relay.ts
@@ -7,6 +7,7 @@
   type StreamEvent,
   type UnknownCause,
 } from '@hibiscusbeam/core';
+import {guardCallback} from '@hibiscusbeam/daemon';
 import type {ServerResponse} from 'node:http';
 import type {RequestProtocol} from '../ports';
 import {endWithConnection} from './answer_framing';
@@ -60,6 +61,8 @@
   readonly onEvent: () => void;
   /** Called when the first event of all attempts has arrived. */
   readonly onFirstEvent: () => void;
+  /** Called with an error that handling what the target sent has thrown. */
+  readonly onError: (error: unknown) => void;
 }
 
 /**
@@ -83,17 +86,18 @@
   let unnumberedEvents = 0;
   let heldMemory: Bytes = 0;
 
+  /** Nothing is sent before the first write. */
   function begin(): void {
     if (progress.begun) return;
-    progress.begun = true;
-    progress.begunAt = options.now();
-    options.onFirstEvent();
     const lines = [
       ...options.protocol.writeAnswer(answer.lines),
       ...options.ownLines(),
     ];
     if (!answer.isFramed) endWithConnection(response);
     response.writeHead(answer.status, lines);
+    progress.begun = true;
+    progress.begunAt = options.now();
+    options.onFirstEvent();
   }
 
   /** Counts an unfinished event as buffered. */
@@ -129,9 +133,13 @@
           : {kind: 'unknown', cause},
       );
     };
+    const fail = (error: unknown): void => {
+      options.onError(error);
+      broken('malformedAnswer');
+    };
     const reading = createBodyReader(options);
     options.onStream(reading);
-    body.on('data', (bytes: Buffer) => {
+    const relay = (bytes: Buffer): void => {
       if (options.signal.aborted) return;
       options.silence.recordBytes();
       if (fragments.isExceededBy(bytes.length)) {
@@ -147,8 +155,8 @@
         }
         countUnnumbered(event);
         if (isEndless()) return broken('malformedAnswer');
-        options.onForward();
         begin();
+        options.onForward();
         hasEvents = true;
         options.onEvent();
         progress.lastEventId = event.id ?? progress.lastEventId;
@@ -158,11 +166,11 @@
       }
       holdPending(splitter.pendingMemory());
       if (splitter.pendingBytes() > MAX_EVENT_BYTES) broken('malformedAnswer');
-    });
+    };
     const complete = (): void => {
       if (options.signal.aborted) return broken('connectionLost');
-      options.onForward();
       begin();
+      options.onForward();
       // An answer without framing can't confirm that a stream is complete whose
       // response to the caller was begun with chunked encoding.
       if (!answer.isFramed && response.chunkedEncoding) {
@@ -170,18 +178,21 @@
       }
       resolve({kind: 'streamed'});
     };
-    body.on('end', () => {
+    const end = (): void => {
       hasEnded = true;
       const isWhole = answer.isWhole() && splitter.pendingBytes() === 0;
       if (!isWhole) return broken('connectionLost');
       if (answer.isFramed) return complete();
       if (!hasEvents) return broken('connectionLost');
-      void options
+      options
         .confirmEnd()
         .then(isConfirmed =>
           isConfirmed ? complete() : broken('connectionLost'),
-        );
-    });
+        )
+        .catch(fail);
+    };
+    body.on('data', guardCallback(fail, relay));
+    body.on('end', guardCallback(fail, end));
     const cut = (): void => {
       if (!hasEnded) broken('connectionLost');
     };
--- a/packages/fleet/src/entry/target_sender.ts
+++ b/packages/fleet/src/entry/target_sender.ts
@@ -232,6 +232,14 @@
       confirmEnd: () => confirmEnd(target),
       keepAnswer: kept => (begun.answer = kept),
       explain: line.explain,
+      onError: error => {
+        line.explain(`answer not handled: ${String(error)}`);
+        options.log.error('answer of a target not handled', {
+          request: header.requestId,
+          instance: target.instance,
+          error,
+        });
+      },
     };
   }
 
--- a/test/fleet/buffered_bytes.test.ts
+++ b/test/fleet/buffered_bytes.test.ts
@@ -71,6 +71,7 @@
     onEvent: nothing,
     confirmEnd: () => Promise.resolve(true),
     onFirstEvent: nothing,
+    onError: nothing,
   }).then(() => response.end());
 }
 
--- a/test/fleet/exchange.test.ts
+++ b/test/fleet/exchange.test.ts
@@ -27,12 +27,26 @@
 
 const buffers = {trackTarget: () => undefined};
 
-async function readAnswer(address: string, mayBegin = () => true) {
+async function readAnswer(
+  address: string,
+  mayBegin = () => true,
+  protocol = requestProtocol,
+) {
   const lines = ['Host', 'a.example'];
   const body = arrivedBody();
+  const onError = (): void => undefined;
   const exchange = openExchange(
-    {address, method: 'GET', path: '/', lines, body, mayBegin, buffers},
-    requestProtocol,
+    {
+      address,
+      method: 'GET',
+      path: '/',
+      lines,
+      body,
+      mayBegin,
+      buffers,
+      onError,
+    },
+    protocol,
   );
   const answer = await exchange.answer;
   if (answer.err) return {failure: answer.val};
@@ -90,6 +104,21 @@
   });
 });
 
+test('an error while a head is read fails its exchange only', async () => {
+  const address = await startTarget(socket =>
+    socket.end('HTTP/1.1 200 OK\r\n\r\nall of it'),
+  );
+  const protocol = {
+    ...requestProtocol,
+    readAnswer: () => {
+      throw new Error('not readable');
+    },
+  };
+  expect(await readAnswer(address, () => true, protocol)).toMatchObject({
+    failure: {kind: 'unknown', cause: 'malformedAnswer'},
+  });
+});
+
 test('a port without a listener proves that nothing was sent', async () => {
   const address = await startTarget(() => undefined);
   for (const close of closing.splice(0)) close();
