Treat an answer in an unknown transfer coding as malformed

What callers saw: an engine sent `Transfer-Encoding: odd` and a part of its body, then closed its connection cleanly. 24 of 24 callers got the part as a whole answer, framed by a Content-Length or by a last chunk, and the engine kept getting all requests (the users' measurement).

Cause: an answer counted as framed if its head had any Transfer-Encoding. By RFC 9112, 6.3, only a last coding of `chunked` marks the end of a body; any other ends with its connection, so nothing tells a part from the whole.

Malformed and not unframed, because callers can't rely on it in either form. No coding was offered to the target, so it may not use one. The entry can't decode the body, and the field that names the coding belongs to one connection and isn't passed on: the caller would take encoded bytes for the answer, also with `gzip, chunked`, whose end is certain. As a malformed answer, another target serves the request and this one is soon avoided. `identity` and an empty value aren't registered codings and are treated alike.

Fix: what marks the end of a body is read from the head in one place, together with the checks of its status and fields: one length, chunks alone, or the end of the connection.

--- a/packages/core/src/answer_head/answer_head.ts
+++ b/packages/core/src/answer_head/answer_head.ts
@@ -1,3 +1,4 @@
+import {Err, Ok, type Result} from 'ts-results';
 import {unreachable} from '../kernel/flow';
 
 /** The head of an answer, as its parser returned it. */
@@ -7,8 +8,18 @@
   readonly lines: readonly string[];
 }
 
+/** What marks the end of an answer's body. */
+export type BodyEnd = 'length' | 'lastChunk' | 'connection';
+
 /** Why an answer with this head can't be used. */
-export type AnswerHeadFault = 'status' | 'fieldName' | 'fieldValue';
+export type AnswerHeadFault =
+  | 'status'
+  | 'fieldName'
+  | 'fieldValue'
+  /** The body is in a transfer coding other than chunked. */
+  | 'transferCoding'
+  /** The length of the body is not a single number. */
+  | 'length';
 
 /** Range of the statuses that end a request. */
 const MIN_FINAL_STATUS = 200;
@@ -20,22 +31,50 @@
 /** Visible characters, blanks and tabs, also of an extended character set. */
 const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
 
+const LENGTH = /^\d+$/;
+
 /**
- * Checks the head of an answer; undefined if it is sound.
+ * Checks the head of an answer, and returns what marks the end of its body.
  *
  * What a parser accepts depends on its version and its options. A head that one
  * accepts and a writer refuses fails when it is passed on, and one that the
  * writer accepts too reaches the caller.
  */
-export function findAnswerHeadFault(
+export function readAnswerHead(
   head: AnswerHead,
-): AnswerHeadFault | undefined {
-  if (!isFinalStatus(head.status)) return 'status';
+): Result<BodyEnd, AnswerHeadFault> {
+  if (!isFinalStatus(head.status)) return Err('status');
+  const codings: string[] = [];
+  const lengths: string[] = [];
   for (const [name, value] of fieldsOf(head)) {
-    if (!FIELD_NAME.test(name)) return 'fieldName';
-    if (!FIELD_VALUE.test(value)) return 'fieldValue';
+    if (!FIELD_NAME.test(name)) return Err('fieldName');
+    if (!FIELD_VALUE.test(value)) return Err('fieldValue');
+    const key = name.toLowerCase();
+    if (key === 'transfer-encoding') codings.push(value.toLowerCase());
+    if (key === 'content-length') lengths.push(value);
+  }
+  return readBodyEnd(codings, lengths);
+}
+
+/**
+ * No other coding than chunked was offered to the target. A body in another one
+ * can't be decoded, and its head, which names the coding, isn't passed on: the
+ * caller would take the encoded bytes for the answer. Nor does such a body show
+ * whether it has ended or was cut.
+ */
+function readBodyEnd(
+  codings: readonly string[],
+  lengths: readonly string[],
+): Result<BodyEnd, AnswerHeadFault> {
+  if (codings.length > 0) {
+    const isChunked = codings.length === 1 && codings[0] === 'chunked';
+    if (!isChunked) return Err('transferCoding');
+    return lengths.length === 0 ? Ok('lastChunk') : Err('length');
   }
-  return undefined;
+  const [length, ...others] = lengths;
+  if (length === undefined) return Ok('connection');
+  const isNumber = others.length === 0 && LENGTH.test(length);
+  return isNumber ? Ok('length') : Err('length');
 }
 
 /** Describes a fault for a log line or an error. */
@@ -47,6 +86,10 @@
       return "the name of a field in the answer's head is malformed";
     case 'fieldValue':
       return "the value of a field in the answer's head is malformed";
+    case 'transferCoding':
+      return 'the transfer coding of the answer is unknown';
+    case 'length':
+      return 'the length of the answer is malformed';
     default:
       return unreachable(fault);
   }
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -6,7 +6,7 @@
 import type {Socket} from 'node:net';
 import {
   describeAnswerHeadFault,
-  findAnswerHeadFault,
+  readAnswerHead,
   type Milliseconds,
   type UnknownCause,
 } from '@hibiscusbeam/core';
@@ -201,15 +201,13 @@
     });
     const receive = (body: IncomingMessage): void => {
       const {statusCode: status = 0, rawHeaders: lines} = body;
-      const fault = findAnswerHeadFault({status, lines});
-      if (fault !== undefined) {
-        refuse(`${describeAnswerHeadFault(fault)} (status ${status})`);
+      const bodyEnd = readAnswerHead({status, lines});
+      if (bodyEnd.err) {
+        refuse(`${describeAnswerHeadFault(bodyEnd.val)} (status ${status})`);
         return;
       }
       const header = protocol.readAnswer(status, lines);
-      const isFramed =
-        body.headers['content-length'] !== undefined ||
-        body.headers['transfer-encoding'] !== undefined;
+      const isFramed = bodyEnd.val !== 'connection';
       // An answer without a length may be cut by a reset, and half of it would
       // be forwarded as complete. The reset shows as an error before the end of
       // the body, or only in the state of the connection.
--- a/test/answer_head/answer_head.test.ts
+++ b/test/answer_head/answer_head.test.ts
@@ -1,4 +1,4 @@
-import {findAnswerHeadFault} from '@hibiscusbeam/core';
+import {readAnswerHead} from '@hibiscusbeam/core';
 import fc from 'fast-check';
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {expect, test} from 'vitest';
@@ -33,7 +33,7 @@
   fc.assert(
     fc.property(text(0), text(0), (name, value) => {
       const lines = [...SOUND, name, value];
-      const isSound = findAnswerHeadFault({status: 200, lines}) === undefined;
+      const isSound = readAnswerHead({status: 200, lines}).ok;
       expect(isSound).toBe(isWritable(name, value));
     }),
     propertySettings(2_000),
@@ -42,8 +42,45 @@
 
 test('only the statuses 200 to 599 end a request', () => {
   const sound = Array.from({length: 1_000}, (_, status) => status).filter(
-    status => findAnswerHeadFault({status, lines: SOUND}) === undefined,
+    status => readAnswerHead({status, lines: SOUND}).ok,
   );
   expect([sound.at(0), sound.at(-1), sound.length]).toEqual([200, 599, 400]);
-  expect(findAnswerHeadFault({status: NaN, lines: SOUND})).toBe('status');
+  expect(readAnswerHead({status: NaN, lines: SOUND}).val).toBe('status');
+});
+
+test.each([
+  {lines: [], end: 'connection'},
+  {lines: ['Content-Length', '0'], end: 'length'},
+  {lines: ['content-length', '12'], end: 'length'},
+  {lines: ['Transfer-Encoding', 'chunked'], end: 'lastChunk'},
+  {lines: ['transfer-encoding', 'Chunked'], end: 'lastChunk'},
+])('the body of an answer with $lines ends with its $end', ({lines, end}) => {
+  expect(readAnswerHead({status: 200, lines}).val).toBe(end);
+});
+
+// Guards against a body whose end nobody knows, or which nobody can decode.
+test.each([
+  {values: ['odd'], fault: 'transferCoding'},
+  {values: [''], fault: 'transferCoding'},
+  {values: ['identity'], fault: 'transferCoding'},
+  {values: ['gzip, chunked'], fault: 'transferCoding'},
+  {values: ['gzip', 'chunked'], fault: 'transferCoding'},
+  {values: ['chunked, chunked'], fault: 'transferCoding'},
+  {values: ['chunked', 'chunked'], fault: 'transferCoding'},
+])('no answer has the transfer codings $values', ({values, fault}) => {
+  const lines = values.flatMap(value => ['Transfer-Encoding', value]);
+  expect(readAnswerHead({status: 200, lines}).val).toBe(fault);
+});
+
+test.each([[''], ['-1'], ['+1'], ['0x1'], ['1, 1'], ['1 1'], ['1', '1']])(
+  'no answer has the lengths %s',
+  (...values) => {
+    const lines = values.flatMap(value => ['Content-Length', value]);
+    expect(readAnswerHead({status: 200, lines}).val).toBe('length');
+  },
+);
+
+test('no answer has a length and a transfer coding', () => {
+  const lines = ['Transfer-Encoding', 'chunked', 'Content-Length', '1'];
+  expect(readAnswerHead({status: 200, lines}).val).toBe('length');
 });
