Check the heads of answers for all readers, not only for the entry

What was seen: an agent's call took status 999 for an answer (the users' measurement). Calls over both kinds of connections and callers' requests to an entry also took status 600. A generation by an engine and a call of a plain service counted as refused with it; the caller of a generation would have been told that it had not run.

Cause: each client takes what its HTTP library takes. The library accepts any three digits from 200 on, and ends a body in an unknown coding with its connection.

Fix: the check of the entry's reader, `readAnswerHead`, now stands in the connections themselves. Each client opens them through one module, where a head that can't be used fails the call as if the connection had broken: a read may be repeated, the outcome of a write is unknown, and a generation is broken instead of refused. The linter refuses other connections in the product.

Names, values and heads that stop in the middle were refused before too.

Not changed: a body with neither length nor coding that is cut. What is read that way either states its own end (JSON objects, streams with an end line) or is checked by its digest.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,6 +5,12 @@
   message: 'Use a factory function that closes over its state.',
 };
 
+const uncheckedConnections = {
+  name: 'undici',
+  importNames: ['Agent', 'Client', 'Pool', 'fetch'],
+  message: 'Use connections that check answers, createChecked...',
+};
+
 const noAmbientInputs = [
   {object: 'Math', property: 'random', message: 'Take a seed as an input.'},
   {object: 'Date', property: 'now', message: 'Take the time as an input.'},
@@ -57,5 +63,15 @@
     files: ['packages/core/src/**/*.ts'],
     rules: {'no-restricted-properties': ['error', ...noAmbientInputs]},
   },
+  {
+    files: [
+      'packages/{daemon,fleet,hibiscusbeam,platform}/src/**/*.ts',
+      'platform/**/*.ts',
+    ],
+    ignores: ['packages/platform/src/node/checked_connections.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {paths: [uncheckedConnections]}],
+    },
+  },
   {files: ['vitest.config.ts'], rules: {'no-restricted-exports': 'off'}},
 );
--- a/packages/core/src/answer_head/answer_head.ts
+++ b/packages/core/src/answer_head/answer_head.ts
@@ -95,6 +95,15 @@
   }
 }
 
+/** Code of the error for an answer whose head can't be used. */
+export const ANSWER_HEAD_FAULT_CODE = 'ERR_ANSWER_HEAD';
+
+/** Creates the error for an answer whose head can't be used. */
+export function answerHeadError(fault: AnswerHeadFault): Error {
+  const error = new Error(describeAnswerHeadFault(fault));
+  return Object.assign(error, {code: ANSWER_HEAD_FAULT_CODE});
+}
+
 function isFinalStatus(status: number): boolean {
   return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
 }
--- a/packages/daemon/src/caller_client/exchange.ts
+++ b/packages/daemon/src/caller_client/exchange.ts
@@ -4,7 +4,8 @@
   type Bytes,
   type Milliseconds,
 } from '@hibiscusbeam/core';
-import {Agent, request, type Dispatcher} from 'undici';
+import {createCheckedAgent} from '@hibiscusbeam/platform';
+import {request, type Dispatcher} from 'undici';
 import {monotonicClock} from '../runtime/clock';
 
 /** An HTTP request to an entry. */
@@ -58,7 +59,7 @@
 
 /** Creates an HTTP client that authenticates with `workspaceKey`. */
 export function createEntryExchange(workspaceKey: string): EntryExchange {
-  const agent = new Agent({connect: {timeout: CONNECT_TIMEOUT}});
+  const agent = createCheckedAgent({connect: {timeout: CONNECT_TIMEOUT}});
   return {
     send: async ({entry, method, path, headers, body, timeout}) => {
       try {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,6 +8,7 @@
 export * from './types/process';
 export * from './swarm';
 export * from './types/settings';
+export {createCheckedAgent, createCheckedClient} from '@hibiscusbeam/platform';
 export {createSiteClientPool, type SiteClientPool} from './site/site_clients';
 export * from './runtime/clock';
 export * from './runtime/drive';
--- a/packages/daemon/src/older_system/older_system_client.ts
+++ b/packages/daemon/src/older_system/older_system_client.ts
@@ -6,7 +6,8 @@
   type TargetName,
   type WorkspaceName,
 } from '@hibiscusbeam/core';
-import {Agent, request} from 'undici';
+import {createCheckedAgent} from '@hibiscusbeam/platform';
+import {request} from 'undici';
 import * as z from 'zod';
 import {monotonicClock} from '../runtime/clock';
 
@@ -61,7 +62,7 @@
 
 /** Creates a client of the older system at a base address. */
 export function createOlderSystemClient(url: string): OlderSystemClient {
-  const dispatcher = new Agent({connections: MAX_CONNECTIONS});
+  const dispatcher = createCheckedAgent({connections: MAX_CONNECTIONS});
   const base = url.replace(/\/$/, '');
 
   const send = async (
--- a/packages/daemon/src/targets/http_exchange.ts
+++ b/packages/daemon/src/targets/http_exchange.ts
@@ -1,12 +1,14 @@
 import {
+  ANSWER_HEAD_FAULT_CODE,
   RECEIVING_FAULT_CODE,
   readWholeBody,
   type Bytes,
   type Milliseconds,
 } from '@hibiscusbeam/core';
+import {createCheckedPool} from '@hibiscusbeam/platform';
 import type {Readable} from 'node:stream';
 import {Err, Ok, type Result} from 'ts-results';
-import {Pool, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
 import {monotonicClock} from '../runtime/clock';
 import type {TargetError} from './types';
@@ -31,6 +33,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Codes of errors in what a target sends. */
+const MALFORMED_CODES = new Set([ANSWER_HEAD_FAULT_CODE, RECEIVING_FAULT_CODE]);
+
 /** One HTTP call to a target. */
 export interface TargetCall {
   readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
@@ -67,7 +72,9 @@
   if (typeof code === 'string' && CONNECT_ERROR_CODES.has(code)) {
     return {kind: 'unreachable', detail};
   }
-  if (code === RECEIVING_FAULT_CODE) return {kind: 'malformed', detail};
+  if (typeof code === 'string' && MALFORMED_CODES.has(code)) {
+    return {kind: 'malformed', detail};
+  }
   return {kind: 'cut', detail};
 }
 
@@ -76,7 +83,7 @@
   url: string,
   connections: number,
 ): TargetExchange {
-  const pool = new Pool(url, {
+  const pool = createCheckedPool(url, {
     connections,
     connect: {timeout: CONNECT_TIMEOUT},
     bodyTimeout: 0,
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -4,9 +4,9 @@
   type Bytes,
   type Milliseconds,
 } from '@hibiscusbeam/core';
-import {monotonicClock} from '@hibiscusbeam/daemon';
+import {createCheckedAgent, monotonicClock} from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
-import {Agent, request, type Dispatcher} from 'undici';
+import {request, type Dispatcher} from 'undici';
 import {startAnswerTimer} from './answer_timer';
 import {openSingleConnection, type SingleConnection} from './single_connection';
 
@@ -83,7 +83,7 @@
  * Opening a connection for each poll caused 5,000 of the site's 11,400 new
  * connections in 46 s.
  */
-const keepAliveAgent = new Agent({
+const keepAliveAgent = createCheckedAgent({
   connect: {timeout: CONNECT_TIMEOUT},
   connections: 2,
   keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
--- a/packages/fleet/src/link/single_connection.ts
+++ b/packages/fleet/src/link/single_connection.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '@hibiscusbeam/core';
-import {monotonicClock} from '@hibiscusbeam/daemon';
-import {buildConnector, Client, errors, type Dispatcher} from 'undici';
+import {createCheckedClient, monotonicClock} from '@hibiscusbeam/daemon';
+import {buildConnector, errors, type Dispatcher} from 'undici';
 
 /**
  * Multiple of the connect time after which silence is not due to a saturated
@@ -35,7 +35,7 @@
   let openedAt: Milliseconds | undefined;
   let hasTimedOut = false;
 
-  const client = new Client(`http://${address}`, {
+  const client = createCheckedClient(`http://${address}`, {
     connect: (options, callback) => {
       connectingAt = monotonicClock();
       connect(options, (...outcome) => {
--- a/packages/hibiscusbeam/src/operator/operator_client.ts
+++ b/packages/hibiscusbeam/src/operator/operator_client.ts
@@ -1,4 +1,5 @@
 import {readWholeBody, type Bytes} from '@hibiscusbeam/core';
+import {createCheckedAgent} from '@hibiscusbeam/daemon';
 import {Err, Ok, type Result} from 'ts-results';
 import {request} from 'undici';
 import type * as z from 'zod';
@@ -36,6 +37,8 @@
   'starting',
 ]);
 
+const dispatcher = createCheckedAgent();
+
 /** Operator requests to an entry. */
 export interface OperatorClient {
   readonly plan: (intent: string) => OperatorResult<PlanReply>;
@@ -127,6 +130,7 @@
 ): Promise<Result<{status: number; json: unknown}, OperatorError>> {
   try {
     const response = await request(`${options.entry}${call.path}`, {
+      dispatcher,
       method: call.method,
       headers: {
         authorization: `Bearer ${options.key}`,
--- a/packages/platform/src/node/http_client.ts
+++ b/packages/platform/src/node/http_client.ts
@@ -7,9 +7,10 @@
 } from '@hibiscusbeam/core';
 import {Err, Ok} from 'ts-results';
 import type {Result} from 'ts-results';
-import {Agent, request} from 'undici';
+import {request} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {ZodType} from 'zod';
+import {createCheckedAgent} from './checked_connections';
 import {parseJson} from './parse_json';
 import {responseErrorOf, transportErrorOf} from './errors';
 
@@ -64,8 +65,8 @@
 }
 
 /** Creates a separate pool of at most `connections` connections. */
-export function createConnectionPool(connections: number): Agent {
-  return new Agent({connections, pipelining: 1});
+export function createConnectionPool(connections: number): Dispatcher {
+  return createCheckedAgent({connections, pipelining: 1});
 }
 
 function requestOptions(call: HttpCall) {
--- a/packages/platform/src/node/index.ts
+++ b/packages/platform/src/node/index.ts
@@ -1,1 +1,2 @@
+export * from './checked_connections';
 export * from './http_platform';
