--- a/test/fleet/broken_answers.test.ts
+++ b/test/fleet/broken_answers.test.ts
@@ -74,6 +74,14 @@
   {path: '/stream/a', headers: AS_MODEL, status: '400', body: 'failure'},
 ];
 
+const SUCCESSES = EXCHANGES.filter(({status}) => status === '200');
+
+/** Heads with a field that is for the connection, not for the caller. */
+const LOST_FIELD_HEADS: readonly BrokenHead[] = [
+  'Server-Seal',
+  'Request-Id',
+].map(name => ({name, lines: [`Connection: close, X-Hibiscusbeam-${name}`]}));
+
 /** The body as the head frames it, if it does so in a known way. */
 function contentFor(head: BrokenHead, {status, body}: Exchange) {
   const isInChunks = CODED_CHUNKS_HEADS.includes(head);
@@ -107,23 +115,36 @@
     await odd.close();
   });
 
+  /** Sends all requests at the same time. */
+  async function expectRefusals(
+    head: BrokenHead,
+    exchanges: readonly Exchange[],
+  ): Promise<void> {
+    odd.setAnswer(request => {
+      const exchange = exchanges[Number(request.requestId)]!;
+      return breakHead(head, contentFor(head, exchange), request);
+    });
+    const answers = exchanges.map(({path, headers}, index) =>
+      send(entry, path, {
+        ...headers,
+        'x-hibiscusbeam-request-id': String(index),
+      }),
+    );
+    for (const {status, headers} of await Promise.all(answers)) {
+      expect(status).toBe(502);
+      expect(headers).not.toHaveProperty('x-hibiscusbeam-server-seal');
+    }
+  }
+
+  test.each(LOST_FIELD_HEADS)(
+    'gives its callers no success without $name',
+    head => expectRefusals(head, SUCCESSES),
+  );
+
   test.each(HEADS)(
     'gives its callers nothing but refusals of the entry: $name',
     async head => {
-      odd.setAnswer(request => {
-        const exchange = EXCHANGES[Number(request.requestId)]!;
-        return breakHead(head, contentFor(head, exchange), request);
-      });
-      const answers = EXCHANGES.map(({path, headers}, index) =>
-        send(entry, path, {
-          ...headers,
-          'x-hibiscusbeam-request-id': String(index),
-        }),
-      );
-      for (const {status, headers} of await Promise.all(answers)) {
-        expect(status).toBe(502);
-        expect(headers).not.toHaveProperty('x-hibiscusbeam-server-seal');
-      }
+      await expectRefusals(head, EXCHANGES);
       const failed = 'request failed in this process';
       expect(site.lines.map(({message}) => message)).not.toContain(failed);
       await eventually(() => odd.open() === 0);
