Test the product's own interface and the store with broken heads

No process ends.

The stand-ins can send any bytes instead of their answers.

An upgrade that nobody has asked for is among the heads, and the checked connections leave it to the library, which refuses it.

--- a/packages/platform/src/node/checked_connections.ts
+++ b/packages/platform/src/node/checked_connections.ts
@@ -40,7 +40,6 @@
 ): Dispatcher.DispatchHandler {
   return {
     onRequestStart: (...values) => handler.onRequestStart?.(...values),
-    onRequestUpgrade: (...values) => handler.onRequestUpgrade?.(...values),
     onResponseStart: (controller, status, headers, message) => {
       if (isInformational(status)) return;
       const bodyEnd = readAnswerHead({status, lines: linesOf(headers)});
--- a/packages/standins/src/shared/server.ts
+++ b/packages/standins/src/shared/server.ts
@@ -6,7 +6,7 @@
   FastifyRequest,
 } from 'fastify';
 import type {AddressInfo} from 'node:net';
-import type {ZodType} from 'zod';
+import * as z from 'zod';
 import type {Clock} from './clock';
 
 /** A running stand-in. */
@@ -44,6 +44,7 @@
     {parseAs: 'buffer'},
     (_request, body, done) => done(null, body),
   );
+  addRawAnswers(server);
   return server;
 }
 
@@ -66,7 +67,7 @@
 
 /** Parses the body with `schema`; a mismatch is answered with status 400. */
 export function parseBody<Body>(
-  schema: ZodType<Body>,
+  schema: z.ZodType<Body>,
   request: FastifyRequest,
 ): Body {
   const parsed = schema.safeParse(request.body);
@@ -77,6 +78,35 @@
   });
 }
 
+/** Route that sets the bytes of the answers to all other requests. */
+const RAW_ANSWER_PATH = '/raw-answer';
+
+const rawAnswerSchema = z.strictObject({
+  /** Each character is one byte; null ends the fault. */
+  bytes: z.string().nullable(),
+});
+
+/**
+ * Lets tests replace all answers by any bytes and the end of the connection;
+ * replies with the paths of the requests that were answered so until then.
+ */
+function addRawAnswers(server: FastifyInstance): void {
+  let bytes: string | null = null;
+  let paths: readonly string[] = [];
+  server.post(RAW_ANSWER_PATH, (request, reply) => {
+    bytes = parseBody(rawAnswerSchema, request).bytes;
+    const answered = paths;
+    paths = [];
+    return reply.send({answered});
+  });
+  server.addHook('preHandler', async (request, reply) => {
+    if (bytes === null || request.url === RAW_ANSWER_PATH) return;
+    paths = [...paths, request.url];
+    reply.hijack();
+    request.raw.socket.end(Buffer.from(bytes, 'latin1'));
+  });
+}
+
 /** Sends an error as `{error, detail}`. */
 export function sendError(
   reply: FastifyReply,
--- a/test/processes/broken_answers.test.ts
+++ b/test/processes/broken_answers.test.ts
@@ -64,6 +64,7 @@
   let site: HostSite;
   let sound: HostEngine;
   let odd: RawTarget;
+  let store: RawTarget;
   let entry: EntryProcess;
   let folder: string;
 
@@ -76,6 +77,8 @@
       pause: PAUSE_MS,
     });
     odd = await startRawTarget('odd');
+    store = await startRawTarget('store');
+    store.forwardTo(site.store.address);
     const engineOf = (Name: string) => ({
       Service: 'engines',
       Models: [{Name, Version: 1, Adapters: []}],
@@ -85,7 +88,11 @@
     site.register(odd, {}, 'odd-plain');
     site.configure();
     folder = mkdtempSync(join(tmpdir(), 'broken-answers-'));
-    const settings = await site.entrySettings();
+    const usual = await site.entrySettings();
+    const settings = {
+      ...usual,
+      store: {...usual.store, address: store.address},
+    };
     entry = startEntryProcess({settings, folder, pause: 100, flags});
     await eventually(() => isReady(entry.readinessAddress).catch(() => false));
     await eventually(async () => (await sendStream()).status === 200);
@@ -93,7 +100,7 @@
 
   afterAll(async () => {
     await entry.close();
-    await Promise.all([sound.close(), odd.close()]);
+    await Promise.all([sound.close(), odd.close(), store.close()]);
     await site.close();
     rmSync(folder, {recursive: true});
   });
@@ -134,4 +141,18 @@
       HEADS.length * EXCHANGES.length,
     );
   });
+
+  test('lives on, and serves its requests, when its store sends broken heads', async () => {
+    const before = entry.processId();
+    const content = {status: '200', body: '{}'};
+    for (const head of HEADS) {
+      const asked = store.arrivals();
+      store.setAnswer(request => breakHead(head, content, request));
+      await eventually(() => store.arrivals() > asked);
+      expect([head.name, entry.processId()]).toEqual([head.name, before]);
+    }
+    store.forwardTo(site.store.address);
+    await eventually(async () => (await sendStream()).status === 200);
+    expect(entry.processId()).toBe(before);
+  });
 });
