--- a/packages/core/src/answer_head/answer_head.ts
+++ b/packages/core/src/answer_head/answer_head.ts
@@ -50,8 +50,8 @@
     if (!FIELD_NAME.test(name)) return Err('fieldName');
     if (!FIELD_VALUE.test(value)) return Err('fieldValue');
     const key = name.toLowerCase();
-    if (key === 'transfer-encoding') codings.push(value.toLowerCase());
-    if (key === 'content-length') lengths.push(value);
+    if (key === 'transfer-encoding') codings.push(value.trim().toLowerCase());
+    if (key === 'content-length') lengths.push(value.trim());
   }
   return readBodyEnd(codings, lengths);
 }
--- a/packages/fleet/src/entry/exchange.ts
+++ b/packages/fleet/src/entry/exchange.ts
@@ -188,7 +188,7 @@
     request.once('socket', socket => {
       socket.once('connect', () => {
         timer.stop();
-        setImmediate(send);
+        setImmediate(guardCallback(onError, send));
       });
       // Before the client of Node.js ends the body.
       socket.prependOnceListener('end', () => (wasReset = isReset(socket)));
--- a/packages/platform/src/node/checked_connections.ts
+++ b/packages/platform/src/node/checked_connections.ts
@@ -1,9 +1,6 @@
 import {answerHeadError, readAnswerHead} from '@hibiscusbeam/core';
 import {Agent, Client, Pool, type Dispatcher} from 'undici';
 
-/** Statuses from here on belong to an answer, not to news about it. */
-const MIN_FINAL_STATUS = 200;
-
 /**
  * Creates connections to any servers. A call fails if the head of its answer
  * can't be used; see `readAnswerHead`.
@@ -52,8 +49,9 @@
   };
 }
 
+/** Whether the answer itself is still to come. */
 function isInformational(status: number): boolean {
-  return status >= 100 && status < MIN_FINAL_STATUS;
+  return status >= 100 && status < 200;
 }
 
 function linesOf(
--- a/test/answer_head/answer_head.test.ts
+++ b/test/answer_head/answer_head.test.ts
@@ -52,8 +52,10 @@
   {lines: [], end: 'connection'},
   {lines: ['Content-Length', '0'], end: 'length'},
   {lines: ['content-length', '12'], end: 'length'},
+  {lines: ['Content-Length', '\t12 '], end: 'length'},
   {lines: ['Transfer-Encoding', 'chunked'], end: 'lastChunk'},
   {lines: ['transfer-encoding', 'Chunked'], end: 'lastChunk'},
+  {lines: ['Transfer-Encoding', ' chunked '], end: 'lastChunk'},
 ])('the body of an answer with $lines ends with its $end', ({lines, end}) => {
   expect(readAnswerHead({status: 200, lines}).val).toBe(end);
 });
