--- a/packages/core/src/answer_head/answer_head.ts
+++ b/packages/core/src/answer_head/answer_head.ts
@@ -34,11 +34,8 @@
 const LENGTH = /^\d+$/;
 
 /**
- * Checks the head of an answer, and returns what marks the end of its body.
- *
- * What a parser accepts depends on its version and its options. A head that one
- * accepts and a writer refuses fails when it is passed on, and one that the
- * writer accepts too reaches the caller.
+ * Checks the head of an answer, and returns what marks the end of its body. A
+ * parser may accept heads that can't be written, depending on its options.
  */
 export function readAnswerHead(
   head: AnswerHead,
@@ -57,10 +54,8 @@
 }
 
 /**
- * No other coding than chunked was offered to the target. A body in another one
- * can't be decoded, and its head, which names the coding, isn't passed on: the
- * caller would take the encoded bytes for the answer. Nor does such a body show
- * whether it has ended or was cut.
+ * A body in another coding than chunked can't be decoded here, and its caller,
+ * who isn't told the coding, would take the encoded bytes for the answer.
  */
 function readBodyEnd(
   codings: readonly string[],
--- a/packages/daemon/src/runtime/guarded_callback.ts
+++ b/packages/daemon/src/runtime/guarded_callback.ts
@@ -1,7 +1,6 @@
 /**
- * Wraps a callback that handles what another process has sent. An error that a
- * callback of a socket or a parser throws ends this process, which cuts all
- * requests that it serves; `onError` receives it instead.
+ * Wraps a callback that handles what another process has sent: `onError` gets
+ * the error that would otherwise end this process with all its requests.
  */
 export function guardCallback<Values extends readonly unknown[]>(
   onError: (error: unknown) => void,
