Let a stopping entry answer requests that are on their way

Callers saw: an entry got SIGTERM, served its share of the grace period, and a request sent in the last moments of that share got no answer: its connection was closed.

Cause: with nothing left to forward, the process ended as soon as it accepted no more requests. It looked at requests that it had read whole. Connections on which a request was arriving, or about to, were closed with it, and a request whose header had been accepted within the last 50 ms could begin to run meanwhile and was then cut. An entry that got new requests all the time ended at 0.95 of its grace period, and cut what arrived just then.

Now it first waits for what runs, until the final answers at the latest, then accepts no more connections, and ends once all open ones are closed or a request on them had half a second to arrive, and nothing runs. Requests on them are refused as not run, as before. All this ends at 0.95 of the grace period, so a stop takes no longer than it could; with no open connection it isn't longer at all. The listener is closed by the close of the TCP server: that of the HTTP server ends idle connections.

Still open: a connection that the system has opened but the process hasn't accepted when its listener closes is reset.

--- a/packages/fleet/src/entry/caller_server.ts
+++ b/packages/fleet/src/entry/caller_server.ts
@@ -7,6 +7,7 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
   limitConnections,
@@ -63,6 +64,11 @@
   readonly setLimits: (limits: CallerLimits) => void;
   /** Number of open connections. */
   readonly connections: CallerConnections['count'];
+  /**
+   * Accepts the connections that are already open, then no more. Requests on
+   * them are still handled.
+   */
+  readonly stopListening: () => Promise<void>;
   /** Reads what has already arrived, then accepts nothing more. */
   readonly close: () => Promise<void>;
 }
@@ -72,6 +78,10 @@
   return Math.ceil(headerBytes / SHORTEST_LINE);
 }
 
+async function readArrived(): Promise<void> {
+  for (let turn = 0; turn < TURNS_TO_READ; turn += 1) await nextTurn();
+}
+
 /** Creates the server; it passes requests to `handler`. */
 export function createCallerServer(
   handler: RequestHandler,
@@ -126,8 +136,13 @@
       server.maxHeadersCount = mostLines(changed.headerBytes);
     },
     connections: connections.count,
+    stopListening: async () => {
+      await readArrived();
+      // The HTTP server's own close would also close idle connections.
+      NetServer.prototype.close.call(server);
+    },
     close: async () => {
-      for (let turn = 0; turn < TURNS_TO_READ; turn += 1) await nextTurn();
+      await readArrived();
       server.close();
       server.closeIdleConnections();
     },
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -496,15 +496,22 @@
   members.start(stopped.signal);
   const stopPeers = entryPeers.start();
 
-  let finish = (): void => undefined;
-  const ended = new Promise<void>(resolve => (finish = resolve));
+  let resolveEnded = (): void => undefined;
+  const ended = new Promise<void>(resolve => (resolveEnded = resolve));
   const stop = async (): Promise<void> => {
     if (plannedStop.phase() !== 'serving') return ended;
     const leaving = plannedStop.begin();
     entryPeers.announceSelf();
     void members.leave();
     await leaving;
-    await plannedStop.finish(() => handler.running() === 0, handler.endAll);
+    const callers = {
+      isIdle: () => handler.running() === 0,
+      connections: callerServer.connections,
+      endAll: handler.endAll,
+    };
+    await plannedStop.awaitRequests(callers);
+    await callerServer.stopListening();
+    await plannedStop.awaitArriving(callers);
     await callerServer.close();
     handler.cutAll();
     stopped.abort();
@@ -515,7 +522,7 @@
       readiness.close(),
       metricsServer?.close(),
     ]);
-    finish();
+    resolveEnded();
   };
   return {stop, stopped: ended};
 }
--- a/packages/fleet/src/entry/planned_stop.ts
+++ b/packages/fleet/src/entry/planned_stop.ts
@@ -23,10 +23,27 @@
    */
   readonly mayAccept: (timeLeft: Milliseconds) => boolean;
   /**
-   * Resolves once `isIdle`, at the latest shortly before the grace period ends;
-   * `endAll` is called when requests in progress have to end.
+   * Resolves once no request runs, at the latest when those that still run have
+   * to be answered.
    */
-  readonly finish: (isIdle: () => boolean, endAll: () => void) => Promise<void>;
+  readonly awaitRequests: (
+    callers: Pick<StoppingCallers, 'isIdle'>,
+  ) => Promise<void>;
+  /**
+   * Once no connection is accepted any more, resolves when all are closed or
+   * what was on its way on them has arrived, and no request runs; at the latest
+   * shortly before the grace period ends.
+   */
+  readonly awaitArriving: (callers: StoppingCallers) => Promise<void>;
+}
+
+/** What callers still have at a process that stops. */
+export interface StoppingCallers {
+  /** Whether no request runs. */
+  readonly isIdle: () => boolean;
+  readonly connections: () => number;
+  /** Ends all requests that run; called when they have to be answered. */
+  readonly endAll: () => void;
 }
 
 /**
@@ -43,6 +60,11 @@
 /** Share of the grace period after which the process ends at the latest. */
 const ENDING_SHARE = 0.95;
 
+/**
+ * Maximum time until a request arrives on a connection that is already open.
+ */
+const IN_TRANSIT_TIME: Milliseconds = 500;
+
 /** Interval between checks of the time and of running requests. */
 const CHECK_PERIOD: Milliseconds = 50;
 
@@ -82,15 +104,21 @@
     }
   }
 
-  async function finish(
-    isIdle: () => boolean,
-    endAll: () => void,
-  ): Promise<void> {
-    while (!isIdle() && !isPast(ENDING_SHARE)) {
-      if (isPast(FINAL_ANSWERS_SHARE)) endAll();
+  async function awaitRequests({
+    isIdle,
+  }: Pick<StoppingCallers, 'isIdle'>): Promise<void> {
+    while (!isIdle() && !isPast(FINAL_ANSWERS_SHARE)) await sleep(CHECK_PERIOD);
+  }
+
+  async function awaitArriving(callers: StoppingCallers): Promise<void> {
+    const since = clock();
+    const hasArrived = (): boolean =>
+      callers.connections() === 0 || clock() - since >= IN_TRANSIT_TIME;
+    while (!(callers.isIdle() && hasArrived()) && !isPast(ENDING_SHARE)) {
+      if (isPast(FINAL_ANSWERS_SHARE)) callers.endAll();
       await sleep(CHECK_PERIOD);
     }
   }
 
-  return {phase: () => phase, begin, mayAccept, finish};
+  return {phase: () => phase, begin, mayAccept, awaitRequests, awaitArriving};
 }
--- a/test/fleet/caller_server.test.ts
+++ b/test/fleet/caller_server.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {afterEach, beforeEach, expect, test} from 'vitest';
@@ -124,3 +125,16 @@
   void server.close();
   expect(await second).toContain('200 OK');
 });
+
+test('a request on an open connection is answered after the server stops listening', async () => {
+  expect(await sendRequest()).toContain('200 OK');
+  const unused = connect(caller.remotePort!, '127.0.0.1');
+  await once(unused, 'connect');
+  await server.stopListening();
+  expect(await sendRequest()).toContain('200 OK');
+  unused.write(REQUEST);
+  expect(String(await once(unused, 'data'))).toContain('200 OK');
+  unused.destroy();
+  const refused = connect(caller.remotePort!, '127.0.0.1');
+  await expect(once(refused, 'connect')).rejects.toThrow('ECONNREFUSED');
+});
