--- a/scripts/ci_verdict.mjs
+++ b/scripts/ci_verdict.mjs
@@ -7,6 +7,9 @@
 const MAX_KNOWN_RED = 3;
 const KNOWN_RED_FIELDS = 4;
 
+/** Maximum number of characters that are printed of a failure's message. */
+const MAX_MESSAGE = 500;
+
 const [reportFile, knownRedFile, ...failedSteps] = process.argv.slice(2);
 const problems = [];
 const knownRed = readKnownRed();
@@ -76,7 +79,7 @@
   for (const test of tests) {
     const known = knownRed.find(({name}) => name === test.fullName);
     if (test.status === 'failed' && known === undefined) {
-      problems.push(`test ${test.fullName}`);
+      problems.push(`test ${test.fullName}${describeFailure(test)}`);
     } else if (test.status === 'failed') {
       console.log(`KNOWN RED: ${known.line}`);
     } else if (test.status !== 'passed') {
@@ -92,6 +95,12 @@
   }
 }
 
+/** Printed last, since the end of the output is what is kept of a run. */
+function describeFailure({failureMessages: [message] = []}) {
+  if (message === undefined) return '';
+  return `: ${message.split('\n')[0].slice(0, MAX_MESSAGE)}`;
+}
+
 function checkUnloadedFiles() {
   for (const file of unloadedFiles) {
     problems.push(`file ${file.name}: ${file.message}`);
--- a/test/ci/verdict.test.ts
+++ b/test/ci/verdict.test.ts
@@ -10,6 +10,8 @@
   readonly knownRed?: string;
   readonly failedSteps?: readonly string[];
   readonly unhandledErrors?: readonly string[];
+  /** Messages of the tests that failed. */
+  readonly failureMessages?: readonly string[];
   /** A test file that could not be loaded. */
   readonly unloadedFile?: boolean;
 }
@@ -23,7 +25,11 @@
     return join(folder, name);
   };
   const assertionResults = Object.entries(run.tests).map(
-    ([fullName, status]) => ({fullName, status}),
+    ([fullName, status]) => ({
+      fullName,
+      status,
+      ...(status === 'failed' && {failureMessages: run.failureMessages}),
+    }),
   );
   const unloaded = {
     name: 'x',
@@ -70,6 +76,18 @@
     expect(lines).toEqual([`KNOWN RED: ${KNOWN}`, '1 passed, 1 failed']);
   });
 
+  test('prints why a test failed after all other output', () => {
+    const {lines} = runVerdict({
+      tests: {'a fails': 'failed', 'a b': 'passed'},
+      failureMessages: ['Error: request-1 got no answer\n    at a.ts:1'],
+      failedSteps: ['test'],
+    });
+    expect(lines.slice(-2)).toEqual([
+      'FAILED: test a fails: Error: request-1 got no answer',
+      '1 passed, 1 failed',
+    ]);
+  });
+
   test('counts a file that does not load as failed', () => {
     const {lines} = runVerdict({tests: {a: 'passed'}, unloadedFile: true});
     expect(lines.at(-1)).toBe('1 passed, 1 failed');
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -18,7 +18,7 @@
   const size = {...SIZE, entries: ENTRIES};
   const outcome = await runSoak(seed, size, faultSet, folder);
   console.log(`seed ${seed}, ${faultSet}: ${JSON.stringify(outcome)}`);
-  expect(outcome.violations).toEqual([]);
+  expect(outcome.violations, outcome.violations.join('; ')).toEqual([]);
   expect(outcome.servedAfterwards).toBeGreaterThan(0.9);
   rmSync(folder, {recursive: true});
 }
