--- a/packages/fleet/src/entry/planned_stop.ts
+++ b/packages/fleet/src/entry/planned_stop.ts
@@ -30,9 +30,8 @@
     callers: Pick<StoppingCallers, 'isIdle'>,
   ) => Promise<void>;
   /**
-   * Once no connection is accepted any more, resolves when all are closed or
-   * what was on its way on them has arrived, and no request runs; at the latest
-   * shortly before the grace period ends.
+   * Resolves once nothing runs or can still arrive on an open connection, at the
+   * latest shortly before the grace period ends.
    */
   readonly awaitArriving: (callers: StoppingCallers) => Promise<void>;
 }
