Log what each start reads from the store, and how often it fails

Callers were refused for 8 to 13 s after a loss of power everywhere, and the logs couldn't tell why: only the first failure of a row of them is logged, and no line says how much was read, by whom, or from where.

Now a process writes one line once it knows all that it needs: when each part was known and its source, the calls to the store by table with the bytes that arrived (also of failed calls) and the kinds of failures, and the processor time. A start that isn't complete within 10 s is logged with what is missing.

No decision changes.

--- a/packages/core/src/received_bytes/received_bytes.ts
+++ b/packages/core/src/received_bytes/received_bytes.ts
@@ -70,11 +70,11 @@
 export async function readWholeBody(
   body: AsyncIterable<Uint8Array>,
   limits: ReceivingLimits,
-  onPart: () => void = () => undefined,
+  onPart: (part: Uint8Array) => void = () => undefined,
 ): Promise<Buffer> {
   const received = createReceivedBytes(limits);
   for await (const part of body) {
-    onPart();
+    onPart(part);
     const fault = received.add(part);
     if (fault !== undefined) throw receivingError(fault);
   }
--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -27,6 +27,7 @@
   VersionOrigin,
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
+import {NO_STARTUP_LOG, type StartupLog} from '../runtime/startup_log';
 import {connectionLimits, type FleetAgentSettings} from '../settings';
 import {createEngineManager, type EngineManager} from './engine_manager';
 import {createEngineReports} from './engine_reports';
@@ -48,6 +49,7 @@
   settings: FleetAgentSettings,
   ports: AgentPorts,
   logs: (part: LogPart) => Log,
+  startup: Pick<StartupLog, 'recordKnown'> = NO_STARTUP_LOG,
 ): Promise<RunningProcess> {
   const stopped = new AbortController();
   const self: MemberDescription = {
@@ -72,12 +74,13 @@
     monotonicClock,
     configurationLog,
   );
-  const operator = createOperatorMonitor(
-    ports.operator,
+  const operator = createOperatorMonitor({
+    feed: ports.operator,
     versions,
-    monotonicClock,
-    configurationLog,
-  );
+    clock: monotonicClock,
+    log: configurationLog,
+    onServices: source => startup.recordKnown('services', source),
+  });
   const machineClock = startMachineClock();
   const staged = createStagedChunks(ports.engine, logs('target'), machineClock);
   const peers = createPeerAgents({
@@ -130,6 +133,7 @@
     log: logs('membership'),
     failurePause: createFailurePause(hash32(settings.instance) / 2 ** 32),
     onChange: others => {
+      startup.recordKnown('members', 'store');
       peers.setMembers(others);
       reports.setMembers(others);
     },
--- a/packages/fleet/src/agent/operator_monitor.ts
+++ b/packages/fleet/src/agent/operator_monitor.ts
@@ -8,6 +8,7 @@
 import {servicesDigest} from '../link/services_digest';
 import {createWakeablePause} from '../link/wakeable_pause';
 import type {OperatorFeed, OperatorReading} from '../ports';
+import type {StartupSource} from '../runtime/startup_log';
 
 /** How long one request waits for a change; each request costs a call. */
 const LONG_POLL_WAIT: Milliseconds = 6_000;
@@ -40,13 +41,21 @@
   readonly recordEntryDigest: (digest: number) => void;
 }
 
+/** Dependencies of the operator monitor. */
+export interface OperatorMonitorOptions {
+  readonly feed: OperatorFeed;
+  readonly versions: NamedVersions;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Called when the services of a newer configuration are known. */
+  readonly onServices: (source: StartupSource) => void;
+}
+
 /** Creates the monitor. */
 export function createOperatorMonitor(
-  feed: OperatorFeed,
-  versions: NamedVersions,
-  clock: Clock,
-  log: Log,
+  options: OperatorMonitorOptions,
 ): OperatorMonitor {
+  const {feed, versions, clock, log} = options;
   let services: readonly ServiceDescription[] = [];
   let digest = servicesDigest(services);
   /** Version of the configuration that contains the services. */
@@ -62,6 +71,7 @@
       heldVersion = configuration.version;
       services = configuration.services;
       digest = servicesDigest(services);
+      options.onServices('store');
     }
     for (const {model, version} of namedVersions) {
       const isNew = versions.name(model, version, clock());
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -39,6 +39,7 @@
 } from '../ports';
 import {startMachineClock} from '../runtime/clock';
 import {createStallMonitor} from '../runtime/stall_monitor';
+import {NO_STARTUP_LOG, type StartupLog} from '../runtime/startup_log';
 import {
   connectionLimits,
   incomingMemory,
@@ -127,6 +128,7 @@
   settings: FleetEntrySettings,
   ports: EntryPorts,
   logs: (part: LogPart) => Log,
+  startup: Pick<StartupLog, 'recordKnown'> = NO_STARTUP_LOG,
 ): Promise<RunningProcess> {
   const clock = monotonicClock;
   const metrics = createFleetMetrics();
@@ -170,6 +172,7 @@
       failurePause,
       spread,
       onChange: () => entryPeers.scheduleRecords(),
+      onKnown: () => startup.recordKnown('quarantine', 'store'),
     });
   const limits = createRateLimits(clock);
   const limitMonitor = createRateLimitMonitor({
@@ -284,7 +287,10 @@
     bound: Math.min(bounds.configuration, evacuation),
     copies,
     source: () => entryPeers.operatorSource(),
-    onConfiguration: () => entryPeers.greetRelays(),
+    onConfiguration: source => {
+      startup.recordKnown('configuration', source);
+      entryPeers.greetRelays();
+    },
     onReading: moment => entryPeers.relayServer.setOperator(moment),
     spread,
     onChange: () => {
@@ -340,7 +346,10 @@
     clock,
     log: logs('membership'),
     failurePause,
-    onChange: entryPeers.setMembers,
+    onChange: others => {
+      startup.recordKnown('members', 'store');
+      entryPeers.setMembers(others);
+    },
   });
   const memory = incomingMemory(settings);
   const maxConnections = connectionLimits(settings);
@@ -442,7 +451,10 @@
       storeDistance,
       storeAvailability,
       readsStore: entryPeers.readsTargets,
-      onListing: entryPeers.relayServer.setTargets,
+      onListing: (listing, source) => {
+        startup.recordKnown('targets', source);
+        entryPeers.relayServer.setTargets(listing);
+      },
       spread,
       log: logs('routing'),
       draining: bounds.draining,
--- a/packages/fleet/src/entry/entry_quarantine.ts
+++ b/packages/fleet/src/entry/entry_quarantine.ts
@@ -29,6 +29,8 @@
   readonly spread: number;
   /** Called when this entry has learned something that other entries need. */
   readonly onChange: () => void;
+  /** Called once the stored suspects have been read. */
+  readonly onKnown: () => void;
 }
 
 /**
@@ -56,6 +58,7 @@
     table,
     quarantine,
     onRestore: trials.reclaim,
+    onKnown: options.onKnown,
     failurePause: options.failurePause,
     log,
     spread: options.spread,
--- a/packages/fleet/src/entry/held_configuration.ts
+++ b/packages/fleet/src/entry/held_configuration.ts
@@ -9,6 +9,7 @@
 import type {ConfigurationCopies} from '../link/configuration_copies';
 import {servicesDigest} from '../link/services_digest';
 import type {OperatorFeed, OperatorReading, Revision} from '../ports';
+import type {StartupSource} from '../runtime/startup_log';
 
 /** Conflicts that are listed in one log line. */
 const MAX_LOGGED_CONFLICTS = 10;
@@ -40,7 +41,7 @@
   readonly decode: OperatorFeed['decode'];
   readonly log: Log;
   /** Called when a newer configuration has been adopted. */
-  readonly onAdopted: () => void;
+  readonly onAdopted: (source: StartupSource) => void;
 }
 
 /** Creates the holder; it only uses the newest configuration. */
@@ -61,7 +62,7 @@
     // have started since must not use the older one.
     if (isOlder(configuration)) copies.addUnchanged(reading.revision);
     else if (document !== undefined) copies.add(document);
-    adopt(configuration);
+    adopt(configuration, 'store');
   }
 
   function takeCopy(copy: ConfigurationCopy): void {
@@ -82,14 +83,17 @@
       return;
     }
     copies.add(document.val);
-    adopt(configuration.val);
+    adopt(configuration.val, 'entry');
   }
 
   function isOlder({version}: RoutingConfiguration): boolean {
     return version < (table?.version ?? -Infinity);
   }
 
-  function adopt(configuration: RoutingConfiguration): void {
+  function adopt(
+    configuration: RoutingConfiguration,
+    source: StartupSource,
+  ): void {
     // A delayed answer may contain an older configuration, and requests would
     // be handled by routes that were removed. Versions only increase here.
     if (configuration.version <= (table?.version ?? -Infinity)) return;
@@ -101,7 +105,7 @@
       workspaces: configuration.workspaces?.length,
     });
     warnOfConflicts(configuration);
-    options.onAdopted();
+    options.onAdopted(source);
   }
 
   function warnOfConflicts(configuration: RoutingConfiguration): void {
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -26,6 +26,7 @@
   OperatorReading,
   Revision,
 } from '../ports';
+import type {StartupSource} from '../runtime/startup_log';
 import type {EvacuationMonitor} from './evacuation_monitor';
 import {createHeldConfiguration} from './held_configuration';
 
@@ -198,7 +199,7 @@
   /** Called when a version is new, or the services have changed. */
   readonly onVersionsOrServices: () => void;
   /** Called when a newer configuration has been adopted. */
-  readonly onConfiguration: () => void;
+  readonly onConfiguration: (source: StartupSource) => void;
 }
 
 /** A reading, and when its query was sent. */
@@ -215,9 +216,9 @@
     copies: options.copies,
     decode: feed.decode,
     log,
-    onAdopted: () => {
+    onAdopted: source => {
       adoptedAt = clock();
-      options.onConfiguration();
+      options.onConfiguration(source);
     },
   });
   const evacuationConfirmation = createConfirmation(options.storeClock);
--- a/packages/fleet/src/entry/quarantine_store.ts
+++ b/packages/fleet/src/entry/quarantine_store.ts
@@ -32,6 +32,8 @@
   readonly quarantine: Quarantine;
   /** Called when the store was restored from a copy. */
   readonly onRestore: () => void;
+  /** Called once the rows have been read. */
+  readonly onKnown: () => void;
   readonly failurePause: FailurePause;
   readonly log: Log;
   /** Differs between entries; from 0 to below 1. */
@@ -72,6 +74,7 @@
       takeRestored(reading);
       options.onRestore();
     } else takeChanges(reading, scope);
+    if (!isKnown) options.onKnown();
     isKnown = true;
   }
 
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -16,6 +16,7 @@
   storeCallOutcome,
 } from '../link/store_call_outcome';
 import {createUnusableRowLog} from '../link/unusable_row_log';
+import type {StartupSource} from '../runtime/startup_log';
 import type {Revision, TargetList, TargetReading, UnusableRow} from '../ports';
 
 /**
@@ -103,7 +104,7 @@
   /**
    * Called for each listing, own or relayed, that is newer than those before.
    */
-  readonly onListing: (listing: TargetListing) => void;
+  readonly onListing: (listing: TargetListing, source: StartupSource) => void;
   /** Number in [0, 1) that differs by entry. */
   readonly spread: number;
   readonly log: Log;
@@ -213,25 +214,26 @@
       memory.recordFailure(clock() - absence);
     }
     relayedAt = Math.max(relayedAt, provenAt);
-    applyListing(listing, provenAt);
+    applyListing(listing, provenAt, 'entry');
   }
 
   function take(reading: TargetReading, sentAt: MonotonicInstant): void {
     unusableRows.record([...reading.unusable, ...unconfiguredRows(reading)]);
     const {revision, era, storeTime, targets} = reading;
-    applyListing({revision, era, storeTime, targets}, sentAt);
+    applyListing({revision, era, storeTime, targets}, sentAt, 'store');
   }
 
   function applyListing(
     listing: TargetListing,
     provenAt: MonotonicInstant,
+    source: StartupSource,
   ): void {
     if (era !== undefined && listing.era > era) memory.recordRestore(clock());
     era = listing.era;
     const listedBefore = listedAt;
     listedAt = Math.max(listedAt ?? provenAt, provenAt);
     try {
-      useListing(listing);
+      useListing(listing, source);
       newestRevision = listing.revision;
     } catch (error) {
       listedAt = listedBefore;
@@ -239,8 +241,8 @@
     }
   }
 
-  function useListing(listing: TargetListing): void {
-    options.onListing(listing);
+  function useListing(listing: TargetListing, source: StartupSource): void {
+    options.onListing(listing, source);
     const targets = memory.update(listing.targets, clock());
     options.onTargets(targets);
     registry.list(targets, clock());
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,4 +5,5 @@
   type SettingsOf,
   type StartRole,
 } from './runtime/fleet_process';
+export type {StoreCallRecord} from './runtime/startup_log';
 export * from './settings';
--- a/packages/fleet/src/link/http_calls.ts
+++ b/packages/fleet/src/link/http_calls.ts
@@ -51,6 +51,8 @@
   /** How long the server may delay its answer, as for a long poll. */
   readonly heldFor?: Milliseconds;
   readonly signal?: AbortSignal;
+  /** Called with the size of each part of the answer's body. */
+  readonly onBytes?: (received: Bytes) => void;
   /** Default `single`. */
   readonly connection?: HttpConnection;
 }
@@ -114,7 +116,10 @@
     const body = await readWholeBody(
       reply.body,
       {maxBytes: MAX_REPLY_BYTES, clock: monotonicClock},
-      timer.recordBytes,
+      part => {
+        timer.recordBytes();
+        call.onBytes?.(part.length);
+      },
     );
     const {statusCode: status, headers} = reply;
     return Ok({status, header: name => firstValue(headers[name]), body});
--- a/packages/fleet/src/runtime/fleet_process.ts
+++ b/packages/fleet/src/runtime/fleet_process.ts
@@ -3,6 +3,11 @@
 import {loadFleetSettings, type FleetSettings} from '../settings';
 import {recheckSettings} from '../settings/settings_check';
 import {createLogWriter, createProcessLogs} from './process_log';
+import {
+  createStartupLog,
+  type StartupLog,
+  type StartupPart,
+} from './startup_log';
 
 /** Settings of a process with the given role. */
 export type SettingsOf<Role extends FleetSettings['role']> = Extract<
@@ -14,8 +19,17 @@
 export type StartRole<Role extends FleetSettings['role']> = (
   settings: SettingsOf<Role>,
   logs: (part: LogPart) => Log,
+  startup: StartupLog,
 ) => Promise<RunningProcess>;
 
+/** State that a process of each role needs before it can do its work. */
+const REQUIRED_PARTS: Readonly<
+  Record<FleetSettings['role'], readonly StartupPart[]>
+> = {
+  entry: ['configuration', 'members', 'targets', 'quarantine'],
+  agent: ['services', 'members'],
+};
+
 /** Exit code of a process whose settings are missing or malformed. */
 const EXIT_SETTINGS = 2;
 
@@ -53,7 +67,8 @@
   );
   const {instance, zone} = settings;
   log.info('starts', {instance, role, zone, pid: process.pid});
-  const running = await start(settings, logs);
+  const startup = createStartupLog(REQUIRED_PARTS[role], log);
+  const running = await start(settings, logs, startup);
   log.info('serves');
   process.on('SIGTERM', () => {
     log.info('stops', {signal: 'SIGTERM'});
--- a/test/fleet/entry_quarantine.test.ts
+++ b/test/fleet/entry_quarantine.test.ts
@@ -29,6 +29,7 @@
     metrics: {setQuarantined: () => undefined},
     failurePause: createFailurePause(0),
     spread: 0,
+    onKnown: () => undefined,
     onChange: () => undefined,
   });
   entry.quarantineStore.start(stopped.signal);
--- a/test/fleet/operator_monitor.test.ts
+++ b/test/fleet/operator_monitor.test.ts
@@ -49,12 +49,13 @@
     decode: () => Err('not asked'),
   };
   const versions = createNamedVersions(8_000);
-  const monitor = createOperatorMonitor(
+  const monitor = createOperatorMonitor({
     feed,
     versions,
-    () => Date.now(),
-    errorFreeLog,
-  );
+    clock: () => Date.now(),
+    log: errorFreeLog,
+    onServices: () => undefined,
+  });
   monitor.start(stopped.signal);
   return {monitor, requests: () => requests};
 }
--- a/test/fleet/quarantine_restore.test.ts
+++ b/test/fleet/quarantine_restore.test.ts
@@ -41,6 +41,7 @@
   const quarantineStore = createQuarantineStore({
     table,
     quarantine,
+    onKnown: () => undefined,
     onRestore: trials.reclaim,
     failurePause: createFailurePause(0),
     log: errorFreeLog,
