Don't give up reads of small tables over a full link

After a loss of power everywhere, callers were refused with `starting` until the entry had read the quarantine, a table of a few bytes.

Cause: only the operator's table had a timeout that fits a full link. All others gave up their connection, which had already waited its turn, and began anew behind everyone else.

--- a/packages/fleet/src/entry/quarantine_store.ts
+++ b/packages/fleet/src/entry/quarantine_store.ts
@@ -2,6 +2,7 @@
 import {sleep, type Log} from '@hibiscusbeam/daemon';
 import type {FailurePause} from '../link/failure_pause';
 import {runFeedLoop, type ReadingScope} from '../link/feed_loop';
+import {readSmallTable} from '../link/first_read';
 import type {QuarantineReading, QuarantineTable} from '../ports';
 
 /** How long one query waits for a change; each query costs a call. */
@@ -174,7 +175,7 @@
         {
           name: 'quarantine',
           log,
-          readAll: () => table.readAll(ANSWER_SLACK),
+          readAll: () => readSmallTable(table.readAll),
           follow: after =>
             table.follow(after, LONG_POLL_WAIT, LONG_POLL_WAIT + ANSWER_SLACK),
           onReading: take,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 export type * from './ports';
+export {readSmallTable} from './link/first_read';
 export * from './link/http_calls';
 export {
   runFleetProcess,
--- a/packages/fleet/src/link/member_follower.ts
+++ b/packages/fleet/src/link/member_follower.ts
@@ -3,6 +3,7 @@
 import type {MemberDescription, MemberReading, MemberTable} from '../ports';
 import type {FailurePause} from './failure_pause';
 import {runFeedLoop, type ReadingScope} from './feed_loop';
+import {readSmallTable} from './first_read';
 
 /** How long one request waits for a change; each request costs a call. */
 const LONG_POLL_WAIT: Milliseconds = 25_000;
@@ -141,7 +142,7 @@
         {
           name: 'members',
           log,
-          readAll: () => table.readAll(ANSWER_SLACK),
+          readAll: () => readSmallTable(table.readAll),
           follow: after =>
             table.follow(after, LONG_POLL_WAIT, LONG_POLL_WAIT + ANSWER_SLACK),
           onReading: (reading, scope) => applyReading(reading, scope, signal),
