Let a starting entry get the operator's table and the list from its relay

Callers of the regions without the store were refused for 8 to 13 s after a loss of power everywhere on the large site. Half of the site: the last of the entries had its configuration 12.3 s after the last start, after 27 MB of reads over four links of 1.4 MB a second, 92 of 169 reads of the table failed.

Cause: an entry turned to its relay only once the relay had answered, and read the table (0.35 MB) and the list from the store meanwhile, like all others of its region. The relays' copies (25 KB) were of use only to running entries.

Now an entry knows at its start that it doesn't know yet where the table comes from (`undecided`): it reads the members, and then is the relay, or waits for the relay's first update, which has the configuration, namings, evacuations and the list. Its own queries ask for changes since then. Without a reading it reads the whole table after the bound of configurations, prolonged by up to as much by name, so that such reads are spread. An unreadable copy is replaced by an own read at once. The read of the members dates relayed readings.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -24,6 +24,7 @@
 import type {EngineReport} from '@hibiscusbeam/wire';
 import {createConfigurationCopies} from '../link/configuration_copies';
 import {createFailurePause} from '../link/failure_pause';
+import {timedRead} from '../link/first_read';
 import {createMemberFollower} from '../link/member_follower';
 import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
@@ -152,6 +153,7 @@
   const confirmation = createConfirmation(storeClock);
   const copies = createConfigurationCopies();
   const spread = hash32(settings.instance) / 2 ** 32;
+  const maxRelayWait = bounds.configuration * (1 + spread);
   const readings = createHeldReadings({
     confirmation,
     listedAt: () => targets.listedAt(),
@@ -287,6 +289,7 @@
     bound: Math.min(bounds.configuration, evacuation),
     copies,
     source: () => entryPeers.operatorSource(),
+    maxRelayWait,
     onConfiguration: source => {
       startup.recordKnown('configuration', source);
       entryPeers.greetRelays();
@@ -334,6 +337,11 @@
       if (moment !== undefined) operator.receive(moment, configuration);
       if (listing !== undefined) targets.receive(listing);
     },
+    maxRelaySearch: maxRelayWait,
+    onRelaySearched: () => {
+      operator.wake();
+      targets.check();
+    },
     onUsable: () => {
       const senders = [self, ...entryPeers.usable()];
       registry.setEntries(senders);
@@ -342,7 +350,10 @@
   });
   const members = createMemberFollower({
     self,
-    table: ports.members,
+    table: {
+      ...ports.members,
+      readAll: timedRead(ports.members.readAll, storeClock, machineClock),
+    },
     clock,
     log: logs('membership'),
     failurePause,
--- a/packages/fleet/src/entry/entry_peers.ts
+++ b/packages/fleet/src/entry/entry_peers.ts
@@ -68,6 +68,10 @@
   readonly onTables: (update: RelayUpdate) => void;
   /** Called when the set of entries has changed that callers may be sent to. */
   readonly onUsable: () => void;
+  /** How long this entry looks for its zone's relay when it starts. */
+  readonly maxRelaySearch: Milliseconds;
+  /** Called when the search for the relay has ended. */
+  readonly onRelaySearched: () => void;
 }
 
 /**
@@ -132,6 +136,10 @@
     onGreeting: takeGreeting,
     onFollowerLost: instance => recordState(instance, false, clock()),
   });
+  const startedAt = clock();
+  /** Whether the relay of the own zone is still being looked for. */
+  let isSearching = true;
+  let areMembersKnown = false;
   let entries: readonly MemberDescription[] = [];
   let links: readonly RelayLink[] = [];
   let reportedAt = -Infinity;
@@ -145,6 +153,21 @@
     states.setMembers(entries, clock());
     channels.retain(new Set(entries.map(({address}) => address)));
     reportUsable();
+    areMembersKnown = true;
+    if (isSearching) followRelays();
+  }
+
+  /**
+   * Ends the search once a relay has answered, this entry is the relay, or none
+   * was found in time.
+   */
+  function checkSearch(): void {
+    if (!isSearching) return;
+    const isRelay = areMembersKnown && relayOf(self.zone) === self;
+    const isOver = clock() - startedAt >= options.maxRelaySearch;
+    if (!isRelay && !isOver && !followsOwnRelay()) return;
+    isSearching = false;
+    options.onRelaySearched();
   }
 
   function relayOf(zone: ZoneName): MemberDescription | undefined {
@@ -174,6 +197,7 @@
       ...kept,
       ...wanted.filter(({life}) => !followed.has(life)).map(follow),
     ];
+    checkSearch();
   }
 
   function follow(relay: MemberDescription): RelayLink {
@@ -224,6 +248,7 @@
   }
 
   function takeUpdate(update: RelayUpdate, relay: MemberDescription): void {
+    checkSearch();
     options.onNamings(update.namings);
     const now = clock();
     for (const {instance, ready, ageMilliseconds} of update.entries) {
@@ -257,6 +282,7 @@
 
   function operatorSource(): TableSource {
     if (followsOwnRelay()) return 'zoneRelay';
+    if (isSearching) return 'undecided';
     return siteReader.isDelegated() ? 'siteReader' : 'store';
   }
 
@@ -380,6 +406,6 @@
     usable,
     size: () => entries.length + 1,
     operatorSource,
-    readsTargets: () => !followsOwnRelay(),
+    readsTargets: () => !isSearching && !followsOwnRelay(),
   };
 }
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -122,6 +122,8 @@
 
 /** Where an entry gets the operator's table from. */
 export type TableSource =
+  /** Not known yet: the entry is starting and looks for its zone's relay. */
+  | 'undecided'
   /** The entry itself. */
   | 'store'
   /** The relay of another zone, for a relay. */
@@ -152,6 +154,8 @@
  */
 export interface OperatorFollower {
   readonly start: (signal: AbortSignal) => void;
+  /** Checks at once whether the store must be queried. */
+  readonly wake: () => void;
   /**
    * Applies a reading of a relay, with the configuration if it wasn't sent
    * before. Versions that the relay knows must have been named before.
@@ -162,6 +166,8 @@
   ) => void;
   /** Routes of the newest configuration; undefined until one was read. */
   readonly table: () => RouteTable | undefined;
+  /** Revision up to which the table is known; 0 before a reading. */
+  readonly knownUntil: () => Revision;
   /**
    * Digest of the configured services; of an empty list before the first
    * configuration.
@@ -190,6 +196,11 @@
   /** Time from a configuration's writing until it must be in force. */
   readonly bound: Milliseconds;
   readonly source: () => TableSource;
+  /**
+   * How long a starting entry waits for a reading of its relay before it reads
+   * the whole table itself.
+   */
+  readonly maxRelayWait: Milliseconds;
   /**
    * Called for each reading, own or relayed, that is newer than those before.
    */
@@ -222,12 +233,15 @@
     },
   });
   const evacuationConfirmation = createConfirmation(options.storeClock);
+  const startedAt = clock();
   let queryAt: MonotonicInstant = -Infinity;
   let adoptedAt: MonotonicInstant = -Infinity;
   let newestChange: Revision = 0;
   let relayedChange: Revision = 0;
   /** Revision up to which the table is known. */
   let knownUntil: Revision = 0;
+  /** Whether the last copy of a relay can't be used here. */
+  let isCopyUnusable = false;
   /** According to the last own query. */
   let isStoreDown = false;
   let wake = (): void => undefined;
@@ -361,6 +375,7 @@
   function takeCopy(copy: ConfigurationCopy): void {
     const before = held.servicesDigest();
     held.takeCopy(copy);
+    isCopyUnusable = held.revision() < copy.revision;
     if (held.servicesDigest() !== before) options.onVersionsOrServices();
     options.onChange();
   }
@@ -403,6 +418,26 @@
     return held.isNewestUnreadable() ? clock() - queryAt : confirmationAge();
   }
 
+  /**
+   * Waits at the start for a reading of the relay. If each process of a region
+   * read the whole table from the store, their reads would saturate the
+   * region's link and time out together.
+   */
+  async function awaitRelayedReading(
+    signal: AbortSignal,
+  ): Promise<Revision | undefined> {
+    while (isRelayedReadingDue() && !signal.aborted) {
+      await untilWokenOrChecked(signal);
+    }
+    return knownUntil > 0 ? knownUntil : undefined;
+  }
+
+  function isRelayedReadingDue(): boolean {
+    if (knownUntil > 0 || isCopyUnusable) return false;
+    if (options.source() === 'store') return false;
+    return clock() - startedAt < options.maxRelayWait;
+  }
+
   async function untilMustQuery(signal: AbortSignal): Promise<void> {
     while (!mustQuery() && !signal.aborted) await untilWokenOrChecked(signal);
   }
@@ -475,6 +510,7 @@
         {
           name: 'operator feed',
           log,
+          awaitFirst: awaitRelayedReading,
           readAll: () => sendQuery(() => feed.readAll(ANSWER_SLACK)),
           follow: after => follow(after, signal),
           onReading: take,
@@ -487,6 +523,8 @@
         signal,
       ),
     receive,
+    wake: () => wake(),
+    knownUntil: () => knownUntil,
     table: held.table,
     servicesDigest: held.servicesDigest,
     evacuationsReadAt: evacuationConfirmation.confirmedAt,
--- a/packages/fleet/src/entry/target_follower.ts
+++ b/packages/fleet/src/entry/target_follower.ts
@@ -119,6 +119,8 @@
 
 /** Follows the platform's list of targets. */
 export interface TargetFollower {
+  /** Reads the list now if a read is due. */
+  readonly check: () => void;
   /** Applies a listing that the relay has sent. */
   readonly receive: (listing: TargetListing) => void;
   /**
@@ -156,12 +158,12 @@
   let unappliedRevision: Revision | undefined;
   let era: number | undefined;
   let lastReadAt: MonotonicInstant = -Infinity;
+  const startedAt = machineClock();
   /**
    * Latest time at which the list is known to have been like this, from relayed
-   * readings.
+   * readings. A relay has as long for the first one as for any other.
    */
-  let relayedAt: MonotonicInstant = -Infinity;
-  const startedAt = machineClock();
+  let relayedAt: MonotonicInstant = startedAt;
   /** The same from any reading. */
   let listedAt: MonotonicInstant | undefined;
 
@@ -297,7 +299,7 @@
     loggedTargets = next;
   }
 
-  void read();
+  readIfDue();
   signal.addEventListener('abort', every(checkPeriod, readIfDue));
-  return {receive, listedAt: () => listedAt};
+  return {check: readIfDue, receive, listedAt: () => listedAt};
 }
--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -15,6 +15,12 @@
 export interface FeedLoopOptions<Reading extends StoreReading> {
   /** Name of the table in log lines. */
   readonly name: string;
+  /**
+   * Waits until the first request is due. Returns the revision up to which
+   * another process has told the rows, so that only changes are requested;
+   * undefined if all rows must be read.
+   */
+  readonly awaitFirst?: (signal: AbortSignal) => Promise<Revision | undefined>;
   readonly readAll: () => Promise<Result<Reading, HostError>>;
   readonly follow: (after: Revision) => Promise<Result<Reading, HostError>>;
   /** Handles a reading; the next request is sent once it has finished. */
@@ -44,6 +50,8 @@
   const {name, log} = options;
   const unusableRows = createUnusableRowLog(name, log);
   let revision: Revision | undefined;
+  /** Whether no request has shown the store's rows or changes yet. */
+  let isStarting = true;
   const recordEra = createEraLog(name, log);
   let failures = 0;
   /** Consecutive requests for changes that the store no longer knows. */
@@ -71,6 +79,8 @@
   }
 
   while (!signal.aborted) {
+    if (isStarting) revision = await options.awaitFirst?.(signal);
+    if (signal.aborted) return;
     const scope = revision === undefined ? 'all' : 'changes';
     const reply = await (revision === undefined
       ? options.readAll()
@@ -83,10 +93,12 @@
         if (scope === 'changes') historyLosses = 0;
         recordEra(reply.val);
         revision = reply.val.revision;
+        isStarting = false;
       } else await options.pause((failures += 1), signal);
       continue;
     }
     if (reply.val.kind === 'historyLost') {
+      isStarting = false;
       revision = undefined;
       log.info(`${name} is read whole`, {reason: reply.val.kind});
       // Without this pause, a store that knows no changes at all would be
--- a/test/fleet/confirmation_renewal.test.ts
+++ b/test/fleet/confirmation_renewal.test.ts
@@ -100,6 +100,7 @@
       isKnownZone: () => true,
     }),
     source: () => 'store',
+    maxRelayWait: 0,
     spread: 0,
     onReading: () => undefined,
     onChange: () => undefined,
