Send agents the services, so that they don't read the operator's table

Agents began to fetch the version 9 to 14 s after a loss of power everywhere (half of the large site): each read the whole table, 0.35 MB, for the few services in it, over the link of its region, which entries filled too.

Entries now send the services with their replies to reports, once on a stream and when they change, with the configuration's version and the revision up to which they know the table. An agent reads the whole table only if the site has no entries, or if they know nothing for twice the bound of configurations and more, spread by name. When entries fall silent it asks for the changes since that revision. An entry whose configuration is older than what the agent holds no longer makes it query the store.

--- a/packages/fleet/src/agent/agent.ts
+++ b/packages/fleet/src/agent/agent.ts
@@ -44,6 +44,12 @@
   readonly origin: VersionOrigin;
 }
 
+/**
+ * How long a starting agent waits for the entries, as a multiple of the bound
+ * of configurations: twice as long as an entry waits for its relay.
+ */
+const MAX_ENTRY_WAIT_FACTOR = 2;
+
 /** Starts the agent of an engine; resolves once it serves its peers. */
 export async function startFleetAgent(
   settings: FleetAgentSettings,
@@ -52,6 +58,7 @@
   startup: Pick<StartupLog, 'recordKnown'> = NO_STARTUP_LOG,
 ): Promise<RunningProcess> {
   const stopped = new AbortController();
+  const spread = hash32(settings.instance) / 2 ** 32;
   const self: MemberDescription = {
     instance: settings.instance,
     role: 'agent',
@@ -79,6 +86,12 @@
     versions,
     clock: monotonicClock,
     log: configurationLog,
+    hasEntries: () =>
+      members.isKnown()
+        ? members.others().some(({role}) => role === 'entry')
+        : undefined,
+    maxEntryWait:
+      settings.bounds.configuration * MAX_ENTRY_WAIT_FACTOR * (1 + spread),
     onServices: source => startup.recordKnown('services', source),
   });
   const machineClock = startMachineClock();
@@ -131,7 +144,7 @@
     table: ports.members,
     clock: monotonicClock,
     log: logs('membership'),
-    failurePause: createFailurePause(hash32(settings.instance) / 2 ** 32),
+    failurePause: createFailurePause(spread),
     onChange: others => {
       startup.recordKnown('members', 'store');
       peers.setMembers(others);
@@ -146,7 +159,7 @@
     log: logs('membership'),
     onReply: reply => {
       namings.merge(reply.namings);
-      operator.recordEntryDigest(reply.servicesDigest);
+      operator.receive(reply);
     },
   });
   const engineManager: EngineManager = createEngineManager({
--- a/packages/fleet/src/agent/wanted_version.ts
+++ b/packages/fleet/src/agent/wanted_version.ts
@@ -4,10 +4,10 @@
   type BytesPerSecond,
   type IdentifiedManifest,
   type PlannedVersion,
-  type ServiceDescription,
   type ServiceName,
 } from '@hibiscusbeam/core';
 import {digestText} from '@hibiscusbeam/daemon';
+import type {AgentService, OriginService} from '../link/services_copy';
 import type {VersionContent} from '../ports';
 
 /** The model that the engine is to hold. */
@@ -23,7 +23,7 @@
 
 /** Returns the model that engines of `service` hold, and its origin. */
 export function findWantedModel(
-  services: readonly ServiceDescription[],
+  services: readonly AgentService[],
   service: ServiceName,
 ): WantedModel | undefined {
   const own = services.find(({name}) => name === service);
@@ -55,9 +55,7 @@
   return {versionDigest, manifest: {model, label, chunks}};
 }
 
-function isOrigin(
-  service: ServiceDescription,
-): service is Extract<ServiceDescription, {kind: 'weightOrigin'}> {
+function isOrigin(service: AgentService): service is OriginService {
   return service.kind === 'weightOrigin';
 }
 
--- a/packages/fleet/src/entry/engine_report_stream.ts
+++ b/packages/fleet/src/entry/engine_report_stream.ts
@@ -30,23 +30,28 @@
   log: Log,
   signal: AbortSignal,
 ): EngineReportStreams {
-  const calls = new Set<ReportCall>();
+  /** Digest of the services that were last sent on each stream. */
+  const sentDigests = new Map<ReportCall, number | undefined>();
   signal.addEventListener('abort', every(REPLY_PERIOD, sendToAll));
 
   function sendUpdate(call: ReportCall): void {
-    if (call.writable) call.write(createUpdate());
+    if (!call.writable) return;
+    const {services, ...update} = createUpdate();
+    const isSent = sentDigests.get(call) === update.servicesDigest;
+    if (services !== undefined) sentDigests.set(call, update.servicesDigest);
+    call.write({...update, services: isSent ? undefined : services});
   }
 
   function sendToAll(): void {
-    for (const call of calls) sendUpdate(call);
+    for (const call of sentDigests.keys()) sendUpdate(call);
   }
 
   function handleStream(call: ReportCall): void {
-    const forget = (): void => void calls.delete(call);
+    const forget = (): void => void sentDigests.delete(call);
     handlePeerMessages(call, log, (report: EngineReport) => {
       take(report);
-      if (calls.has(call)) return;
-      calls.add(call);
+      if (sentDigests.has(call)) return;
+      sentDigests.set(call, undefined);
       sendUpdate(call);
     });
     call.on('end', () => {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -28,6 +28,7 @@
 import {createMemberFollower} from '../link/member_follower';
 import {createNamingExchange} from '../link/naming_exchange';
 import {openPeerServer} from '../link/peer_server';
+import {writeServices} from '../link/services_copy';
 import {createSiteRecords} from '../link/site_records';
 import type {
   DirectoryProtocol,
@@ -434,6 +435,9 @@
     () => ({
       namings: namings.list(),
       servicesDigest: operator.servicesDigest(),
+      configurationVersion: operator.table()?.configuration.version ?? 0,
+      knownUntil: operator.knownUntil(),
+      services: writeServices(operator.table()?.configuration.services),
     }),
     logs('membership'),
     stopped.signal,
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -17,6 +17,7 @@
   type OperatorMoment,
   type RateLimitRecord,
   type RelayNews,
+  type ServicesCopy,
   type ReportBatch,
   type StateBatch,
   type TargetListing as TargetListingMessage,
--- a/test/fleet/broken_peers.test.ts
+++ b/test/fleet/broken_peers.test.ts
@@ -167,7 +167,12 @@
   namings: [],
 };
 
-const REPLY: EngineReportReply = {namings: [], servicesDigest: 1};
+const REPLY: EngineReportReply = {
+  namings: [],
+  servicesDigest: 1,
+  configurationVersion: 1,
+  knownUntil: 1,
+};
 
 // Guards against an error in a callback of gRPC, which ends the process.
 test('an error while an entry handles a message ends its stream only', async () => {
--- a/test/fleet/engine_manager.test.ts
+++ b/test/fleet/engine_manager.test.ts
@@ -14,6 +14,7 @@
   VersionOrigin,
 } from '../../packages/fleet/src/ports';
 import {errorFreeLog} from '../fixtures/error_free_log';
+import {selectAgentServices} from '../../packages/fleet/src/link/services_copy';
 
 const SERVICES = [
   {
@@ -70,9 +71,9 @@
         ),
     } as Partial<VersionOrigin> as VersionOrigin,
     operator: {
-      services: () => SERVICES,
+      services: () => selectAgentServices(SERVICES),
       start: () => undefined,
-      recordEntryDigest: () => undefined,
+      receive: () => undefined,
     },
     versions,
     staged: {
--- a/test/fleet/engine_reports.test.ts
+++ b/test/fleet/engine_reports.test.ts
@@ -1,3 +1,5 @@
+import type {EngineReportReply} from '@hibiscusbeam/wire';
+import {EventEmitter} from 'node:events';
 import {relayOrder} from '@hibiscusbeam/core';
 import {afterEach, expect, test} from 'vitest';
 import {
@@ -13,6 +15,14 @@
 import {errorFreeLog} from '../fixtures/error_free_log';
 import {eventually, freeAddress} from './fixtures/host_site';
 
+/** The reply of an entry that knows no configuration. */
+const NO_KNOWLEDGE = {
+  namings: [],
+  servicesDigest: 0,
+  configurationVersion: 0,
+  knownUntil: 0,
+};
+
 const MAX_PEERS = 10;
 
 const STATUS: EngineStatus = {
@@ -38,7 +48,7 @@
   const stopped = new AbortController();
   const streams = createEngineReportStreams(
     () => void (reported += 1),
-    () => ({namings: [], servicesDigest: 0}),
+    () => NO_KNOWLEDGE,
     errorFreeLog,
     stopped.signal,
   );
@@ -121,7 +131,7 @@
             reportEngine: call => {
               call.on('data', ({running}) => {
                 received.get(instance)!.push(running);
-                call.write({namings: [], servicesDigest: 0});
+                call.write(NO_KNOWLEDGE);
               });
               call.on('error', () => undefined);
             },
@@ -198,3 +208,32 @@
   await report();
   expect(calls).toHaveLength(2);
 });
+
+test('services are sent once on a stream, and again when they have changed', async () => {
+  let servicesDigest = 1;
+  const sent: unknown[] = [];
+  const stopped = new AbortController();
+  const streams = createEngineReportStreams(
+    () => undefined,
+    () => ({
+      ...NO_KNOWLEDGE,
+      servicesDigest,
+      services: {engines: [], origins: []},
+    }),
+    errorFreeLog,
+    stopped.signal,
+  );
+  const call = Object.assign(new EventEmitter(), {
+    writable: true,
+    write: ({services}: EngineReportReply) => sent.push(services !== undefined),
+    end: () => undefined,
+  });
+  streams.handleStream(call as unknown as ReportCall);
+  call.emit('data', {});
+  streams.sendToAll();
+  servicesDigest = 2;
+  streams.sendToAll();
+  streams.sendToAll();
+  stopped.abort();
+  expect(sent).toEqual([true, false, true, false]);
+});
--- a/test/processes/broken_answers.test.ts
+++ b/test/processes/broken_answers.test.ts
@@ -17,7 +17,7 @@
   type HostSite,
 } from '../fleet/fixtures/host_site';
 import {startRawTarget, type RawTarget} from '../fleet/fixtures/raw_target';
-import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
+import {startEntryProcess, type EntryProcess} from '../soak/fleet_process';
 
 /** Streams that are served meanwhile, one after the other. */
 const EVENTS = 20;
--- a/test/processes/ending_entry.test.ts
+++ b/test/processes/ending_entry.test.ts
@@ -12,7 +12,7 @@
   startHostSite,
   type HostSite,
 } from '../fleet/fixtures/host_site';
-import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
+import {startEntryProcess, type EntryProcess} from '../soak/fleet_process';
 
 /** More than the requests that are sent until the entry ends. */
 const CONNECTIONS = 900;
--- a/test/processes/killed_entry.test.ts
+++ b/test/processes/killed_entry.test.ts
@@ -12,7 +12,7 @@
   type HostSite,
 } from '../fleet/fixtures/host_site';
 import {sendOnSocket, type SocketCaller} from '../fleet/fixtures/socket_caller';
-import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
+import {startEntryProcess, type EntryProcess} from '../soak/fleet_process';
 
 const EVENTS = 3;
 
--- a/test/processes/misbehaving_callers.test.ts
+++ b/test/processes/misbehaving_callers.test.ts
@@ -14,7 +14,7 @@
   startHostSite,
   type HostSite,
 } from '../fleet/fixtures/host_site';
-import {startEntryProcess, type EntryProcess} from '../soak/entry_process';
+import {startEntryProcess, type EntryProcess} from '../soak/fleet_process';
 import {startCrowd, type Crowd, type CrowdScript} from './crowd';
 import {openDescriptors, peakMemory} from './process_resources';
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -13,7 +13,7 @@
   startHostSite,
 } from '../fleet/fixtures/host_site';
 import {sendAttempt} from './caller';
-import {startEntryProcess, type EntryProcess} from './entry_process';
+import {startEntryProcess, type EntryProcess} from './fleet_process';
 import {
   findViolations,
   type CallerRecord,
