List one target for each service and address

Cause: each engine starts anew with another id at its old address. The row of the ended one is listed for up to three heartbeats beside the new one, entries take both for targets, and what is sent to the ended one is refused by the new one (421), at the cost of a retry. Class: rows of former lives that are believed.

Of two rows with the same service and address, only the last one written counts: a target that runs writes again and again, one that has ended doesn't. Rows of other services are left alone, so that a stray row of another writer can't hide a target.

--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -267,3 +267,22 @@
   const {Routes} = Object(value) as {Routes?: unknown};
   return Array.isArray(Routes) && Routes.length === 0;
 }
+
+// Half of the requests after a loss of power went to incarnations that had ended.
+test('of two targets of a service with one address, the one whose row was written last is listed', async () => {
+  const list = createTargetList(
+    createStubStore([
+      row('ended', REGISTRATION, 4),
+      row('running', REGISTRATION, 7),
+      row('older', REGISTRATION, 2),
+      row('elsewhere', {...REGISTRATION, Address: '10.1.0.21:8406'}, 1),
+      row('stray', {...REGISTRATION, Service: 'other'}, 9),
+    ]),
+  );
+  const reading = await list.read(1_000);
+  expect(reading.unwrap().targets.map(({instance}) => instance)).toEqual([
+    'running',
+    'elsewhere',
+    'stray',
+  ]);
+});
