Let an entry that starts before its relay wait for it

Cause: the processes of a region come up over a second or two. An entry that listened before those ahead of it in the order found none of them, took over as the relay and read the table; so did each one ahead of it that came up next.

An entry that is the relay only because the others don't answer now asks the first three in the order again at each check, and takes over after half of the time that it waits for a reading. The first in the order still reads at once, and an entry ahead of nobody finds any that listens, as before.

--- a/packages/core/src/relays/silent_peers.ts
+++ b/packages/core/src/relays/silent_peers.ts
@@ -10,6 +10,8 @@
 /** Tracks which processes have recently not answered, by incarnation. */
 export interface SilentPeers {
   readonly record: (life: string, now: MonotonicInstant) => void;
+  /** Lets a process be queried again before its time has passed. */
+  readonly forget: (life: string) => void;
   readonly isSilent: (life: string, now: MonotonicInstant) => boolean;
 }
 
@@ -22,6 +24,7 @@
 
   return {
     record: (life, now) => void silentSince.set(life, now),
+    forget: life => void silentSince.delete(life),
     isSilent: (life, now) => {
       const since = silentSince.get(life);
       if (since === undefined) return false;
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -101,6 +101,12 @@
 /** Maximum lifetime of a directory answer, so that changes spread soon. */
 const MAX_DIRECTORY_TTL: Milliseconds = 2_000;
 
+/**
+ * Share of the wait of a starting entry for its relay after which it may be the
+ * relay itself, though others come before it.
+ */
+const TAKEOVER_DELAY_SHARE = 0.5;
+
 function toEngineLoad(report: EngineReport): EngineLoad {
   return {
     address: report.engineAddress,
@@ -339,6 +345,7 @@
       if (listing !== undefined) targets.receive(listing);
     },
     maxRelaySearch: maxRelayWait,
+    takeoverDelay: maxRelayWait * TAKEOVER_DELAY_SHARE,
     onRelaySearched: () => {
       operator.wake();
       targets.check();
--- a/packages/fleet/src/entry/entry_peers.ts
+++ b/packages/fleet/src/entry/entry_peers.ts
@@ -4,6 +4,7 @@
   createStaleReportFilter,
   createSilentPeers,
   isSmallZone,
+  relayOrder,
   type Milliseconds,
   type ZoneName,
 } from '@hibiscusbeam/core';
@@ -35,6 +36,12 @@
 /** Checks between two greetings of a relay. */
 const CHECKS_BETWEEN_GREETINGS = 4;
 
+/**
+ * Number of entries that a starting one asks again before it takes over as the
+ * relay of its zone.
+ */
+const MAX_ASKED_AGAIN = 3;
+
 /**
  * Delay in which changes of the site's records are collected before they are
  * sent.
@@ -70,6 +77,11 @@
   readonly onUsable: () => void;
   /** How long this entry looks for its zone's relay when it starts. */
   readonly maxRelaySearch: Milliseconds;
+  /**
+   * Time after its start in which this entry doesn't take over as the relay from
+   * entries that don't answer.
+   */
+  readonly takeoverDelay: Milliseconds;
   /** Called when the search for the relay has ended. */
   readonly onRelaySearched: () => void;
 }
@@ -157,13 +169,31 @@
     if (isSearching) followRelays();
   }
 
+  /**
+   * Whether this entry is the relay of its zone. When many entries start
+   * together, the first ones in the order may not listen yet; if each entry that
+   * starts before them took over, all of these would read the store.
+   */
+  function isOwnRelay(): boolean {
+    if (relayOf(self.zone) !== self) return false;
+    const [first] = relayOrder([self, ...entries], self.zone);
+    return first === self || clock() - startedAt >= options.takeoverDelay;
+  }
+
+  /** Asks the first entries of the zone again if none has answered. */
+  function askAgain(): void {
+    if (!isSearching || relayOf(self.zone) !== self) return;
+    const order = relayOrder([self, ...entries], self.zone);
+    for (const {life} of order.slice(0, MAX_ASKED_AGAIN)) silent.forget(life);
+  }
+
   /**
    * Ends the search once a relay has answered, this entry is the relay, or none
    * was found in time.
    */
   function checkSearch(): void {
     if (!isSearching) return;
-    const isRelay = areMembersKnown && relayOf(self.zone) === self;
+    const isRelay = areMembersKnown && isOwnRelay();
     const isOver = clock() - startedAt >= options.maxRelaySearch;
     if (!isRelay && !isOver && !followsOwnRelay()) return;
     isSearching = false;
@@ -364,6 +394,7 @@
   function check(): void {
     checks += 1;
     for (const link of [...links]) link.check();
+    askAgain();
     followRelays();
     reportUsable();
     const isChanged = options.isReady() !== announcedReady;
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -2,6 +2,7 @@
   createQuarantine,
   createRateLimits,
   createSiteDemand,
+  relayOrder,
 } from '@hibiscusbeam/core';
 import type {EngineReport} from '@hibiscusbeam/wire';
 import {afterEach, expect, test} from 'vitest';
@@ -34,12 +35,22 @@
   namings: [],
 };
 
-async function startEntry(instance: string, zone: string, distance = 5) {
+interface EntryOptions {
+  readonly distance?: number;
+  readonly address?: string;
+  readonly takeoverDelay?: number;
+}
+
+async function startEntry(
+  instance: string,
+  zone: string,
+  {distance = 5, address, takeoverDelay = 0}: EntryOptions = {},
+) {
   const self: MemberDescription = {
     instance,
     zone,
     role: 'entry',
-    address: await freeAddress(),
+    address: address ?? (await freeAddress()),
     life: `${instance}-1`,
   };
   let follows = 0;
@@ -75,7 +86,8 @@
     storeDistance: () => distance,
     onTables: update => void updates.push(update),
     onUsable: () => undefined,
-    maxRelaySearch: 4_000,
+    maxRelaySearch: 60_000,
+    takeoverDelay,
     onRelaySearched: () => undefined,
   });
   const server = await openPeerServer(
@@ -166,6 +178,29 @@
   );
 });
 
+// Entries that had started before their relay all read the store.
+test('an entry that listens before its relay waits for it instead of taking over', async () => {
+  const names = ['north-0', 'north-1'].map(instance => ({
+    instance,
+    zone: 'north',
+  }));
+  const [first, second] = relayOrder(names, 'north');
+  const address = await freeAddress();
+  const entry = await startEntry(second!.instance, 'north', {
+    takeoverDelay: 60_000,
+  });
+  const {instance} = first!;
+  entry.entryPeers.setMembers([
+    {...entry.self, instance, address, life: `${instance}-1`},
+  ]);
+  await new Promise(resolve => setTimeout(resolve, 600));
+  expect(entry.entryPeers.operatorSource()).toBe('undecided');
+  const relay = await startEntry(instance, 'north', {address});
+  relay.entryPeers.setMembers([entry.self]);
+  expect(relay.entryPeers.operatorSource()).toBe('store');
+  await eventually(() => entry.entryPeers.operatorSource() === 'zoneRelay');
+});
+
 test('an entry whose relays are not reachable reads the store itself', async () => {
   const entry = await startEntry('north-0', 'north');
   const absent = await Promise.all(
@@ -281,7 +316,7 @@
   const distances = {north: 6.5, south: 4.3, west: 6.6};
   const entries = await Promise.all(
     Object.entries(distances).flatMap(([zone, distance]) =>
-      [1, 2].map(index => startEntry(`${zone}-${index}`, zone, distance)),
+      [1, 2].map(index => startEntry(`${zone}-${index}`, zone, {distance})),
     ),
   );
   for (const entry of entries) {
