Let an agent whose entries have told the table sleep until they fall silent

An agent that had the services from entries went on checking each 200 ms whether its first request was due, five wake-ups a second for as long as it ran.

--- a/packages/fleet/src/agent/operator_monitor.ts
+++ b/packages/fleet/src/agent/operator_monitor.ts
@@ -32,7 +32,7 @@
 /** Pause after a request without an answer. */
 const PAUSE_AFTER_FAILURE: Milliseconds = 400;
 
-/** Interval of the checks whether the first request is due. */
+/** Interval of the checks whether the entries have told the table. */
 const START_CHECK_PERIOD: Milliseconds = 200;
 
 /** Digest of an entry that knows no configuration yet. */
@@ -153,16 +153,15 @@
   async function awaitEntries(
     signal: AbortSignal,
   ): Promise<Revision | undefined> {
-    while (!isFirstPollDue() && !signal.aborted) {
+    while (mayBeTold() && !signal.aborted) {
       await pause.sleep(START_CHECK_PERIOD, signal);
     }
     return toldUntil > 0 ? toldUntil : undefined;
   }
 
-  function isFirstPollDue(): boolean {
-    if (toldUntil > 0) return mustPoll();
-    if (options.hasEntries() === false) return true;
-    return clock() - startedAt >= options.maxEntryWait;
+  function mayBeTold(): boolean {
+    if (toldUntil > 0 || options.hasEntries() === false) return false;
+    return clock() - startedAt < options.maxEntryWait;
   }
 
   return {
