--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -29,6 +29,7 @@
 import type {StartupSource} from '../runtime/startup_log';
 import type {EvacuationMonitor} from './evacuation_monitor';
 import {createHeldConfiguration} from './held_configuration';
+import {createNamingRecorder} from './naming_recorder';
 
 /**
  * How long one query waits for a change, as a share of the bound within which a
@@ -103,19 +104,9 @@
 /** Time beyond the wait after which a query counts as lost. */
 const ANSWER_SLACK: Milliseconds = 800;
 
-/**
- * Delay before a version's naming is recorded that was read at the start, by
- * the entry that then still reads the table for the site: it takes that long to
- * find a relay. A failed record is also repeated after it.
- */
-const NAMING_RECORD_DELAY: Milliseconds = 500;
-
 /** The version that a model has before any is named. */
 const FIRST_VERSION = 1;
 
-/** Attempts to record a naming; the store may be unavailable for seconds. */
-const MAX_NAMING_RECORDS = 20;
-
 /** Pauses after failed queries, from the first to the longest. */
 const MIN_RETRY_PAUSE: Milliseconds = 100;
 const MAX_RETRY_PAUSE: Milliseconds = 500;
@@ -232,6 +223,11 @@
       options.onConfiguration(source);
     },
   });
+  const namings = createNamingRecorder({
+    feed,
+    log,
+    isReader: () => options.source() === 'store',
+  });
   const evacuationConfirmation = createConfirmation(options.storeClock);
   const startedAt = clock();
   let queryAt: MonotonicInstant = -Infinity;
@@ -266,7 +262,7 @@
       const isNew = options.versions.name(model, version, knownSince);
       if (isNew) log.info('version named', {model, version, namedAt});
       if (isNew && namedAt === undefined) {
-        recordNaming({model, version, namedAt: storeTime}, scope);
+        namings.record({model, version, namedAt: storeTime}, scope);
       }
       hasUpdate ||= isNew;
     }
@@ -313,34 +309,10 @@
       log.info('version replaced before it was read', {model, version});
       const namedAt = options.storeClock.storeTimeAt(since);
       if (namedAt === undefined) continue;
-      writeNaming({model, version, namedAt}, MAX_NAMING_RECORDS);
+      namings.record({model, version, namedAt}, 'changes');
     }
   }
 
-  /**
-   * Records when a version's name was first read, by the entry that reads the
-   * operator's table for the site: at once, as all processes may be killed right
-   * after the naming. Otherwise, after a restart of all of them, each counts the
-   * version's bound from its own first reading, and engines get requests for the
-   * older version for seconds after the bound.
-   */
-  function recordNaming(named: NamedVersion, scope: ReadingScope): void {
-    if (scope === 'changes') return writeNaming(named, MAX_NAMING_RECORDS);
-    setTimeout(
-      () => writeNaming(named, MAX_NAMING_RECORDS),
-      NAMING_RECORD_DELAY,
-    );
-  }
-
-  function writeNaming(named: NamedVersion, attempts: number): void {
-    if (attempts === 0 || options.source() !== 'store') return;
-    void feed.recordNaming(named, ANSWER_SLACK).then(reply => {
-      if (reply.ok) return;
-      log.warn('naming was not recorded', {error: reply.val, attempts});
-      setTimeout(() => writeNaming(named, attempts - 1), NAMING_RECORD_DELAY);
-    });
-  }
-
   function reportReading(moment: OperatorMoment): void {
     if (moment.revision < knownUntil) return;
     knownUntil = moment.revision;
