End the search for a relay with its first reading

Found by reading: an entry that starts follows its relay by the row of the relay's former life. When the new row arrives, the link is opened anew. If the relay had not sent a reading by then, the entry took itself for one without a relay for that moment, and read the whole table from the store.

The search now lasts until the first reading, or until an entry has waited long enough.

--- a/packages/fleet/src/entry/entry_peers.ts
+++ b/packages/fleet/src/entry/entry_peers.ts
@@ -149,7 +149,7 @@
     onFollowerLost: instance => recordState(instance, false, clock()),
   });
   const startedAt = clock();
-  /** Whether the relay of the own zone is still being looked for. */
+  /** Whether no relay of the own zone has sent a reading of the tables yet. */
   let isSearching = true;
   let areMembersKnown = false;
   let entries: readonly MemberDescription[] = [];
@@ -187,15 +187,15 @@
     for (const {life} of order.slice(0, MAX_ASKED_AGAIN)) silent.forget(life);
   }
 
-  /**
-   * Ends the search once a relay has answered, this entry is the relay, or none
-   * was found in time.
-   */
+  /** Ends the search if this entry is the relay, or none was found in time. */
   function checkSearch(): void {
-    if (!isSearching) return;
     const isRelay = areMembersKnown && isOwnRelay();
     const isOver = clock() - startedAt >= options.maxRelaySearch;
-    if (!isRelay && !isOver && !followsOwnRelay()) return;
+    if (isRelay || isOver) endSearch();
+  }
+
+  function endSearch(): void {
+    if (!isSearching) return;
     isSearching = false;
     options.onRelaySearched();
   }
@@ -278,7 +278,6 @@
   }
 
   function takeUpdate(update: RelayUpdate, relay: MemberDescription): void {
-    checkSearch();
     options.onNamings(update.namings);
     const now = clock();
     for (const {instance, ready, ageMilliseconds} of update.entries) {
@@ -289,6 +288,9 @@
     demands.recordZones(update.demands);
     siteReader.record(update.operator, relay);
     options.onTables(update);
+    // Not at its first update: while many entries start, the relay may change
+    // before it has sent a reading.
+    if (relay.zone === self.zone && update.operator) endSearch();
   }
 
   function takeRelayedReports(
--- a/test/fleet/entry_peers.test.ts
+++ b/test/fleet/entry_peers.test.ts
@@ -201,6 +201,35 @@
   await eventually(() => entry.entryPeers.operatorSource() === 'zoneRelay');
 });
 
+test('an entry whose relay starts anew before its first reading does not read the store', async () => {
+  const names = ['north-0', 'north-1'].map(instance => ({
+    instance,
+    zone: 'north',
+  }));
+  const [first, second] = relayOrder(names, 'north');
+  const relay = await startEntry(first!.instance, 'north');
+  const entry = await startEntry(second!.instance, 'north', {
+    takeoverDelay: 60_000,
+  });
+  const source = () => entry.entryPeers.operatorSource();
+  relay.entryPeers.setMembers([entry.self]);
+  entry.entryPeers.setMembers([relay.self]);
+  await eventually(() => source() === 'zoneRelay');
+  entry.entryPeers.setMembers([{...relay.self, life: 'second'}]);
+  expect(source()).toBe('undecided');
+  await eventually(() => source() === 'zoneRelay');
+  relay.entryPeers.relayServer.setOperator({
+    revision: 1,
+    newestChange: 0,
+    storeTime: 1,
+    configurationRevision: 0,
+    evacuatedZones: [],
+  });
+  await eventually(() => entry.updates.some(update => update.operator));
+  entry.entryPeers.setMembers([]);
+  await eventually(() => source() === 'store');
+});
+
 test('an entry whose relays are not reachable reads the store itself', async () => {
   const entry = await startEntry('north-0', 'north');
   const absent = await Promise.all(
