Decide in core which of two targets at an address counts, and plainer words

Which row is obeyed when two targets of a service are listed with one address is a decision, and stood in platform/, which only translates.

The agent's monitor and the feed loop spoke of entries that have told a table; they now name the revision that entries know. No change of behaviour.

--- a/packages/core/src/placement/index.ts
+++ b/packages/core/src/placement/index.ts
@@ -7,6 +7,7 @@
 export * from './engine_times';
 export * from './types';
 export * from './retained_target_list';
+export * from './listed_rows';
 export * from './cold_targets';
 export * from './directory_choice';
 export * from './evacuations';
--- a/packages/fleet/src/agent/operator_monitor.ts
+++ b/packages/fleet/src/agent/operator_monitor.ts
@@ -32,7 +32,7 @@
 /** Pause after a request without an answer. */
 const PAUSE_AFTER_FAILURE: Milliseconds = 400;
 
-/** Interval of the checks whether the entries have told the table. */
+/** Interval of the checks whether an entry has sent the services. */
 const START_CHECK_PERIOD: Milliseconds = 200;
 
 /** Digest of an entry that knows no configuration yet. */
@@ -77,8 +77,8 @@
   let digest = EMPTY_DIGEST;
   /** Version of the newest configuration known to contain the services. */
   let heldVersion = -Infinity;
-  /** Revision up to which entries have told the table; 0 if they have not. */
-  let toldUntil: Revision = 0;
+  /** Revision up to which entries know the table; 0 if none has sent one. */
+  let entriesKnowUntil: Revision = 0;
   /** Whether the last entry to reply knows other services that may be newer. */
   let isOutdated = false;
   let entryRepliedAt = -Infinity;
@@ -114,8 +114,8 @@
     const {configurationVersion, knownUntil} = knowledge;
     entryRepliedAt = clock();
     if (knowledge.services !== undefined) {
-      const told = readServices(knowledge.services);
-      take(told, knowledge.servicesDigest, configurationVersion, 'entry');
+      const received = readServices(knowledge.services);
+      take(received, knowledge.servicesDigest, configurationVersion, 'entry');
     }
     const isSame = knowledge.servicesDigest === digest;
     isOutdated =
@@ -124,7 +124,7 @@
       mayBeNewer(configurationVersion);
     if (isSame && digest !== EMPTY_DIGEST) {
       heldVersion = Math.max(heldVersion, configurationVersion);
-      toldUntil = Math.max(toldUntil, knownUntil);
+      entriesKnowUntil = Math.max(entriesKnowUntil, knownUntil);
     }
     if (mustPoll()) pause.wake();
   }
@@ -146,21 +146,20 @@
   }
 
   /**
-   * Waits at the start for what the entries know. If each agent of a region
-   * read the whole table from the store, their reads would saturate the
-   * region's link and time out together.
+   * Waits at the start for the services from an entry. Reads of the whole table
+   * by all agents of a region would saturate its link and time out together.
    */
   async function awaitEntries(
     signal: AbortSignal,
   ): Promise<Revision | undefined> {
-    while (mayBeTold() && !signal.aborted) {
+    while (isReplyDue() && !signal.aborted) {
       await pause.sleep(START_CHECK_PERIOD, signal);
     }
-    return toldUntil > 0 ? toldUntil : undefined;
+    return entriesKnowUntil > 0 ? entriesKnowUntil : undefined;
   }
 
-  function mayBeTold(): boolean {
-    if (toldUntil > 0 || options.hasEntries() === false) return false;
+  function isReplyDue(): boolean {
+    if (entriesKnowUntil > 0 || options.hasEntries() === false) return false;
     return clock() - startedAt < options.maxEntryWait;
   }
 
@@ -175,7 +174,7 @@
           follow: async after => {
             await waitUntilPollNeeded(signal);
             return feed.follow(
-              Math.max(after, toldUntil),
+              Math.max(after, entriesKnowUntil),
               LONG_POLL_WAIT,
               LONG_POLL_WAIT + ANSWER_SLACK,
             );
--- a/packages/fleet/src/entry/entry_peers.ts
+++ b/packages/fleet/src/entry/entry_peers.ts
@@ -170,9 +170,8 @@
   }
 
   /**
-   * Whether this entry is the relay of its zone. When many entries start
-   * together, the first ones in the order may not listen yet; if each entry that
-   * starts before them took over, all of these would read the store.
+   * Whether this entry is the relay of its zone. The first ones in the order
+   * may not listen yet when many start, so it takes over only after a while.
    */
   function isOwnRelay(): boolean {
     if (relayOf(self.zone) !== self) return false;
--- a/packages/fleet/src/entry/naming_recorder.ts
+++ b/packages/fleet/src/entry/naming_recorder.ts
@@ -4,9 +4,8 @@
 import type {NamedVersion, OperatorFeed} from '../ports';
 
 /**
- * Delay before a version's naming is recorded that was read at the start, by
- * the entry that then still reads the table for the site: it takes that long to
- * find a relay. A failed record is also repeated after it.
+ * Delay before a record that is due at the start, when an entry may not have
+ * found its relay yet, and before a failed one is repeated.
  */
 const RECORD_DELAY: Milliseconds = 500;
 
@@ -34,10 +33,8 @@
 }
 
 /**
- * Creates the recorder. Changes are recorded at once, as all processes may be
- * killed right after a naming. Otherwise, after a restart of all of them, each
- * counts the version's bound from its own first reading, and engines get
- * requests for the older version for seconds after the bound.
+ * Creates the recorder. Changes are recorded at once: all processes may be
+ * killed right after a naming, and a version's bound counts from its record.
  */
 export function createNamingRecorder(
   options: NamingRecorderOptions,
--- a/packages/fleet/src/entry/operator_follower.ts
+++ b/packages/fleet/src/entry/operator_follower.ts
@@ -391,9 +391,8 @@
   }
 
   /**
-   * Waits at the start for a reading of the relay. If each process of a region
-   * read the whole table from the store, their reads would saturate the
-   * region's link and time out together.
+   * Waits at the start for a reading of the relay. Reads of the whole table by
+   * all entries of a region would saturate its link and time out together.
    */
   async function awaitRelayedReading(
     signal: AbortSignal,
--- a/packages/fleet/src/link/feed_loop.ts
+++ b/packages/fleet/src/link/feed_loop.ts
@@ -16,9 +16,8 @@
   /** Name of the table in log lines. */
   readonly name: string;
   /**
-   * Waits until the first request is due. Returns the revision up to which
-   * another process has told the rows, so that only changes are requested;
-   * undefined if all rows must be read.
+   * Waits until the first request is due. Returns the revision that is known
+   * from another process; undefined if all rows must be read.
    */
   readonly awaitFirst?: (signal: AbortSignal) => Promise<Revision | undefined>;
   readonly readAll: () => Promise<Result<Reading, HostError>>;
--- a/packages/fleet/src/link/first_read.ts
+++ b/packages/fleet/src/link/first_read.ts
@@ -17,8 +17,7 @@
 
 /**
  * Reads a small table that a starting process waits for. A late answer may be
- * lost, or on its way over a full link: it is asked for again, and the one that
- * arrives first counts.
+ * lost or still on its way; it is requested again, and the first one counts.
  */
 export function readSmallTable<Reading>(
   read: WholeRead<Reading>,
--- a/test/platform/foreign_rows.test.ts
+++ b/test/platform/foreign_rows.test.ts
@@ -268,8 +268,7 @@
   return Array.isArray(Routes) && Routes.length === 0;
 }
 
-// Half of the requests after a loss of power went to incarnations that had ended.
-test('of two targets of a service with one address, the one whose row was written last is listed', async () => {
+test('the list takes the order of writes from the rows: of two targets with one address the last counts', async () => {
   const list = createTargetList(
     createStubStore([
       row('ended', REGISTRATION, 4),
